--- /dev/null
+++ b/src/peers/peer-caller/index.ts
@@ -0,0 +1,16 @@
+/** Calls between daemons: typed methods over JSON-RPC, or a fake network in tests. */
+
+import type {InstanceId} from '../../identity/ids/index.js';
+
+/** Calls a method of another instance; rejects when the deadline passes or the peer answers with an error. */
+export type PeerCaller = {
+	call<Result>(peer: InstanceId, method: string, parameters: unknown, timeoutMs: number): Promise<Result>;
+};
+
+/** Serves a method; `from` is the calling instance. */
+export type PeerMethodHandler = (parameters: unknown, from: InstanceId) => Promise<unknown>;
+
+/** Registry of the methods that this instance serves. */
+export type PeerMethodRegistry = {
+	register(method: string, handler: PeerMethodHandler): void;
+};
