--- a/src/bin/standin.ts
+++ b/src/bin/standin.ts
@@ -13,7 +13,7 @@
 import {EngineServer} from '../standin/engine-server/index.js';
 import {createInstanceListServer} from '../standin/instance-list-server/index.js';
 import {createObjectApiServer} from '../standin/object-api-server/index.js';
-import {createServiceServer} from '../standin/service-server/index.js';
+import {ServiceServer} from '../standin/service-server/index.js';
 
 const listen = option({
 	type: string, long: 'listen', defaultValue: () => '127.0.0.1:0', description: 'host:port',
@@ -71,7 +71,7 @@
 	name: 'service',
 	args: {listen, name: option({type: string, long: 'name', defaultValue: () => 'service'})},
 	async handler(args) {
-		await announce(createServiceServer(args.name), args.listen);
+		await announce(new ServiceServer(args.name).server, args.listen);
 	},
 });
 
--- a/src/standin/engine-server/index.ts
+++ b/src/standin/engine-server/index.ts
@@ -1,9 +1,11 @@
 /** Stand-in of a model engine over HTTP. */
 
 import {randomUUID} from 'node:crypto';
+import {setTimeout as delay} from 'node:timers/promises';
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
+import {LRUCache} from 'lru-cache';
 import {readJsonBody} from '../../http/read-body/index.js';
 import {sendJson} from '../../http/send-json/index.js';
 import type {Incarnation, RequestId} from '../../identity/ids/index.js';
@@ -11,17 +13,9 @@
 import {parseCompletionRequest} from '../../requests/parse-completion-request/index.js';
 import type {EngineModelState, EngineOrder} from '../../targets/engine-client/index.js';
 import {EngineCache} from '../engine-cache/index.js';
+import {createEngineFaults, takeFault, type EngineFaults} from '../engine-faults/index.js';
 import {EngineSimulator, type EngineSpeed, type EngineStream} from '../engine-simulator/index.js';
-
-/** Faults of the stand-in engine, switched by `POST /faults`. */
-export type EngineFaults = {
-	/** Streams break after this many chunks. */
-	breakAfterChunks: number | undefined;
-	/** Streams go silent after this many chunks. */
-	silentAfterChunks: number | undefined;
-	/** Fraction of cache events that are lost. */
-	eventLoss: number;
-};
+import {sendEngineStream} from '../send-engine-stream/index.js';
 
 /** Set-up of a stand-in engine. */
 export type EngineServerOptions = {
@@ -38,13 +32,18 @@
 
 const bodyLimitBytes = 64_000_000;
 const eventHeartbeatMs = 1000;
+const keptRuns = 100_000;
 
 /** A stand-in engine. */
 export class EngineServer {
 	readonly server: Server;
-	readonly incarnation = randomUUID() as Incarnation;
-	readonly faults: EngineFaults = {breakAfterChunks: undefined, silentAfterChunks: undefined, eventLoss: 0};
-	private readonly simulator: EngineSimulator;
+	incarnation = randomUUID() as Incarnation;
+	readonly faults: EngineFaults = createEngineFaults();
+	/** Runs by the prompt's last line: the ground truth of tests. */
+	readonly runs = new LRUCache<string, number>({max: keptRuns});
+	/** Cancellations received, for requests known or not. */
+	cancellations = 0;
+	private simulator: EngineSimulator;
 	private models: EngineModelState[];
 	private role: 'mixed' | 'prefill' | 'decode' = 'mixed';
 	private isLeaving = false;
@@ -65,6 +64,13 @@
 		});
 	}
 
+	/** Loses cache, streams and connections, and comes back as another incarnation. */
+	restart(): void {
+		this.incarnation = randomUUID() as Incarnation;
+		this.simulator = new EngineSimulator(this.options.speed, new EngineCache(this.incarnation, this.options.cacheBlocks));
+		this.server.closeAllConnections();
+	}
+
 	private async serve(message: IncomingMessage, response: ServerResponse): Promise<void> {
 		const url = new URL(message.url ?? '/', 'http://localhost');
 		const {pathname} = url;
@@ -107,6 +113,19 @@
 				return;
 			}
 
+			case '/runs': {
+				sendJson(response, 200, {runs: Object.fromEntries(this.runs.entries()), cancellations: this.cancellations});
+				return;
+			}
+
+			case '/restart': {
+				sendJson(response, 200, {});
+				setImmediate(() => {
+					this.restart();
+				});
+				return;
+			}
+
 			case '/leave': {
 				this.isLeaving = true;
 				sendJson(response, 200, {});
@@ -131,6 +150,17 @@
 			return;
 		}
 
+		if (takeFault(this.faults, 'resetsBeforeRun')) {
+			message.socket.resetAndDestroy();
+			return;
+		}
+
+		if (takeFault(this.faults, 'refusals')) {
+			sendJson(response, 503, {error: {message: 'busy'}}, {'x-not-run': 'true'});
+			return;
+		}
+
+		this.noteRun(request.promptText);
 		const scope = {
 			salt: body.cache_salt as string | undefined ?? '', base: held.base, adapter, weightsVersion: held.weightsVersion,
 		};
@@ -142,67 +172,40 @@
 			maximumTokens: request.maximumTokens,
 			priority: Number(body.priority ?? 0),
 			weightsVersion: held.weightsVersion,
+			isChat: path === '/v1/chat/completions',
 		});
-		this.sendStream(stream, 0, path === '/v1/chat/completions', response);
+		if (takeFault(this.faults, 'resetsAfterRun')) {
+			message.socket.resetAndDestroy();
+			return;
+		}
+
+		if (this.faults.headerDelayMs > 0) {
+			await delay(this.faults.headerDelayMs);
+		}
+
+		sendEngineStream(stream, {offset: 0, incarnation: this.incarnation, faults: this.faults}, response);
+	}
+
+	private noteRun(prompt: string): void {
+		const lastLine = prompt.trimEnd().split('\n').at(-1) ?? '';
+		this.runs.set(lastLine, (this.runs.get(lastLine) ?? 0) + 1);
 	}
 
 	private serveStream(requestId: RequestId, offset: number, message: IncomingMessage, response: ServerResponse): void {
 		const stream = this.simulator.find(requestId);
 		if (message.method === 'DELETE') {
+			this.cancellations += 1;
 			this.simulator.cancel(requestId);
 			sendJson(response, 200, {});
 			return;
 		}
 
-		if (stream === undefined) {
+		if (stream === undefined || this.faults.forgetsStreams) {
 			sendJson(response, 404, {error: {message: 'no such stream'}});
 			return;
 		}
 
-		this.sendStream(stream, offset, true, response);
-	}
-
-	/** Sends the stream's chunks from `offset`, the first one only when its token is there. */
-	private sendStream(stream: EngineStream, offset: number, isChat: boolean, response: ServerResponse): void {
-		let next = offset;
-		const advance = () => {
-			while (next < stream.tokens.length && !this.isSilenced(next)) {
-				this.sendHeaders(stream, response);
-				response.write(formatChunk(stream, next, isChat));
-				next += 1;
-				if (next - offset === this.faults.breakAfterChunks) {
-					response.destroy();
-					return;
-				}
-			}
-
-			if (stream.isDone && next === stream.tokens.length) {
-				this.sendHeaders(stream, response);
-				response.end(`id: ${next}\ndata: [DONE]\n\n`);
-			}
-		};
-
-		stream.listeners.add(advance);
-		response.once('close', () => {
-			stream.listeners.delete(advance);
-		});
-		advance();
-	}
-
-	private isSilenced(next: number): boolean {
-		return this.faults.silentAfterChunks !== undefined && next >= this.faults.silentAfterChunks;
-	}
-
-	private sendHeaders(stream: EngineStream, response: ServerResponse): void {
-		if (!response.headersSent) {
-			response.writeHead(200, {
-				'content-type': 'text/event-stream',
-				'x-request-id': stream.job.requestId,
-				'x-engine-incarnation': this.incarnation,
-				'x-weights-version': stream.job.weightsVersion,
-				'x-cached-tokens': String(stream.cachedTokens),
-			});
-		}
+		sendEngineStream(stream, {offset, incarnation: this.incarnation, faults: this.faults}, response);
 	}
 
 	private serveEvents(after: number, response: ServerResponse): void {
@@ -263,18 +266,3 @@
 		}, this.options.loadMs).unref();
 	}
 }
-
-function formatChunk(stream: EngineStream, index: number, isChat: boolean): string {
-	const isLast = index === stream.job.maximumTokens - 1;
-	const text = stream.tokens[index] ?? '';
-	const choice = isChat ? {index: 0, delta: {content: text}} : {index: 0, text};
-	const data = {
-		id: stream.job.requestId,
-		object: isChat ? 'chat.completion.chunk' : 'text_completion',
-		created: Math.floor(Date.now() / 1000),
-		model: stream.job.weightsVersion,
-		choices: [{...choice, finish_reason: isLast ? 'length' : null}],
-		...(isLast && {usage: {prompt_tokens: stream.job.promptTokens, completion_tokens: index + 1, total_tokens: stream.job.promptTokens + index + 1}}),
-	};
-	return `id: ${index}\ndata: ${JSON.stringify(data)}\n\n`;
-}
--- a/src/standin/engine-simulator/index.ts
+++ b/src/standin/engine-simulator/index.ts
@@ -27,6 +27,8 @@
 	/** Lower goes first. */
 	readonly priority: number;
 	readonly weightsVersion: string;
+	/** Whether chunks have the chat format. */
+	readonly isChat: boolean;
 };
 
 /** A stream that is being generated; it is kept for a while so that it can be resumed. */
--- /dev/null
+++ b/src/standin/local-fleet/index.ts
@@ -0,0 +1,172 @@
+/** A router with stand-in engines and services in this process, for tests and measurements of the request path. */
+
+import {once} from 'node:events';
+import type {Server} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {Registry} from 'prom-client';
+import type {BudgetGate} from '../../budget/budget-gate/index.js';
+import {SystemClock} from '../../clock/clock/index.js';
+import {Configuration} from '../../configuration/configuration/index.js';
+import {resolveConfiguration} from '../../configuration/resolve-configuration/index.js';
+import {settingsSchema, type Settings} from '../../daemon/settings/index.js';
+import type {Revision} from '../../identity/ids/index.js';
+import {hashKey} from '../../keys/hash-key/index.js';
+import {createLogger} from '../../logging/create-logger/index.js';
+import {MemoryObjectApi} from '../../platform/memory-object-api/index.js';
+import {RoundRobinPlacement} from '../../placement/round-robin-placement/index.js';
+import {CallerServer} from '../../requests/caller-server/index.js';
+import type {RouterContext} from '../../requests/router-context/index.js';
+import type {Resource} from '../../resources/schemas/index.js';
+import {HttpEngineClient} from '../../targets/http-engine-client/index.js';
+import {TargetDirectory} from '../../targets/target-directory/index.js';
+import {EngineServer} from '../engine-server/index.js';
+import type {EngineSpeed} from '../engine-simulator/index.js';
+import {ServiceServer} from '../service-server/index.js';
+
+/** Secret of the fleet's caller. */
+export const localSecret = 'local-secret-5f1d';
+/** Secret of a caller of another organisation. */
+export const otherSecret = 'other-secret-77aa';
+
+/** Set-up of a local fleet. */
+export type LocalFleetOptions = {
+	readonly engines?: number;
+	readonly services?: number;
+	readonly speed?: Partial<EngineSpeed>;
+	readonly silenceMs?: number;
+	readonly limits?: Partial<Settings['limits']>;
+	readonly budget?: BudgetGate;
+};
+
+const fleet = 'north';
+const defaultSilenceMs = 300;
+const readyPollMs = 5;
+
+/** Router, engines and services. Model `assistant` is not deterministic, model `fixed` is. */
+export class LocalFleet {
+	readonly engines: EngineServer[];
+	readonly services: ServiceServer[];
+	readonly objectApi = new MemoryObjectApi();
+	readonly registry = new Registry();
+	readonly clock = new SystemClock();
+	/** `host:port` of the caller listener. */
+	address = '';
+	context!: RouterContext;
+	private readonly logger = createLogger({}, true);
+	private readonly targets: TargetDirectory;
+	private caller!: CallerServer;
+	private configuration!: Configuration;
+	private resources: Resource[] = [];
+
+	constructor(private readonly options: LocalFleetOptions = {}) {
+		const speed = {slots: 64, prefillTokensPerMs: 1000, decodeMsPerToken: 1, ...options.speed};
+		this.engines = Array.from({length: options.engines ?? 2}, () => new EngineServer({
+			speed, cacheBlocks: 256, models: [{base: 'base', weightsVersion: 'v1', state: 'ready'}], checksFencing: true,
+			loadLagMs: 50, eventLagMs: 10, loadMs: 10,
+		}));
+		this.services = Array.from({length: options.services ?? 2}, (_, index) => new ServiceServer(`orders-${index}`));
+		const silenceMs = options.silenceMs ?? defaultSilenceMs;
+		this.targets = new TargetDirectory(this.clock, this.logger, target => new HttpEngineClient({address: target.address, silenceMs}));
+	}
+
+	/** Starts everything and waits until the engines' states are known. */
+	async start(): Promise<this> {
+		const engineAddresses = await Promise.all(this.engines.map(async engine => listenLocally(engine.server)));
+		const serviceAddresses = await Promise.all(this.services.map(async service => listenLocally(service.server)));
+		this.apply(createLocalResources(engineAddresses, serviceAddresses));
+		const settings = settingsSchema.parse({
+			instance: 'entry-0', fleet, dataCentre: 'north-0', platform: {objectApi: 'http://127.0.0.1:1'},
+			listen: {caller: '127.0.0.1:0', peer: '127.0.0.1:0', admin: '127.0.0.1:0'}, limits: this.options.limits ?? {},
+		});
+		this.context = {
+			settings, clock: this.clock, logger: this.logger, targets: this.targets,
+			placement: new RoundRobinPlacement(),
+			budget: this.options.budget ?? {admit: async () => ({settle() {/* Unlimited. */}})},
+			readConfiguration: () => this.configuration,
+			chooseAddresses: () => ({instances: [], valid_for_seconds: 1}),
+		};
+		this.caller = new CallerServer(this.context);
+		this.address = await this.caller.listen();
+		await this.waitForEngines();
+		return this;
+	}
+
+	/** Brings changed resources in force. */
+	apply(resources: Resource[]): void {
+		this.resources = resources;
+		this.configuration = new Configuration(((this.configuration?.revision ?? 0) + 1) as Revision, resolveConfiguration(resources));
+		this.targets.apply(this.configuration);
+	}
+
+	/** Withdraws the key of `localSecret`. */
+	withdrawKey(): void {
+		this.apply(this.resources.map(resource => resource.kind === 'Key' && resource.name === 'local' ? {...resource, state: 'withdrawn'} : resource));
+	}
+
+	/** Sum of a counter over its labels, or of the samples with `labels`. */
+	async readCounter(name: string, labels: Readonly<Record<string, string>> = {}): Promise<number> {
+		const metric = await this.registry.getSingleMetric(name)?.get();
+		return (metric?.values ?? [])
+			.filter(sample => Object.entries(labels).every(([label, value]) => (sample.labels as Record<string, unknown>)[label] === value))
+			.reduce((sum, sample) => sum + sample.value, 0);
+	}
+
+	/** Closes all listeners and connections. */
+	async stop(): Promise<void> {
+		const servers = [...this.engines, ...this.services].map(target => target.server);
+		for (const server of servers) {
+			server.close();
+			server.closeAllConnections();
+		}
+
+		await this.targets.stop();
+		await this.caller.close();
+	}
+
+	private async waitForEngines(): Promise<void> {
+		while (this.targets.list().some(monitor => monitor.readState(this.clock.readMonotonic()) === undefined)) {
+			await this.clock.sleep(readyPollMs);
+		}
+	}
+}
+
+async function listenLocally(server: Server): Promise<string> {
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+function createLocalResources(engines: readonly string[], services: readonly string[]): Resource[] {
+	const createRoute = (name: string, details: {access: 'open' | 'keyed'; repeatable: 'byMethod' | 'always' | 'never'}): Resource => ({
+		kind: 'Route', fleet, name, pathPrefix: `/${name}`, service: 'orders', timeoutMs: 300, ...details,
+	});
+	const createTarget = (type: 'engine' | 'service') => (address: string, index: number): Resource => ({
+		kind: 'Target', fleet, name: `${type}-${index}`, dataCentre: 'north-0', type, address,
+		models: type === 'engine' ? ['assistant', 'fixed'] : [], service: type === 'service' ? 'orders' : undefined,
+		checksFencing: true, role: 'mixed', state: 'live',
+	});
+	const createOrganisation = (name: string, key: string, secret: string): Resource[] => [
+		{
+			kind: 'Organisation', fleet, name, tokensPerSecond: 1e6, burstTokens: 1e7, weight: 1,
+		},
+		{
+			kind: 'Key', fleet, name: key, organisation: name, sha256: hashKey(secret), state: 'active',
+		},
+	];
+	return [
+		...createOrganisation('studio', 'local', localSecret),
+		...createOrganisation('other', 'other', otherSecret),
+		{
+			kind: 'Model', fleet, name: 'assistant', base: 'base', weightsVersion: 'v1', deterministic: false,
+		},
+		{
+			kind: 'Model', fleet, name: 'fixed', base: 'base', weightsVersion: 'v1', deterministic: true,
+		},
+		createRoute('orders', {access: 'keyed', repeatable: 'byMethod'}),
+		createRoute('payments', {access: 'keyed', repeatable: 'never'}),
+		createRoute('search', {access: 'keyed', repeatable: 'always'}),
+		createRoute('public', {access: 'open', repeatable: 'byMethod'}),
+		...engines.map((address, index) => createTarget('engine')(address, index)),
+		...services.map((address, index) => createTarget('service')(address, index)),
+	];
+}
