--- a/src/standin/local-fleet/index.ts
+++ b/src/standin/local-fleet/index.ts
@@ -53,7 +53,7 @@
 	address = '';
 	context!: RouterContext;
 	private readonly logger = createLogger({}, true);
-	private readonly targets: TargetDirectory;
+	readonly targets: TargetDirectory;
 	private caller!: CallerServer;
 	private configuration!: Configuration;
 	private resources: Resource[] = [];
