Resume, restart and cancel streams without mixing answers

A broken, silent or gapped stream is resumed by offset at the same incarnation; it restarts elsewhere only while nothing was sent, or compared chunk by chunk for deterministic models. Chunks and answers of other requests are dropped and counted, an end marker counts only after each choice has finished. Retries draw on a budget; errors speak for all attempts, so "not run" is never claimed after an attempt that may have run. Disconnects and deadlines cancel at the engine.

--- a/src/daemon/start-daemon/index.ts
+++ b/src/daemon/start-daemon/index.ts
@@ -1,5 +1,6 @@
 /** Wires the parts of the daemon together. */
 
+import {Registry} from 'prom-client';
 import {SystemClock} from '../../clock/clock/index.js';
 import type {Configuration} from '../../configuration/configuration/index.js';
 import {pollResources} from '../../configuration/poll-resources/index.js';
@@ -8,6 +9,8 @@
 import {HttpObjectApi} from '../../platform/http-object-api/index.js';
 import {RoundRobinPlacement} from '../../placement/round-robin-placement/index.js';
 import {CallerServer} from '../../requests/caller-server/index.js';
+import {RequestMetrics} from '../../requests/request-metrics/index.js';
+import {RetryBudget} from '../../requests/retry-budget/index.js';
 import type {RouterContext} from '../../requests/router-context/index.js';
 import {createRouterError} from '../../results/create-router-error/index.js';
 import {HttpEngineClient} from '../../targets/http-engine-client/index.js';
@@ -37,6 +40,8 @@
 		settings, clock, logger, targets,
 		placement: new RoundRobinPlacement(),
 		budget: new StaticBudgetGate(clock, 1),
+		metrics: new RequestMetrics({registry: new Registry()}),
+		retryBudget: new RetryBudget(),
 		readConfiguration() {
 			if (current === undefined) {
 				throw createRouterError('notReady');
--- a/src/http/send-json/index.ts
+++ b/src/http/send-json/index.ts
@@ -13,7 +13,7 @@
 /** Sends `error` in the usual shape of model APIs, with its result code in a header as well. */
 export function sendError(response: ServerResponse, error: RouterError, headers: OutgoingHttpHeaders = {}): void {
 	const all: OutgoingHttpHeaders = {'x-result-code': String(error.entry.code), ...headers};
-	if (error.entry.notRun) {
+	if (error.notRun) {
 		all['x-not-run'] = 'true';
 	}
 
--- a/src/requests/caller-server/index.ts
+++ b/src/requests/caller-server/index.ts
@@ -29,6 +29,8 @@
 			void this.handle(message, response);
 		});
 		this.server.maxConnections = limits.connections;
+		// A caller that closes its sending side early still gets its answer or an error; see `openCallSignal`.
+		Object.assign(this.server, {httpAllowHalfOpen: true});
 	}
 
 	/** Starts listening; returns `host:port`. */
--- /dev/null
+++ b/src/requests/open-call-signal/index.ts
@@ -0,0 +1,59 @@
+/** The signal that ends a call: the caller has gone, or its deadline has passed. */
+
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {createRouterError, RouterError} from '../../results/create-router-error/index.js';
+
+/** Header with the longest time that the caller waits for the whole answer, in milliseconds. */
+export const timeoutHeader = 'x-timeout-ms';
+const longestTimeoutMs = 3_600_000;
+
+/**
+ * Opens the signal of one call. It aborts with a `RouterError` as reason. A caller that closes its sending side
+ * counts as gone: the engine's slot must not be held until a write happens to fail.
+ */
+export function openCallSignal(message: IncomingMessage, response: ServerResponse): AbortSignal {
+	const controller = new AbortController();
+	const timeoutMs = parseTimeout(message.headers[timeoutHeader]);
+	const abort = (error: RouterError) => {
+		controller.abort(error);
+	};
+
+	const timer = timeoutMs === undefined ? undefined : setTimeout(abort, timeoutMs, createRouterError('targetTimeout', 'the deadline of the caller has passed'));
+	const onEnd = () => {
+		abort(createRouterError('streamBroken', 'the caller closed its side of the connection'));
+	};
+
+	message.socket.once('end', onEnd);
+	response.once('close', () => {
+		clearTimeout(timer);
+		message.socket.off('end', onEnd);
+		if (!response.writableFinished) {
+			abort(createRouterError('streamBroken', 'the caller closed the connection'));
+		}
+	});
+	if (message.socket.readableEnded || message.socket.destroyed) {
+		onEnd();
+	}
+
+	return controller.signal;
+}
+
+/** Throws the reason of `signal` if it has aborted. */
+export function checkSignal(signal: AbortSignal): void {
+	if (signal.aborted) {
+		throw signal.reason instanceof RouterError ? signal.reason : createRouterError('streamBroken', 'the call was cancelled');
+	}
+}
+
+function parseTimeout(value: string | string[] | undefined): number | undefined {
+	if (value === undefined) {
+		return undefined;
+	}
+
+	const timeoutMs = Number(value);
+	if (!Number.isInteger(timeoutMs) || timeoutMs < 1 || timeoutMs > longestTimeoutMs) {
+		throw createRouterError('malformedRequest', `${timeoutHeader} must be a whole number from 1 to ${longestTimeoutMs}`);
+	}
+
+	return timeoutMs;
+}
--- a/src/requests/parse-completion-request/index.ts
+++ b/src/requests/parse-completion-request/index.ts
@@ -10,17 +10,20 @@
 
 const maximumTokensSchema = z.number().int().min(1).max(highestMaximumTokens).optional();
 const contentSchema = z.union([z.string(), z.array(z.looseObject({type: z.string(), text: z.string().optional()}))]);
+const streamOptionsSchema = z.looseObject({include_usage: z.boolean().optional()}).nullish();
 const chatSchema = z.looseObject({
 	model: z.string().min(1),
 	messages: z.array(z.looseObject({role: z.string(), content: contentSchema.nullish()})).min(1),
-	stream: z.boolean().default(false),
+	stream: z.boolean().nullish().transform(stream => stream ?? false),
+	stream_options: streamOptionsSchema,
 	max_tokens: maximumTokensSchema,
 	max_completion_tokens: maximumTokensSchema,
 });
 const completionSchema = z.looseObject({
 	model: z.string().min(1),
 	prompt: z.string(),
-	stream: z.boolean().default(false),
+	stream: z.boolean().nullish().transform(stream => stream ?? false),
+	stream_options: streamOptionsSchema,
 	max_tokens: maximumTokensSchema,
 });
 
@@ -29,6 +32,8 @@
 	readonly path: '/v1/completions' | '/v1/chat/completions';
 	readonly modelName: string;
 	readonly isStreamed: boolean;
+	/** Whether a streamed answer ends with a chunk that carries the usage. */
+	readonly includesUsage: boolean;
 	readonly maximumTokens: number;
 	/** All text of the prompt in order, as the basis of prefix keys. */
 	readonly promptText: string;
@@ -41,14 +46,15 @@
 	if (path === '/v1/completions') {
 		const parsed = checkBody(completionSchema, body);
 		return {
-			path, modelName: parsed.model, isStreamed: parsed.stream, maximumTokens: parsed.max_tokens ?? defaultMaximumTokens,
+			path, modelName: parsed.model, isStreamed: parsed.stream, includesUsage: parsed.stream_options?.include_usage ?? false,
+			maximumTokens: parsed.max_tokens ?? defaultMaximumTokens,
 			promptText: parsed.prompt, body: parsed,
 		};
 	}
 
 	const parsed = checkBody(chatSchema, body);
 	return {
-		path, modelName: parsed.model, isStreamed: parsed.stream,
+		path, modelName: parsed.model, isStreamed: parsed.stream, includesUsage: parsed.stream_options?.include_usage ?? false,
 		maximumTokens: parsed.max_completion_tokens ?? parsed.max_tokens ?? defaultMaximumTokens,
 		promptText: parsed.messages.map(message => formatMessage(message.role, message.content)).join(''),
 		body: parsed,
--- /dev/null
+++ b/src/requests/request-metrics/index.ts
@@ -0,0 +1,68 @@
+/** Counters of the request path, and the invariants that it checks while it runs. */
+
+import {Counter, Histogram, type Registry} from 'prom-client';
+import VError from 'verror';
+
+/** Invariants checked by the program itself. */
+export type RequestInvariant = 'contiguousOffsets' | 'oneGeneration' | 'atMostOneAttempt' | 'noSecretInOutgoingBytes';
+
+/** Why a chunk was dropped. */
+export type DropReason = 'crossed' | 'duplicated';
+
+/** Options of the metrics. */
+export type RequestMetricsOptions = {
+	readonly registry: Registry;
+	/** Whether a violated invariant also throws, as in tests; otherwise it is only counted. */
+	readonly throwsOnViolation?: boolean;
+};
+
+const secondsBuckets = [0.001, 0.005, 0.01, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30];
+
+/** Counters of the request path, in the given registry. */
+export class RequestMetrics {
+	readonly requests;
+	readonly retries;
+	readonly resumes;
+	readonly restarts;
+	readonly chunks;
+	readonly droppedChunks;
+	readonly droppedAnswers;
+	readonly cancellations;
+	readonly connectionErrors;
+	readonly idempotency;
+	readonly violations;
+	readonly durations;
+
+	constructor(private readonly options: RequestMetricsOptions) {
+		const registers = [options.registry];
+		const define = <Label extends string>(name: string, help: string, labelNames: Label[] = []) => new Counter({
+			name: `laburnumturn_${name}`, help, labelNames, registers,
+		});
+		this.requests = define('requests_total', 'Requests from callers by kind and result name.', ['kind', 'result']);
+		this.retries = define('retries_total', 'Attempts after the first, by kind and by result name of the attempt before.', ['kind', 'reason']);
+		this.resumes = define('stream_resumes_total', 'Streams continued by offset at the same engine incarnation.');
+		this.restarts = define('stream_restarts_total', 'Answers generated again by another attempt after chunks had arrived.');
+		this.chunks = define('stream_chunks_total', 'Chunks written to callers.');
+		this.droppedChunks = define('dropped_chunks_total', 'Chunks of another request or received before.', ['reason']);
+		this.droppedAnswers = define('dropped_answers_total', 'Answers whose header names another request.');
+		this.cancellations = define('cancellations_total', 'Requests cancelled at an engine.');
+		this.connectionErrors = define('caller_connection_errors_total', 'Malformed, slow, oversized or surplus connections from callers.', ['code']);
+		this.idempotency = define('idempotency_total', 'Calls with an idempotency key by outcome of the claim.', ['outcome']);
+		this.violations = define('invariant_violations_total', 'Violations of invariants; always 0 in a correct program.', ['invariant']);
+		this.durations = new Histogram({
+			name: 'laburnumturn_request_seconds', help: 'Time from the request to the end of its answer, by kind.', labelNames: ['kind'], registers, buckets: secondsBuckets,
+		});
+	}
+
+	/** Counts a violation of `invariant` unless `isKept`; returns `isKept`. */
+	checkInvariant(invariant: RequestInvariant, isKept: boolean): boolean {
+		if (!isKept) {
+			this.violations.inc({invariant});
+			if (this.options.throwsOnViolation ?? false) {
+				throw new VError('invariant violated: %s', invariant);
+			}
+		}
+
+		return isKept;
+	}
+}
--- a/src/requests/router-context/index.ts
+++ b/src/requests/router-context/index.ts
@@ -7,6 +7,8 @@
 import type {EventLogger} from '../../logging/create-logger/index.js';
 import type {Placement} from '../../placement/placement/index.js';
 import type {TargetDirectory} from '../../targets/target-directory/index.js';
+import type {RequestMetrics} from '../request-metrics/index.js';
+import type {RetryBudget} from '../retry-budget/index.js';
 
 /** Instances that a caller may use, best first. */
 export type AddressAnswer = {
@@ -23,6 +25,8 @@
 	readonly targets: TargetDirectory;
 	readonly placement: Placement;
 	readonly budget: BudgetGate;
+	readonly metrics: RequestMetrics;
+	readonly retryBudget: RetryBudget;
 	/** The configuration in force; throws `notReady` or `isolated` when requests must be refused. */
 	readConfiguration(): Configuration;
 	/** Answers an address query from a caller in `dataCentre`, if it named one. */
--- a/src/requests/send-completion/index.ts
+++ b/src/requests/send-completion/index.ts
@@ -1,106 +1,75 @@
-/** Sends a completion to an engine and yields its checked chunks. */
+/** Chooses the engine of a completion and builds the request to it. */
 
-import {randomUUID} from 'node:crypto';
-import type {OrganisationId, RequestId, TargetId} from '../../identity/ids/index.js';
+import type {
+	Incarnation, OrganisationId, RequestId, TargetId,
+} from '../../identity/ids/index.js';
 import type {ResolvedModel} from '../../configuration/configuration/index.js';
-import {createRouterError, RouterError} from '../../results/create-router-error/index.js';
+import {createRouterError} from '../../results/create-router-error/index.js';
 import {estimateTokens, hashPrompt} from '../../placement/hash-prompt/index.js';
 import type {PlacementQuery} from '../../placement/placement/index.js';
-import type {EngineAnswer, EngineChunk} from '../../targets/engine-client/index.js';
+import type {EngineRequest} from '../../targets/engine-client/index.js';
 import type {EngineMonitor} from '../../targets/engine-monitor/index.js';
 import type {CompletionRequest} from '../parse-completion-request/index.js';
 import type {RouterContext} from '../router-context/index.js';
 
-/** A completion on its way. */
-export type CompletionCall = {
+/** A completion that was authorised. */
+export type PlacedCompletion = {
 	readonly request: CompletionRequest;
 	readonly model: ResolvedModel;
 	readonly organisation: OrganisationId;
-	readonly signal: AbortSignal;
 };
 
-const maximumAttempts = 3;
-
-/** Yields the answer's chunks in order, the end marker last; fails with a `RouterError` otherwise. */
-export async function * sendCompletion(context: RouterContext, call: CompletionCall): AsyncGenerator<EngineChunk> {
-	const excluded = new Set<TargetId>();
-	for (let attempt = 1; ; attempt += 1) {
-		const engine = chooseEngine(context, call, excluded);
-		let sentChunks = 0;
-		try {
-			engine.ownInFlight += 1;
-			const answer = await openAnswer(call, engine);
-			for await (const chunk of answer.chunks) {
-				checkChunk(chunk, sentChunks, answer.requestId);
-				sentChunks += 1;
-				yield chunk;
-			}
-
-			return;
-		} catch (error) {
-			// Once a chunk was passed on, another generation must not be spliced into the answer.
-			if (!(error instanceof RouterError) || sentChunks > 0 || attempt === maximumAttempts || call.signal.aborted) {
-				throw error;
-			}
-
-			engine.markFailed();
-			excluded.add(engine.target.id);
-		} finally {
-			engine.ownInFlight -= 1;
-		}
-	}
-}
+/** An engine, and the incarnation on whose state the choice relied. */
+export type ChosenEngine = {readonly engine: EngineMonitor; readonly expectedIncarnation: Incarnation | undefined};
 
 /** Cache salt of an organisation, as engines see it. */
 export function formatCacheSalt(organisation: OrganisationId): string {
 	return `organisation:${organisation}`;
 }
 
-function chooseEngine(context: RouterContext, call: CompletionCall, excluded: ReadonlySet<TargetId>): EngineMonitor {
+/**
+ * Chooses an engine outside `excluded`; throws `noTarget` when none is left. The expected incarnation is always
+ * named: candidates are filtered by the state, and placed by the cache, of that incarnation.
+ */
+export function chooseEngine(context: RouterContext, completion: PlacedCompletion, excluded: ReadonlySet<TargetId>): ChosenEngine {
+	const {model, request, organisation} = completion;
 	const now = context.clock.readMonotonic();
-	const candidates = context.readConfiguration().listEngines(call.model.id)
+	const candidates = context.readConfiguration().listEngines(model.id)
 		.map(target => context.targets.find(target.id))
-		.filter(monitor => monitor?.canServe(call.model, now)) as EngineMonitor[];
+		.filter(monitor => monitor?.canServe(model, now)) as EngineMonitor[];
 	const scope = {
-		salt: formatCacheSalt(call.organisation), base: call.model.base, adapter: call.model.adapter, weightsVersion: call.model.weightsVersion,
+		salt: formatCacheSalt(organisation), base: model.base, adapter: model.adapter, weightsVersion: model.weightsVersion,
 	};
 	const query: PlacementQuery = {
-		model: call.model,
-		organisation: call.organisation,
-		blocks: hashPrompt(scope, call.request.promptText),
-		promptTokens: estimateTokens(call.request.promptText),
+		model,
+		organisation,
+		blocks: hashPrompt(scope, request.promptText),
+		promptTokens: estimateTokens(request.promptText),
 		candidates,
-		excluded,
+		// An engine that failed once is better than none.
+		excluded: candidates.every(engine => excluded.has(engine.target.id)) ? new Set() : excluded,
 	};
 	const engine = context.placement.choose(query, now);
 	if (engine === undefined) {
-		throw createRouterError('noTarget', `model ${call.model.id}`);
+		throw createRouterError('noTarget', `model ${model.id}`);
 	}
 
 	context.placement.noteSent(query, engine, now);
-	return engine;
+	return {engine, expectedIncarnation: engine.readState(now)?.incarnation};
 }
 
-async function openAnswer(call: CompletionCall, engine: EngineMonitor): Promise<EngineAnswer> {
-	const {model, adapter} = {model: call.model.base, adapter: call.model.adapter};
-	const {max_completion_tokens: _, ...body} = call.request.body;
-	return engine.client.complete({
-		requestId: randomUUID() as RequestId,
-		path: call.request.path,
+/** Builds the request to the engine: the caller's body with the engine's names, always streamed and with usage. */
+export function createEngineRequest(completion: PlacedCompletion, requestId: RequestId, expectedIncarnation: Incarnation | undefined): EngineRequest {
+	const {request, model, organisation} = completion;
+	const {max_completion_tokens: _, ...body} = request.body;
+	return {
+		requestId,
+		path: request.path,
 		body: {
-			...body, model, ...(adapter !== undefined && {adapter}),
-			max_tokens: call.request.maximumTokens, cache_salt: formatCacheSalt(call.organisation),
+			...body, model: model.base, ...(model.adapter !== undefined && {adapter: model.adapter}),
+			stream_options: {include_usage: true}, max_tokens: request.maximumTokens, cache_salt: formatCacheSalt(organisation),
 		},
-		expectedWeightsVersion: call.model.weightsVersion,
-	}, call.signal);
-}
-
-function checkChunk(chunk: EngineChunk, expectedOffset: number, requestId: RequestId): void {
-	if (chunk.offset !== expectedOffset) {
-		throw createRouterError('streamBroken', `expected chunk ${expectedOffset} and got ${chunk.offset}`);
-	}
-
-	if (!chunk.isEnd && !chunk.data.includes(requestId)) {
-		throw createRouterError('answerMismatch', `chunk ${chunk.offset} does not carry ${requestId}`);
-	}
+		expectedIncarnation,
+		expectedWeightsVersion: model.weightsVersion,
+	};
 }
--- a/src/requests/serve-completion/index.ts
+++ b/src/requests/serve-completion/index.ts
@@ -7,10 +7,12 @@
 import type {Configuration, ResolvedModel, ResolvedOrganisation} from '../../configuration/configuration/index.js';
 import type {FleetId, OrganisationId} from '../../identity/ids/index.js';
 import {authenticateCaller, extractSecret} from '../authenticate-caller/index.js';
+import {CompletionExchange, type CompletionCall} from '../completion-exchange/index.js';
+import {refuseSecrets} from '../filter-secrets/index.js';
+import {checkSignal, openCallSignal} from '../open-call-signal/index.js';
 import {parseCompletionRequest, type CompletionRequest} from '../parse-completion-request/index.js';
-import {sendCompletion} from '../send-completion/index.js';
-import {sendWholeCompletion, streamCompletion} from '../write-completion/index.js';
 import type {RouterContext} from '../router-context/index.js';
+import {createAnswerIdentity, StreamSink, WholeSink} from '../write-completion/index.js';
 
 /** Longest wait for tokens on the way, in milliseconds. */
 const budgetWaitMs = 500;
@@ -20,29 +22,64 @@
 
 /** Serves one completion request. Rejects with a `RouterError` while nothing was sent to the caller. */
 export async function serveCompletion(context: RouterContext, path: CompletionRequest['path'], message: IncomingMessage, response: ServerResponse): Promise<void> {
+	const signal = openCallSignal(message, response);
 	const secret = extractSecret(message.headers);
+	authenticateEarly(context, secret);
 	const body = await readJsonBody(message, context.settings.limits.bodyBytes);
+	refuseSecrets(body, secret);
 	const request = parseCompletionRequest(path, body);
-	const configuration = context.readConfiguration();
-	const {model, organisation} = authoriseCompletion(configuration, request.modelName, secret);
+	const authorise = () => authoriseCompletion(context.readConfiguration(), request.modelName, secret);
+	const {organisation} = authorise();
 	const promptTokens = estimateTokens(request.promptText);
 	const admission = organisation === undefined
 		? undefined
 		: await context.budget.admit(organisation, promptTokens + request.maximumTokens, budgetWaitMs);
-	const controller = new AbortController();
-	response.once('close', () => {
-		controller.abort();
-	});
-	const chunks = sendCompletion(context, {
-		request, model, organisation: organisation?.id ?? openOrganisation, signal: controller.signal,
-	});
+	let usedTokens = 0;
 	try {
-		const generated = request.isStreamed
-			? await streamCompletion(response, chunks)
-			: await sendWholeCompletion(response, chunks, path === '/v1/chat/completions');
-		admission?.settle(promptTokens + Math.min(generated, request.maximumTokens));
+		checkSignal(signal);
+		context.retryBudget.noteRequest();
+		usedTokens = await answerCompletion(context, response, {
+			request, signal, secret,
+			authorise() {
+				const authorised = authorise();
+				return {model: authorised.model, organisation: authorised.organisation?.id ?? openOrganisation};
+			},
+		});
+	} finally {
+		admission?.settle(usedTokens);
+	}
+}
+
+/** Runs the exchange and ends the answer; returns the tokens used. */
+async function answerCompletion(context: RouterContext, response: ServerResponse, call: CompletionCall): Promise<number> {
+	const {request} = call;
+	const identity = createAnswerIdentity(request, context.clock.readWall());
+	const sink = request.isStreamed
+		? new StreamSink({
+			response, identity, metrics: context.metrics, includesUsage: request.includesUsage, stallMs: context.settings.limits.receiveTimeoutMs,
+		})
+		: new WholeSink();
+	const exchange = new CompletionExchange(context, call, sink);
+	const countTokens = () => {
+		const promptTokens = exchange.mayHaveRun ? estimateTokens(request.promptText) : 0;
+		return promptTokens + Math.min(sink.usage?.completion_tokens ?? sink.generated, request.maximumTokens);
+	};
+
+	try {
+		await exchange.run();
+		sink.end(response, identity);
 	} catch (error) {
 		endBrokenAnswer(response, error);
+		context.metrics.requests.inc({kind: 'completion', result: convertToRouterError(error).entry.name});
+	}
+
+	return countTokens();
+}
+
+/** Refuses an unknown key before the body is read, so that strangers cannot make the router hold large bodies. */
+function authenticateEarly(context: RouterContext, secret: string | undefined): void {
+	if (secret !== undefined) {
+		authenticateCaller(context.readConfiguration(), secret);
 	}
 }
 
--- a/src/requests/serve-service/index.ts
+++ b/src/requests/serve-service/index.ts
@@ -1,19 +1,16 @@
 /** Serves calls to plain services by path prefix. */
 
-import type {IncomingHttpHeaders, IncomingMessage, ServerResponse} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import {pipeline} from 'node:stream/promises';
 import {request as sendRequest, Client} from 'undici';
 import {readBody} from '../../http/read-body/index.js';
 import {createRouterError} from '../../results/create-router-error/index.js';
 import type {ResolvedRoute, ResolvedTarget} from '../../configuration/configuration/index.js';
 import {authenticateCaller, extractSecret} from '../authenticate-caller/index.js';
+import {filterAnswerHeaders, filterHeaders} from '../filter-secrets/index.js';
 import type {RouterContext} from '../router-context/index.js';
 
 const connectTimeoutMs = 1000;
-const hopHeaders = new Set([
-	'connection', 'keep-alive', 'proxy-connection', 'transfer-encoding', 'upgrade', 'te', 'trailer', 'expect', 'host', 'content-length',
-]);
-const secretHeaders = new Set(['authorization', 'x-api-key', 'cookie', 'proxy-authorization']);
 const notSentCodes = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH', 'ENETUNREACH']);
 
 /** Serves one call of a plain service. */
@@ -63,7 +60,7 @@
 	try {
 		const answer = await sendRequest(origin + (call.message.url ?? '/'), {
 			method: (call.message.method ?? 'GET') as 'GET',
-			headers: filterHeaders(call.message.headers, call.secret),
+			headers: filterHeaders(call.message.headers, value => call.secret !== undefined && value.includes(call.secret)),
 			body: call.body.length === 0 ? undefined : call.body,
 			dispatcher: client,
 		});
@@ -73,21 +70,3 @@
 		await client.destroy();
 	}
 }
-
-/** Headers that a target may see: none that carries the caller's key. */
-export function filterHeaders(headers: IncomingHttpHeaders, secret: string | undefined): Record<string, string | string[]> {
-	const kept: Record<string, string | string[]> = {};
-	for (const [name, value] of Object.entries(headers)) {
-		const isSecret = secretHeaders.has(name) || (secret !== undefined && String(value).includes(secret));
-		if (value !== undefined && !hopHeaders.has(name) && !isSecret) {
-			kept[name] = value;
-		}
-	}
-
-	return kept;
-}
-
-function filterAnswerHeaders(headers: IncomingHttpHeaders): Record<string, string | string[]> {
-	const kept = Object.entries(headers).filter(([name, value]) => value !== undefined && !hopHeaders.has(name));
-	return Object.fromEntries(kept) as Record<string, string | string[]>;
-}
--- a/src/requests/write-completion/index.ts
+++ b/src/requests/write-completion/index.ts
@@ -1,70 +1,172 @@
-/** Writes a completion to the caller, streamed or as one JSON answer. */
+/** Writes a completion to the caller in the published format, streamed or as one JSON answer. */
 
-import type {ServerResponse} from 'node:http';
+import {randomUUID} from 'node:crypto';
 import {once} from 'node:events';
-import type {EngineChunk} from '../../targets/engine-client/index.js';
+import type {ServerResponse} from 'node:http';
 import {createRouterError} from '../../results/create-router-error/index.js';
 import {sendJson} from '../../http/send-json/index.js';
+import type {AnswerSink} from '../completion-exchange/index.js';
+import type {CompletionRequest} from '../parse-completion-request/index.js';
+import type {ChunkChoice, CompletionUsage, WireChunk} from '../read-chunks/index.js';
+import type {RequestMetrics} from '../request-metrics/index.js';
+
+const msPerSecond = 1000;
 
-type WireChoice = {
-	index: number;
-	text?: string;
-	delta?: {role?: string; content?: string};
-	finish_reason?: string | null;
+/** What is the same in all chunks of an answer, whichever engine generates it. */
+export type AnswerIdentity = {readonly id: string; readonly created: number; readonly model: string; readonly isChat: boolean};
+
+/** Creates the identity of the answer to `request` at wall time `nowMs`. */
+export function createAnswerIdentity(request: CompletionRequest, nowMs: number): AnswerIdentity {
+	const isChat = request.path === '/v1/chat/completions';
+	return {
+		id: `${isChat ? 'chatcmpl' : 'cmpl'}-${randomUUID()}`, created: Math.floor(nowMs / msPerSecond), model: request.modelName, isChat,
+	};
+}
+
+/** Options of a `StreamSink`. */
+export type StreamSinkOptions = {
+	readonly response: ServerResponse;
+	readonly identity: AnswerIdentity;
+	readonly metrics: RequestMetrics;
+	/** Whether the caller asked for a last chunk with the usage. */
+	readonly includesUsage: boolean;
+	/** Longest time that the caller may take no byte, in milliseconds. */
+	readonly stallMs: number;
 };
-type WireChunk = {id: string; created: number; model: string; choices: WireChoice[]; usage?: unknown};
 
-/** Streams `chunks` as server-sent events and waits whenever the caller is slower than the engine. Returns the chunks written. */
-export async function streamCompletion(response: ServerResponse, chunks: AsyncIterable<EngineChunk>): Promise<number> {
-	let written = 0;
-	for await (const chunk of chunks) {
-		if (!response.headersSent) {
-			response.writeHead(200, {'content-type': 'text/event-stream', 'cache-control': 'no-cache'});
+/** Streams an answer as server-sent events. */
+export class StreamSink implements AnswerSink {
+	hasSent = false;
+	usage: CompletionUsage | undefined;
+	/** Chunks with choices so far. */
+	generated = 0;
+	private hasRole = false;
+
+	constructor(private readonly options: StreamSinkOptions) {}
+
+	write(chunk: WireChunk): Promise<void> | undefined {
+		this.usage = chunk.usage ?? this.usage;
+		if (chunk.choices.length > 0) {
+			this.generated += 1;
+		} else if (!this.options.includesUsage) {
+			return undefined;
 		}
 
-		const accepted = response.write(`data: ${chunk.data}\n\n`);
-		written += 1;
-		if (!accepted && !response.destroyed) {
-			await Promise.race([once(response, 'drain'), once(response, 'close')]);
+		return this.send(`data: ${JSON.stringify(this.format(chunk))}\n\n`);
+	}
+
+	reset(): void {
+		this.generated = 0;
+		this.usage = undefined;
+	}
+
+	/** Sends the end marker. */
+	end(): void {
+		this.options.response.end('data: [DONE]\n\n');
+	}
+
+	private format(chunk: WireChunk): WireChunk {
+		const {identity, includesUsage} = this.options;
+		const {usage, ...rest} = chunk;
+		if (identity.isChat && !this.hasRole) {
+			this.hasRole = true;
+			addRole(rest.choices);
 		}
 
+		return {
+			...rest, id: identity.id, object: identity.isChat ? 'chat.completion.chunk' : 'text_completion',
+			created: identity.created, model: identity.model,
+			...(includesUsage && {usage: chunk.choices.length === 0 ? usage ?? null : null}),
+		};
+	}
+
+	private send(text: string): Promise<void> | undefined {
+		const {response, metrics} = this.options;
 		if (response.destroyed) {
 			throw createRouterError('streamBroken', 'the caller closed the connection');
 		}
-	}
 
-	response.end();
-	return written;
+		if (!response.headersSent) {
+			response.writeHead(200, {'content-type': 'text/event-stream; charset=utf-8', 'cache-control': 'no-cache'});
+		}
+
+		this.hasSent = true;
+		metrics.chunks.inc();
+		return response.write(text) ? undefined : waitForDrain(response, this.options.stallMs);
+	}
 }
 
-/** Collects `chunks` into one answer in the non-streamed shape. Returns the number of generated chunks. */
-export async function sendWholeCompletion(response: ServerResponse, chunks: AsyncIterable<EngineChunk>, isChat: boolean): Promise<number> {
-	const texts: string[] = [];
-	let last: WireChunk | undefined;
-	let finishReason: string | null = null;
-	let usage: unknown;
-	for await (const chunk of chunks) {
-		if (chunk.isEnd) {
-			continue;
+/** Collects an answer into one JSON body. */
+export class WholeSink implements AnswerSink {
+	usage: CompletionUsage | undefined;
+	generated = 0;
+	private readonly choices = new Map<number, {texts: string[]; finishReason: string | null}>();
+
+	/** Nothing is sent before the answer is whole. */
+	get hasSent(): boolean {
+		return false;
+	}
+
+	write(chunk: WireChunk): undefined {
+		this.usage = chunk.usage ?? this.usage;
+		this.generated += chunk.choices.length > 0 ? 1 : 0;
+		for (const choice of chunk.choices) {
+			const collected = this.choices.get(choice.index) ?? {texts: [], finishReason: null};
+			collected.texts.push(choice.text ?? choice.delta?.content ?? '');
+			collected.finishReason = choice.finish_reason ?? collected.finishReason;
+			this.choices.set(choice.index, collected);
 		}
 
-		last = JSON.parse(chunk.data) as WireChunk;
-		const choice = last.choices[0];
-		texts.push(choice?.text ?? choice?.delta?.content ?? '');
-		finishReason = choice?.finish_reason ?? finishReason;
-		usage = last.usage ?? usage;
+		return undefined;
+	}
+
+	reset(): void {
+		this.choices.clear();
+		this.generated = 0;
+		this.usage = undefined;
 	}
 
-	if (last === undefined) {
-		throw createRouterError('streamBroken', 'the answer was empty');
+	/** Sends the collected answer. */
+	end(response: ServerResponse, identity: AnswerIdentity): void {
+		const choices = [...this.choices].toSorted(([a], [b]) => a - b).map(([index, {texts, finishReason}]) => ({
+			index,
+			...(identity.isChat ? {message: {role: 'assistant', content: texts.join('')}} : {text: texts.join('')}),
+			logprobs: null,
+			finish_reason: finishReason,
+		}));
+		sendJson(response, 200, {
+			id: identity.id, object: identity.isChat ? 'chat.completion' : 'text_completion', created: identity.created, model: identity.model,
+			choices, usage: this.usage,
+		});
 	}
+}
 
-	const text = texts.join('');
-	const choice = isChat
-		? {index: 0, message: {role: 'assistant', content: text}, finish_reason: finishReason}
-		: {index: 0, text, finish_reason: finishReason};
-	sendJson(response, 200, {
-		id: last.id, object: isChat ? 'chat.completion' : 'text_completion', created: last.created, model: last.model, choices: [choice], usage,
-	});
-	return texts.length;
+/** The first chunk of a chat answer names the role, also when an engine leaves it out. */
+function addRole(choices: readonly ChunkChoice[]): void {
+	for (const choice of choices) {
+		choice.delta = {role: 'assistant', ...choice.delta};
+	}
+}
+
+/** Waits until the caller has taken what was written; disconnects a caller that takes nothing for `stallMs`. */
+async function waitForDrain(response: ServerResponse, stallMs: number): Promise<void> {
+	if (response.destroyed) {
+		throw createRouterError('streamBroken', 'the caller closed the connection');
+	}
+
+	const timer = setTimeout(() => {
+		response.destroy();
+	}, stallMs);
+	const controller = new AbortController();
+	const {signal} = controller;
+	try {
+		await Promise.race([once(response, 'drain', {signal}), once(response, 'close', {signal})]);
+	} finally {
+		clearTimeout(timer);
+		controller.abort();
+	}
+
+	if (response.destroyed) {
+		throw createRouterError('streamBroken', 'the caller closed the connection');
+	}
 }
--- a/src/results/create-router-error/index.ts
+++ b/src/results/create-router-error/index.ts
@@ -9,6 +9,8 @@
 	/** Seconds after which a retry makes sense, if known. */
 	readonly retryAfterSeconds: number | undefined;
 	override readonly cause: Error | undefined;
+	/** Whether no target ran any part of the request. */
+	readonly notRun: boolean;
 
 	constructor(entry: ResultCodeEntry, message: string, options: RouterErrorOptions = {}) {
 		super(message);
@@ -16,6 +18,7 @@
 		this.entry = entry;
 		this.cause = options.cause;
 		this.retryAfterSeconds = options.retryAfterSeconds;
+		this.notRun = entry.notRun && !(options.mayHaveRun ?? false);
 	}
 }
 
@@ -23,6 +26,8 @@
 export type RouterErrorOptions = {
 	readonly cause?: Error;
 	readonly retryAfterSeconds?: number;
+	/** Whether a target may have run the request although the code alone says otherwise. */
+	readonly mayHaveRun?: boolean;
 };
 
 /** Body of an error answer: the usual shape of model APIs plus the result code. */
@@ -30,6 +35,8 @@
 	readonly error: {
 		readonly message: string;
 		readonly type: string;
+		/** Always null: the message names the field. */
+		readonly param: null;
 		readonly code: number;
 		readonly not_run?: true;
 	};
@@ -54,6 +61,8 @@
 
 /** Formats the body of an error answer. */
 export function formatErrorBody(error: RouterError): ErrorBody {
-	const body = {message: error.message, type: error.entry.name, code: error.entry.code};
-	return error.entry.notRun ? {error: {...body, not_run: true}} : {error: body};
+	const body = {
+		message: error.message, type: error.entry.name, param: null, code: error.entry.code,
+	};
+	return error.notRun ? {error: {...body, not_run: true}} : {error: body};
 }
--- a/src/standin/engine-simulator/index.ts
+++ b/src/standin/engine-simulator/index.ts
@@ -3,7 +3,7 @@
  * priority, prefill one prompt at a time, and decoding at a fixed pace.
  */
 
-import {setTimeout as delay} from 'node:timers/promises';
+import {setImmediate as nextTurn, setTimeout as delay} from 'node:timers/promises';
 import type {BlockKey, RequestId} from '../../identity/ids/index.js';
 import type {EngineLoad} from '../../targets/engine-client/index.js';
 import {pieceBytes, bytesPerToken} from '../../placement/hash-prompt/index.js';
@@ -43,6 +43,8 @@
 };
 
 const keptStreamMs = 30_000;
+/** Tokens that an engine without decoding time generates in one turn of the event loop. */
+const burstTokens = 32;
 const pieceTokens = pieceBytes / bytesPerToken;
 
 /** Runs jobs in a batch. */
@@ -98,6 +100,8 @@
 			notify(stream);
 			if (this.speed.decodeMsPerToken > 0) {
 				await delay(this.speed.decodeMsPerToken);
+			} else if (stream.tokens.length % burstTokens === 0) {
+				await nextTurn();
 			}
 		}
 
--- a/src/standin/local-fleet/index.ts
+++ b/src/standin/local-fleet/index.ts
@@ -15,6 +15,8 @@
 import {MemoryObjectApi} from '../../platform/memory-object-api/index.js';
 import {RoundRobinPlacement} from '../../placement/round-robin-placement/index.js';
 import {CallerServer} from '../../requests/caller-server/index.js';
+import {RequestMetrics} from '../../requests/request-metrics/index.js';
+import {RetryBudget} from '../../requests/retry-budget/index.js';
 import type {RouterContext} from '../../requests/router-context/index.js';
 import type {Resource} from '../../resources/schemas/index.js';
 import {HttpEngineClient} from '../../targets/http-engine-client/index.js';
@@ -52,14 +54,16 @@
 	/** `host:port` of the caller listener. */
 	address = '';
 	context!: RouterContext;
-	private readonly logger = createLogger({}, true);
 	readonly targets: TargetDirectory;
+	private readonly logger = createLogger({}, true);
 	private caller!: CallerServer;
 	private configuration!: Configuration;
 	private resources: Resource[] = [];
 
 	constructor(private readonly options: LocalFleetOptions = {}) {
-		const speed = {slots: 64, prefillTokensPerMs: 1000, decodeMsPerToken: 1, ...options.speed};
+		const speed = {
+			slots: 64, prefillTokensPerMs: 1000, decodeMsPerToken: 1, ...options.speed,
+		};
 		this.engines = Array.from({length: options.engines ?? 2}, () => new EngineServer({
 			speed, cacheBlocks: 256, models: [{base: 'base', weightsVersion: 'v1', state: 'ready'}], checksFencing: true,
 			loadLagMs: 50, eventLagMs: 10, loadMs: 10,
@@ -82,6 +86,8 @@
 			settings, clock: this.clock, logger: this.logger, targets: this.targets,
 			placement: new RoundRobinPlacement(),
 			budget: this.options.budget ?? {admit: async () => ({settle() {/* Unlimited. */}})},
+			metrics: new RequestMetrics({registry: this.registry, throwsOnViolation: true}),
+			retryBudget: new RetryBudget(),
 			readConfiguration: () => this.configuration,
 			chooseAddresses: () => ({instances: [], valid_for_seconds: 1}),
 		};
--- a/src/targets/http-engine-client/index.ts
+++ b/src/targets/http-engine-client/index.ts
@@ -4,6 +4,7 @@
 import {Pool, type Dispatcher} from 'undici';
 import {createStream} from '../../streams/create-stream/index.js';
 import {createRouterError, RouterError} from '../../results/create-router-error/index.js';
+import {classifyCallError} from '../../http/classify-call-error/index.js';
 import {fetchJson} from '../../http/fetch-json/index.js';
 import type {Incarnation, RequestId} from '../../identity/ids/index.js';
 import {parseEventStream} from '../parse-event-stream/index.js';
@@ -26,9 +27,6 @@
 const eventSilenceMs = 3500;
 const maximumConnections = 512;
 
-/** Failures of `undici` that are raised before any byte of the request was written. */
-const notSentCodes = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH', 'ENETUNREACH']);
-
 /** Engine over HTTP. */
 export class HttpEngineClient implements EngineClient {
 	private readonly origin: string;
@@ -71,7 +69,9 @@
 	}
 
 	async cancel(requestId: RequestId): Promise<void> {
-		await fetchJson(`${this.origin}/v1/streams/${encodeURIComponent(requestId)}`, {method: 'DELETE', timeoutMs: stateTimeoutMs});
+		await fetchJson(`${this.origin}/v1/streams/${encodeURIComponent(requestId)}`, {
+			method: 'DELETE', timeoutMs: stateTimeoutMs, dispatcher: this.eventPool,
+		});
 	}
 
 	async readState(): Promise<EngineState> {
@@ -180,24 +180,40 @@
 	throw createRouterError('streamBroken');
 }
 
+/** Longest refusal text that is read, in bytes. */
+const refusalBytes = 4096;
+
+/** Only 412 and the header `x-not-run` state that the request did not run. */
 async function convertRefusal(answer: Dispatcher.ResponseData): Promise<RouterError> {
-	const text = await answer.body.text();
-	const detail = `status ${answer.statusCode}: ${text.slice(0, 200)}`;
+	const detail = `status ${answer.statusCode}: ${await readStart(answer.body)}`;
 	if (answer.statusCode === 412 || answer.headers['x-not-run'] === 'true') {
 		return createRouterError('targetRefused', detail);
 	}
 
-	return createRouterError(answer.statusCode === 400 ? 'malformedRequest' : 'outcomeUnknown', detail);
+	return createRouterError(answer.statusCode === 400 ? 'malformedRequest' : 'outcomeUnknown', detail, {mayHaveRun: true});
 }
 
-/** An error before the answer's headers: not run only when no byte can have been sent. */
-function convertEngineError(error: unknown): RouterError {
-	const {code, message} = error as {code?: string; message: string};
-	if (code !== undefined && notSentCodes.has(code)) {
-		return createRouterError('targetUnreachable', message, {cause: error as Error});
+async function readStart(body: AsyncIterable<Uint8Array>): Promise<string> {
+	let text = '';
+	try {
+		for await (const chunk of body) {
+			text += Buffer.from(chunk).toString('utf8');
+			if (text.length >= refusalBytes) {
+				break;
+			}
+		}
+	} catch {
+		// The status alone decides; the text only helps people.
 	}
 
-	return createRouterError(code === 'UND_ERR_HEADERS_TIMEOUT' ? 'targetTimeout' : 'outcomeUnknown', message, {cause: error as Error});
+	return text.slice(0, 200);
+}
+
+/** An error before the answer's headers: not run only when no byte can have been sent. */
+function convertEngineError(error: unknown): RouterError {
+	const {message} = error as Error;
+	const name = {neverConnected: 'targetUnreachable', silent: 'targetTimeout', unknown: 'outcomeUnknown'} as const;
+	return createRouterError(name[classifyCallError(error)], message, {cause: error as Error});
 }
 
 function convertStreamError(error: unknown): RouterError {
@@ -205,6 +221,6 @@
 		return error;
 	}
 
-	const {code, message} = error as {code?: string; message: string};
-	return createRouterError(code === 'UND_ERR_BODY_TIMEOUT' ? 'targetTimeout' : 'streamBroken', message, {cause: error as Error});
+	const name = classifyCallError(error) === 'silent' ? 'targetTimeout' : 'streamBroken';
+	return createRouterError(name, (error as Error).message, {cause: error as Error});
 }
