--- /dev/null
+++ b/src/requests/serve-service/test.ts
@@ -0,0 +1,178 @@
+import {test} from 'node:test';
+import {expect} from 'earl';
+import {classifyCallError} from '../../http/classify-call-error/index.js';
+import {callService, type ServiceOutcome, type ServiceQuery} from '../../standin/call-service/index.js';
+import {LocalFleet, localSecret, otherSecret} from '../../standin/local-fleet/index.js';
+import type {ServiceFaults} from '../../standin/service-faults/index.js';
+
+const callId = 'call-1';
+
+type Scenario = {
+	readonly guards: string;
+	readonly faults: Partial<ServiceFaults>;
+	readonly query?: Partial<ServiceQuery>;
+	readonly expected: {readonly status: number; readonly type?: string; readonly notRun?: true; readonly runs: number};
+};
+
+const scenarios: Scenario[] = [
+	{
+		guards: 'a non-idempotent call sent again after its answer was lost', faults: {lostAnswers: 1},
+		expected: {status: 502, type: 'outcomeUnknown', runs: 1},
+	},
+	{
+		guards: 'a reset before the run that is reported as "not run" without proof', faults: {resetsBeforeRun: 1},
+		expected: {status: 502, type: 'outcomeUnknown', runs: 0},
+	},
+	{
+		guards: 'an idempotent call that is given up after a lost answer', faults: {lostAnswers: 1}, query: {method: 'GET'},
+		expected: {status: 200, runs: 2},
+	},
+	{
+		guards: 'a call repeated against the word of its route', faults: {lostAnswers: 1}, query: {method: 'GET', path: '/payments/pay'},
+		expected: {status: 502, type: 'outcomeUnknown', runs: 1},
+	},
+	{
+		guards: 'a refusal by every target that is not reported as "not run"', faults: {refusals: 9},
+		expected: {
+			status: 503, type: 'targetRefused', notRun: true, runs: 0,
+		},
+	},
+	{
+		guards: 'a call lost on a target that refused it without running', faults: {refusals: 1}, expected: {status: 200, runs: 1},
+	},
+	{
+		guards: 'an interim answer that leads to a second run', faults: {interimAnswers: 1}, expected: {status: 502, type: 'outcomeUnknown', runs: 1},
+	},
+	{
+		guards: 'an early answer that is taken for a failure', faults: {earlyAnswers: 1}, query: {body: 'small'}, expected: {status: 413, runs: 0},
+	},
+	{
+		guards: 'a target that is silent before its headers', faults: {delayMs: 2000}, expected: {status: 504, type: 'targetTimeout', runs: 1},
+	},
+	{
+		guards: 'half an answer that looks whole after a break', faults: {brokenBodies: 1}, expected: {status: 0, runs: 1},
+	},
+	{
+		guards: 'half an answer that hangs after silence', faults: {silentBodies: 1}, expected: {status: 0, runs: 1},
+	},
+];
+
+async function withFleet(run: (fleet: LocalFleet, call: (query?: Partial<ServiceQuery>) => Promise<ServiceOutcome>) => Promise<void>): Promise<void> {
+	const fleet = await new LocalFleet({engines: 0}).start();
+	try {
+		await run(fleet, async query => callService({
+			address: fleet.address, secret: localSecret, method: 'POST', path: '/orders/book', callId, ...query,
+		}));
+	} finally {
+		await fleet.stop();
+	}
+}
+
+function countRuns(fleet: LocalFleet, id = callId): number {
+	return fleet.services.reduce((sum, service) => sum + (service.runs.get(id) ?? 0), 0);
+}
+
+for (const scenario of scenarios) {
+	test(`guards against ${scenario.guards}`, async () => {
+		await withFleet(async (fleet, call) => {
+			// The workers share one fault state, so that it does not matter which of them is chosen first.
+			const [first, second] = fleet.services;
+			Object.assign(second!, {faults: Object.assign(first!.faults, scenario.faults)});
+			const {status, error} = await call(scenario.query);
+			const {type, notRun, ...numbers} = scenario.expected;
+			expect({
+				status, type: error?.type, notRun: error?.not_run, runs: countRuns(fleet),
+			}).toEqual({type, notRun, ...numbers});
+		});
+	});
+}
+
+test('guards against a non-idempotent call on a reused connection', async () => {
+	await withFleet(async (fleet, call) => {
+		for (let index = 0; index < 6; index += 1) {
+			expect((await call({callId: `call-${index}`})).status).toEqual(200);
+		}
+
+		expect(fleet.services.map(service => service.reusedConnections)).toEqual([0, 0]);
+	});
+});
+
+test('guards against a false statement about a connection that is reset as soon as it is open', async () => {
+	await withFleet(async (fleet, call) => {
+		for (let index = 0; index < 20; index += 1) {
+			fleet.services[index % 2]!.faults.resetsOnConnect = 1;
+			const id = `reset-${index}`;
+			const {status, error} = await call({callId: id});
+			const runs = countRuns(fleet, id);
+			expect(runs).toBeLessThanOrEqual(1);
+			expect(status === 200 ? runs : 0).toEqual(status === 200 ? 1 : 0);
+			expect(error?.not_run === true && runs > 0).toEqual(false);
+		}
+	});
+});
+
+test('guards against a call that fails although only one of two workers is down', async () => {
+	await withFleet(async (fleet, call) => {
+		fleet.services[0]!.server.close();
+		for (let index = 0; index < 4; index += 1) {
+			expect((await call({callId: `call-${index}`})).status).toEqual(200);
+		}
+	});
+});
+
+test('guards against retries that multiply the load of a failing service', async () => {
+	await withFleet(async (fleet, call) => {
+		for (const service of fleet.services) {
+			service.faults.lostAnswers = 10_000;
+		}
+
+		await Promise.all(Array.from({length: 200}, async () => call({method: 'GET'})));
+		expect(countRuns(fleet)).toBeLessThanOrEqual(200 + 20 + 20);
+		expect(countRuns(fleet)).toBeGreaterThan(200);
+	});
+});
+
+test('guards against a key in any header, query parameter or body that a target sees', async () => {
+	await withFleet(async (fleet, call) => {
+		const headers = {'x-api-key': localSecret, 'x-note': `a ${localSecret} b`, cookie: `k=${localSecret}`};
+		const path = `/orders/book?a=1&key=${localSecret}&e=${localSecret.replace('l', '%6C')}&b=2`;
+		expect((await call({headers, path})).status).toEqual(200);
+		// A caller that put its key into the wrong place of an open route.
+		expect((await call({secret: undefined, path: `/public/x?token=${otherSecret}`, headers: {'x-token': otherSecret}})).status).toEqual(200);
+		const escaped = JSON.stringify({note: localSecret}).replace('local', String.raw`l\u006fcal`);
+		for (const body of [`note=${localSecret}`, escaped]) {
+			const outcome = await call({body, headers: {'content-type': 'application/json'}});
+			expect({status: outcome.status, notRun: outcome.error?.not_run}).toEqual({status: 400, notRun: true});
+		}
+
+		expect((await call({path: `/orders/${localSecret}`})).status).toEqual(400);
+		const seen = fleet.services.flatMap(service => [...service.seen]);
+		expect(seen.filter(line => line.includes(localSecret) || line.includes(otherSecret) || line.includes('%6C'))).toEqual([]);
+		expect(seen.some(line => line.includes('/orders/book?a=1&b=2'))).toEqual(true);
+	});
+});
+
+test('guards against methods, bodies or large answers that do not get through', async () => {
+	await withFleet(async (_fleet, call) => {
+		for (const method of ['GET', 'HEAD', 'PUT', 'PATCH', 'DELETE', 'OPTIONS', 'PROPFIND']) {
+			const {status, text} = await call({method, body: method === 'PUT' ? 'x'.repeat(3_000_000) : undefined});
+			const seen = method === 'HEAD' ? undefined : (JSON.parse(text) as {method: string; bytes: number});
+			expect({status, method: seen?.method ?? method, bytes: seen?.bytes ?? 0}).toEqual({status: 200, method, bytes: method === 'PUT' ? 3_000_000 : 0});
+		}
+
+		const large = await call({method: 'GET', path: '/orders/file?bytes=20000000'});
+		expect(large.text.length).toEqual(20_000_000);
+	});
+});
+
+test('guards against codes of established connections taken for proof that nothing was sent', () => {
+	expect(classifyCallError({code: 'ECONNREFUSED', syscall: 'connect'})).toEqual('neverConnected');
+	expect(classifyCallError({code: 'UND_ERR_CONNECT_TIMEOUT'})).toEqual('neverConnected');
+	for (const code of ['EHOSTUNREACH', 'ENETUNREACH', 'ECONNRESET', 'EPIPE', 'ETIMEDOUT']) {
+		expect(classifyCallError({code, syscall: 'read'})).toEqual('unknown');
+		expect(classifyCallError({code, syscall: 'write'})).toEqual('unknown');
+	}
+
+	const mixed = {errors: [{code: 'ECONNREFUSED', syscall: 'connect'}, {code: 'ECONNRESET', syscall: 'read'}]};
+	expect(classifyCallError(mixed)).toEqual('unknown');
+});
