Retry service calls within a budget and send unrepeatable ones once

A call that may not be repeated goes out on a fresh connection that is opened once; it is "not run" only when the connection was never made, when the socket took no byte, or when the target said so. Error codes alone prove nothing, since Linux reports EHOSTUNREACH and ENETUNREACH on established connections too. Keys are removed from headers and queries and refused in bodies and paths.

--- a/src/daemon/start-daemon/index.ts
+++ b/src/daemon/start-daemon/index.ts
@@ -9,6 +9,7 @@
 import {HttpObjectApi} from '../../platform/http-object-api/index.js';
 import {RoundRobinPlacement} from '../../placement/round-robin-placement/index.js';
 import {CallerServer} from '../../requests/caller-server/index.js';
+import {createServiceConnections} from '../../requests/forward-call/index.js';
 import {RequestMetrics} from '../../requests/request-metrics/index.js';
 import {RetryBudget} from '../../requests/retry-budget/index.js';
 import type {RouterContext} from '../../requests/router-context/index.js';
@@ -35,6 +36,7 @@
 	const controller = new AbortController();
 	const createClient = (target: {address: string}) => new HttpEngineClient({address: target.address, silenceMs: settings.streamSilenceMs});
 	const targets = new TargetDirectory(clock, logger, createClient);
+	const serviceConnections = createServiceConnections();
 	let current: Configuration | undefined;
 	const context: RouterContext = {
 		settings, clock, logger, targets,
@@ -42,6 +44,7 @@
 		budget: new StaticBudgetGate(clock, 1),
 		metrics: new RequestMetrics({registry: new Registry()}),
 		retryBudget: new RetryBudget(),
+		serviceConnections,
 		readConfiguration() {
 			if (current === undefined) {
 				throw createRouterError('notReady');
@@ -73,6 +76,7 @@
 			await server.close();
 			controller.abort();
 			await targets.stop();
+			await serviceConnections.destroy();
 			await objectApi.close();
 			logger.info('daemon stopped');
 		},
--- a/src/requests/router-context/index.ts
+++ b/src/requests/router-context/index.ts
@@ -1,5 +1,6 @@
 /** What the request path needs from the rest of the daemon. */
 
+import type {Dispatcher} from 'undici';
 import type {BudgetGate} from '../../budget/budget-gate/index.js';
 import type {Clock} from '../../clock/clock/index.js';
 import type {Configuration} from '../../configuration/configuration/index.js';
@@ -27,6 +28,8 @@
 	readonly budget: BudgetGate;
 	readonly metrics: RequestMetrics;
 	readonly retryBudget: RetryBudget;
+	/** Connections to services that are kept for calls that may be repeated. */
+	readonly serviceConnections: Dispatcher;
 	/** The configuration in force; throws `notReady` or `isolated` when requests must be refused. */
 	readConfiguration(): Configuration;
 	/** Answers an address query from a caller in `dataCentre`, if it named one. */
--- a/src/requests/serve-service/index.ts
+++ b/src/requests/serve-service/index.ts
@@ -2,22 +2,72 @@
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {pipeline} from 'node:stream/promises';
-import {request as sendRequest, Client} from 'undici';
 import {readBody} from '../../http/read-body/index.js';
-import {createRouterError} from '../../results/create-router-error/index.js';
-import type {ResolvedRoute, ResolvedTarget} from '../../configuration/configuration/index.js';
+import {createRouterError, RouterError} from '../../results/create-router-error/index.js';
+import type {Configuration, ResolvedKey, ResolvedRoute} from '../../configuration/configuration/index.js';
 import {authenticateCaller, extractSecret} from '../authenticate-caller/index.js';
-import {filterAnswerHeaders, filterHeaders} from '../filter-secrets/index.js';
+import {
+	createSecretTest, filterAnswerHeaders, filterHeaders, filterPath, refuseSecretBytes,
+} from '../filter-secrets/index.js';
+import {
+	forwardCall, isRepeatableCall, type ServiceAnswer, type ServiceCall,
+} from '../forward-call/index.js';
+import {openCallSignal} from '../open-call-signal/index.js';
 import type {RouterContext} from '../router-context/index.js';
 
-const connectTimeoutMs = 1000;
-const notSentCodes = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH', 'ENETUNREACH']);
-
 /** Serves one call of a plain service. */
 export async function serveService(context: RouterContext, message: IncomingMessage, response: ServerResponse): Promise<void> {
+	const signal = openCallSignal(message, response);
+	const secret = extractSecret(message.headers);
 	const path = new URL(message.url ?? '/', 'http://localhost').pathname;
+	const {route} = authoriseCall(context.readConfiguration(), path, secret);
+	const body = await readBody(message, context.settings.limits.bodyBytes);
+	refuseSecretBytes(body, message.headers['content-type'], secret);
+	context.retryBudget.noteRequest();
+	const call = createCall(context, {
+		message, body, route, path, secret, signal,
+	});
+	const answer = await forwardCall(context, call);
+	await sendAnswer(response, answer);
+}
+
+type CallSource = {
+	readonly message: IncomingMessage;
+	readonly body: Buffer;
+	readonly route: ResolvedRoute;
+	readonly path: string;
+	readonly secret: string | undefined;
+	readonly signal: AbortSignal;
+};
+
+function createCall(context: RouterContext, source: CallSource): ServiceCall {
+	const {message, route, secret} = source;
 	const configuration = context.readConfiguration();
-	const secret = extractSecret(message.headers);
+	const isSecret = createSecretTest(configuration, secret);
+	const method = message.method ?? 'GET';
+	const call: ServiceCall = {
+		route, method,
+		path: filterPath(message.url ?? '/', isSecret),
+		headers: filterHeaders(message.headers, isSecret),
+		body: source.body,
+		isRepeatable: isRepeatableCall(route, method),
+		signal: source.signal,
+		listTargets() {
+			const now = context.readConfiguration();
+			const current = authoriseCall(now, source.path, secret).route;
+			return now.listServiceTargets(current.service ?? '').filter(target => target.state === 'live');
+		},
+	};
+	const isClean = secret === undefined || !(call.path + JSON.stringify(call.headers)).includes(secret);
+	if (!context.metrics.checkInvariant('noSecretInOutgoingBytes', isClean)) {
+		throw createRouterError('internalError', 'a key was about to be sent to a target');
+	}
+
+	return call;
+}
+
+/** Finds the route of a call and checks its caller; called again at the start of each attempt. */
+function authoriseCall(configuration: Configuration, path: string, secret: string | undefined): {route: ResolvedRoute; key: ResolvedKey | undefined} {
 	const key = secret === undefined ? undefined : authenticateCaller(configuration, secret);
 	const route = configuration.findServiceRoute(path, key?.fleet);
 	if (route === undefined) {
@@ -28,45 +78,17 @@
 		throw createRouterError('unauthenticated', 'no bearer key was sent');
 	}
 
-	const body = await readBody(message, context.settings.limits.bodyBytes);
-	const targets = configuration.listServiceTargets(route.service ?? '').filter(target => target.state === 'live');
-	await forwardCall(route, targets, {message, body, secret}, response);
-}
-
-type ServiceCall = {readonly message: IncomingMessage; readonly body: Buffer; readonly secret: string | undefined};
-
-async function forwardCall(route: ResolvedRoute, targets: readonly ResolvedTarget[], call: ServiceCall, response: ServerResponse): Promise<void> {
-	const start = Math.floor(Math.random() * Math.max(1, targets.length));
-	for (let index = 0; index < targets.length; index += 1) {
-		const target = targets[(start + index) % targets.length]!;
-		try {
-			await forwardTo(target, route, call, response);
-			return;
-		} catch (error) {
-			const {code, message} = error as {code?: string; message: string};
-			if (response.headersSent || code === undefined || !notSentCodes.has(code)) {
-				throw createRouterError('outcomeUnknown', message, {cause: error as Error});
-			}
-		}
-	}
-
-	throw createRouterError('noTarget', `service ${route.service ?? ''}`);
+	return {route, key};
 }
 
-/** Sends the call on a connection of its own, so that no reused connection can swallow it. */
-async function forwardTo(target: ResolvedTarget, route: ResolvedRoute, call: ServiceCall, response: ServerResponse): Promise<void> {
-	const origin = `http://${target.address}`;
-	const client = new Client(origin, {connect: {timeout: connectTimeoutMs}, headersTimeout: route.timeoutMs, bodyTimeout: route.timeoutMs});
+/** Streams the answer; a break after its headers shows as a broken connection, never as a shorter answer. */
+async function sendAnswer(response: ServerResponse, {answer, close}: ServiceAnswer): Promise<void> {
 	try {
-		const answer = await sendRequest(origin + (call.message.url ?? '/'), {
-			method: (call.message.method ?? 'GET') as 'GET',
-			headers: filterHeaders(call.message.headers, value => call.secret !== undefined && value.includes(call.secret)),
-			body: call.body.length === 0 ? undefined : call.body,
-			dispatcher: client,
-		});
 		response.writeHead(answer.statusCode, filterAnswerHeaders(answer.headers));
 		await pipeline(answer.body, response);
+	} catch (error) {
+		throw error instanceof RouterError ? error : createRouterError('streamBroken', (error as Error).message, {cause: error as Error});
 	} finally {
-		await client.destroy();
+		await close();
 	}
 }
--- a/src/standin/call-service/index.ts
+++ b/src/standin/call-service/index.ts
@@ -26,7 +26,7 @@
 export async function callService(query: ServiceQuery): Promise<ServiceOutcome> {
 	try {
 		const answer = await request(`http://${query.address}${query.path}`, {
-			method: query.method as Dispatcher.HttpMethod,
+			method: query.method,
 			headers: {'x-call-id': query.callId, ...(query.secret !== undefined && {authorization: `Bearer ${query.secret}`}), ...query.headers},
 			body: query.body,
 		});
--- a/src/standin/local-fleet/index.ts
+++ b/src/standin/local-fleet/index.ts
@@ -15,6 +15,7 @@
 import {MemoryObjectApi} from '../../platform/memory-object-api/index.js';
 import {RoundRobinPlacement} from '../../placement/round-robin-placement/index.js';
 import {CallerServer} from '../../requests/caller-server/index.js';
+import {createServiceConnections} from '../../requests/forward-call/index.js';
 import {RequestMetrics} from '../../requests/request-metrics/index.js';
 import {RetryBudget} from '../../requests/retry-budget/index.js';
 import type {RouterContext} from '../../requests/router-context/index.js';
@@ -56,6 +57,7 @@
 	context!: RouterContext;
 	readonly targets: TargetDirectory;
 	private readonly logger = createLogger({}, true);
+	private readonly serviceConnections = createServiceConnections();
 	private caller!: CallerServer;
 	private configuration!: Configuration;
 	private resources: Resource[] = [];
@@ -88,6 +90,7 @@
 			budget: this.options.budget ?? {admit: async () => ({settle() {/* Unlimited. */}})},
 			metrics: new RequestMetrics({registry: this.registry, throwsOnViolation: true}),
 			retryBudget: new RetryBudget(),
+			serviceConnections: this.serviceConnections,
 			readConfiguration: () => this.configuration,
 			chooseAddresses: () => ({instances: [], valid_for_seconds: 1}),
 		};
@@ -126,6 +129,7 @@
 		}
 
 		await this.targets.stop();
+		await this.serviceConnections.destroy();
 		await this.caller.close();
 	}
 
