Claim idempotency keys by one conditional create before the call

A lost answer of the create is read back and recognised by its attempt id. A call whose caller left goes on, so that a repeated call finds the answer.

The client of the object API takes an error code as proof that a write was not sent only when it belongs to the connect call.

--- a/src/daemon/start-daemon/index.ts
+++ b/src/daemon/start-daemon/index.ts
@@ -10,6 +10,7 @@
 import {RoundRobinPlacement} from '../../placement/round-robin-placement/index.js';
 import {CallerServer} from '../../requests/caller-server/index.js';
 import {createServiceConnections} from '../../requests/forward-call/index.js';
+import {IdempotencyRecords} from '../../requests/idempotency-records/index.js';
 import {RequestMetrics} from '../../requests/request-metrics/index.js';
 import {RetryBudget} from '../../requests/retry-budget/index.js';
 import type {RouterContext} from '../../requests/router-context/index.js';
@@ -36,13 +37,17 @@
 	const controller = new AbortController();
 	const createClient = (target: {address: string}) => new HttpEngineClient({address: target.address, silenceMs: settings.streamSilenceMs});
 	const targets = new TargetDirectory(clock, logger, createClient);
+	const metrics = new RequestMetrics({registry: new Registry()});
+	const idempotency = new IdempotencyRecords({objectApi, clock, metrics});
+	void idempotency.run(controller.signal);
 	const serviceConnections = createServiceConnections();
 	let current: Configuration | undefined;
 	const context: RouterContext = {
 		settings, clock, logger, targets,
 		placement: new RoundRobinPlacement(),
 		budget: new StaticBudgetGate(clock, 1),
-		metrics: new RequestMetrics({registry: new Registry()}),
+		metrics,
+		idempotency,
 		retryBudget: new RetryBudget(),
 		serviceConnections,
 		readConfiguration() {
--- a/src/platform/http-object-api/index.ts
+++ b/src/platform/http-object-api/index.ts
@@ -5,6 +5,7 @@
 
 import {type Stream} from 'most';
 import {Agent, request} from 'undici';
+import {classifyCallError} from '../../http/classify-call-error/index.js';
 import type {ResourceVersion} from '../../identity/ids/index.js';
 import {createStream} from '../../streams/create-stream/index.js';
 import {
@@ -42,9 +43,6 @@
 	[503, 'unavailable'],
 ]);
 
-// Errors of `undici` that are raised before any byte of a request was written.
-const notSentCodes = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH', 'ENETUNREACH']);
-
 /** Object API over HTTP. */
 export class HttpObjectApi implements ObjectApi {
 	private readonly agent: Agent;
@@ -189,8 +187,8 @@
 		return error;
 	}
 
-	const {code, message} = error as {code?: string; message: string};
-	const isSent = code === undefined || !notSentCodes.has(code);
+	const {message} = error as Error;
+	const isSent = classifyCallError(error) !== 'neverConnected';
 	const failure = method !== 'GET' && isSent ? 'unknownOutcome' : 'unavailable';
 	return new ObjectApiError(failure, message, {cause: error});
 }
--- a/src/requests/idempotency-records/test.ts
+++ b/src/requests/idempotency-records/test.ts
@@ -2,13 +2,18 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {expect} from 'earl';
 import {callService, type ServiceOutcome, type ServiceQuery} from '../../standin/call-service/index.js';
-import {IdempotencyRecords} from './index.js';
 import {LocalFleet, localSecret, otherSecret} from '../../standin/local-fleet/index.js';
+import {IdempotencyRecords} from './index.js';
 
 type Call = (query?: Partial<ServiceQuery>) => Promise<ServiceOutcome>;
 
 const collection = 'idempotencyrecords';
 
+async function readStatus(call: Promise<ServiceOutcome>): Promise<number> {
+	const {status} = await call;
+	return status;
+}
+
 async function withFleet(run: (fleet: LocalFleet, call: Call) => Promise<void>): Promise<void> {
 	const fleet = await new LocalFleet({engines: 0}).start();
 	const [first, second] = fleet.services;
@@ -52,7 +57,7 @@
 		const first = call();
 		await delay(40);
 		expect(summarise(await call())).toEqual({status: 409, type: 'idempotencyConflict', notRun: undefined});
-		expect([(await first).status, countRuns(fleet)]).toEqual([200, 1]);
+		expect([await readStatus(first), countRuns(fleet)]).toEqual([200, 1]);
 	});
 });
 
@@ -67,7 +72,7 @@
 test('guards against an answer of another organisation under the same key', async () => {
 	await withFleet(async (fleet, call) => {
 		await call();
-		expect([(await call({secret: otherSecret})).status, countRuns(fleet)]).toEqual([200, 2]);
+		expect([await readStatus(call({secret: otherSecret})), countRuns(fleet)]).toEqual([200, 2]);
 	});
 });
 
@@ -82,8 +87,9 @@
 test('guards against a lost answer of the store taken for the claim of another call', async () => {
 	await withFleet(async (fleet, call) => {
 		fleet.objectApi.faults.lostAnswers = 1;
-		expect([(await call()).status, countRuns(fleet)]).toEqual([200, 1]);
-		expect((await call()).headers['idempotency-replayed']).toEqual('true');
+		expect([await readStatus(call()), countRuns(fleet)]).toEqual([200, 1]);
+		const {headers} = await call();
+		expect(headers['idempotency-replayed']).toEqual('true');
 	});
 });
 
@@ -100,14 +106,15 @@
 	await withFleet(async (fleet, call) => {
 		fleet.services[0]!.faults.refusals = 3;
 		expect(summarise(await call())).toEqual({status: 503, type: 'targetRefused', notRun: true});
-		expect([(await call()).status, countRuns(fleet)]).toEqual([200, 1]);
+		expect([await readStatus(call()), countRuns(fleet)]).toEqual([200, 1]);
 	});
 });
 
 test('guards against an answer that is lost because it is too large for a record', async () => {
 	await withFleet(async (fleet, call) => {
 		const path = '/orders/file?bytes=3000000';
-		expect((await call({path})).text.length).toEqual(3_000_000);
+		const first = await call({path});
+		expect(first.text.length).toEqual(3_000_000);
 		const second = await call({path});
 		expect(summarise(second)).toEqual({status: 409, type: 'idempotencyConflict', notRun: undefined});
 		expect(second.error?.message.includes('too large')).toEqual(true);
@@ -119,9 +126,9 @@
 	await withFleet(async (fleet, call) => {
 		fleet.services[0]!.faults.delayMs = 100;
 		const headers = {'idempotency-key': 'key-1', 'x-timeout-ms': '30'};
-		expect((await call({headers})).status).toEqual(504);
+		expect(await readStatus(call({headers}))).toEqual(504);
 		await delay(150);
-		expect([(await call()).status, countRuns(fleet)]).toEqual([200, 1]);
+		expect([await readStatus(call()), countRuns(fleet)]).toEqual([200, 1]);
 	});
 });
 
--- a/src/requests/router-context/index.ts
+++ b/src/requests/router-context/index.ts
@@ -8,6 +8,7 @@
 import type {EventLogger} from '../../logging/create-logger/index.js';
 import type {Placement} from '../../placement/placement/index.js';
 import type {TargetDirectory} from '../../targets/target-directory/index.js';
+import type {IdempotencyRecords} from '../idempotency-records/index.js';
 import type {RequestMetrics} from '../request-metrics/index.js';
 import type {RetryBudget} from '../retry-budget/index.js';
 
@@ -28,6 +29,7 @@
 	readonly budget: BudgetGate;
 	readonly metrics: RequestMetrics;
 	readonly retryBudget: RetryBudget;
+	readonly idempotency: IdempotencyRecords;
 	/** Connections to services that are kept for calls that may be repeated. */
 	readonly serviceConnections: Dispatcher;
 	/** The configuration in force; throws `notReady` or `isolated` when requests must be refused. */
--- a/src/requests/serve-service/index.ts
+++ b/src/requests/serve-service/index.ts
@@ -13,6 +13,7 @@
 	forwardCall, isRepeatableCall, type ServiceAnswer, type ServiceCall,
 } from '../forward-call/index.js';
 import {openCallSignal} from '../open-call-signal/index.js';
+import {extractIdempotencyKey, serveIdempotentCall} from '../serve-idempotent-call/index.js';
 import type {RouterContext} from '../router-context/index.js';
 
 /** Serves one call of a plain service. */
@@ -20,13 +21,23 @@
 	const signal = openCallSignal(message, response);
 	const secret = extractSecret(message.headers);
 	const path = new URL(message.url ?? '/', 'http://localhost').pathname;
-	const {route} = authoriseCall(context.readConfiguration(), path, secret);
+	const idempotencyKey = extractIdempotencyKey(message);
+	const {route, key} = authoriseCall(context.readConfiguration(), path, secret);
 	const body = await readBody(message, context.settings.limits.bodyBytes);
 	refuseSecretBytes(body, message.headers['content-type'], secret);
 	context.retryBudget.noteRequest();
 	const call = createCall(context, {
 		message, body, route, path, secret, signal,
 	});
+	if (idempotencyKey !== undefined) {
+		if (key === undefined) {
+			throw createRouterError('malformedRequest', 'an idempotency key needs a caller\'s key, since callers without one cannot be told apart');
+		}
+
+		await serveIdempotentCall(context, call, {organisation: key.organisation, key: idempotencyKey}, response);
+		return;
+	}
+
 	const answer = await forwardCall(context, call);
 	await sendAnswer(response, answer);
 }
--- a/src/requests/serve-service/test.ts
+++ b/src/requests/serve-service/test.ts
@@ -90,7 +90,8 @@
 test('guards against a non-idempotent call on a reused connection', async () => {
 	await withFleet(async (fleet, call) => {
 		for (let index = 0; index < 6; index += 1) {
-			expect((await call({callId: `call-${index}`})).status).toEqual(200);
+			const outcome = await call({callId: `call-${index}`});
+			expect(outcome.status).toEqual(200);
 		}
 
 		expect(fleet.services.map(service => service.reusedConnections)).toEqual([0, 0]);
@@ -115,7 +116,8 @@
 	await withFleet(async (fleet, call) => {
 		fleet.services[0]!.server.close();
 		for (let index = 0; index < 4; index += 1) {
-			expect((await call({callId: `call-${index}`})).status).toEqual(200);
+			const outcome = await call({callId: `call-${index}`});
+			expect(outcome.status).toEqual(200);
 		}
 	});
 });
@@ -136,16 +138,19 @@
 	await withFleet(async (fleet, call) => {
 		const headers = {'x-api-key': localSecret, 'x-note': `a ${localSecret} b`, cookie: `k=${localSecret}`};
 		const path = `/orders/book?a=1&key=${localSecret}&e=${localSecret.replace('l', '%6C')}&b=2`;
-		expect((await call({headers, path})).status).toEqual(200);
+		const answered = await call({headers, path});
+		expect(answered.status).toEqual(200);
 		// A caller that put its key into the wrong place of an open route.
-		expect((await call({secret: undefined, path: `/public/x?token=${otherSecret}`, headers: {'x-token': otherSecret}})).status).toEqual(200);
+		const open = await call({secret: undefined, path: `/public/x?token=${otherSecret}`, headers: {'x-token': otherSecret}});
+		expect(open.status).toEqual(200);
 		const escaped = JSON.stringify({note: localSecret}).replace('local', String.raw`l\u006fcal`);
 		for (const body of [`note=${localSecret}`, escaped]) {
 			const outcome = await call({body, headers: {'content-type': 'application/json'}});
 			expect({status: outcome.status, notRun: outcome.error?.not_run}).toEqual({status: 400, notRun: true});
 		}
 
-		expect((await call({path: `/orders/${localSecret}`})).status).toEqual(400);
+		const refused = await call({path: `/orders/${localSecret}`});
+		expect(refused.status).toEqual(400);
 		const seen = fleet.services.flatMap(service => [...service.seen]);
 		expect(seen.filter(line => line.includes(localSecret) || line.includes(otherSecret) || line.includes('%6C'))).toEqual([]);
 		expect(seen.some(line => line.includes('/orders/book?a=1&b=2'))).toEqual(true);
--- a/src/standin/local-fleet/index.ts
+++ b/src/standin/local-fleet/index.ts
@@ -16,6 +16,7 @@
 import {RoundRobinPlacement} from '../../placement/round-robin-placement/index.js';
 import {CallerServer} from '../../requests/caller-server/index.js';
 import {createServiceConnections} from '../../requests/forward-call/index.js';
+import {IdempotencyRecords} from '../../requests/idempotency-records/index.js';
 import {RequestMetrics} from '../../requests/request-metrics/index.js';
 import {RetryBudget} from '../../requests/retry-budget/index.js';
 import type {RouterContext} from '../../requests/router-context/index.js';
@@ -84,11 +85,13 @@
 			instance: 'entry-0', fleet, dataCentre: 'north-0', platform: {objectApi: 'http://127.0.0.1:1'},
 			listen: {caller: '127.0.0.1:0', peer: '127.0.0.1:0', admin: '127.0.0.1:0'}, limits: this.options.limits ?? {},
 		});
+		const metrics = new RequestMetrics({registry: this.registry, throwsOnViolation: true});
 		this.context = {
 			settings, clock: this.clock, logger: this.logger, targets: this.targets,
 			placement: new RoundRobinPlacement(),
 			budget: this.options.budget ?? {admit: async () => ({settle() {/* Unlimited. */}})},
-			metrics: new RequestMetrics({registry: this.registry, throwsOnViolation: true}),
+			metrics,
+			idempotency: new IdempotencyRecords({objectApi: this.objectApi, clock: this.clock, metrics}),
 			retryBudget: new RetryBudget(),
 			serviceConnections: this.serviceConnections,
 			readConfiguration: () => this.configuration,
