Answer malformed, oversized, slow and surplus callers with a result code

Errors below the HTTP layer get the usual JSON body; an answer under way on the same connection is finished first. Nothing that arrives on a refused or closing connection is run. Bodies over the limit are refused by their stated length, and the connection lingers so that the answer is not lost to a reset. Headers over the count are refused, since Node drops them silently. Slow requests are looked for every 100 ms instead of every 30 s.

The surplus test with a request on the surplus connection did not end before such requests were ignored.

--- a/src/requests/caller-server/index.ts
+++ b/src/requests/caller-server/index.ts
@@ -4,33 +4,53 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {once} from 'node:events';
-import type {AddressInfo} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
+import type {Duplex} from 'node:stream';
 import {sendError, sendJson} from '../../http/send-json/index.js';
 import {parseAddress} from '../../http/parse-address/index.js';
 import {convertToRouterError, createRouterError} from '../../results/create-router-error/index.js';
+import type {Configuration, ResolvedModel} from '../../configuration/configuration/index.js';
+import {
+	answerClientError, endConnection, sendRawError, type OpenExchange,
+} from '../answer-client-error/index.js';
 import {authenticateCaller, extractSecret} from '../authenticate-caller/index.js';
 import {serveCompletion} from '../serve-completion/index.js';
 import {serveService} from '../serve-service/index.js';
 import type {RouterContext} from '../router-context/index.js';
 
+const highestHeaderCount = 100;
+/** Connections over the limit that may wait for their refusal; more are closed without an answer. */
+const refusedConnections = 64;
+/** Interval in which Node looks for requests that are received too slowly, in milliseconds. */
+const slowCheckMs = 100;
+const msPerSecond = 1000;
+const modelsPath = '/v1/models';
+
 /** HTTP server for callers. */
 export class CallerServer {
 	/** Requests now being served. */
 	inFlight = 0;
 	private readonly server: Server;
+	private readonly sockets = new Set<Socket>();
+	private readonly exchanges = new WeakMap<Duplex, Set<OpenExchange>>();
 
 	constructor(private readonly context: RouterContext) {
 		const {limits} = context.settings;
-		this.server = createServer({
+		const options = {
 			maxHeaderSize: limits.headerBytes,
 			requestTimeout: limits.receiveTimeoutMs,
 			headersTimeout: limits.receiveTimeoutMs,
-		}, (message, response) => {
+			connectionsCheckingInterval: slowCheckMs,
+		};
+		this.server = createServer(options, (message, response) => {
 			void this.handle(message, response);
 		});
-		this.server.maxConnections = limits.connections;
+		this.server.maxConnections = limits.connections + refusedConnections;
+		// Node drops headers beyond its count silently; they are counted here instead.
+		this.server.maxHeadersCount = 0;
 		// A caller that closes its sending side early still gets its answer or an error; see `openCallSignal`.
 		Object.assign(this.server, {httpAllowHalfOpen: true});
+		this.addListeners();
 	}
 
 	/** Starts listening; returns `host:port`. */
@@ -49,19 +69,83 @@
 		await closed;
 	}
 
+	private addListeners(): void {
+		const {server, context} = this;
+		server.on('connection', socket => {
+			this.admitConnection(socket);
+		});
+		server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+			context.metrics.connectionErrors.inc({code: error.code ?? 'unknown'});
+			answerClientError(error, socket, this.exchanges.get(socket) ?? new Set());
+		});
+		server.on('checkContinue', (message, response) => {
+			if (Number(message.headers['content-length'] ?? 0) <= context.settings.limits.bodyBytes) {
+				response.writeContinue();
+			}
+
+			void this.handle(message, response);
+		});
+		server.on('checkExpectation', (message, response) => {
+			this.answerError(message, response, createRouterError('malformedRequest', `expectation "${message.headers.expect ?? ''}" cannot be met`));
+		});
+		server.on('connect', (_message, socket) => {
+			sendRawError(socket, createRouterError('methodNotAllowed', 'tunnels are not offered'));
+		});
+	}
+
+	/** Refuses connections over the limit with an answer, so that the caller can tell a full instance from a dead one. */
+	private admitConnection(socket: Socket): void {
+		if (this.sockets.size >= this.context.settings.limits.connections) {
+			this.context.metrics.connectionErrors.inc({code: 'surplus'});
+			sendRawError(socket, createRouterError('overloaded', 'too many connections', {retryAfterSeconds: 1}));
+			return;
+		}
+
+		this.sockets.add(socket);
+		socket.once('close', () => {
+			this.sockets.delete(socket);
+		});
+	}
+
+	/** Requests on one connection may overlap, since callers may send the next one early. */
+	private noteExchange(exchange: OpenExchange): void {
+		const {socket} = exchange.message;
+		const open = this.exchanges.get(socket) ?? new Set();
+		this.exchanges.set(socket, open.add(exchange));
+		exchange.response.once('close', () => {
+			open.delete(exchange);
+		});
+	}
+
 	private async handle(message: IncomingMessage, response: ServerResponse): Promise<void> {
+		if (!this.sockets.has(message.socket) || message.socket.writableEnded) {
+			// The connection was refused or is being closed: its caller was told so, and nothing more may run.
+			return;
+		}
+
+		const {metrics, clock} = this.context;
+		const startedAt = clock.readMonotonic();
 		this.inFlight += 1;
+		this.noteExchange({message, response});
+		// A caller that goes away while its answer is written is noticed by `openCallSignal`.
+		response.on('error', () => undefined);
+		let result = 'ok';
 		try {
+			checkHeaders(message);
 			await this.dispatch(message, response);
 		} catch (error) {
-			this.answerError(response, error);
+			result = convertToRouterError(error).entry.name;
+			this.answerError(message, response, error);
 		} finally {
 			this.inFlight -= 1;
+			const kind = message.url?.startsWith('/v1/') ? 'model' : 'service';
+			metrics.requests.inc({kind, result});
+			metrics.durations.observe({kind}, (clock.readMonotonic() - startedAt) / msPerSecond);
 		}
 	}
 
 	private async dispatch(message: IncomingMessage, response: ServerResponse): Promise<void> {
-		const url = new URL(message.url ?? '/', 'http://localhost');
+		const url = parseUrl(message);
 		switch (url.pathname) {
 			case '/v1/completions':
 			case '/v1/chat/completions': {
@@ -69,7 +153,7 @@
 				return serveCompletion(this.context, url.pathname, message, response);
 			}
 
-			case '/v1/models': {
+			case modelsPath: {
 				checkMethod(message, 'GET');
 				this.serveModels(message, response);
 				return;
@@ -82,6 +166,12 @@
 			}
 
 			default: {
+				if (url.pathname.startsWith(`${modelsPath}/`)) {
+					checkMethod(message, 'GET');
+					this.serveModel(decodePath(url.pathname.slice(modelsPath.length + 1)), message, response);
+					return;
+				}
+
 				return serveService(this.context, message, response);
 			}
 		}
@@ -90,11 +180,21 @@
 	private serveModels(message: IncomingMessage, response: ServerResponse): void {
 		const configuration = this.context.readConfiguration();
 		const key = authenticateCaller(configuration, extractSecret(message.headers));
-		const data = configuration.listModels(key.fleet).map(model => ({id: model.name, object: 'model', owned_by: 'laburnumturn'}));
-		sendJson(response, 200, {object: 'list', data});
+		sendJson(response, 200, {object: 'list', data: configuration.listModels(key.fleet).map(model => formatModel(model))});
+	}
+
+	private serveModel(name: string, message: IncomingMessage, response: ServerResponse): void {
+		const configuration: Configuration = this.context.readConfiguration();
+		const key = authenticateCaller(configuration, extractSecret(message.headers));
+		const model = configuration.findModel(name, key.fleet);
+		if (model === undefined) {
+			throw createRouterError('notFound', `model "${name}"`);
+		}
+
+		sendJson(response, 200, formatModel(model));
 	}
 
-	private answerError(response: ServerResponse, error: unknown): void {
+	private answerError(message: IncomingMessage, response: ServerResponse, error: unknown): void {
 		const routerError = convertToRouterError(error);
 		if (routerError.entry.name === 'internalError') {
 			this.context.logger.error('request failed', {reason: String((error as Error).stack ?? error)});
@@ -105,7 +205,45 @@
 			return;
 		}
 
-		sendError(response, routerError);
+		if (message.complete) {
+			sendError(response, routerError);
+			return;
+		}
+
+		// The rest of the request is not read: answer, then close.
+		response.once('finish', () => {
+			endConnection(message.socket);
+		});
+		sendError(response, routerError, {connection: 'close'});
+	}
+}
+
+function formatModel(model: ResolvedModel): unknown {
+	return {
+		id: model.name, object: 'model', created: 0, owned_by: 'laburnumturn',
+	};
+}
+
+function parseUrl(message: IncomingMessage): URL {
+	const url = message.url ?? '/';
+	if (!url.startsWith('/') || url.startsWith('//') || !URL.canParse(url, 'http://localhost')) {
+		throw createRouterError('malformedRequest', 'the path is not valid');
+	}
+
+	return new URL(url, 'http://localhost');
+}
+
+function decodePath(text: string): string {
+	try {
+		return decodeURIComponent(text);
+	} catch {
+		throw createRouterError('malformedRequest', 'the path is not valid');
+	}
+}
+
+function checkHeaders(message: IncomingMessage): void {
+	if (message.rawHeaders.length / 2 > highestHeaderCount) {
+		throw createRouterError('headersTooLarge', `more than ${highestHeaderCount} headers`);
 	}
 }
 
--- a/src/requests/caller-server/test.ts
+++ b/src/requests/caller-server/test.ts
@@ -37,9 +37,14 @@
 	socket.on('error', () => {
 		parts.push(Buffer.from('(connection reset)'));
 	});
-	await Promise.race([once(socket, 'close'), once(socket, 'end'), delay(3000)]);
+	const readText = () => Buffer.concat(parts).toString('utf8');
+	// The end of an error's JSON also ends an answer on a connection that stays open.
+	for (let waited = 0; waited < 3000 && !socket.readableEnded && !socket.destroyed && !readText().endsWith('}}'); waited += 10) {
+		await delay(10);
+	}
+
 	socket.destroy();
-	return Buffer.concat(parts).toString('utf8');
+	return readText();
 }
 
 /** Status line and error type of the last answer in `text`. */
@@ -136,11 +141,13 @@
 	await withFleet(async fleet => {
 		const sockets = await Promise.all(Array.from({length: limits.connections}, async () => openSocket(fleet)));
 		const surplus = await openSocket(fleet);
+		surplus.write(`POST /payments/pay HTTP/1.1\r\nhost: a\r\n${keyLine}x-call-id: surplus\r\ncontent-length: 0\r\n\r\n`);
 		const text = await readAll(surplus);
 		expect(parseAnswer(text)).toEqual({
 			status: 503, type: 'overloaded', hasCode: true, notRun: true,
 		});
 		expect(/retry-after: \d+/iu.test(text)).toEqual(true);
+		expect(fleet.services.map(service => service.runs.get('surplus'))).toEqual([undefined, undefined]);
 		sockets[0]!.write(`GET /v1/models HTTP/1.1\r\nhost: a\r\n${keyLine}connection: close\r\n\r\n`);
 		expect(parseAnswer(await readAll(sockets[0]!)).status).toEqual(200);
 		for (const socket of sockets) {
@@ -149,19 +156,21 @@
 	});
 });
 
-test('guards against garbage behind a request that spoils the answer to that request', async () => {
-	await withFleet(async fleet => {
-		const socket = await openSocket(fleet);
-		const body = JSON.stringify({
-			model: 'assistant', prompt: 'whole', stream: true, max_tokens: 20,
+for (const behind of ['garbage\r\n\r\n', `${post}content-length: 9\r\n\r\n{`]) {
+	test(`guards against "${behind.slice(0, 7)}" behind a request that spoils the answer to that request`, async () => {
+		await withFleet(async fleet => {
+			const socket = await openSocket(fleet);
+			const body = JSON.stringify({
+				model: 'assistant', prompt: 'whole', stream: true, max_tokens: 400,
+			});
+			socket.write(`${post}content-length: ${body.length}\r\n\r\n${body}`);
+			await once(socket, 'readable');
+			socket.write(behind);
+			const text = await readAll(socket);
+			expect([text.includes('[DONE]'), text.slice(0, text.indexOf('[DONE]')).split('HTTP/1.1 ').length]).toEqual([true, 2]);
 		});
-		socket.write(`${post}content-length: ${body.length}\r\n\r\n${body}`);
-		await once(socket, 'readable');
-		socket.write('garbage\r\n\r\n');
-		const text = await readAll(socket);
-		expect([text.includes('[DONE]'), text.split('HTTP/1.1 ').length]).toEqual([true, 2]);
 	});
-});
+}
 
 test('guards against a caller that closes its side after the request and gets neither an answer nor an error', async () => {
 	await withFleet(async fleet => {
--- a/src/requests/request-metrics/index.ts
+++ b/src/requests/request-metrics/index.ts
@@ -25,6 +25,7 @@
 	readonly resumes;
 	readonly restarts;
 	readonly chunks;
+	readonly brokenStreams;
 	readonly droppedChunks;
 	readonly droppedAnswers;
 	readonly cancellations;
@@ -43,6 +44,7 @@
 		this.resumes = define('stream_resumes_total', 'Streams continued by offset at the same engine incarnation.');
 		this.restarts = define('stream_restarts_total', 'Answers generated again by another attempt after chunks had arrived.');
 		this.chunks = define('stream_chunks_total', 'Chunks written to callers.');
+		this.brokenStreams = define('broken_streams_total', 'Streams that ended with an error event, by result name.', ['result']);
 		this.droppedChunks = define('dropped_chunks_total', 'Chunks of another request or received before.', ['reason']);
 		this.droppedAnswers = define('dropped_answers_total', 'Answers whose header names another request.');
 		this.cancellations = define('cancellations_total', 'Requests cancelled at an engine.');
--- a/src/requests/serve-completion/index.ts
+++ b/src/requests/serve-completion/index.ts
@@ -70,7 +70,7 @@
 		sink.end(response, identity);
 	} catch (error) {
 		endBrokenAnswer(response, error);
-		context.metrics.requests.inc({kind: 'completion', result: convertToRouterError(error).entry.name});
+		context.metrics.brokenStreams.inc({result: convertToRouterError(error).entry.name});
 	}
 
 	return countTokens();
