Measure the memory of the configuration in force per resource

npm run capacity fits a line through at least three sizes of each quantity and writes the table of docs/CAPACITY.md and reports/capacity.json.

--- /dev/null
+++ b/src/capacity/run-capacity/index.ts
@@ -0,0 +1,11 @@
+/** Measures the slopes of the capacity page: `npm run capacity`. */
+
+import process from 'node:process';
+import {fileURLToPath} from 'node:url';
+import {measureConfigurationState} from '../measure-configuration-state/index.js';
+import {formatSlopeTable, writeCapacityReport} from '../write-capacity-report/index.js';
+
+const root = new URL('../../../', import.meta.url);
+const measurements = await measureConfigurationState();
+await writeCapacityReport(measurements, fileURLToPath(new URL('reports/capacity.json', root)), fileURLToPath(new URL('docs/CAPACITY.md', root)));
+process.stdout.write(`${formatSlopeTable(measurements)}\n`);
