--- /dev/null
+++ b/src/leases/lease/test.ts
@@ -0,0 +1,177 @@
+import {test} from 'node:test';
+import {expect} from 'earl';
+import {ManualClock} from '../../clock/manual-clock/index.js';
+import type {Incarnation} from '../../identity/ids/index.js';
+import {MemoryObjectApi} from '../../platform/memory-object-api/index.js';
+import {
+	Lease, leaseCollection, type LeaseOptions, type LeaseRecord,
+} from './index.js';
+
+const durationMs = 10_000;
+
+function createContender(objectApi: MemoryObjectApi, holder: string, options: Partial<LeaseOptions> = {}) {
+	const clock = new ManualClock();
+	const lease = new Lease({
+		objectApi, clock, name: 'job', holder, incarnation: `${holder}-1` as Incarnation, durationMs, ...options,
+	});
+	return {clock, lease, isHeld: () => lease.isHeld(clock.readMonotonic())};
+}
+
+/** Polls `lease` every second until it is taken; resolves to the seconds this took. */
+async function countSecondsToTake({lease, clock}: ReturnType<typeof createContender>, limit = 60): Promise<number> {
+	for (let second = 0; second < limit; second += 1) {
+		if (await lease.acquire().catch(() => false)) {
+			return second;
+		}
+
+		await clock.advance(1000);
+	}
+
+	return limit;
+}
+
+test('guards against two holders: a paused holder finds its lease expired, then lost', async () => {
+	const objectApi = new MemoryObjectApi();
+	const [a, b] = [createContender(objectApi, 'a'), createContender(objectApi, 'b')];
+	expect(await a.lease.acquire()).toEqual(true);
+	expect(await countSecondsToTake(b)).toEqual(11);
+	await a.clock.advance(11_000);
+	expect(a.isHeld()).toEqual(false);
+	expect(await a.lease.renew()).toEqual(false);
+	expect(b.lease.readFencing()).toEqual(2 as never);
+	expect(b.isHeld()).toEqual(true);
+});
+
+test('guards against taking a lease that is renewed', async () => {
+	const objectApi = new MemoryObjectApi();
+	const [a, b] = [createContender(objectApi, 'a'), createContender(objectApi, 'b')];
+	await a.lease.acquire();
+	for (let second = 0; second < 40; second += 1) {
+		expect(await a.lease.renew()).toEqual(true);
+		expect(await b.lease.acquire()).toEqual(false);
+		await Promise.all([a.clock.advance(1000), b.clock.advance(1000)]);
+	}
+});
+
+test('guards against two winners among racing takers', async () => {
+	const objectApi = new MemoryObjectApi();
+	const takers = ['a', 'b'].map(name => createContender(objectApi, name));
+	const first = await Promise.all(takers.map(async taker => taker.lease.acquire()));
+	expect(first.filter(Boolean).length).toEqual(1);
+	const third = [createContender(objectApi, 'c'), createContender(objectApi, 'd')];
+	let winners = 0;
+	for (let second = 0; second < 20 && winners === 0; second += 1) {
+		const results = await Promise.all(third.map(async taker => taker.lease.acquire()));
+		winners = results.filter(Boolean).length;
+		await Promise.all(third.map(async taker => taker.clock.advance(1000)));
+	}
+
+	expect(winners).toEqual(1);
+});
+
+test('guards against losing a lease, or counting it from a later time, when answers are lost', async () => {
+	const objectApi = new MemoryObjectApi();
+	const a = createContender(objectApi, 'a');
+	objectApi.faults.lostAnswers = 1;
+	expect(await a.lease.acquire()).toEqual(true);
+	expect(objectApi.calls.write).toEqual(1);
+	await a.clock.advance(4000);
+	objectApi.faults.lostAnswers = 1;
+	expect(await a.lease.renew()).toEqual(true);
+	expect(objectApi.calls.write).toEqual(2);
+	expect(a.lease.readExpiry()).toEqual(14_000 as never);
+});
+
+test('guards against validity counted from the answer instead of the sending', async () => {
+	const objectApi = new MemoryObjectApi();
+	const a = createContender(objectApi, 'a');
+	const update = objectApi.update.bind(objectApi);
+	objectApi.update = async (...parameters) => {
+		await a.clock.advance(3000);
+		return update(...parameters);
+	};
+
+	await a.lease.acquire();
+	await a.lease.renew();
+	expect(a.lease.readExpiry()).toEqual(10_000 as never);
+	objectApi.faults.lostAnswers = 1;
+	await a.lease.renew();
+	expect(a.lease.readExpiry()).toEqual(13_000 as never);
+});
+
+test('guards against a write that lands after it was read back as missing', async () => {
+	const objectApi = new MemoryObjectApi();
+	const a = createContender(objectApi, 'a');
+	await a.lease.acquire();
+	const update = objectApi.update.bind(objectApi);
+	const late: Array<() => Promise<unknown>> = [];
+	objectApi.update = async (...parameters) => {
+		late.push(async () => update(...parameters));
+		objectApi.faults.lostAnswers = 1;
+		return objectApi.create('other', String(late.length), {}) as never;
+	};
+
+	await a.clock.advance(2000);
+	await expect(a.lease.renew()).toBeRejected();
+	expect(a.lease.readExpiry()).toEqual(10_000 as never);
+	objectApi.update = update;
+	await late[0]?.();
+	await a.clock.advance(3000);
+	expect(await a.lease.renew()).toEqual(true);
+	expect(a.lease.readExpiry()).toEqual(12_000 as never);
+	expect(await a.lease.renew()).toEqual(true);
+	expect(a.lease.readExpiry()).toEqual(15_000 as never);
+});
+
+test('guards against a take right after an outage: the store must answer throughout the observation', async () => {
+	const objectApi = new MemoryObjectApi();
+	const [a, b] = [createContender(objectApi, 'a'), createContender(objectApi, 'b')];
+	await a.lease.acquire();
+	await b.lease.acquire();
+	objectApi.setDown(true);
+	await b.clock.advance(1000);
+	await expect(b.lease.acquire()).toBeRejected();
+	objectApi.setDown(false);
+	await b.clock.advance(1000);
+	expect(await countSecondsToTake(b)).toEqual(11);
+	const c = createContender(objectApi, 'c');
+	await c.lease.acquire();
+	await c.clock.advance(20_000);
+	expect(await c.lease.acquire()).toEqual(false);
+});
+
+test('guards against a validity that an outage ends or extends', async () => {
+	const objectApi = new MemoryObjectApi();
+	const a = createContender(objectApi, 'a');
+	await a.lease.acquire();
+	objectApi.setDown(true);
+	await a.clock.advance(9999);
+	await expect(a.lease.renew()).toBeRejected();
+	expect(a.isHeld()).toEqual(true);
+	await a.clock.advance(1);
+	expect(a.isHeld()).toEqual(false);
+	objectApi.setDown(false);
+	expect(await a.lease.renew()).toEqual(true);
+	expect(a.isHeld()).toEqual(true);
+});
+
+test('guards against a wait after a release, and against a fencing number used twice', async () => {
+	const objectApi = new MemoryObjectApi();
+	const [a, b] = [createContender(objectApi, 'a'), createContender(objectApi, 'b')];
+	await a.lease.acquire();
+	await a.lease.release();
+	expect(a.isHeld()).toEqual(false);
+	expect(await b.lease.acquire()).toEqual(true);
+	expect(b.lease.readFencing()).toEqual(2 as never);
+});
+
+test('guards against a predecessor that takes the lease back from its successor', async () => {
+	const objectApi = new MemoryObjectApi();
+	const [old, next] = ['old', 'next'].map(life => createContender(objectApi, 'a', {incarnation: life as Incarnation, succeedsOwnHolder: true}));
+	await old?.lease.acquire();
+	expect(await next?.lease.acquire()).toEqual(true);
+	expect(await old?.lease.renew()).toEqual(false);
+	expect(await old?.lease.acquire()).toEqual(false);
+	const record = await objectApi.get<LeaseRecord>(leaseCollection, 'job');
+	expect(record.value.incarnation).toEqual('next' as Incarnation);
+});
