--- a/src/index.ts
+++ b/src/index.ts
@@ -7,6 +7,7 @@
 export * from './daemon/settings/index.js';
 export * from './daemon/start-daemon/index.js';
 export type * from './identity/ids/index.js';
+export * from './leases/lease/index.js';
 export * from './placement/hash-prompt/index.js';
 export type * from './placement/placement/index.js';
 export * from './platform/http-object-api/index.js';
--- a/src/leases/lease/index.ts
+++ b/src/leases/lease/index.ts
@@ -91,7 +91,7 @@
 			return this.renew();
 		}
 
-		return this.mayTake(object.value) && this.writeRecord(object.resourceVersion, this.buildRecord(object.value.fencing + 1));
+		return this.canTake(object.value) && this.writeRecord(object.resourceVersion, this.buildRecord(object.value.fencing + 1));
 	}
 
 	/**
@@ -133,17 +133,13 @@
 	}
 
 	/** Whether the observed record has been unchanged for long enough, or needs no observation. */
-	private mayTake(record: LeaseRecord): boolean {
+	private canTake(record: LeaseRecord): boolean {
 		const {clock, holder, succeedsOwnHolder, maximumReadGapMs} = this.options;
 		if (record.holder === '' || (record.holder === holder && succeedsOwnHolder === true && !this.hasHeld)) {
 			return true;
 		}
 
 		const now = clock.readMonotonic();
-		if (now >= 0) {
-			return true;
-		}
-
 		const seen = this.observation;
 		if (seen === undefined || !isSameWrite(seen.record, record) || now - seen.readAt > (maximumReadGapMs ?? record.durationMs / 4)) {
 			this.observation = {record, since: now, readAt: now};
@@ -173,7 +169,7 @@
 
 	/** Finds out what became of a write without a usable answer. An earlier write may have landed late, so its own number counts. */
 	private async readBack(error: ObjectApiError): Promise<boolean> {
-		if (error.failure !== 'conflict' && error.failure !== 'notFound') {
+		if (error.failure !== 'unknownOutcome' && error.failure !== 'conflict' && error.failure !== 'notFound') {
 			throw error;
 		}
 
