Add peers, membership and the parts of a daemon

Peers call each other by JSON-RPC over HTTP POST. Heartbeats with a sample of member states spread liveness and the leaving state.

--- /dev/null
+++ b/src/daemon/create-core/index.ts
@@ -0,0 +1,102 @@
+/** The parts that all others build on: clock, logs, store client, peers and membership. */
+
+import {randomInt} from 'node:crypto';
+import {SystemClock, type Clock} from '../../clock/clock/index.js';
+import type {
+	DataCentreId, FleetId, InstanceId, Revision,
+} from '../../identity/ids/index.js';
+import {InvariantChecker} from '../../invariants/invariant-checker/index.js';
+import {createLogger, type EventLogger} from '../../logging/create-logger/index.js';
+import {Membership, type MemberIdentity} from '../../membership/membership/index.js';
+import {PeerClient} from '../../peers/peer-client/index.js';
+import {PeerServer} from '../../peers/peer-server/index.js';
+import {HttpInstanceList} from '../../platform/http-instance-list/index.js';
+import {HttpObjectApi} from '../../platform/http-object-api/index.js';
+import {RandomSource} from '../../random/random-source/index.js';
+import {DaemonParts} from '../daemon-parts/index.js';
+import type {Settings} from '../settings/index.js';
+
+const seedLimit = 2 ** 31;
+
+/** What every part of the daemon may use. */
+export type DaemonCore = {
+	readonly settings: Settings;
+	readonly clock: Clock;
+	readonly random: RandomSource;
+	readonly logger: EventLogger;
+	readonly invariants: InvariantChecker;
+	readonly objectApi: HttpObjectApi;
+	/** Registry of the methods that this instance serves. */
+	readonly peerServer: PeerServer;
+	readonly peerClient: PeerClient;
+	readonly membership: Membership;
+	readonly parts: DaemonParts;
+};
+
+/** Creates the core and registers its parts. `readRevision` tells the revision in force, -1 when there is none. */
+export function createCore(settings: Settings, readRevision: () => Revision): DaemonCore {
+	const clock = new SystemClock();
+	const random = new RandomSource(randomInt(seedLimit));
+	const logger = createLogger({instance: settings.instance});
+	const invariants = new InvariantChecker({
+		isStrict: false,
+		onViolation(name, detail) {
+			logger.error('invariant violated', {name, detail});
+		},
+	});
+	const objectApi = new HttpObjectApi({origin: settings.platform.objectApi});
+	const identity = createIdentity(settings);
+	const peerServer = new PeerServer(identity.id);
+	const peerClient: PeerClient = new PeerClient({self: identity.id, locate: peer => membership.locate(peer)});
+	const {instanceList} = settings.platform;
+	const membership = new Membership({
+		identity, clock, random, logger, invariants, readRevision,
+		seeds: settings.seeds,
+		instanceList: instanceList === undefined ? undefined : new HttpInstanceList(instanceList),
+		caller: peerClient,
+		registry: peerServer,
+	});
+	const core: DaemonCore = {
+		settings, clock, random, logger, invariants, objectApi, peerServer, peerClient, membership, parts: new DaemonParts(logger),
+	};
+	registerCoreParts(core);
+	return core;
+}
+
+function createIdentity(settings: Settings): MemberIdentity {
+	return {
+		id: settings.instance as InstanceId,
+		fleet: settings.fleet as FleetId,
+		region: settings.region,
+		dataCentre: settings.dataCentre as DataCentreId,
+		peerAddress: settings.listen.peer,
+		callerAddress: settings.listen.caller,
+	};
+}
+
+function registerCoreParts({parts, objectApi, peerServer, peerClient, membership, settings}: DaemonCore): void {
+	parts.register({
+		name: 'objectApi',
+		stop: async () => objectApi.close(),
+	});
+	parts.register({
+		name: 'peers',
+		async start() {
+			await peerServer.listen(settings.listen.peer);
+		},
+		async stop() {
+			await peerServer.close();
+			await peerClient.close();
+		},
+	});
+	parts.register({
+		name: 'membership',
+		start() {
+			membership.start();
+		},
+		stop() {
+			membership.stop();
+		},
+		dump: () => membership.dump(),
+	});
+}
--- a/src/daemon/start-daemon/index.ts
+++ b/src/daemon/start-daemon/index.ts
@@ -1,17 +1,18 @@
 /** Wires the parts of the daemon together. */
 
-import {SystemClock} from '../../clock/clock/index.js';
 import type {Configuration} from '../../configuration/configuration/index.js';
 import {pollResources} from '../../configuration/poll-resources/index.js';
 import {StaticBudgetGate} from '../../budget/static-budget-gate/index.js';
-import {createLogger} from '../../logging/create-logger/index.js';
-import {HttpObjectApi} from '../../platform/http-object-api/index.js';
+import type {Revision} from '../../identity/ids/index.js';
+import {chooseAddresses} from '../../membership/choose-addresses/index.js';
+import {noRevision} from '../../membership/membership/index.js';
 import {RoundRobinPlacement} from '../../placement/round-robin-placement/index.js';
 import {CallerServer} from '../../requests/caller-server/index.js';
-import type {RouterContext} from '../../requests/router-context/index.js';
+import type {AddressAnswer, RouterContext} from '../../requests/router-context/index.js';
 import {createRouterError} from '../../results/create-router-error/index.js';
 import {HttpEngineClient} from '../../targets/http-engine-client/index.js';
 import {TargetDirectory} from '../../targets/target-directory/index.js';
+import {createCore, type DaemonCore} from '../create-core/index.js';
 import type {Settings} from '../settings/index.js';
 
 const msPerSecond = 1000;
@@ -24,52 +25,88 @@
 	stop(): Promise<void>;
 };
 
+/** The configuration in force; nothing until the first one is applied. */
+class ConfigurationHolder {
+	current: Configuration | undefined;
+
+	read(): Configuration {
+		if (this.current === undefined) {
+			throw createRouterError('notReady');
+		}
+
+		return this.current;
+	}
+
+	readRevision(): Revision {
+		return this.current?.revision ?? noRevision;
+	}
+}
+
 /** Starts a daemon with checked settings. */
 export async function startDaemon(settings: Settings): Promise<Daemon> {
-	const clock = new SystemClock();
-	const logger = createLogger({instance: settings.instance});
-	const objectApi = new HttpObjectApi({origin: settings.platform.objectApi});
-	const controller = new AbortController();
-	const createClient = (target: {address: string}) => new HttpEngineClient({address: target.address, silenceMs: settings.streamSilenceMs});
-	const targets = new TargetDirectory(clock, logger, createClient);
-	let current: Configuration | undefined;
-	const context: RouterContext = {
-		settings, clock, logger, targets,
-		placement: new RoundRobinPlacement(),
-		budget: new StaticBudgetGate(clock, 1),
-		readConfiguration() {
-			if (current === undefined) {
-				throw createRouterError('notReady');
-			}
-
-			return current;
-		},
-		chooseAddresses() {
-			return {
-				instances: [{id: settings.instance, address: settings.listen.caller, data_centre: settings.dataCentre}],
-				valid_for_seconds: settings.addressValidityMs / msPerSecond,
-			};
-		},
-	};
-	void pollResources({
-		objectApi, clock, logger, signal: controller.signal,
-		apply(configuration) {
-			current = configuration;
-			targets.apply(configuration);
-			logger.info('configuration applied', {revision: configuration.revision});
-		},
-	});
-	const server = new CallerServer(context);
+	const holder = new ConfigurationHolder();
+	const core = createCore(settings, () => holder.readRevision());
+	const targets = createTargets(core);
+	registerConfiguration(core, holder, targets);
+	const server = new CallerServer(createContext(core, holder, targets));
+	await core.parts.start();
 	const address = await server.listen();
-	logger.info('daemon started', {caller: address});
+	core.logger.info('daemon started', {caller: address});
 	return {
 		address,
 		async stop() {
 			await server.close();
+			await core.parts.stop();
+			core.logger.info('daemon stopped');
+		},
+	};
+}
+
+function createTargets({settings, clock, logger, parts}: DaemonCore): TargetDirectory {
+	const createClient = (target: {address: string}) => new HttpEngineClient({address: target.address, silenceMs: settings.streamSilenceMs});
+	const targets = new TargetDirectory(clock, logger, createClient);
+	parts.register({name: 'targets', stop: async () => targets.stop()});
+	return targets;
+}
+
+/** Follows the configuration. `holder` has the one in force. */
+function registerConfiguration({objectApi, clock, logger, parts}: DaemonCore, holder: ConfigurationHolder, targets: TargetDirectory): void {
+	const controller = new AbortController();
+	parts.register({
+		name: 'configuration',
+		start() {
+			void pollResources({
+				objectApi, clock, logger, signal: controller.signal,
+				apply(configuration) {
+					holder.current = configuration;
+					targets.apply(configuration);
+					logger.info('configuration applied', {revision: configuration.revision});
+				},
+			});
+		},
+		stop() {
 			controller.abort();
-			await targets.stop();
-			await objectApi.close();
-			logger.info('daemon stopped');
 		},
+		dump: () => ({revision: holder.readRevision()}),
+	});
+}
+
+function createContext(core: DaemonCore, holder: ConfigurationHolder, targets: TargetDirectory): RouterContext {
+	const {settings, clock, logger} = core;
+	return {
+		settings, clock, logger, targets,
+		placement: new RoundRobinPlacement(),
+		budget: new StaticBudgetGate(clock, 1),
+		readConfiguration: () => holder.read(),
+		chooseAddresses: dataCentre => createAddressAnswer(core, dataCentre),
+	};
+}
+
+function createAddressAnswer({settings, clock, membership, random}: DaemonCore, dataCentre: string | undefined): AddressAnswer {
+	const live = membership.listLive(clock.readMonotonic());
+	const chosen = chooseAddresses({live, self: membership.readSelf(), dataCentre}, random);
+	return {
+		instances: chosen.map(member => ({id: member.id, address: member.callerAddress, data_centre: member.dataCentre})),
+		valid_for_seconds: settings.addressValidityMs / msPerSecond,
 	};
 }
--- /dev/null
+++ b/src/membership/heartbeat/index.ts
@@ -0,0 +1,42 @@
+/** Content of a heartbeat between two instances. */
+
+import {z} from 'zod';
+import type {Member} from '../member/index.js';
+
+/** JSON-RPC method of heartbeats. */
+export const heartbeatMethod = 'membership.heartbeat';
+/** Members besides the sender that a heartbeat or its answer carries at most. */
+export const maximumSample = 8;
+
+const textSchema = z.string().min(1).max(100);
+
+const entrySchema = z.object({
+	id: textSchema,
+	incarnation: textSchema,
+	fleet: textSchema,
+	region: textSchema,
+	dataCentre: textSchema,
+	peerAddress: textSchema,
+	callerAddress: textSchema,
+	state: z.enum(['live', 'leaving']),
+	revision: z.number().int(),
+	counter: z.number().int().nonnegative(),
+	ageMs: z.number().nonnegative(),
+});
+
+/** A heartbeat, and also its answer: the sender first, then a sample of the members that it knows as live. */
+export const heartbeatSchema = z.object({
+	sender: entrySchema,
+	sample: z.array(entrySchema).max(maximumSample),
+});
+
+/** State of a member with its heartbeat counter, and the time since the counter was seen to advance. */
+export type HeartbeatEntry = Member & {readonly counter: number; readonly ageMs: number};
+
+/** One heartbeat. */
+export type Heartbeat = {readonly sender: HeartbeatEntry; readonly sample: readonly HeartbeatEntry[]};
+
+/** Checks a heartbeat from the wire; throws when it has another form. */
+export function parseHeartbeat(value: unknown): Heartbeat {
+	return heartbeatSchema.parse(value) as unknown as Heartbeat;
+}
--- /dev/null
+++ b/src/membership/member-table/index.ts
@@ -0,0 +1,98 @@
+/** What this instance knows of the other members. */
+
+import type {InstanceId, MonotonicMs} from '../../identity/ids/index.js';
+import type {RandomSource} from '../../random/random-source/index.js';
+import type {HeartbeatEntry} from '../heartbeat/index.js';
+import type {Member} from '../member/index.js';
+
+/** Age of the last counter advance beyond which a member no longer counts as live, in milliseconds. */
+export const liveTimeoutMs = 5000;
+/** Time for which a member that is not live stays known, in milliseconds. It keeps old incarnations from returning. */
+const rememberMs = 600_000;
+/** Members kept at most; the ones longest silent go first. */
+const maximumMembers = 2000;
+/** Time during which a change is put into samples first, in milliseconds. */
+const newsMs = 5000;
+
+type MemberRecord = {member: Member; counter: number; advancedAt: number; changedAt: number};
+
+/** Members by id with their heartbeat counters. */
+export class MemberTable {
+	private readonly records = new Map<InstanceId, MemberRecord>();
+
+	constructor(private readonly self: InstanceId, private readonly random: RandomSource) {}
+
+	/** Takes over `entry` if it is newer than what is known. Returns whether it was. */
+	merge(entry: HeartbeatEntry, now: MonotonicMs): boolean {
+		if (entry.id === this.self) {
+			return false;
+		}
+
+		const {counter, ageMs, ...member} = entry;
+		const known = this.records.get(entry.id);
+		if (known !== undefined && !isNewer(entry, known)) {
+			return false;
+		}
+
+		const isChanged = known?.member.state !== member.state || known.member.incarnation !== member.incarnation;
+		const advancedAt = now - ageMs;
+		this.records.set(entry.id, {
+			member, counter,
+			advancedAt: known === undefined ? advancedAt : Math.max(known.advancedAt, advancedAt),
+			changedAt: isChanged ? now : known.changedAt,
+		});
+		return true;
+	}
+
+	find(id: InstanceId): Member | undefined {
+		return this.records.get(id)?.member;
+	}
+
+	listLive(now: MonotonicMs): Member[] {
+		return this.listLiveRecords(now).map(record => record.member);
+	}
+
+	/** Lists the members that are known but not live. */
+	listSilent(now: MonotonicMs): Member[] {
+		return [...this.records.values()].filter(record => !isLive(record, now)).map(record => record.member);
+	}
+
+	/** Picks at most `count` live members for a heartbeat to `receiver`, recent changes first. */
+	pickSample(count: number, receiver: InstanceId | undefined, now: MonotonicMs): HeartbeatEntry[] {
+		const records = this.listLiveRecords(now).filter(record => record.member.id !== receiver);
+		const news = records.filter(record => now - record.changedAt < newsMs);
+		const rest = records.filter(record => now - record.changedAt >= newsMs);
+		const picked = this.random.pickSome(news, count);
+		picked.push(...this.random.pickSome(rest, count - picked.length));
+		return picked.map(record => ({...record.member, counter: record.counter, ageMs: Math.max(0, Math.round(now - record.advancedAt))}));
+	}
+
+	/** Forgets members that have been silent for long. */
+	prune(now: MonotonicMs): void {
+		const bySilence = [...this.records.values()].toSorted((a, b) => b.advancedAt - a.advancedAt);
+		for (const [index, record] of bySilence.entries()) {
+			if (index >= maximumMembers || now - record.advancedAt > rememberMs) {
+				this.records.delete(record.member.id);
+			}
+		}
+	}
+
+	dump(now: MonotonicMs): unknown {
+		return [...this.records.values()].map(record => ({
+			...record.member, counter: record.counter, ageMs: Math.round(now - record.advancedAt), isLive: isLive(record, now),
+		}));
+	}
+
+	private listLiveRecords(now: MonotonicMs): MemberRecord[] {
+		return [...this.records.values()].filter(record => isLive(record, now));
+	}
+}
+
+function isLive(record: MemberRecord, now: MonotonicMs): boolean {
+	return now - record.advancedAt <= liveTimeoutMs;
+}
+
+function isNewer(entry: HeartbeatEntry, known: MemberRecord): boolean {
+	return entry.incarnation > known.member.incarnation
+		|| (entry.incarnation === known.member.incarnation && entry.counter > known.counter);
+}
--- /dev/null
+++ b/src/peers/peer-server/index.ts
@@ -0,0 +1,85 @@
+/** The listener for other daemons: JSON-RPC 2.0 over HTTP POST. */
+
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import {once} from 'node:events';
+import type {AddressInfo} from 'node:net';
+import {JSONRPCServer, type JSONRPCRequest} from 'json-rpc-2.0';
+import {parseAddress} from '../../http/parse-address/index.js';
+import {readJsonBody} from '../../http/read-body/index.js';
+import {sendJson} from '../../http/send-json/index.js';
+import type {InstanceId} from '../../identity/ids/index.js';
+import {createRouterError} from '../../results/create-router-error/index.js';
+import type {PeerMethodHandler, PeerMethodRegistry} from '../peer-caller/index.js';
+import {calleeHeader, callerHeader, rpcPath} from '../peer-link/index.js';
+
+const bodyLimitBytes = 32 * 1024 * 1024;
+/** Longer than the client's, so that the client closes idle connections and sends nothing on a closing one. */
+const keepAliveMs = 60_000;
+
+type CallContext = {readonly from: InstanceId};
+
+/** Serves the methods that the parts of the daemon register. */
+export class PeerServer implements PeerMethodRegistry {
+	private readonly rpc = new JSONRPCServer<CallContext>({
+		errorListener() {
+			// The caller gets the error and decides whether it is worth a log line.
+		},
+	});
+
+	private readonly server: Server;
+
+	constructor(private readonly self: InstanceId) {
+		this.server = createServer((message, response) => {
+			void this.serve(message, response).catch((error: unknown) => {
+				sendJson(response, 400, {message: (error as Error).message});
+			});
+		});
+		this.server.keepAliveTimeout = keepAliveMs;
+	}
+
+	register(method: string, handler: PeerMethodHandler): void {
+		this.rpc.addMethod(method, async (parameters, context) => handler(parameters, context.from));
+	}
+
+	/** Starts listening; returns `host:port`. */
+	async listen(address: string): Promise<string> {
+		const {host, port} = parseAddress(address);
+		this.server.listen(port, host);
+		await once(this.server, 'listening');
+		return `${host}:${(this.server.address() as AddressInfo).port}`;
+	}
+
+	/** Stops accepting, lets calls in progress finish within `graceMs` and closes all connections. */
+	async close(graceMs = 500): Promise<void> {
+		if (!this.server.listening) {
+			return;
+		}
+
+		const closed = once(this.server, 'close');
+		this.server.close();
+		this.server.closeIdleConnections();
+		const timer = setTimeout(() => {
+			this.server.closeAllConnections();
+		}, graceMs);
+		await closed;
+		clearTimeout(timer);
+	}
+
+	private async serve(message: IncomingMessage, response: ServerResponse): Promise<void> {
+		const callee = message.headers[calleeHeader];
+		if (message.method !== 'POST' || message.url !== rpcPath) {
+			throw createRouterError('notFound', message.url);
+		}
+
+		// An address can pass to another instance while a caller still has the old entry.
+		if (callee !== undefined && callee !== this.self) {
+			throw createRouterError('notFound', `this is instance ${this.self}, not ${String(callee)}`);
+		}
+
+		const request = await readJsonBody(message, bodyLimitBytes) as JSONRPCRequest;
+		const answer = await this.rpc.receive(request, {from: String(message.headers[callerHeader] ?? '') as InstanceId});
+		sendJson(response, 200, answer);
+	}
+}
