--- a/src/requests/request-metrics/index.ts
+++ b/src/requests/request-metrics/index.ts
@@ -1,10 +1,7 @@
 /** Counters of the request path, and the invariants that it checks while it runs. */
 
 import {Counter, Histogram, type Registry} from 'prom-client';
-import VError from 'verror';
-
-/** Invariants checked by the program itself. */
-export type RequestInvariant = 'contiguousOffsets' | 'oneGeneration' | 'atMostOneAttempt' | 'noSecretInOutgoingBytes';
+import type {InvariantChecker, RequestInvariant} from '../../invariants/invariant-checker/index.js';
 
 /** Why a chunk was dropped. */
 export type DropReason = 'crossed' | 'duplicated';
@@ -12,8 +9,8 @@
 /** Options of the metrics. */
 export type RequestMetricsOptions = {
 	readonly registry: Registry;
-	/** Whether a violated invariant also throws, as in tests; otherwise it is only counted. */
-	readonly throwsOnViolation?: boolean;
+	/** Throws on violations in tests. */
+	readonly invariants: InvariantChecker;
 };
 
 const secondsBuckets = [0.001, 0.005, 0.01, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30];
@@ -60,9 +57,7 @@
 	checkInvariant(invariant: RequestInvariant, isKept: boolean): boolean {
 		if (!isKept) {
 			this.violations.inc({invariant});
-			if (this.options.throwsOnViolation ?? false) {
-				throw new VError('invariant violated: %s', invariant);
-			}
+			this.options.invariants.check(invariant, false, 'request path');
 		}
 
 		return isKept;
