Test the published format against a daemon, and random faults

The random run mixes completions and service calls with faults of engines, services and store; the stand-ins count the runs.

--- /dev/null
+++ b/src/standin/local-fleet/test.ts
@@ -0,0 +1,153 @@
+import {test} from 'node:test';
+import process from 'node:process';
+import {expect} from 'earl';
+import fc from 'fast-check';
+import VError from 'verror';
+import {callCompletion, type CompletionOutcome} from '../call-completion/index.js';
+import {callService} from '../call-service/index.js';
+import type {CountedEngineFault} from '../engine-faults/index.js';
+import {generateTokens} from '../generate-tokens/index.js';
+import {LocalFleet, localSecret} from './index.js';
+
+/** Fixed seeds of the usual run; `LABURNUMTURN_RANDOM_RUNS` makes it longer, `LABURNUMTURN_RANDOM_SEED` sets another seed. */
+const seed = Number(process.env.LABURNUMTURN_RANDOM_SEED ?? 20_261_204);
+const runs = Number(process.env.LABURNUMTURN_RANDOM_RUNS ?? 8);
+const tokens = 6;
+
+const engineFaults: CountedEngineFault[] = [
+	'breaks', 'silences', 'crossedAnswers', 'crossedChunks', 'lateChunks', 'duplicatedChunks', 'earlyEnds', 'resetsBeforeRun', 'resetsAfterRun', 'refusals',
+];
+const serviceFaults = [
+	'lostAnswers', 'resetsBeforeRun', 'resetsOnConnect', 'refusals', 'brokenBodies', 'silentBodies', 'earlyAnswers', 'interimAnswers',
+] as const;
+
+const callArbitrary = fc.oneof(
+	{
+		weight: 3, arbitrary: fc.record({
+			kind: fc.constant('completion' as const), isStreamed: fc.boolean(), isChat: fc.boolean(), model: fc.constantFrom('assistant', 'fixed'),
+			disconnectAfterChunks: fc.option(fc.integer({min: 1, max: 3}), {nil: undefined, freq: 6}),
+		}),
+	},
+	{
+		weight: 2, arbitrary: fc.record({
+			kind: fc.constant('service' as const), method: fc.constantFrom('GET', 'POST', 'PUT', 'PATCH'), route: fc.constantFrom('orders', 'payments', 'search'),
+			hasKey: fc.boolean(),
+		}),
+	},
+);
+const faultArbitrary = fc.oneof(
+	fc.record({
+		at: fc.constant('engine' as const), index: fc.nat(1), name: fc.constantFrom(...engineFaults), count: fc.integer({min: 1, max: 4}),
+	}),
+	fc.record({
+		at: fc.constant('service' as const), index: fc.nat(1), name: fc.constantFrom(...serviceFaults), count: fc.integer({min: 1, max: 3}),
+	}),
+	fc.record({
+		at: fc.constant('store' as const), index: fc.constant(0), name: fc.constant('lostAnswers' as const), count: fc.integer({min: 1, max: 2}),
+	}),
+	fc.record({
+		at: fc.constant('restart' as const), index: fc.nat(1), name: fc.constant('restart' as const), count: fc.constant(1),
+	}),
+);
+const stepArbitrary = fc.record({
+	faults: fc.array(faultArbitrary, {maxLength: 4}),
+	calls: fc.array(callArbitrary, {minLength: 4, maxLength: 12}),
+});
+
+type Call = typeof callArbitrary extends fc.Arbitrary<infer Value> ? Value : never;
+type Fault = typeof faultArbitrary extends fc.Arbitrary<infer Value> ? Value : never;
+
+/** Outcomes over all runs, to show that the run reached both successes and failures. */
+const tally = new Map<string, number>();
+
+function note(outcome: string): void {
+	tally.set(outcome, (tally.get(outcome) ?? 0) + 1);
+}
+
+function setFault(fleet: LocalFleet, fault: Fault): void {
+	if (fault.at === 'restart') {
+		fleet.engines[fault.index]!.restart();
+		return;
+	}
+
+	const faults = {engine: fleet.engines, service: fleet.services, store: [fleet.objectApi]}[fault.at][fault.index]!.faults as Record<string, unknown>;
+	faults[fault.name] = fault.count;
+}
+
+function demand(isKept: boolean, rule: string, detail: unknown): void {
+	if (!isKept) {
+		throw new VError('%s: %s', rule, JSON.stringify(detail));
+	}
+}
+
+function sumRuns(targets: ReadonlyArray<{readonly runs: {get(name: string): number | undefined}}>, name: string): number {
+	return targets.reduce((sum, target) => sum + (target.runs.get(name) ?? 0), 0);
+}
+
+async function checkCompletion(fleet: LocalFleet, call: Call & {kind: 'completion'}, id: string): Promise<void> {
+	const prompt = `question ${id}`;
+	const {isChat, isStreamed, model, disconnectAfterChunks} = call;
+	const outcome: CompletionOutcome = await callCompletion({
+		address: fleet.address, secret: localSecret, prompt, isChat, isStreamed, model, maximumTokens: tokens, disconnectAfterChunks,
+	});
+	const whole = generateTokens(isChat ? `<user>\n${prompt}\n` : prompt, tokens).join('');
+	const count = sumRuns(fleet.engines, prompt);
+	const detail = {
+		id, call, outcome, count,
+	};
+	note(`completion ${outcome.isComplete ? 'complete' : outcome.error?.type ?? 'left'}`);
+	demand(whole.startsWith(outcome.text), 'an answer holds its own text only', detail);
+	demand(!outcome.isComplete || outcome.text === whole, 'a complete answer is whole', detail);
+	demand(outcome.isComplete || outcome.error !== undefined || disconnectAfterChunks !== undefined, 'an incomplete answer shows an error', detail);
+	demand(outcome.error?.not_run !== true || count === 0, '"not run" is true', detail);
+	demand(outcome.headers['x-not-run'] === undefined || count === 0, 'x-not-run is true', detail);
+}
+
+async function checkService(fleet: LocalFleet, call: Call & {kind: 'service'}, id: string): Promise<void> {
+	const {method, route, hasKey} = call;
+	const headers: Record<string, string> = hasKey ? {'idempotency-key': id} : {};
+	const query = {
+		address: fleet.address, secret: localSecret, method, path: `/${route}/x`, callId: id, body: method === 'GET' ? undefined : '{}',
+		headers,
+	};
+	const outcome = await callService(query);
+	const outcomes = hasKey ? [outcome, await callService(query)] : [outcome];
+	const isRepeatable = route === 'search' || (route === 'orders' && ['GET', 'PUT'].includes(method));
+	const count = sumRuns(fleet.services, id);
+	const detail = {
+		id, call, outcomes, count,
+	};
+	note(`service ${outcome.status === 200 ? 'complete' : outcome.error?.type ?? outcome.status}`);
+	demand(isRepeatable || count <= 1, 'a call that may not be repeated runs at most once', detail);
+	const answered = outcomes.filter(each => each.status === 200);
+	demand(answered.every(each => (JSON.parse(each.text) as {callId: string}).callId === id), 'an answer belongs to its call', detail);
+	demand(new Set(answered.map(each => each.text)).size <= 1, 'the same key gets the same answer', detail);
+	demand(answered.length === 0 || count > 0, 'an answer comes from a run', detail);
+	demand(outcomes.some(each => each.error?.not_run !== true) || count === 0, '"not run" is true', detail);
+	demand(outcome.error?.not_run !== true || hasKey || count === 0, '"not run" is true', detail);
+}
+
+test('guards against lost, foreign, mixed or repeated answers under random faults', async t => {
+	const property = fc.asyncProperty(fc.array(stepArbitrary, {minLength: 2, maxLength: 5}), async steps => {
+		const fleet = await new LocalFleet({silenceMs: 100}).start();
+		try {
+			for (const [number, step] of steps.entries()) {
+				for (const fault of step.faults) {
+					setFault(fleet, fault);
+				}
+
+				await Promise.all(step.calls.map(async (call, index) => call.kind === 'completion'
+					? checkCompletion(fleet, call, `${number}-${index}`)
+					: checkService(fleet, call, `${number}-${index}`)));
+			}
+
+			expect(await fleet.readCounter('laburnumturn_invariant_violations_total')).toEqual(0);
+		} finally {
+			await fleet.stop();
+		}
+	});
+	await fc.assert(property, {seed, numRuns: runs, endOnFailure: true});
+	t.diagnostic(`seed ${seed}, ${runs} runs: ${[...tally].toSorted().map(([name, count]) => `${name} ${count}`).join(', ')}`);
+	expect((tally.get('completion complete') ?? 0) > 0).toEqual(true);
+	expect((tally.get('service complete') ?? 0) > 0).toEqual(true);
+});
