Reuse engine connections and join the chunks of one read into one write

Leaving the loop over an answer at its end marker destroyed the connection, so each completion opened a new one.

--- a/src/http/read-body/index.ts
+++ b/src/http/read-body/index.ts
@@ -36,7 +36,10 @@
 			reject(createRouterError('malformedRequest', 'the body broke off', {cause: error}));
 		});
 		message.once('close', () => {
-			reject(createRouterError('malformedRequest', 'the body broke off'));
+			// Errors are costly to create, and this event also follows each complete body.
+			if (!message.complete) {
+				reject(createRouterError('malformedRequest', 'the body broke off'));
+			}
 		});
 	});
 }
--- a/src/requests/caller-server/test.ts
+++ b/src/requests/caller-server/test.ts
@@ -13,7 +13,7 @@
 	bodyBytes: 2048, headerBytes: 2048, connections: 6, receiveTimeoutMs: 200,
 };
 
-async function withFleet(run: (fleet: LocalFleet) => Promise<void>, options: LocalFleetOptions = {}): Promise<void> {
+async function runWithFleet(run: (fleet: LocalFleet) => Promise<void>, options: LocalFleetOptions = {}): Promise<void> {
 	const fleet = await new LocalFleet({engines: 1, limits, ...options}).start();
 	try {
 		await run(fleet);
@@ -109,7 +109,7 @@
 
 for (const {guards, sent, endsSide, status, type} of scenarios) {
 	test(`guards against ${guards} without a clear error, or with harm to another caller`, async () => {
-		await withFleet(async fleet => {
+		await runWithFleet(async fleet => {
 			const other = callCompletion({
 				address: fleet.address, secret: localSecret, prompt: 'undisturbed', maximumTokens: 50,
 			});
@@ -129,7 +129,7 @@
 }
 
 test('guards against a key in the body of a completion', async () => {
-	await withFleet(async fleet => {
+	await runWithFleet(async fleet => {
 		const outcome = await callCompletion({
 			address: fleet.address, secret: localSecret, prompt: 'a', body: {user: localSecret},
 		});
@@ -138,7 +138,7 @@
 });
 
 test('guards against surplus connections that get no answer or push others out', async () => {
-	await withFleet(async fleet => {
+	await runWithFleet(async fleet => {
 		const sockets = await Promise.all(Array.from({length: limits.connections}, async () => openSocket(fleet)));
 		const surplus = await openSocket(fleet);
 		surplus.write(`POST /payments/pay HTTP/1.1\r\nhost: a\r\n${keyLine}x-call-id: surplus\r\ncontent-length: 0\r\n\r\n`);
@@ -158,7 +158,7 @@
 
 for (const behind of ['garbage\r\n\r\n', `${post}content-length: 9\r\n\r\n{`]) {
 	test(`guards against "${behind.slice(0, 7)}" behind a request that spoils the answer to that request`, async () => {
-		await withFleet(async fleet => {
+		await runWithFleet(async fleet => {
 			const socket = await openSocket(fleet);
 			const body = JSON.stringify({
 				model: 'assistant', prompt: 'whole', stream: true, max_tokens: 400,
@@ -173,7 +173,7 @@
 }
 
 test('guards against a caller that closes its side after the request and gets neither an answer nor an error', async () => {
-	await withFleet(async fleet => {
+	await runWithFleet(async fleet => {
 		const socket = await openSocket(fleet);
 		const body = JSON.stringify({model: 'assistant', prompt: 'half', max_tokens: 5000});
 		socket.write(`${post}content-length: ${body.length}\r\n\r\n${body}`);
@@ -191,14 +191,14 @@
 			throw createRouterError('budgetExceeded', undefined, {retryAfterSeconds: 2.2});
 		},
 	};
-	await withFleet(async fleet => {
+	await runWithFleet(async fleet => {
 		const outcome = await callCompletion({address: fleet.address, secret: localSecret, prompt: 'a'});
 		expect({status: outcome.status, after: outcome.headers['retry-after'], notRun: outcome.headers['x-not-run']}).toEqual({status: 429, after: '3', notRun: 'true'});
 	}, {budget});
 });
 
 test('guards against a model that is listed and cannot be read by its name', async () => {
-	await withFleet(async fleet => {
+	await runWithFleet(async fleet => {
 		const headers = {authorization: `Bearer ${localSecret}`};
 		const list = await request(`http://${fleet.address}/v1/models`, {headers});
 		const {data} = await list.body.json() as {data: Array<{id: string}>};
--- a/src/requests/idempotency-records/test.ts
+++ b/src/requests/idempotency-records/test.ts
@@ -14,7 +14,7 @@
 	return status;
 }
 
-async function withFleet(run: (fleet: LocalFleet, call: Call) => Promise<void>): Promise<void> {
+async function runWithFleet(run: (fleet: LocalFleet, call: Call) => Promise<void>): Promise<void> {
 	const fleet = await new LocalFleet({engines: 0}).start();
 	const [first, second] = fleet.services;
 	Object.assign(second!, {faults: first!.faults});
@@ -42,7 +42,7 @@
 }
 
 test('guards against a second run under the same key, and against another answer to the repeated call', async () => {
-	await withFleet(async (fleet, call) => {
+	await runWithFleet(async (fleet, call) => {
 		const first = await call();
 		const second = await call();
 		expect([first.status, second.status, countRuns(fleet)]).toEqual([200, 200, 1]);
@@ -52,7 +52,7 @@
 });
 
 test('guards against a call that runs beside the first one under its key', async () => {
-	await withFleet(async (fleet, call) => {
+	await runWithFleet(async (fleet, call) => {
 		fleet.services[0]!.faults.delayMs = 100;
 		const first = call();
 		await delay(40);
@@ -62,7 +62,7 @@
 });
 
 test('guards against the answer to another request under the same key', async () => {
-	await withFleet(async (fleet, call) => {
+	await runWithFleet(async (fleet, call) => {
 		await call();
 		expect(summarise(await call({body: '{"seat":2}'}))).toEqual({status: 422, type: 'idempotencyMismatch', notRun: true});
 		expect(countRuns(fleet)).toEqual(1);
@@ -70,14 +70,14 @@
 });
 
 test('guards against an answer of another organisation under the same key', async () => {
-	await withFleet(async (fleet, call) => {
+	await runWithFleet(async (fleet, call) => {
 		await call();
 		expect([await readStatus(call({secret: otherSecret})), countRuns(fleet)]).toEqual([200, 2]);
 	});
 });
 
 test('guards against a call with a key that runs while the store is down', async () => {
-	await withFleet(async (fleet, call) => {
+	await runWithFleet(async (fleet, call) => {
 		fleet.objectApi.setDown(true);
 		expect(summarise(await call())).toEqual({status: 503, type: 'storeUnavailable', notRun: true});
 		expect(countRuns(fleet)).toEqual(0);
@@ -85,7 +85,7 @@
 });
 
 test('guards against a lost answer of the store taken for the claim of another call', async () => {
-	await withFleet(async (fleet, call) => {
+	await runWithFleet(async (fleet, call) => {
 		fleet.objectApi.faults.lostAnswers = 1;
 		expect([await readStatus(call()), countRuns(fleet)]).toEqual([200, 1]);
 		const {headers} = await call();
@@ -94,7 +94,7 @@
 });
 
 test('guards against a second run after an answer was lost', async () => {
-	await withFleet(async (fleet, call) => {
+	await runWithFleet(async (fleet, call) => {
 		fleet.services[0]!.faults.lostAnswers = 1;
 		expect(summarise(await call())).toEqual({status: 502, type: 'outcomeUnknown', notRun: undefined});
 		expect(summarise(await call())).toEqual({status: 409, type: 'idempotencyConflict', notRun: undefined});
@@ -103,7 +103,7 @@
 });
 
 test('guards against a key that stays blocked after a call that did not run', async () => {
-	await withFleet(async (fleet, call) => {
+	await runWithFleet(async (fleet, call) => {
 		fleet.services[0]!.faults.refusals = 3;
 		expect(summarise(await call())).toEqual({status: 503, type: 'targetRefused', notRun: true});
 		expect([await readStatus(call()), countRuns(fleet)]).toEqual([200, 1]);
@@ -111,7 +111,7 @@
 });
 
 test('guards against an answer that is lost because it is too large for a record', async () => {
-	await withFleet(async (fleet, call) => {
+	await runWithFleet(async (fleet, call) => {
 		const path = '/orders/file?bytes=3000000';
 		const first = await call({path});
 		expect(first.text.length).toEqual(3_000_000);
@@ -123,7 +123,7 @@
 });
 
 test('guards against a caller that disconnects and can never learn the outcome', async () => {
-	await withFleet(async (fleet, call) => {
+	await runWithFleet(async (fleet, call) => {
 		fleet.services[0]!.faults.delayMs = 100;
 		const headers = {'idempotency-key': 'key-1', 'x-timeout-ms': '30'};
 		expect(await readStatus(call({headers}))).toEqual(504);
@@ -133,13 +133,13 @@
 });
 
 test('guards against keys of strangers on open routes that share one name space', async () => {
-	await withFleet(async (_fleet, call) => {
+	await runWithFleet(async (_fleet, call) => {
 		expect(summarise(await call({path: '/public/x', secret: undefined}))).toEqual({status: 400, type: 'malformedRequest', notRun: true});
 	});
 });
 
 test('guards against records that are kept for ever, and against a removed one that is still pending', async () => {
-	await withFleet(async (fleet, call) => {
+	await runWithFleet(async (fleet, call) => {
 		await call();
 		const now = fleet.clock.readWall();
 		expect(await fleet.context.idempotency.removeExpired(now)).toEqual(0);
--- a/src/requests/serve-service/test.ts
+++ b/src/requests/serve-service/test.ts
@@ -57,7 +57,7 @@
 	},
 ];
 
-async function withFleet(run: (fleet: LocalFleet, call: (query?: Partial<ServiceQuery>) => Promise<ServiceOutcome>) => Promise<void>): Promise<void> {
+async function runWithFleet(run: (fleet: LocalFleet, call: (query?: Partial<ServiceQuery>) => Promise<ServiceOutcome>) => Promise<void>): Promise<void> {
 	const fleet = await new LocalFleet({engines: 0}).start();
 	try {
 		await run(fleet, async query => callService({
@@ -74,7 +74,7 @@
 
 for (const scenario of scenarios) {
 	test(`guards against ${scenario.guards}`, async () => {
-		await withFleet(async (fleet, call) => {
+		await runWithFleet(async (fleet, call) => {
 			// The workers share one fault state, so that it does not matter which of them is chosen first.
 			const [first, second] = fleet.services;
 			Object.assign(second!, {faults: Object.assign(first!.faults, scenario.faults)});
@@ -88,7 +88,7 @@
 }
 
 test('guards against a non-idempotent call on a reused connection', async () => {
-	await withFleet(async (fleet, call) => {
+	await runWithFleet(async (fleet, call) => {
 		for (let index = 0; index < 6; index += 1) {
 			const outcome = await call({callId: `call-${index}`});
 			expect(outcome.status).toEqual(200);
@@ -99,7 +99,7 @@
 });
 
 test('guards against a false statement about a connection that is reset as soon as it is open', async () => {
-	await withFleet(async (fleet, call) => {
+	await runWithFleet(async (fleet, call) => {
 		for (let index = 0; index < 20; index += 1) {
 			fleet.services[index % 2]!.faults.resetsOnConnect = 1;
 			const id = `reset-${index}`;
@@ -113,7 +113,7 @@
 });
 
 test('guards against a call that fails although only one of two workers is down', async () => {
-	await withFleet(async (fleet, call) => {
+	await runWithFleet(async (fleet, call) => {
 		fleet.services[0]!.server.close();
 		for (let index = 0; index < 4; index += 1) {
 			const outcome = await call({callId: `call-${index}`});
@@ -123,7 +123,7 @@
 });
 
 test('guards against retries that multiply the load of a failing service', async () => {
-	await withFleet(async (fleet, call) => {
+	await runWithFleet(async (fleet, call) => {
 		for (const service of fleet.services) {
 			service.faults.lostAnswers = 10_000;
 		}
@@ -135,7 +135,7 @@
 });
 
 test('guards against a key in any header, query parameter or body that a target sees', async () => {
-	await withFleet(async (fleet, call) => {
+	await runWithFleet(async (fleet, call) => {
 		const headers = {'x-api-key': localSecret, 'x-note': `a ${localSecret} b`, cookie: `k=${localSecret}`};
 		const path = `/orders/book?a=1&key=${localSecret}&e=${localSecret.replace('l', '%6C')}&b=2`;
 		const answered = await call({headers, path});
@@ -158,7 +158,7 @@
 });
 
 test('guards against methods, bodies or large answers that do not get through', async () => {
-	await withFleet(async (_fleet, call) => {
+	await runWithFleet(async (_fleet, call) => {
 		for (const method of ['GET', 'HEAD', 'PUT', 'PATCH', 'DELETE', 'OPTIONS', 'PROPFIND']) {
 			const {status, text} = await call({method, body: method === 'PUT' ? 'x'.repeat(3_000_000) : undefined});
 			const seen = method === 'HEAD' ? undefined : (JSON.parse(text) as {method: string; bytes: number});
--- a/src/requests/write-completion/index.ts
+++ b/src/requests/write-completion/index.ts
@@ -1,7 +1,6 @@
 /** Writes a completion to the caller in the published format, streamed or as one JSON answer. */
 
 import {randomUUID} from 'node:crypto';
-import {once} from 'node:events';
 import type {ServerResponse} from 'node:http';
 import {createRouterError} from '../../results/create-router-error/index.js';
 import {sendJson} from '../../http/send-json/index.js';
@@ -41,6 +40,7 @@
 	/** Chunks with choices so far. */
 	generated = 0;
 	private hasRole = false;
+	private isCorked = false;
 
 	constructor(private readonly options: StreamSinkOptions) {}
 
@@ -91,9 +91,23 @@
 		}
 
 		this.hasSent = true;
+		this.collectWrites();
 		metrics.chunks.inc();
 		return response.write(text) ? undefined : waitForDrain(response, this.options.stallMs);
 	}
+
+	/** Joins the chunks of one read from the engine into one write to the caller; chunks that come alone are not held back. */
+	private collectWrites(): void {
+		const {response} = this.options;
+		if (!this.isCorked) {
+			this.isCorked = true;
+			response.cork();
+			process.nextTick(() => {
+				this.isCorked = false;
+				response.uncork();
+			});
+		}
+	}
 }
 
 /** Collects an answer into one JSON body. */
@@ -154,18 +168,20 @@
 		throw createRouterError('streamBroken', 'the caller closed the connection');
 	}
 
-	const timer = setTimeout(() => {
-		response.destroy();
-	}, stallMs);
-	const controller = new AbortController();
-	const {signal} = controller;
-	try {
-		await Promise.race([once(response, 'drain', {signal}), once(response, 'close', {signal})]);
-	} finally {
-		clearTimeout(timer);
-		controller.abort();
-	}
+	await new Promise<void>(resolve => {
+		const timer = setTimeout(() => {
+			response.destroy();
+		}, stallMs);
+		const finish = () => {
+			clearTimeout(timer);
+			response.off('drain', finish);
+			response.off('close', finish);
+			resolve();
+		};
 
+		response.on('drain', finish);
+		response.on('close', finish);
+	});
 	if (response.destroyed) {
 		throw createRouterError('streamBroken', 'the caller closed the connection');
 	}
--- a/src/standin/local-fleet/test.ts
+++ b/src/standin/local-fleet/test.ts
@@ -80,7 +80,7 @@
 	}
 }
 
-function sumRuns(targets: ReadonlyArray<{readonly runs: {get(name: string): number | undefined}}>, name: string): number {
+function countAllRuns(targets: ReadonlyArray<{readonly runs: {get(name: string): number | undefined}}>, name: string): number {
 	return targets.reduce((sum, target) => sum + (target.runs.get(name) ?? 0), 0);
 }
 
@@ -91,7 +91,7 @@
 		address: fleet.address, secret: localSecret, prompt, isChat, isStreamed, model, maximumTokens: tokens, disconnectAfterChunks,
 	});
 	const whole = generateTokens(isChat ? `<user>\n${prompt}\n` : prompt, tokens).join('');
-	const count = sumRuns(fleet.engines, prompt);
+	const count = countAllRuns(fleet.engines, prompt);
 	const detail = {
 		id, call, outcome, count,
 	};
@@ -113,7 +113,7 @@
 	const outcome = await callService(query);
 	const outcomes = hasKey ? [outcome, await callService(query)] : [outcome];
 	const isRepeatable = route === 'search' || (route === 'orders' && ['GET', 'PUT'].includes(method));
-	const count = sumRuns(fleet.services, id);
+	const count = countAllRuns(fleet.services, id);
 	const detail = {
 		id, call, outcomes, count,
 	};
--- a/src/targets/http-engine-client/index.ts
+++ b/src/targets/http-engine-client/index.ts
@@ -26,6 +26,8 @@
 const snapshotTimeoutMs = 5000;
 const eventSilenceMs = 3500;
 const maximumConnections = 512;
+/** Time for an answer to end after its end marker before its connection is closed, in milliseconds. */
+const leftoverMs = 1000;
 
 /** Engine over HTTP. */
 export class HttpEngineClient implements EngineClient {
@@ -164,22 +166,44 @@
 	}
 }
 
-async function * readChunks(body: AsyncIterable<Uint8Array>): AsyncGenerator<EngineChunk> {
+async function * readChunks(body: Dispatcher.ResponseData['body']): AsyncGenerator<EngineChunk> {
+	let hasEnded = false;
 	try {
-		for await (const event of parseEventStream(body)) {
-			const isEnd = event.data === '[DONE]';
-			yield {offset: Number(event.id), data: event.data, isEnd};
-			if (isEnd) {
+		for await (const event of parseEventStream(body.iterator({destroyOnReturn: false}))) {
+			hasEnded = event.data === '[DONE]';
+			yield {offset: Number(event.id), data: event.data, isEnd: hasEnded};
+			if (hasEnded) {
 				return;
 			}
 		}
 	} catch (error) {
 		throw convertStreamError(error);
+	} finally {
+		releaseBody(body, hasEnded);
 	}
 
 	throw createRouterError('streamBroken');
 }
 
+/** After the end marker the few bytes left are read, so that the connection can be used again; otherwise it is closed. */
+function releaseBody(body: Dispatcher.ResponseData['body'], hasEnded: boolean): void {
+	body.on('error', () => {
+		// Whoever read the body has been told, or no longer needs it.
+	});
+	if (!hasEnded) {
+		body.destroy();
+		return;
+	}
+
+	const timer = setTimeout(() => {
+		body.destroy();
+	}, leftoverMs);
+	body.once('close', () => {
+		clearTimeout(timer);
+	});
+	body.resume();
+}
+
 /** Longest refusal text that is read, in bytes. */
 const refusalBytes = 4096;
 
