--- /dev/null
+++ b/src/daemon/create-request-path/index.ts
@@ -0,0 +1,51 @@
+/** Builds what the request path needs from the parts of the daemon. */
+
+import {Registry} from 'prom-client';
+import {StaticBudgetGate} from '../../budget/static-budget-gate/index.js';
+import type {Configuration} from '../../configuration/configuration/index.js';
+import {chooseAddresses} from '../../membership/choose-addresses/index.js';
+import {RoundRobinPlacement} from '../../placement/round-robin-placement/index.js';
+import {createServiceConnections} from '../../requests/forward-call/index.js';
+import {IdempotencyRecords} from '../../requests/idempotency-records/index.js';
+import {RequestMetrics} from '../../requests/request-metrics/index.js';
+import {RetryBudget} from '../../requests/retry-budget/index.js';
+import type {AddressAnswer, RouterContext} from '../../requests/router-context/index.js';
+import type {TargetDirectory} from '../../targets/target-directory/index.js';
+import type {DaemonCore} from '../create-core/index.js';
+
+const msPerSecond = 1000;
+
+/** Creates the context of the request path and registers its parts. */
+export function createRequestPath(core: DaemonCore, targets: TargetDirectory, readConfiguration: () => Configuration): RouterContext {
+	const {settings, clock, logger, objectApi, parts} = core;
+	const metrics = new RequestMetrics({registry: new Registry()});
+	const idempotency = new IdempotencyRecords({objectApi, clock, metrics});
+	const serviceConnections = createServiceConnections();
+	const controller = new AbortController();
+	parts.register({
+		name: 'requests',
+		start() {
+			void idempotency.run(controller.signal);
+		},
+		async stop() {
+			controller.abort();
+			await serviceConnections.destroy();
+		},
+	});
+	return {
+		settings, clock, logger, targets, metrics, idempotency, serviceConnections, readConfiguration,
+		placement: new RoundRobinPlacement(),
+		budget: new StaticBudgetGate(clock, 1),
+		retryBudget: new RetryBudget(),
+		chooseAddresses: dataCentre => createAddressAnswer(core, dataCentre),
+	};
+}
+
+function createAddressAnswer({settings, clock, membership, random}: DaemonCore, dataCentre: string | undefined): AddressAnswer {
+	const live = membership.listLive(clock.readMonotonic());
+	const chosen = chooseAddresses({live, self: membership.readSelf(), dataCentre}, random);
+	return {
+		instances: chosen.map(member => ({id: member.id, address: member.callerAddress, data_centre: member.dataCentre})),
+		valid_for_seconds: settings.addressValidityMs / msPerSecond,
+	};
+}
--- a/src/daemon/start-daemon/index.ts
+++ b/src/daemon/start-daemon/index.ts
@@ -2,21 +2,16 @@
 
 import type {Configuration} from '../../configuration/configuration/index.js';
 import {pollResources} from '../../configuration/poll-resources/index.js';
-import {StaticBudgetGate} from '../../budget/static-budget-gate/index.js';
 import type {Revision} from '../../identity/ids/index.js';
-import {chooseAddresses} from '../../membership/choose-addresses/index.js';
 import {noRevision} from '../../membership/membership/index.js';
-import {RoundRobinPlacement} from '../../placement/round-robin-placement/index.js';
 import {CallerServer} from '../../requests/caller-server/index.js';
-import type {AddressAnswer, RouterContext} from '../../requests/router-context/index.js';
 import {createRouterError} from '../../results/create-router-error/index.js';
 import {HttpEngineClient} from '../../targets/http-engine-client/index.js';
 import {TargetDirectory} from '../../targets/target-directory/index.js';
 import {createCore, type DaemonCore} from '../create-core/index.js';
+import {createRequestPath} from '../create-request-path/index.js';
 import type {Settings} from '../settings/index.js';
 
-const msPerSecond = 1000;
-
 /** A running daemon. */
 export type Daemon = {
 	/** `host:port` of the caller listener. */
@@ -48,7 +43,7 @@
 	const core = createCore(settings, () => holder.readRevision());
 	const targets = createTargets(core);
 	registerConfiguration(core, holder, targets);
-	const server = new CallerServer(createContext(core, holder, targets));
+	const server = new CallerServer(createRequestPath(core, targets, () => holder.read()));
 	await core.parts.start();
 	const address = await server.listen();
 	core.logger.info('daemon started', {caller: address});
@@ -90,23 +85,3 @@
 		dump: () => ({revision: holder.readRevision()}),
 	});
 }
-
-function createContext(core: DaemonCore, holder: ConfigurationHolder, targets: TargetDirectory): RouterContext {
-	const {settings, clock, logger} = core;
-	return {
-		settings, clock, logger, targets,
-		placement: new RoundRobinPlacement(),
-		budget: new StaticBudgetGate(clock, 1),
-		readConfiguration: () => holder.read(),
-		chooseAddresses: dataCentre => createAddressAnswer(core, dataCentre),
-	};
-}
-
-function createAddressAnswer({settings, clock, membership, random}: DaemonCore, dataCentre: string | undefined): AddressAnswer {
-	const live = membership.listLive(clock.readMonotonic());
-	const chosen = chooseAddresses({live, self: membership.readSelf(), dataCentre}, random);
-	return {
-		instances: chosen.map(member => ({id: member.id, address: member.callerAddress, data_centre: member.dataCentre})),
-		valid_for_seconds: settings.addressValidityMs / msPerSecond,
-	};
-}
