--- a/src/placement/placement/index.ts
+++ b/src/placement/placement/index.ts
@@ -26,3 +26,14 @@
 	/** Notes that a request was sent, so that its blocks count as cached there soon. */
 	noteSent(query: PlacementQuery, engine: EngineMonitor, now: MonotonicMs): void;
 };
+
+/** Lists the candidates that have not failed this request. */
+export function listCandidates(query: PlacementQuery): EngineMonitor[] {
+	return query.candidates.filter(engine => !query.excluded.has(engine.target.id));
+}
+
+/** What a cache entry must agree with, besides the engine's incarnation, to count for the query. */
+export function formatQueryScope(query: Pick<PlacementQuery, 'model' | 'organisation'>): string {
+	const {model, organisation} = query;
+	return JSON.stringify([organisation, model.base, model.adapter ?? null, model.weightsVersion]);
+}
--- a/src/placement/round-robin-placement/index.ts
+++ b/src/placement/round-robin-placement/index.ts
@@ -1,14 +1,14 @@
 /** Baseline: engines in turn. */
 
 import type {EngineMonitor} from '../../targets/engine-monitor/index.js';
-import type {Placement, PlacementQuery} from '../placement/index.js';
+import {listCandidates, type Placement, type PlacementQuery} from '../placement/index.js';
 
 /** Sends each request to the next candidate in turn. */
 export class RoundRobinPlacement implements Placement {
 	private next = 0;
 
 	choose(query: PlacementQuery): EngineMonitor | undefined {
-		const candidates = query.candidates.filter(engine => !query.excluded.has(engine.target.id));
+		const candidates = listCandidates(query);
 		if (candidates.length === 0) {
 			return undefined;
 		}
--- a/src/standin/engine-cache/index.ts
+++ b/src/standin/engine-cache/index.ts
@@ -30,6 +30,11 @@
 		return miss === -1 ? keys.length : miss;
 	}
 
+	/** Whether a block is cached; does not mark it as used. */
+	hasBlock(key: BlockKey): boolean {
+		return this.blocks.has(key);
+	}
+
 	/** Stores blocks that are not cached yet. */
 	store(keys: readonly BlockKey[]): void {
 		const added = keys.filter(key => !this.blocks.has(key));
--- /dev/null
+++ b/src/targets/own-load/index.ts
@@ -0,0 +1,73 @@
+/**
+ * Load of an engine as one router estimates it: the engine's report, which lags, corrected by the
+ * router's own requests that were sent or ended after the moment the report describes.
+ */
+
+import type {MonotonicMs} from '../../identity/ids/index.js';
+import type {EngineLoad} from '../engine-client/index.js';
+
+/** One request of this router at an engine. */
+export type OwnRequest = {
+	/** Notes the first chunk: the prompt has been computed. */
+	noteFirstChunk(now: MonotonicMs): void;
+	/** Notes the end of the request, whatever its outcome. Later calls have no effect. */
+	noteEnded(now: MonotonicMs): void;
+};
+
+/** Estimated load. */
+export type EstimatedLoad = {
+	/** Running and waiting requests. */
+	readonly occupancy: number;
+	readonly slots: number;
+	/** Prompt tokens that the engine has yet to compute. */
+	readonly pendingPrefillTokens: number;
+};
+
+type Item = {readonly sentAt: number; readonly missingTokens: number; firstChunkAt?: number; endedAt?: number};
+
+/** The router's own requests at one engine. */
+export class OwnLoad {
+	private readonly items = new Set<Item>();
+
+	/** Notes a request that is being sent and lacks `missingTokens` in the engine's cache. */
+	beginRequest(missingTokens: number, now: MonotonicMs): OwnRequest {
+		const item: Item = {sentAt: now, missingTokens};
+		this.items.add(item);
+		return {
+			noteFirstChunk(at) {
+				item.firstChunkAt ??= at;
+			},
+			noteEnded(at) {
+				item.endedAt ??= at;
+			},
+		};
+	}
+
+	/** Forgets ended requests that a report of the moment `describedAt` no longer contains. */
+	prune(describedAt: number): void {
+		for (const item of this.items) {
+			if (item.endedAt !== undefined && item.endedAt <= describedAt) {
+				this.items.delete(item);
+			}
+		}
+	}
+
+	/** Estimates the load at `now` from a report that describes the moment `describedAt`. */
+	estimate(report: EngineLoad, describedAt: number, now: MonotonicMs, prefillTokensPerMs: number): EstimatedLoad {
+		let occupancy = report.running + report.waiting;
+		// The engine has worked since the report was made.
+		let pending = Math.max(0, report.pendingPrefillTokens - ((now - describedAt) * prefillTokensPerMs));
+		for (const item of this.items) {
+			const isReported = item.sentAt <= describedAt;
+			const isEnded = item.endedAt !== undefined;
+			if (isReported && isEnded) {
+				occupancy -= 1;
+			} else if (!isReported && !isEnded) {
+				occupancy += 1;
+				pending += item.firstChunkAt === undefined ? item.missingTokens : 0;
+			}
+		}
+
+		return {occupancy: Math.max(0, occupancy), slots: report.slots, pendingPrefillTokens: pending};
+	}
+}
