Place requests on cached prefixes

The test of narrowing sent its 'cold' requests 1 ms apart and never ended them; it now sends one per 200 ms.

--- a/src/placement/prefix-placement/test.ts
+++ b/src/placement/prefix-placement/test.ts
@@ -18,7 +18,7 @@
 	});
 }
 
-type Timing = {readonly beginMs: number; readonly count: number; readonly intervalMs: number};
+type Timing = {readonly beginMs: number; readonly count: number; readonly intervalMs: number; readonly isServedAtOnce?: boolean};
 
 /** Sends `count` requests for `blocks` at `intervalMs` and returns how often each engine was chosen. */
 function sendMany(placement: PrefixPlacement, engines: readonly EngineMonitor[], blocks: readonly BlockKey[], timing: Timing): Map<string, number> {
@@ -29,7 +29,12 @@
 		const engine = placement.choose(query, now)!;
 		engine.noteSent(blocks, formatQueryScope(query), now);
 		placement.noteSent(query, engine, now);
-		engine.beginRequest(100, now);
+		const own = engine.beginRequest(100, now);
+		if (timing.isServedAtOnce) {
+			own.noteFirstChunk(now);
+			own.noteEnded(now);
+		}
+
 		counts.set(engine.target.id, (counts.get(engine.target.id) ?? 0) + 1);
 	}
 
@@ -77,7 +82,9 @@
 			placement.noteSent(createQuery(createBlocks(`other-${index}`), idle), idle[0]!, (300 + (index * 50)) as MonotonicMs);
 		}
 
-		const cold = sendMany(placement, idle, createBlocks('hot'), {beginMs: 31_000, count: 5, intervalMs: 1});
+		const cold = sendMany(placement, idle, createBlocks('hot'), {
+			beginMs: 31_000, count: 5, intervalMs: 200, isServedAtOnce: true,
+		});
 		expect(cold.size).toEqual(1);
 	});
 
--- a/src/targets/own-load/index.ts
+++ b/src/targets/own-load/index.ts
@@ -21,16 +21,28 @@
 	readonly slots: number;
 	/** Prompt tokens that the engine has yet to compute. */
 	readonly pendingPrefillTokens: number;
+	/** Time until a further request gets a slot. */
+	readonly slotWaitMs: number;
 };
 
 type Item = {readonly sentAt: number; readonly missingTokens: number; firstChunkAt?: number; endedAt?: number};
 
+/** Time from first to last chunk that is assumed before the first request has ended. */
+const initialDecodeMs = 1000;
+/** Weight of the latest request in the mean decode time. */
+const smoothing = 0.1;
+
 /** The router's own requests at one engine. */
 export class OwnLoad {
+	private decodeMs = initialDecodeMs;
 	private readonly items = new Set<Item>();
 
 	/** Notes a request that is being sent and lacks `missingTokens` in the engine's cache. */
 	beginRequest(missingTokens: number, now: MonotonicMs): OwnRequest {
+		const noteDecode = (decodeMs: number) => {
+			this.decodeMs += smoothing * (decodeMs - this.decodeMs);
+		};
+
 		const item: Item = {sentAt: now, missingTokens};
 		this.items.add(item);
 		return {
@@ -38,6 +50,10 @@
 				item.firstChunkAt ??= at;
 			},
 			noteEnded(at) {
+				if (item.endedAt === undefined && item.firstChunkAt !== undefined) {
+					noteDecode(at - item.firstChunkAt);
+				}
+
 				item.endedAt ??= at;
 			},
 		};
@@ -68,6 +84,10 @@
 			}
 		}
 
-		return {occupancy: Math.max(0, occupancy), slots: report.slots, pendingPrefillTokens: pending};
+		occupancy = Math.max(0, occupancy);
+		const excess = Math.max(0, occupancy + 1 - report.slots);
+		return {
+			occupancy, slots: report.slots, pendingPrefillTokens: pending, slotWaitMs: excess * this.decodeMs / report.slots,
+		};
 	}
 }
