Queue requests fairly while engines are full and batch continuously in the stand-in

FairQueue: deficit round robin by weight with cost in tokens, bounds, early refusal; EngineGate: one queue per model, placement among engines with room.

--- a/src/bin/standin.ts
+++ b/src/bin/standin.ts
@@ -52,6 +52,9 @@
 		loadLagMs: option({type: number, long: 'load-lag-ms', defaultValue: () => 250}),
 		eventLagMs: option({type: number, long: 'event-lag-ms', defaultValue: () => 100}),
 		loadMs: option({type: number, long: 'load-ms', defaultValue: () => 800}),
+		eventLoss: option({
+			type: number, long: 'event-loss', defaultValue: () => 0, description: 'fraction of cache events that are lost',
+		}),
 	},
 	async handler(args) {
 		const engine = new EngineServer({
@@ -62,6 +65,7 @@
 			loadLagMs: args.loadLagMs,
 			eventLagMs: args.eventLagMs,
 			loadMs: args.loadMs,
+			eventLoss: args.eventLoss,
 		});
 		await announce(engine.server, args.listen);
 	},
--- a/src/daemon/settings/index.ts
+++ b/src/daemon/settings/index.ts
@@ -5,6 +5,7 @@
 } from 'jsonc-parser';
 import {z} from 'zod';
 import {createRouterError} from '../../results/create-router-error/index.js';
+import {placementStrategies} from '../../placement/create-placement/index.js';
 import {parseAddress} from '../../http/parse-address/index.js';
 
 const addressSchema = z.string().refine(isAddress, 'must be host:port');
@@ -26,7 +27,21 @@
 		headerBytes: z.number().int().min(1024).max(256 * 1024).default(32 * 1024),
 		connections: z.number().int().min(1).max(100_000).default(4096),
 		receiveTimeoutMs: z.number().int().min(100).max(600_000).default(30_000),
+		/** Requests that may wait for an engine, over all organisations and per model. */
 		queuedRequests: z.number().int().min(1).max(100_000).default(1000),
+		/** Longest wait for an engine. */
+		queueWaitMs: z.number().int().min(1).max(600_000).default(10_000),
+	}).prefault({}),
+	placement: z.strictObject({
+		strategy: z.enum(placementStrategies).default('prefix'),
+		/** Prompt tokens that an engine computes per millisecond. */
+		prefillTokensPerMs: z.number().positive().max(10_000).default(20),
+		/** Extra time of a request to an engine in another data centre. */
+		distanceMs: z.number().min(0).max(1000).default(1),
+		/** Pieces of the prompt that `consistentHash` looks at. */
+		hashedPieces: z.number().int().min(1).max(1000).default(4),
+		/** Prefill work at an engine, in milliseconds, above which requests wait here instead. */
+		engineBacklogMs: z.number().positive().max(600_000).default(250),
 	}).prefault({}),
 	/** How long callers may keep an address answer. */
 	addressValidityMs: z.number().int().min(100).max(600_000).default(10_000),
--- a/src/daemon/start-daemon/index.ts
+++ b/src/daemon/start-daemon/index.ts
@@ -1,12 +1,13 @@
 /** Wires the parts of the daemon together. */
 
-import {SystemClock} from '../../clock/clock/index.js';
+import {SystemClock, type Clock} from '../../clock/clock/index.js';
 import type {Configuration} from '../../configuration/configuration/index.js';
 import {pollResources} from '../../configuration/poll-resources/index.js';
 import {StaticBudgetGate} from '../../budget/static-budget-gate/index.js';
+import {EngineGate} from '../../fairness/engine-gate/index.js';
 import {createLogger} from '../../logging/create-logger/index.js';
 import {HttpObjectApi} from '../../platform/http-object-api/index.js';
-import {RoundRobinPlacement} from '../../placement/round-robin-placement/index.js';
+import {createPlacement} from '../../placement/create-placement/index.js';
 import {CallerServer} from '../../requests/caller-server/index.js';
 import type {RouterContext} from '../../requests/router-context/index.js';
 import {createRouterError} from '../../results/create-router-error/index.js';
@@ -35,7 +36,7 @@
 	let current: Configuration | undefined;
 	const context: RouterContext = {
 		settings, clock, logger, targets,
-		placement: new RoundRobinPlacement(),
+		gate: createGate(settings, clock),
 		budget: new StaticBudgetGate(clock, 1),
 		readConfiguration() {
 			if (current === undefined) {
@@ -73,3 +74,17 @@
 		},
 	};
 }
+
+function createGate(settings: Settings, clock: Clock): EngineGate {
+	const {strategy, prefillTokensPerMs, engineBacklogMs} = settings.placement;
+	return new EngineGate({
+		clock,
+		placement: createPlacement(strategy, {...settings.placement, dataCentre: settings.dataCentre}),
+		prefillTokensPerMs,
+		engineBacklogMs,
+		queueWaitMs: settings.limits.queueWaitMs,
+		queuedRequests: settings.limits.queuedRequests,
+		// Seeds name the other instances until membership counts the live ones.
+		countInstances: () => Math.max(1, settings.seeds.length),
+	});
+}
--- a/src/requests/router-context/index.ts
+++ b/src/requests/router-context/index.ts
@@ -4,8 +4,8 @@
 import type {Clock} from '../../clock/clock/index.js';
 import type {Configuration} from '../../configuration/configuration/index.js';
 import type {Settings} from '../../daemon/settings/index.js';
+import type {EngineGate} from '../../fairness/engine-gate/index.js';
 import type {EventLogger} from '../../logging/create-logger/index.js';
-import type {Placement} from '../../placement/placement/index.js';
 import type {TargetDirectory} from '../../targets/target-directory/index.js';
 
 /** Instances that a caller may use, best first. */
@@ -21,7 +21,7 @@
 	readonly clock: Clock;
 	readonly logger: EventLogger;
 	readonly targets: TargetDirectory;
-	readonly placement: Placement;
+	readonly gate: EngineGate;
 	readonly budget: BudgetGate;
 	/** The configuration in force; throws `notReady` or `isolated` when requests must be refused. */
 	readConfiguration(): Configuration;
--- a/src/requests/send-completion/index.ts
+++ b/src/requests/send-completion/index.ts
@@ -4,8 +4,8 @@
 import type {OrganisationId, RequestId, TargetId} from '../../identity/ids/index.js';
 import type {ResolvedModel} from '../../configuration/configuration/index.js';
 import {createRouterError, RouterError} from '../../results/create-router-error/index.js';
+import type {EngineSlot} from '../../fairness/engine-gate/index.js';
 import {estimateTokens, hashPrompt} from '../../placement/hash-prompt/index.js';
-import type {PlacementQuery} from '../../placement/placement/index.js';
 import type {EngineAnswer, EngineChunk} from '../../targets/engine-client/index.js';
 import type {EngineMonitor} from '../../targets/engine-monitor/index.js';
 import type {CompletionRequest} from '../parse-completion-request/index.js';
@@ -25,13 +25,15 @@
 export async function * sendCompletion(context: RouterContext, call: CompletionCall): AsyncGenerator<EngineChunk> {
 	const excluded = new Set<TargetId>();
 	for (let attempt = 1; ; attempt += 1) {
-		const engine = chooseEngine(context, call, excluded);
+		const slot = await acquireEngine(context, call, excluded);
+		const {engine} = slot;
 		let sentChunks = 0;
 		try {
 			engine.ownInFlight += 1;
 			const answer = await openAnswer(call, engine);
 			for await (const chunk of answer.chunks) {
 				checkChunk(chunk, sentChunks, answer.requestId);
+				slot.noteFirstChunk();
 				sentChunks += 1;
 				yield chunk;
 			}
@@ -47,6 +49,7 @@
 			excluded.add(engine.target.id);
 		} finally {
 			engine.ownInFlight -= 1;
+			slot.release();
 		}
 	}
 }
@@ -56,29 +59,25 @@
 	return `organisation:${organisation}`;
 }
 
-function chooseEngine(context: RouterContext, call: CompletionCall, excluded: ReadonlySet<TargetId>): EngineMonitor {
-	const now = context.clock.readMonotonic();
-	const candidates = context.readConfiguration().listEngines(call.model.id)
-		.map(target => context.targets.find(target.id))
-		.filter(monitor => monitor?.canServe(call.model, now)) as EngineMonitor[];
+/** Waits until an engine has room for the call. */
+async function acquireEngine(context: RouterContext, call: CompletionCall, excluded: ReadonlySet<TargetId>): Promise<EngineSlot> {
+	const {model, organisation, request, signal} = call;
 	const scope = {
-		salt: formatCacheSalt(call.organisation), base: call.model.base, adapter: call.model.adapter, weightsVersion: call.model.weightsVersion,
+		salt: formatCacheSalt(organisation), base: model.base, adapter: model.adapter, weightsVersion: model.weightsVersion,
 	};
-	const query: PlacementQuery = {
-		model: call.model,
-		organisation: call.organisation,
-		blocks: hashPrompt(scope, call.request.promptText),
-		promptTokens: estimateTokens(call.request.promptText),
-		candidates,
+	return context.gate.acquire({
+		model,
+		organisation,
+		weight: context.readConfiguration().findOrganisation(organisation)?.weight ?? 1,
+		blocks: hashPrompt(scope, request.promptText),
+		promptTokens: estimateTokens(request.promptText),
+		maximumTokens: request.maximumTokens,
 		excluded,
-	};
-	const engine = context.placement.choose(query, now);
-	if (engine === undefined) {
-		throw createRouterError('noTarget', `model ${call.model.id}`);
-	}
-
-	context.placement.noteSent(query, engine, now);
-	return engine;
+		signal,
+		listCandidates: () => context.readConfiguration().listEngines(model.id)
+			.map(target => context.targets.find(target.id))
+			.filter(monitor => monitor?.canServe(model, context.clock.readMonotonic())) as EngineMonitor[],
+	});
 }
 
 async function openAnswer(call: CompletionCall, engine: EngineMonitor): Promise<EngineAnswer> {
--- a/src/standin/engine-cache/index.ts
+++ b/src/standin/engine-cache/index.ts
@@ -30,9 +30,10 @@
 		return miss === -1 ? keys.length : miss;
 	}
 
-	/** Whether a block is cached; does not mark it as used. */
-	hasBlock(key: BlockKey): boolean {
-		return this.blocks.has(key);
+	/** Counts the leading blocks that are cached, without marking them as used. */
+	countPrefix(keys: readonly BlockKey[]): number {
+		const miss = keys.findIndex(key => !this.blocks.has(key));
+		return miss === -1 ? keys.length : miss;
 	}
 
 	/** Stores blocks that are not cached yet. */
--- a/src/standin/engine-server/index.ts
+++ b/src/standin/engine-server/index.ts
@@ -4,9 +4,11 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
+import {performance} from 'node:perf_hooks';
+import {setTimeout as delay} from 'node:timers/promises';
 import {readJsonBody} from '../../http/read-body/index.js';
 import {sendJson} from '../../http/send-json/index.js';
-import type {Incarnation, RequestId} from '../../identity/ids/index.js';
+import type {BlockKey, Incarnation, RequestId} from '../../identity/ids/index.js';
 import {estimateTokens, hashPrompt} from '../../placement/hash-prompt/index.js';
 import {parseCompletionRequest} from '../../requests/parse-completion-request/index.js';
 import type {EngineModelState, EngineOrder} from '../../targets/engine-client/index.js';
@@ -34,10 +36,16 @@
 	/** Delay of cache events. */
 	readonly eventLagMs: number;
 	readonly loadMs: number;
+	/** Fraction of cache events that are lost at first. */
+	readonly eventLoss?: number;
 };
 
 const bodyLimitBytes = 64_000_000;
 const eventHeartbeatMs = 1000;
+/** Time to copy one block of KV cache from the store or another engine. */
+const importMsPerBlock = 5;
+
+type BlockList = {readonly blocks: readonly BlockKey[]};
 
 /** A stand-in engine. */
 export class EngineServer {
@@ -50,13 +58,16 @@
 	private isLeaving = false;
 	private highestFencing = 0;
 	private reportedLoad;
+	private reportedAt = performance.now();
 
 	constructor(private readonly options: EngineServerOptions) {
+		this.faults.eventLoss = options.eventLoss ?? 0;
 		this.models = [...options.models];
 		this.simulator = new EngineSimulator(options.speed, new EngineCache(this.incarnation, options.cacheBlocks));
 		this.reportedLoad = this.simulator.readLoad();
 		setInterval(() => {
 			this.reportedLoad = this.simulator.readLoad();
+			this.reportedAt = performance.now();
 		}, Math.max(1, options.loadLagMs)).unref();
 		this.server = createServer((message, response) => {
 			void this.serve(message, response).catch((error: unknown) => {
@@ -81,7 +92,7 @@
 			case '/state': {
 				sendJson(response, 200, {
 					incarnation: this.incarnation, role: this.role, isLeaving: this.isLeaving, models: this.models,
-					load: {...this.reportedLoad, ageMs: this.options.loadLagMs},
+					load: {...this.reportedLoad, ageMs: Math.round(performance.now() - this.reportedAt)},
 				});
 				return;
 			}
@@ -91,6 +102,25 @@
 				return;
 			}
 
+			case '/cache/export': {
+				const {blocks} = await readJsonBody(message, bodyLimitBytes) as BlockList;
+				sendJson(response, 200, {incarnation: this.incarnation, blocks: blocks.slice(0, this.simulator.cache.countPrefix(blocks))});
+				return;
+			}
+
+			case '/cache/import': {
+				const {blocks} = await readJsonBody(message, bodyLimitBytes) as BlockList;
+				await delay(blocks.length * importMsPerBlock);
+				this.simulator.cache.store(blocks);
+				sendJson(response, 200, {});
+				return;
+			}
+
+			case '/totals': {
+				sendJson(response, 200, this.simulator.totals);
+				return;
+			}
+
 			case '/cache/events': {
 				this.serveEvents(Number(url.searchParams.get('after')), response);
 				return;
--- a/src/targets/engine-monitor/index.ts
+++ b/src/targets/engine-monitor/index.ts
@@ -31,6 +31,8 @@
 	private readonly ownLoad = new OwnLoad();
 	private state: EngineState | undefined;
 	private readAt = Number.NEGATIVE_INFINITY;
+	/** Moment that the load report describes. */
+	private describedAt = Number.NEGATIVE_INFINITY;
 	private readonly controller = new AbortController();
 
 	constructor(
@@ -84,13 +86,14 @@
 
 		this.state = state;
 		this.readAt = sentAt;
-		this.ownLoad.prune(sentAt - state.load.ageMs);
+		this.describedAt = sentAt - state.load.ageMs;
+		this.ownLoad.prune(this.describedAt);
 	}
 
-	/** Estimates the load at `now`, own requests included. */
-	estimateLoad(now: MonotonicMs, prefillTokensPerMs: number): EstimatedLoad {
+	/** Estimates the load at `now`; own requests that the report cannot contain yet count `unreportedFactor` times. */
+	estimateLoad(now: MonotonicMs, prefillTokensPerMs: number, unreportedFactor = 1): EstimatedLoad {
 		const load = this.state?.load ?? noLoad;
-		return this.ownLoad.estimate(load, this.readAt - load.ageMs, now, prefillTokensPerMs);
+		return this.ownLoad.estimate(load, this.describedAt, now, {prefillTokensPerMs, unreportedFactor});
 	}
 
 	/** Counts a request that is about to be sent. */
--- a/src/targets/own-load/index.ts
+++ b/src/targets/own-load/index.ts
@@ -25,6 +25,9 @@
 	readonly slotWaitMs: number;
 };
 
+/** How a report is extrapolated. */
+export type EstimateOptions = {readonly prefillTokensPerMs: number; readonly unreportedFactor: number};
+
 type Item = {readonly sentAt: number; readonly missingTokens: number; firstChunkAt?: number; endedAt?: number};
 
 /** Time from first to last chunk that is assumed before the first request has ended. */
@@ -68,8 +71,12 @@
 		}
 	}
 
-	/** Estimates the load at `now` from a report that describes the moment `describedAt`. */
-	estimate(report: EngineLoad, describedAt: number, now: MonotonicMs, prefillTokensPerMs: number): EstimatedLoad {
+	/**
+	 * Estimates the load at `now` from a report that describes the moment `describedAt`. What this
+	 * router sent since then counts `unreportedFactor` times, as an estimate of what others sent.
+	 */
+	estimate(report: EngineLoad, describedAt: number, now: MonotonicMs, options: EstimateOptions): EstimatedLoad {
+		const {prefillTokensPerMs, unreportedFactor} = options;
 		let occupancy = report.running + report.waiting;
 		// The engine has worked since the report was made.
 		let pending = Math.max(0, report.pendingPrefillTokens - ((now - describedAt) * prefillTokensPerMs));
@@ -79,8 +86,8 @@
 			if (isReported && isEnded) {
 				occupancy -= 1;
 			} else if (!isReported && !isEnded) {
-				occupancy += 1;
-				pending += item.firstChunkAt === undefined ? item.missingTokens : 0;
+				occupancy += unreportedFactor;
+				pending += item.firstChunkAt === undefined ? item.missingTokens * unreportedFactor : 0;
 			}
 		}
 
