--- a/src/daemon/create-request-path/index.ts
+++ b/src/daemon/create-request-path/index.ts
@@ -4,7 +4,8 @@
 import {StaticBudgetGate} from '../../budget/static-budget-gate/index.js';
 import type {Configuration} from '../../configuration/configuration/index.js';
 import {chooseAddresses} from '../../membership/choose-addresses/index.js';
-import {RoundRobinPlacement} from '../../placement/round-robin-placement/index.js';
+import {EngineGate} from '../../fairness/engine-gate/index.js';
+import {createPlacement} from '../../placement/create-placement/index.js';
 import {createServiceConnections} from '../../requests/forward-call/index.js';
 import {IdempotencyRecords} from '../../requests/idempotency-records/index.js';
 import {RequestMetrics} from '../../requests/request-metrics/index.js';
@@ -34,13 +35,26 @@
 	});
 	return {
 		settings, clock, logger, targets, metrics, idempotency, serviceConnections, readConfiguration,
-		placement: new RoundRobinPlacement(),
+		gate: createGate(core),
 		budget: new StaticBudgetGate(clock, 1),
 		retryBudget: new RetryBudget(),
 		chooseAddresses: dataCentre => createAddressAnswer(core, dataCentre),
 	};
 }
 
+function createGate({settings, clock, membership}: DaemonCore): EngineGate {
+	const {strategy, prefillTokensPerMs, engineBacklogMs} = settings.placement;
+	return new EngineGate({
+		clock,
+		placement: createPlacement(strategy, {...settings.placement, dataCentre: settings.dataCentre}),
+		prefillTokensPerMs,
+		engineBacklogMs,
+		queueWaitMs: settings.limits.queueWaitMs,
+		queuedRequests: settings.limits.queuedRequests,
+		countInstances: () => membership.listLive(clock.readMonotonic()).length,
+	});
+}
+
 function createAddressAnswer({settings, clock, membership, random}: DaemonCore, dataCentre: string | undefined): AddressAnswer {
 	const live = membership.listLive(clock.readMonotonic());
 	const chosen = chooseAddresses({live, self: membership.readSelf(), dataCentre}, random);
--- a/src/requests/send-completion/test.ts
+++ b/src/requests/send-completion/test.ts
@@ -145,7 +145,7 @@
 
 			// Round robin begins with the second engine; a first call makes it the first one's turn.
 			if (fleet.engines.length > 1) {
-				fleet.context.placement.choose({candidates: fleet.targets.list(), excluded: new Set()} as never, fleet.clock.readMonotonic());
+				fleet.placement.choose({candidates: fleet.targets.list(), excluded: new Set()} as never);
 			}
 
 			const outcome = await callCompletion({
--- a/src/standin/local-fleet/index.ts
+++ b/src/standin/local-fleet/index.ts
@@ -13,6 +13,7 @@
 import {hashKey} from '../../keys/hash-key/index.js';
 import {createLogger} from '../../logging/create-logger/index.js';
 import {MemoryObjectApi} from '../../platform/memory-object-api/index.js';
+import {EngineGate} from '../../fairness/engine-gate/index.js';
 import {RoundRobinPlacement} from '../../placement/round-robin-placement/index.js';
 import {CallerServer} from '../../requests/caller-server/index.js';
 import {createServiceConnections} from '../../requests/forward-call/index.js';
@@ -57,8 +58,10 @@
 	address = '';
 	context!: RouterContext;
 	readonly targets: TargetDirectory;
+	readonly placement = new RoundRobinPlacement();
 	private readonly logger = createLogger({}, true);
 	private readonly serviceConnections = createServiceConnections();
+	private readonly speed: EngineSpeed;
 	private caller!: CallerServer;
 	private configuration!: Configuration;
 	private resources: Resource[] = [];
@@ -67,6 +70,7 @@
 		const speed = {
 			slots: 64, prefillTokensPerMs: 1000, decodeMsPerToken: 1, ...options.speed,
 		};
+		this.speed = speed;
 		this.engines = Array.from({length: options.engines ?? 2}, () => new EngineServer({
 			speed, cacheBlocks: 256, models: [{base: 'base', weightsVersion: 'v1', state: 'ready'}], checksFencing: true,
 			loadLagMs: 50, eventLagMs: 10, loadMs: 10,
@@ -88,7 +92,10 @@
 		const metrics = new RequestMetrics({registry: this.registry, throwsOnViolation: true});
 		this.context = {
 			settings, clock: this.clock, logger: this.logger, targets: this.targets,
-			placement: new RoundRobinPlacement(),
+			gate: new EngineGate({
+				clock: this.clock, placement: this.placement, prefillTokensPerMs: this.speed.prefillTokensPerMs, engineBacklogMs: 1000,
+				queueWaitMs: settings.limits.queueWaitMs, queuedRequests: settings.limits.queuedRequests, countInstances: () => 1,
+			}),
 			budget: this.options.budget ?? {admit: async () => ({settle() {/* Unlimited. */}})},
 			metrics,
 			idempotency: new IdempotencyRecords({objectApi: this.objectApi, clock: this.clock, metrics}),
