Let the cache index of an engine grow with use

Cause: an LRU cache limited by count reserves its tables for all blocks at once.

Change: limit by size, with size 1 per block, which the library grows on use.

The bound on blocks per engine is unchanged.

--- /dev/null
+++ b/src/capacity/measure-cache-index/index.ts
@@ -0,0 +1,57 @@
+/** Memory of the cache index per block, and processor time per cache event. */
+
+import type {BlockKey, Incarnation} from '../../identity/ids/index.js';
+import {CacheIndex} from '../../targets/cache-index/index.js';
+import type {CacheEvent} from '../../targets/engine-client/index.js';
+import {createMeasurement, type Measurement} from '../measurement/index.js';
+import {measureHeap} from '../measure-heap/index.js';
+import {measureProcessorTime} from '../measure-processor-time/index.js';
+
+const blockSizes = [25_000, 50_000, 100_000, 200_000];
+const eventSizes = [50_000, 100_000, 200_000];
+const incarnation = 'engine-1' as Incarnation;
+const microsecondsPerMs = 1000;
+
+/** Measures bytes per indexed block and processor time per event. */
+export async function measureCacheIndex(): Promise<Measurement[]> {
+	const memory = [];
+	for (const size of blockSizes) {
+		memory.push({size, value: await measureHeap(() => fillIndex(size))});
+	}
+
+	const time = [];
+	for (const size of eventSizes) {
+		time.push({size, value: await measureProcessorTime(() => applyEvents(size)) * microsecondsPerMs});
+	}
+
+	return [
+		createMeasurement('cache-index-memory', 'cache index, per block', 'bytes per block', memory),
+		createMeasurement('cache-event-time', 'parsing and applying cache events, per event', 'µs per event', time),
+	];
+}
+
+function fillIndex(count: number): CacheIndex {
+	const index = new CacheIndex(count);
+	index.applySnapshot({incarnation, sequence: 0, blocks: createBlocks(0, count)});
+	return index;
+}
+
+/** Each event stores one block, and evicts one when the index is full, as an engine under load does. */
+function applyEvents(count: number): CacheIndex {
+	const index = new CacheIndex();
+	index.applySnapshot({incarnation, sequence: 0, blocks: []});
+	for (let sequence = 1; sequence <= count; sequence += 1) {
+		const line = JSON.stringify({
+			incarnation, sequence, type: sequence % 2 === 0 ? 'evicted' : 'stored', blocks: createBlocks(Math.floor(sequence / 2), 1),
+		});
+		index.applyEvent(JSON.parse(line) as CacheEvent);
+	}
+
+	return index;
+}
+
+/** Goes through JSON, as blocks from the wire do, so that no strings are shared. */
+function createBlocks(from: number, count: number): BlockKey[] {
+	const text = JSON.stringify(Array.from({length: count}, (_, index) => (from + index).toString(16).padStart(16, '0')));
+	return JSON.parse(text) as BlockKey[];
+}
--- /dev/null
+++ b/src/capacity/measure-engine-reports/index.ts
@@ -0,0 +1,47 @@
+/** Processor time and bytes of polling the state of engines over HTTP. */
+
+import {once} from 'node:events';
+import type {Server} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {HttpEngineClient} from '../../targets/http-engine-client/index.js';
+import {EngineServer} from '../../standin/engine-server/index.js';
+import {createMeasurement, type Measurement} from '../measurement/index.js';
+import {measureProcessorTime} from '../measure-processor-time/index.js';
+
+const reportSizes = [500, 1000, 2000];
+const warmUpReports = 2000;
+const microsecondsPerMs = 1000;
+
+/** Measures one poll at a time. The engine's end runs in the same process, so the time is an upper bound for the router. */
+export async function measureEngineReports(): Promise<Measurement[]> {
+	const engine = new EngineServer({
+		speed: {slots: 16, prefillTokensPerMs: 20, decodeMsPerToken: 5}, cacheBlocks: 10,
+		models: Array.from({length: 4}, (_, index) => ({base: `base-${index}`, weightsVersion: 'v1', state: 'ready' as const})),
+		checksFencing: true, loadLagMs: 250, eventLagMs: 0, loadMs: 0,
+	});
+	const address = await listen(engine.server);
+	const client = new HttpEngineClient({address});
+	// Connections and compiled code are ready before the first reading.
+	await pollMany(client, warmUpReports);
+	const points = [];
+	for (const size of reportSizes) {
+		points.push({size, value: await measureProcessorTime(async () => pollMany(client, size)) * microsecondsPerMs});
+	}
+
+	await client.close();
+	engine.server.close();
+	engine.server.closeAllConnections();
+	return [createMeasurement('engine-report-time', 'polling an engine, both ends, per report', 'µs per report', points)];
+}
+
+async function pollMany(client: HttpEngineClient, count: number): Promise<void> {
+	for (let index = 0; index < count; index += 1) {
+		await client.readState();
+	}
+}
+
+async function listen(server: Server): Promise<string> {
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
--- a/src/targets/cache-index/index.ts
+++ b/src/targets/cache-index/index.ts
@@ -39,8 +39,10 @@
 	private readonly assumed: LRUCache<BlockKey, AssumedEntry>;
 
 	constructor(maximumBlocks = defaultIndexBlocks) {
-		this.confirmed = new LRUCache({max: maximumBlocks});
-		this.assumed = new LRUCache({max: maximumBlocks});
+		// A limit by size grows with use; a limit by count would reserve memory for all blocks of each engine at once.
+		const limit = {maxSize: maximumBlocks, sizeCalculation: () => 1};
+		this.confirmed = new LRUCache(limit);
+		this.assumed = new LRUCache(limit);
 	}
 
 	/** Whether a snapshot must be read before events can be followed. */
