--- a/src/requests/completion-exchange/index.ts
+++ b/src/requests/completion-exchange/index.ts
@@ -8,7 +8,8 @@
 import type {ResultName} from '../../results/result-codes/index.js';
 import type {OrganisationId, RequestId, TargetId} from '../../identity/ids/index.js';
 import type {ResolvedModel} from '../../configuration/configuration/index.js';
-import type {EngineAnswer} from '../../targets/engine-client/index.js';
+import type {EngineSlot} from '../../fairness/engine-gate/index.js';
+import type {EngineAnswer, EngineRequest} from '../../targets/engine-client/index.js';
 import type {EngineMonitor} from '../../targets/engine-monitor/index.js';
 import {calculateBackoff} from '../calculate-backoff/index.js';
 import {containsSecret} from '../filter-secrets/index.js';
@@ -16,7 +17,7 @@
 import type {CompletionRequest} from '../parse-completion-request/index.js';
 import {ChunkReader, type WireChunk} from '../read-chunks/index.js';
 import type {RouterContext} from '../router-context/index.js';
-import {chooseEngine, createEngineRequest} from '../send-completion/index.js';
+import {acquireEngine, createEngineRequest} from '../send-completion/index.js';
 
 /** Where an answer goes. */
 export type AnswerSink = {
@@ -82,20 +83,31 @@
 		checkSignal(call.signal);
 		const {model, organisation} = call.authorise();
 		this.checkWeights(model);
-		const {engine, expectedIncarnation} = chooseEngine(context, {request: call.request, model, organisation}, this.excluded);
-		const requestId = randomUUID() as RequestId;
-		const request = createEngineRequest({request: call.request, model, organisation}, requestId, expectedIncarnation);
-		if (!context.metrics.checkInvariant('noSecretInOutgoingBytes', !containsSecret(request.body, call.secret))) {
-			throw createRouterError('malformedRequest', 'the body contains the caller\'s key');
+		const placed = {request: call.request, model, organisation};
+		const {slot, expectedIncarnation} = await acquireEngine(context, placed, {excluded: this.excluded, signal: call.signal});
+		try {
+			// The key may have been withdrawn while the request waited for an engine.
+			call.authorise();
+			const request = createEngineRequest(placed, randomUUID() as RequestId, expectedIncarnation);
+			if (!context.metrics.checkInvariant('noSecretInOutgoingBytes', !containsSecret(request.body, call.secret))) {
+				throw createRouterError('malformedRequest', 'the body contains the caller\'s key');
+			}
+
+			await this.exchange(slot, request, model);
+		} finally {
+			slot.release();
 		}
+	}
 
-		engine.ownInFlight += 1;
+	/** Sends the request to the engine and reads its answer. */
+	private async exchange(slot: EngineSlot, request: EngineRequest, model: ResolvedModel): Promise<void> {
+		const {engine} = slot;
 		let isFinished = false;
 		let isSent = true;
 		try {
-			const answer = await engine.client.complete(request, call.signal);
+			const answer = await engine.client.complete(request, this.call.signal);
 			this.mayHaveRun = true;
-			await this.readAnswer(engine, answer, model);
+			await this.readAnswer(slot, answer, model);
 			isFinished = true;
 		} catch (error) {
 			const failure = convertToRouterError(error);
@@ -104,23 +116,22 @@
 			this.noteFailure(engine, failure);
 			throw failure;
 		} finally {
-			engine.ownInFlight -= 1;
 			if (!isFinished && isSent) {
-				this.cancel(engine, requestId);
+				this.cancel(engine, request.requestId);
 			}
 		}
 	}
 
 	/** Reads the answer to its end, over as many connections as the stream needs. */
-	private async readAnswer(engine: EngineMonitor, first: EngineAnswer, model: ResolvedModel): Promise<void> {
+	private async readAnswer(slot: EngineSlot, first: EngineAnswer, model: ResolvedModel): Promise<void> {
 		const reader = new ChunkReader(first.requestId, this.context.metrics);
 		let answer: EngineAnswer | undefined = first;
 		let resumes = 0;
 		let position = 0;
 		for (;;) {
 			try {
-				answer ??= await this.resume(engine, first, reader.next);
-				await this.forwardChunks(answer, reader, model);
+				answer ??= await this.resume(slot.engine, first, reader.next);
+				await this.forwardChunks(answer, reader, slot, model);
 				return;
 			} catch (error) {
 				const failure = convertToRouterError(error);
@@ -147,10 +158,11 @@
 		return answer;
 	}
 
-	private async forwardChunks(answer: EngineAnswer, reader: ChunkReader, model: ResolvedModel): Promise<void> {
+	private async forwardChunks(answer: EngineAnswer, reader: ChunkReader, slot: EngineSlot, model: ResolvedModel): Promise<void> {
 		for await (const chunk of answer.chunks) {
 			const offset = reader.next;
 			const data = reader.accept(chunk);
+			slot.noteFirstChunk();
 			if (data !== undefined) {
 				const wait = this.forwardChunk(data, offset, model);
 				if (wait !== undefined) {
--- a/src/requests/router-context/index.ts
+++ b/src/requests/router-context/index.ts
@@ -5,8 +5,8 @@
 import type {Clock} from '../../clock/clock/index.js';
 import type {Configuration} from '../../configuration/configuration/index.js';
 import type {Settings} from '../../daemon/settings/index.js';
+import type {EngineGate} from '../../fairness/engine-gate/index.js';
 import type {EventLogger} from '../../logging/create-logger/index.js';
-import type {Placement} from '../../placement/placement/index.js';
 import type {TargetDirectory} from '../../targets/target-directory/index.js';
 import type {IdempotencyRecords} from '../idempotency-records/index.js';
 import type {RequestMetrics} from '../request-metrics/index.js';
@@ -25,7 +25,7 @@
 	readonly clock: Clock;
 	readonly logger: EventLogger;
 	readonly targets: TargetDirectory;
-	readonly placement: Placement;
+	readonly gate: EngineGate;
 	readonly budget: BudgetGate;
 	readonly metrics: RequestMetrics;
 	readonly retryBudget: RetryBudget;
--- a/src/requests/send-completion/index.ts
+++ b/src/requests/send-completion/index.ts
@@ -4,9 +4,8 @@
 	Incarnation, OrganisationId, RequestId, TargetId,
 } from '../../identity/ids/index.js';
 import type {ResolvedModel} from '../../configuration/configuration/index.js';
-import {createRouterError} from '../../results/create-router-error/index.js';
+import type {EngineSlot} from '../../fairness/engine-gate/index.js';
 import {estimateTokens, hashPrompt} from '../../placement/hash-prompt/index.js';
-import type {PlacementQuery} from '../../placement/placement/index.js';
 import type {EngineRequest} from '../../targets/engine-client/index.js';
 import type {EngineMonitor} from '../../targets/engine-monitor/index.js';
 import type {CompletionRequest} from '../parse-completion-request/index.js';
@@ -19,8 +18,16 @@
 	readonly organisation: OrganisationId;
 };
 
-/** An engine, and the incarnation on whose state the choice relied. */
-export type ChosenEngine = {readonly engine: EngineMonitor; readonly expectedIncarnation: Incarnation | undefined};
+/** How to wait for an engine. */
+export type EngineWait = {
+	/** Engines that failed the request before. */
+	readonly excluded: ReadonlySet<TargetId>;
+	/** Aborts when the caller has gone or the deadline has passed. */
+	readonly signal: AbortSignal;
+};
+
+/** An engine with room, and the incarnation on whose state the choice relied. */
+export type AcquiredEngine = {readonly slot: EngineSlot; readonly expectedIncarnation: Incarnation | undefined};
 
 /** Cache salt of an organisation, as engines see it. */
 export function formatCacheSalt(organisation: OrganisationId): string {
@@ -28,34 +35,32 @@
 }
 
 /**
- * Chooses an engine outside `excluded`; throws `noTarget` when none is left. The expected incarnation is always
- * named: candidates are filtered by the state, and placed by the cache, of that incarnation.
+ * Waits until an engine has room for the request; rejects with `noTarget` or `overloaded`. The expected incarnation
+ * is always named: candidates are filtered by the state, and placed by the cache, of that incarnation.
  */
-export function chooseEngine(context: RouterContext, completion: PlacedCompletion, excluded: ReadonlySet<TargetId>): ChosenEngine {
-	const {model, request, organisation} = completion;
-	const now = context.clock.readMonotonic();
-	const candidates = context.readConfiguration().listEngines(model.id)
-		.map(target => context.targets.find(target.id))
-		.filter(monitor => monitor?.canServe(model, now)) as EngineMonitor[];
+export async function acquireEngine(context: RouterContext, completion: PlacedCompletion, wait: EngineWait): Promise<AcquiredEngine> {
+	const {model, organisation, request} = completion;
 	const scope = {
 		salt: formatCacheSalt(organisation), base: model.base, adapter: model.adapter, weightsVersion: model.weightsVersion,
 	};
-	const query: PlacementQuery = {
+	const slot = await context.gate.acquire({
 		model,
 		organisation,
+		weight: context.readConfiguration().findOrganisation(organisation)?.weight ?? 1,
 		blocks: hashPrompt(scope, request.promptText),
 		promptTokens: estimateTokens(request.promptText),
-		candidates,
-		// An engine that failed once is better than none.
-		excluded: candidates.every(engine => excluded.has(engine.target.id)) ? new Set() : excluded,
-	};
-	const engine = context.placement.choose(query, now);
-	if (engine === undefined) {
-		throw createRouterError('noTarget', `model ${model.id}`);
-	}
+		maximumTokens: request.maximumTokens,
+		...wait,
+		listCandidates: () => listCandidates(context, model),
+	});
+	return {slot, expectedIncarnation: slot.engine.readState(context.clock.readMonotonic())?.incarnation};
+}
 
-	context.placement.noteSent(query, engine, now);
-	return {engine, expectedIncarnation: engine.readState(now)?.incarnation};
+function listCandidates(context: RouterContext, model: ResolvedModel): EngineMonitor[] {
+	const now = context.clock.readMonotonic();
+	return context.readConfiguration().listEngines(model.id)
+		.map(target => context.targets.find(target.id))
+		.filter(monitor => monitor?.canServe(model, now)) as EngineMonitor[];
 }
 
 /** Builds the request to the engine: the caller's body with the engine's names, always streamed and with usage. */
