Wait for the engine that suits a request best instead of spilling; add the benchmark

EngineGate offered only engines with room to the placement. With engines near their bound this moved requests away from their cached prefix, which made more work and filled more engines.

--- /dev/null
+++ b/src/bench/run-cell/index.ts
@@ -0,0 +1,43 @@
+/** Runs one cell of the benchmark: one strategy, one fleet, one trace. */
+
+import {fetchJson} from '../../http/fetch-json/index.js';
+import type {EngineTotals} from '../../standin/engine-simulator/index.js';
+import {driveTrace} from '../drive-trace/index.js';
+import type {TraceOptions, TraceRequest} from '../generate-trace/index.js';
+import {startFleet, type FleetOptions} from '../start-fleet/index.js';
+import {summariseCell, type CellSummary} from '../summarise-cell/index.js';
+
+/** Runs `trace` against a new fleet. */
+export async function runCell(trace: readonly TraceRequest[], traceOptions: TraceOptions, fleetOptions: FleetOptions): Promise<CellSummary> {
+	const fleet = await startFleet(fleetOptions);
+	try {
+		const before = await readTotals(fleet.engines);
+		const outcomes = await driveTrace(trace, fleet.entries);
+		const after = await readTotals(fleet.engines);
+		return summariseCell(trace, outcomes, {
+			requests: after.requests - before.requests,
+			promptTokens: after.promptTokens - before.promptTokens,
+			cachedTokens: after.cachedTokens - before.cachedTokens,
+			generatedTokens: after.generatedTokens - before.generatedTokens,
+			peakWaiting: after.peakWaiting,
+		}, traceOptions);
+	} finally {
+		await fleet.stop();
+	}
+}
+
+async function readTotals(engines: readonly string[]): Promise<EngineTotals> {
+	const all = await Promise.all(engines.map(async engine => fetchJson<EngineTotals>(`http://${engine}/totals`, {timeoutMs: 5000})));
+	const total: EngineTotals = {
+		requests: 0, promptTokens: 0, cachedTokens: 0, generatedTokens: 0, peakWaiting: 0,
+	};
+	for (const one of all) {
+		total.requests += one.requests;
+		total.promptTokens += one.promptTokens;
+		total.cachedTokens += one.cachedTokens;
+		total.generatedTokens += one.generatedTokens;
+		total.peakWaiting = Math.max(total.peakWaiting, one.peakWaiting);
+	}
+
+	return total;
+}
--- a/src/fairness/engine-gate/index.ts
+++ b/src/fairness/engine-gate/index.ts
@@ -56,7 +56,7 @@
 
 const pieceTokens = pieceBytes / bytesPerToken;
 /** Interval at which waiting requests are tried again, since an engine's estimated load falls with time. */
-const drainIntervalMs = 10;
+const drainIntervalMs = 20;
 const msPerSecond = 1000;
 
 /** Admits requests to engines. */
@@ -73,7 +73,7 @@
 		}
 
 		const queue = this.findQueue(demand.model);
-		const slot = queue.length === 0 ? this.place(demand) : undefined;
+		const slot = queue.length === 0 ? this.place(demand, 0) : undefined;
 		return slot ?? this.wait(queue, demand);
 	}
 
@@ -115,7 +115,7 @@
 
 	private startEntry(demand: EngineDemand, since: number, resolve: (slot: EngineSlot) => void, reject: (error: unknown) => void): boolean {
 		try {
-			const slot = this.place(demand);
+			const slot = this.place(demand, this.options.clock.readMonotonic() - since);
 			if (slot === undefined) {
 				return false;
 			}
@@ -155,23 +155,32 @@
 		return waiting;
 	}
 
-	/** Places a request on an engine with room; returns nothing when all are full. */
-	private place(demand: EngineDemand): EngineSlot | undefined {
+	/** Places a request; returns nothing when the engine that suits it best is full. */
+	private place(demand: EngineDemand, waitedMs: number): EngineSlot | undefined {
 		const now = this.options.clock.readMonotonic();
 		const usable = demand.listCandidates().filter(engine => !demand.excluded.has(engine.target.id));
 		if (usable.length === 0) {
 			throw createRouterError('noTarget', `model ${demand.model.id}`);
 		}
 
-		const query: PlacementQuery = {...demand, candidates: usable.filter(engine => this.hasRoom(engine))};
+		const full = new Set(usable.filter(engine => !this.hasRoom(engine)));
+		if (full.size === usable.length) {
+			return undefined;
+		}
+
+		const query: PlacementQuery = {
+			...demand, candidates: usable, full, waitedMs,
+		};
 		const engine = this.options.placement.choose(query, now);
-		return engine === undefined ? undefined : this.createSlot(query, engine);
+		return engine === undefined || full.has(engine) ? undefined : this.createSlot(query, engine);
 	}
 
 	private hasRoom(engine: EngineMonitor): boolean {
 		const {engineBacklogMs, prefillTokensPerMs, clock} = this.options;
-		const load = engine.estimateLoad(clock.readMonotonic(), prefillTokensPerMs, this.options.countInstances());
-		return load.occupancy < load.slots && load.pendingPrefillTokens / prefillTokensPerMs < engineBacklogMs;
+		// The report does not show what other instances sent since it was made; this instance's own requests are a sample of that.
+		const unreportedFactor = Math.sqrt(this.options.countInstances());
+		const load = engine.estimateLoad(clock.readMonotonic(), prefillTokensPerMs, unreportedFactor);
+		return (load.pendingPrefillTokens / prefillTokensPerMs) + load.slotWaitMs < engineBacklogMs;
 	}
 
 	private createSlot(query: PlacementQuery, engine: EngineMonitor): EngineSlot {
--- /dev/null
+++ b/src/fairness/engine-gate/test.ts
@@ -0,0 +1,76 @@
+import {describe, test} from 'node:test';
+import {expect} from 'earl';
+import {ManualClock} from '../../clock/manual-clock/index.js';
+import {createBlocks, createEngineMonitor, fixtureModel} from '../../fixtures/create-engine-monitor/index.js';
+import type {OrganisationId} from '../../identity/ids/index.js';
+import {LeastLoadedPlacement} from '../../placement/least-loaded-placement/index.js';
+import type {RouterError} from '../../results/create-router-error/index.js';
+import type {EngineMonitor} from '../../targets/engine-monitor/index.js';
+import {EngineGate, type EngineDemand} from './index.js';
+
+function createGate(clock: ManualClock): EngineGate {
+	return new EngineGate({
+		clock, placement: new LeastLoadedPlacement(20), prefillTokensPerMs: 20, engineBacklogMs: 250, queueWaitMs: 1000, queuedRequests: 10,
+		countInstances: () => 1,
+	});
+}
+
+function createDemand(engines: readonly EngineMonitor[], signal = new AbortController().signal): EngineDemand {
+	return {
+		model: fixtureModel, organisation: 'travel' as OrganisationId, weight: 1, blocks: createBlocks('catalogue'), promptTokens: 12_288,
+		maximumTokens: 10, excluded: new Set(), signal, listCandidates: () => engines,
+	};
+}
+
+async function readError(promise: Promise<unknown>): Promise<RouterError> {
+	try {
+		await promise;
+	} catch (error) {
+		return error as RouterError;
+	}
+
+	throw new Error('the call succeeded');
+}
+
+describe('EngineGate', () => {
+	test('guards against more prefill work at an engine than its bound', async () => {
+		const clock = new ManualClock();
+		const gate = createGate(clock);
+		const engines = [createEngineMonitor(0)];
+		// 12,288 tokens take 614 ms, so the second request must wait for the first one's first chunk.
+		const first = await gate.acquire(createDemand(engines));
+		let isStarted = false;
+		const second = (async () => {
+			const slot = await gate.acquire(createDemand(engines));
+			isStarted = true;
+			return slot;
+		})();
+		await clock.advance(50);
+		expect(isStarted).toEqual(false);
+		first.noteFirstChunk();
+		const slot = await second;
+		expect(slot.engine.target.id).toEqual(engines[0]!.target.id);
+	});
+
+	test('guards against a caller that has gone and keeps its place', async () => {
+		const clock = new ManualClock();
+		const gate = createGate(clock);
+		const engines = [createEngineMonitor(0, {pendingPrefillTokens: 1_000_000})];
+		const controller = new AbortController();
+		const refused = readError(gate.acquire(createDemand(engines, controller.signal)));
+		const waiting = readError(gate.acquire(createDemand(engines)));
+		controller.abort();
+		const gone = await refused;
+		expect(gone.entry.notRun).toEqual(true);
+		await clock.advance(1100);
+		const late = await waiting;
+		expect(late.entry.name).toEqual('overloaded');
+	});
+
+	test('guards against waiting when no engine is left', async () => {
+		const engine = createEngineMonitor(0);
+		const demand = {...createDemand([engine]), excluded: new Set([engine.target.id])};
+		const error = await readError(createGate(new ManualClock()).acquire(demand));
+		expect(error.entry.name).toEqual('noTarget');
+	});
+});
--- a/src/fairness/fair-queue/index.ts
+++ b/src/fairness/fair-queue/index.ts
@@ -38,6 +38,8 @@
 const quantumTokens = 4096;
 /** Time over which the rate of service is measured; the queue must have been in use for as long. */
 const rateWindowMs = 1000;
+/** Entries of one organisation that are tried per round; bounds the cost of a long queue behind a hot engine. */
+const passableEntries = 4;
 const msPerSecond = 1000;
 
 /** Weighted fair queue of one group of engines. */
@@ -83,43 +85,40 @@
 	/** Refuses entries whose deadline has passed and starts others as long as engines have room. */
 	drain(now: MonotonicMs): void {
 		this.refuseExpired(now);
-		for (;;) {
-			const lane = this.selectLane();
-			const entry = lane?.entries[0];
-			if (lane === undefined || !entry?.start()) {
-				return;
+		const blocked = new Set<Lane>();
+		while (blocked.size < this.lanes.size) {
+			const lane = this.current;
+			if (lane === undefined || blocked.has(lane) || !coversFirst(lane)) {
+				this.advanceRound(blocked);
+			} else if (!this.startFirst(lane, now)) {
+				blocked.add(lane);
 			}
-
-			lane.deficit -= entry.costTokens;
-			this.starts.push({at: now, tokens: entry.costTokens});
-			this.remove(lane, entry);
 		}
 	}
 
-	/** Returns the lane whose turn it is, with a deficit that covers its first entry. */
-	private selectLane(): Lane | undefined {
-		if (this.count === 0) {
-			return undefined;
+	/** Starts the first entry of `lane` that an engine has room for; entries behind one that waits for a certain engine may pass it. */
+	private startFirst(lane: Lane, now: MonotonicMs): boolean {
+		const entry = lane.entries.slice(0, passableEntries).find(waiting => waiting.start());
+		if (entry === undefined) {
+			return false;
 		}
 
-		for (;;) {
-			if (this.current !== undefined && coversFirst(this.current)) {
-				return this.current;
-			}
-
-			this.advanceRound();
-		}
+		lane.deficit -= entry.costTokens;
+		this.starts.push({at: now, tokens: entry.costTokens});
+		this.remove(lane, entry);
+		return true;
 	}
 
 	/** Gives the turn to the next lane and adds its quantum. */
-	private advanceRound(): void {
+	private advanceRound(blocked: ReadonlySet<Lane>): void {
 		if (this.current !== undefined && this.lanes.delete(this.current.organisation)) {
 			this.lanes.set(this.current.organisation, this.current);
 		}
 
 		const [next] = this.lanes.values();
 		this.current = next;
-		if (next !== undefined) {
+		// A lane that no engine has room for earns nothing meanwhile.
+		if (next !== undefined && !blocked.has(next)) {
 			next.deficit += quantumTokens * next.weight;
 		}
 	}
--- a/src/placement/placement/index.ts
+++ b/src/placement/placement/index.ts
@@ -17,6 +17,10 @@
 	readonly candidates: readonly EngineMonitor[];
 	/** Engines that failed this request before. */
 	readonly excluded: ReadonlySet<TargetId>;
+	/** Candidates that have no room now; a request placed on one of them waits in the queue. */
+	readonly full?: ReadonlySet<EngineMonitor>;
+	/** How long the request has waited, in milliseconds. */
+	readonly waitedMs?: number;
 };
 
 /** Strategy that places requests. */
--- a/src/placement/prefix-placement/index.ts
+++ b/src/placement/prefix-placement/index.ts
@@ -57,7 +57,7 @@
 
 	choose(query: PlacementQuery, now: MonotonicMs): EngineMonitor | undefined {
 		const scope = formatQueryScope(query);
-		const ratings = listCandidates(query).map(engine => this.rateEngine(engine, query.blocks, scope, now));
+		const ratings = listCandidates(query).map(engine => this.rateEngine(engine, query, scope, now));
 		const home = this.selectHome(query.blocks, ratings, now);
 		const scored = ratings.map(rating => ({engine: rating.engine, score: this.scoreEngine(rating, query, home.has(rating.engine))}));
 		const best = Math.min(...scored.map(({score}) => score));
@@ -69,14 +69,16 @@
 		this.heat.note(query.blocks, now);
 	}
 
-	private rateEngine(engine: EngineMonitor, blocks: readonly BlockKey[], scope: string, now: MonotonicMs): Rating {
+	private rateEngine(engine: EngineMonitor, query: PlacementQuery, scope: string, now: MonotonicMs): Rating {
 		const {prefillTokensPerMs} = this.options;
 		const load = engine.estimateLoad(now, prefillTokensPerMs);
+		// The wait so far is the best local estimate of the further wait for an engine without room.
+		const queuedMs = query.full?.has(engine) ? query.waitedMs ?? 0 : 0;
 		return {
 			engine,
 			occupancy: load.occupancy,
-			waitMs: (load.pendingPrefillTokens / prefillTokensPerMs) + load.slotWaitMs,
-			cachedPieces: engine.countCached(blocks, scope, now),
+			waitMs: (load.pendingPrefillTokens / prefillTokensPerMs) + load.slotWaitMs + queuedMs,
+			cachedPieces: engine.countCached(query.blocks, scope, now),
 		};
 	}
 
--- a/src/targets/own-load/index.ts
+++ b/src/targets/own-load/index.ts
@@ -81,7 +81,7 @@
 		// The engine has worked since the report was made.
 		let pending = Math.max(0, report.pendingPrefillTokens - ((now - describedAt) * prefillTokensPerMs));
 		for (const item of this.items) {
-			const isReported = item.sentAt <= describedAt;
+			const isReported = item.sentAt < describedAt;
 			const isEnded = item.endedAt !== undefined;
 			if (isReported && isEnded) {
 				occupancy -= 1;
