--- a/src/fairness/engine-gate/index.ts
+++ b/src/fairness/engine-gate/index.ts
@@ -158,18 +158,21 @@
 	/** Places a request; returns nothing when the engine that suits it best is full. */
 	private place(demand: EngineDemand, waitedMs: number): EngineSlot | undefined {
 		const now = this.options.clock.readMonotonic();
-		const usable = demand.listCandidates().filter(engine => !demand.excluded.has(engine.target.id));
-		if (usable.length === 0) {
+		const candidates = demand.listCandidates();
+		if (candidates.length === 0) {
 			throw createRouterError('noTarget', `model ${demand.model.id}`);
 		}
 
+		// An engine that failed this request once is better than none.
+		const excluded = candidates.every(engine => demand.excluded.has(engine.target.id)) ? new Set<TargetId>() : demand.excluded;
+		const usable = candidates.filter(engine => !excluded.has(engine.target.id));
 		const full = new Set(usable.filter(engine => !this.hasRoom(engine)));
 		if (full.size === usable.length) {
 			return undefined;
 		}
 
 		const query: PlacementQuery = {
-			...demand, candidates: usable, full, waitedMs,
+			...demand, excluded, candidates: usable, full, waitedMs,
 		};
 		const engine = this.options.placement.choose(query, now);
 		return engine === undefined || full.has(engine) ? undefined : this.createSlot(query, engine);
--- a/src/fairness/engine-gate/test.ts
+++ b/src/fairness/engine-gate/test.ts
@@ -67,10 +67,14 @@
 		expect(late.entry.name).toEqual('overloaded');
 	});
 
-	test('guards against waiting when no engine is left', async () => {
+	test('guards against a refusal when the only engine left has failed the request before', async () => {
 		const engine = createEngineMonitor(0);
-		const demand = {...createDemand([engine]), excluded: new Set([engine.target.id])};
-		const error = await readError(createGate(new ManualClock()).acquire(demand));
+		const slot = await createGate(new ManualClock()).acquire({...createDemand([engine]), excluded: new Set([engine.target.id])});
+		expect(slot.engine.target.id).toEqual(engine.target.id);
+	});
+
+	test('guards against waiting when no engine is left', async () => {
+		const error = await readError(createGate(new ManualClock()).acquire(createDemand([])));
 		expect(error.entry.name).toEqual('noTarget');
 	});
 });
--- a/src/standin/engine-simulator/index.ts
+++ b/src/standin/engine-simulator/index.ts
@@ -29,6 +29,7 @@
 	/** Lower goes first. */
 	readonly priority: number;
 	readonly weightsVersion: string;
+	readonly isChat: boolean;
 };
 
 /** A stream that is being generated; it is kept for a while so that it can be resumed. */
@@ -46,6 +47,8 @@
 const pieceTokens = pieceBytes / bytesPerToken;
 /** Prompt tokens that one step computes at most. */
 const chunkTokens = 2048;
+/** Steps without a pause in one turn of the event loop, so that an engine without decoding time is cheap. */
+const stepsPerTurn = 32;
 /** Shorter pauses than this are caught up in later steps, since timers are not more exact. */
 const shortestPauseMs = 1;
 
@@ -110,10 +113,17 @@
 
 		this.isStepping = true;
 		let dueAt = performance.now();
+		let steps = 0;
 		while (this.admitWaiting() > 0) {
 			dueAt += this.measureStep();
 			const pauseMs = dueAt - performance.now();
-			await (pauseMs >= shortestPauseMs ? delay(pauseMs) : setImmediate());
+			if (pauseMs >= shortestPauseMs) {
+				await delay(pauseMs);
+			} else if (steps % stepsPerTurn === 0) {
+				await setImmediate();
+			}
+
+			steps += 1;
 			this.finishStep();
 		}
 
--- a/src/targets/engine-monitor/index.ts
+++ b/src/targets/engine-monitor/index.ts
@@ -25,8 +25,6 @@
 
 /** What is known of one engine. */
 export class EngineMonitor {
-	/** Requests of this router now at the engine. */
-	ownInFlight = 0;
 	readonly cache = new CacheIndex();
 	private readonly ownLoad = new OwnLoad();
 	private state: EngineState | undefined;
@@ -57,6 +55,11 @@
 		return now - this.readAt > staleAfterMs ? undefined : this.state;
 	}
 
+	/** Requests of this router now at the engine. */
+	get ownInFlight(): number {
+		return this.ownLoad.countInFlight();
+	}
+
 	/** Whether the engine may get new work for `model` at `now`. */
 	canServe(model: ResolvedModel, now: MonotonicMs): boolean {
 		const state = this.readState(now);
--- a/src/targets/own-load/index.ts
+++ b/src/targets/own-load/index.ts
@@ -62,6 +62,11 @@
 		};
 	}
 
+	/** Counts the requests that have not ended. */
+	countInFlight(): number {
+		return [...this.items].filter(item => item.endedAt === undefined).length;
+	}
+
 	/** Forgets ended requests that a report of the moment `describedAt` no longer contains. */
 	prune(describedAt: number): void {
 		for (const item of this.items) {
