--- a/src/bench/calculate-oracle/index.ts
+++ b/src/bench/calculate-oracle/index.ts
@@ -16,12 +16,16 @@
 /** Depths, in pieces, at which whole subtrees are kept together on one engine; 0 keeps none together. */
 const depths = [0, 1, 2, 3, 4, 6, 8, 9, 10, 11];
 
-/** Calculates the best greedy hit rate for engines with `cacheBlocks` each. */
-export function calculateOracle(trace: readonly TraceRequest[], engines: number, cacheBlocks: number): number {
-	return Math.max(...depths.map(depth => calculateHitRate(trace, engines, cacheBlocks, depth)));
+/** Engines of the all-knowing placement, and the time from which its hits count. */
+export type OracleOptions = {readonly engines: number; readonly cacheBlocks: number; readonly measuredFromMs: number};
+
+/** Calculates the best greedy hit rate. */
+export function calculateOracle(trace: readonly TraceRequest[], options: OracleOptions): number {
+	return Math.max(...depths.map(depth => calculateHitRate(trace, options, depth)));
 }
 
-function calculateHitRate(trace: readonly TraceRequest[], count: number, cacheBlocks: number, depth: number): number {
+function calculateHitRate(trace: readonly TraceRequest[], options: OracleOptions, depth: number): number {
+	const {engines: count, cacheBlocks, measuredFromMs} = options;
 	const engines = Array.from({length: count}, (_, index): OracleEngine => {
 		const cache = new EngineCache(String(index) as Incarnation, cacheBlocks);
 		return {cache, computedBlocks: 0};
@@ -35,8 +39,10 @@
 		const matched = engine.cache.matchPrefix(blocks);
 		engine.computedBlocks += blocks.length - matched;
 		engine.cache.store(blocks);
-		cached += matched * pieceTokens;
-		total += countPromptTokens(request);
+		if (request.atMs >= measuredFromMs) {
+			cached += matched * pieceTokens;
+			total += countPromptTokens(request);
+		}
 	}
 
 	return cached / total;
--- a/src/bench/generate-trace/index.ts
+++ b/src/bench/generate-trace/index.ts
@@ -67,6 +67,8 @@
 const listPieces = 3;
 const listsPerCatalogue = 8;
 const phases = 3;
+/** Part of the trace that fills the caches and is not measured, the same for every strategy. */
+const warmUp = 0.25;
 const floodBegin = 0.45;
 const floodEnd = 0.75;
 const zipfExponent = 1;
@@ -77,6 +79,11 @@
 	return {beginMs: options.durationMs * floodBegin, endMs: options.durationMs * floodEnd};
 }
 
+/** Time from which requests are measured. */
+export function calculateWarmUp(options: Pick<TraceOptions, 'durationMs'>): number {
+	return options.durationMs * warmUp;
+}
+
 /** Generates the trace of `options.seed`, in order of time. */
 export function generateTrace(options: TraceOptions): TraceRequest[] {
 	const generator = xoroshiro128plus(options.seed);
--- a/src/bench/replay-trace/test.ts
+++ b/src/bench/replay-trace/test.ts
@@ -29,7 +29,7 @@
 			const trace = createTrace(seed);
 			const outcomes = Object.fromEntries(placementStrategies.map(strategy => [strategy, replayTrace(trace, createOptions(strategy))]));
 			const tail = (strategy: PlacementStrategy) => calculatePercentile(outcomes[strategy]!.firstTokenMs, 0.99);
-			expect(outcomes.prefix!.hitRate).toBeGreaterThan(0.9 * calculateOracle(trace, 6, cacheBlocks));
+			expect(outcomes.prefix!.hitRate).toBeGreaterThan(0.9 * calculateOracle(trace, {engines: 6, cacheBlocks, measuredFromMs: 0}));
 			expect(tail('prefix')).toBeLessThan(tail('roundRobin') / 2);
 			expect(tail('prefix')).toBeLessThan(tail('leastLoaded'));
 			expect(tail('prefix')).toBeLessThan(tail('consistentHash'));
--- a/src/bench/run-bench/index.ts
+++ b/src/bench/run-bench/index.ts
@@ -9,7 +9,9 @@
 	command, flag, number, option, run, string,
 } from 'cmd-ts';
 import {calculateOracle} from '../calculate-oracle/index.js';
-import {generateTrace, traceOrganisations, type TraceOptions} from '../generate-trace/index.js';
+import {
+	calculateWarmUp, generateTrace, traceOrganisations, type TraceOptions,
+} from '../generate-trace/index.js';
 import {runCell} from '../run-cell/index.js';
 import type {FleetOptions} from '../start-fleet/index.js';
 import type {CellSummary} from '../summarise-cell/index.js';
@@ -31,7 +33,7 @@
 const flooder = 3;
 const floodFactor = 5;
 const noLimitMs = 600_000;
-const engineBacklogMs = 250;
+const engineBacklogMs = 1000;
 
 const strategies: readonly Strategy[] = [
 	{
@@ -53,7 +55,7 @@
 };
 
 const quickPlan: Plan = {
-	fleets: [{name: 'fleet 1 (6 engines, 3 instances)', engines: 6, instances: 3}], strategies, durationMs: 7000, repeats: 1,
+	fleets: [{name: 'fleet 1 (6 engines, 3 instances)', engines: 6, instances: 3}], strategies, durationMs: 8000, repeats: 1,
 };
 
 function createFullPlan(durationMs: number, repeats: number): Plan {
@@ -82,7 +84,7 @@
 	for (const fleet of plan.fleets) {
 		const traceOptions = createTraceOptions(plan, fleet, seed);
 		const trace = generateTrace(traceOptions);
-		oracle[fleet.name] = calculateOracle(trace, fleet.engines, cacheBlocks);
+		oracle[fleet.name] = calculateOracle(trace, {engines: fleet.engines, cacheBlocks, measuredFromMs: calculateWarmUp(traceOptions)});
 		for (let repeat = 0; repeat < plan.repeats; repeat += 1) {
 			const summaries = new Map<string, CellSummary>();
 			for (const strategy of plan.strategies) {
@@ -127,7 +129,7 @@
 function describeConditions(plan: Plan): string[] {
 	return [
 		`One machine, ${cpus().length} cores shared with other work, load average ${loadavg().map(value => value.toFixed(1)).join(', ')} at the end; times are noisy.`,
-		`Each cell lasts ${plan.durationMs / 1000} s from cold caches, ${requestsPerEngine} requests/s an engine, ${plan.repeats} run(s).`,
+		`Each cell lasts ${plan.durationMs / 1000} s, the first quarter of which fills cold caches and is not measured; ${requestsPerEngine} requests/s an engine, ${plan.repeats} run(s).`,
 		`Organisations: ${traceOrganisations.map(({name, share}) => `${name} ${share * 100}%`).join(', ')}; ${traceOrganisations[flooder]!.name} sends ${floodFactor} times its rate from 45% to 75% of the time.`,
 		'Prompts: a system prompt (1 to 6 pieces), a catalogue (4 to 8), a list (3) and a unique end; half of the requests of the two large organisations go to one hot catalogue that changes twice.',
 		`Engines: ${slots} slots, ${prefillTokensPerMs} prompt tokens/ms, ${decodeMsPerToken} ms a generated token, ${cacheBlocks} cached pieces, cache events 100 ms late, ${eventLoss * 100}% of them lost, load reported every 250 ms.`,
--- a/src/bench/run-cell/index.ts
+++ b/src/bench/run-cell/index.ts
@@ -1,9 +1,10 @@
 /** Runs one cell of the benchmark: one strategy, one fleet, one trace. */
 
+import {setTimeout as delay} from 'node:timers/promises';
 import {fetchJson} from '../../http/fetch-json/index.js';
 import type {EngineTotals} from '../../standin/engine-simulator/index.js';
 import {driveTrace} from '../drive-trace/index.js';
-import type {TraceOptions, TraceRequest} from '../generate-trace/index.js';
+import {calculateWarmUp, type TraceOptions, type TraceRequest} from '../generate-trace/index.js';
 import {startFleet, type FleetOptions} from '../start-fleet/index.js';
 import {summariseCell, type CellSummary} from '../summarise-cell/index.js';
 
@@ -11,8 +12,9 @@
 export async function runCell(trace: readonly TraceRequest[], traceOptions: TraceOptions, fleetOptions: FleetOptions): Promise<CellSummary> {
 	const fleet = await startFleet(fleetOptions);
 	try {
-		const before = await readTotals(fleet.engines);
+		const totalsAtWarmUp = readTotalsAfter(calculateWarmUp(traceOptions), fleet.engines);
 		const outcomes = await driveTrace(trace, fleet.entries);
+		const before = await totalsAtWarmUp;
 		const after = await readTotals(fleet.engines);
 		return summariseCell(trace, outcomes, {
 			requests: after.requests - before.requests,
@@ -26,6 +28,11 @@
 	}
 }
 
+async function readTotalsAfter(pauseMs: number, engines: readonly string[]): Promise<EngineTotals> {
+	await delay(pauseMs);
+	return readTotals(engines);
+}
+
 async function readTotals(engines: readonly string[]): Promise<EngineTotals> {
 	const all = await Promise.all(engines.map(async engine => fetchJson<EngineTotals>(`http://${engine}/totals`, {timeoutMs: 5000})));
 	const total: EngineTotals = {
--- a/src/bench/summarise-cell/index.ts
+++ b/src/bench/summarise-cell/index.ts
@@ -4,7 +4,7 @@
 import type {EngineTotals} from '../../standin/engine-simulator/index.js';
 import type {CallOutcome} from '../drive-trace/index.js';
 import {
-	calculateFloodWindow, countPromptTokens, traceOrganisations, type TraceOptions, type TraceRequest,
+	calculateFloodWindow, calculateWarmUp, countPromptTokens, traceOrganisations, type TraceOptions, type TraceRequest,
 } from '../generate-trace/index.js';
 import {budget} from '../start-fleet/index.js';
 
@@ -47,9 +47,10 @@
 const highestMs = 120_000;
 const msPerSecond = 1000;
 
-/** Summarises one cell. `totals` are the engines' differences over the run. */
+/** Summarises one cell. `totals` are the engines' differences over the measured part of the run. */
 export function summariseCell(trace: readonly TraceRequest[], outcomes: readonly CallOutcome[], totals: EngineTotals, options: TraceOptions): CellSummary {
-	const pairs = trace.map((request, index) => ({request, outcome: outcomes[index]!}));
+	const measuredFromMs = calculateWarmUp(options);
+	const pairs = trace.map((request, index) => ({request, outcome: outcomes[index]!})).filter(({request}) => request.atMs >= measuredFromMs);
 	const served = pairs.filter(({outcome}) => outcome.isComplete);
 	const servedTokens = countTokens(served);
 	const window = calculateFloodWindow(options);
--- a/src/daemon/settings/index.ts
+++ b/src/daemon/settings/index.ts
@@ -41,7 +41,7 @@
 		/** Pieces of the prompt that `consistentHash` looks at. */
 		hashedPieces: z.number().int().min(1).max(1000).default(4),
 		/** Prefill work at an engine, in milliseconds, above which requests wait here instead. */
-		engineBacklogMs: z.number().positive().max(600_000).default(250),
+		engineBacklogMs: z.number().positive().max(600_000).default(1000),
 	}).prefault({}),
 	/** How long callers may keep an address answer. */
 	addressValidityMs: z.number().int().min(100).max(600_000).default(10_000),
