--- a/src/standin/engine-simulator/index.ts
+++ b/src/standin/engine-simulator/index.ts
@@ -46,7 +46,7 @@
 const keptStreamMs = 30_000;
 const pieceTokens = pieceBytes / bytesPerToken;
 /** Prompt tokens that one step computes at most. */
-const chunkTokens = 1024;
+const chunkTokens = 2048;
 /** Steps without a pause in one turn of the event loop, so that an engine without decoding time is cheap. */
 const stepsPerTurn = 32;
 /** Shorter pauses than this are caught up in later steps, since timers are not more exact. */
