--- /dev/null
+++ b/src/daemon/admin-server/index.ts
@@ -0,0 +1,78 @@
+/** The listener for operators: metrics, dump, liveness and readiness. */
+
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import {once} from 'node:events';
+import type {AddressInfo} from 'node:net';
+import {parseAddress} from '../../http/parse-address/index.js';
+import {sendJson} from '../../http/send-json/index.js';
+import type {DaemonMetrics} from '../metrics/index.js';
+
+/** What the listener shows. */
+export type AdminSources = {
+	readonly metrics: DaemonMetrics;
+	/** State of each part by its name. */
+	readonly dump: () => unknown;
+	/** Why the instance must get no new callers; undefined when it may. */
+	readonly readObstacle: () => string | undefined;
+};
+
+/** HTTP server for operators. */
+export class AdminServer {
+	private readonly server: Server;
+
+	constructor(private readonly sources: AdminSources) {
+		this.server = createServer((message, response) => {
+			void this.serve(message, response).catch((error: unknown) => {
+				sendJson(response, 500, {message: (error as Error).message});
+			});
+		});
+	}
+
+	/** Starts listening; returns `host:port`. */
+	async listen(address: string): Promise<string> {
+		const {host, port} = parseAddress(address);
+		this.server.listen(port, host);
+		await once(this.server, 'listening');
+		return `${host}:${(this.server.address() as AddressInfo).port}`;
+	}
+
+	async close(): Promise<void> {
+		const closed = once(this.server, 'close');
+		this.server.close();
+		this.server.closeAllConnections();
+		await closed;
+	}
+
+	private async serve(message: IncomingMessage, response: ServerResponse): Promise<void> {
+		switch (message.url ?? '/') {
+			case '/metrics': {
+				const {registry} = this.sources.metrics;
+				response.writeHead(200, {'content-type': registry.contentType});
+				response.end(await registry.metrics());
+				return;
+			}
+
+			case '/dump': {
+				sendJson(response, 200, this.sources.dump());
+				return;
+			}
+
+			case '/livez': {
+				sendJson(response, 200, {isLive: true});
+				return;
+			}
+
+			case '/readyz': {
+				const obstacle = this.sources.readObstacle();
+				sendJson(response, obstacle === undefined ? 200 : 503, {isReady: obstacle === undefined, obstacle});
+				return;
+			}
+
+			default: {
+				sendJson(response, 404, {message: 'paths are /metrics, /dump, /livez and /readyz'});
+			}
+		}
+	}
+}
--- a/src/daemon/create-core/index.ts
+++ b/src/daemon/create-core/index.ts
@@ -14,6 +14,7 @@
 import {HttpObjectApi} from '../../platform/http-object-api/index.js';
 import {RandomSource} from '../../random/random-source/index.js';
 import {DaemonParts} from '../daemon-parts/index.js';
+import {DaemonMetrics} from '../metrics/index.js';
 import type {Settings} from '../settings/index.js';
 
 const seedLimit = 2 ** 31;
@@ -24,6 +25,7 @@
 	readonly clock: Clock;
 	readonly random: RandomSource;
 	readonly logger: EventLogger;
+	readonly metrics: DaemonMetrics;
 	readonly invariants: InvariantChecker;
 	readonly objectApi: HttpObjectApi;
 	/** Registry of the methods that this instance serves. */
@@ -38,16 +40,31 @@
 	const clock = new SystemClock();
 	const random = new RandomSource(randomInt(seedLimit));
 	const logger = createLogger({instance: settings.instance});
+	const metrics = new DaemonMetrics();
 	const invariants = new InvariantChecker({
 		isStrict: false,
 		onViolation(name, detail) {
+			metrics.noteViolation(name);
 			logger.error('invariant violated', {name, detail});
 		},
 	});
-	const objectApi = new HttpObjectApi({origin: settings.platform.objectApi});
+	const objectApi = new HttpObjectApi({
+		origin: settings.platform.objectApi,
+		onCall(kind) {
+			metrics.noteStoreCall(kind);
+		},
+	});
 	const identity = createIdentity(settings);
-	const peerServer = new PeerServer(identity.id);
-	const peerClient: PeerClient = new PeerClient({self: identity.id, locate: peer => membership.locate(peer)});
+	const peerServer = new PeerServer(identity.id, (sentBytes, receivedBytes) => {
+		metrics.notePeerBytes('callee', sentBytes, receivedBytes);
+	});
+	const peerClient: PeerClient = new PeerClient({
+		self: identity.id,
+		locate: peer => membership.locate(peer),
+		onTraffic(traffic) {
+			metrics.notePeerCall(traffic);
+		},
+	});
 	const {instanceList} = settings.platform;
 	const membership = new Membership({
 		identity, clock, random, logger, invariants, readRevision,
@@ -57,7 +74,7 @@
 		registry: peerServer,
 	});
 	const core: DaemonCore = {
-		settings, clock, random, logger, invariants, objectApi, peerServer, peerClient, membership, parts: new DaemonParts(logger),
+		settings, clock, random, logger, metrics, invariants, objectApi, peerServer, peerClient, membership, parts: new DaemonParts(logger),
 	};
 	registerCoreParts(core);
 	return core;
--- a/src/daemon/settings/index.ts
+++ b/src/daemon/settings/index.ts
@@ -30,6 +30,16 @@
 	}).prefault({}),
 	/** How long callers may keep an address answer. */
 	addressValidityMs: z.number().int().min(100).max(600_000).default(10_000),
+	/** Planned stop. */
+	stop: z.strictObject({
+		/**
+		 * Time beyond `addressValidityMs` for which a leaving instance still accepts. It covers peers that
+		 * hear of the leave late: one that lost contact stops handing out this address after 5 s.
+		 */
+		marginMs: z.number().int().min(0).max(600_000).default(5000),
+		/** Time after which the rest of the requests is given up. */
+		maximumMs: z.number().int().min(100).max(3_600_000).default(300_000),
+	}).prefault({}),
 	/** Longest silence between two chunks of a stream. */
 	streamSilenceMs: z.number().int().min(100).max(600_000).default(10_000),
 });
--- a/src/daemon/start-daemon/index.ts
+++ b/src/daemon/start-daemon/index.ts
@@ -12,6 +12,7 @@
 import {createRouterError} from '../../results/create-router-error/index.js';
 import {HttpEngineClient} from '../../targets/http-engine-client/index.js';
 import {TargetDirectory} from '../../targets/target-directory/index.js';
+import {AdminServer} from '../admin-server/index.js';
 import {createCore, type DaemonCore} from '../create-core/index.js';
 import type {Settings} from '../settings/index.js';
 
@@ -49,6 +50,7 @@
 	const targets = createTargets(core);
 	registerConfiguration(core, holder, targets);
 	const server = new CallerServer(createContext(core, holder, targets));
+	registerAdmin(core, holder, server);
 	await core.parts.start();
 	const address = await server.listen();
 	core.logger.info('daemon started', {caller: address});
@@ -91,12 +93,47 @@
 	});
 }
 
+function registerAdmin(core: DaemonCore, holder: ConfigurationHolder, server: CallerServer): void {
+	const {clock, membership, metrics, parts, settings} = core;
+	metrics.addSources({
+		countInFlight: () => server.inFlight,
+		countConnections: async () => server.countConnections(),
+		readRevision: () => holder.readRevision(),
+		countMembers() {
+			const live = membership.listLive(clock.readMonotonic());
+			const leaving = live.filter(member => member.state === 'leaving').length;
+			return {live: live.length - leaving, leaving};
+		},
+	});
+	const admin = new AdminServer({
+		metrics,
+		dump: () => parts.dump(),
+		readObstacle: () => findObstacle(core, holder),
+	});
+	parts.register({
+		name: 'admin',
+		async start() {
+			await admin.listen(settings.listen.admin);
+		},
+		stop: async () => admin.close(),
+	});
+}
+
+function findObstacle({membership}: DaemonCore, holder: ConfigurationHolder): string | undefined {
+	if (membership.readSelf().state === 'leaving') {
+		return 'the instance is leaving';
+	}
+
+	return holder.current === undefined ? 'no configuration is held' : undefined;
+}
+
 function createContext(core: DaemonCore, holder: ConfigurationHolder, targets: TargetDirectory): RouterContext {
 	const {settings, clock, logger} = core;
 	return {
 		settings, clock, logger, targets,
 		placement: new RoundRobinPlacement(),
 		budget: new StaticBudgetGate(clock, 1),
+		observer: core.metrics,
 		readConfiguration: () => holder.read(),
 		chooseAddresses: dataCentre => createAddressAnswer(core, dataCentre),
 	};
--- a/src/http/send-json/index.ts
+++ b/src/http/send-json/index.ts
@@ -3,11 +3,13 @@
 import type {OutgoingHttpHeaders, ServerResponse} from 'node:http';
 import {formatErrorBody, type RouterError} from '../../results/create-router-error/index.js';
 
-/** Sends `body` as JSON and ends the answer. */
-export function sendJson(response: ServerResponse, status: number, body: unknown, headers: OutgoingHttpHeaders = {}): void {
+/** Sends `body` as JSON and ends the answer. Returns the bytes of the body. */
+export function sendJson(response: ServerResponse, status: number, body: unknown, headers: OutgoingHttpHeaders = {}): number {
 	const text = JSON.stringify(body);
-	response.writeHead(status, {'content-type': 'application/json', 'content-length': Buffer.byteLength(text), ...headers});
+	const bytes = Buffer.byteLength(text);
+	response.writeHead(status, {'content-type': 'application/json', 'content-length': bytes, ...headers});
 	response.end(text);
+	return bytes;
 }
 
 /** Sends `error` in the usual shape of model APIs, with its result code in a header as well. */
--- a/src/peers/peer-server/index.ts
+++ b/src/peers/peer-server/index.ts
@@ -30,7 +30,7 @@
 
 	private readonly server: Server;
 
-	constructor(private readonly self: InstanceId) {
+	constructor(private readonly self: InstanceId, private readonly onTraffic?: (sentBytes: number, receivedBytes: number) => void) {
 		this.server = createServer((message, response) => {
 			void this.serve(message, response).catch((error: unknown) => {
 				sendJson(response, 400, {message: (error as Error).message});
@@ -80,6 +80,7 @@
 
 		const request = await readJsonBody(message, bodyLimitBytes) as JSONRPCRequest;
 		const answer = await this.rpc.receive(request, {from: String(message.headers[callerHeader] ?? '') as InstanceId});
-		sendJson(response, 200, answer);
+		const sentBytes = sendJson(response, 200, answer);
+		this.onTraffic?.(sentBytes, Number(message.headers['content-length'] ?? 0));
 	}
 }
--- /dev/null
+++ b/src/process/cluster/index.ts
@@ -0,0 +1,125 @@
+/** A small system of real processes on the loopback address, for tests and measurements. */
+
+import {mkdtemp, rm, writeFile} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import VError from 'verror';
+import {request} from 'undici';
+import {createDemoResources} from '../../demo/create-demo-resources/index.js';
+import {HttpObjectApi} from '../../platform/http-object-api/index.js';
+import {collectionByKind, formatObjectName} from '../../resources/schemas/index.js';
+import {reservePorts} from '../reserve-ports/index.js';
+import {startProcess, type ProgramName, type StartedProcess} from '../start-process/index.js';
+
+const pollPauseMs = 20;
+const readyTimeoutMs = 15_000;
+const portsPerDaemon = 3;
+
+/** Addresses of one daemon. They stay the same when it is started again. */
+export type DaemonAddresses = {readonly caller: string; readonly peer: string; readonly admin: string};
+
+/** Set-up of a cluster. */
+export type ClusterOptions = {
+	readonly daemons: number;
+	/** Settings that differ from the defaults, for all daemons. */
+	readonly settings: Readonly<Record<string, unknown>>;
+	readonly engineArguments?: readonly string[];
+};
+
+/** Object API, one engine per fleet, a service and daemons. */
+export class Cluster {
+	readonly addresses: DaemonAddresses[] = [];
+	readonly daemons: StartedProcess[] = [];
+	/** Last log lines of all processes. */
+	readonly log: string[] = [];
+	objectApi: StartedProcess | undefined;
+	private readonly started: StartedProcess[] = [];
+	private directory = '';
+
+	constructor(private readonly options: ClusterOptions) {}
+
+	/** Starts everything and waits until each daemon is ready. */
+	async start(): Promise<void> {
+		this.directory = await mkdtemp(join(tmpdir(), 'laburnumturn-cluster-'));
+		const engineArguments = this.options.engineArguments ?? [];
+		const [objectApi, north, south, service] = await Promise.all([
+			this.startProgram('standin', ['object-api']),
+			this.startProgram('standin', ['engine', '--model', 'base@v1', ...engineArguments]),
+			this.startProgram('standin', ['engine', '--model', 'base@v2', ...engineArguments]),
+			this.startProgram('standin', ['service']),
+		]);
+		this.objectApi = objectApi;
+		await this.writeResources({north: {engines: [north.address], service: service.address}, south: {engines: [south.address], service: service.address}});
+		const ports = await reservePorts(portsPerDaemon * this.options.daemons);
+		for (let index = 0; index < this.options.daemons; index += 1) {
+			const [caller, peer, admin] = ports.slice(portsPerDaemon * index, portsPerDaemon * (index + 1)).map(port => `127.0.0.1:${port}`);
+			this.addresses.push({caller: caller!, peer: peer!, admin: admin!});
+		}
+
+		await Promise.all(this.addresses.map(async (_, index) => this.startDaemon(index)));
+		await Promise.all(this.addresses.map(async (_, index) => this.waitUntilReady(index)));
+	}
+
+	/** Starts daemon `index`, again if it ran before. */
+	async startDaemon(index: number): Promise<StartedProcess> {
+		const file = join(this.directory, `entry-${index}.jsonc`);
+		const settings = {
+			instance: `entry-${index}`, fleet: 'north', dataCentre: `north-${index % 3}`, listen: this.addresses[index],
+			platform: {objectApi: `http://${this.objectApi!.address}`}, seeds: this.addresses.map(address => address.peer),
+			...this.options.settings,
+		};
+		await writeFile(file, JSON.stringify(settings));
+		const daemon = await this.startProgram('laburnumturnd', ['--settings', file]);
+		this.daemons[index] = daemon;
+		return daemon;
+	}
+
+	/** Waits until daemon `index` reports itself ready. */
+	async waitUntilReady(index: number): Promise<void> {
+		const end = Date.now() + readyTimeoutMs;
+		while (Date.now() < end) {
+			if (await isReady(this.addresses[index]!.admin)) {
+				return;
+			}
+
+			await new Promise(resolve => {
+				setTimeout(resolve, pollPauseMs);
+			});
+		}
+
+		throw new VError('daemon %d is not ready: %s', index, this.log.slice(-10).join('\n'));
+	}
+
+	/** Ends every process that the cluster started. */
+	async stop(): Promise<void> {
+		await Promise.all(this.started.map(async started => started.end('SIGKILL')));
+		await rm(this.directory, {recursive: true, force: true});
+	}
+
+	private async startProgram(name: ProgramName, programArguments: readonly string[]): Promise<StartedProcess> {
+		const started = await startProcess(name, programArguments, line => {
+			this.log.push(line);
+		});
+		this.started.push(started);
+		return started;
+	}
+
+	private async writeResources(targets: Parameters<typeof createDemoResources>[0]): Promise<void> {
+		const api = new HttpObjectApi({origin: `http://${this.objectApi!.address}`});
+		for (const resource of createDemoResources(targets)) {
+			await api.create(collectionByKind[resource.kind], formatObjectName(resource), resource);
+		}
+
+		await api.close();
+	}
+}
+
+async function isReady(address: string): Promise<boolean> {
+	try {
+		const answer = await request(`http://${address}/readyz`);
+		await answer.body.dump();
+		return answer.statusCode === 200;
+	} catch {
+		return false;
+	}
+}
--- a/src/requests/caller-server/index.ts
+++ b/src/requests/caller-server/index.ts
@@ -11,6 +11,7 @@
 import {authenticateCaller, extractSecret} from '../authenticate-caller/index.js';
 import {serveCompletion} from '../serve-completion/index.js';
 import {serveService} from '../serve-service/index.js';
+import type {RequestKind} from '../../daemon/metrics/index.js';
 import type {RouterContext} from '../router-context/index.js';
 
 /** HTTP server for callers. */
@@ -39,6 +40,19 @@
 		return `${host}:${(this.server.address() as AddressInfo).port}`;
 	}
 
+	/** Number of open connections of callers. */
+	async countConnections(): Promise<number> {
+		return new Promise((resolve, reject) => {
+			this.server.getConnections((error, count) => {
+				if (error === null) {
+					resolve(count);
+				} else {
+					reject(error);
+				}
+			});
+		});
+	}
+
 	/** Stops accepting and resolves when the last connection has closed. */
 	async close(): Promise<void> {
 		const closed = once(this.server, 'close');
@@ -49,6 +63,7 @@
 
 	private async handle(message: IncomingMessage, response: ServerResponse): Promise<void> {
 		this.inFlight += 1;
+		this.observe(message, response);
 		try {
 			await this.dispatch(message, response);
 		} catch (error) {
@@ -58,6 +73,26 @@
 		}
 	}
 
+	/** Reports the request when its answer has ended or its caller has left. */
+	private observe(message: IncomingMessage, response: ServerResponse): void {
+		const {clock, observer} = this.context;
+		if (observer === undefined) {
+			return;
+		}
+
+		const startedAt = clock.readMonotonic();
+		const headersAt = watchHeaders(response, () => clock.readMonotonic());
+		response.once('close', () => {
+			const headersTime = headersAt();
+			observer.noteRequest({
+				kind: findRequestKind(message.url ?? '/'),
+				code: response.writableFinished ? String(response.getHeader('x-result-code') ?? 0) : 'aborted',
+				headersMs: headersTime === undefined ? undefined : headersTime - startedAt,
+				totalMs: clock.readMonotonic() - startedAt,
+			});
+		});
+	}
+
 	private async dispatch(message: IncomingMessage, response: ServerResponse): Promise<void> {
 		const url = new URL(message.url ?? '/', 'http://localhost');
 		switch (url.pathname) {
@@ -107,6 +142,26 @@
 	}
 }
 
+/** Returns a function that tells when the headers were written. */
+function watchHeaders(response: ServerResponse, readNow: () => number): () => number | undefined {
+	let headersAt: number | undefined;
+	const writeHead = response.writeHead.bind(response);
+	response.writeHead = ((...parameters: Parameters<typeof writeHead>) => {
+		headersAt ??= readNow();
+		return writeHead(...parameters);
+	}) as typeof response.writeHead;
+	return () => headersAt;
+}
+
+function findRequestKind(url: string): RequestKind {
+	const path = url.split('?', 1)[0]!;
+	if (path === '/v1/completions' || path === '/v1/chat/completions') {
+		return 'completion';
+	}
+
+	return path === '/v1/models' ? 'models' : (path === '/v1/instances' ? 'addresses' : 'service');
+}
+
 function checkMethod(message: IncomingMessage, method: string): void {
 	if (message.method !== method) {
 		throw createRouterError('methodNotAllowed', `use ${method}`);
--- a/src/requests/router-context/index.ts
+++ b/src/requests/router-context/index.ts
@@ -3,6 +3,7 @@
 import type {BudgetGate} from '../../budget/budget-gate/index.js';
 import type {Clock} from '../../clock/clock/index.js';
 import type {Configuration} from '../../configuration/configuration/index.js';
+import type {FinishedRequest} from '../../daemon/metrics/index.js';
 import type {Settings} from '../../daemon/settings/index.js';
 import type {EventLogger} from '../../logging/create-logger/index.js';
 import type {Placement} from '../../placement/placement/index.js';
@@ -15,6 +16,11 @@
 	readonly valid_for_seconds: number;
 };
 
+/** Is told of each finished request of a caller. */
+export type RequestObserver = {
+	noteRequest(finished: FinishedRequest): void;
+};
+
 /** Dependencies of the request path. */
 export type RouterContext = {
 	readonly settings: Settings;
@@ -23,6 +29,7 @@
 	readonly targets: TargetDirectory;
 	readonly placement: Placement;
 	readonly budget: BudgetGate;
+	readonly observer?: RequestObserver;
 	/** The configuration in force; throws `notReady` or `isolated` when requests must be refused. */
 	readConfiguration(): Configuration;
 	/** Answers an address query from a caller in `dataCentre`, if it named one. */
