--- a/src/bin/laburnumturnd.ts
+++ b/src/bin/laburnumturnd.ts
@@ -18,14 +18,21 @@
 			const settings = parseSettings(await readFile(file, 'utf8'), file);
 			const daemon = await startDaemon(settings);
 			process.stdout.write(`${JSON.stringify({listening: daemon.address})}\n`);
+			let isStopping = false;
 			const stop = () => {
-				void daemon.stop().then(() => {
-					process.exit(0);
+				if (isStopping) {
+					daemon.hurryStop();
+					return;
+				}
+
+				isStopping = true;
+				void daemon.stop().then(outcome => {
+					process.exit(outcome === 'drained' ? 0 : 1);
 				});
 			};
 
-			process.once('SIGTERM', stop);
-			process.once('SIGINT', stop);
+			process.on('SIGTERM', stop);
+			process.on('SIGINT', stop);
 		} catch (error) {
 			process.stderr.write(`laburnumturnd: ${(error as Error).message}\n`);
 			process.exit(1);
--- a/src/daemon/create-core/index.ts
+++ b/src/daemon/create-core/index.ts
@@ -111,6 +111,9 @@
 		start() {
 			membership.start();
 		},
+		leave() {
+			membership.markLeaving();
+		},
 		stop() {
 			membership.stop();
 		},
--- a/src/daemon/daemon-parts/index.ts
+++ b/src/daemon/daemon-parts/index.ts
@@ -10,6 +10,8 @@
 	/** Key of the part's state in a dump. */
 	readonly name: string;
 	start?(): Promise<void> | void;
+	/** Called at once when a planned stop begins, while requests are still served. */
+	leave?(): void;
 	/** Releases what the part holds, for example leases and budget parts. */
 	stop?(): Promise<void> | void;
 	/** State as JSON. It never contains a key or a hash of one. */
@@ -32,6 +34,12 @@
 		}
 	}
 
+	leave(): void {
+		for (const part of this.parts) {
+			part.leave?.();
+		}
+	}
+
 	/** Stops every part, the last registered first. A part that fails or takes too long does not keep the others from stopping. */
 	async stop(): Promise<void> {
 		for (const part of this.parts.toReversed()) {
--- a/src/daemon/start-daemon/index.ts
+++ b/src/daemon/start-daemon/index.ts
@@ -14,6 +14,7 @@
 import {TargetDirectory} from '../../targets/target-directory/index.js';
 import {AdminServer} from '../admin-server/index.js';
 import {createCore, type DaemonCore} from '../create-core/index.js';
+import {PlannedStop, type StopOutcome} from '../planned-stop/index.js';
 import type {Settings} from '../settings/index.js';
 
 const msPerSecond = 1000;
@@ -22,8 +23,10 @@
 export type Daemon = {
 	/** `host:port` of the caller listener. */
 	readonly address: string;
-	/** Stops gracefully: resolves when all requests have been served. */
-	stop(): Promise<void>;
+	/** Stops gracefully: resolves when all requests have been served and all parts released. */
+	stop(): Promise<StopOutcome>;
+	/** Ends a stop in progress without waiting for callers and requests. */
+	hurryStop(): void;
 };
 
 /** The configuration in force; nothing until the first one is applied. */
@@ -54,16 +57,33 @@
 	await core.parts.start();
 	const address = await server.listen();
 	core.logger.info('daemon started', {caller: address});
+	const plannedStop = createPlannedStop(core, server);
 	return {
 		address,
-		async stop() {
-			await server.close();
-			await core.parts.stop();
-			core.logger.info('daemon stopped');
+		stop: async () => plannedStop.run(),
+		hurryStop() {
+			plannedStop.hurry();
 		},
 	};
 }
 
+function createPlannedStop({settings, clock, logger, parts}: DaemonCore, server: CallerServer): PlannedStop {
+	return new PlannedStop({
+		clock, logger,
+		addressValidityMs: settings.addressValidityMs,
+		marginMs: settings.stop.marginMs,
+		maximumMs: settings.stop.maximumMs,
+		leave() {
+			parts.leave();
+		},
+		drain: async () => server.close(),
+		cut() {
+			server.closeAll();
+		},
+		release: async () => parts.stop(),
+	});
+}
+
 function createTargets({settings, clock, logger, parts}: DaemonCore): TargetDirectory {
 	const createClient = (target: {address: string}) => new HttpEngineClient({address: target.address, silenceMs: settings.streamSilenceMs});
 	const targets = new TargetDirectory(clock, logger, createClient);
--- a/src/demo/run-demo/index.ts
+++ b/src/demo/run-demo/index.ts
@@ -88,7 +88,7 @@
 			const settings = {
 				instance: `entry-${index}`, fleet: index < 2 ? 'north' : 'south', dataCentre: index < 2 ? `north-${index}` : 'south-0',
 				listen: {caller, peer, admin}, platform: {objectApi: `http://${objectApi}`, instanceList: `http://${instanceList}`},
-				seeds, addressValidityMs: 1000,
+				seeds, addressValidityMs: 1000, stop: {marginMs: 500},
 			};
 			const file = join(this.directory, `entry-${index}.jsonc`);
 			await writeFile(file, `// Settings of instance ${index}.\n${JSON.stringify(settings, undefined, '\t')}\n`);
--- a/src/requests/caller-server/index.ts
+++ b/src/requests/caller-server/index.ts
@@ -14,11 +14,15 @@
 import type {RequestKind} from '../../daemon/metrics/index.js';
 import type {RouterContext} from '../router-context/index.js';
 
+const idleCheckMs = 100;
+
 /** HTTP server for callers. */
 export class CallerServer {
 	/** Requests now being served. */
 	inFlight = 0;
 	private readonly server: Server;
+	private readonly responses = new Set<ServerResponse>();
+	private isClosing = false;
 
 	constructor(private readonly context: RouterContext) {
 		const {limits} = context.settings;
@@ -53,16 +57,41 @@
 		});
 	}
 
-	/** Stops accepting and resolves when the last connection has closed. */
+	/**
+	 * Stops accepting connections, asks callers with `Connection: close` to open no more requests on
+	 * theirs, and resolves when the last request has been served.
+	 */
 	async close(): Promise<void> {
 		const closed = once(this.server, 'close');
+		this.isClosing = true;
+		for (const response of this.responses) {
+			// Has no effect on an answer whose headers were sent; its connection is closed when idle.
+			response.shouldKeepAlive = false;
+		}
+
 		this.server.close();
-		this.server.closeIdleConnections();
+		const timer = setInterval(() => {
+			this.server.closeIdleConnections();
+		}, idleCheckMs);
 		await closed;
+		clearInterval(timer);
+	}
+
+	/** Destroys all connections, with the requests on them. */
+	closeAll(): void {
+		this.server.closeAllConnections();
 	}
 
 	private async handle(message: IncomingMessage, response: ServerResponse): Promise<void> {
 		this.inFlight += 1;
+		this.responses.add(response);
+		response.once('close', () => {
+			this.responses.delete(response);
+		});
+		if (this.isClosing) {
+			response.shouldKeepAlive = false;
+		}
+
 		this.observe(message, response);
 		try {
 			await this.dispatch(message, response);
