--- a/src/daemon/metrics/index.ts
+++ b/src/daemon/metrics/index.ts
@@ -1,25 +1,11 @@
 /** Metrics of the daemon, in the form that Prometheus reads. */
 
 import {
-	Counter, Gauge, Histogram, Registry, collectDefaultMetrics,
+	Counter, Gauge, Registry, collectDefaultMetrics,
 } from 'prom-client';
 import type {PeerTraffic} from '../../peers/peer-link/index.js';
 
 const prefix = 'laburnumturn_';
-const durationBuckets = [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 30, 60];
-
-/** Kind of a caller's request. */
-export type RequestKind = 'completion' | 'service' | 'models' | 'addresses';
-
-/** A finished request of a caller. */
-export type FinishedRequest = {
-	readonly kind: RequestKind;
-	/** Number of the result code, `0` for success, `aborted` when the caller left first. */
-	readonly code: string;
-	/** Time to the answer's headers, in milliseconds; undefined when none were sent. */
-	readonly headersMs: number | undefined;
-	readonly totalMs: number;
-};
 
 /** Values that are read when the metrics are collected. */
 export type MetricSources = {
@@ -29,18 +15,13 @@
 	readonly readRevision: () => number;
 };
 
-const msPerSecond = 1000;
-
 /** All metrics of one daemon. */
 export class DaemonMetrics {
 	readonly registry = new Registry();
-	private readonly requests = this.createCounter('requests_total', 'Requests of callers by kind and result code; 0 is success.', ['kind', 'code']);
-	private readonly headersSeconds = this.createHistogram('request_headers_seconds', 'Time from a request to the headers of its answer.');
-	private readonly totalSeconds = this.createHistogram('request_duration_seconds', 'Time from a request to the end of its answer.');
 	private readonly peerCalls = this.createCounter('peer_calls_total', 'Calls to other daemons by method and outcome.', ['method', 'outcome']);
 	private readonly peerBytes = this.createCounter('peer_bytes_total', 'Bytes of bodies between daemons.', ['side', 'direction']);
 	private readonly storeCalls = this.createCounter('store_calls_total', 'Calls of the object API by kind.', ['kind']);
-	private readonly violations = this.createCounter('invariant_violations_total', 'Violated invariants of the program.', ['name']);
+	private readonly violations = this.createCounter('control_invariant_violations_total', 'Violations of the invariants of membership and orders; always 0 in a correct program.', ['name']);
 	private readonly orders = this.createCounter('orders_total', 'Orders to engines by order and outcome.', ['order', 'outcome']);
 
 	private readonly gauges: Gauge[] = [];
@@ -49,14 +30,6 @@
 		collectDefaultMetrics({register: this.registry, prefix});
 	}
 
-	noteRequest({kind, code, headersMs, totalMs}: FinishedRequest): void {
-		this.requests.inc({kind, code});
-		this.totalSeconds.observe({kind}, totalMs / msPerSecond);
-		if (headersMs !== undefined) {
-			this.headersSeconds.observe({kind}, headersMs / msPerSecond);
-		}
-	}
-
 	/** Notes a call to another daemon. */
 	notePeerCall(traffic: PeerTraffic): void {
 		this.peerCalls.inc({method: traffic.method, outcome: traffic.outcome});
@@ -110,10 +83,4 @@
 			name: prefix + name, help, labelNames, registers: [this.registry],
 		});
 	}
-
-	private createHistogram(name: string, help: string): Histogram<'kind'> {
-		return new Histogram({
-			name: prefix + name, help, labelNames: ['kind'], buckets: durationBuckets, registers: [this.registry],
-		});
-	}
 }
--- a/src/requests/caller-server/index.ts
+++ b/src/requests/caller-server/index.ts
@@ -11,7 +11,6 @@
 import {authenticateCaller, extractSecret} from '../authenticate-caller/index.js';
 import {serveCompletion} from '../serve-completion/index.js';
 import {serveService} from '../serve-service/index.js';
-import type {RequestKind} from '../../daemon/metrics/index.js';
 import type {RouterContext} from '../router-context/index.js';
 
 const idleCheckMs = 100;
@@ -34,6 +33,8 @@
 			void this.handle(message, response);
 		});
 		this.server.maxConnections = limits.connections;
+		// A caller that closes its sending side early still gets its answer or an error; see `openCallSignal`.
+		Object.assign(this.server, {httpAllowHalfOpen: true});
 	}
 
 	/** Starts listening; returns `host:port`. */
@@ -92,7 +93,6 @@
 			response.shouldKeepAlive = false;
 		}
 
-		this.observe(message, response);
 		try {
 			await this.dispatch(message, response);
 		} catch (error) {
@@ -102,26 +102,6 @@
 		}
 	}
 
-	/** Reports the request when its answer has ended or its caller has left. */
-	private observe(message: IncomingMessage, response: ServerResponse): void {
-		const {clock, observer} = this.context;
-		if (observer === undefined) {
-			return;
-		}
-
-		const startedAt = clock.readMonotonic();
-		const headersAt = watchHeaders(response, () => clock.readMonotonic());
-		response.once('close', () => {
-			const headersTime = headersAt();
-			observer.noteRequest({
-				kind: findRequestKind(message.url ?? '/'),
-				code: response.writableFinished ? String(response.getHeader('x-result-code') ?? 0) : 'aborted',
-				headersMs: headersTime === undefined ? undefined : headersTime - startedAt,
-				totalMs: clock.readMonotonic() - startedAt,
-			});
-		});
-	}
-
 	private async dispatch(message: IncomingMessage, response: ServerResponse): Promise<void> {
 		const url = new URL(message.url ?? '/', 'http://localhost');
 		switch (url.pathname) {
@@ -171,26 +151,6 @@
 	}
 }
 
-/** Returns a function that tells when the headers were written. */
-function watchHeaders(response: ServerResponse, readNow: () => number): () => number | undefined {
-	let headersAt: number | undefined;
-	const writeHead = response.writeHead.bind(response);
-	response.writeHead = ((...parameters: Parameters<typeof writeHead>) => {
-		headersAt ??= readNow();
-		return writeHead(...parameters);
-	}) as typeof response.writeHead;
-	return () => headersAt;
-}
-
-function findRequestKind(url: string): RequestKind {
-	const path = url.split('?', 1)[0]!;
-	if (path === '/v1/completions' || path === '/v1/chat/completions') {
-		return 'completion';
-	}
-
-	return path === '/v1/models' ? 'models' : (path === '/v1/instances' ? 'addresses' : 'service');
-}
-
 function checkMethod(message: IncomingMessage, method: string): void {
 	if (message.method !== method) {
 		throw createRouterError('methodNotAllowed', `use ${method}`);
--- a/src/requests/router-context/index.ts
+++ b/src/requests/router-context/index.ts
@@ -1,13 +1,16 @@
 /** What the request path needs from the rest of the daemon. */
 
+import type {Dispatcher} from 'undici';
 import type {BudgetGate} from '../../budget/budget-gate/index.js';
 import type {Clock} from '../../clock/clock/index.js';
 import type {Configuration} from '../../configuration/configuration/index.js';
-import type {FinishedRequest} from '../../daemon/metrics/index.js';
 import type {Settings} from '../../daemon/settings/index.js';
+import type {EngineGate} from '../../fairness/engine-gate/index.js';
 import type {EventLogger} from '../../logging/create-logger/index.js';
-import type {Placement} from '../../placement/placement/index.js';
 import type {TargetDirectory} from '../../targets/target-directory/index.js';
+import type {IdempotencyRecords} from '../idempotency-records/index.js';
+import type {RequestMetrics} from '../request-metrics/index.js';
+import type {RetryBudget} from '../retry-budget/index.js';
 
 /** Instances that a caller may use, best first. */
 export type AddressAnswer = {
@@ -16,20 +19,19 @@
 	readonly valid_for_seconds: number;
 };
 
-/** Is told of each finished request of a caller. */
-export type RequestObserver = {
-	noteRequest(finished: FinishedRequest): void;
-};
-
 /** Dependencies of the request path. */
 export type RouterContext = {
 	readonly settings: Settings;
 	readonly clock: Clock;
 	readonly logger: EventLogger;
 	readonly targets: TargetDirectory;
-	readonly placement: Placement;
+	readonly gate: EngineGate;
 	readonly budget: BudgetGate;
-	readonly observer?: RequestObserver;
+	readonly metrics: RequestMetrics;
+	readonly retryBudget: RetryBudget;
+	readonly idempotency: IdempotencyRecords;
+	/** Connections to services that are kept for calls that may be repeated. */
+	readonly serviceConnections: Dispatcher;
 	/** The configuration in force; throws `notReady` or `isolated` when requests must be refused. */
 	readConfiguration(): Configuration;
 	/** Answers an address query from a caller in `dataCentre`, if it named one. */
