--- a/src/targets/target-directory/index.ts
+++ b/src/targets/target-directory/index.ts
@@ -5,6 +5,7 @@
 import type {Configuration, ResolvedTarget} from '../../configuration/configuration/index.js';
 import type {TargetId} from '../../identity/ids/index.js';
 import {EngineMonitor} from '../engine-monitor/index.js';
+import {LeavingTargets} from '../leaving-targets/index.js';
 import type {EngineClient} from '../engine-client/index.js';
 
 /** Creates the client of an engine. */
@@ -14,7 +15,12 @@
 export class TargetDirectory {
 	private readonly monitors = new Map<TargetId, EngineMonitor>();
 
-	constructor(private readonly clock: Clock, private readonly logger: EventLogger, private readonly createClient: EngineClientFactory) {}
+	constructor(
+		private readonly clock: Clock,
+		private readonly logger: EventLogger,
+		private readonly createClient: EngineClientFactory,
+		readonly leaving = new LeavingTargets(clock),
+	) {}
 
 	/** Starts and stops monitors so that they match `configuration`. */
 	apply(configuration: Configuration): void {
