--- a/src/daemon/start-daemon/index.ts
+++ b/src/daemon/start-daemon/index.ts
@@ -7,6 +7,8 @@
 import {CallerServer} from '../../requests/caller-server/index.js';
 import {createRouterError} from '../../results/create-router-error/index.js';
 import {HttpEngineClient} from '../../targets/http-engine-client/index.js';
+import {LeavingTargets} from '../../targets/leaving-targets/index.js';
+import {HttpInstanceList} from '../../platform/http-instance-list/index.js';
 import {TargetDirectory} from '../../targets/target-directory/index.js';
 import {AdminServer} from '../admin-server/index.js';
 import {createCore, type DaemonCore} from '../create-core/index.js';
@@ -81,8 +83,20 @@
 
 function createTargets({settings, clock, logger, parts}: DaemonCore): TargetDirectory {
 	const createClient = (target: {address: string}) => new HttpEngineClient({address: target.address, silenceMs: settings.streamSilenceMs});
-	const targets = new TargetDirectory(clock, logger, createClient);
-	parts.register({name: 'targets', stop: async () => targets.stop()});
+	const {instanceList} = settings.platform;
+	const leaving = new LeavingTargets(clock, instanceList === undefined ? undefined : new HttpInstanceList(instanceList));
+	const targets = new TargetDirectory(clock, logger, createClient, leaving);
+	parts.register({
+		name: 'targets',
+		start() {
+			leaving.start();
+		},
+		async stop() {
+			leaving.stop();
+			await targets.stop();
+		},
+		dump: () => ({leaving: leaving.dump(), engines: targets.dump()}),
+	});
 	return targets;
 }
 
--- a/src/http/fetch-json/index.ts
+++ b/src/http/fetch-json/index.ts
@@ -1,5 +1,6 @@
 /** Small JSON calls over HTTP. */
 
+import type {IncomingHttpHeaders} from 'node:http';
 import {request, type Dispatcher} from 'undici';
 import VError from 'verror';
 
@@ -11,6 +12,8 @@
 	readonly timeoutMs: number;
 	readonly dispatcher?: Dispatcher;
 	readonly headers?: Record<string, string>;
+	/** Called with the headers of the answer, whatever its status. */
+	readonly onHeaders?: (headers: IncomingHttpHeaders) => void;
 };
 
 /** Calls `url` and returns its JSON answer; rejects on any status but 2xx. */
@@ -22,6 +25,7 @@
 		signal: AbortSignal.timeout(options.timeoutMs),
 		dispatcher: options.dispatcher,
 	});
+	options.onHeaders?.(answer.headers);
 	const text = await answer.body.text();
 	if (answer.statusCode < 200 || answer.statusCode >= 300) {
 		throw new VError({name: 'HttpStatusError', info: {status: answer.statusCode}}, 'status %d from %s: %s', answer.statusCode, url, text.slice(0, 200));
--- a/src/requests/forward-call/index.ts
+++ b/src/requests/forward-call/index.ts
@@ -15,6 +15,7 @@
 import type {ResultName} from '../../results/result-codes/index.js';
 import {calculateBackoff} from '../calculate-backoff/index.js';
 import {checkSignal} from '../open-call-signal/index.js';
+import {leavingHeader} from '../../targets/leaving-targets/index.js';
 import type {RouterContext} from '../router-context/index.js';
 
 /** A call of a service, without any key. */
@@ -110,6 +111,10 @@
 			headersTimeout: call.route.timeoutMs,
 			bodyTimeout: call.route.timeoutMs,
 		});
+		if (answer.headers[leavingHeader] === 'true') {
+			context.targets.leaving.mark(target.address);
+		}
+
 		if (answer.statusCode === 503 && answer.headers['x-not-run'] === 'true') {
 			answer.body.on('error', ignoreError).destroy();
 			throw createRouterError('targetRefused', target.id);
--- a/src/requests/serve-service/index.ts
+++ b/src/requests/serve-service/index.ts
@@ -66,7 +66,7 @@
 		listTargets() {
 			const now = context.readConfiguration();
 			const current = authoriseCall(now, source.path, secret).route;
-			return now.listServiceTargets(current.service ?? '').filter(target => target.state === 'live');
+			return now.listServiceTargets(current.service ?? '').filter(target => target.state === 'live' && !context.targets.leaving.has(target.address));
 		},
 	};
 	const isClean = secret === undefined || !(call.path + JSON.stringify(call.headers)).includes(secret);
--- a/src/standin/engine-server/index.ts
+++ b/src/standin/engine-server/index.ts
@@ -84,6 +84,10 @@
 	private async serve(message: IncomingMessage, response: ServerResponse): Promise<void> {
 		const url = new URL(message.url ?? '/', 'http://localhost');
 		const {pathname} = url;
+		if (this.isLeaving) {
+			response.setHeader('x-target-leaving', 'true');
+		}
+
 		if (pathname === '/v1/completions' || pathname === '/v1/chat/completions') {
 			return this.serveCompletion(pathname, message, response);
 		}
--- a/src/targets/engine-client/index.ts
+++ b/src/targets/engine-client/index.ts
@@ -90,6 +90,8 @@
 
 /** Client of one engine. Methods reject with a `RouterError`. */
 export type EngineClient = {
+	/** Called when an answer says that the engine is leaving. */
+	onLeaving?: () => void;
 	complete(request: EngineRequest, signal: AbortSignal): Promise<EngineAnswer>;
 	/** Continues the stream of an earlier request from `offset` on the same incarnation. */
 	resume(requestId: RequestId, offset: number, incarnation: Incarnation, signal: AbortSignal): Promise<EngineAnswer>;
--- a/src/targets/engine-monitor/index.ts
+++ b/src/targets/engine-monitor/index.ts
@@ -10,6 +10,7 @@
 import {createStream} from '../../streams/create-stream/index.js';
 import {CacheIndex, type BlockScope} from '../cache-index/index.js';
 import type {EngineClient, EngineState} from '../engine-client/index.js';
+import {LeavingTargets} from '../leaving-targets/index.js';
 import {OwnLoad, type EstimatedLoad, type OwnRequest} from '../own-load/index.js';
 
 /** Interval of state polls. A load report older than this mostly describes requests that have ended. */
@@ -25,6 +26,8 @@
 
 /** What is known of one engine. */
 export class EngineMonitor {
+	/** The target's resource in force. */
+	target: ResolvedTarget;
 	readonly cache = new CacheIndex();
 	private readonly ownLoad = new OwnLoad();
 	private state: EngineState | undefined;
@@ -34,11 +37,14 @@
 	private readonly controller = new AbortController();
 
 	constructor(
-		readonly target: ResolvedTarget,
+		target: ResolvedTarget,
 		readonly client: EngineClient,
 		private readonly clock: Clock,
 		private readonly logger: EventLogger,
-	) {}
+		private readonly leaving: LeavingTargets = new LeavingTargets(clock),
+	) {
+		this.target = target;
+	}
 
 	/** Polls and follows cache events until `stop`. */
 	async run(): Promise<void> {
@@ -63,7 +69,7 @@
 	/** Whether the engine may get new work for `model` at `now`. */
 	canServe(model: ResolvedModel, now: MonotonicMs): boolean {
 		const state = this.readState(now);
-		if (state === undefined || state.isLeaving || this.target.state === 'leaving') {
+		if (state === undefined || state.isLeaving || this.target.state === 'leaving' || this.leaving.has(this.target.address)) {
 			return false;
 		}
 
@@ -79,6 +85,7 @@
 	applyState(state: EngineState, sentAt: MonotonicMs): void {
 		const previous = this.state;
 		if (previous !== undefined && previous.incarnation !== state.incarnation) {
+			this.leaving.clear(this.target.address);
 			this.logger.info('engine restarted', {target: this.target.id, incarnation: state.incarnation});
 		}
 
--- a/src/targets/http-engine-client/index.ts
+++ b/src/targets/http-engine-client/index.ts
@@ -1,5 +1,6 @@
 /** Client of a model engine over HTTP with server-sent events. */
 
+import type {IncomingHttpHeaders} from 'node:http';
 import type {Stream} from 'most';
 import {Pool, type Dispatcher} from 'undici';
 import {createStream} from '../../streams/create-stream/index.js';
@@ -7,6 +8,7 @@
 import {classifyCallError} from '../../http/classify-call-error/index.js';
 import {fetchJson} from '../../http/fetch-json/index.js';
 import type {Incarnation, RequestId} from '../../identity/ids/index.js';
+import {leavingHeader} from '../leaving-targets/index.js';
 import {parseEventStream} from '../parse-event-stream/index.js';
 import type {
 	BlockSnapshot, CacheEvent, EngineAnswer, EngineChunk, EngineClient, EngineOrder, EngineRequest, EngineState,
@@ -29,6 +31,7 @@
 
 /** Engine over HTTP. */
 export class HttpEngineClient implements EngineClient {
+	onLeaving?: () => void;
 	private readonly origin: string;
 	private readonly pool: Pool;
 	private readonly eventPool: Pool;
@@ -75,7 +78,12 @@
 	}
 
 	async readState(): Promise<EngineState> {
-		return fetchJson(`${this.origin}/state`, {timeoutMs: stateTimeoutMs, dispatcher: this.eventPool});
+		return fetchJson(`${this.origin}/state`, {
+			timeoutMs: stateTimeoutMs, dispatcher: this.eventPool,
+			onHeaders: headers => {
+				this.checkLeaving(headers);
+			},
+		});
 	}
 
 	async readBlocks(): Promise<BlockSnapshot> {
@@ -125,6 +133,7 @@
 			throw convertEngineError(error);
 		}
 
+		this.checkLeaving(answer.headers);
 		if (answer.statusCode !== 200) {
 			throw await convertRefusal(answer);
 		}
@@ -144,6 +153,12 @@
 		};
 	}
 
+	private checkLeaving(headers: IncomingHttpHeaders): void {
+		if (headers[leavingHeader] === 'true') {
+			this.onLeaving?.();
+		}
+	}
+
 	private async readEvents(after: number, signal: AbortSignal, emit: (event: CacheEvent) => void): Promise<never> {
 		const answer = await this.eventPool.request({method: 'GET', path: `/cache/events?after=${after}`, signal});
 		if (answer.statusCode !== 200) {
--- a/src/targets/target-directory/index.ts
+++ b/src/targets/target-directory/index.ts
@@ -11,7 +11,7 @@
 /** Creates the client of an engine. */
 export type EngineClientFactory = (target: ResolvedTarget) => EngineClient;
 
-/** Keeps one monitor per engine target and replaces it when the target's resource changes. */
+/** Keeps one monitor per engine target and replaces it when the target's address changes. */
 export class TargetDirectory {
 	private readonly monitors = new Map<TargetId, EngineMonitor>();
 
@@ -26,7 +26,11 @@
 	apply(configuration: Configuration): void {
 		const wanted = new Map(configuration.data.targets.filter(target => target.type === 'engine').map(target => [target.id, target]));
 		for (const [id, monitor] of this.monitors) {
-			if (JSON.stringify(wanted.get(id)) !== JSON.stringify(monitor.target)) {
+			const target = wanted.get(id);
+			if (target?.address === monitor.target.address) {
+				// Requests in progress at the engine continue, also when it is now leaving.
+				monitor.target = target;
+			} else {
 				this.monitors.delete(id);
 				void monitor.stop();
 			}
@@ -34,7 +38,12 @@
 
 		for (const [id, target] of wanted) {
 			if (!this.monitors.has(id)) {
-				const monitor = new EngineMonitor(target, this.createClient(target), this.clock, this.logger);
+				const client = this.createClient(target);
+				const monitor = new EngineMonitor(target, client, this.clock, this.logger, this.leaving);
+				client.onLeaving = () => {
+					this.leaving.mark(target.address);
+				};
+
 				this.monitors.set(id, monitor);
 				void monitor.run();
 			}
@@ -49,6 +58,11 @@
 		return [...this.monitors.values()];
 	}
 
+	dump(): unknown {
+		const now = this.clock.readMonotonic();
+		return this.list().map(monitor => ({target: monitor.target, state: monitor.readState(now), ownInFlight: monitor.ownInFlight}));
+	}
+
 	async stop(): Promise<void> {
 		await Promise.all(this.list().map(async monitor => monitor.stop()));
 		this.monitors.clear();
