--- a/src/requests/caller-server/index.ts
+++ b/src/requests/caller-server/index.ts
@@ -25,6 +25,7 @@
 const slowCheckMs = 100;
 const msPerSecond = 1000;
 const modelsPath = '/v1/models';
+const idleCheckMs = 100;
 
 /** HTTP server for callers. */
 export class CallerServer {
@@ -33,6 +34,8 @@
 	private readonly server: Server;
 	private readonly sockets = new Set<Socket>();
 	private readonly exchanges = new WeakMap<Duplex, Set<OpenExchange>>();
+	private readonly responses = new Set<ServerResponse>();
+	private isClosing = false;
 
 	constructor(private readonly context: RouterContext) {
 		const {limits} = context.settings;
@@ -61,12 +64,34 @@
 		return `${host}:${(this.server.address() as AddressInfo).port}`;
 	}
 
-	/** Stops accepting and resolves when the last connection has closed. */
+	/** Number of open connections of callers. */
+	countConnections(): number {
+		return this.sockets.size;
+	}
+
+	/**
+	 * Stops accepting connections, asks callers with `Connection: close` to open no more requests on
+	 * theirs, and resolves when the last request has been served.
+	 */
 	async close(): Promise<void> {
 		const closed = once(this.server, 'close');
+		this.isClosing = true;
+		for (const response of this.responses) {
+			// Has no effect on an answer whose headers were sent; its connection is closed when idle.
+			response.shouldKeepAlive = false;
+		}
+
 		this.server.close();
-		this.server.closeIdleConnections();
+		const timer = setInterval(() => {
+			this.server.closeIdleConnections();
+		}, idleCheckMs);
 		await closed;
+		clearInterval(timer);
+	}
+
+	/** Destroys all connections, with the requests on them. */
+	closeAll(): void {
+		this.server.closeAllConnections();
 	}
 
 	private addListeners(): void {
@@ -117,6 +142,17 @@
 		});
 	}
 
+	/** Answers that end after the stop began ask their caller to open no more requests on the connection. */
+	private noteResponse(response: ServerResponse): void {
+		this.responses.add(response);
+		response.once('close', () => {
+			this.responses.delete(response);
+		});
+		if (this.isClosing) {
+			response.shouldKeepAlive = false;
+		}
+	}
+
 	private async handle(message: IncomingMessage, response: ServerResponse): Promise<void> {
 		if (!this.sockets.has(message.socket) || message.socket.writableEnded) {
 			// The connection was refused or is being closed: its caller was told so, and nothing more may run.
@@ -127,6 +163,7 @@
 		const startedAt = clock.readMonotonic();
 		this.inFlight += 1;
 		this.noteExchange({message, response});
+		this.noteResponse(response);
 		// A caller that goes away while its answer is written is noticed by `openCallSignal`.
 		response.on('error', () => undefined);
 		let result = 'ok';
