--- a/src/configuration/configuration/index.ts
+++ b/src/configuration/configuration/index.ts
@@ -10,6 +10,8 @@
 /** An organisation after name resolution. */
 export type ResolvedOrganisation = {
 	readonly id: OrganisationId;
+	/** Fleets that declare it; more than one when joined. */
+	readonly fleets?: readonly FleetId[];
 	readonly tokensPerSecond: number;
 	readonly burstTokens: number;
 	readonly weight: number;
@@ -98,9 +100,9 @@
 		return this.organisationsById.get(id);
 	}
 
-	/** Finds a model by the name that callers of `fleet` use, or by its qualified id. */
+	/** Finds a model by the name that callers of `fleet` use, by `fleet/name` or by its id. */
 	findModel(name: string, fleet: FleetId): ResolvedModel | undefined {
-		return this.modelsByFleetName.get(`${fleet}\n${name}`) ?? this.modelsById.get(name as ModelId);
+		return this.modelsByFleetName.get(`${fleet}/${name}`) ?? this.modelsByFleetName.get(name) ?? this.modelsById.get(name as ModelId);
 	}
 
 	/** Lists the models that callers of `fleet` can name. */
@@ -108,9 +110,14 @@
 		return this.data.models.filter(model => model.fleets.includes(fleet));
 	}
 
-	/** Finds the service route with the longest prefix of `path`. With a fleet, only routes of that fleet count. */
+	/**
+	 * Finds the service route with the longest prefix of `path`: among the routes of the key's fleet,
+	 * then among open routes. Without a fleet a keyed route is found last, so that the caller learns that a key is missing.
+	 */
 	findServiceRoute(path: string, fleet?: FleetId): ResolvedRoute | undefined {
-		return this.serviceRoutes.find(route => matchesPrefix(path, route.pathPrefix ?? '') && (fleet === undefined || route.fleets.includes(fleet)));
+		const matching = this.serviceRoutes.filter(route => matchesPrefix(path, route.pathPrefix ?? ''));
+		const own = fleet === undefined ? undefined : matching.find(route => route.fleets.includes(fleet));
+		return own ?? matching.find(route => route.access === 'open') ?? (fleet === undefined ? matching[0] : undefined);
 	}
 
 	/** Finds the route that opens `model` to callers without a key. */
@@ -133,7 +140,7 @@
 	const byFleetName = new Map<string, ResolvedModel>();
 	for (const model of models) {
 		for (const fleet of model.fleets) {
-			byFleetName.set(`${fleet}\n${model.name}`, model);
+			byFleetName.set(`${fleet}/${model.name}`, model);
 		}
 	}
 
--- a/src/configuration/resolve-configuration/test.ts
+++ b/src/configuration/resolve-configuration/test.ts
@@ -53,10 +53,16 @@
 	});
 
 	test('a join is agreed after resolution, so that a route cannot join while its service is kept apart', () => {
-		const worker = createTarget({type: 'service', service: 'orders', models: [], name: 'orders-0'});
+		const worker = createTarget({
+			type: 'service', service: 'orders', models: [], name: 'orders-0',
+		});
 		const resources = [
-			worker, {...worker, fleet: 'ceara', name: 'orders-9'}, createRoute(), createRoute({fleet: 'ceara'}),
-			createPolicy({appliesTo: 'Route', name: 'orders'}), createPolicy({appliesTo: 'Service', name: 'orders', mode: 'keepApart'}),
+			worker,
+			{...worker, fleet: 'ceara', name: 'orders-9'},
+			createRoute(),
+			createRoute({fleet: 'ceara'}),
+			createPolicy({appliesTo: 'Route', name: 'orders'}),
+			createPolicy({appliesTo: 'Service', name: 'orders', mode: 'keepApart'}),
 		];
 		expect(refuse(resources)).toMatchRegex(/routes\/ceara\.orders: service: .*"almaty\/orders" in almaty and "ceara\/orders" in ceara/u);
 	});
@@ -107,7 +113,10 @@
 
 	test('kept-apart organisations keep their keys apart', () => {
 		const resources = [
-			createOrganisation(), createOrganisation({fleet: 'ceara'}), createPolicy({mode: 'keepApart'}), createKey(),
+			createOrganisation(),
+			createOrganisation({fleet: 'ceara'}),
+			createPolicy({mode: 'keepApart'}),
+			createKey(),
 			createKey({fleet: 'ceara', sha256: hashKey('other')}),
 		];
 		const configuration = new Configuration(1 as Revision, resolveConfiguration(resources));
