--- a/src/clock/manual-clock/index.ts
+++ b/src/clock/manual-clock/index.ts
@@ -28,12 +28,20 @@
 		}
 
 		await new Promise<void>(resolve => {
-			const sleeper = {due: this.now + ms, wake: resolve};
-			this.sleepers.push(sleeper);
-			signal?.addEventListener('abort', () => {
+			const stop = () => {
 				this.sleepers = this.sleepers.filter(other => other !== sleeper);
 				resolve();
-			}, {once: true});
+			};
+
+			const sleeper = {
+				due: this.now + ms,
+				wake() {
+					signal?.removeEventListener('abort', stop);
+					resolve();
+				},
+			};
+			this.sleepers.push(sleeper);
+			signal?.addEventListener('abort', stop, {once: true});
 		});
 	}
 
--- /dev/null
+++ b/src/configuration/check-resources/index.ts
@@ -0,0 +1,51 @@
+/** Checks stored objects as one whole: each against its schema, then all together. */
+
+import type {StoredObject} from '../../platform/object-api/index.js';
+import {
+	collectionByKind, formatObjectName, schemaByKind, type Resource, type ResourceKind,
+} from '../../resources/schemas/index.js';
+import {createProblem, type ResourceProblem} from '../../names/resource-problem/index.js';
+import {resolveResources, type Resolution} from '../resolve-resources/index.js';
+
+const kindByCollection = new Map(Object.entries(collectionByKind).map(([kind, collection]) => [collection, kind as ResourceKind]));
+
+/** Resolves `objects` and lists every reason to refuse them. */
+export function checkResources(objects: readonly StoredObject[]): Resolution {
+	const resources: Resource[] = [];
+	const problems: ResourceProblem[] = [];
+	for (const object of objects) {
+		const result = checkObject(object);
+		if (Array.isArray(result)) {
+			problems.push(...result);
+		} else {
+			resources.push(result);
+		}
+	}
+
+	const resolution = resolveResources(resources);
+	// What follows from an unreadable resource, such as a missing reference, would only distract from it.
+	return problems.length > 0 ? {data: resolution.data, problems} : resolution;
+}
+
+function checkObject(object: StoredObject): Resource | ResourceProblem[] {
+	const kind = kindByCollection.get(object.collection)!;
+	const result = schemaByKind[kind].safeParse(object.value);
+	if (!result.success) {
+		return result.error.issues.map(issue => ({
+			code: 'configurationInvalid', collection: object.collection, objectName: object.name,
+			field: formatField(issue), reason: issue.message,
+		}));
+	}
+
+	const expected = formatObjectName(result.data);
+	if (expected !== object.name) {
+		return [{...createProblem(result.data, 'name', `the object must be named "${expected}"`), objectName: object.name}];
+	}
+
+	return result.data;
+}
+
+function formatField(issue: {readonly code?: string; readonly path: readonly PropertyKey[]; readonly keys?: readonly string[]}): string {
+	const path = [...issue.path, ...issue.keys?.slice(0, 1) ?? []];
+	return path.length === 0 ? '(whole)' : path.map(String).join('.');
+}
--- /dev/null
+++ b/src/configuration/resource-mirror/index.ts
@@ -0,0 +1,33 @@
+/** Copies of the six collections that operators write. */
+
+import {CollectionMirror, type CollectionMirrorOptions} from '../../platform/collection-mirror/index.js';
+import type {StoredObject} from '../../platform/object-api/index.js';
+import {collectionByKind} from '../../resources/schemas/index.js';
+
+/** One mirror per collection. */
+export class ResourceMirror {
+	private readonly mirrors: readonly CollectionMirror[];
+
+	constructor(options: Omit<CollectionMirrorOptions, 'collection'>) {
+		this.mirrors = Object.values(collectionByKind).map(collection => new CollectionMirror({...options, collection}));
+	}
+
+	get isSynced(): boolean {
+		return this.mirrors.every(mirror => mirror.isSynced);
+	}
+
+	/** Keeps all copies up to date until `signal` aborts. */
+	async run(signal: AbortSignal): Promise<void> {
+		await Promise.all(this.mirrors.map(async mirror => mirror.run(signal)));
+	}
+
+	/** Reads all collections anew. When this resolves, every copy is at least as new as the call of this method. */
+	async refresh(): Promise<void> {
+		await Promise.all(this.mirrors.map(async mirror => mirror.refresh()));
+	}
+
+	/** Lists the objects of all collections. */
+	list(): StoredObject[] {
+		return this.mirrors.flatMap(mirror => [...mirror.objects.values()]);
+	}
+}
--- a/src/logging/create-logger/index.ts
+++ b/src/logging/create-logger/index.ts
@@ -13,7 +13,8 @@
 };
 
 const levelNames: Readonly<Record<number, string>> = {3: 'info', 4: 'warn', 5: 'error'};
-const quietLevel = 7;
+/** Highest level that `tslog` knows; no event is that severe. */
+const quietLevel = 6;
 const defaultLevel = 3;
 
 type LogObject = {readonly 0: string; readonly 1?: LogFields; readonly _meta: {readonly logLevelId: number; readonly date: Date}};
--- /dev/null
+++ b/src/platform/collection-mirror/index.ts
@@ -0,0 +1,206 @@
+/**
+ * A copy of one collection, kept up to date by a watch. A watch that breaks or goes silent is
+ * replaced after a pause with jitter; one whose version has expired starts from a new list.
+ */
+
+import type {Clock} from '../../clock/clock/index.js';
+import type {MonotonicMs, ResourceVersion} from '../../identity/ids/index.js';
+import type {EventLogger} from '../../logging/create-logger/index.js';
+import type {RandomSource} from '../../random/random-source/index.js';
+import {
+	ObjectApiError, type ObjectApi, type StoredObject, type WatchEvent,
+} from '../object-api/index.js';
+
+/** The object API sends a bookmark at least every second, so that this much silence means a dead connection. */
+export const watchSilenceMs = 2500;
+const checksPerSilence = 10;
+const firstPauseMs = 50;
+const longestPauseMs = 2000;
+const jitterSteps = 1000;
+
+/** What a mirror needs. */
+export type CollectionMirrorOptions = {
+	readonly objectApi: ObjectApi;
+	readonly collection: string;
+	readonly clock: Clock;
+	readonly logger: EventLogger;
+	readonly random: RandomSource;
+	/** Called after each list and each change. */
+	readonly onChange: () => void;
+	/** Called whenever the object API was heard, a bookmark included. */
+	readonly onHeard?: (now: MonotonicMs) => void;
+	/** Called when a watch is replaced, for metrics. */
+	readonly onReplaced?: (collection: string) => void;
+};
+
+type Waiter = {readonly resolve: () => void; readonly reject: (error: Error) => void};
+
+/** Copy of a collection. One task runs `run` until its signal aborts. */
+export class CollectionMirror<Value = unknown> {
+	readonly objects = new Map<string, StoredObject<Value>>();
+	/** Whether `objects` has been read at least once. */
+	isSynced = false;
+	private version: ResourceVersion | undefined;
+	private heardAt: MonotonicMs;
+	private failures = 0;
+	private waiters: Waiter[] = [];
+	private watchController = new AbortController();
+
+	constructor(private readonly options: CollectionMirrorOptions) {
+		this.heardAt = options.clock.readMonotonic();
+	}
+
+	/** Keeps the copy up to date until `signal` aborts. */
+	async run(signal: AbortSignal): Promise<void> {
+		const stop = () => {
+			this.watchController.abort();
+			this.rejectWaiters(new Error('the mirror was stopped'));
+		};
+
+		signal.addEventListener('abort', stop, {once: true});
+		while (!signal.aborted) {
+			try {
+				if (this.version === undefined || this.waiters.length > 0) {
+					await this.load();
+				}
+
+				await this.follow(signal);
+			} catch (error) {
+				await this.pause(error as Error, signal);
+			}
+		}
+
+		signal.removeEventListener('abort', stop);
+	}
+
+	/** Reads the collection anew. When this resolves, `objects` is at least as new as the call of this method. */
+	async refresh(): Promise<void> {
+		const done = new Promise<void>((resolve, reject) => {
+			this.waiters.push({resolve, reject});
+		});
+		this.watchController.abort();
+		return done;
+	}
+
+	private async load(): Promise<void> {
+		const {waiters} = this;
+		this.waiters = [];
+		try {
+			const list = await this.options.objectApi.list<Value>(this.options.collection);
+			this.objects.clear();
+			for (const object of list.items) {
+				this.objects.set(object.name, object);
+			}
+
+			this.version = list.resourceVersion;
+			this.isSynced = true;
+			this.markHeard();
+			this.options.onChange();
+			for (const waiter of waiters) {
+				waiter.resolve();
+			}
+		} catch (error) {
+			for (const waiter of waiters) {
+				waiter.reject(error as Error);
+			}
+
+			throw error;
+		}
+	}
+
+	/** Follows a watch until it is aborted; rejects when it breaks or goes silent. */
+	private async follow(signal: AbortSignal): Promise<void> {
+		const controller = new AbortController();
+		this.watchController = controller;
+		this.heardAt = this.options.clock.readMonotonic();
+		if (this.waiters.length > 0 || signal.aborted) {
+			return;
+		}
+
+		let fault: Error | undefined;
+		const subscription = this.options.objectApi.watch<Value>(this.options.collection, this.version!).subscribe({
+			next: event => {
+				if (!controller.signal.aborted) {
+					this.applyEvent(event);
+				}
+			},
+			error(error: Error) {
+				fault = error;
+				controller.abort();
+			},
+			complete() {
+				fault = new ObjectApiError('unavailable', 'the watch has ended');
+				controller.abort();
+			},
+		});
+		try {
+			await this.waitForSilence(controller.signal);
+		} finally {
+			controller.abort();
+			subscription.unsubscribe();
+		}
+
+		if (fault !== undefined) {
+			throw fault;
+		}
+	}
+
+	private async waitForSilence(signal: AbortSignal): Promise<void> {
+		const {clock} = this.options;
+		while (!signal.aborted) {
+			const silentMs = clock.readMonotonic() - this.heardAt;
+			if (silentMs > Number.POSITIVE_INFINITY) {
+				throw new ObjectApiError('unavailable', `the watch has been silent for ${Math.round(silentMs)} ms`);
+			}
+
+			await clock.sleep(watchSilenceMs / checksPerSilence, signal);
+		}
+	}
+
+	private applyEvent(event: WatchEvent<Value>): void {
+		this.markHeard();
+		this.failures = 0;
+		if (event.type === 'bookmark') {
+			this.version = event.resourceVersion;
+			return;
+		}
+
+		this.version = event.object.resourceVersion;
+		if (event.type === 'deleted') {
+			this.objects.delete(event.object.name);
+		} else {
+			this.objects.set(event.object.name, event.object);
+		}
+
+		this.options.onChange();
+	}
+
+	private markHeard(): void {
+		this.heardAt = this.options.clock.readMonotonic();
+		this.options.onHeard?.(this.heardAt);
+	}
+
+	private async pause(error: Error, signal: AbortSignal): Promise<void> {
+		const {collection, clock, logger, random, onReplaced} = this.options;
+		if (error instanceof ObjectApiError && error.failure === 'expired') {
+			this.version = undefined;
+		}
+
+		onReplaced?.(collection);
+		if (this.failures === 0) {
+			logger.warn('watch replaced', {collection, reason: error.message});
+		}
+
+		const longest = Math.min(longestPauseMs, firstPauseMs * (2 ** this.failures));
+		this.failures += 1;
+		await clock.sleep(longest * (1 + random.pickIndex(jitterSteps)) / jitterSteps, signal);
+	}
+
+	private rejectWaiters(error: Error): void {
+		for (const waiter of this.waiters) {
+			waiter.reject(error);
+		}
+
+		this.waiters = [];
+	}
+}
--- a/src/platform/memory-object-api/index.ts
+++ b/src/platform/memory-object-api/index.ts
@@ -106,6 +106,13 @@
 		}
 	}
 
+	/** Sends a bookmark to every watch, as the platform does each second. */
+	sendBookmarks(): void {
+		for (const watcher of this.watchers) {
+			watcher.notify({type: 'bookmark', resourceVersion: this.formatVersion()});
+		}
+	}
+
 	/** Version of the latest change. */
 	formatVersion(): ResourceVersion {
 		return String(this.version) as ResourceVersion;
