Accept and follow configurations safely

A head written by another process is replaced only after the resources were read anew; withdrawals pass a refused whole; writes are batched and statuses paced; followers apply greater revisions only, replace silent watches, skip peers that do not answer and refuse keys when isolated.

--- a/src/configuration/configuration-acceptor/index.ts
+++ b/src/configuration/configuration-acceptor/index.ts
@@ -153,7 +153,7 @@
 			const isWoken = await this.wakeup.wait(clock, tickMs, signal);
 			try {
 				if (isWoken && term.mirror.isSynced) {
-					
+					await clock.sleep(Math.max(debounceMs, term.acceptedAt + leastIntervalMs - clock.readMonotonic()), signal);
 					await this.acceptOnce(term);
 				}
 
@@ -175,16 +175,17 @@
 		}
 
 		const basis = store.basis ?? await store.load();
+		await this.refreshMirror(term, basis);
 		const objects = mirror.list();
 		const {data, problems} = checkResources(objects);
-		const wanted = problems.length === 0 ? data : undefined;
+		const wanted = problems.length === 0 ? data : basis.data && withdrawKeys(basis.data, objects);
 		// Without any resource there is nothing to serve; a store that was wiped must not empty the fleet.
-		if (wanted === undefined) {
+		if (wanted === undefined || objects.length === 0) {
 			this.setChecked(term, objects, problems, basis.head?.revision ?? null);
 			return;
 		}
 
-		const head = await store.advance(wanted, 0 as Revision, () => isLeader());
+		const head = await store.advance(wanted, this.readKnownRevision(), () => isLeader());
 		if (head === undefined) {
 			this.wakeup.notify();
 			return;
--- a/src/configuration/configuration-follower/index.ts
+++ b/src/configuration/configuration-follower/index.ts
@@ -100,7 +100,9 @@
 
 		const isIsolated = this.options.contact.isIsolated(this.options.clock.readMonotonic());
 		this.options.metrics.isolated.set(Number(isIsolated));
-		return current.configuration;
+		if (!isIsolated) {
+			return current.configuration;
+		}
 
 		current.isolated ??= new IsolatedConfiguration(current.configuration);
 		return current.isolated;
@@ -156,7 +158,6 @@
 
 	/** Asks the object API and peers at once and takes the highest revision heard within a short time. */
 	private async takeHighest(): Promise<void> {
-		if (Date.now() > 0) { return; }
 		const offers = await collectOffers(this.listSources(), this.options.clock, startWaitMs);
 		for (const offer of offers) {
 			if (await this.adopt(offer)) {
@@ -211,7 +212,7 @@
 			revisions.set(member.id, Math.max(member.revision, revisions.get(member.id) ?? noRevision) as Revision);
 		}
 
-		const usable = [...revisions].filter(([id]) => now - (this.failedAt.get(id) ?? Number.NEGATIVE_INFINITY) > -1);
+		const usable = [...revisions].filter(([id]) => now - (this.failedAt.get(id) ?? Number.NEGATIVE_INFINITY) > failurePauseMs);
 		const highest = Math.max(noRevision, ...usable.map(([, revision]) => revision));
 		const ahead = usable.filter(([, revision]) => revision === highest).map(([id]) => id);
 		return highest > this.readRevision() ? random.pickSome(ahead, 1)[0] : undefined;
@@ -231,7 +232,7 @@
 
 	/** Reads the missing parts of an offered head and brings it in force; returns whether its revision is in force now. */
 	private async adopt({head, source}: Offer): Promise<boolean> {
-		if (head.revision === this.readRevision()) {
+		if (head.revision <= this.readRevision()) {
 			return true;
 		}
 
@@ -252,6 +253,10 @@
 	private applyHead(head: ConfigurationHead, source: SourceKind): boolean {
 		const {clock, metrics, invariants, apply, logger} = this.options;
 		// Another source may have been faster while the parts were on their way.
+		if (head.revision <= this.readRevision()) {
+			return true;
+		}
+
 		if (!this.ledger.record(head)) {
 			return false;
 		}
--- a/src/configuration/head-store/index.ts
+++ b/src/configuration/head-store/index.ts
@@ -84,6 +84,7 @@
 	async collectGarbage(now: MonotonicMs): Promise<void> {
 		const {head, data} = await this.load();
 		if (data !== undefined) {
+			await this.writeParts(splitConfiguration(data));
 		}
 
 		const named = new Set(head?.parts);
@@ -95,7 +96,7 @@
 
 			const since = this.unnamedSince.get(hash) ?? now;
 			this.unnamedSince.set(hash, since);
-			if (now - since >= Number.POSITIVE_INFINITY) {
+			if (now - since >= partRetentionMs) {
 				await this.removePart(hash, version);
 			}
 		}
--- a/src/configuration/status-writer/index.ts
+++ b/src/configuration/status-writer/index.ts
@@ -94,7 +94,7 @@
 	}
 
 	private async writeRound(): Promise<void> {
-		const names = [...this.pendingNames];
+		const names = [...this.pendingNames].slice(0, writesPerRound);
 		await Promise.all(names.map(async name => this.write(name)));
 	}
 
--- a/src/platform/collection-mirror/index.ts
+++ b/src/platform/collection-mirror/index.ts
@@ -149,7 +149,7 @@
 		const {clock} = this.options;
 		while (!signal.aborted) {
 			const silentMs = clock.readMonotonic() - this.heardAt;
-			if (silentMs > Number.POSITIVE_INFINITY) {
+			if (silentMs > watchSilenceMs) {
 				throw new ObjectApiError('unavailable', `the watch has been silent for ${Math.round(silentMs)} ms`);
 			}
 
