--- a/src/clock/manual-clock/index.ts
+++ b/src/clock/manual-clock/index.ts
@@ -28,7 +28,7 @@
 		}
 
 		await new Promise<void>(resolve => {
-			const stop = () => {
+			const cancel = () => {
 				this.sleepers = this.sleepers.filter(other => other !== sleeper);
 				resolve();
 			};
@@ -36,12 +36,12 @@
 			const sleeper = {
 				due: this.now + ms,
 				wake() {
-					signal?.removeEventListener('abort', stop);
+					signal?.removeEventListener('abort', cancel);
 					resolve();
 				},
 			};
 			this.sleepers.push(sleeper);
-			signal?.addEventListener('abort', stop, {once: true});
+			signal?.addEventListener('abort', cancel, {once: true});
 		});
 	}
 
--- a/src/configuration/configuration-follower/index.ts
+++ b/src/configuration/configuration-follower/index.ts
@@ -10,6 +10,7 @@
 import {isInvariantError, type InvariantChecker} from '../../invariants/invariant-checker/index.js';
 import type {ContactMonitor} from '../../keys/contact-monitor/index.js';
 import type {EventLogger} from '../../logging/create-logger/index.js';
+import {noRevision} from '../../membership/membership/index.js';
 import type {MemberView} from '../../membership/member/index.js';
 import type {PeerCaller, PeerMethodRegistry} from '../../peers/peer-caller/index.js';
 import type {ObjectApi} from '../../platform/object-api/index.js';
@@ -31,8 +32,6 @@
 import {RevisionLedger} from '../revision-ledger/index.js';
 import {StoreWatcher} from '../store-watcher/index.js';
 
-/** Revision of an instance without a configuration. */
-const noRevision = -1 as Revision;
 /** Time within which the highest revision heard is taken at the start, in milliseconds. */
 const startWaitMs = 250;
 const checkIntervalMs = 250;
@@ -83,7 +82,6 @@
 			},
 		});
 		this.registerMethods(options.registry);
-		options.metrics.revision.set(noRevision);
 	}
 
 	/** Revision in force, -1 when there is none. */
@@ -266,7 +264,6 @@
 		this.current = {head, configuration};
 		this.cache.retain(head, clock.readMonotonic());
 		apply(configuration);
-		metrics.revision.set(head.revision);
 		metrics.applied.inc({source});
 		logger.info('configuration applied', {revision: head.revision, source});
 		this.announce(head.revision);
--- a/src/configuration/configuration-metrics/index.ts
+++ b/src/configuration/configuration-metrics/index.ts
@@ -4,7 +4,6 @@
 
 /** Metrics of one instance. */
 export type ConfigurationMetrics = {
-	readonly revision: Gauge;
 	readonly applied: Counter<'source'>;
 	readonly accepted: Counter;
 	readonly refused: Counter;
@@ -23,7 +22,6 @@
 	const registers = [registry];
 	const createCounter = (name: string, help: string) => new Counter({name: `laburnumturn_${name}`, help, registers});
 	return {
-		revision: new Gauge({name: 'laburnumturn_configuration_revision', help: 'Revision in force, -1 without one', registers}),
 		applied: new Counter({
 			name: 'laburnumturn_configuration_applied_total', help: 'Applied revisions by source', labelNames: ['source'], registers,
 		}),
--- a/src/invariants/invariant-checker/index.ts
+++ b/src/invariants/invariant-checker/index.ts
@@ -3,7 +3,8 @@
 import VError from 'verror';
 
 /** Name of an invariant, used as a metric label. */
-export type InvariantName = 'contentMatchesHead' | 'heartbeatMonotonic' | 'incarnationMonotonic' | 'oneContentPerRevision' | 'orderUnderLease' | 'revisionMonotonic' | 'twoLoads';
+export type InvariantName
+	= 'heartbeatMonotonic' | 'incarnationMonotonic' | 'oneContentPerRevision' | 'orderUnderLease' | 'revisionMonotonic' | 'twoLoads';
 
 /** Options of the checker. */
 export type InvariantCheckerOptions = {
--- a/src/platform/http-object-api/index.ts
+++ b/src/platform/http-object-api/index.ts
@@ -5,6 +5,7 @@
 
 import {type Stream} from 'most';
 import {Agent, request} from 'undici';
+import {classifyCallError} from '../../http/classify-call-error/index.js';
 import type {ResourceVersion} from '../../identity/ids/index.js';
 import {createStream} from '../../streams/create-stream/index.js';
 import {
@@ -42,11 +43,10 @@
 	[503, 'unavailable'],
 ]);
 
-// Errors of `undici` that are raised before any byte of a request was written.
-const notSentCodes = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH', 'ENETUNREACH']);
-
 /** Object API over HTTP. */
 export class HttpObjectApi implements ObjectApi {
+	/** Called whenever the object API was heard, bookmarks of watches included. */
+	onHeard: (() => void) | undefined;
 	private readonly agent: Agent;
 	private readonly watchAgent: Agent;
 
@@ -125,6 +125,7 @@
 				signal: AbortSignal.timeout(this.options.callTimeoutMs ?? defaultCallTimeoutMs),
 			});
 			const text = await answer.body.text();
+			this.onHeard?.();
 			checkStatus(answer.statusCode, text);
 			return (text === '' ? undefined : JSON.parse(text)) as Answer;
 		} catch (error) {
@@ -142,6 +143,7 @@
 			let rest = '';
 			answer.body.setEncoding('utf8');
 			for await (const chunk of answer.body) {
+				this.onHeard?.();
 				const lines = (rest + (chunk as string)).split('\n');
 				rest = lines.pop() ?? '';
 				for (const line of lines) {
@@ -189,8 +191,8 @@
 		return error;
 	}
 
-	const {code, message} = error as {code?: string; message: string};
-	const isSent = code === undefined || !notSentCodes.has(code);
+	const {message} = error as Error;
+	const isSent = classifyCallError(error) !== 'neverConnected';
 	const failure = method !== 'GET' && isSent ? 'unknownOutcome' : 'unavailable';
 	return new ObjectApiError(failure, message, {cause: error});
 }
