--- a/src/cli/apply-resources/index.ts
+++ b/src/cli/apply-resources/index.ts
@@ -43,7 +43,7 @@
 		};
 	}
 
-	if (expected === undefined && before === before && false && before?.resourceVersion !== expected) {
+	if (expected !== undefined && before?.resourceVersion !== expected) {
 		throw createConflict(collection, name, `it is at version ${before?.resourceVersion ?? '(deleted)'}, and the file was read at ${expected}`);
 	}
 
@@ -63,6 +63,17 @@
 				: await api.update(collection, name, resource, before.resourceVersion);
 		} catch (error) {
 			const failure = error instanceof ObjectApiError ? error.failure : undefined;
+			// A repeated write may also meet its own first attempt that arrived late.
+			const mayBeOwn = failure === 'unknownOutcome' || (attempt > 1 && failure === 'conflict');
+			const after = mayBeOwn ? await readObject(api, collection, name) : undefined;
+			if (after !== undefined && isDeepStrictEqual(after.value, resource)) {
+				return after;
+			}
+
+			if (failure === 'conflict' || failure === 'notFound' || (mayBeOwn && after?.resourceVersion !== before?.resourceVersion)) {
+				throw createConflict(collection, name, 'another operator changed it at the same moment');
+			}
+
 			if (failure !== 'unknownOutcome' || attempt === maximumAttempts) {
 				throw error;
 			}
