--- a/src/cli/cli-error/test.ts
+++ b/src/cli/cli-error/test.ts
@@ -3,8 +3,8 @@
 import type {AddressInfo} from 'node:net';
 import process from 'node:process';
 import {describe, test} from 'node:test';
-import {expect} from 'earl';
 import {fileURLToPath} from 'node:url';
+import {expect} from 'earl';
 import {MemoryObjectApi} from '../../platform/memory-object-api/index.js';
 import {locateProgram} from '../../process/start-process/index.js';
 import {createObjectApiServer} from '../../standin/object-api-server/index.js';
@@ -48,8 +48,8 @@
 			runProgram('frobnicate'),
 		]);
 		expect(ended.map(({code}) => code)).toEqual([3, 0, 0, 4, 2, 3, 0, 6, 2, 5, 1]);
-		expect(ended[2]!.output).toMatchRegex(/almaty\.second +\d+ +organisation=studio sha256=[\da-f]{64} state=/u);
-		expect(ended[8]!.errors).toMatchRegex(/models\/almaty\.assistant: name: Model "assistant" is used by the fleets almaty and ceara/u);
+		expect(ended[2].output).toMatchRegex(/almaty\.second +\d+ +organisation=studio sha256=[\da-f]{64} state=/u);
+		expect(ended[8].errors).toMatchRegex(/models\/almaty\.assistant: name: Model "assistant" is used by the fleets almaty and ceara/u);
 		server.closeAllConnections();
 		server.close();
 	});
