--- a/src/platform/http-object-api/index.ts
+++ b/src/platform/http-object-api/index.ts
@@ -45,6 +45,8 @@
 
 /** Object API over HTTP. */
 export class HttpObjectApi implements ObjectApi {
+	/** Called whenever the object API was heard, bookmarks of watches included. */
+	onHeard: (() => void) | undefined;
 	private readonly agent: Agent;
 	private readonly watchAgent: Agent;
 
@@ -123,6 +125,7 @@
 				signal: AbortSignal.timeout(this.options.callTimeoutMs ?? defaultCallTimeoutMs),
 			});
 			const text = await answer.body.text();
+			this.onHeard?.();
 			checkStatus(answer.statusCode, text);
 			return (text === '' ? undefined : JSON.parse(text)) as Answer;
 		} catch (error) {
@@ -140,6 +143,7 @@
 			let rest = '';
 			answer.body.setEncoding('utf8');
 			for await (const chunk of answer.body) {
+				this.onHeard?.();
 				const lines = (rest + (chunk as string)).split('\n');
 				rest = lines.pop() ?? '';
 				for (const line of lines) {
