--- a/src/requests/send-completion/test.ts
+++ b/src/requests/send-completion/test.ts
@@ -170,6 +170,23 @@
 	}
 });
 
+test('guards against a retry under a key that was withdrawn meanwhile, and against "not run" for the attempt before', async () => {
+	const fleet = await new LocalFleet({engines: 1}).start();
+	try {
+		const [engine] = fleet.engines;
+		engine!.faults.resetsAfterRun = 1;
+		engine!.server.on('request', message => {
+			if (message.method === 'POST') {
+				fleet.withdrawKey();
+			}
+		});
+		const outcome = await callCompletion({address: fleet.address, secret: localSecret, prompt});
+		expect({type: outcome.error?.type, notRun: outcome.error?.not_run, runs: countRuns(fleet)}).toEqual({type: 'outcomeUnknown', notRun: undefined, runs: 1});
+	} finally {
+		await fleet.stop();
+	}
+});
+
 test('guards against generation that goes on after the caller has gone', async () => {
 	const fleet = await new LocalFleet({engines: 1, speed: {decodeMsPerToken: 5}}).start();
 	try {
--- a/src/standin/local-fleet/test.ts
+++ b/src/standin/local-fleet/test.ts
@@ -25,7 +25,7 @@
 	{
 		weight: 3, arbitrary: fc.record({
 			kind: fc.constant('completion' as const), isStreamed: fc.boolean(), isChat: fc.boolean(), model: fc.constantFrom('assistant', 'fixed'),
-			disconnectAfterChunks: fc.option(fc.integer({min: 1, max: 3}), {nil: undefined, freq: 6}),
+			disconnectAfterChunks: fc.constantFrom(undefined, undefined, undefined, undefined, 1, 3),
 		}),
 	},
 	{
