--- a/src/requests/serve-service/test.ts
+++ b/src/requests/serve-service/test.ts
@@ -112,6 +112,20 @@
 	});
 });
 
+test('guards against "not run" for a body of which a part was written, and against a hang', async () => {
+	await runWithFleet(async (fleet, call) => {
+		const [first, second] = fleet.services;
+		Object.assign(second!, {faults: first!.faults});
+		for (let index = 0; index < 5; index += 1) {
+			first!.faults.earlyAnswers = 1;
+			const {status, error} = await call({body: Buffer.alloc(7_000_000, 'x')});
+			// The early answer may be lost to the reset that follows it.
+			expect([413, 502].includes(status)).toEqual(true);
+			expect({notRun: error?.not_run, runs: countRuns(fleet)}).toEqual({notRun: undefined, runs: 0});
+		}
+	});
+});
+
 test('guards against a call that fails although only one of two workers is down', async () => {
 	await runWithFleet(async (fleet, call) => {
 		fleet.services[0]!.server.close();
--- a/src/standin/local-fleet/test.ts
+++ b/src/standin/local-fleet/test.ts
@@ -1,7 +1,9 @@
 import {test} from 'node:test';
+import type {AddressInfo} from 'node:net';
 import process from 'node:process';
 import {expect} from 'earl';
 import fc from 'fast-check';
+import {request} from 'undici';
 import VError from 'verror';
 import {callCompletion, type CompletionOutcome} from '../call-completion/index.js';
 import {callService} from '../call-service/index.js';
@@ -127,6 +129,21 @@
 	demand(outcome.error?.not_run !== true || hasKey || count === 0, '"not run" is true', detail);
 }
 
+test('guards against faults that cannot be switched on by request', async () => {
+	const fleet = await new LocalFleet({engines: 1, services: 1}).start();
+	try {
+		for (const [server, fault] of [[fleet.engines[0]!.server, 'refusals'], [fleet.services[0]!.server, 'lostAnswers']] as const) {
+			const {port} = server.address() as AddressInfo;
+			const answer = await request(`http://127.0.0.1:${port}/faults`, {method: 'POST', body: JSON.stringify({[fault]: 2})});
+			expect((await answer.body.json() as Record<string, number>)[fault]).toEqual(2);
+		}
+
+		expect([fleet.engines[0]!.faults.refusals, fleet.services[0]!.faults.lostAnswers]).toEqual([2, 2]);
+	} finally {
+		await fleet.stop();
+	}
+});
+
 test('guards against lost, foreign, mixed or repeated answers under random faults', async t => {
 	const property = fc.asyncProperty(fc.array(stepArbitrary, {minLength: 2, maxLength: 5}), async steps => {
 		const fleet = await new LocalFleet({silenceMs: 100}).start();
