--- a/src/daemon/create-request-path/index.ts
+++ b/src/daemon/create-request-path/index.ts
@@ -1,6 +1,5 @@
 /** Builds what the request path needs from the parts of the daemon. */
 
-import {Registry} from 'prom-client';
 import {StaticBudgetGate} from '../../budget/static-budget-gate/index.js';
 import type {Configuration} from '../../configuration/configuration/index.js';
 import {chooseAddresses} from '../../membership/choose-addresses/index.js';
@@ -19,7 +18,7 @@
 /** Creates the context of the request path and registers its parts. */
 export function createRequestPath(core: DaemonCore, targets: TargetDirectory, readConfiguration: () => Configuration): RouterContext {
 	const {settings, clock, logger, objectApi, invariants, parts} = core;
-	const metrics = new RequestMetrics({registry: new Registry(), invariants});
+	const metrics = new RequestMetrics({registry: core.metrics.registry, invariants});
 	const idempotency = new IdempotencyRecords({objectApi, clock, metrics});
 	const serviceConnections = createServiceConnections();
 	const controller = new AbortController();
