Expect the incarnation that the placement relied on

The expected incarnation was read after the wait for the slot, when a restart might already be known: the request then expected the new incarnation although it had been placed by the old one's cache. The slot now carries it; the new test fails with the value read from the engine's state at that moment ('life-1' instead of 'life-0').

--- a/src/bench/run-bench/index.ts
+++ b/src/bench/run-bench/index.ts
@@ -21,15 +21,22 @@
 
 type FleetSize = {readonly name: string; readonly engines: number; readonly instances: number};
 type Strategy = {readonly name: string; readonly strategy: FleetOptions['strategy']; readonly hashedPieces: number; readonly engineBacklogMs: number};
-type Plan = {readonly fleets: readonly FleetSize[]; readonly strategies: readonly Strategy[]; readonly durationMs: number; readonly repeats: number};
+type Plan = {
+	readonly fleets: readonly FleetSize[];
+	readonly strategies: readonly Strategy[];
+	readonly durationMs: number;
+	readonly repeats: number;
+	/** Requests per second and engine while nobody floods. */
+	readonly requestsPerEngine: number;
+};
 
 const cacheBlocks = 120;
 const prefillTokensPerMs = 100;
 const decodeMsPerToken = 4;
 const slots = 16;
 const eventLoss = 0.002;
-/** Requests per second and engine: round robin keeps up outside the flood and falls behind in it. */
-const requestsPerEngine = 5;
+/** Load at which round robin still keeps up, so that the comparison is not one with a growing queue. */
+const usualRequestsPerEngine = 5;
 const flooder = 3;
 const floodFactor = 5;
 const noLimitMs = 600_000;
@@ -55,24 +62,23 @@
 };
 
 const quickPlan: Plan = {
-	fleets: [{name: 'fleet 1 (6 engines, 3 instances)', engines: 6, instances: 3}], strategies, durationMs: 8000, repeats: 1,
+	fleets: [{name: 'fleet 1 (6 engines, 3 instances)', engines: 6, instances: 3}], strategies, durationMs: 8000, repeats: 1, requestsPerEngine: usualRequestsPerEngine,
 };
 
-function createFullPlan(durationMs: number, repeats: number): Plan {
+function createFullPlan(options: Pick<Plan, 'durationMs' | 'repeats' | 'requestsPerEngine'>): Plan {
 	return {
 		fleets: [
 			{name: 'fleet 1 (6 engines, 8 instances)', engines: 6, instances: 8},
 			{name: 'fleet 2 (8 engines, 9 instances)', engines: 8, instances: 9},
 		],
 		strategies: [...strategies, tunedHash],
-		durationMs,
-		repeats,
+		...options,
 	};
 }
 
 function createTraceOptions(plan: Plan, fleet: FleetSize, seed: number): TraceOptions {
 	return {
-		seed, durationMs: plan.durationMs, requestsPerSecond: requestsPerEngine * fleet.engines, flooder, floodFactor,
+		seed, durationMs: plan.durationMs, requestsPerSecond: plan.requestsPerEngine * fleet.engines, flooder, floodFactor,
 	};
 }
 
@@ -129,7 +135,7 @@
 function describeConditions(plan: Plan): string[] {
 	return [
 		`One machine, ${cpus().length} cores shared with other work, load average ${loadavg().map(value => value.toFixed(1)).join(', ')} at the end; times are noisy.`,
-		`Each cell lasts ${plan.durationMs / 1000} s, the first quarter of which fills cold caches and is not measured; ${requestsPerEngine} requests/s an engine, ${plan.repeats} run(s).`,
+		`Each cell lasts ${plan.durationMs / 1000} s, the first quarter of which fills cold caches and is not measured; ${plan.requestsPerEngine} requests/s an engine, ${plan.repeats} run(s).`,
 		`Organisations: ${traceOrganisations.map(({name, share}) => `${name} ${share * 100}%`).join(', ')}; ${traceOrganisations[flooder]!.name} sends ${floodFactor} times its rate from 45% to 75% of the time.`,
 		'Prompts: a system prompt (1 to 6 pieces), a catalogue (4 to 8), a list (3) and a unique end; half of the requests of the two large organisations go to one hot catalogue that changes twice.',
 		`Engines: ${slots} slots, ${prefillTokensPerMs} prompt tokens/ms, ${decodeMsPerToken} ms a generated token, ${cacheBlocks} cached pieces, cache events 100 ms late, ${eventLoss * 100}% of them lost, load reported every 250 ms.`,
@@ -151,10 +157,13 @@
 		seed: option({type: number, long: 'seed', defaultValue: () => 1}),
 		durationMs: option({type: number, long: 'duration-ms', defaultValue: () => 25_000}),
 		repeats: option({type: number, long: 'repeats', defaultValue: () => 2}),
+		requestsPerEngine: option({type: number, long: 'requests-per-engine', defaultValue: () => usualRequestsPerEngine}),
 		directory: option({type: string, long: 'out', defaultValue: () => 'reports'}),
 	},
-	async handler({isQuick, seed, durationMs, repeats, directory}) {
-		const plan = isQuick ? quickPlan : createFullPlan(durationMs, repeats);
+	async handler({
+		isQuick, seed, durationMs, repeats, requestsPerEngine, directory,
+	}) {
+		const plan = isQuick ? quickPlan : createFullPlan({durationMs, repeats, requestsPerEngine});
 		const report = await runPlan(plan, isQuick ? 'quick' : 'full', seed);
 		await writeReport(report, directory);
 		const cells = report.cells.map(({fleet, strategy, repeat, summary}) => ({
--- a/src/fairness/engine-gate/index.ts
+++ b/src/fairness/engine-gate/index.ts
@@ -1,11 +1,13 @@
 /**
- * The way of a request to an engine: candidates with room are placed at once, and when all are full
- * the request waits in the fair queue of its model. A slot counts from the choice to its release.
+ * The way of a request to an engine: it is placed at once while the engine that suits it best has
+ * room, and waits in the fair queue of its model otherwise. A slot counts from the choice to its release.
  */
 
 import type {Clock} from '../../clock/clock/index.js';
 import type {ResolvedModel} from '../../configuration/configuration/index.js';
-import type {BlockKey, OrganisationId, TargetId} from '../../identity/ids/index.js';
+import type {
+	BlockKey, Incarnation, OrganisationId, TargetId,
+} from '../../identity/ids/index.js';
 import {bytesPerToken, pieceBytes} from '../../placement/hash-prompt/index.js';
 import {formatQueryScope, type Placement, type PlacementQuery} from '../../placement/placement/index.js';
 import {createRouterError, type RouterError} from '../../results/create-router-error/index.js';
@@ -48,6 +50,8 @@
 /** An engine that was chosen for one request. */
 export type EngineSlot = {
 	readonly engine: EngineMonitor;
+	/** Incarnation whose cache and load the choice relied on. */
+	readonly incarnation: Incarnation | undefined;
 	/** Notes that the first chunk has arrived. */
 	noteFirstChunk(): void;
 	/** Ends the request's claim on the engine. Later calls have no effect. */
@@ -199,6 +203,7 @@
 		let hasFirstChunk = false;
 		return {
 			engine,
+			incarnation: engine.readState(now)?.incarnation,
 			noteFirstChunk: () => {
 				if (!hasFirstChunk) {
 					hasFirstChunk = true;
--- a/src/fairness/engine-gate/test.ts
+++ b/src/fairness/engine-gate/test.ts
@@ -1,7 +1,9 @@
 import {describe, test} from 'node:test';
 import {expect} from 'earl';
 import {ManualClock} from '../../clock/manual-clock/index.js';
-import {createBlocks, createEngineMonitor, fixtureModel} from '../../fixtures/create-engine-monitor/index.js';
+import {
+	createBlocks, createEngineMonitor, createEngineState, fixtureModel,
+} from '../../fixtures/create-engine-monitor/index.js';
 import type {OrganisationId} from '../../identity/ids/index.js';
 import {LeastLoadedPlacement} from '../../placement/least-loaded-placement/index.js';
 import type {RouterError} from '../../results/create-router-error/index.js';
@@ -67,6 +69,19 @@
 		expect(late.entry.name).toEqual('overloaded');
 	});
 
+	test('guards against a request that expects another incarnation than the one it was placed on', async () => {
+		const clock = new ManualClock();
+		const gate = createGate(clock);
+		const engine = createEngineMonitor(0);
+		const first = await gate.acquire(createDemand([engine]));
+		const second = gate.acquire(createDemand([engine]));
+		first.noteFirstChunk();
+		// The engine's restart becomes known between the choice and the moment the request is sent.
+		engine.applyState(createEngineState('life-1'), clock.readMonotonic());
+		const slot = await second;
+		expect(slot.incarnation as string | undefined).toEqual('life-0');
+	});
+
 	test('guards against a refusal when the only engine left has failed the request before', async () => {
 		const engine = createEngineMonitor(0);
 		const slot = await createGate(new ManualClock()).acquire({...createDemand([engine]), excluded: new Set([engine.target.id])});
--- a/src/requests/send-completion/index.ts
+++ b/src/requests/send-completion/index.ts
@@ -53,7 +53,7 @@
 		...wait,
 		listCandidates: () => listCandidates(context, model),
 	});
-	return {slot, expectedIncarnation: slot.engine.readState(context.clock.readMonotonic())?.incarnation};
+	return {slot, expectedIncarnation: slot.incarnation};
 }
 
 function listCandidates(context: RouterContext, model: ResolvedModel): EngineMonitor[] {
