--- a/src/invariants/invariant-checker/index.ts
+++ b/src/invariants/invariant-checker/index.ts
@@ -2,8 +2,11 @@
 
 import VError from 'verror';
 
+/** Invariants of the request path. */
+export type RequestInvariant = 'contiguousOffsets' | 'oneGeneration' | 'atMostOneAttempt' | 'noSecretInOutgoingBytes';
+
 /** Name of an invariant, used as a metric label. */
-export type InvariantName = 'heartbeatMonotonic' | 'incarnationMonotonic' | 'orderUnderLease' | 'twoLoads';
+export type InvariantName = 'heartbeatMonotonic' | 'incarnationMonotonic' | 'orderUnderLease' | 'twoLoads' | RequestInvariant;
 
 /** Options of the checker. */
 export type InvariantCheckerOptions = {
--- a/src/requests/request-metrics/index.ts
+++ b/src/requests/request-metrics/index.ts
@@ -1,10 +1,7 @@
 /** Counters of the request path, and the invariants that it checks while it runs. */
 
 import {Counter, Histogram, type Registry} from 'prom-client';
-import VError from 'verror';
-
-/** Invariants checked by the program itself. */
-export type RequestInvariant = 'contiguousOffsets' | 'oneGeneration' | 'atMostOneAttempt' | 'noSecretInOutgoingBytes';
+import type {InvariantChecker, RequestInvariant} from '../../invariants/invariant-checker/index.js';
 
 /** Why a chunk was dropped. */
 export type DropReason = 'crossed' | 'duplicated';
@@ -12,8 +9,8 @@
 /** Options of the metrics. */
 export type RequestMetricsOptions = {
 	readonly registry: Registry;
-	/** Whether a violated invariant also throws, as in tests; otherwise it is only counted. */
-	readonly throwsOnViolation?: boolean;
+	/** Throws on violations in tests. */
+	readonly invariants: InvariantChecker;
 };
 
 const secondsBuckets = [0.001, 0.005, 0.01, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30];
@@ -25,6 +22,7 @@
 	readonly resumes;
 	readonly restarts;
 	readonly chunks;
+	readonly brokenStreams;
 	readonly droppedChunks;
 	readonly droppedAnswers;
 	readonly cancellations;
@@ -43,6 +41,7 @@
 		this.resumes = define('stream_resumes_total', 'Streams continued by offset at the same engine incarnation.');
 		this.restarts = define('stream_restarts_total', 'Answers generated again by another attempt after chunks had arrived.');
 		this.chunks = define('stream_chunks_total', 'Chunks written to callers.');
+		this.brokenStreams = define('broken_streams_total', 'Streams that ended with an error event, by result name.', ['result']);
 		this.droppedChunks = define('dropped_chunks_total', 'Chunks of another request or received before.', ['reason']);
 		this.droppedAnswers = define('dropped_answers_total', 'Answers whose header names another request.');
 		this.cancellations = define('cancellations_total', 'Requests cancelled at an engine.');
@@ -58,9 +57,7 @@
 	checkInvariant(invariant: RequestInvariant, isKept: boolean): boolean {
 		if (!isKept) {
 			this.violations.inc({invariant});
-			if (this.options.throwsOnViolation ?? false) {
-				throw new VError('invariant violated: %s', invariant);
-			}
+			this.options.invariants.check(invariant, false, 'request path');
 		}
 
 		return isKept;
--- a/src/standin/local-fleet/index.ts
+++ b/src/standin/local-fleet/index.ts
@@ -10,6 +10,7 @@
 import {resolveConfiguration} from '../../configuration/resolve-configuration/index.js';
 import {settingsSchema, type Settings} from '../../daemon/settings/index.js';
 import type {Revision} from '../../identity/ids/index.js';
+import {InvariantChecker} from '../../invariants/invariant-checker/index.js';
 import {hashKey} from '../../keys/hash-key/index.js';
 import {createLogger} from '../../logging/create-logger/index.js';
 import {MemoryObjectApi} from '../../platform/memory-object-api/index.js';
@@ -89,7 +90,7 @@
 			instance: 'entry-0', fleet, dataCentre: 'north-0', platform: {objectApi: 'http://127.0.0.1:1'},
 			listen: {caller: '127.0.0.1:0', peer: '127.0.0.1:0', admin: '127.0.0.1:0'}, limits: this.options.limits ?? {},
 		});
-		const metrics = new RequestMetrics({registry: this.registry, throwsOnViolation: true});
+		const metrics = new RequestMetrics({registry: this.registry, invariants: new InvariantChecker({isStrict: true})});
 		this.context = {
 			settings, clock: this.clock, logger: this.logger, targets: this.targets,
 			gate: new EngineGate({
