--- a/src/requests/completion-exchange/index.ts
+++ b/src/requests/completion-exchange/index.ts
@@ -17,7 +17,7 @@
 import type {CompletionRequest} from '../parse-completion-request/index.js';
 import {ChunkReader, type WireChunk} from '../read-chunks/index.js';
 import type {RouterContext} from '../router-context/index.js';
-import {acquireEngine, createEngineRequest} from '../send-completion/index.js';
+import {acquireEngine, chooseModel, createEngineRequest} from '../send-completion/index.js';
 
 /** Where an answer goes. */
 export type AnswerSink = {
@@ -81,7 +81,8 @@
 	private async runAttempt(): Promise<void> {
 		const {context, call} = this;
 		checkSignal(call.signal);
-		const {model, organisation} = call.authorise();
+		const {model: declared, organisation} = call.authorise();
+		const model = chooseModel(context, declared);
 		this.checkWeights(model);
 		const placed = {request: call.request, model, organisation};
 		const {slot, expectedIncarnation} = await acquireEngine(context, placed, {excluded: this.excluded, signal: call.signal});
--- a/src/requests/send-completion/index.ts
+++ b/src/requests/send-completion/index.ts
@@ -9,6 +9,7 @@
 import type {EngineRequest} from '../../targets/engine-client/index.js';
 import type {EngineMonitor} from '../../targets/engine-monitor/index.js';
 import type {CompletionRequest} from '../parse-completion-request/index.js';
+import {chooseServedModel} from '../../targets/choose-served-model/index.js';
 import type {RouterContext} from '../router-context/index.js';
 
 /** A completion that was authorised. */
@@ -56,6 +57,14 @@
 	return {slot, expectedIncarnation: slot.engine.readState(context.clock.readMonotonic())?.incarnation};
 }
 
+/** Chooses the weights version for a request by what the model's engines report. */
+export function chooseModel(context: RouterContext, declared: ResolvedModel): ResolvedModel {
+	const monitors = context.readConfiguration().listEngines(declared.id)
+		.map(target => context.targets.find(target.id))
+		.filter(monitor => monitor !== undefined);
+	return chooseServedModel(declared, monitors, context.clock.readMonotonic());
+}
+
 function listCandidates(context: RouterContext, model: ResolvedModel): EngineMonitor[] {
 	const now = context.clock.readMonotonic();
 	return context.readConfiguration().listEngines(model.id)
--- a/src/targets/engine-client/index.ts
+++ b/src/targets/engine-client/index.ts
@@ -2,7 +2,7 @@
 
 import type {Stream} from 'most';
 import type {
-	BlockKey, FencingNumber, Incarnation, RequestId,
+	BlockKey, FencingNumber, Incarnation, RequestId, WallMs,
 } from '../../identity/ids/index.js';
 
 /** A completion sent to an engine; the answer is always streamed. */
@@ -86,6 +86,10 @@
 	readonly weightsVersion?: string;
 	readonly role?: 'mixed' | 'prefill' | 'decode';
 	readonly fencing: FencingNumber;
+	/** Time after sending within which the order may be carried out, in milliseconds. */
+	readonly ttlMs: number;
+	/** Wall-clock time of sending; engines with a synchronised clock refuse orders older than `ttlMs`. */
+	readonly sentAt: WallMs;
 };
 
 /** Client of one engine. Methods reject with a `RouterError`. */
--- a/src/targets/engine-monitor/index.ts
+++ b/src/targets/engine-monitor/index.ts
@@ -66,14 +66,19 @@
 		return this.ownLoad.countInFlight();
 	}
 
-	/** Whether the engine may get new work for `model` at `now`. */
-	canServe(model: ResolvedModel, now: MonotonicMs): boolean {
+	/** The weights version that the engine serves for `model`; nothing when it may get no new work. */
+	findReadyVersion(model: ResolvedModel, now: MonotonicMs): string | undefined {
 		const state = this.readState(now);
 		if (state === undefined || state.isLeaving || this.target.state === 'leaving' || this.leaving.has(this.target.address)) {
-			return false;
+			return undefined;
 		}
 
-		return state.models.some(held => held.state === 'ready' && held.base === model.base && held.adapter === model.adapter && held.weightsVersion === model.weightsVersion);
+		return state.models.find(held => held.state === 'ready' && held.base === model.base && held.adapter === model.adapter)?.weightsVersion;
+	}
+
+	/** Whether the engine may get new work for `model`, at its weights version, at `now`. */
+	canServe(model: ResolvedModel, now: MonotonicMs): boolean {
+		return this.findReadyVersion(model, now) === model.weightsVersion;
 	}
 
 	/** Notes that a call failed in a way that shows the engine down, until the next good poll. */
--- a/src/targets/leaving-targets/test.ts
+++ b/src/targets/leaving-targets/test.ts
@@ -40,7 +40,9 @@
 		} else if (message.url === '/v1/completions') {
 			response.writeHead(200, {'x-request-id': message.headers['x-request-id']});
 			response.write('id: 0\ndata: {}\n\n');
-			finishStream = () => response.end('id: 1\ndata: [DONE]\n\n');
+			finishStream = () => {
+				response.end('id: 1\ndata: [DONE]\n\n');
+			};
 		} else {
 			sendJson(response, 404, {});
 		}
@@ -97,13 +99,15 @@
 	test('guards against new work for an engine that says so in its state while the list lags', async () => {
 		const {said, measureUntil} = await createDirectory();
 		said.inState = true;
-		expect((await measureUntil(false)).isReached).toEqual(true);
+		const {isReached} = await measureUntil(false);
+		expect(isReached).toEqual(true);
 	});
 
 	test('guards against new work for an engine that says so in the header of any answer', async () => {
 		const {said, measureUntil} = await createDirectory();
 		said.inHeader = true;
-		expect((await measureUntil(false)).isReached).toEqual(true);
+		const {isReached} = await measureUntil(false);
+		expect(isReached).toEqual(true);
 	});
 
 	test('guards against new work for an engine that only the platform list shows as leaving', async () => {
@@ -111,14 +115,16 @@
 		listed.push({
 			id: 't', role: 'target', address, state: 'leaving',
 		});
-		expect((await measureUntil(false)).isReached).toEqual(true);
+		const {isReached} = await measureUntil(false);
+		expect(isReached).toEqual(true);
 	});
 
 	test('guards against streams cut when the configuration marks their engine as leaving', async () => {
 		const {targets, address, monitor, measureUntil, finishStream} = await createDirectory();
 		const answer = await monitor().client.complete({requestId: 'r' as RequestId, path: '/v1/completions', body: {}}, new AbortController().signal);
 		targets.apply(createConfiguration(address, 'leaving', 2));
-		expect((await measureUntil(false)).ms).toBeLessThan(100);
+		const {ms} = await measureUntil(false);
+		expect(ms).toBeLessThan(100);
 		finishStream();
 		const chunks: string[] = [];
 		for await (const chunk of answer.chunks) {
