--- a/src/orders/target-controller/index.ts
+++ b/src/orders/target-controller/index.ts
@@ -103,7 +103,7 @@
 		const {signal} = this.controller;
 		while (!signal.aborted) {
 			try {
-				this.updateTenure();
+				await this.runRound();
 			} catch (error) {
 				logger.error('round of orders failed', {reason: (error as Error).message});
 			}
