--- a/src/bin/standin.ts
+++ b/src/bin/standin.ts
@@ -6,7 +6,7 @@
 import type {AddressInfo} from 'node:net';
 import process from 'node:process';
 import {
-	boolean, command, flag, multioption, number, option, run, string, subcommands, array,
+	boolean, command, flag, multioption, number, option, optional, run, string, subcommands, array,
 } from 'cmd-ts';
 import {parseAddress} from '../http/parse-address/index.js';
 import {MemoryObjectApi} from '../platform/memory-object-api/index.js';
@@ -14,6 +14,7 @@
 import {createInstanceListServer} from '../standin/instance-list-server/index.js';
 import {createObjectApiServer} from '../standin/object-api-server/index.js';
 import {ServiceServer} from '../standin/service-server/index.js';
+import {WeightStoreServer} from '../standin/weight-store-server/index.js';
 
 const listen = option({
 	type: string, long: 'listen', defaultValue: () => '127.0.0.1:0', description: 'host:port',
@@ -52,6 +53,7 @@
 		loadLagMs: option({type: number, long: 'load-lag-ms', defaultValue: () => 250}),
 		eventLagMs: option({type: number, long: 'event-lag-ms', defaultValue: () => 100}),
 		loadMs: option({type: number, long: 'load-ms', defaultValue: () => 800}),
+		weightStore: option({type: optional(string), long: 'weight-store', description: 'base address of the weight store'}),
 		eventLoss: option({
 			type: number, long: 'event-loss', defaultValue: () => 0, description: 'fraction of cache events that are lost',
 		}),
@@ -65,12 +67,25 @@
 			loadLagMs: args.loadLagMs,
 			eventLagMs: args.eventLagMs,
 			loadMs: args.loadMs,
+			weightStore: args.weightStore,
 			eventLoss: args.eventLoss,
 		});
 		await announce(engine.server, args.listen);
 	},
 });
 
+const weightStoreCommand = command({
+	name: 'weight-store',
+	args: {
+		listen,
+		loadMs: option({type: number, long: 'load-ms', defaultValue: () => 800}),
+		loadsPerSecond: option({type: number, long: 'loads-per-second', defaultValue: () => 20}),
+	},
+	async handler(args) {
+		await announce(new WeightStoreServer(args).server, args.listen);
+	},
+});
+
 const serviceCommand = command({
 	name: 'service',
 	args: {listen, name: option({type: string, long: 'name', defaultValue: () => 'service'})},
@@ -102,6 +117,7 @@
 	name: 'standin',
 	cmds: {
 		'object-api': objectApiCommand, 'instance-list': instanceListCommand, engine: engineCommand, service: serviceCommand,
+		'weight-store': weightStoreCommand,
 	},
 });
 
--- a/src/daemon/start-daemon/index.ts
+++ b/src/daemon/start-daemon/index.ts
@@ -6,6 +6,7 @@
 import {noRevision} from '../../membership/membership/index.js';
 import {CallerServer} from '../../requests/caller-server/index.js';
 import {createRouterError} from '../../results/create-router-error/index.js';
+import {registerTargetController} from '../../orders/register-target-controller/index.js';
 import {HttpEngineClient} from '../../targets/http-engine-client/index.js';
 import {LeavingTargets} from '../../targets/leaving-targets/index.js';
 import {HttpInstanceList} from '../../platform/http-instance-list/index.js';
@@ -50,6 +51,7 @@
 	const targets = createTargets(core);
 	registerConfiguration(core, holder, targets);
 	const server = new CallerServer(createRequestPath(core, targets, () => holder.read()));
+	registerTargetController(core, targets, () => holder.current);
 	registerAdmin(core, holder, server);
 	await core.parts.start();
 	const address = await server.listen();
--- a/src/standin/engine-server/index.ts
+++ b/src/standin/engine-server/index.ts
@@ -16,6 +16,7 @@
 import {EngineCache} from '../engine-cache/index.js';
 import {createEngineFaults, takeFault, type EngineFaults} from '../engine-faults/index.js';
 import {EngineSimulator, type EngineSpeed, type EngineStream} from '../engine-simulator/index.js';
+import {EngineWeights} from '../engine-weights/index.js';
 import {sendEngineStream} from '../send-engine-stream/index.js';
 
 /** Set-up of a stand-in engine. */
@@ -29,6 +30,8 @@
 	/** Delay of cache events. */
 	readonly eventLagMs: number;
 	readonly loadMs: number;
+	/** Base address of the weight store; loads take `loadMs` without one. */
+	readonly weightStore?: string;
 	/** Fraction of cache events that are lost at first. */
 	readonly eventLoss?: number;
 };
@@ -41,6 +44,8 @@
 
 type BlockList = {readonly blocks: readonly BlockKey[]};
 
+const orderStatus = {accepted: 202, staleFencing: 409, refused: 410} as const;
+
 /** A stand-in engine. */
 export class EngineServer {
 	readonly server: Server;
@@ -51,16 +56,19 @@
 	/** Cancellations received, for requests known or not. */
 	cancellations = 0;
 	private simulator: EngineSimulator;
-	private models: EngineModelState[];
-	private role: 'mixed' | 'prefill' | 'decode' = 'mixed';
+	private readonly weights: EngineWeights;
 	private isLeaving = false;
-	private highestFencing = 0;
 	private reportedLoad;
 	private reportedAt = performance.now();
 
 	constructor(private readonly options: EngineServerOptions) {
 		this.faults.eventLoss = options.eventLoss ?? 0;
-		this.models = [...options.models];
+		this.weights = new EngineWeights({
+			...options,
+			onReady: () => {
+				this.simulator.cache.clear();
+			},
+		});
 		this.simulator = new EngineSimulator(options.speed, new EngineCache(this.incarnation, options.cacheBlocks));
 		this.reportedLoad = this.simulator.readLoad();
 		setInterval(() => {
@@ -100,7 +108,7 @@
 		switch (pathname) {
 			case '/state': {
 				sendJson(response, 200, {
-					incarnation: this.incarnation, role: this.role, isLeaving: this.isLeaving, models: this.models,
+					incarnation: this.incarnation, role: this.weights.role, isLeaving: this.isLeaving, models: this.weights.models,
 					load: {...this.reportedLoad, ageMs: Math.round(performance.now() - this.reportedAt)},
 				});
 				return;
@@ -136,7 +144,8 @@
 			}
 
 			case '/orders': {
-				this.takeOrder(await readJsonBody(message, bodyLimitBytes) as EngineOrder, response);
+				const outcome = this.weights.takeOrder(await readJsonBody(message, bodyLimitBytes) as EngineOrder);
+				sendJson(response, orderStatus[outcome], {outcome});
 				return;
 			}
 
@@ -175,7 +184,7 @@
 		const body = await readJsonBody(message, bodyLimitBytes) as Record<string, unknown>;
 		const request = parseCompletionRequest(path, body);
 		const adapter = body.adapter as string | undefined;
-		const held = this.models.find(model => model.state === 'ready' && model.base === request.modelName && model.adapter === adapter);
+		const held = this.weights.findReady(request.modelName, adapter);
 		const {headers} = message;
 		const isOtherIncarnation = (headers['x-expected-incarnation'] ?? this.incarnation) !== this.incarnation;
 		if (held === undefined || isOtherIncarnation || (headers['x-expected-weights-version'] ?? held.weightsVersion) !== held.weightsVersion) {
@@ -262,40 +271,4 @@
 			clearInterval(timer);
 		});
 	}
-
-	private takeOrder(order: EngineOrder, response: ServerResponse): void {
-		if (this.options.checksFencing && order.fencing < this.highestFencing) {
-			sendJson(response, 409, {error: {message: 'stale fencing number'}});
-			return;
-		}
-
-		this.highestFencing = Math.max(this.highestFencing, order.fencing);
-		this.carryOut(order);
-		sendJson(response, 202, {});
-	}
-
-	private carryOut(order: EngineOrder): void {
-		if (order.order === 'changeRole') {
-			this.role = order.role ?? this.role;
-			return;
-		}
-
-		const others = this.models.filter(model => model.base !== order.base || model.adapter !== order.adapter);
-		if (order.order === 'unloadWeights') {
-			this.models = others;
-			return;
-		}
-
-		const loading: EngineModelState = {
-			base: order.base ?? '', adapter: order.adapter, weightsVersion: order.weightsVersion ?? '', state: 'loading',
-		};
-		this.models = [...others, loading];
-		setTimeout(() => {
-			// A later order may have replaced this load.
-			if (this.models.includes(loading)) {
-				this.simulator.cache.clear();
-				this.models = this.models.map(model => model === loading ? {...loading, state: 'ready'} : model);
-			}
-		}, this.options.loadMs).unref();
-	}
 }
--- /dev/null
+++ b/src/standin/weight-store-server/test.ts
@@ -0,0 +1,97 @@
+import {once} from 'node:events';
+import type {Server} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {after, describe, test} from 'node:test';
+import {setTimeout as delay} from 'node:timers/promises';
+import {expect} from 'earl';
+import {SystemClock} from '../../clock/clock/index.js';
+import {Configuration, type ResolvedModel, type ResolvedTarget} from '../../configuration/configuration/index.js';
+import {fetchJson} from '../../http/fetch-json/index.js';
+import type {
+	DataCentreId, FleetId, Incarnation, ModelId, Revision, TargetId,
+} from '../../identity/ids/index.js';
+import {InvariantChecker} from '../../invariants/invariant-checker/index.js';
+import {Lease} from '../../leases/lease/index.js';
+import {createLogger} from '../../logging/create-logger/index.js';
+import {TargetController, controllerLeaseMs, controllerLeaseName} from '../../orders/target-controller/index.js';
+import {MemoryObjectApi} from '../../platform/memory-object-api/index.js';
+import {HttpEngineClient} from '../../targets/http-engine-client/index.js';
+import {EngineServer} from '../engine-server/index.js';
+import {WeightStoreServer} from './index.js';
+
+const loadMs = 200;
+
+async function listen(server: Server): Promise<string> {
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	after(() => {
+		server.closeAllConnections();
+		server.close();
+	});
+	return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+async function measureLoads(origin: string, count: number): Promise<number> {
+	const startedAt = performance.now();
+	await Promise.all(Array.from({length: count}, async () => fetchJson(`${origin}/weights/base/v1`, {timeoutMs: 5000})));
+	return performance.now() - startedAt;
+}
+
+function createConfiguration(addresses: readonly string[]): Configuration {
+	const model: ResolvedModel = {
+		id: 'm' as ModelId, name: 'm', fleets: [], base: 'base', weightsVersion: 'v2', deterministic: false,
+	};
+	const targets = addresses.map((address, index): ResolvedTarget => ({
+		id: `t${index}` as TargetId, fleet: 'north' as FleetId, dataCentre: 'dc' as DataCentreId, type: 'engine', address,
+		models: [model.id], checksFencing: index % 2 === 0, role: 'decode', state: 'live',
+	}));
+	return new Configuration(1 as Revision, {
+		organisations: [], keys: [], models: [model], routes: [], targets,
+	});
+}
+
+describe('WeightStoreServer', () => {
+	test('guards against a stand-in whose loads do not slow each other down, or whose rate has no limit', async () => {
+		const store = new WeightStoreServer({loadMs, loadsPerSecond: 6});
+		const origin = `http://${await listen(store.server)}`;
+		const two = await measureLoads(origin, 2);
+		const four = await measureLoads(origin, 4);
+		expect({isSlower: four > 1.5 * two, maximumLoads: store.maximumLoads}).toEqual({isSlower: true, maximumLoads: 4});
+		await expect(measureLoads(origin, 1)).toBeRejected();
+	});
+
+	test('guards against a controller and engines that do not reach the declared models and roles together', async () => {
+		const clock = new SystemClock();
+		const store = new WeightStoreServer({loadMs, loadsPerSecond: 20});
+		const weightStore = `http://${await listen(store.server)}`;
+		const addresses = await Promise.all([0, 1, 2, 3].map(async index => listen(new EngineServer({
+			speed: {slots: 1, prefillTokensPerMs: 1000, decodeMsPerToken: 1}, cacheBlocks: 16, loadLagMs: 50, eventLagMs: 10, loadMs,
+			models: [{base: 'base', weightsVersion: 'v1', state: 'ready'}], checksFencing: index % 2 === 0, weightStore,
+		}).server)));
+		const clients = addresses.map(address => new HttpEngineClient({address}));
+		const configuration = createConfiguration(addresses);
+		const controller = new TargetController({
+			clock, logger: createLogger({}, true), invariants: new InvariantChecker({isStrict: true}),
+			lease: new Lease({
+				objectApi: new MemoryObjectApi(), clock, name: controllerLeaseName, holder: 'a', incarnation: 'a' as Incarnation, durationMs: controllerLeaseMs,
+			}),
+			readConfiguration: () => configuration,
+			findEngine: target => clients[configuration.data.targets.indexOf(target)],
+			isContender: () => true,
+		});
+		void controller.run();
+		const isReached = async () => {
+			const states = await Promise.all(clients.map(async client => client.readState()));
+			return states.every(state => state.role === 'decode' && state.models.every(model => model.weightsVersion === 'v2' && model.state === 'ready'));
+		};
+
+		const end = clock.readMonotonic() + 20_000;
+		while (!await isReached() && clock.readMonotonic() < end) {
+			await delay(50);
+		}
+
+		expect({isReached: await isReached(), maximumLoads: store.maximumLoads}).toEqual({isReached: true, maximumLoads: 2});
+		controller.stop();
+		await Promise.all(clients.map(async client => client.close()));
+	});
+});
