--- a/src/daemon/metrics/index.ts
+++ b/src/daemon/metrics/index.ts
@@ -10,7 +10,7 @@
 /** Values that are read when the metrics are collected. */
 export type MetricSources = {
 	readonly countInFlight: () => number;
-	readonly countConnections: () => Promise<number>;
+	readonly countConnections: () => number;
 	readonly countMembers: () => Readonly<Record<'live' | 'leaving', number>>;
 	readonly readRevision: () => number;
 };
@@ -69,11 +69,11 @@
 		}));
 	}
 
-	private addGauge(name: string, help: string, read: () => number | Promise<number>): void {
+	private addGauge(name: string, help: string, read: () => number): void {
 		this.gauges.push(new Gauge({
 			name: prefix + name, help, registers: [this.registry],
-			async collect() {
-				this.set(await read());
+			collect() {
+				this.set(read());
 			},
 		}));
 	}
--- a/src/daemon/start-daemon/index.ts
+++ b/src/daemon/start-daemon/index.ts
@@ -128,7 +128,7 @@
 	const {clock, membership, metrics, parts, settings} = core;
 	metrics.addSources({
 		countInFlight: () => server.inFlight,
-		countConnections: async () => server.countConnections(),
+		countConnections: () => server.countConnections(),
 		readRevision: () => holder.readRevision(),
 		countMembers() {
 			const live = membership.listLive(clock.readMonotonic());
