--- a/src/daemon/planned-stop/test.ts
+++ b/src/daemon/planned-stop/test.ts
@@ -2,9 +2,12 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {expect} from 'earl';
 import {Agent, request} from 'undici';
+import {ManualClock} from '../../clock/manual-clock/index.js';
 import {demoSecrets} from '../../demo/create-demo-resources/index.js';
+import {createLogger} from '../../logging/create-logger/index.js';
 import {Cluster} from '../../process/cluster/index.js';
 import {generateTokens} from '../../standin/generate-tokens/index.js';
+import {PlannedStop} from './index.js';
 
 const tokens = 24;
 
@@ -90,7 +93,56 @@
 	};
 }
 
-describe('planned stop', () => {
+function createStop(drain: () => Promise<void>) {
+	const clock = new ManualClock();
+	const steps: string[] = [];
+	const note = (step: string) => () => {
+		steps.push(`${step} at ${clock.readMonotonic()}`);
+	};
+
+	const stop = new PlannedStop({
+		clock, logger: createLogger({}, true), addressValidityMs: 100, marginMs: 50, maximumMs: 1000,
+		leave: note('leave'),
+		async drain() {
+			note('drain')();
+			await drain();
+		},
+		cut: note('cut'),
+		async release() {
+			note('release')();
+		},
+	});
+	return {clock, steps, stop};
+}
+
+async function waitForever(): Promise<void> {
+	await new Promise(() => {
+		// A stream that never ends.
+	});
+}
+
+describe('PlannedStop', () => {
+	test('guards against a stop that drains before callers have dropped the address', async () => {
+		const {clock, steps, stop} = createStop(async () => undefined);
+		const outcome = stop.run();
+		await clock.advance(2000);
+		expect({outcome: await outcome, steps}).toEqual({outcome: 'drained', steps: ['leave at 0', 'drain at 150', 'release at 150']});
+	});
+
+	test('guards against a stop that never ends, or that a second signal does not end', async () => {
+		const slow = createStop(waitForever);
+		const slowOutcome = slow.stop.run();
+		await slow.clock.advance(1000);
+		expect({outcome: await slowOutcome, steps: slow.steps.slice(2)}).toEqual({outcome: 'cutShort', steps: ['cut at 1000', 'release at 1000']});
+		const hurried = createStop(waitForever);
+		const hurriedOutcome = hurried.stop.run();
+		await hurried.clock.advance(200);
+		hurried.stop.hurry();
+		expect({outcome: await hurriedOutcome, steps: hurried.steps.slice(2)}).toEqual({outcome: 'cutShort', steps: ['cut at 200', 'release at 200']});
+	});
+});
+
+describe('planned stop of processes', () => {
 	test('guards against requests cut while daemons are stopped one after the other and started again', {timeout: 60_000}, async () => {
 		const cluster = new Cluster({daemons: 3, settings: {addressValidityMs: 500, stop: {marginMs: 500}}});
 		after(async () => cluster.stop());
