--- a/src/clock/manual-clock/index.ts
+++ b/src/clock/manual-clock/index.ts
@@ -28,12 +28,21 @@
 		}
 
 		await new Promise<void>(resolve => {
-			const sleeper = {due: this.now + ms, wake: resolve};
-			this.sleepers.push(sleeper);
-			signal?.addEventListener('abort', () => {
+			const cancel = () => {
 				this.sleepers = this.sleepers.filter(other => other !== sleeper);
 				resolve();
-			}, {once: true});
+			};
+
+			const sleeper = {
+				due: this.now + ms,
+				wake() {
+					// A signal that outlives many sleeps would otherwise gather their listeners.
+					signal?.removeEventListener('abort', cancel);
+					resolve();
+				},
+			};
+			this.sleepers.push(sleeper);
+			signal?.addEventListener('abort', cancel, {once: true});
 		});
 	}
 
