--- a/src/budget/simulated-fleet/index.ts
+++ b/src/budget/simulated-fleet/index.ts
@@ -11,7 +11,7 @@
 import {MemoryObjectApi} from '../../platform/memory-object-api/index.js';
 import type {BudgetGate} from '../budget-gate/index.js';
 import type {Random} from '../create-random/index.js';
-import {StaticBudgetGate} from '../static-budget-gate/index.js';
+import {FleetBudget} from '../fleet-budget/index.js';
 import type {AdmittedRequest} from '../interval-meter/index.js';
 import {
 	SimulatedClock, SimulatedNode, SimulatedStore, type SimulatedFaults,
@@ -76,12 +76,21 @@
 	/** Stops instance `index` as planned. */
 	async stopNode(index: number): Promise<void> {
 		const node = this.nodes[index];
+		if (node?.gate instanceof FleetBudget) {
+			await node.gate.stop();
+		}
+
 		node?.setState('crashed');
 	}
 
 	/** Puts other organisations in force on all instances that are live. */
 	applyOrganisations(organisations: readonly ResolvedOrganisation[]): void {
 		this.organisations = organisations;
+		for (const {gate} of this.nodes) {
+			if (gate instanceof FleetBudget) {
+				gate.applyOrganisations(organisations);
+			}
+		}
 	}
 
 	/** Offers a request to instance `index`; resolves to the name of the refusal, or to undefined when it was admitted. */
@@ -112,8 +121,22 @@
 		}
 	}
 
-	private createBudget(_node: SimulatedNode): BudgetGate {
-		return new StaticBudgetGate(this.clock, 1 / this.options.instances);
+	private createBudget(node: SimulatedNode): FleetBudget {
+		const {random, logger} = this.options;
+		const clock = new SimulatedClock(this.clock, node, Math.floor(random() * largestOffsetMs));
+		const budget = new FleetBudget({
+			incarnation: node.incarnation, clock, logger, isStrict: true,
+			objectApi: new SimulatedStore(this.store, this.clock, node, this.faults, random),
+			peers: this.createPeers(node), members: this.createMembers(node),
+			methods: {
+				register(method, handler) {
+					node.handlers.set(method, handler);
+				},
+			},
+		});
+		budget.applyOrganisations(this.organisations);
+		budget.start();
+		return budget;
 	}
 
 	private createMembers(node: SimulatedNode): MemberView {
