Check the interval bound over random courses of faults

Eight courses and three fixed ones: lost, late and repeated messages, paused owners, crashes, store outages, lost write answers, wrong views of liveness, changed organisations, and a holder that sits on its grants until the next load.

--- a/src/budget/simulated-fleet/index.ts
+++ b/src/budget/simulated-fleet/index.ts
@@ -9,6 +9,7 @@
 import type {Member, MemberView} from '../../membership/member/index.js';
 import type {PeerCaller} from '../../peers/peer-caller/index.js';
 import {MemoryObjectApi} from '../../platform/memory-object-api/index.js';
+import {exchangeMethod, type ExchangeAnswer, type ExchangeRequest} from '../budget-exchange/index.js';
 import type {BudgetGate} from '../budget-gate/index.js';
 import type {Random} from '../create-random/index.js';
 import {FleetBudget} from '../fleet-budget/index.js';
@@ -56,6 +57,7 @@
 	messages = 0;
 	private organisations: readonly ResolvedOrganisation[];
 	private lives = 0;
+	private readonly hoarderPeers = this.createPeers(new SimulatedNode('hoarder' as InstanceId, 'hoarder' as Incarnation, 'elsewhere' as DataCentreId));
 
 	constructor(private readonly options: SimulatedFleetOptions) {
 		this.organisations = options.organisations;
@@ -103,10 +105,7 @@
 
 		try {
 			const admission = await gate.admit(organisation, request.tokens, 500);
-			const record: AdmittedRequest = {at: this.clock.readMonotonic(), tokens: request.tokens};
-			const records = this.admitted.get(request.organisation) ?? [];
-			records.push(record);
-			this.admitted.set(request.organisation, records);
+			const record = this.recordAdmitted(request.organisation, request.tokens);
 			if (request.durationMs !== undefined) {
 				void this.clock.sleep(request.durationMs).then(() => {
 					// What was used of an admitted request counts from its admission.
@@ -121,6 +120,35 @@
 		}
 	}
 
+	/**
+	 * Asks an instance for tokens as a holder that sits on them: it spends all of a grant at `spendAt`,
+	 * or just before the end of its validity, and never reports.
+	 */
+	async hoardTokens(to: number, organisation: OrganisationId, tokens: number, spendAt: number): Promise<void> {
+		const peer = this.nodes[to]?.id ?? '' as InstanceId;
+		const sentAt = this.clock.readMonotonic();
+		const request: ExchangeRequest = {
+			role: 'coordinator', ledgerRevision: 0, reports: [], wants: [{organisation, tokens}],
+		};
+		const answer = await this.hoarderPeers.call<ExchangeAnswer>(peer, exchangeMethod, request, 1000).catch(() => undefined);
+		for (const grant of answer?.grants ?? []) {
+			const end = sentAt + grant.validMs - 1;
+			void this.clock.sleep(Math.max(0, Math.min(end, spendAt) - this.clock.readMonotonic())).then(() => {
+				if (this.clock.readMonotonic() <= end) {
+					this.recordAdmitted(organisation, grant.tokens);
+				}
+			});
+		}
+	}
+
+	private recordAdmitted(organisation: OrganisationId, tokens: number): AdmittedRequest {
+		const record: AdmittedRequest = {at: this.clock.readMonotonic(), tokens};
+		const records = this.admitted.get(organisation) ?? [];
+		records.push(record);
+		this.admitted.set(organisation, records);
+		return record;
+	}
+
 	private createBudget(node: SimulatedNode): FleetBudget {
 		const {random, logger} = this.options;
 		const clock = new SimulatedClock(this.clock, node, Math.floor(random() * largestOffsetMs));
