--- a/src/bin/standin.ts
+++ b/src/bin/standin.ts
@@ -13,7 +13,7 @@
 import {EngineServer} from '../standin/engine-server/index.js';
 import {createInstanceListServer} from '../standin/instance-list-server/index.js';
 import {createObjectApiServer} from '../standin/object-api-server/index.js';
-import {createServiceServer} from '../standin/service-server/index.js';
+import {ServiceServer} from '../standin/service-server/index.js';
 
 const listen = option({
 	type: string, long: 'listen', defaultValue: () => '127.0.0.1:0', description: 'host:port',
@@ -52,6 +52,9 @@
 		loadLagMs: option({type: number, long: 'load-lag-ms', defaultValue: () => 250}),
 		eventLagMs: option({type: number, long: 'event-lag-ms', defaultValue: () => 100}),
 		loadMs: option({type: number, long: 'load-ms', defaultValue: () => 800}),
+		eventLoss: option({
+			type: number, long: 'event-loss', defaultValue: () => 0, description: 'fraction of cache events that are lost',
+		}),
 	},
 	async handler(args) {
 		const engine = new EngineServer({
@@ -62,6 +65,7 @@
 			loadLagMs: args.loadLagMs,
 			eventLagMs: args.eventLagMs,
 			loadMs: args.loadMs,
+			eventLoss: args.eventLoss,
 		});
 		await announce(engine.server, args.listen);
 	},
@@ -71,7 +75,7 @@
 	name: 'service',
 	args: {listen, name: option({type: string, long: 'name', defaultValue: () => 'service'})},
 	async handler(args) {
-		await announce(createServiceServer(args.name), args.listen);
+		await announce(new ServiceServer(args.name).server, args.listen);
 	},
 });
 
--- a/src/standin/engine-cache/index.ts
+++ b/src/standin/engine-cache/index.ts
@@ -30,6 +30,12 @@
 		return miss === -1 ? keys.length : miss;
 	}
 
+	/** Counts the leading blocks that are cached, without marking them as used. */
+	countPrefix(keys: readonly BlockKey[]): number {
+		const miss = keys.findIndex(key => !this.blocks.has(key));
+		return miss === -1 ? keys.length : miss;
+	}
+
 	/** Stores blocks that are not cached yet. */
 	store(keys: readonly BlockKey[]): void {
 		const added = keys.filter(key => !this.blocks.has(key));
