Use fleet budgets in the daemon

The daemon admits requests with FleetBudget over peers, membership and the object API; an instance without peers owns all parts.

--- a/src/budget/budget-holder/index.ts
+++ b/src/budget/budget-holder/index.ts
@@ -10,7 +10,8 @@
 import type {
 	Incarnation, InstanceId, MonotonicMs, OrganisationId,
 } from '../../identity/ids/index.js';
-import {isAtMost, type BudgetInvariants} from '../budget-invariants/index.js';
+import type {InvariantChecker} from '../../invariants/invariant-checker/index.js';
+import {isAtMost} from '../is-at-most/index.js';
 import type {Grant, GrantReport} from '../budget-exchange/index.js';
 import type {BudgetTimings} from '../budget-timings/index.js';
 
@@ -37,7 +38,7 @@
 export type BudgetHolderOptions = {
 	readonly incarnation: Incarnation;
 	readonly timings: BudgetTimings;
-	readonly invariants: BudgetInvariants;
+	readonly invariants: InvariantChecker;
 };
 
 /** Part of a lot's validity that a relayed piece keeps, for clocks that differ. */
--- a/src/budget/budget-owner/index.ts
+++ b/src/budget/budget-owner/index.ts
@@ -5,7 +5,8 @@
 
 import type {ResolvedOrganisation} from '../../configuration/configuration/index.js';
 import type {Incarnation, MonotonicMs, OrganisationId} from '../../identity/ids/index.js';
-import {type BudgetInvariants, isAtMost} from '../budget-invariants/index.js';
+import type {InvariantChecker} from '../../invariants/invariant-checker/index.js';
+import {isAtMost} from '../is-at-most/index.js';
 import type {Grant, GrantReport} from '../budget-exchange/index.js';
 import {chooseSlot} from '../budget-ledger/index.js';
 import {partCount, type BudgetTimings} from '../budget-timings/index.js';
@@ -28,7 +29,7 @@
 export type BudgetOwnerOptions = {
 	readonly incarnation: Incarnation;
 	readonly timings: BudgetTimings;
-	readonly invariants: BudgetInvariants;
+	readonly invariants: InvariantChecker;
 };
 
 /** Buckets and outstanding grants of the owned parts. */
--- a/src/budget/budget-tenure/index.ts
+++ b/src/budget/budget-tenure/index.ts
@@ -181,10 +181,10 @@
 	}
 
 	private async writePlan(snapshot: LedgerSnapshot): Promise<LedgerSnapshot> {
-		const {owner, self, logger, timings, clock} = this.options;
+		const {owner, self, logger, timings, clock, members} = this.options;
 		const plan = this.plan(snapshot.record);
 		const now = clock.readMonotonic();
-		if (plan === undefined) {
+		if (plan === undefined || members.readSelf().state === 'leaving') {
 			return snapshot;
 		}
 
--- a/src/budget/fleet-budget/index.ts
+++ b/src/budget/fleet-budget/index.ts
@@ -8,6 +8,7 @@
 import type {Clock} from '../../clock/clock/index.js';
 import type {ResolvedOrganisation} from '../../configuration/configuration/index.js';
 import type {Incarnation, MonotonicMs, OrganisationId} from '../../identity/ids/index.js';
+import {InvariantChecker} from '../../invariants/invariant-checker/index.js';
 import type {EventLogger} from '../../logging/create-logger/index.js';
 import type {MemberView} from '../../membership/member/index.js';
 import type {PeerCaller, PeerMethodRegistry} from '../../peers/peer-caller/index.js';
@@ -16,7 +17,6 @@
 import {BudgetExchanger} from '../budget-exchanger/index.js';
 import type {Admission, BudgetGate} from '../budget-gate/index.js';
 import {BudgetHolder, type Charge} from '../budget-holder/index.js';
-import {BudgetInvariants} from '../budget-invariants/index.js';
 import {createBudgetMetrics, type BudgetMetrics} from '../budget-metrics/index.js';
 import {BudgetOwner} from '../budget-owner/index.js';
 import {BudgetTenure} from '../budget-tenure/index.js';
@@ -91,7 +91,13 @@
 		this.timings = {...defaultBudgetTimings, ...options.timings};
 		this.metrics = createBudgetMetrics(options.registry ?? new Registry());
 		const {timings, metrics} = this;
-		const invariants = new BudgetInvariants({counter: metrics.brokenInvariants, logger, isStrict});
+		const invariants = new InvariantChecker({
+			isStrict: isStrict ?? false,
+			onViolation(invariant, detail) {
+				metrics.brokenInvariants.inc({invariant});
+				logger.error('budget invariant violated', {invariant, detail});
+			},
+		});
 		this.owner = new BudgetOwner({incarnation, timings, invariants});
 		this.holder = new BudgetHolder({incarnation, timings, invariants});
 		const {owner, holder} = this;
--- a/src/budget/token-bucket/index.ts
+++ b/src/budget/token-bucket/index.ts
@@ -5,7 +5,8 @@
  */
 
 import type {MonotonicMs} from '../../identity/ids/index.js';
-import {isAtMost, type BudgetInvariants} from '../budget-invariants/index.js';
+import type {InvariantChecker} from '../../invariants/invariant-checker/index.js';
+import {isAtMost} from '../is-at-most/index.js';
 
 /** Rate and burst of a bucket. */
 export type BucketSize = {readonly tokensPerMs: number; readonly burst: number};
@@ -21,7 +22,7 @@
 	/** Above the burst only after the burst was lowered, until the earlier grants are gone. */
 	private ceiling: number;
 
-	constructor(private size: BucketSize, start: BucketStart, private readonly invariants: BudgetInvariants) {
+	constructor(private size: BucketSize, start: BucketStart, private readonly invariants: InvariantChecker) {
 		this.level = Math.min(start.level, size.burst);
 		this.filledAt = start.since;
 		this.ceiling = size.burst;
@@ -83,7 +84,7 @@
 
 	private check(): void {
 		const {level, outstanding, ceiling, invariants} = this;
-		invariants.check('negativeTokens', level >= 0 && outstanding >= 0, `level ${level}, outstanding ${outstanding}`);
+		invariants.check('negativeTokens', isAtMost(0, level) && isAtMost(0, outstanding), `level ${level}, outstanding ${outstanding}`);
 		invariants.check('partOverfull', isAtMost(level + outstanding, ceiling), `level ${level}, outstanding ${outstanding}, burst ${this.size.burst}`);
 	}
 }
--- a/src/daemon/create-request-path/index.ts
+++ b/src/daemon/create-request-path/index.ts
@@ -1,7 +1,7 @@
 /** Builds what the request path needs from the parts of the daemon. */
 
 import {Registry} from 'prom-client';
-import {StaticBudgetGate} from '../../budget/static-budget-gate/index.js';
+import type {BudgetGate} from '../../budget/budget-gate/index.js';
 import type {Configuration} from '../../configuration/configuration/index.js';
 import {chooseAddresses} from '../../membership/choose-addresses/index.js';
 import {EngineGate} from '../../fairness/engine-gate/index.js';
@@ -17,7 +17,7 @@
 const msPerSecond = 1000;
 
 /** Creates the context of the request path and registers its parts. */
-export function createRequestPath(core: DaemonCore, targets: TargetDirectory, readConfiguration: () => Configuration): RouterContext {
+export function createRequestPath(core: DaemonCore, targets: TargetDirectory, budget: BudgetGate, readConfiguration: () => Configuration): RouterContext {
 	const {settings, clock, logger, objectApi, parts} = core;
 	const metrics = new RequestMetrics({registry: new Registry()});
 	const idempotency = new IdempotencyRecords({objectApi, clock, metrics});
@@ -36,7 +36,7 @@
 	return {
 		settings, clock, logger, targets, metrics, idempotency, serviceConnections, readConfiguration,
 		gate: createGate(core),
-		budget: new StaticBudgetGate(clock, 1),
+		budget,
 		retryBudget: new RetryBudget(),
 		chooseAddresses: dataCentre => createAddressAnswer(core, dataCentre),
 	};
--- a/src/daemon/start-daemon/index.ts
+++ b/src/daemon/start-daemon/index.ts
@@ -1,5 +1,6 @@
 /** Wires the parts of the daemon together. */
 
+import {FleetBudget} from '../../budget/fleet-budget/index.js';
 import type {Configuration} from '../../configuration/configuration/index.js';
 import {pollResources} from '../../configuration/poll-resources/index.js';
 import type {Revision} from '../../identity/ids/index.js';
@@ -42,8 +43,9 @@
 	const holder = new ConfigurationHolder();
 	const core = createCore(settings, () => holder.readRevision());
 	const targets = createTargets(core);
-	registerConfiguration(core, holder, targets);
-	const server = new CallerServer(createRequestPath(core, targets, () => holder.read()));
+	const budget = createBudget(core);
+	registerConfiguration(core, holder, targets, budget);
+	const server = new CallerServer(createRequestPath(core, targets, budget, () => holder.read()));
 	await core.parts.start();
 	const address = await server.listen();
 	core.logger.info('daemon started', {caller: address});
@@ -64,8 +66,24 @@
 	return targets;
 }
 
+function createBudget({clock, objectApi, peerClient, peerServer, membership, logger, parts}: DaemonCore): FleetBudget {
+	const budget = new FleetBudget({
+		incarnation: membership.readSelf().incarnation, clock, objectApi, peers: peerClient, methods: peerServer, members: membership, logger,
+	});
+	parts.register({
+		name: 'budget',
+		start() {
+			budget.start();
+		},
+		stop: async () => budget.stop(),
+		dump: () => budget.dump(),
+	});
+	return budget;
+}
+
 /** Follows the configuration. `holder` has the one in force. */
-function registerConfiguration({objectApi, clock, logger, parts}: DaemonCore, holder: ConfigurationHolder, targets: TargetDirectory): void {
+function registerConfiguration(core: DaemonCore, holder: ConfigurationHolder, targets: TargetDirectory, budget: FleetBudget): void {
+	const {objectApi, clock, logger, parts} = core;
 	const controller = new AbortController();
 	parts.register({
 		name: 'configuration',
@@ -75,6 +93,7 @@
 				apply(configuration) {
 					holder.current = configuration;
 					targets.apply(configuration);
+					budget.applyOrganisations(configuration.data.organisations);
 					logger.info('configuration applied', {revision: configuration.revision});
 				},
 			});
--- a/src/index.ts
+++ b/src/index.ts
@@ -1,6 +1,7 @@
 /** Public index: the parts of the router that other programs may build on. */
 
 export type * from './budget/budget-gate/index.js';
+export * from './budget/fleet-budget/index.js';
 export * from './clock/clock/index.js';
 export * from './configuration/configuration/index.js';
 export * from './configuration/resolve-configuration/index.js';
--- a/src/invariants/invariant-checker/index.ts
+++ b/src/invariants/invariant-checker/index.ts
@@ -3,7 +3,8 @@
 import VError from 'verror';
 
 /** Name of an invariant, used as a metric label. */
-export type InvariantName = 'heartbeatMonotonic' | 'incarnationMonotonic' | 'orderUnderLease' | 'twoLoads';
+export type InvariantName = 'heartbeatMonotonic' | 'incarnationMonotonic' | 'orderUnderLease' | 'twoLoads'
+	| 'partOverfull' | 'negativeTokens' | 'lotOverspent' | 'reportOverGrant';
 
 /** Options of the checker. */
 export type InvariantCheckerOptions = {
