--- a/src/budget/budget-timings/index.ts
+++ b/src/budget/budget-timings/index.ts
@@ -44,7 +44,7 @@
 	returnMs: 1000,
 	tickMs: 100,
 	prefetchMs: 500,
-	refillPauseMs: 100,
+	refillPauseMs: 50,
 	reportMs: 500,
 	callTimeoutMs: 200,
 	rebalanceMs: 15_000,
--- a/src/budget/fleet-budget/index.ts
+++ b/src/budget/fleet-budget/index.ts
@@ -250,7 +250,9 @@
 		const own = this.exchanger.isCoordinator(account.id, now) ? this.owner.readLevel(account.id, now) : 0;
 		const available = this.holder.countAvailable(account.id, now) + own;
 		const target = this.calculateTarget(account, now);
-		const queued = countQueued(account);
+		// In a shortage each instance asks for one request at a time, so that few tokens lie about unused.
+		const isScarce = now < account.scarceUntil && account.queue.length > 0;
+		const queued = isScarce ? Math.min(...account.queue.map(waiter => waiter.tokens)) : countQueued(account);
 		if (queued === 0 && available >= target / 2) {
 			return 0;
 		}
@@ -301,6 +303,10 @@
 		account.queue.splice(account.queue.indexOf(waiter), 1);
 		const error = this.refuseForNow(account, tokens);
 		this.serveQueue(account.id);
+		// Tokens gathered for this request may be what another instance waits for.
+		const now = this.options.clock.readMonotonic();
+		this.holder.returnSurplus(account.id, countQueued(account), now, true);
+		void this.exchanger.flushReports();
 		throw error;
 	}
 
