--- /dev/null
+++ b/src/daemon/register-admin/index.ts
@@ -0,0 +1,42 @@
+/** Wires the admin listener into the daemon. */
+
+import type {Revision} from '../../identity/ids/index.js';
+import {noRevision} from '../../membership/membership/index.js';
+import type {CallerServer} from '../../requests/caller-server/index.js';
+import {AdminServer} from '../admin-server/index.js';
+import type {DaemonCore} from '../create-core/index.js';
+
+/** Registers the part `admin`. */
+export function registerAdmin(core: DaemonCore, server: CallerServer, readRevision: () => Revision): void {
+	const {clock, membership, metrics, parts, settings} = core;
+	metrics.addSources({
+		countInFlight: () => server.inFlight,
+		countConnections: () => server.countConnections(),
+		readRevision,
+		countMembers() {
+			const live = membership.listLive(clock.readMonotonic());
+			const leaving = live.filter(member => member.state === 'leaving').length;
+			return {live: live.length - leaving, leaving};
+		},
+	});
+	const admin = new AdminServer({
+		metrics,
+		dump: () => parts.dump(),
+		readObstacle: () => findObstacle(core, readRevision()),
+	});
+	parts.register({
+		name: 'admin',
+		async start() {
+			await admin.listen(settings.listen.admin);
+		},
+		stop: async () => admin.close(),
+	});
+}
+
+function findObstacle({membership}: DaemonCore, revision: Revision): string | undefined {
+	if (membership.readSelf().state === 'leaving') {
+		return 'the instance is leaving';
+	}
+
+	return revision === noRevision ? 'no configuration is held' : undefined;
+}
