--- a/src/requests/completion-exchange/index.ts
+++ b/src/requests/completion-exchange/index.ts
@@ -220,11 +220,7 @@
 			return false;
 		}
 
-		if (sink.hasSent && !this.canRepeat()) {
-			return false;
-		}
-
-		if (!context.retryBudget.take()) {
+		if ((sink.hasSent && !this.canRepeat()) || !context.retryBudget.take()) {
 			return false;
 		}
 
