--- a/src/requests/send-completion/test.ts
+++ b/src/requests/send-completion/test.ts
@@ -74,6 +74,13 @@
 			expect(await fleet.readCounter('laburnumturn_dropped_answers_total')).toEqual(1);
 		},
 	},
+	{
+		guards: 'an answer of another request that arrives in one piece and ends the process', faults: {crossedAnswers: 3},
+		options: {engines: 1, speed: {decodeMsPerToken: 0, prefillTokensPerMs: 100_000}},
+		check(outcome) {
+			expect(outcome.error?.type).toEqual('answerMismatch');
+		},
+	},
 	{
 		guards: 'an end marker that comes before the answer is finished', faults: {earlyEnds: 1}, options: {engines: 1}, check: expectWhole,
 	},
