Give up answer bodies without ending the process

A body that had arrived as a whole emitted an unhandled error when it was given up. Answers from another incarnation or other weights than expected are refused too, also from engines that ignore the expectation. The rest of a large answer to a caller that left no longer holds a kept connection.

--- a/src/requests/caller-server/test.ts
+++ b/src/requests/caller-server/test.ts
@@ -6,6 +6,7 @@
 import {request} from 'undici';
 import {createRouterError} from '../../results/create-router-error/index.js';
 import {callCompletion} from '../../standin/call-completion/index.js';
+import {waitFor} from '../../standin/wait-for/index.js';
 import {LocalFleet, localSecret, type LocalFleetOptions} from '../../standin/local-fleet/index.js';
 
 const keyLine = `authorization: Bearer ${localSecret}\r\n`;
@@ -177,10 +178,10 @@
 		const socket = await openSocket(fleet);
 		const body = JSON.stringify({model: 'assistant', prompt: 'half', max_tokens: 5000});
 		socket.write(`${post}content-length: ${body.length}\r\n\r\n${body}`);
-		await delay(50);
+		await waitFor(() => fleet.engines[0]!.runs.size > 0);
 		socket.end();
 		expect(parseAnswer(await readAll(socket)).type).toEqual('streamBroken');
-		await delay(50);
+		await waitFor(() => fleet.engines[0]!.cancellations > 0);
 		expect(fleet.engines[0]!.cancellations).toEqual(1);
 	});
 });
--- a/src/requests/forward-call/index.ts
+++ b/src/requests/forward-call/index.ts
@@ -10,6 +10,7 @@
 } from 'undici';
 import VError from 'verror';
 import type {ResolvedRoute, ResolvedTarget} from '../../configuration/configuration/index.js';
+import {discardBody} from '../../http/discard-body/index.js';
 import {classifyCallError} from '../../http/classify-call-error/index.js';
 import {createRouterError, convertToRouterError, RouterError} from '../../results/create-router-error/index.js';
 import type {ResultName} from '../../results/result-codes/index.js';
@@ -116,7 +117,7 @@
 		}
 
 		if (answer.statusCode === 503 && answer.headers['x-not-run'] === 'true') {
-			answer.body.on('error', ignoreError).destroy();
+			discardBody(answer.body);
 			throw createRouterError('targetRefused', target.id);
 		}
 
@@ -178,10 +179,6 @@
 	}
 }
 
-function ignoreError(): void {
-	// The body of a refusal is of no interest.
-}
-
 /** Creates the kept connections for calls that may be repeated. */
 export function createServiceConnections(): Agent {
 	return new Agent({connect: {timeout: connectTimeoutMs}, connections: keptConnections, pipelining: 1});
--- a/src/requests/idempotency-records/test.ts
+++ b/src/requests/idempotency-records/test.ts
@@ -1,7 +1,7 @@
 import {test} from 'node:test';
-import {setTimeout as delay} from 'node:timers/promises';
 import {expect} from 'earl';
 import {callService, type ServiceOutcome, type ServiceQuery} from '../../standin/call-service/index.js';
+import {waitFor} from '../../standin/wait-for/index.js';
 import {LocalFleet, localSecret, otherSecret} from '../../standin/local-fleet/index.js';
 import {IdempotencyRecords} from './index.js';
 
@@ -53,9 +53,9 @@
 
 test('guards against a call that runs beside the first one under its key', async () => {
 	await runWithFleet(async (fleet, call) => {
-		fleet.services[0]!.faults.delayMs = 100;
+		fleet.services[0]!.faults.delayMs = 200;
 		const first = call();
-		await delay(40);
+		await waitFor(() => countRuns(fleet) === 1);
 		expect(summarise(await call())).toEqual({status: 409, type: 'idempotencyConflict', notRun: undefined});
 		expect([await readStatus(first), countRuns(fleet)]).toEqual([200, 1]);
 	});
@@ -127,7 +127,7 @@
 		fleet.services[0]!.faults.delayMs = 100;
 		const headers = {'idempotency-key': 'key-1', 'x-timeout-ms': '30'};
 		expect(await readStatus(call({headers}))).toEqual(504);
-		await delay(150);
+		await waitFor(() => fleet.objectApi.calls.write === 2);
 		expect([await readStatus(call()), countRuns(fleet)]).toEqual([200, 1]);
 	});
 });
--- a/src/requests/send-completion/test.ts
+++ b/src/requests/send-completion/test.ts
@@ -6,6 +6,7 @@
 import {callCompletion, type CompletionOutcome, type CompletionQuery} from '../../standin/call-completion/index.js';
 import type {EngineFaults} from '../../standin/engine-faults/index.js';
 import {generateTokens} from '../../standin/generate-tokens/index.js';
+import {waitFor} from '../../standin/wait-for/index.js';
 import {LocalFleet, localSecret, type LocalFleetOptions} from '../../standin/local-fleet/index.js';
 
 const prompt = 'What is in the catalogue?';
@@ -126,7 +127,7 @@
 		guards: 'a deadline that does not end the request', faults: {silentAfterChunks: 1}, options: {silenceMs: 5000}, query: {headers: {'x-timeout-ms': '150'}},
 		async check(outcome, fleet) {
 			expectBroken(outcome);
-			await delay(50);
+			await waitFor(() => fleet.engines.some(engine => engine.cancellations > 0));
 			expect(fleet.engines.reduce((sum, engine) => sum + engine.cancellations, 0)).toEqual(1);
 		},
 	},
@@ -201,7 +202,7 @@
 			address: fleet.address, secret: localSecret, prompt, maximumTokens: 2000, disconnectAfterChunks: 2,
 		});
 		expect(outcome.isComplete).toEqual(false);
-		await delay(100);
+		await waitFor(() => fleet.engines[0]!.cancellations > 0 && fleet.targets.list()[0]!.ownInFlight === 0);
 		expect(fleet.engines[0]!.cancellations).toEqual(1);
 		expect(fleet.targets.list()[0]!.ownInFlight).toEqual(0);
 	} finally {
--- a/src/requests/serve-completion/test.ts
+++ b/src/requests/serve-completion/test.ts
@@ -10,6 +10,7 @@
 import {callCompletion, type CompletionOutcome, type CompletionQuery} from '../../standin/call-completion/index.js';
 import {EngineServer} from '../../standin/engine-server/index.js';
 import {generateTokens} from '../../standin/generate-tokens/index.js';
+import {waitFor} from '../../standin/wait-for/index.js';
 import {createObjectApiServer} from '../../standin/object-api-server/index.js';
 
 const prompt = 'Which tours run on Sunday?';
@@ -117,7 +118,7 @@
 	const before = engine.cancellations;
 	const {isComplete, parts} = await call({maximumTokens: 2000, disconnectAfterChunks: 3});
 	expect([isComplete, parts.length < 2000]).toEqual([false, true]);
-	await delay(150);
+	await waitFor(() => engine.cancellations > before);
 	expect(engine.cancellations).toEqual(before + 1);
 	const next = await call();
 	expect(next.text).toEqual(expectedText);
--- a/src/requests/serve-idempotent-call/index.ts
+++ b/src/requests/serve-idempotent-call/index.ts
@@ -2,6 +2,7 @@
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {pipeline} from 'node:stream/promises';
+import {discardBody} from '../../http/discard-body/index.js';
 import type {OrganisationId} from '../../identity/ids/index.js';
 import {createRouterError, convertToRouterError} from '../../results/create-router-error/index.js';
 import {filterAnswerHeaders} from '../filter-secrets/index.js';
@@ -124,6 +125,8 @@
 	try {
 		await pipeline(joinParts(start, rest), response);
 	} finally {
+		// After a break on the caller's side the rest would hold the connection to the target.
+		discardBody(answer.answer.body);
 		await answer.close();
 	}
 }
@@ -137,9 +140,7 @@
 
 async function discardLarge(finished: StoredAnswer | LargeAnswer): Promise<void> {
 	if ('rest' in finished) {
-		finished.answer.answer.body.on('error', () => {
-			// Nobody waits for the rest.
-		}).destroy();
+		discardBody(finished.answer.answer.body);
 		await finished.answer.close();
 	}
 }
--- a/src/targets/http-engine-client/index.ts
+++ b/src/targets/http-engine-client/index.ts
@@ -6,6 +6,7 @@
 import {createStream} from '../../streams/create-stream/index.js';
 import {createRouterError, RouterError} from '../../results/create-router-error/index.js';
 import {classifyCallError} from '../../http/classify-call-error/index.js';
+import {discardBody} from '../../http/discard-body/index.js';
 import {fetchJson} from '../../http/fetch-json/index.js';
 import type {Incarnation, RequestId} from '../../identity/ids/index.js';
 import {leavingHeader} from '../leaving-targets/index.js';
@@ -31,6 +32,9 @@
 /** Time for an answer to end after its end marker before its connection is closed, in milliseconds. */
 const leftoverMs = 1000;
 
+/** What the headers of an answer must name. */
+type ExpectedAnswer = {readonly requestId: RequestId; readonly incarnation?: Incarnation; readonly weightsVersion?: string};
+
 /** Engine over HTTP. */
 export class HttpEngineClient implements EngineClient {
 	onLeaving?: () => void;
@@ -63,14 +67,14 @@
 		const body = JSON.stringify({...request.body, stream: true});
 		return this.open({
 			method: 'POST', path: request.path, headers, body, signal,
-		}, request.requestId);
+		}, {requestId: request.requestId, incarnation: request.expectedIncarnation, weightsVersion: request.expectedWeightsVersion});
 	}
 
 	async resume(requestId: RequestId, offset: number, incarnation: Incarnation, signal: AbortSignal): Promise<EngineAnswer> {
 		const path = `/v1/streams/${encodeURIComponent(requestId)}?offset=${offset}`;
 		return this.open({
 			method: 'GET', path, headers: {'x-request-id': requestId, 'x-expected-incarnation': incarnation}, signal,
-		}, requestId);
+		}, {requestId, incarnation});
 	}
 
 	async cancel(requestId: RequestId): Promise<void> {
@@ -127,7 +131,7 @@
 		await Promise.all([this.pool.destroy(), this.eventPool.destroy()]);
 	}
 
-	private async open(options: Dispatcher.RequestOptions, requestId: RequestId): Promise<EngineAnswer> {
+	private async open(options: Dispatcher.RequestOptions, expected: ExpectedAnswer): Promise<EngineAnswer> {
 		let answer: Dispatcher.ResponseData;
 		try {
 			answer = await this.pool.request(options);
@@ -141,13 +145,13 @@
 		}
 
 		const {headers} = answer;
-		if (headers['x-request-id'] !== requestId) {
-			answer.body.destroy();
-			throw createRouterError('answerMismatch', `expected ${requestId}`);
+		if (!matchesAnswer(headers, expected)) {
+			discardBody(answer.body);
+			throw createRouterError('answerMismatch', `expected ${expected.requestId}`);
 		}
 
 		return {
-			requestId,
+			requestId: expected.requestId,
 			incarnation: String(headers['x-engine-incarnation']) as Incarnation,
 			weightsVersion: String(headers['x-weights-version']),
 			cachedTokens: Number(headers['x-cached-tokens'] ?? 0),
@@ -181,6 +185,13 @@
 	}
 }
 
+/** Also refuses the answer of an engine that ignores what was expected and runs the request on other weights or another cache. */
+function matchesAnswer(headers: IncomingHttpHeaders, expected: ExpectedAnswer): boolean {
+	return headers['x-request-id'] === expected.requestId
+		&& (expected.incarnation ?? headers['x-engine-incarnation']) === headers['x-engine-incarnation']
+		&& (expected.weightsVersion ?? headers['x-weights-version']) === headers['x-weights-version'];
+}
+
 async function * readChunks(body: Dispatcher.ResponseData['body']): AsyncGenerator<EngineChunk> {
 	let hasEnded = false;
 	try {
@@ -206,7 +217,7 @@
 		// Whoever read the body has been told, or no longer needs it.
 	});
 	if (!hasEnded) {
-		body.destroy();
+		discardBody(body);
 		return;
 	}
 
