Round home sets up to powers of two and lengthen the half-life of heat

Instances see few requests a second each, so their shares differ by chance, and a different width on an upper level moves the prefixes below it.

--- a/src/placement/prefix-placement/index.ts
+++ b/src/placement/prefix-placement/index.ts
@@ -36,8 +36,8 @@
 };
 
 const pieceTokens = pieceBytes / bytesPerToken;
-/** Half-life of the heat of a prefix: short enough to follow a hot prefix that shifts within seconds. */
-const heatHalfLifeMs = 3000;
+/** Half-life of the heat of a prefix. Shorter ones make the shares of an instance with few requests a second too noisy. */
+const heatHalfLifeMs = 8000;
 /** An engine above this multiple of the mean occupancy is no home for new prefixes. */
 const loadBound = 1.25;
 /** Requests above the mean that are always allowed, so that the bound does not bite at low load. */
@@ -96,7 +96,7 @@
 		const bound = (loadBound * occupied / ratings.length) + loadSlack;
 		let engines = ratings.filter(rating => rating.occupancy <= bound).map(rating => rating.engine);
 		for (const block of blocks) {
-			const width = Math.max(1, Math.ceil(this.heat.readShare(block, now) * ratings.length));
+			const width = roundWidth(this.heat.readShare(block, now) * ratings.length);
 			if (width < engines.length) {
 				engines = rankEngines(block, engines, width);
 			}
@@ -109,3 +109,8 @@
 		return new Set(engines);
 	}
 }
+
+/** Rounds up to a power of two, so that instances whose shares differ a little still arrive at the same set. */
+function roundWidth(engines: number): number {
+	return Math.max(1, 2 ** Math.ceil(Math.log2(engines)));
+}
