--- a/src/bench/measure-router-cost/index.ts
+++ b/src/bench/measure-router-cost/index.ts
@@ -8,7 +8,7 @@
 import {
 	mkdtemp, readFile, rm, writeFile,
 } from 'node:fs/promises';
-import {tmpdir} from 'node:os';
+import {availableParallelism, loadavg, tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {performance} from 'node:perf_hooks';
 import process from 'node:process';
@@ -225,5 +225,5 @@
 
 const seconds = Number(process.argv[2] ?? defaultPhaseSeconds);
 const measurement = new RouterCostMeasurement(seconds * msPerSecond);
-const lines = await measurement.run();
+const lines = [`load of the machine before: ${loadavg()[0]!.toFixed(1)} on ${availableParallelism()} cores`, ...await measurement.run()];
 process.stdout.write(`${lines.join('\n')}\n`);
--- a/src/daemon/metrics/index.ts
+++ b/src/daemon/metrics/index.ts
@@ -69,11 +69,11 @@
 		}));
 	}
 
-	private addGauge(name: string, help: string, read: () => number | Promise<number>): void {
+	private addGauge(name: string, help: string, read: () => number): void {
 		this.gauges.push(new Gauge({
 			name: prefix + name, help, registers: [this.registry],
-			async collect() {
-				this.set(await read());
+			collect() {
+				this.set(read());
 			},
 		}));
 	}
--- a/src/daemon/start-daemon/index.ts
+++ b/src/daemon/start-daemon/index.ts
@@ -1,11 +1,12 @@
 /** Wires the parts of the daemon together. */
 
 import type {Configuration} from '../../configuration/configuration/index.js';
-import {pollResources} from '../../configuration/poll-resources/index.js';
+import type {ConfigurationFollower} from '../../configuration/configuration-follower/index.js';
 import type {Revision} from '../../identity/ids/index.js';
 import {noRevision} from '../../membership/membership/index.js';
 import {CallerServer} from '../../requests/caller-server/index.js';
 import {createRouterError} from '../../results/create-router-error/index.js';
+import {registerTargetController} from '../../orders/register-target-controller/index.js';
 import {HttpEngineClient} from '../../targets/http-engine-client/index.js';
 import {LeavingTargets} from '../../targets/leaving-targets/index.js';
 import {HttpInstanceList} from '../../platform/http-instance-list/index.js';
@@ -14,6 +15,7 @@
 import {createCore, type DaemonCore} from '../create-core/index.js';
 import {createRequestPath} from '../create-request-path/index.js';
 import {PlannedStop, type StopOutcome} from '../planned-stop/index.js';
+import {registerConfigurationParts} from '../register-configuration-parts/index.js';
 import type {Settings} from '../settings/index.js';
 
 /** A running daemon. */
@@ -29,13 +31,14 @@
 /** The configuration in force; nothing until the first one is applied. */
 class ConfigurationHolder {
 	current: Configuration | undefined;
+	follower: ConfigurationFollower | undefined;
 
 	read(): Configuration {
-		if (this.current === undefined) {
+		if (this.follower === undefined) {
 			throw createRouterError('notReady');
 		}
 
-		return this.current;
+		return this.follower.readConfiguration();
 	}
 
 	readRevision(): Revision {
@@ -50,6 +53,7 @@
 	const targets = createTargets(core);
 	registerConfiguration(core, holder, targets);
 	const server = new CallerServer(createRequestPath(core, targets, () => holder.read()));
+	registerTargetController(core, targets, () => holder.current);
 	registerAdmin(core, holder, server);
 	await core.parts.start();
 	const address = await server.listen();
@@ -101,24 +105,10 @@
 }
 
 /** Follows the configuration. `holder` has the one in force. */
-function registerConfiguration({objectApi, clock, logger, parts}: DaemonCore, holder: ConfigurationHolder, targets: TargetDirectory): void {
-	const controller = new AbortController();
-	parts.register({
-		name: 'configuration',
-		start() {
-			void pollResources({
-				objectApi, clock, logger, signal: controller.signal,
-				apply(configuration) {
-					holder.current = configuration;
-					targets.apply(configuration);
-					logger.info('configuration applied', {revision: configuration.revision});
-				},
-			});
-		},
-		stop() {
-			controller.abort();
-		},
-		dump: () => ({revision: holder.readRevision()}),
+function registerConfiguration(core: DaemonCore, holder: ConfigurationHolder, targets: TargetDirectory): void {
+	holder.follower = registerConfigurationParts(core, configuration => {
+		holder.current = configuration;
+		targets.apply(configuration);
 	});
 }
 
