--- a/src/membership/heartbeat/index.ts
+++ b/src/membership/heartbeat/index.ts
@@ -24,17 +24,31 @@
 	ageMs: z.number().nonnegative(),
 });
 
+/** What changes in a member's life, for receivers that know the rest. */
+const briefSchema = z.strictObject({
+	id: textSchema,
+	/** Random end of the incarnation. */
+	life: textSchema,
+	state: z.enum(['live', 'leaving']),
+	revision: z.number().int(),
+	counter: z.number().int().nonnegative(),
+	ageMs: z.number().nonnegative(),
+});
+
 /** A heartbeat, and also its answer: the sender first, then a sample of the members that it knows as live. */
 export const heartbeatSchema = z.object({
 	sender: entrySchema,
-	sample: z.array(entrySchema).max(maximumSample),
+	sample: z.array(z.union([briefSchema, entrySchema])).max(maximumSample),
 });
 
 /** State of a member with its heartbeat counter, and the time since the counter was seen to advance. */
 export type HeartbeatEntry = Member & {readonly counter: number; readonly ageMs: number};
 
+/** The part of an entry that changes, about a third of its bytes. A receiver that does not know the life drops it. */
+export type BriefEntry = Pick<HeartbeatEntry, 'id' | 'state' | 'revision' | 'counter' | 'ageMs'> & {readonly life: string};
+
 /** One heartbeat. */
-export type Heartbeat = {readonly sender: HeartbeatEntry; readonly sample: readonly HeartbeatEntry[]};
+export type Heartbeat = {readonly sender: HeartbeatEntry; readonly sample: ReadonlyArray<HeartbeatEntry | BriefEntry>};
 
 /** Checks a heartbeat from the wire; throws when it has another form. */
 export function parseHeartbeat(value: unknown): Heartbeat {
--- a/src/membership/member-table/index.ts
+++ b/src/membership/member-table/index.ts
@@ -2,7 +2,7 @@
 
 import type {InstanceId, MonotonicMs} from '../../identity/ids/index.js';
 import type {RandomSource} from '../../random/random-source/index.js';
-import type {HeartbeatEntry} from '../heartbeat/index.js';
+import type {BriefEntry, HeartbeatEntry} from '../heartbeat/index.js';
 import type {Member} from '../member/index.js';
 
 /** Age of the last counter advance beyond which a member no longer counts as live, in milliseconds. */
@@ -14,6 +14,11 @@
 /** Time during which a change is put into samples first, in milliseconds. */
 const newsMs = 5000;
 
+/** One entry out of this many is sent whole. */
+const wholeEntryInterval = 8;
+/** Length of the random end of an incarnation. */
+const lifeLength = 8;
+
 type MemberRecord = {member: Member; counter: number; advancedAt: number; changedAt: number};
 
 /** Members by id with their heartbeat counters. */
@@ -58,13 +63,21 @@
 	}
 
 	/** Picks at most `count` live members for a heartbeat to `receiver`, recent changes first. */
-	pickSample(count: number, receiver: InstanceId | undefined, now: MonotonicMs): HeartbeatEntry[] {
+	pickSample(count: number, receiver: InstanceId | undefined, now: MonotonicMs): Array<HeartbeatEntry | BriefEntry> {
 		const records = this.listLiveRecords(now).filter(record => record.member.id !== receiver);
 		const news = records.filter(record => now - record.changedAt < newsMs);
 		const rest = records.filter(record => now - record.changedAt >= newsMs);
 		const picked = this.random.pickSome(news, count);
 		picked.push(...this.random.pickSome(rest, count - picked.length));
-		return picked.map(record => ({...record.member, counter: record.counter, ageMs: Math.max(0, Math.round(now - record.advancedAt))}));
+		const isReceiverNew = this.isNews(receiver, now);
+		return picked.map(record => this.formatEntry(record, isReceiverNew || news.includes(record), now));
+	}
+
+	/** Completes a brief entry with what is known of the same life; nothing when that is unknown. */
+	completeEntry(entry: BriefEntry): HeartbeatEntry | undefined {
+		const member = this.records.get(entry.id)?.member;
+		const {life, ...changes} = entry;
+		return member?.incarnation.endsWith(life) === true ? {...member, ...changes} : undefined;
 	}
 
 	/** Forgets members that have been silent for long. */
@@ -83,6 +96,25 @@
 		}));
 	}
 
+	/** Whether a member has just begun its life or changed its state. */
+	private isNews(id: InstanceId | undefined, now: MonotonicMs): boolean {
+		const record = id === undefined ? undefined : this.records.get(id);
+		return record !== undefined && now - record.changedAt < newsMs;
+	}
+
+	/** Changes, answers to new members and one entry in eight are sent whole, so that receivers that missed a change learn it within seconds. */
+	private formatEntry({member, counter, advancedAt}: MemberRecord, isNews: boolean, now: MonotonicMs): HeartbeatEntry | BriefEntry {
+		const ageMs = Math.max(0, Math.round(now - advancedAt));
+		if (isNews || this.random.pickIndex(wholeEntryInterval) === 0) {
+			return {...member, counter, ageMs};
+		}
+
+		const {id, state, revision, incarnation} = member;
+		return {
+			id, state, revision, counter, ageMs, life: incarnation.slice(-lifeLength),
+		};
+	}
+
 	private listLiveRecords(now: MonotonicMs): MemberRecord[] {
 		return [...this.records.values()].filter(record => isLive(record, now));
 	}
--- a/src/membership/membership/index.ts
+++ b/src/membership/membership/index.ts
@@ -175,7 +175,12 @@
 	private merge(heartbeat: Heartbeat): void {
 		const now = this.options.clock.readMonotonic();
 		this.lastHeardAt = now;
-		for (const entry of [heartbeat.sender, ...heartbeat.sample]) {
+		for (const received of [heartbeat.sender, ...heartbeat.sample]) {
+			const entry = 'life' in received ? this.table.completeEntry(received) : received;
+			if (entry === undefined) {
+				continue;
+			}
+
 			if (entry.id === this.options.identity.id) {
 				this.noteOwnEntry(entry);
 			} else {
--- a/src/membership/membership/test.ts
+++ b/src/membership/membership/test.ts
@@ -132,6 +132,14 @@
 		fleet.stop();
 	});
 
+	test('guards against a new instance that takes long to learn of the others', async () => {
+		const fleet = await createFleet('abcdefghijklmnop');
+		fleet.start('q');
+		await fleet.clock.advance(4000);
+		expect(fleet.listLive('q')).toEqual('abcdefghijklmnopq');
+		fleet.stop();
+	});
+
 	test('guards against a leaving member that others keep handing out', async () => {
 		const fleet = await createFleet('abcdefghijklmnopq');
 		fleet.members.get('d')!.markLeaving();
