--- a/src/daemon/start-daemon/index.ts
+++ b/src/daemon/start-daemon/index.ts
@@ -1,7 +1,7 @@
 /** Wires the parts of the daemon together. */
 
 import type {Configuration} from '../../configuration/configuration/index.js';
-import {pollResources} from '../../configuration/poll-resources/index.js';
+import type {ConfigurationFollower} from '../../configuration/configuration-follower/index.js';
 import type {Revision} from '../../identity/ids/index.js';
 import {noRevision} from '../../membership/membership/index.js';
 import {CallerServer} from '../../requests/caller-server/index.js';
@@ -15,6 +15,7 @@
 import {createCore, type DaemonCore} from '../create-core/index.js';
 import {createRequestPath} from '../create-request-path/index.js';
 import {PlannedStop, type StopOutcome} from '../planned-stop/index.js';
+import {registerConfigurationParts} from '../register-configuration-parts/index.js';
 import type {Settings} from '../settings/index.js';
 
 /** A running daemon. */
@@ -30,13 +31,14 @@
 /** The configuration in force; nothing until the first one is applied. */
 class ConfigurationHolder {
 	current: Configuration | undefined;
+	follower: ConfigurationFollower | undefined;
 
 	read(): Configuration {
-		if (this.current === undefined) {
+		if (this.follower === undefined) {
 			throw createRouterError('notReady');
 		}
 
-		return this.current;
+		return this.follower.readConfiguration();
 	}
 
 	readRevision(): Revision {
@@ -103,24 +105,10 @@
 }
 
 /** Follows the configuration. `holder` has the one in force. */
-function registerConfiguration({objectApi, clock, logger, parts}: DaemonCore, holder: ConfigurationHolder, targets: TargetDirectory): void {
-	const controller = new AbortController();
-	parts.register({
-		name: 'configuration',
-		start() {
-			void pollResources({
-				objectApi, clock, logger, signal: controller.signal,
-				apply(configuration) {
-					holder.current = configuration;
-					targets.apply(configuration);
-					logger.info('configuration applied', {revision: configuration.revision});
-				},
-			});
-		},
-		stop() {
-			controller.abort();
-		},
-		dump: () => ({revision: holder.readRevision()}),
+function registerConfiguration(core: DaemonCore, holder: ConfigurationHolder, targets: TargetDirectory): void {
+	holder.follower = registerConfigurationParts(core, configuration => {
+		holder.current = configuration;
+		targets.apply(configuration);
 	});
 }
 
--- a/src/invariants/invariant-checker/index.ts
+++ b/src/invariants/invariant-checker/index.ts
@@ -6,7 +6,14 @@
 export type RequestInvariant = 'contiguousOffsets' | 'oneGeneration' | 'atMostOneAttempt' | 'noSecretInOutgoingBytes';
 
 /** Name of an invariant, used as a metric label. */
-export type InvariantName = 'heartbeatMonotonic' | 'incarnationMonotonic' | 'orderUnderLease' | 'twoLoads' | RequestInvariant;
+export type InvariantName
+	= 'heartbeatMonotonic'
+		| 'incarnationMonotonic'
+		| 'oneContentPerRevision'
+		| 'orderUnderLease'
+		| 'revisionMonotonic'
+		| 'twoLoads'
+		| RequestInvariant;
 
 /** Options of the checker. */
 export type InvariantCheckerOptions = {
@@ -34,3 +41,8 @@
 		}
 	}
 }
+
+/** Whether `error` was thrown by a strict checker. */
+export function isInvariantError(error: unknown): boolean {
+	return error instanceof Error && error.name === 'InvariantError';
+}
--- a/src/requests/caller-server/index.ts
+++ b/src/requests/caller-server/index.ts
@@ -18,7 +18,6 @@
 import {serveService} from '../serve-service/index.js';
 import type {RouterContext} from '../router-context/index.js';
 
-const idleCheckMs = 100;
 const highestHeaderCount = 100;
 /** Connections over the limit that may wait for their refusal; more are closed without an answer. */
 const refusedConnections = 64;
@@ -26,16 +25,17 @@
 const slowCheckMs = 100;
 const msPerSecond = 1000;
 const modelsPath = '/v1/models';
+const idleCheckMs = 100;
 
 /** HTTP server for callers. */
 export class CallerServer {
 	/** Requests now being served. */
 	inFlight = 0;
 	private readonly server: Server;
-	private readonly responses = new Set<ServerResponse>();
-	private isClosing = false;
 	private readonly sockets = new Set<Socket>();
 	private readonly exchanges = new WeakMap<Duplex, Set<OpenExchange>>();
+	private readonly responses = new Set<ServerResponse>();
+	private isClosing = false;
 
 	constructor(private readonly context: RouterContext) {
 		const {limits} = context.settings;
@@ -142,6 +142,17 @@
 		});
 	}
 
+	/** Answers that end after the stop began ask their caller to open no more requests on the connection. */
+	private noteResponse(response: ServerResponse): void {
+		this.responses.add(response);
+		response.once('close', () => {
+			this.responses.delete(response);
+		});
+		if (this.isClosing) {
+			response.shouldKeepAlive = false;
+		}
+	}
+
 	private async handle(message: IncomingMessage, response: ServerResponse): Promise<void> {
 		if (!this.sockets.has(message.socket) || message.socket.writableEnded) {
 			// The connection was refused or is being closed: its caller was told so, and nothing more may run.
@@ -151,15 +162,8 @@
 		const {metrics, clock} = this.context;
 		const startedAt = clock.readMonotonic();
 		this.inFlight += 1;
-		this.responses.add(response);
-		response.once('close', () => {
-			this.responses.delete(response);
-		});
-		if (this.isClosing) {
-			response.shouldKeepAlive = false;
-		}
-
 		this.noteExchange({message, response});
+		this.noteResponse(response);
 		// A caller that goes away while its answer is written is noticed by `openCallSignal`.
 		response.on('error', () => undefined);
 		let result = 'ok';
--- a/src/requests/send-completion/index.ts
+++ b/src/requests/send-completion/index.ts
@@ -54,7 +54,7 @@
 		...wait,
 		listCandidates: () => listCandidates(context, model),
 	});
-	return {slot, expectedIncarnation: slot.engine.readState(context.clock.readMonotonic())?.incarnation};
+	return {slot, expectedIncarnation: slot.incarnation};
 }
 
 /** Chooses the weights version for a request by what the model's engines report. */
