Wait for the first state of the engines instead of refusing

Cause: an instance that has just taken a configuration has asked no engine for its state, so no engine counts as serving the model and the first requests got noTarget; a cluster of three daemons answered its first request with 503. Ruled out: a late configuration, since the refusal named the model.

Change: a request waits in the queue while an engine of its model has not been asked yet. The new test failed before with noTarget and passes after.

--- a/src/fairness/engine-gate/index.ts
+++ b/src/fairness/engine-gate/index.ts
@@ -45,6 +45,8 @@
 	readonly signal: AbortSignal;
 	/** Engines that may serve the request at the time of the call. */
 	listCandidates(): readonly EngineMonitor[];
+	/** Whether an engine that may turn out to serve the request has not been asked for its state yet. */
+	isUndecided(): boolean;
 };
 
 /** An engine that was chosen for one request. */
@@ -163,6 +165,10 @@
 	private place(demand: EngineDemand, waitedMs: number): EngineSlot | undefined {
 		const now = this.options.clock.readMonotonic();
 		const candidates = demand.listCandidates();
+		if (candidates.length === 0 && demand.isUndecided()) {
+			return undefined;
+		}
+
 		if (candidates.length === 0) {
 			throw createRouterError('noTarget', `model ${demand.model.id}`);
 		}
--- a/src/fairness/engine-gate/test.ts
+++ b/src/fairness/engine-gate/test.ts
@@ -20,7 +20,7 @@
 function createDemand(engines: readonly EngineMonitor[], signal = new AbortController().signal): EngineDemand {
 	return {
 		model: fixtureModel, organisation: 'travel' as OrganisationId, weight: 1, blocks: createBlocks('catalogue'), promptTokens: 12_288,
-		maximumTokens: 10, excluded: new Set(), signal, listCandidates: () => engines,
+		maximumTokens: 10, excluded: new Set(), signal, listCandidates: () => engines, isUndecided: () => false,
 	};
 }
 
@@ -88,6 +88,17 @@
 		expect(slot.engine.target.id).toEqual(engine.target.id);
 	});
 
+	test('guards against refusals just after a start, when no engine has been asked for its state yet', async () => {
+		const clock = new ManualClock();
+		const engines: EngineMonitor[] = [];
+		const slot = createGate(clock).acquire({...createDemand(engines), isUndecided: () => engines.length === 0});
+		await clock.advance(100);
+		engines.push(createEngineMonitor(0));
+		await clock.advance(100);
+		const {engine} = await slot;
+		expect(engine.target.id).toEqual(engines[0]!.target.id);
+	});
+
 	test('guards against waiting when no engine is left', async () => {
 		const error = await readError(createGate(new ManualClock()).acquire(createDemand([])));
 		expect(error.entry.name).toEqual('noTarget');
--- a/src/requests/send-completion/index.ts
+++ b/src/requests/send-completion/index.ts
@@ -53,23 +53,25 @@
 		maximumTokens: request.maximumTokens,
 		...wait,
 		listCandidates: () => listCandidates(context, model),
+		isUndecided: () => listMonitors(context, model).some(monitor => !monitor.hasBeenAsked),
 	});
 	return {slot, expectedIncarnation: slot.incarnation};
 }
 
 /** Chooses the weights version for a request by what the model's engines report. */
 export function chooseModel(context: RouterContext, declared: ResolvedModel): ResolvedModel {
-	const monitors = context.readConfiguration().listEngines(declared.id)
-		.map(target => context.targets.find(target.id))
-		.filter(monitor => monitor !== undefined);
-	return chooseServedModel(declared, monitors, context.clock.readMonotonic());
+	return chooseServedModel(declared, listMonitors(context, declared), context.clock.readMonotonic());
 }
 
 function listCandidates(context: RouterContext, model: ResolvedModel): EngineMonitor[] {
 	const now = context.clock.readMonotonic();
+	return listMonitors(context, model).filter(monitor => monitor.canServe(model, now));
+}
+
+function listMonitors(context: RouterContext, model: ResolvedModel): EngineMonitor[] {
 	return context.readConfiguration().listEngines(model.id)
 		.map(target => context.targets.find(target.id))
-		.filter(monitor => monitor?.canServe(model, now)) as EngineMonitor[];
+		.filter(monitor => monitor !== undefined);
 }
 
 /** Builds the request to the engine: the caller's body with the engine's names, always streamed and with usage. */
--- a/src/targets/engine-monitor/index.ts
+++ b/src/targets/engine-monitor/index.ts
@@ -28,6 +28,8 @@
 export class EngineMonitor {
 	/** The target's resource in force. */
 	target: ResolvedTarget;
+	/** Whether the engine has answered or failed to answer for its state at least once. */
+	hasBeenAsked = false;
 	readonly cache = new CacheIndex();
 	private readonly ownLoad = new OwnLoad();
 	private state: EngineState | undefined;
@@ -143,6 +145,8 @@
 				// An unreachable engine ages out of `readState`.
 			}
 
+			this.hasBeenAsked = true;
+
 			await this.clock.sleep(pollIntervalMs, this.controller.signal);
 		}
 	}
