--- a/src/budget/fleet-budget/index.ts
+++ b/src/budget/fleet-budget/index.ts
@@ -4,11 +4,11 @@
  */
 
 import {setMaxListeners} from 'node:events';
-import {Registry} from 'prom-client';
+import type {Registry} from 'prom-client';
 import type {Clock} from '../../clock/clock/index.js';
 import type {ResolvedOrganisation} from '../../configuration/configuration/index.js';
 import type {Incarnation, MonotonicMs, OrganisationId} from '../../identity/ids/index.js';
-import {InvariantChecker} from '../../invariants/invariant-checker/index.js';
+import type {InvariantChecker} from '../../invariants/invariant-checker/index.js';
 import type {EventLogger} from '../../logging/create-logger/index.js';
 import type {MemberView} from '../../membership/member/index.js';
 import type {PeerCaller, PeerMethodRegistry} from '../../peers/peer-caller/index.js';
@@ -31,10 +31,9 @@
 	readonly methods: PeerMethodRegistry;
 	readonly members: MemberView;
 	readonly logger: EventLogger;
-	readonly registry?: Registry;
+	readonly invariants: InvariantChecker;
+	readonly registry: Registry;
 	readonly timings?: Partial<BudgetTimings>;
-	/** Throws on a broken rule; for tests. */
-	readonly isStrict?: boolean;
 };
 
 /** A request that waits for tokens; its sleep ends when the controller aborts. */
@@ -86,18 +85,11 @@
 	constructor(private readonly options: FleetBudgetOptions) {
 		// Each organisation that waits for tokens sleeps under this signal.
 		setMaxListeners(0, this.controller.signal);
-		const {incarnation, clock, objectApi, peers, methods, members, logger, isStrict} = options;
+		const {incarnation, clock, objectApi, peers, methods, members, logger, invariants} = options;
 		const self = members.readSelf().id;
 		this.timings = {...defaultBudgetTimings, ...options.timings};
-		this.metrics = createBudgetMetrics(options.registry ?? new Registry());
+		this.metrics = createBudgetMetrics(options.registry);
 		const {timings, metrics} = this;
-		const invariants = new InvariantChecker({
-			isStrict: isStrict ?? false,
-			onViolation(invariant, detail) {
-				metrics.brokenInvariants.inc({invariant});
-				logger.error('budget invariant violated', {invariant, detail});
-			},
-		});
 		this.owner = new BudgetOwner({incarnation, timings, invariants});
 		this.holder = new BudgetHolder({incarnation, timings, invariants});
 		const {owner, holder} = this;
--- a/src/invariants/invariant-checker/index.ts
+++ b/src/invariants/invariant-checker/index.ts
@@ -2,9 +2,22 @@
 
 import VError from 'verror';
 
+/** Invariants of the request path. */
+export type RequestInvariant = 'contiguousOffsets' | 'oneGeneration' | 'atMostOneAttempt' | 'noSecretInOutgoingBytes';
+
+/** Invariants of the budgets. */
+export type BudgetInvariant = 'partOverfull' | 'negativeTokens' | 'lotOverspent' | 'reportOverGrant';
+
 /** Name of an invariant, used as a metric label. */
-export type InvariantName = 'heartbeatMonotonic' | 'incarnationMonotonic' | 'orderUnderLease' | 'twoLoads'
-	| 'partOverfull' | 'negativeTokens' | 'lotOverspent' | 'reportOverGrant';
+export type InvariantName
+	= 'heartbeatMonotonic'
+		| 'incarnationMonotonic'
+		| 'oneContentPerRevision'
+		| 'orderUnderLease'
+		| 'revisionMonotonic'
+		| 'twoLoads'
+		| BudgetInvariant
+		| RequestInvariant;
 
 /** Options of the checker. */
 export type InvariantCheckerOptions = {
@@ -32,3 +45,8 @@
 		}
 	}
 }
+
+/** Whether `error` was thrown by a strict checker. */
+export function isInvariantError(error: unknown): boolean {
+	return error instanceof Error && error.name === 'InvariantError';
+}
--- a/src/targets/http-engine-client/index.ts
+++ b/src/targets/http-engine-client/index.ts
@@ -1,5 +1,6 @@
 /** Client of a model engine over HTTP with server-sent events. */
 
+import type {IncomingHttpHeaders} from 'node:http';
 import type {Stream} from 'most';
 import {Pool, type Dispatcher} from 'undici';
 import {createStream} from '../../streams/create-stream/index.js';
@@ -7,6 +8,7 @@
 import {classifyCallError} from '../../http/classify-call-error/index.js';
 import {fetchJson} from '../../http/fetch-json/index.js';
 import type {Incarnation, RequestId} from '../../identity/ids/index.js';
+import {leavingHeader} from '../leaving-targets/index.js';
 import {parseEventStream} from '../parse-event-stream/index.js';
 import type {
 	BlockSnapshot, CacheEvent, EngineAnswer, EngineChunk, EngineClient, EngineOrder, EngineRequest, EngineState,
@@ -26,9 +28,12 @@
 const snapshotTimeoutMs = 5000;
 const eventSilenceMs = 3500;
 const maximumConnections = 512;
+/** Time for an answer to end after its end marker before its connection is closed, in milliseconds. */
+const leftoverMs = 1000;
 
 /** Engine over HTTP. */
 export class HttpEngineClient implements EngineClient {
+	onLeaving?: () => void;
 	private readonly origin: string;
 	private readonly pool: Pool;
 	private readonly eventPool: Pool;
@@ -75,7 +80,12 @@
 	}
 
 	async readState(): Promise<EngineState> {
-		return fetchJson(`${this.origin}/state`, {timeoutMs: stateTimeoutMs, dispatcher: this.eventPool});
+		return fetchJson(`${this.origin}/state`, {
+			timeoutMs: stateTimeoutMs, dispatcher: this.eventPool,
+			onHeaders: headers => {
+				this.checkLeaving(headers);
+			},
+		});
 	}
 
 	async readBlocks(): Promise<BlockSnapshot> {
@@ -125,6 +135,7 @@
 			throw convertEngineError(error);
 		}
 
+		this.checkLeaving(answer.headers);
 		if (answer.statusCode !== 200) {
 			throw await convertRefusal(answer);
 		}
@@ -144,6 +155,12 @@
 		};
 	}
 
+	private checkLeaving(headers: IncomingHttpHeaders): void {
+		if (headers[leavingHeader] === 'true') {
+			this.onLeaving?.();
+		}
+	}
+
 	private async readEvents(after: number, signal: AbortSignal, emit: (event: CacheEvent) => void): Promise<never> {
 		const answer = await this.eventPool.request({method: 'GET', path: `/cache/events?after=${after}`, signal});
 		if (answer.statusCode !== 200) {
@@ -164,22 +181,44 @@
 	}
 }
 
-async function * readChunks(body: AsyncIterable<Uint8Array>): AsyncGenerator<EngineChunk> {
+async function * readChunks(body: Dispatcher.ResponseData['body']): AsyncGenerator<EngineChunk> {
+	let hasEnded = false;
 	try {
-		for await (const event of parseEventStream(body)) {
-			const isEnd = event.data === '[DONE]';
-			yield {offset: Number(event.id), data: event.data, isEnd};
-			if (isEnd) {
+		for await (const event of parseEventStream(body.iterator({destroyOnReturn: false}))) {
+			hasEnded = event.data === '[DONE]';
+			yield {offset: Number(event.id), data: event.data, isEnd: hasEnded};
+			if (hasEnded) {
 				return;
 			}
 		}
 	} catch (error) {
 		throw convertStreamError(error);
+	} finally {
+		releaseBody(body, hasEnded);
 	}
 
 	throw createRouterError('streamBroken');
 }
 
+/** After the end marker the few bytes left are read, so that the connection can be used again; otherwise it is closed. */
+function releaseBody(body: Dispatcher.ResponseData['body'], hasEnded: boolean): void {
+	body.on('error', () => {
+		// Whoever read the body has been told, or no longer needs it.
+	});
+	if (!hasEnded) {
+		body.destroy();
+		return;
+	}
+
+	const timer = setTimeout(() => {
+		body.destroy();
+	}, leftoverMs);
+	body.once('close', () => {
+		clearTimeout(timer);
+	});
+	body.resume();
+}
+
 /** Longest refusal text that is read, in bytes. */
 const refusalBytes = 4096;
 
