--- a/src/budget/budget-metrics/index.ts
+++ b/src/budget/budget-metrics/index.ts
@@ -7,7 +7,6 @@
 	readonly admittedTokens: Counter;
 	readonly refusals: Counter<'reason'>;
 	readonly exchanges: Counter<'role' | 'outcome'>;
-	readonly brokenInvariants: Counter<'invariant'>;
 	readonly ownedParts: Gauge;
 	readonly ledgerRevision: Gauge;
 };
@@ -23,9 +22,6 @@
 		exchanges: new Counter({
 			name: 'laburnumturn_budget_exchanges_total', help: 'Calls of budget.exchange sent, by role and outcome', labelNames: ['role', 'outcome'], registers,
 		}),
-		brokenInvariants: new Counter({
-			name: 'laburnumturn_budget_invariant_violations_total', help: 'Broken rules of the budgets; always 0 in a correct program', labelNames: ['invariant'], registers,
-		}),
 		ownedParts: new Gauge({name: 'laburnumturn_budget_owned_parts', help: 'Budget parts that this instance may use', registers}),
 		ledgerRevision: new Gauge({name: 'laburnumturn_budget_ledger_revision', help: 'Latest revision of the budget ledger known here', registers}),
 	};
