Share a lone owner's budget parts as soon as a peer asks for tokens

Cause: an owner that was alone when it wrote the ledger may not grant to other instances until the ledger says that its parts are shared, and it wrote that with the next periodic step, up to 5 s later. Until then every request at the other instances was refused with budgetExceeded. Ruled out: lost messages (47 of 47 exchanges were answered), levels (all parts were full), stale ledgers (all instances knew the owner).

Change: the first request for tokens from a peer makes the owner write the ledger at once.

--- a/src/budget/budget-exchanger/index.ts
+++ b/src/budget/budget-exchanger/index.ts
@@ -39,8 +39,8 @@
 	readonly metrics: BudgetMetrics;
 	/** Called when lots of an organisation arrived. */
 	readonly onLots: (organisation: OrganisationId) => void;
-	/** Called when a peer knows a newer ledger. */
-	readonly onNewerLedger: () => void;
+	/** Called when the ledger must be read at once: a peer knows a newer one, or waits for this instance to share its parts. */
+	readonly onLedgerDue: () => void;
 };
 
 /** Sends and serves exchanges. */
@@ -161,7 +161,7 @@
 		owner.applyReports(request.reports, now);
 		holder.applyReports(request.reports, now);
 		if (tenure.noteRevision(request.ledgerRevision)) {
-			this.options.onNewerLedger();
+			this.options.onLedgerDue();
 		}
 
 		const grants = await Promise.all(request.wants.map(async want => this.grantWant(want, request.role)));
@@ -175,7 +175,13 @@
 	private async grantWant(want: TokenWant, role: ExchangeRequest['role']): Promise<Grant[]> {
 		const {owner, holder, tenure, clock} = this.options;
 		const now = clock.readMonotonic();
-		if (!tenure.isOwner(now) || !tenure.canGrantToPeers()) {
+		if (!tenure.isOwner(now)) {
+			return [];
+		}
+
+		if (!tenure.canGrantToPeers()) {
+			tenure.requestSharing();
+			this.options.onLedgerDue();
 			return [];
 		}
 
--- a/src/budget/budget-tenure/index.ts
+++ b/src/budget/budget-tenure/index.ts
@@ -48,6 +48,8 @@
 	private known: LedgerRecord | undefined;
 	private fencing: FencingNumber | undefined;
 	private isShared = false;
+	/** Whether another instance has asked for tokens, which it may have to wait for until `isShared`. */
+	private isAskedByPeers = false;
 	private nextRenewalAt = 0;
 	private nextLedgerAt = 0;
 	private isLeaving = false;
@@ -76,6 +78,12 @@
 		return this.isShared;
 	}
 
+	/** Enters in the ledger at the next step that tokens are granted to other instances. */
+	requestSharing(): void {
+		this.isAskedByPeers = true;
+		this.nextLedgerAt = 0;
+	}
+
 	readLedger(): LedgerRecord | undefined {
 		return this.known;
 	}
@@ -256,7 +264,7 @@
 		const live = members.listLive(now).filter(member => member.state === 'live').map(member => member.id);
 		const all = live.includes(self) ? live : [...live, self];
 		// A part that was given up may have grants of its earlier owner among the peers.
-		const isShared = all.length > 1 || record.owners[self]?.isShared === true
+		const isShared = this.isAskedByPeers || all.length > 1 || record.owners[self]?.isShared === true
 			|| Object.keys(record.owners).some(id => id !== self) || record.parts.includes(freePart);
 		const tenure: LedgerOwner = {incarnation, fencing: this.lease.readFencing() ?? 0 as FencingNumber, isShared};
 		this.noteFreeParts(record, now);
--- a/src/budget/fleet-budget/index.ts
+++ b/src/budget/fleet-budget/index.ts
@@ -105,7 +105,7 @@
 			onLots: id => {
 				this.serveQueue(id);
 			},
-			onNewerLedger: () => {
+			onLedgerDue: () => {
 				this.stepController.abort();
 			},
 		});
