--- a/src/configuration/configuration-follower/index.ts
+++ b/src/configuration/configuration-follower/index.ts
@@ -118,7 +118,7 @@
 	/** Follows until `signal` aborts. */
 	async run(signal: AbortSignal): Promise<void> {
 		await this.takeHighest();
-		await Promise.all([this.startLater(signal), this.catchUp(signal), this.watcher.run(signal)]);
+		await Promise.all([this.startLater(signal), this.followPeers(signal), this.watcher.run(signal)]);
 	}
 
 	/** State for people; without keys and hashes of keys. */
@@ -183,7 +183,7 @@
 	}
 
 	/** Fetches from peers that are ahead, one after the other. */
-	private async catchUp(signal: AbortSignal): Promise<void> {
+	private async followPeers(signal: AbortSignal): Promise<void> {
 		const {clock, random} = this.options;
 		while (!signal.aborted) {
 			await this.wakeup.wait(clock, checkIntervalMs, signal);
--- a/src/daemon/register-configuration-parts/index.ts
+++ b/src/daemon/register-configuration-parts/index.ts
@@ -67,7 +67,7 @@
 	parts.register({
 		name: 'acceptor',
 		start() {
-			void holdLease(lease, shared, controller.signal);
+			void renewLease(lease, shared, controller.signal);
 			void acceptor.run(controller.signal);
 		},
 		async stop() {
@@ -81,7 +81,7 @@
 type AcceptorParts = Omit<ConstructorParameters<typeof ConfigurationAcceptor>[0], 'writer' | 'isLeader'>;
 
 /** Contends for the lease while this instance is one of those that watch the store. */
-async function holdLease(lease: Lease, {clock, random, members, logger}: AcceptorParts, signal: AbortSignal): Promise<void> {
+async function renewLease(lease: Lease, {clock, random, members, logger}: AcceptorParts, signal: AbortSignal): Promise<void> {
 	let isFailing = false;
 	while (!signal.aborted) {
 		try {
