--- a/src/configuration/configuration-model/test.ts
+++ b/src/configuration/configuration-model/test.ts
@@ -12,8 +12,8 @@
 
 const nodeCount = 5;
 const keyCount = 6;
-const seeds = (process.env['MODEL_SEEDS'] ?? '2,3').split(',').map(Number);
-const runs = Number(process.env['MODEL_RUNS'] ?? 30);
+const seeds = (process.env.MODEL_SEEDS ?? '2,3').split(',').map(Number);
+const runs = Number(process.env.MODEL_RUNS ?? 30);
 
 const nodeIndex = fc.nat(nodeCount - 1);
 const actionArbitrary = fc.oneof(
--- a/src/daemon/start-daemon/index.ts
+++ b/src/daemon/start-daemon/index.ts
@@ -7,9 +7,13 @@
 import {CallerServer} from '../../requests/caller-server/index.js';
 import {createRouterError} from '../../results/create-router-error/index.js';
 import {HttpEngineClient} from '../../targets/http-engine-client/index.js';
+import {LeavingTargets} from '../../targets/leaving-targets/index.js';
+import {HttpInstanceList} from '../../platform/http-instance-list/index.js';
 import {TargetDirectory} from '../../targets/target-directory/index.js';
+import {AdminServer} from '../admin-server/index.js';
 import {createCore, type DaemonCore} from '../create-core/index.js';
 import {createRequestPath} from '../create-request-path/index.js';
+import {PlannedStop, type StopOutcome} from '../planned-stop/index.js';
 import {registerConfigurationParts} from '../register-configuration-parts/index.js';
 import type {Settings} from '../settings/index.js';
 
@@ -17,8 +21,10 @@
 export type Daemon = {
 	/** `host:port` of the caller listener. */
 	readonly address: string;
-	/** Stops gracefully: resolves when all requests have been served. */
-	stop(): Promise<void>;
+	/** Stops gracefully: resolves when all requests have been served and all parts released. */
+	stop(): Promise<StopOutcome>;
+	/** Ends a stop in progress without waiting for callers and requests. */
+	hurryStop(): void;
 };
 
 /** The configuration in force; nothing until the first one is applied. */
@@ -46,23 +52,53 @@
 	const targets = createTargets(core);
 	registerConfiguration(core, holder, targets);
 	const server = new CallerServer(createRequestPath(core, targets, () => holder.read()));
+	registerAdmin(core, holder, server);
 	await core.parts.start();
 	const address = await server.listen();
 	core.logger.info('daemon started', {caller: address});
+	const plannedStop = createPlannedStop(core, server);
 	return {
 		address,
-		async stop() {
-			await server.close();
-			await core.parts.stop();
-			core.logger.info('daemon stopped');
+		stop: async () => plannedStop.run(),
+		hurryStop() {
+			plannedStop.hurry();
 		},
 	};
 }
 
+function createPlannedStop({settings, clock, logger, parts}: DaemonCore, server: CallerServer): PlannedStop {
+	return new PlannedStop({
+		clock, logger,
+		addressValidityMs: settings.addressValidityMs,
+		marginMs: settings.stop.marginMs,
+		maximumMs: settings.stop.maximumMs,
+		leave() {
+			parts.leave();
+		},
+		drain: async () => server.close(),
+		cut() {
+			server.closeAll();
+		},
+		release: async () => parts.stop(),
+	});
+}
+
 function createTargets({settings, clock, logger, parts}: DaemonCore): TargetDirectory {
 	const createClient = (target: {address: string}) => new HttpEngineClient({address: target.address, silenceMs: settings.streamSilenceMs});
-	const targets = new TargetDirectory(clock, logger, createClient);
-	parts.register({name: 'targets', stop: async () => targets.stop()});
+	const {instanceList} = settings.platform;
+	const leaving = new LeavingTargets(clock, instanceList === undefined ? undefined : new HttpInstanceList(instanceList));
+	const targets = new TargetDirectory(clock, logger, createClient, leaving);
+	parts.register({
+		name: 'targets',
+		start() {
+			leaving.start();
+		},
+		async stop() {
+			leaving.stop();
+			await targets.stop();
+		},
+		dump: () => ({leaving: leaving.dump(), engines: targets.dump()}),
+	});
 	return targets;
 }
 
@@ -71,5 +107,39 @@
 	holder.follower = registerConfigurationParts(core, configuration => {
 		holder.current = configuration;
 		targets.apply(configuration);
+	}, core.metrics.registry);
+}
+
+function registerAdmin(core: DaemonCore, holder: ConfigurationHolder, server: CallerServer): void {
+	const {clock, membership, metrics, parts, settings} = core;
+	metrics.addSources({
+		countInFlight: () => server.inFlight,
+		countConnections: () => server.countConnections(),
+		readRevision: () => holder.readRevision(),
+		countMembers() {
+			const live = membership.listLive(clock.readMonotonic());
+			const leaving = live.filter(member => member.state === 'leaving').length;
+			return {live: live.length - leaving, leaving};
+		},
+	});
+	const admin = new AdminServer({
+		metrics,
+		dump: () => parts.dump(),
+		readObstacle: () => findObstacle(core, holder),
+	});
+	parts.register({
+		name: 'admin',
+		async start() {
+			await admin.listen(settings.listen.admin);
+		},
+		stop: async () => admin.close(),
 	});
 }
+
+function findObstacle({membership}: DaemonCore, holder: ConfigurationHolder): string | undefined {
+	if (membership.readSelf().state === 'leaving') {
+		return 'the instance is leaving';
+	}
+
+	return holder.current === undefined ? 'no configuration is held' : undefined;
+}
--- a/src/invariants/invariant-checker/index.ts
+++ b/src/invariants/invariant-checker/index.ts
@@ -2,9 +2,13 @@
 
 import VError from 'verror';
 
+/** Invariants of the request path. */
+export type RequestInvariant = 'contiguousOffsets' | 'oneGeneration' | 'atMostOneAttempt' | 'noSecretInOutgoingBytes';
+
 /** Name of an invariant, used as a metric label. */
 export type InvariantName
-	= 'heartbeatMonotonic' | 'incarnationMonotonic' | 'oneContentPerRevision' | 'orderUnderLease' | 'revisionMonotonic' | 'twoLoads';
+	= | 'heartbeatMonotonic' | 'incarnationMonotonic' | 'oneContentPerRevision' | 'orderUnderLease' | 'revisionMonotonic' | 'twoLoads'
+		| RequestInvariant;
 
 /** Options of the checker. */
 export type InvariantCheckerOptions = {
