--- a/src/configuration/configuration-follower/index.ts
+++ b/src/configuration/configuration-follower/index.ts
@@ -19,7 +19,7 @@
 import {chooseAnnounced} from '../choose-announced/index.js';
 import {collectOffers} from '../collect-offers/index.js';
 import type {Configuration} from '../configuration/index.js';
-import type {ConfigurationHead} from '../configuration-head/index.js';
+import {hashParts, type ConfigurationHead} from '../configuration-head/index.js';
 import type {ConfigurationMetrics} from '../configuration-metrics/index.js';
 import {IsolatedConfiguration} from '../isolated-configuration/index.js';
 import {
@@ -30,11 +30,14 @@
 	announceMethod, fetchHeadMethod, fetchPartsMethod, parseAnnouncement, parsePartsQuery, type PartsAnswer,
 } from '../peer-methods/index.js';
 import {RevisionLedger} from '../revision-ledger/index.js';
+import {splitConfiguration} from '../split-configuration/index.js';
 import {StoreWatcher} from '../store-watcher/index.js';
 
 /** Time within which the highest revision heard is taken at the start, in milliseconds. */
 const startWaitMs = 250;
 const checkIntervalMs = 250;
+/** Up to this size the whole content is hashed once more when it is applied. */
+const maximumCheckedItems = 1000;
 const retryMs = 100;
 /** Time for which a peer that failed to answer is left out, so that a lower revision of another peer is taken meanwhile. */
 const failurePauseMs = 2000;
@@ -62,6 +65,12 @@
 
 type InForce = {readonly head: ConfigurationHead; readonly configuration: Configuration; isolated?: IsolatedConfiguration};
 
+/** Whether the content is what the head names. Large contents rest on the hashes of their parts, to spare the event loop. */
+function matchesHead({data}: Configuration, head: ConfigurationHead): boolean {
+	const items = data.organisations.length + data.keys.length + data.models.length + data.routes.length + data.targets.length;
+	return items > maximumCheckedItems || hashParts([...splitConfiguration(data).keys()]) === head.contentHash;
+}
+
 /** Follows the accepted configuration. One task runs `run`. */
 export class ConfigurationFollower {
 	private current: InForce | undefined;
@@ -260,6 +269,7 @@
 		}
 
 		const configuration = this.cache.build(head);
+		invariants.check('contentMatchesHead', matchesHead(configuration, head), `revision ${head.revision} is not ${head.contentHash}`);
 		invariants.check('revisionMonotonic', head.revision > this.readRevision(), `revision ${head.revision} after ${this.readRevision()}`);
 		this.current = {head, configuration};
 		this.cache.retain(head, clock.readMonotonic());
--- a/src/invariants/invariant-checker/index.ts
+++ b/src/invariants/invariant-checker/index.ts
@@ -7,7 +7,7 @@
 
 /** Name of an invariant, used as a metric label. */
 export type InvariantName
-	= | 'heartbeatMonotonic' | 'incarnationMonotonic' | 'oneContentPerRevision' | 'orderUnderLease' | 'revisionMonotonic' | 'twoLoads'
+	= | 'contentMatchesHead' | 'heartbeatMonotonic' | 'incarnationMonotonic' | 'oneContentPerRevision' | 'orderUnderLease' | 'revisionMonotonic' | 'twoLoads'
 		| RequestInvariant;
 
 /** Options of the checker. */
