--- a/src/configuration/configuration-follower/index.ts
+++ b/src/configuration/configuration-follower/index.ts
@@ -16,28 +16,26 @@
 import type {ObjectApi} from '../../platform/object-api/index.js';
 import type {RandomSource} from '../../random/random-source/index.js';
 import {createRouterError} from '../../results/create-router-error/index.js';
+import {chooseAhead} from '../choose-ahead/index.js';
 import {chooseAnnounced} from '../choose-announced/index.js';
 import {collectOffers} from '../collect-offers/index.js';
 import type {Configuration} from '../configuration/index.js';
-import {hashParts, type ConfigurationHead} from '../configuration-head/index.js';
+import type {ConfigurationHead} from '../configuration-head/index.js';
 import type {ConfigurationMetrics} from '../configuration-metrics/index.js';
+import {describeConfiguration} from '../describe-configuration/index.js';
 import {IsolatedConfiguration} from '../isolated-configuration/index.js';
 import {
 	PeerSource, StoreSource, peerTimeoutMs, type Offer, type PeerCall, type Source, type SourceKind,
 } from '../offer/index.js';
-import {PartCache} from '../part-cache/index.js';
-import {
-	announceMethod, fetchHeadMethod, fetchPartsMethod, parseAnnouncement, parsePartsQuery, type PartsAnswer,
-} from '../peer-methods/index.js';
+import {PartCache, matchesHead} from '../part-cache/index.js';
+import {announceMethod, parseAnnouncement} from '../peer-methods/index.js';
+import {registerPeerMethods} from '../register-peer-methods/index.js';
 import {RevisionLedger} from '../revision-ledger/index.js';
-import {splitConfiguration} from '../split-configuration/index.js';
 import {StoreWatcher} from '../store-watcher/index.js';
 
 /** Time within which the highest revision heard is taken at the start, in milliseconds. */
 const startWaitMs = 250;
 const checkIntervalMs = 250;
-/** Up to this size the whole content is hashed once more when it is applied. */
-const maximumCheckedItems = 1000;
 const retryMs = 100;
 /** Time for which a peer that failed to answer is left out, so that a lower revision of another peer is taken meanwhile. */
 const failurePauseMs = 2000;
@@ -65,12 +63,6 @@
 
 type InForce = {readonly head: ConfigurationHead; readonly configuration: Configuration; isolated?: IsolatedConfiguration};
 
-/** Whether the content is what the head names. Large contents rest on the hashes of their parts, to spare the event loop. */
-function matchesHead({data}: Configuration, head: ConfigurationHead): boolean {
-	const items = data.organisations.length + data.keys.length + data.models.length + data.routes.length + data.targets.length;
-	return items > maximumCheckedItems || hashParts([...splitConfiguration(data).keys()]) === head.contentHash;
-}
-
 /** Follows the accepted configuration. One task runs `run`. */
 export class ConfigurationFollower {
 	private current: InForce | undefined;
@@ -90,7 +82,16 @@
 				void this.adopt({head, source: this.store});
 			},
 		});
-		this.registerMethods(options.registry);
+		registerPeerMethods(options.registry, {
+			readHead: () => this.current?.head,
+			findPart: hash => this.cache.find(hash),
+			noteHeard: (peer, revision) => {
+				this.noteHeard(peer, revision);
+			},
+			noteContact() {
+				options.contact.notePeer(options.clock.readMonotonic());
+			},
+		});
 	}
 
 	/** Revision in force, -1 when there is none. */
@@ -140,29 +141,10 @@
 			isWatching: this.watcher.isWatching,
 			isIsolated: this.options.contact.isIsolated(this.options.clock.readMonotonic()),
 			heard: Object.fromEntries(this.heard),
-			organisations: current?.configuration.data.organisations.map(organisation => organisation.id) ?? [],
-			keys: current?.configuration.data.keys.map(key => ({name: `${key.fleet}/${key.name}`, state: key.state})) ?? [],
-			models: current?.configuration.data.models.map(model => model.id) ?? [],
-			routes: current?.configuration.data.routes.map(route => route.id) ?? [],
-			targets: current?.configuration.data.targets.map(target => target.id) ?? [],
+			...current && describeConfiguration(current.configuration),
 		};
 	}
 
-	private registerMethods(registry: PeerMethodRegistry): void {
-		registry.register(announceMethod, async (parameters, from) => {
-			this.noteHeard(from, parseAnnouncement(parameters).revision);
-			return {revision: this.readRevision()};
-		});
-		registry.register(fetchHeadMethod, async () => {
-			this.options.contact.notePeer(this.options.clock.readMonotonic());
-			return {head: this.current?.head ?? null};
-		});
-		registry.register(fetchPartsMethod, async (parameters): Promise<PartsAnswer> => {
-			const parts = parsePartsQuery(parameters).map(hash => ({hash, content: this.cache.find(hash)}));
-			return {parts: parts.filter(part => part.content !== undefined) as PartsAnswer['parts']};
-		});
-	}
-
 	/** Asks the object API and peers at once and takes the highest revision heard within a short time. */
 	private async takeHighest(): Promise<void> {
 		const offers = await collectOffers(this.listSources(), this.options.clock, startWaitMs);
@@ -220,9 +202,7 @@
 		}
 
 		const usable = [...revisions].filter(([id]) => now - (this.failedAt.get(id) ?? Number.NEGATIVE_INFINITY) > failurePauseMs);
-		const highest = Math.max(noRevision, ...usable.map(([, revision]) => revision));
-		const ahead = usable.filter(([, revision]) => revision === highest).map(([id]) => id);
-		return highest > this.readRevision() ? random.pickSome(ahead, 1)[0] : undefined;
+		return chooseAhead(new Map(usable), this.readRevision(), random);
 	}
 
 	private async fetchFrom(peer: InstanceId): Promise<boolean> {
--- a/src/configuration/part-cache/index.ts
+++ b/src/configuration/part-cache/index.ts
@@ -4,10 +4,14 @@
 import {createRouterError} from '../../results/create-router-error/index.js';
 import {Configuration} from '../configuration/index.js';
 import {hashParts, type ConfigurationHead, type PartHash} from '../configuration-head/index.js';
-import {hashPart, joinParts, type PartContent} from '../split-configuration/index.js';
+import {
+	hashPart, joinParts, splitConfiguration, type PartContent,
+} from '../split-configuration/index.js';
 
 /** Time for which parts that the current head no longer names are kept for peers that are still fetching them, in milliseconds. */
 const retentionMs = 30_000;
+/** Up to this size the whole content is hashed once more when it is applied. */
+const maximumCheckedItems = 1000;
 
 type CachedPart = {readonly content: PartContent; usedAt: MonotonicMs};
 
@@ -71,3 +75,9 @@
 		}
 	}
 }
+
+/** Whether the content is what the head names. Large contents rest on the hashes of their parts, to spare the event loop. */
+export function matchesHead({data}: Configuration, head: ConfigurationHead): boolean {
+	const items = data.organisations.length + data.keys.length + data.models.length + data.routes.length + data.targets.length;
+	return items > maximumCheckedItems || hashParts([...splitConfiguration(data).keys()]) === head.contentHash;
+}
--- a/src/index.ts
+++ b/src/index.ts
@@ -2,12 +2,18 @@
 
 export type * from './budget/budget-gate/index.js';
 export * from './clock/clock/index.js';
+export * from './configuration/configuration-acceptor/index.js';
+export * from './configuration/configuration-follower/index.js';
 export * from './configuration/configuration/index.js';
 export * from './configuration/resolve-configuration/index.js';
+export * from './configuration/resolve-resources/index.js';
+export type * from './configuration/resource-status/index.js';
 export * from './daemon/settings/index.js';
 export * from './daemon/start-daemon/index.js';
 export type * from './identity/ids/index.js';
+export * from './keys/contact-monitor/index.js';
 export * from './leases/lease/index.js';
+export type * from './names/resource-problem/index.js';
 export * from './placement/hash-prompt/index.js';
 export type * from './placement/placement/index.js';
 export * from './platform/http-object-api/index.js';
