--- a/src/daemon/register-configuration-parts/test.ts
+++ b/src/daemon/register-configuration-parts/test.ts
@@ -130,4 +130,14 @@
 		expect(Math.max(...times)).toBeGreaterThan(500);
 		expect(Math.max(...times)).toBeLessThan(5000);
 	});
+
+	test('guards against keyed requests on an instance that hears neither store nor peers', async () => {
+		const running = instances.filter(({process}) => process.child.exitCode === null && process.child.signalCode === null);
+		const [last, ...others] = running;
+		await Promise.all(others.map(async ({process}) => process.end('SIGKILL')));
+		await request(`http://${objectApi.address}/faults`, {method: 'POST', body: JSON.stringify({isDown: true})});
+		// 503 can only mean `isolated` here: the instance is ready, and listing models needs no target.
+		const refusedMs = await waitForStatus(last!.client, 'secret-2', 503);
+		expect([refusedMs > 2000, refusedMs < 9000]).toEqual([true, true]);
+	});
 });
