--- a/src/clock/manual-clock/index.ts
+++ b/src/clock/manual-clock/index.ts
@@ -36,6 +36,7 @@
 			const sleeper = {
 				due: this.now + ms,
 				wake() {
+					// A signal that outlives many sleeps would otherwise gather their listeners.
 					signal?.removeEventListener('abort', cancel);
 					resolve();
 				},
--- a/src/daemon/register-configuration-parts/index.ts
+++ b/src/daemon/register-configuration-parts/index.ts
@@ -1,7 +1,6 @@
 /** Wires acceptor and follower of the configuration into the daemon. */
 
 import {setMaxListeners} from 'node:events';
-import {Registry} from 'prom-client';
 import type {Configuration} from '../../configuration/configuration/index.js';
 import {ConfigurationAcceptor, acceptorLeaseName} from '../../configuration/configuration-acceptor/index.js';
 import {ConfigurationFollower} from '../../configuration/configuration-follower/index.js';
@@ -20,11 +19,7 @@
 const leaseIntervalMs = 400;
 
 /** Registers the parts `configuration` and `acceptor`. `apply` brings a configuration in force. */
-export function registerConfigurationParts(
-	core: DaemonCore,
-	apply: (configuration: Configuration) => void,
-	registry = new Registry(),
-): ConfigurationFollower {
+export function registerConfigurationParts(core: DaemonCore, apply: (configuration: Configuration) => void): ConfigurationFollower {
 	const {settings, clock, logger, random, invariants, objectApi, peerServer, peerClient, membership, parts} = core;
 	const contact = new ContactMonitor(() => membership.readLastHeard());
 	objectApi.onHeard = () => {
@@ -32,7 +27,7 @@
 	};
 
 	const shared = {
-		objectApi, clock, logger, random, metrics: createConfigurationMetrics(registry), members: membership,
+		objectApi, clock, logger, random, metrics: createConfigurationMetrics(core.metrics.registry), members: membership,
 	};
 	const follower = new ConfigurationFollower({
 		...shared, invariants, contact, apply, peers: peerClient, registry: peerServer, seeds: settings.seeds,
--- a/src/daemon/start-daemon/index.ts
+++ b/src/daemon/start-daemon/index.ts
@@ -1,19 +1,22 @@
 /** Wires the parts of the daemon together. */
 
+import type {FleetBudget} from '../../budget/fleet-budget/index.js';
 import type {Configuration} from '../../configuration/configuration/index.js';
 import type {ConfigurationFollower} from '../../configuration/configuration-follower/index.js';
 import type {Revision} from '../../identity/ids/index.js';
 import {noRevision} from '../../membership/membership/index.js';
 import {CallerServer} from '../../requests/caller-server/index.js';
 import {createRouterError} from '../../results/create-router-error/index.js';
+import {registerTargetController} from '../../orders/register-target-controller/index.js';
 import {HttpEngineClient} from '../../targets/http-engine-client/index.js';
 import {LeavingTargets} from '../../targets/leaving-targets/index.js';
 import {HttpInstanceList} from '../../platform/http-instance-list/index.js';
 import {TargetDirectory} from '../../targets/target-directory/index.js';
-import {AdminServer} from '../admin-server/index.js';
 import {createCore, type DaemonCore} from '../create-core/index.js';
 import {createRequestPath} from '../create-request-path/index.js';
 import {PlannedStop, type StopOutcome} from '../planned-stop/index.js';
+import {registerAdmin} from '../register-admin/index.js';
+import {registerBudget} from '../register-budget/index.js';
 import {registerConfigurationParts} from '../register-configuration-parts/index.js';
 import type {Settings} from '../settings/index.js';
 
@@ -50,9 +53,11 @@
 	const holder = new ConfigurationHolder();
 	const core = createCore(settings, () => holder.readRevision());
 	const targets = createTargets(core);
-	registerConfiguration(core, holder, targets);
-	const server = new CallerServer(createRequestPath(core, targets, () => holder.read()));
-	registerAdmin(core, holder, server);
+	const budget = registerBudget(core);
+	registerConfiguration(core, holder, targets, budget);
+	const server = new CallerServer(createRequestPath(core, targets, budget, () => holder.read()));
+	registerTargetController(core, targets, () => holder.current);
+	registerAdmin(core, server, () => holder.readRevision());
 	await core.parts.start();
 	const address = await server.listen();
 	core.logger.info('daemon started', {caller: address});
@@ -103,43 +108,10 @@
 }
 
 /** Follows the configuration. `holder` has the one in force. */
-function registerConfiguration(core: DaemonCore, holder: ConfigurationHolder, targets: TargetDirectory): void {
+function registerConfiguration(core: DaemonCore, holder: ConfigurationHolder, targets: TargetDirectory, budget: FleetBudget): void {
 	holder.follower = registerConfigurationParts(core, configuration => {
 		holder.current = configuration;
 		targets.apply(configuration);
-	}, core.metrics.registry);
-}
-
-function registerAdmin(core: DaemonCore, holder: ConfigurationHolder, server: CallerServer): void {
-	const {clock, membership, metrics, parts, settings} = core;
-	metrics.addSources({
-		countInFlight: () => server.inFlight,
-		countConnections: () => server.countConnections(),
-		readRevision: () => holder.readRevision(),
-		countMembers() {
-			const live = membership.listLive(clock.readMonotonic());
-			const leaving = live.filter(member => member.state === 'leaving').length;
-			return {live: live.length - leaving, leaving};
-		},
+		budget.applyOrganisations(configuration.data.organisations);
 	});
-	const admin = new AdminServer({
-		metrics,
-		dump: () => parts.dump(),
-		readObstacle: () => findObstacle(core, holder),
-	});
-	parts.register({
-		name: 'admin',
-		async start() {
-			await admin.listen(settings.listen.admin);
-		},
-		stop: async () => admin.close(),
-	});
-}
-
-function findObstacle({membership}: DaemonCore, holder: ConfigurationHolder): string | undefined {
-	if (membership.readSelf().state === 'leaving') {
-		return 'the instance is leaving';
-	}
-
-	return holder.current === undefined ? 'no configuration is held' : undefined;
 }
--- a/src/fairness/engine-gate/index.ts
+++ b/src/fairness/engine-gate/index.ts
@@ -1,11 +1,13 @@
 /**
- * The way of a request to an engine: candidates with room are placed at once, and when all are full
- * the request waits in the fair queue of its model. A slot counts from the choice to its release.
+ * The way of a request to an engine: it is placed at once while the engine that suits it best has
+ * room, and waits in the fair queue of its model otherwise. A slot counts from the choice to its release.
  */
 
 import type {Clock} from '../../clock/clock/index.js';
 import type {ResolvedModel} from '../../configuration/configuration/index.js';
-import type {BlockKey, OrganisationId, TargetId} from '../../identity/ids/index.js';
+import type {
+	BlockKey, Incarnation, OrganisationId, TargetId,
+} from '../../identity/ids/index.js';
 import {bytesPerToken, pieceBytes} from '../../placement/hash-prompt/index.js';
 import {formatQueryScope, type Placement, type PlacementQuery} from '../../placement/placement/index.js';
 import {createRouterError, type RouterError} from '../../results/create-router-error/index.js';
@@ -43,11 +45,15 @@
 	readonly signal: AbortSignal;
 	/** Engines that may serve the request at the time of the call. */
 	listCandidates(): readonly EngineMonitor[];
+	/** Whether an engine that may turn out to serve the request has not been asked for its state yet. */
+	isUndecided(): boolean;
 };
 
 /** An engine that was chosen for one request. */
 export type EngineSlot = {
 	readonly engine: EngineMonitor;
+	/** Incarnation whose cache and load the choice relied on. */
+	readonly incarnation: Incarnation | undefined;
 	/** Notes that the first chunk has arrived. */
 	noteFirstChunk(): void;
 	/** Ends the request's claim on the engine. Later calls have no effect. */
@@ -159,6 +165,10 @@
 	private place(demand: EngineDemand, waitedMs: number): EngineSlot | undefined {
 		const now = this.options.clock.readMonotonic();
 		const candidates = demand.listCandidates();
+		if (candidates.length === 0 && demand.isUndecided()) {
+			return undefined;
+		}
+
 		if (candidates.length === 0) {
 			throw createRouterError('noTarget', `model ${demand.model.id}`);
 		}
@@ -199,6 +209,7 @@
 		let hasFirstChunk = false;
 		return {
 			engine,
+			incarnation: engine.readState(now)?.incarnation,
 			noteFirstChunk: () => {
 				if (!hasFirstChunk) {
 					hasFirstChunk = true;
--- a/src/index.ts
+++ b/src/index.ts
@@ -1,6 +1,7 @@
 /** Public index: the parts of the router that other programs may build on. */
 
 export type * from './budget/budget-gate/index.js';
+export * from './budget/fleet-budget/index.js';
 export * from './clock/clock/index.js';
 export * from './configuration/configuration-acceptor/index.js';
 export * from './configuration/configuration-follower/index.js';
@@ -13,6 +14,9 @@
 export type * from './identity/ids/index.js';
 export * from './keys/contact-monitor/index.js';
 export * from './leases/lease/index.js';
+export * from './fairness/engine-gate/index.js';
+export * from './fairness/fair-queue/index.js';
+export * from './placement/create-placement/index.js';
 export type * from './names/resource-problem/index.js';
 export * from './placement/hash-prompt/index.js';
 export type * from './placement/placement/index.js';
--- a/src/requests/send-completion/index.ts
+++ b/src/requests/send-completion/index.ts
@@ -9,6 +9,7 @@
 import type {EngineRequest} from '../../targets/engine-client/index.js';
 import type {EngineMonitor} from '../../targets/engine-monitor/index.js';
 import type {CompletionRequest} from '../parse-completion-request/index.js';
+import {chooseServedModel} from '../../targets/choose-served-model/index.js';
 import type {RouterContext} from '../router-context/index.js';
 
 /** A completion that was authorised. */
@@ -52,15 +53,25 @@
 		maximumTokens: request.maximumTokens,
 		...wait,
 		listCandidates: () => listCandidates(context, model),
+		isUndecided: () => listMonitors(context, model).some(monitor => !monitor.hasBeenAsked),
 	});
-	return {slot, expectedIncarnation: slot.engine.readState(context.clock.readMonotonic())?.incarnation};
+	return {slot, expectedIncarnation: slot.incarnation};
+}
+
+/** Chooses the weights version for a request by what the model's engines report. */
+export function chooseModel(context: RouterContext, declared: ResolvedModel): ResolvedModel {
+	return chooseServedModel(declared, listMonitors(context, declared), context.clock.readMonotonic());
 }
 
 function listCandidates(context: RouterContext, model: ResolvedModel): EngineMonitor[] {
 	const now = context.clock.readMonotonic();
+	return listMonitors(context, model).filter(monitor => monitor.canServe(model, now));
+}
+
+function listMonitors(context: RouterContext, model: ResolvedModel): EngineMonitor[] {
 	return context.readConfiguration().listEngines(model.id)
 		.map(target => context.targets.find(target.id))
-		.filter(monitor => monitor?.canServe(model, now)) as EngineMonitor[];
+		.filter(monitor => monitor !== undefined);
 }
 
 /** Builds the request to the engine: the caller's body with the engine's names, always streamed and with usage. */
