--- a/src/platform/http-object-api/index.ts
+++ b/src/platform/http-object-api/index.ts
@@ -45,7 +45,7 @@
 
 /** Object API over HTTP. */
 export class HttpObjectApi implements ObjectApi {
-	/** Called whenever the object API was heard, bookmarks of watches included. */
+	/** Called whenever the object API has served a call or sent something on a watch; a refused call does not count. */
 	onHeard: (() => void) | undefined;
 	private readonly agent: Agent;
 	private readonly watchAgent: Agent;
@@ -125,8 +125,8 @@
 				signal: AbortSignal.timeout(this.options.callTimeoutMs ?? defaultCallTimeoutMs),
 			});
 			const text = await answer.body.text();
-			this.onHeard?.();
 			checkStatus(answer.statusCode, text);
+			this.onHeard?.();
 			return (text === '' ? undefined : JSON.parse(text)) as Answer;
 		} catch (error) {
 			throw convertCallError(error, method);
