--- a/src/process/cluster/index.ts
+++ b/src/process/cluster/index.ts
@@ -23,13 +23,17 @@
 	readonly daemons: number;
 	/** Settings that differ from the defaults, for all daemons. */
 	readonly settings: Readonly<Record<string, unknown>>;
+	/** Engines of fleet north, 1 by default. */
+	readonly engines?: number;
 	readonly engineArguments?: readonly string[];
 };
 
-/** Object API, one engine per fleet, a service and daemons. */
+/** Object API, engines of two fleets, a service and daemons. */
 export class Cluster {
 	readonly addresses: DaemonAddresses[] = [];
 	readonly daemons: StartedProcess[] = [];
+	/** Addresses of the engines, those of fleet north first. */
+	readonly engines: string[] = [];
 	/** Last log lines of all processes. */
 	readonly log: string[] = [];
 	objectApi: StartedProcess | undefined;
@@ -41,15 +45,15 @@
 	/** Starts everything and waits until each daemon is ready. */
 	async start(): Promise<void> {
 		this.directory = await mkdtemp(join(tmpdir(), 'laburnumturn-cluster-'));
-		const engineArguments = this.options.engineArguments ?? [];
 		const [objectApi, north, south, service] = await Promise.all([
 			this.startProgram('standin', ['object-api']),
-			this.startProgram('standin', ['engine', '--model', 'base@v1', ...engineArguments]),
-			this.startProgram('standin', ['engine', '--model', 'base@v2', ...engineArguments]),
+			this.startEngines('v1', this.options.engines ?? 1),
+			this.startEngines('v2', 1),
 			this.startProgram('standin', ['service']),
 		]);
 		this.objectApi = objectApi;
-		await this.writeResources({north: {engines: [north.address], service: service.address}, south: {engines: [south.address], service: service.address}});
+		this.engines.push(...north, ...south);
+		await this.writeResources({north: {engines: north, service: service.address}, south: {engines: south, service: service.address}});
 		const ports = await reservePorts(portsPerDaemon * this.options.daemons);
 		for (let index = 0; index < this.options.daemons; index += 1) {
 			const [caller, peer, admin] = ports.slice(portsPerDaemon * index, portsPerDaemon * (index + 1)).map(port => `127.0.0.1:${port}`);
@@ -104,6 +108,13 @@
 		return started;
 	}
 
+	private async startEngines(version: string, count: number): Promise<string[]> {
+		const {engineArguments = []} = this.options;
+		const started = Array.from({length: count}, async () => this.startProgram('standin', ['engine', '--model', `base@${version}`, ...engineArguments]));
+		const processes = await Promise.all(started);
+		return processes.map(engine => engine.address);
+	}
+
 	private async writeResources(targets: Parameters<typeof createDemoResources>[0]): Promise<void> {
 		const api = new HttpObjectApi({origin: `http://${this.objectApi!.address}`});
 		for (const resource of createDemoResources(targets)) {
--- a/src/process/start-process/index.ts
+++ b/src/process/start-process/index.ts
@@ -19,7 +19,8 @@
 	end(signal?: NodeJS.Signals): Promise<number | null>;
 };
 
-const startTimeoutMs = 10_000;
+/** Bounds a start that hangs. With load averages above 30, starts of eight processes at once took longer than 10 s. */
+const startTimeoutMs = 30_000;
 
 /** Path of a program; sources run through `tsx`, so that tests need no build. */
 export function locateProgram(name: ProgramName): {path: string; execArguments: readonly string[]} {
