--- a/src/invariants/invariant-checker/index.ts
+++ b/src/invariants/invariant-checker/index.ts
@@ -5,6 +5,9 @@
 /** Invariants of the request path. */
 export type RequestInvariant = 'contiguousOffsets' | 'oneGeneration' | 'atMostOneAttempt' | 'noSecretInOutgoingBytes';
 
+/** Invariants of the token budgets. */
+export type BudgetInvariant = 'partOverfull' | 'negativeTokens' | 'lotOverspent' | 'reportOverGrant';
+
 /** Name of an invariant, used as a metric label. */
 export type InvariantName
 	= 'heartbeatMonotonic'
@@ -13,6 +16,7 @@
 		| 'orderUnderLease'
 		| 'revisionMonotonic'
 		| 'twoLoads'
+		| BudgetInvariant
 		| RequestInvariant;
 
 /** Options of the checker. */
