--- a/src/budget/budget-exchanger/index.ts
+++ b/src/budget/budget-exchanger/index.ts
@@ -205,9 +205,12 @@
 		const ownDataCentre = members.readSelf().dataCentre;
 		const dataCentres = new Map(members.listLive(now).map(member => [member.id, member.dataCentre]));
 		const owners = listSlotOwners(ledger, chooseSlot(organisation))
-			.filter(id => id !== self && dataCentres.has(id) && !this.isSuspect(id, now));
+			.filter(id => id !== self && dataCentres.has(id));
+		const answering = owners.filter(id => !this.isSuspect(id, now));
 		const rank = (id: InstanceId) => dataCentres.get(id) === ownDataCentre ? 0 : 1;
-		return owners.toSorted((a, b) => rank(a) - rank(b) || scoreCandidate(self, a) - scoreCandidate(self, b));
+		// On a busy machine all of them may have missed a deadline; asking again is better than refusing.
+		const chosen = answering.length > 0 ? answering : owners;
+		return chosen.toSorted((a, b) => rank(a) - rank(b) || scoreCandidate(self, a) - scoreCandidate(self, b));
 	}
 
 	private isSuspect(peer: InstanceId, now: MonotonicMs): boolean {
--- a/src/budget/budget-timings/index.ts
+++ b/src/budget/budget-timings/index.ts
@@ -29,7 +29,7 @@
 	/** Longest time between reports of spent tokens. */
 	readonly reportMs: number;
 	readonly callTimeoutMs: number;
-	/** Least time between two parts of one slot that an owner gives up for balance. */
+	/** Least time between two steps in which an owner gives up parts of one slot for balance. */
 	readonly rebalanceMs: number;
 };
 
@@ -47,5 +47,5 @@
 	refillPauseMs: 50,
 	reportMs: 500,
 	callTimeoutMs: 200,
-	rebalanceMs: 2000,
+	rebalanceMs: 1000,
 };
--- a/src/budget/plan-ledger/index.ts
+++ b/src/budget/plan-ledger/index.ts
@@ -76,7 +76,7 @@
 	return claimed;
 }
 
-/** Selects at most one part of each slot, and only where another live instance would claim it. */
+/** Selects at most half of the own parts of each slot, and only where another live instance would claim them. */
 function selectGivenUp(record: LedgerRecord, situation: LedgerSituation, counts: Counts, share: Share): number[] {
 	const {self, live, canGiveUp} = situation;
 	const givenUp: number[] = [];
@@ -93,9 +93,10 @@
 			&& (counts.perSlot.get(formatKey(slot, other)) ?? 0) < share.perSlot
 			&& (totals.get(other) ?? 0) < share.total);
 		if (taker !== undefined) {
-			givenUp.push(own[0]);
-			totals.set(self, (totals.get(self) ?? 0) - 1);
-			totals.set(taker, (totals.get(taker) ?? 0) + 1);
+			const count = Math.max(1, Math.min(Math.floor(own.length / 2), own.length - share.perSlot));
+			givenUp.push(...own.slice(0, count));
+			totals.set(self, (totals.get(self) ?? 0) - count);
+			totals.set(taker, (totals.get(taker) ?? 0) + count);
 		}
 	}
 
--- a/src/budget/token-bucket/index.ts
+++ b/src/budget/token-bucket/index.ts
@@ -14,6 +14,9 @@
 /** Start of a bucket: nothing is earned before `since`. `outstanding` are grants of an earlier owner. */
 export type BucketStart = {readonly since: MonotonicMs; readonly level: number; readonly outstanding: number};
 
+/** Less than this is not granted: it serves no request and costs as much as any grant. */
+const smallestGrant = 1e-6;
+
 /** Level and outstanding tokens of one organisation in one part. */
 export class TokenBucket {
 	private level: number;
@@ -52,7 +55,8 @@
 	/** Moves up to `tokens` from the level to the outstanding ones; returns how many. */
 	grant(tokens: number, now: MonotonicMs): number {
 		this.fill(now);
-		const granted = Math.max(0, Math.min(tokens, this.level));
+		const available = Math.min(tokens, this.level);
+		const granted = available < smallestGrant ? 0 : available;
 		this.level -= granted;
 		this.outstanding += granted;
 		this.check();
@@ -62,7 +66,7 @@
 	/** Ends outstanding tokens: they were spent, or count as spent. */
 	spend(tokens: number, now: MonotonicMs): void {
 		this.fill(now);
-		this.outstanding = settleRounding(this.outstanding - tokens);
+		this.outstanding -= tokens;
 		this.ceiling = Math.max(this.size.burst, Math.min(this.ceiling, this.level + this.outstanding));
 		this.check();
 	}
@@ -70,7 +74,7 @@
 	/** Moves outstanding tokens that nobody can spend any more back to the level. */
 	return(tokens: number, now: MonotonicMs): void {
 		this.fill(now);
-		this.outstanding = settleRounding(this.outstanding - tokens);
+		this.outstanding -= tokens;
 		this.level = Math.max(0, Math.min(this.level + tokens, this.size.burst - this.outstanding));
 		this.check();
 	}
@@ -100,8 +104,3 @@
 		invariants.check('partOverfull', isAtMost(level + outstanding, ceiling), `level ${level}, outstanding ${outstanding}, burst ${this.size.burst}`);
 	}
 }
-
-/** Takes a difference that is only rounding for 0. */
-function settleRounding(tokens: number): number {
-	return Math.abs(tokens) < 1e-6 ? 0 : tokens;
-}
