--- /dev/null
+++ b/src/capacity/measure-budget-state/index.ts
@@ -0,0 +1,87 @@
+/** Memory of an owner's buckets and of a holder's lots, and bytes of an exchange, per active organisation. */
+
+import type {ResolvedOrganisation} from '../../configuration/configuration/index.js';
+import type {
+	Incarnation, InstanceId, MonotonicMs, OrganisationId,
+} from '../../identity/ids/index.js';
+import {InvariantChecker} from '../../invariants/invariant-checker/index.js';
+import type {ExchangeAnswer, ExchangeRequest} from '../../budget/budget-exchange/index.js';
+import {BudgetHolder} from '../../budget/budget-holder/index.js';
+import {partCount, slotCount, defaultBudgetTimings} from '../../budget/budget-timings/index.js';
+import {BudgetOwner} from '../../budget/budget-owner/index.js';
+import {createMeasurement, type Measurement} from '../measurement/index.js';
+import {measureHeap} from '../measure-heap/index.js';
+
+const organisationSizes = [100, 650, 1300, 2600];
+const wantSizes = [1, 5, 20];
+const incarnation = 'entry-0.1' as Incarnation;
+const granter = 'entry-1' as InstanceId;
+const startMs = 1 as MonotonicMs;
+const parts = {incarnation, timings: defaultBudgetTimings, invariants: new InvariantChecker({isStrict: true})};
+
+/** Measures bytes per organisation at owner and holder, and per organisation in an exchange. */
+export async function measureBudgetState(): Promise<Measurement[]> {
+	const owner = [];
+	const holder = [];
+	for (const size of organisationSizes) {
+		const organisations = Array.from({length: size}, (_, index) => createOrganisation(index));
+		owner.push({size, value: await measureHeap(() => fillOwner(organisations))});
+		holder.push({size, value: await measureHeap(() => fillHolder(organisations))});
+	}
+
+	const exchange = wantSizes.map(size => ({size, value: countExchangeBytes(size)}));
+	return [
+		createMeasurement('budget-owner-memory', 'budget owner with one bucket and one grant per organisation', 'bytes per organisation', owner),
+		createMeasurement('budget-holder-memory', 'budget holder with one lot per organisation', 'bytes per organisation', holder),
+		createMeasurement('budget-exchange-bytes', 'bodies of one exchange, both ways', 'bytes per organisation', exchange),
+	];
+}
+
+function createOrganisation(index: number): ResolvedOrganisation {
+	return {
+		id: `organisation-${index}` as OrganisationId, tokensPerSecond: 1000, burstTokens: 10_000, weight: 1,
+	};
+}
+
+/** One part of every slot. */
+function fillOwner(organisations: readonly ResolvedOrganisation[]): BudgetOwner {
+	const owner = new BudgetOwner(parts);
+	owner.applyOrganisations(organisations, startMs);
+	for (let slot = 0; slot < slotCount; slot += 1) {
+		owner.addPart(slot * partCount, {slot, usableAt: startMs, isFirst: true});
+	}
+
+	for (const organisation of organisations) {
+		owner.grant(organisation.id, 1, startMs);
+	}
+
+	return owner;
+}
+
+function fillHolder(organisations: readonly ResolvedOrganisation[]): BudgetHolder {
+	const holder = new BudgetHolder(parts);
+	for (const [index, organisation] of organisations.entries()) {
+		holder.addGrant({
+			id: `${incarnation}:${index}`, organisation: organisation.id, tokens: 100, validMs: 5000,
+		}, granter, startMs);
+		holder.charge(organisation.id, 10, startMs, 1000);
+	}
+
+	return holder;
+}
+
+function countExchangeBytes(organisations: number): number {
+	const ids = Array.from({length: organisations}, (_, index) => `organisation-${index}` as OrganisationId);
+	const grants = ids.map((organisation, index) => ({
+		id: `001796358785311-f18bd3b7:${100_000 + index}`, organisation, tokens: 12_345, validMs: 5000,
+	}));
+	const request: ExchangeRequest = {
+		role: 'coordinator', ledgerRevision: 1234,
+		reports: grants.map(grant => ({grant: grant.id, spent: 12_000, returned: 345})),
+		wants: ids.map(organisation => ({organisation, tokens: 12_345})),
+	};
+	const answer: ExchangeAnswer = {
+		ledgerRevision: 1234, grants, levels: ids.map(organisation => ({organisation, tokens: 123_456})),
+	};
+	return JSON.stringify(request).length + JSON.stringify(answer).length;
+}
