--- a/src/budget/budget-tenure/index.ts
+++ b/src/budget/budget-tenure/index.ts
@@ -54,6 +54,8 @@
 	private isStoreDown = false;
 	/** Set while a write of this instance may still take effect unseen; no part is adopted until the version moves. */
 	private hasPendingWrite = false;
+	/** States of parts that this tenure stopped using for a write that failed. */
+	private readonly withdrawn = new Map<number, PartHandover>();
 	private readonly contenders = new Map<string, Lease>();
 	private readonly freeSince = new Map<number, MonotonicMs>();
 	private readonly givenUpAt = new Map<number, MonotonicMs>();
@@ -76,6 +78,11 @@
 		return this.isShared;
 	}
 
+	/** Whether the next step should come soon: a ledger write met a conflict, or a newer ledger is known. */
+	hasWork(): boolean {
+		return !this.isStoreDown && !this.isLeaving && this.nextLedgerAt === 0;
+	}
+
 	readLedger(): LedgerRecord | undefined {
 		return this.known;
 	}
@@ -156,6 +163,7 @@
 		const isHeld = await this.lease.acquire();
 		if (!isHeld || this.lease.readFencing() !== this.fencing) {
 			owner.clearParts();
+			this.withdrawn.clear();
 			this.fencing = undefined;
 		}
 
@@ -198,6 +206,7 @@
 		const handovers: Record<string, PartHandover> = {};
 		for (const part of plan.givenUp) {
 			handovers[part] = owner.describePart(part, now);
+			this.withdrawn.set(part, handovers[part]);
 			owner.removePart(part);
 			this.givenUpAt.set(findSlot(part), now);
 		}
@@ -211,6 +220,7 @@
 		}
 
 		this.hasPendingWrite = false;
+		this.withdrawn.clear();
 		this.isShared = plan.record.owners[self]?.isShared ?? false;
 		if (this.fencing === undefined && fencing === this.lease.readFencing()) {
 			this.fencing = fencing;
@@ -293,7 +303,8 @@
 			if (!isMine || id !== self) {
 				owner.removePart(part);
 			} else if (!owner.hasPart(part) && !this.hasPendingWrite) {
-				const start = starts.get(part);
+				const start = starts.get(part) ?? this.withdrawn.get(part);
+				this.withdrawn.delete(part);
 				const usableAt = start === undefined ? now + timings.grantExpiryMs : now;
 				owner.addPart(part, {slot: findSlot(part), usableAt: usableAt as MonotonicMs, start: start ?? {level: 0, outstanding: 0}}, now);
 			}
--- a/src/budget/fleet-budget/index.ts
+++ b/src/budget/fleet-budget/index.ts
@@ -175,7 +175,7 @@
 				await this.exchanger.greetPeers(2);
 			}
 
-			if (this.stepController.signal.aborted) {
+			if (this.stepController.signal.aborted || this.tenure.hasWork()) {
 				this.stepController = new AbortController();
 				await clock.sleep(smallestStepMs, signal);
 			} else {
