--- a/src/bench/start-fleet/index.ts
+++ b/src/bench/start-fleet/index.ts
@@ -66,10 +66,12 @@
 
 	try {
 		const objectApi = await start('standin', ['object-api']);
-		const engines = await Promise.all(Array.from({length: options.engines}, async () => start('standin', formatEngineArguments(options))));
+		const [engines, entries] = await Promise.all([
+			Promise.all(Array.from({length: options.engines}, async () => start('standin', formatEngineArguments(options)))),
+			startDaemons(objectApi.address, directory, options, start),
+		]);
 		const addresses = engines.map(engine => engine.address);
 		await writeResources(objectApi.address, addresses);
-		const entries = await startDaemons(objectApi.address, directory, options, start);
 		await Promise.all(entries.map(async entry => waitUntilReady(entry)));
 		return {entries, engines: addresses, stop};
 	} catch (error) {
