--- a/src/daemon/admin-server/index.ts
+++ b/src/daemon/admin-server/index.ts
@@ -1,5 +1,6 @@
 /** The listener for operators: metrics, dump, liveness and readiness. */
 
+import {Registry, register as defaultRegistry} from 'prom-client';
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
@@ -50,7 +51,8 @@
 			case '/metrics': {
 				const {registry} = this.sources.metrics;
 				response.writeHead(200, {'content-type': registry.contentType});
-				response.end(await registry.metrics());
+				// Placement and the fair queue keep their metrics in the library's default registry.
+				response.end(await Registry.merge([registry, defaultRegistry]).metrics());
 				return;
 			}
 
