--- a/src/daemon/admin-server/index.ts
+++ b/src/daemon/admin-server/index.ts
@@ -1,11 +1,11 @@
 /** The listener for operators: metrics, dump, liveness and readiness. */
 
-import {Registry, register as defaultRegistry} from 'prom-client';
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {once} from 'node:events';
 import type {AddressInfo} from 'node:net';
+import {Registry, register as defaultRegistry} from 'prom-client';
 import {parseAddress} from '../../http/parse-address/index.js';
 import {sendJson} from '../../http/send-json/index.js';
 import type {DaemonMetrics} from '../metrics/index.js';
--- a/src/daemon/admin-server/test.ts
+++ b/src/daemon/admin-server/test.ts
@@ -62,8 +62,17 @@
 		}
 
 		const names = [
-			'members', 'store_calls_total', 'peer_bytes_total', 'requests_total', 'connections', 'nodejs_eventloop_lag_seconds', 'process_cpu_user_seconds_total',
-			'queue_length', 'placement_prompt_tokens_total', 'placement_invariant_violations_total', 'budget_owned_parts',
+			'members',
+			'store_calls_total',
+			'peer_bytes_total',
+			'requests_total',
+			'connections',
+			'nodejs_eventloop_lag_seconds',
+			'process_cpu_user_seconds_total',
+			'queue_length',
+			'placement_prompt_tokens_total',
+			'placement_invariant_violations_total',
+			'budget_owned_parts',
 		];
 		expect(names.filter(name => !metrics.includes(`laburnumturn_${name}`))).toEqual([]);
 		expect(Object.keys(JSON.parse(dump) as object)).toInclude('membership', 'targets', 'targetController', 'configuration');
