--- a/src/bench/generate-trace/index.ts
+++ b/src/bench/generate-trace/index.ts
@@ -27,7 +27,7 @@
 		name: 'lathe', share: 0.35, systemPieces: 6, catalogues: 12, cataloguePieces: 4, hotShare: 0.5,
 	},
 	{
-		name: 'kiln', share: 0.3, systemPieces: 1, catalogues: 10, cataloguePieces: 8, hotShare: 0.5,
+		name: 'forge', share: 0.3, systemPieces: 1, catalogues: 10, cataloguePieces: 8, hotShare: 0.5,
 	},
 	{
 		name: 'loom', share: 0.15, systemPieces: 3, catalogues: 6, cataloguePieces: 5, hotShare: 0,
