--- a/src/capacity/measure-engine-reports/index.ts
+++ b/src/capacity/measure-engine-reports/index.ts
@@ -1,8 +1,6 @@
 /** Processor time and bytes of polling the state of engines over HTTP. */
 
-import {once} from 'node:events';
-import type {Server} from 'node:http';
-import type {AddressInfo} from 'node:net';
+import {listenLocally} from '../../http/listen-locally/index.js';
 import {HttpEngineClient} from '../../targets/http-engine-client/index.js';
 import {EngineServer} from '../../standin/engine-server/index.js';
 import {createMeasurement, type Measurement} from '../measurement/index.js';
@@ -19,7 +17,7 @@
 		models: Array.from({length: 4}, (_, index) => ({base: `base-${index}`, weightsVersion: 'v1', state: 'ready' as const})),
 		checksFencing: true, loadLagMs: 250, eventLagMs: 0, loadMs: 0,
 	});
-	const address = await listen(engine.server);
+	const address = await listenLocally(engine.server);
 	const client = new HttpEngineClient({address});
 	// Connections and compiled code are ready before the first reading.
 	await pollMany(client, warmUpReports);
@@ -39,9 +37,3 @@
 		await client.readState();
 	}
 }
-
-async function listen(server: Server): Promise<string> {
-	server.listen(0, '127.0.0.1');
-	await once(server, 'listening');
-	return `127.0.0.1:${(server.address() as AddressInfo).port}`;
-}
--- a/src/standin/local-fleet/index.ts
+++ b/src/standin/local-fleet/index.ts
@@ -1,8 +1,5 @@
 /** A router with stand-in engines and services in this process, for tests and measurements of the request path. */
 
-import {once} from 'node:events';
-import type {Server} from 'node:http';
-import type {AddressInfo} from 'node:net';
 import {Registry} from 'prom-client';
 import type {BudgetGate} from '../../budget/budget-gate/index.js';
 import {SystemClock} from '../../clock/clock/index.js';
@@ -23,6 +20,7 @@
 import {RetryBudget} from '../../requests/retry-budget/index.js';
 import type {RouterContext} from '../../requests/router-context/index.js';
 import type {Resource} from '../../resources/schemas/index.js';
+import {listenLocally} from '../../http/listen-locally/index.js';
 import {HttpEngineClient} from '../../targets/http-engine-client/index.js';
 import {TargetDirectory} from '../../targets/target-directory/index.js';
 import {EngineServer} from '../engine-server/index.js';
@@ -151,12 +149,6 @@
 	}
 }
 
-async function listenLocally(server: Server): Promise<string> {
-	server.listen(0, '127.0.0.1');
-	await once(server, 'listening');
-	return `127.0.0.1:${(server.address() as AddressInfo).port}`;
-}
-
 function createLocalResources(engines: readonly string[], services: readonly string[]): Resource[] {
 	const createRoute = (name: string, details: {access: 'open' | 'keyed'; repeatable: 'byMethod' | 'always' | 'never'}): Resource => ({
 		kind: 'Route', fleet, name, pathPrefix: `/${name}`, service: 'orders', timeoutMs: 300, ...details,
