Add a gateway for the new instances with an adapter in platform/

Routes, targets, forwarding, quota shares and rollout of weights are parts of the product; platform/ translates headers, store, orders and settings.

--- a/src/daemon/admin-server/index.ts
+++ b/src/daemon/admin-server/index.ts
@@ -8,11 +8,11 @@
 import {Registry, register as defaultRegistry} from 'prom-client';
 import {parseAddress} from '../../http/parse-address/index.js';
 import {sendJson} from '../../http/send-json/index.js';
-import type {DaemonMetrics} from '../metrics/index.js';
+
 
 /** What the listener shows. */
 export type AdminSources = {
-	readonly metrics: DaemonMetrics;
+	readonly metrics: {readonly registry: Registry};
 	/** State of each part by its name. */
 	readonly dump: () => unknown;
 	/** Why the instance must get no new callers; undefined when it may. */
--- /dev/null
+++ b/src/fleet/fleet-target/index.ts
@@ -0,0 +1,146 @@
+/**
+ * One target as this instance sees it: what it announced of itself, and what was observed on calls
+ * sent to it. A restart of the target under the same id makes another `FleetTarget`.
+ */
+
+import type {DataCentreId, MonotonicMs, TargetId} from '../../identity/ids/index.js';
+import type {ServiceId} from '../../routing/routing-types/index.js';
+
+/** What a target announces of itself. */
+export type TargetDescription = {
+	readonly id: TargetId;
+	readonly service: ServiceId;
+	/** `host:port`. */
+	readonly address: string;
+	readonly dataCentre: DataCentreId;
+	readonly slots: number;
+	readonly isLeaving: boolean;
+	/** Unix time of its start, in milliseconds; tells two lives under one id apart. */
+	readonly startedAt: number;
+	/** Weights version of each model that it serves. */
+	readonly weightsVersions: ReadonlyMap<string, number>;
+	/** Number of orders that it has accepted in this life. */
+	readonly acceptedOrders: number;
+};
+
+/** Failures within this time of each other add up, in milliseconds. */
+const failureWindowMs = 5000;
+/** First time for which a failing target is avoided, in milliseconds; doubles with each further failure. */
+const firstAvoidanceMs = 250;
+const longestAvoidanceMs = 4000;
+/** Failures in a row from which a target is avoided. A single failure says little about the next call. */
+const toleratedFailures = 1;
+/** Time without any byte from a target with unanswered calls after which it counts as silent, in milliseconds. */
+export const silenceMs = 500;
+/** Weight of the newest answer in the mean of the answer times. */
+const answerTimeWeight = 0.2;
+
+/** A call in progress at the target. */
+export type TargetCall = {
+	readonly sentAt: MonotonicMs;
+	/** Prompt tokens that the target is expected to compute before its first answer. */
+	readonly prefillTokens: number;
+	hasAnswered: boolean;
+};
+
+/** A target with this instance's own observations. */
+export class FleetTarget {
+	readonly calls = new Set<TargetCall>();
+	/** Until when a rollout keeps new calls away, on this instance's clock. */
+	cordonedUntil = 0;
+	/** Mean time until the head of an answer, in milliseconds. */
+	meanAnswerMs = 0;
+	/** Calls that other instances reported to have in progress at this target. */
+	remoteCalls = 0;
+	private heardAt = 0;
+	private failedAt = 0;
+	private failures = 0;
+	private readonly learntVersions = new Map<string, number>();
+
+	constructor(public description: TargetDescription) {}
+
+	/** Weights version of `model`, the announced one or one learnt from an answer; undefined when it is not served. */
+	readVersion(model: string): number | undefined {
+		const announced = this.description.weightsVersions.get(model);
+		const learnt = this.learntVersions.get(model);
+		return learnt === undefined || (announced !== undefined && announced >= learnt) ? announced : learnt;
+	}
+
+	/** Notes the weights version that an answer or a report showed. */
+	noteVersion(model: string, version: number): void {
+		this.learntVersions.set(model, version);
+	}
+
+	beginCall(prefillTokens: number, now: MonotonicMs): TargetCall {
+		const call: TargetCall = {sentAt: now, prefillTokens, hasAnswered: false};
+		this.calls.add(call);
+		return call;
+	}
+
+	endCall(call: TargetCall): void {
+		this.calls.delete(call);
+	}
+
+	/** Notes that bytes of any answer arrived. */
+	noteHeard(now: MonotonicMs): void {
+		this.heardAt = now;
+	}
+
+	/** When bytes of any answer arrived last; 0 before the first. */
+	readHeardAt(): number {
+		return this.heardAt;
+	}
+
+	/** Notes the head of a good answer. */
+	noteAnswer(call: TargetCall, now: MonotonicMs): void {
+		const answerMs = now - call.sentAt;
+		this.meanAnswerMs = this.meanAnswerMs === 0 ? answerMs : this.meanAnswerMs + ((answerMs - this.meanAnswerMs) * answerTimeWeight);
+		call.hasAnswered = true;
+		this.heardAt = now;
+	}
+
+	noteSuccess(): void {
+		this.failures = Math.max(0, this.failures - 1);
+	}
+
+	/** Notes an attempt that ended without a usable answer through the target's fault. */
+	noteFailure(now: MonotonicMs): void {
+		this.failures = now - this.failedAt > failureWindowMs ? 1 : this.failures + 1;
+		this.failedAt = now;
+	}
+
+	/** Whether recent failures advise against this target. */
+	isAvoided(now: MonotonicMs): boolean {
+		if (this.failures <= toleratedFailures) {
+			return false;
+		}
+
+		const avoidanceMs = Math.min(longestAvoidanceMs, firstAvoidanceMs * (2 ** (this.failures - toleratedFailures - 1)));
+		return now - this.failedAt < avoidanceMs;
+	}
+
+	/** Whether calls wait here while nothing at all has been heard for `silenceMs`. */
+	isSilent(now: MonotonicMs): boolean {
+		for (const call of this.calls) {
+			if (!call.hasAnswered && now - Math.max(call.sentAt, this.heardAt) > silenceMs) {
+				return true;
+			}
+		}
+
+		return false;
+	}
+
+	isCordoned(now: MonotonicMs): boolean {
+		return now < this.cordonedUntil;
+	}
+
+	/** Prompt tokens that calls of this instance still wait for. */
+	sumPendingPrefill(): number {
+		let tokens = 0;
+		for (const call of this.calls) {
+			tokens += call.hasAnswered ? 0 : call.prefillTokens;
+		}
+
+		return tokens;
+	}
+}
--- /dev/null
+++ b/src/gateway/gateway/index.ts
@@ -0,0 +1,381 @@
+/** The gateway process: wires the parts that serve callers on a platform, and stops them in order. */
+
+import type {Clock} from '../../clock/clock/index.js';
+import {AdminServer} from '../../daemon/admin-server/index.js';
+import {PlannedStop} from '../../daemon/planned-stop/index.js';
+import {TargetFleet} from '../../fleet/target-fleet/index.js';
+import {ConnectionPool} from '../../forwarding/connection-pool/index.js';
+import type {ForwardingContext} from '../../forwarding/forwarding-context/index.js';
+import {listenForQuestions} from '../../http/listen-for-questions/index.js';
+import {parseAddress} from '../../http/parse-address/index.js';
+import type {
+	DataCentreId, FleetId, InstanceId, TargetId,
+} from '../../identity/ids/index.js';
+import {InvariantChecker} from '../../invariants/invariant-checker/index.js';
+import {Lease} from '../../leases/lease/index.js';
+import type {EventLogger} from '../../logging/create-logger/index.js';
+import {chooseAddresses} from '../../membership/choose-addresses/index.js';
+import {createIncarnation} from '../../membership/create-incarnation/index.js';
+import {Membership} from '../../membership/membership/index.js';
+import type {Member} from '../../membership/member/index.js';
+import {PeerClient} from '../../peers/peer-client/index.js';
+import {PeerServer} from '../../peers/peer-server/index.js';
+import {ObjectApiError} from '../../platform/object-api/index.js';
+import type {InstanceList} from '../../platform/instance-list/index.js';
+import {QuotaLending} from '../../quota/quota-lending/index.js';
+import type {RandomSource} from '../../random/random-source/index.js';
+import {RetryBudget} from '../../requests/retry-budget/index.js';
+import {
+	RolloutController, rolloutLeaseMs, rolloutLeaseName, type RolloutNotice,
+} from '../../rollout/rollout-controller/index.js';
+import {RoutingTable} from '../../routing/routing-table/index.js';
+import type {RoutingConfiguration, ServiceId} from '../../routing/routing-types/index.js';
+import {CallListener} from '../call-listener/index.js';
+import {GatewayFeeds} from '../gateway-feeds/index.js';
+import type {GatewayMetrics} from '../gateway-metrics/index.js';
+import type {GatewaySettings} from '../gateway-settings/index.js';
+import type {NamedWeights, PlatformAdapter} from '../platform-adapter/index.js';
+
+/** What a gateway is made of. */
+export type GatewayOptions = {
+	readonly settings: GatewaySettings;
+	readonly adapter: PlatformAdapter;
+	readonly clock: Clock;
+	readonly logger: EventLogger;
+	readonly random: RandomSource;
+	readonly metrics: GatewayMetrics;
+};
+
+const noticeMethod = 'rollout.notice';
+const noticeTimeoutMs = 300;
+/** Validity of an address answer, in seconds. */
+const addressValiditySeconds = 1;
+/** Multiple of the validity for which some callers keep an answer. */
+const addressKeepFactor = 3;
+const stopMarginMs = 300;
+/** Time before the end of the grace period at which calls in progress are ended, in milliseconds. */
+const cutMarginMs = 600;
+const drainCheckMs = 50;
+const pruneIntervalMs = 2000;
+/** Instances that contend for the rollout lease; the others stand by. */
+const contenders = 2;
+/** Share of the retry allowance that is used, as a reserve for restarts, which begin with a full budget. */
+const retryReserve = 0.6;
+/** Instances assumed until membership and registry have been heard, so that quota shares are not too large. */
+const assumedInstances = 12;
+const assumptionMs = 4000;
+const drawSteps = 0x40_00_00_00;
+const msPerSecond = 1000;
+
+/** One gateway instance. */
+export class Gateway {
+	private readonly controller = new AbortController();
+	private readonly fleet: TargetFleet;
+	private readonly pool = new ConnectionPool();
+	private readonly peerServer: PeerServer;
+	private readonly peerClient: PeerClient;
+	private readonly membership: Membership;
+	private readonly feeds: GatewayFeeds;
+	private readonly quota: QuotaLending;
+	private readonly rollout: RolloutController;
+	private readonly listener: CallListener;
+	private readonly retryBudgets = new Map<ServiceId, RetryBudget>();
+	private readonly wantedVersions = new Map<string, number>();
+	private readonly startedAt: number;
+	private table: RoutingTable | undefined;
+	private registeredInstances = 0;
+	private stopInProgress: PlannedStop | undefined;
+
+	constructor(private readonly options: GatewayOptions) {
+		const {settings, adapter, clock, logger, random} = options;
+		const self = settings.instance as InstanceId;
+		this.startedAt = clock.readMonotonic();
+		this.fleet = new TargetFleet(logger);
+		this.peerServer = new PeerServer(self);
+		this.peerClient = new PeerClient({self, locate: id => this.membership.locate(id)});
+		this.membership = this.createMembership(self);
+		this.feeds = new GatewayFeeds({
+			adapter, clock, logger, random, caller: this.peerClient, registry: this.peerServer,
+			listPeers: () => this.listPeers(),
+			onConfiguration: configuration => {
+				this.applyConfiguration(configuration);
+			},
+			onTargets: targets => {
+				this.fleet.replace(targets);
+			},
+			onWeights: weights => {
+				this.applyWeights(weights);
+			},
+		});
+		this.quota = new QuotaLending({
+			clock, random, caller: this.peerClient, registry: this.peerServer,
+			countInstances: () => this.countInstances(),
+			listPeers: () => this.listPeers().map(peer => peer.id),
+		});
+		this.rollout = this.createRollout(self);
+		this.listener = new CallListener({context: this.createContext(), protocol: adapter.callerProtocol, readTable: () => this.table});
+		this.peerServer.register(noticeMethod, async parameters => this.applyNotices(parameters as RolloutNotice[]));
+		this.addGauges();
+	}
+
+	/** Starts all listeners and tasks. */
+	async start(): Promise<void> {
+		const {settings, adapter, metrics} = this.options;
+		const {signal} = this.controller;
+		await this.peerServer.listen(settings.listen.peer);
+		this.membership.start();
+		void this.feeds.run(signal);
+		void this.rollout.run(signal);
+		void this.register();
+		void this.runPruning(signal);
+		await this.listener.listen(settings.listen.caller);
+		await listenForQuestions(settings.listen.readiness, url => url.pathname === adapter.readinessPath
+			? {status: this.isReady() ? 200 : 503, body: {ready: this.isReady()}}
+			: {status: 404, body: {}});
+		await listenForQuestions(settings.listen.directory, url => this.answerDirectory(url));
+		await new AdminServer({
+			metrics, dump: () => this.dump(), readObstacle: () => this.isReady() ? undefined : 'no configuration, or stopping',
+		}).listen(settings.listen.admin);
+		this.options.logger.info('gateway started', {peer: settings.listen.peer, seeds: settings.seeds.length});
+	}
+
+	/** Stops gracefully; resolves when the process may exit. */
+	async stop(): Promise<void> {
+		this.stopInProgress ??= this.createStop();
+		await this.stopInProgress.run();
+	}
+
+	dump(): unknown {
+		const now = this.options.clock.readMonotonic();
+		return {
+			revision: this.feeds.readRevision(),
+			feeds: this.feeds.dump(),
+			membership: this.membership.dump(),
+			rollout: this.rollout.dump(),
+			quota: this.quota.dump(),
+			wantedVersions: Object.fromEntries(this.wantedVersions),
+			callsInProgress: this.listener.callsInProgress,
+			targets: [...this.fleet.list()].map(target => ({
+				...target.description, weightsVersions: Object.fromEntries(target.description.weightsVersions),
+				calls: target.calls.size, avoided: target.isAvoided(now), silent: target.isSilent(now), cordoned: target.isCordoned(now),
+			})),
+		};
+	}
+
+	private isReady(): boolean {
+		return this.table !== undefined && this.stopInProgress === undefined;
+	}
+
+	private listPeers(): readonly Member[] {
+		const self = this.options.settings.instance;
+		return this.membership.listLive(this.options.clock.readMonotonic()).filter(member => member.id !== self);
+	}
+
+	private countInstances(): number {
+		const age = this.options.clock.readMonotonic() - this.startedAt;
+		const known = Math.max(this.registeredInstances, this.membership.countKnown());
+		return age < assumptionMs ? Math.max(known, assumedInstances) : known;
+	}
+
+	private createMembership(self: InstanceId): Membership {
+		const {settings, clock, random, logger} = this.options;
+		const {port} = parseAddress(settings.listen.peer);
+		return new Membership({
+			identity: {
+				id: self, fleet: 'gateway' as FleetId, region: settings.region, dataCentre: settings.dataCentre as DataCentreId,
+				peerAddress: settings.listen.peer, callerAddress: settings.listen.caller,
+			},
+			seeds: settings.seeds.map(seed => `${parseAddress(seed).host}:${port}`),
+			instanceList: this.createInstanceList(),
+			caller: this.peerClient,
+			registry: this.peerServer,
+			clock, random, logger,
+			invariants: new InvariantChecker({
+				isStrict: false,
+				onViolation(name, detail) {
+					logger.error('invariant violated', {name, detail});
+				},
+			}),
+			readRevision: () => this.table === undefined ? -1 as never : this.feeds.readRevision(),
+		});
+	}
+
+	private createInstanceList(): InstanceList {
+		const {adapter} = this.options;
+		return {
+			read: async () => {
+				const {items} = await adapter.objectApi.list<{peerAddress: string}>(adapter.collections.instances);
+				this.registeredInstances = items.length;
+				return items.map(({name, value}) => ({
+					id: name, role: 'entry' as const, address: value.peerAddress, state: 'live' as const,
+				}));
+			},
+		};
+	}
+
+	/** Enters this instance in the registry, by which instances find each other when no seed answers. */
+	private async register(): Promise<void> {
+		const {adapter, settings, clock, logger} = this.options;
+		const {signal} = this.controller;
+		while (!signal.aborted) {
+			try {
+				await adapter.objectApi.create(adapter.collections.instances, settings.instance, {peerAddress: settings.listen.peer});
+				return;
+			} catch (error) {
+				if (error instanceof ObjectApiError && error.failure === 'conflict') {
+					return;
+				}
+
+				logger.warn('instance not registered yet', {reason: (error as Error).message});
+				await clock.sleep(msPerSecond, signal);
+			}
+		}
+	}
+
+	private createRollout(self: InstanceId): RolloutController {
+		const {settings, adapter, clock, logger} = this.options;
+		const {host} = parseAddress(settings.listen.peer);
+		return new RolloutController({
+			clock, logger, fleet: this.fleet,
+			lease: new Lease({
+				objectApi: adapter.objectApi, clock, name: rolloutLeaseName, holder: host, incarnation: createIncarnation(clock.readWall()),
+				durationMs: rolloutLeaseMs, succeedsOwnHolder: true, maximumReadGapMs: rolloutLeaseMs,
+			}),
+			commander: adapter.createCommander(self),
+			listWanted: () => this.wantedVersions,
+			isContender: () => this.isContender(),
+			announce: notices => {
+				this.announce(notices);
+			},
+		});
+	}
+
+	/** The first live instances in the order of their names contend for the lease. */
+	private isContender(): boolean {
+		const live = this.membership.listLive(this.options.clock.readMonotonic()).filter(member => member.state === 'live');
+		const names = live.map(member => member.id).toSorted();
+		return names.indexOf(this.options.settings.instance as InstanceId) < contenders;
+	}
+
+	private announce(notices: readonly RolloutNotice[]): void {
+		for (const peer of this.listPeers()) {
+			this.peerClient.call(peer.id, noticeMethod, notices, noticeTimeoutMs).catch(() => {
+				// A target that changes weights refuses calls by itself; the notice only saves that attempt.
+			});
+		}
+	}
+
+	private async applyNotices(notices: readonly RolloutNotice[]): Promise<boolean> {
+		const now = this.options.clock.readMonotonic();
+		for (const notice of notices) {
+			const target = this.fleet.find(notice.target as TargetId);
+			if (target !== undefined) {
+				target.cordonedUntil = now + notice.cordonMs;
+				target.noteVersion(notice.model, notice.version);
+			}
+		}
+
+		this.fleet.notify();
+		return true;
+	}
+
+	private applyConfiguration(configuration: RoutingConfiguration): void {
+		this.table = new RoutingTable(configuration);
+		this.listener.applyLimits(configuration.limits);
+		this.quota.apply(configuration.organisations);
+	}
+
+	private applyWeights({model, version}: NamedWeights): void {
+		if (version > (this.wantedVersions.get(model) ?? 0)) {
+			this.wantedVersions.set(model, version);
+			this.options.logger.info('weights named', {model, version});
+		}
+	}
+
+	private createContext(): ForwardingContext {
+		const {settings, adapter, clock, logger, random, metrics} = this.options;
+		return {
+			clock, logger, fleet: this.fleet, pool: this.pool, protocol: adapter.targetProtocol, quota: this.quota,
+			dataCentre: settings.dataCentre as DataCentreId,
+			draw: () => random.pickIndex(drawSteps) / drawSteps,
+			readWantedVersion: model => this.wantedVersions.get(model),
+			findRetryBudget: service => this.findRetryBudget(service),
+			listCacheStores: () => this.table?.configuration.cacheStores ?? [],
+			report(report) {
+				metrics.noteCall(report);
+			},
+		};
+	}
+
+	private findRetryBudget(service: ServiceId): RetryBudget {
+		let budget = this.retryBudgets.get(service);
+		if (budget === undefined) {
+			const {ratio, extra} = this.options.settings.retryBudget;
+			const own = Math.max(1, extra * retryReserve / Math.max(1, this.countInstances()));
+			budget = new RetryBudget({retriesPerRequest: ratio * retryReserve, initialRetries: own, highestLevel: own});
+			this.retryBudgets.set(service, budget);
+		}
+
+		return budget;
+	}
+
+	private answerDirectory(url: URL) {
+		const {adapter, random, clock} = this.options;
+		const question = adapter.readAddressQuestion(url);
+		if (question === undefined) {
+			return {status: 404, body: {}};
+		}
+
+		const live = this.membership.listLive(clock.readMonotonic());
+		const addresses = chooseAddresses({live, self: this.membership.readSelf(), dataCentre: question.dataCentre}, random);
+		return adapter.answerAddresses(addresses.map(member => member.callerAddress), addressValiditySeconds);
+	}
+
+	private createStop(): PlannedStop {
+		const {clock, logger, settings} = this.options;
+		return new PlannedStop({
+			clock, logger,
+			addressValidityMs: addressValiditySeconds * addressKeepFactor * msPerSecond,
+			marginMs: stopMarginMs,
+			maximumMs: settings.graceMs - cutMarginMs,
+			leave: () => {
+				this.membership.markLeaving();
+				this.listener.isLeaving = true;
+				this.rollout.stop().catch((error: unknown) => {
+					logger.warn('rollout lease not released', {reason: (error as Error).message});
+				});
+			},
+			drain: async () => this.drain(),
+			cut: () => {
+				this.listener.cutAll();
+			},
+			release: async () => {
+				this.membership.stop();
+				this.controller.abort();
+			},
+		});
+	}
+
+	private async drain(): Promise<void> {
+		this.listener.close();
+		while (this.listener.callsInProgress > 0) {
+			await this.options.clock.sleep(drainCheckMs);
+		}
+	}
+
+	private async runPruning(signal: AbortSignal): Promise<void> {
+		const {clock} = this.options;
+		while (!signal.aborted) {
+			await clock.sleep(pruneIntervalMs, signal);
+			this.pool.prune(new Set(this.fleet.list()), clock.readMonotonic());
+		}
+	}
+
+	private addGauges(): void {
+		this.options.metrics.addGauges({
+			calls_in_progress: {help: 'Calls being served.', read: () => this.listener.callsInProgress},
+			members: {help: 'Live instances, this one included.', read: () => this.listPeers().length + 1},
+			configuration_revision: {help: 'Revision of the configuration in force, -1 for none.', read: () => this.feeds.readRevision()},
+		});
+	}
+}
--- a/src/membership/member-table/index.ts
+++ b/src/membership/member-table/index.ts
@@ -53,6 +53,11 @@
 		return this.records.get(id)?.member;
 	}
 
+	/** Counts the members that are remembered, live or not. */
+	count(): number {
+		return this.records.size;
+	}
+
 	listLive(now: MonotonicMs): Member[] {
 		return this.listLiveRecords(now).map(record => record.member);
 	}
--- a/src/membership/membership/index.ts
+++ b/src/membership/membership/index.ts
@@ -77,6 +77,11 @@
 		return [this.readSelf(), ...this.table.listLive(now)];
 	}
 
+	/** Counts all members that are remembered, live or not, this instance included. */
+	countKnown(): number {
+		return this.table.count() + 1;
+	}
+
 	/** Finds the peer address of an instance, also of one that is not live. */
 	locate(id: InstanceId): string | undefined {
 		return this.table.find(id)?.peerAddress;
--- a/src/platform/collection-mirror/index.ts
+++ b/src/platform/collection-mirror/index.ts
@@ -14,6 +14,8 @@
 /** The object API sends a bookmark at least every second, so that this much silence means a dead connection. */
 export const watchSilenceMs = 2500;
 const checksPerSilence = 10;
+/** Least distance between two checks for silence, in milliseconds; each check wakes the process. */
+const shortestCheckMs = 250;
 const firstPauseMs = 50;
 const longestPauseMs = 2000;
 const jitterSteps = 1000;
@@ -31,6 +33,8 @@
 	readonly onHeard?: (now: MonotonicMs) => void;
 	/** Called when a watch is replaced, for metrics. */
 	readonly onReplaced?: (collection: string) => void;
+	/** Silence after which a watch counts as dead, in milliseconds; `watchSilenceMs` by default. */
+	readonly silenceMs?: number;
 };
 
 type Waiter = {readonly resolve: () => void; readonly reject: (error: Error) => void};
@@ -73,6 +77,34 @@
 		signal.removeEventListener('abort', stop);
 	}
 
+	/** Version that `objects` has; undefined before the first list. */
+	readVersion(): ResourceVersion | undefined {
+		return this.version;
+	}
+
+	/** When the object API was last heard. */
+	readHeardAt(): MonotonicMs {
+		return this.heardAt;
+	}
+
+	/** Whether the watch is broken at present. */
+	get isBroken(): boolean {
+		return !this.isSynced || this.failures > 0;
+	}
+
+	/** Takes over a newer copy from another instance; the watch goes on from there. */
+	adopt(objects: ReadonlyArray<StoredObject<Value>>, version: ResourceVersion): void {
+		this.objects.clear();
+		for (const object of objects) {
+			this.objects.set(object.name, object);
+		}
+
+		this.version = version;
+		this.isSynced = true;
+		this.options.onChange();
+		this.watchController.abort();
+	}
+
 	/** Reads the collection anew. When this resolves, `objects` is at least as new as the call of this method. */
 	async refresh(): Promise<void> {
 		const done = new Promise<void>((resolve, reject) => {
@@ -146,14 +178,14 @@
 	}
 
 	private async waitForSilence(signal: AbortSignal): Promise<void> {
-		const {clock} = this.options;
+		const {clock, silenceMs = watchSilenceMs} = this.options;
 		while (!signal.aborted) {
 			const silentMs = clock.readMonotonic() - this.heardAt;
-			if (silentMs > watchSilenceMs) {
+			if (silentMs > silenceMs) {
 				throw new ObjectApiError('unavailable', `the watch has been silent for ${Math.round(silentMs)} ms`);
 			}
 
-			await clock.sleep(watchSilenceMs / checksPerSilence, signal);
+			await clock.sleep(Math.max(shortestCheckMs, silenceMs / checksPerSilence), signal);
 		}
 	}
 
--- /dev/null
+++ b/src/routing/routing-table/index.ts
@@ -0,0 +1,55 @@
+/** Look-ups in one accepted routing configuration. */
+
+import type {KeyHash, OrganisationId} from '../../identity/ids/index.js';
+import type {
+	CallerOrganisation, Route, RoutingConfiguration, Service, ServiceId,
+} from '../routing-types/index.js';
+
+/** Index over a routing configuration; never changes. */
+export class RoutingTable {
+	private readonly routesByHost = new Map<string, Route[]>();
+	private readonly organisationsByKey = new Map<KeyHash, CallerOrganisation>();
+	private readonly organisations = new Map<OrganisationId, CallerOrganisation>();
+	private readonly services = new Map<ServiceId, Service>();
+
+	constructor(readonly configuration: RoutingConfiguration) {
+		for (const route of configuration.routes) {
+			const host = route.host.toLowerCase();
+			this.routesByHost.set(host, [...this.routesByHost.get(host) ?? [], route]);
+		}
+
+		for (const routes of this.routesByHost.values()) {
+			routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
+		}
+
+		for (const organisation of configuration.organisations) {
+			this.organisations.set(organisation.id, organisation);
+			for (const hash of organisation.keyHashes) {
+				this.organisationsByKey.set(hash, organisation);
+			}
+		}
+
+		for (const service of configuration.services) {
+			this.services.set(service.id, service);
+		}
+	}
+
+	/** Finds the route of the host whose path prefix is the longest that begins `path`. */
+	findRoute(host: string, path: string): Route | undefined {
+		const name = host.toLowerCase();
+		const routes = this.routesByHost.get(name) ?? this.routesByHost.get(name.replace(/:\d+$/u, ''));
+		return routes?.find(route => path.startsWith(route.pathPrefix));
+	}
+
+	findOrganisationByKey(hash: KeyHash): CallerOrganisation | undefined {
+		return this.organisationsByKey.get(hash);
+	}
+
+	findOrganisation(id: OrganisationId): CallerOrganisation | undefined {
+		return this.organisations.get(id);
+	}
+
+	findService(id: ServiceId): Service | undefined {
+		return this.services.get(id);
+	}
+}
--- a/xo.config.js
+++ b/xo.config.js
@@ -1,7 +1,7 @@
 /** @type {import('xo').FlatXoConfig} */
 const config = [
 	{
-		ignores: ['dist/**', 'docs/**', 'reports/**'],
+		ignores: ['dist/**', 'target/**', 'journal/**', 'docs/**', 'reports/**'],
 	},
 	{
 		rules: {
