--- a/src/forwarding/target-connection/index.ts
+++ b/src/forwarding/target-connection/index.ts
@@ -53,12 +53,14 @@
 			keepAliveTimeoutThreshold: idleMarginMs,
 			maxHeaderSize: maximumHeaderBytes,
 			connect: (options, callback) => {
-				connect(options, (error, socket) => {
-					if (socket !== null) {
+				connect(options, (...result: Parameters<typeof callback>) => {
+					// After an error there is no socket, whatever the type of the library says.
+					const [error, socket] = result;
+					if (error === null) {
 						this.observe(socket as Socket);
 					}
 
-					callback(...(error === null ? [null, socket] : [error, null]) as Parameters<typeof callback>);
+					callback(...result);
 				});
 			},
 		});
--- a/src/logging/create-logger/index.ts
+++ b/src/logging/create-logger/index.ts
@@ -1,4 +1,4 @@
-/** Structured logs: one line of key=value pairs for each event, on standard error. */
+/** Structured logs: one line of key=value pairs for each event, on standard error unless another stream is given. */
 
 import {Logger as TsLogger} from 'tslog';
 
@@ -12,18 +12,21 @@
 	error(event: string, fields?: LogFields): void;
 };
 
+/** Takes the lines. */
+export type LogOutput = {write(line: string): unknown};
+
 const levelNames: Readonly<Record<number, string>> = {3: 'info', 4: 'warn', 5: 'error'};
 const defaultLevel = 3;
 
 type LogObject = {readonly 0: string; readonly 1?: LogFields; readonly _meta: {readonly logLevelId: number; readonly date: Date}};
 
 /** Creates a logger whose lines all carry `context`. `isQuiet` drops every line. */
-export function createLogger(context: LogFields = {}, isQuiet = false): EventLogger {
-	const logger = new TsLogger<unknown>({type: 'hidden', minLevel: defaultLevel});
+export function createLogger(context: LogFields = {}, isQuiet = false, output: LogOutput = process.stderr): EventLogger {
+	const logger = new TsLogger<unknown>({type: 'hidden', minLevel: defaultLevel, hideLogPositionForProduction: true});
 	if (!isQuiet) {
 		logger.attachTransport(object => {
 			const {0: event, 1: fields, _meta: meta} = object as unknown as LogObject;
-			process.stderr.write(formatLine(meta.date, levelNames[meta.logLevelId] ?? 'info', event, {...context, ...fields}));
+			output.write(formatLine(meta.date, levelNames[meta.logLevelId] ?? 'info', event, {...context, ...fields}));
 		});
 	}
 
