Place calls by the work of all instances; follow store after a cut; relay lease calls

The sequence of a target's entry counts its heartbeats, not orders. Ruled out: silent targets as the cause; all 48 moves for silence were false.

--- a/src/fleet/fleet-target/index.ts
+++ b/src/fleet/fleet-target/index.ts
@@ -3,7 +3,9 @@
  * sent to it. A restart of the target under the same id makes another `FleetTarget`.
  */
 
-import type {DataCentreId, MonotonicMs, TargetId} from '../../identity/ids/index.js';
+import type {
+	DataCentreId, InstanceId, MonotonicMs, TargetId,
+} from '../../identity/ids/index.js';
 import type {ServiceId} from '../../routing/routing-types/index.js';
 
 /** What a target announces of itself. */
@@ -19,8 +21,6 @@
 	readonly startedAt: number;
 	/** Weights version of each model that it serves. */
 	readonly weightsVersions: ReadonlyMap<string, number>;
-	/** Number of orders that it has accepted in this life. */
-	readonly acceptedOrders: number;
 };
 
 /** Failures within this time of each other add up, in milliseconds. */
@@ -31,10 +31,20 @@
 /** Failures in a row from which a target is avoided. A single failure says little about the next call. */
 const toleratedFailures = 1;
 /** Time without any byte from a target with unanswered calls after which it counts as silent, in milliseconds. */
-export const silenceMs = 500;
+export const silenceMs = 700;
 /** Weight of the newest answer in the mean of the answer times. */
 const answerTimeWeight = 0.2;
 
+/** Time for which the load reported by another instance counts, in milliseconds. */
+const remoteLoadMs = 1000;
+/** Load of a call that is past its prefill, in prompt tokens of equal effort. */
+const runningCallTokens = 400;
+
+/** Work at a target that one instance sent there. */
+export type TargetLoad = {readonly calls: number; readonly prefillTokens: number};
+
+type RemoteLoad = TargetLoad & {readonly at: MonotonicMs};
+
 /** A call in progress at the target. */
 export type TargetCall = {
 	readonly sentAt: MonotonicMs;
@@ -50,8 +60,7 @@
 	cordonedUntil = 0;
 	/** Mean time until the head of an answer, in milliseconds. */
 	meanAnswerMs = 0;
-	/** Calls that other instances reported to have in progress at this target. */
-	remoteCalls = 0;
+	private readonly remoteLoads = new Map<InstanceId, RemoteLoad>();
 	private heardAt = 0;
 	private failedAt = 0;
 	private failures = 0;
@@ -134,13 +143,37 @@
 		return now < this.cordonedUntil;
 	}
 
-	/** Prompt tokens that calls of this instance still wait for. */
-	sumPendingPrefill(): number {
-		let tokens = 0;
+	/** Work that this instance sent. */
+	readOwnLoad(): TargetLoad {
+		let prefillTokens = 0;
 		for (const call of this.calls) {
-			tokens += call.hasAnswered ? 0 : call.prefillTokens;
+			prefillTokens += call.hasAnswered ? 0 : call.prefillTokens;
+		}
+
+		return {calls: this.calls.size, prefillTokens};
+	}
+
+	/** Takes over what another instance reported. */
+	noteRemoteLoad(instance: InstanceId, load: TargetLoad, now: MonotonicMs): void {
+		this.remoteLoads.set(instance, {...load, at: now});
+	}
+
+	/** Work of all instances, in prompt tokens of equal effort. */
+	measureLoad(now: MonotonicMs): number {
+		const own = this.readOwnLoad();
+		let tokens = weighLoad(own);
+		for (const [instance, load] of this.remoteLoads) {
+			if (now - load.at > remoteLoadMs) {
+				this.remoteLoads.delete(instance);
+			} else {
+				tokens += weighLoad(load);
+			}
 		}
 
 		return tokens;
 	}
 }
+
+function weighLoad({calls, prefillTokens}: TargetLoad): number {
+	return prefillTokens + (calls * runningCallTokens);
+}
--- a/src/forwarding/call-session/index.ts
+++ b/src/forwarding/call-session/index.ts
@@ -48,6 +48,8 @@
 const maximumKeptBytes = 256 * 1024;
 /** Silence of a stream after which another target continues it, in milliseconds. */
 const streamSilenceMs = 1000;
+/** Time without an answer after which a call is moved from a target that has gone silent, in milliseconds. */
+const moveAfterMs = 1200;
 /** Seconds until a caller may return when no target could take its call, before they are spread. */
 const retryAfterSeconds = 0.3;
 const priorities = 10;
@@ -66,6 +68,8 @@
 	private splitter: EventSplitter | undefined;
 	private lastEventId: string | undefined;
 	private chargedTokens = 0;
+	private firstSentAt: MonotonicMs | undefined;
+	private firstHeardAt: MonotonicMs | undefined;
 	private deadlineTimer: NodeJS.Timeout | undefined;
 	private stopWaiting: (() => void) | undefined;
 	private onDone: (() => void) | undefined;
@@ -128,7 +132,7 @@
 		}
 
 		const isStuck = attempt.head === undefined
-			? attempt.target.isSilent(now)
+			? attempt.target.isSilent(now) && now - attempt.record.sentAt > moveAfterMs
 			: now - attempt.heardAt > streamSilenceMs && now - attempt.target.readHeardAt() > streamSilenceMs;
 		if (isStuck && this.hasAlternative(attempt.target, now)) {
 			attempt.exchange?.abort();
@@ -174,11 +178,11 @@
 
 	private choose(now: MonotonicMs): FleetTarget | undefined {
 		const {call, service} = this.options;
-		const {fleet, dataCentre, draw, readWantedVersion} = this.context;
+		const {fleet, dataCentre, draw, readWantedWeights} = this.context;
 		const query = {
 			targets: fleet.listServing(service, now),
 			model: call.work?.model,
-			wantedVersion: call.work === undefined ? undefined : readWantedVersion(call.work.model),
+			wanted: call.work === undefined ? undefined : readWantedWeights(call.work.model),
 			sharedPrefix: findSharedPrefix(call),
 			dataCentre,
 			draw: draw(),
@@ -223,6 +227,7 @@
 		};
 		this.attempt = attempt;
 		this.attempts += 1;
+		this.firstSentAt ??= now;
 		this.tried.add(target);
 		const headers = this.context.protocol.buildHeaders(call, {
 			target, route, weightsVersion,
@@ -324,6 +329,7 @@
 	private handleChunk(attempt: Attempt, chunk: Buffer): void {
 		const now = this.readNow();
 		attempt.heardAt = now;
+		this.firstHeardAt ??= now;
 		attempt.target.noteHeard(now);
 		if (!this.hasBegun) {
 			this.keep(attempt, chunk);
@@ -507,9 +513,11 @@
 
 		const {call, route, organisation, arrivedAt} = this.options;
 		const durationMs = Math.round(this.readNow() - arrivedAt);
+		const measure = (at: MonotonicMs | undefined) => at === undefined ? undefined : Math.round(at - arrivedAt);
 		this.context.logger.info('call finished', {
 			id: call.id, outcome, status, route: route.id, organisation: organisation?.id,
-			target: attempt?.target.description.id, weights: attempt?.weightsVersion, attempts: this.attempts, durationMs,
+			target: attempt?.target.description.id, weights: attempt?.weightsVersion, attempts: this.attempts,
+			sentMs: measure(this.firstSentAt), firstMs: measure(this.firstHeardAt), durationMs,
 		});
 		this.context.report({
 			outcome, status, durationMs, route: route.id, attempts: this.attempts,
--- a/src/forwarding/forwarding-context/index.ts
+++ b/src/forwarding/forwarding-context/index.ts
@@ -1,6 +1,7 @@
 /** What all forwarded calls of an instance share. */
 
 import type {Clock} from '../../clock/clock/index.js';
+import type {WantedWeights} from '../../fleet/choose-target/index.js';
 import type {TargetFleet} from '../../fleet/target-fleet/index.js';
 import type {DataCentreId} from '../../identity/ids/index.js';
 import type {EventLogger} from '../../logging/create-logger/index.js';
@@ -37,8 +38,8 @@
 	readonly dataCentre: DataCentreId;
 	/** From 0 up to, not including, 1. */
 	readonly draw: () => number;
-	/** Newest weights version that was named for a model. */
-	readonly readWantedVersion: (model: string) => number | undefined;
+	/** Newest weights that were named for a model. */
+	readonly readWantedWeights: (model: string) => WantedWeights | undefined;
 	readonly findRetryBudget: (service: ServiceId) => RetryBudget;
 	readonly listCacheStores: () => readonly CacheStore[];
 	readonly report: (report: CallReport) => void;
--- a/src/gateway/gateway-feeds/index.ts
+++ b/src/gateway/gateway-feeds/index.ts
@@ -91,7 +91,7 @@
 	private addMirror(collection: string, onChange: () => void): void {
 		const {adapter, clock, logger, random} = this.options;
 		this.mirrors.set(collection, new CollectionMirror({
-			objectApi: adapter.objectApi, collection, clock, logger, random, onChange, silenceMs: watchSilenceMs,
+			objectApi: adapter.objectApi, collection, clock, logger, random, onChange, silenceMs: watchSilenceMs, relistsAfterFault: true,
 		}));
 	}
 
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -3,6 +3,8 @@
 import type {Clock} from '../../clock/clock/index.js';
 import {AdminServer} from '../../daemon/admin-server/index.js';
 import {PlannedStop} from '../../daemon/planned-stop/index.js';
+import type {WantedWeights} from '../../fleet/choose-target/index.js';
+import {LoadExchange} from '../../fleet/load-exchange/index.js';
 import {TargetFleet} from '../../fleet/target-fleet/index.js';
 import {ConnectionPool} from '../../forwarding/connection-pool/index.js';
 import type {ForwardingContext} from '../../forwarding/forwarding-context/index.js';
@@ -21,6 +23,7 @@
 import {PeerClient} from '../../peers/peer-client/index.js';
 import {PeerServer} from '../../peers/peer-server/index.js';
 import {ObjectApiError} from '../../platform/object-api/index.js';
+import {RelayedObjectApi} from '../../platform/relayed-object-api/index.js';
 import type {InstanceList} from '../../platform/instance-list/index.js';
 import {QuotaLending} from '../../quota/quota-lending/index.js';
 import type {RandomSource} from '../../random/random-source/index.js';
@@ -57,7 +60,7 @@
 const cutMarginMs = 600;
 const drainCheckMs = 50;
 const pruneIntervalMs = 2000;
-/** Instances that contend for the rollout lease; the others stand by. */
+/** Instances that contend for the rollout lease. */
 const contenders = 2;
 /** Share of the retry allowance that is used, as a reserve for restarts, which begin with a full budget. */
 const retryReserve = 0.6;
@@ -77,10 +80,12 @@
 	private readonly membership: Membership;
 	private readonly feeds: GatewayFeeds;
 	private readonly quota: QuotaLending;
+	private readonly relayedApi: RelayedObjectApi;
 	private readonly rollout: RolloutController;
+	private readonly loads: LoadExchange;
 	private readonly listener: CallListener;
 	private readonly retryBudgets = new Map<ServiceId, RetryBudget>();
-	private readonly wantedVersions = new Map<string, number>();
+	private readonly wantedWeights = new Map<string, WantedWeights>();
 	private readonly startedAt: number;
 	private table: RoutingTable | undefined;
 	private registeredInstances = 0;
@@ -112,7 +117,15 @@
 			countInstances: () => this.countInstances(),
 			listPeers: () => this.listPeers().map(peer => peer.id),
 		});
+		this.relayedApi = new RelayedObjectApi({
+			objectApi: adapter.objectApi, caller: this.peerClient, registry: this.peerServer, random, clock,
+			listPeers: () => this.listPeers().map(peer => peer.id),
+		});
 		this.rollout = this.createRollout(self);
+		this.loads = new LoadExchange({
+			self, clock, random, fleet: this.fleet, logger,
+			listPeers: () => this.listPeers(),
+		});
 		this.listener = new CallListener({context: this.createContext(), protocol: adapter.callerProtocol, readTable: () => this.table});
 		this.peerServer.register(noticeMethod, async parameters => this.applyNotices(parameters as RolloutNotice[]));
 		this.addGauges();
@@ -126,6 +139,7 @@
 		this.membership.start();
 		void this.feeds.run(signal);
 		void this.rollout.run(signal);
+		await this.loads.start(settings.listen.peer, signal);
 		void this.register();
 		void this.runPruning(signal);
 		await this.listener.listen(settings.listen.caller);
@@ -153,7 +167,7 @@
 			membership: this.membership.dump(),
 			rollout: this.rollout.dump(),
 			quota: this.quota.dump(),
-			wantedVersions: Object.fromEntries(this.wantedVersions),
+			wantedWeights: Object.fromEntries(this.wantedWeights),
 			callsInProgress: this.listener.callsInProgress,
 			targets: [...this.fleet.list()].map(target => ({
 				...target.description, weightsVersions: Object.fromEntries(target.description.weightsVersions),
@@ -238,11 +252,11 @@
 		return new RolloutController({
 			clock, logger, fleet: this.fleet,
 			lease: new Lease({
-				objectApi: adapter.objectApi, clock, name: rolloutLeaseName, holder: host, incarnation: createIncarnation(clock.readWall()),
+				objectApi: this.relayedApi, clock, name: rolloutLeaseName, holder: host, incarnation: createIncarnation(clock.readWall()),
 				durationMs: rolloutLeaseMs, succeedsOwnHolder: true, maximumReadGapMs: rolloutLeaseMs,
 			}),
 			commander: adapter.createCommander(self),
-			listWanted: () => this.wantedVersions,
+			listWanted: () => this.wantedWeights,
 			isContender: () => this.isContender(),
 			announce: notices => {
 				this.announce(notices);
@@ -286,8 +300,8 @@
 	}
 
 	private applyWeights({model, version}: NamedWeights): void {
-		if (version > (this.wantedVersions.get(model) ?? 0)) {
-			this.wantedVersions.set(model, version);
+		if (version > (this.wantedWeights.get(model)?.version ?? 0)) {
+			this.wantedWeights.set(model, {version, since: this.options.clock.readMonotonic()});
 			this.options.logger.info('weights named', {model, version});
 		}
 	}
@@ -298,7 +312,7 @@
 			clock, logger, fleet: this.fleet, pool: this.pool, protocol: adapter.targetProtocol, quota: this.quota,
 			dataCentre: settings.dataCentre as DataCentreId,
 			draw: () => random.pickIndex(drawSteps) / drawSteps,
-			readWantedVersion: model => this.wantedVersions.get(model),
+			readWantedWeights: model => this.wantedWeights.get(model),
 			findRetryBudget: service => this.findRetryBudget(service),
 			listCacheStores: () => this.table?.configuration.cacheStores ?? [],
 			report(report) {
--- a/src/leases/lease/index.ts
+++ b/src/leases/lease/index.ts
@@ -29,7 +29,7 @@
 
 /** What a lease is made of. */
 export type LeaseOptions = {
-	readonly objectApi: ObjectApi;
+	readonly objectApi: Pick<ObjectApi, 'get' | 'create' | 'update'>;
 	readonly clock: Clock;
 	/** Name of the object in the collection `leases`. */
 	readonly name: string;
--- a/src/platform/collection-mirror/index.ts
+++ b/src/platform/collection-mirror/index.ts
@@ -35,6 +35,11 @@
 	readonly onReplaced?: (collection: string) => void;
 	/** Silence after which a watch counts as dead, in milliseconds; `watchSilenceMs` by default. */
 	readonly silenceMs?: number;
+	/**
+	 * Whether the collection is listed anew after each broken watch. Needed where a watch that continues from
+	 * an old version may wait for its whole time although changes were dropped in between.
+	 */
+	readonly relistsAfterFault?: boolean;
 };
 
 type Waiter = {readonly resolve: () => void; readonly reject: (error: Error) => void};
@@ -45,6 +50,7 @@
 	/** Whether `objects` has been read at least once. */
 	isSynced = false;
 	private version: ResourceVersion | undefined;
+	private needsList = true;
 	private heardAt: MonotonicMs;
 	private failures = 0;
 	private waiters: Waiter[] = [];
@@ -64,7 +70,7 @@
 		signal.addEventListener('abort', stop, {once: true});
 		while (!signal.aborted) {
 			try {
-				if (this.version === undefined || this.waiters.length > 0) {
+				if (this.needsList || this.waiters.length > 0) {
 					await this.load();
 				}
 
@@ -125,6 +131,7 @@
 			}
 
 			this.version = list.resourceVersion;
+			this.needsList = false;
 			this.isSynced = true;
 			this.markHeard();
 			this.options.onChange();
@@ -213,9 +220,9 @@
 	}
 
 	private async pause(error: Error, signal: AbortSignal): Promise<void> {
-		const {collection, clock, logger, random, onReplaced} = this.options;
-		if (error instanceof ObjectApiError && error.failure === 'expired') {
-			this.version = undefined;
+		const {collection, clock, logger, random, onReplaced, relistsAfterFault = false} = this.options;
+		if (relistsAfterFault || (error instanceof ObjectApiError && error.failure === 'expired')) {
+			this.needsList = true;
 		}
 
 		onReplaced?.(collection);
--- a/src/rollout/plan-rollout/index.ts
+++ b/src/rollout/plan-rollout/index.ts
@@ -11,7 +11,7 @@
 
 /** Where an engine is in its change. */
 export type RolloutPhase
-	= | {readonly type: 'cordoned'; readonly since: MonotonicMs}
+	= | {readonly type: 'cordoned' | 'unreachable'; readonly since: MonotonicMs}
 		| {readonly type: 'loading'; readonly since: MonotonicMs; readonly version: number};
 
 /** One engine as far as the plan goes. */
@@ -34,6 +34,8 @@
 export const cordonMs = 300;
 /** Shortest time of a load, in milliseconds; before it, asking is of no use. */
 const shortestLoadMs = 600;
+/** Time after which an engine that could not be reached is tried again, in milliseconds. */
+const unreachableMs = 1000;
 /** Time after which an order counts as lost, in milliseconds. */
 const loadTimeoutMs = 4000;
 
@@ -47,7 +49,7 @@
 			steps.push(step);
 		}
 
-		changing += engine.phase === undefined || step?.type === 'release' ? 0 : 1;
+		changing += engine.phase === undefined || engine.phase.type === 'unreachable' || step?.type === 'release' ? 0 : 1;
 	}
 
 	const room = Math.max(1, Math.floor(engines.length * changingShare)) - changing;
@@ -61,21 +63,30 @@
 		return undefined;
 	}
 
-	if (phase.type === 'cordoned') {
-		if (version >= wanted) {
-			return {type: 'release', id};
+	const age = now - phase.since;
+	switch (phase.type) {
+		case 'unreachable': {
+			return age >= unreachableMs ? {type: 'release', id} : undefined;
 		}
 
-		return now - phase.since >= cordonMs ? {type: 'order', id} : undefined;
-	}
+		case 'cordoned': {
+			if (version >= wanted) {
+				return {type: 'release', id};
+			}
 
-	if (version >= phase.version) {
-		return {type: 'release', id};
-	}
+			return age >= cordonMs ? {type: 'order', id} : undefined;
+		}
 
-	if (now - phase.since > loadTimeoutMs) {
-		return {type: 'order', id};
-	}
+		case 'loading': {
+			if (version >= phase.version) {
+				return {type: 'release', id};
+			}
 
-	return now - phase.since > shortestLoadMs ? {type: 'report', id} : undefined;
+			if (age > loadTimeoutMs) {
+				return {type: 'order', id};
+			}
+
+			return age > shortestLoadMs ? {type: 'report', id} : undefined;
+		}
+	}
 }
--- a/src/rollout/rollout-controller/index.ts
+++ b/src/rollout/rollout-controller/index.ts
@@ -21,15 +21,13 @@
 const renewIntervalMs = 700;
 /** Pause between two attempts of a contender, in milliseconds. */
 const contendIntervalMs = 700;
-/** Pause between two attempts of an instance that contends only in case all contenders are cut off, in milliseconds. */
-const reserveIntervalMs = 2000;
 /** Pause between two plans while engines are changing, in milliseconds. */
 const stepIntervalMs = 100;
 /** Time for which other instances keep calls away from an engine that is ordered to load, in milliseconds. */
 const loadCordonMs = 1500;
 
-/** How an engine answered an order. */
-export type OrderOutcome = 'accepted' | 'alreadyDone' | 'conflict' | 'refused' | 'gone' | 'unknown';
+/** How an engine answered an order. `unreachable`: it cannot have received the order; `unknown`: it may carry it out later. */
+export type OrderOutcome = 'accepted' | 'alreadyDone' | 'conflict' | 'refused' | 'gone' | 'unreachable' | 'unknown';
 
 /** An order to load weights. */
 export type WeightsOrder = {
@@ -68,8 +66,8 @@
 	readonly fleet: TargetFleet;
 	readonly commander: EngineCommander;
 	/** Newest version by model. */
-	readonly listWanted: () => ReadonlyMap<string, number>;
-	/** Whether this instance should hold the lease, or only stand by. */
+	readonly listWanted: () => ReadonlyMap<string, {readonly version: number}>;
+	/** Whether this instance tries to acquire the lease. */
 	readonly isContender: () => boolean;
 	readonly announce: (notices: readonly RolloutNotice[]) => void;
 };
@@ -79,7 +77,8 @@
 /** The task that contends for the lease and rolls weights out while it has it. */
 export class RolloutController {
 	private readonly changes = new Map<TargetId, Change>();
-	private readonly acceptedOrders = new Map<FleetTarget, number>();
+	/** Orders that each engine has accepted in its present life. */
+	private readonly acceptedOrders = new WeakMap<FleetTarget, number>();
 	private mayOrderAt = 0;
 	private isHolder = false;
 	private isStopping = false;
@@ -103,15 +102,13 @@
 	}
 
 	private async contend(signal: AbortSignal): Promise<void> {
-		const {clock, lease, isContender} = this.options;
+		const {clock, isContender} = this.options;
 		while (!signal.aborted) {
-			const isHeld = lease.isHeld(clock.readMonotonic());
-			if (!this.isStopping) {
+			if (!this.isStopping && (this.isHolder || isContender())) {
 				await this.tryLease();
 			}
 
-			const pauseMs = isContender() ? contendIntervalMs : reserveIntervalMs;
-			await clock.sleep(isHeld ? renewIntervalMs : pauseMs, signal);
+			await clock.sleep(this.isHolder ? renewIntervalMs : contendIntervalMs, signal);
 		}
 	}
 
@@ -149,8 +146,8 @@
 		while (!signal.aborted) {
 			const now = clock.readMonotonic();
 			if (this.mayOrder(now)) {
-				for (const [model, wanted] of listWanted()) {
-					this.step(model, wanted, now);
+				for (const [model, {version}] of listWanted()) {
+					this.step(model, version, now);
 				}
 			}
 
@@ -189,13 +186,17 @@
 			case 'cordon': {
 				this.changes.set(id, {phase: {type: 'cordoned', since: now}, model, isBusy: false});
 				this.notify(target, model, cordonMs + loadCordonMs);
+				if (!this.acceptedOrders.has(target)) {
+					void this.readReport(target);
+				}
+
 				return;
 			}
 
 			case 'release': {
 				this.changes.delete(id);
 				this.notify(target, model, 0);
-				this.options.logger.info('engine changed weights', {target: id, model, version: target.readVersion(model)});
+				this.options.logger.info('engine released', {target: id, model, version: target.readVersion(model)});
 				return;
 			}
 
@@ -219,7 +220,7 @@
 		}
 
 		change.isBusy = true;
-		const expectedOrders = this.acceptedOrders.get(target) ?? target.description.acceptedOrders;
+		const expectedOrders = this.acceptedOrders.get(target) ?? 0;
 		const outcome = await commander.order(target, {
 			model, version, fencing, expectedOrders,
 		});
@@ -231,6 +232,8 @@
 			this.acceptedOrders.set(target, outcome === 'accepted' ? expectedOrders + 1 : expectedOrders);
 			change.phase = {type: 'loading', since: clock.readMonotonic(), version};
 			this.notify(target, model, loadCordonMs);
+		} else if (outcome === 'unreachable') {
+			change.phase = {type: 'unreachable', since: clock.readMonotonic()};
 		} else {
 			await this.readReport(target);
 		}
