--- a/src/fleet/choose-target/index.ts
+++ b/src/fleet/choose-target/index.ts
@@ -12,7 +12,12 @@
 import {rankByPrefix} from '../rank-by-prefix/index.js';
 
 /** Newest weights of a model. */
-export type WantedWeights = {readonly version: number; readonly since: MonotonicMs};
+export type WantedWeights = {
+	readonly version: number;
+	readonly since: MonotonicMs;
+	/** From then on no call may begin on older weights. */
+	readonly exclusiveFrom: MonotonicMs;
+};
 
 /** What the choice rests on. */
 export type TargetQuery = {
@@ -69,9 +74,19 @@
 	return sharedPrefix !== undefined && sharedPrefix.tokens >= shortestPrefixTokens ? rankByPrefix(sharedPrefix.id, candidates)[0] : undefined;
 }
 
-function listUsable({targets, excluded, model}: TargetQuery, now: MonotonicMs): FleetTarget[] {
-	return targets.filter(target => !excluded.has(target) && !target.isCordoned(now)
-		&& (model === undefined || target.readVersion(model) !== undefined));
+function listUsable({targets, excluded, model, wanted}: TargetQuery, now: MonotonicMs): FleetTarget[] {
+	return targets.filter(target => {
+		if (excluded.has(target) || target.isCordoned(now)) {
+			return false;
+		}
+
+		const version = model === undefined ? undefined : target.readVersion(model);
+		if (model !== undefined && version === undefined) {
+			return false;
+		}
+
+		return version === undefined || wanted === undefined || version >= wanted.version || now < wanted.exclusiveFrom;
+	});
 }
 
 /** Rates a target in tokens of work before the answer; the lowest is best. */
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -11,7 +11,7 @@
 import {listenForQuestions} from '../../http/listen-for-questions/index.js';
 import {parseAddress} from '../../http/parse-address/index.js';
 import type {
-	DataCentreId, FleetId, InstanceId, TargetId,
+	DataCentreId, FleetId, InstanceId, MonotonicMs, TargetId,
 } from '../../identity/ids/index.js';
 import {InvariantChecker} from '../../invariants/invariant-checker/index.js';
 import {Lease} from '../../leases/lease/index.js';
@@ -67,6 +67,10 @@
 /** Instances assumed until membership and registry have been heard, so that quota shares are not too large. */
 const assumedInstances = 12;
 const assumptionMs = 4000;
+/** Time after the start for which old weights may still be used, in milliseconds. */
+const startWeightsMs = 3000;
+/** Part of the time limit for new weights after which old ones are not used any more; the rest covers the delay of the news. */
+const weightsLimitShare = 0.75;
 const drawSteps = 0x40_00_00_00;
 const msPerSecond = 1000;
 
@@ -301,11 +305,20 @@
 
 	private applyWeights({model, version}: NamedWeights): void {
 		if (version > (this.wantedWeights.get(model)?.version ?? 0)) {
-			this.wantedWeights.set(model, {version, since: this.options.clock.readMonotonic()});
+			this.wantedWeights.set(model, this.dateWeights(version));
 			this.options.logger.info('weights named', {model, version});
 		}
 	}
 
+	/** Weights that are already named when this instance starts may have been named long before. */
+	private dateWeights(version: number): WantedWeights {
+		const {clock, settings} = this.options;
+		const now = clock.readMonotonic();
+		const isFirst = now - this.startedAt < startWeightsMs;
+		const graceMs = isFirst ? startWeightsMs : settings.weightsLimitMs * weightsLimitShare;
+		return {version, since: now, exclusiveFrom: now + graceMs as MonotonicMs};
+	}
+
 	private createContext(): ForwardingContext {
 		const {settings, adapter, clock, logger, random, metrics} = this.options;
 		return {
