--- a/src/fleet/choose-target/index.ts
+++ b/src/fleet/choose-target/index.ts
@@ -8,17 +8,10 @@
  */
 
 import type {DataCentreId, MonotonicMs} from '../../identity/ids/index.js';
+import type {NamedWeights} from '../../rollout/named-weights/index.js';
 import type {FleetTarget} from '../fleet-target/index.js';
 import {rankByPrefix} from '../rank-by-prefix/index.js';
 
-/** Newest weights of a model. */
-export type WantedWeights = {
-	readonly version: number;
-	readonly since: MonotonicMs;
-	/** From then on no call may begin on older weights. */
-	readonly exclusiveFrom: MonotonicMs;
-};
-
 /** What the choice rests on. */
 export type TargetQuery = {
 	/** Targets that take new calls. */
@@ -26,8 +19,8 @@
 	/** Targets that this call has already been sent to. */
 	readonly excluded: ReadonlySet<FleetTarget>;
 	readonly model: string | undefined;
-	/** Weights that the model's engines are to have; undefined when none are known. */
-	readonly wanted: WantedWeights | undefined;
+	/** Weights that were named for the model; undefined when none are known. */
+	readonly named: NamedWeights | undefined;
 	/** Deepest part of the prompt that other calls share, with the tokens up to its end. */
 	readonly sharedPrefix: {readonly id: string; readonly tokens: number} | undefined;
 	/** Data centre of this instance. */
@@ -42,8 +35,6 @@
 const missingPrefixShare = 0.5;
 /** Handicap of old weights once answers on them lose value, in tokens of waiting work. */
 const oldWeightsTokens = 15_000;
-/** Time after new weights are named for which answers on the old ones keep their value, in milliseconds. */
-const oldWeightsGraceMs = 1200;
 /** Handicap of a target in another data centre, in tokens. */
 const distanceTokens = 300;
 /** Random part of each rating, in tokens, so that instances with the same view do not all choose alike. */
@@ -74,7 +65,7 @@
 	return sharedPrefix !== undefined && sharedPrefix.tokens >= shortestPrefixTokens ? rankByPrefix(sharedPrefix.id, candidates)[0] : undefined;
 }
 
-function listUsable({targets, excluded, model, wanted}: TargetQuery, now: MonotonicMs): FleetTarget[] {
+function listUsable({targets, excluded, model, named}: TargetQuery, now: MonotonicMs): FleetTarget[] {
 	return targets.filter(target => {
 		if (excluded.has(target) || target.isCordoned(now)) {
 			return false;
@@ -85,13 +76,13 @@
 			return false;
 		}
 
-		return version === undefined || wanted === undefined || version >= wanted.version || now < wanted.exclusiveFrom;
+		return version === undefined || named === undefined || named.allows(version, now);
 	});
 }
 
 /** Rates a target in tokens of work before the answer; the lowest is best. */
 function rateTarget(target: FleetTarget, query: TargetQuery, home: FleetTarget | undefined, now: MonotonicMs): number {
-	const {sharedPrefix, dataCentre, model, wanted} = query;
+	const {sharedPrefix, dataCentre, model, named} = query;
 	let rating = target.measureLoad(now);
 	if (home !== undefined && target !== home) {
 		rating += sharedPrefix!.tokens * missingPrefixShare;
@@ -101,7 +92,7 @@
 		rating += distanceTokens;
 	}
 
-	if (model !== undefined && wanted !== undefined && (target.readVersion(model) ?? 0) < wanted.version && now - wanted.since > oldWeightsGraceMs) {
+	if (model !== undefined && (named?.isDevalued(target.readVersion(model) ?? 0, now) ?? false)) {
 		rating += oldWeightsTokens;
 	}
 
--- a/src/forwarding/call-session/index.ts
+++ b/src/forwarding/call-session/index.ts
@@ -17,7 +17,7 @@
 import {EventSplitter} from '../event-splitter/index.js';
 import type {ForwardingContext} from '../forwarding-context/index.js';
 import {planNextStep, type AttemptFailure} from '../plan-next-step/index.js';
-import type {Exchange, ExchangeStage, TargetConnection} from '../target-connection/index.js';
+import type {Exchange, ExchangeStage} from '../target-exchange/index.js';
 
 /** A call that passed the checks of its route and key. */
 export type SessionOptions = {
@@ -34,7 +34,6 @@
 
 type Attempt = {
 	readonly target: FleetTarget;
-	readonly connection: TargetConnection;
 	readonly record: TargetCall;
 	readonly weightsVersion: number | undefined;
 	exchange: Exchange | undefined;
@@ -178,11 +177,11 @@
 
 	private choose(now: MonotonicMs): FleetTarget | undefined {
 		const {call, service} = this.options;
-		const {fleet, dataCentre, draw, readWantedWeights} = this.context;
+		const {fleet, dataCentre, draw, findNamedWeights} = this.context;
 		const query = {
 			targets: fleet.listServing(service, now),
 			model: call.work?.model,
-			wanted: call.work === undefined ? undefined : readWantedWeights(call.work.model),
+			named: call.work === undefined ? undefined : findNamedWeights(call.work.model),
 			sharedPrefix: findSharedPrefix(call),
 			dataCentre,
 			draw: draw(),
@@ -220,9 +219,8 @@
 		const {call, route, organisation, body} = this.options;
 		const weightsVersion = call.work === undefined ? undefined : target.readVersion(call.work.model);
 		const store = call.work === undefined ? undefined : this.chooseCacheStore();
-		const connection = this.context.pool.take(target, !this.isRepeatable, now);
 		const attempt: Attempt = {
-			target, connection, weightsVersion, exchange: undefined, head: undefined, heardAt: now,
+			target, weightsVersion, exchange: undefined, head: undefined, heardAt: now,
 			record: target.beginCall(estimatePrefill(call), now),
 		};
 		this.attempt = attempt;
@@ -239,8 +237,8 @@
 			cacheDestination: store,
 			lastEventId: this.lastEventId,
 		});
-		attempt.exchange = connection.start({
-			method: call.method, path: call.path, headers, body,
+		attempt.exchange = this.context.exchange.start(target, {
+			method: call.method, path: call.path, headers, body, isFresh: !this.isRepeatable,
 		}, {
 			onHead: (status, rawHeaders) => {
 				this.handleHead(attempt, this.context.protocol.readHead(call, status, rawHeaders));
@@ -375,12 +373,6 @@
 		const head = attempt.head!;
 		attempt.target.noteSuccess();
 		this.endAttempt(attempt);
-		if (head.isClosing) {
-			attempt.connection.close();
-		} else {
-			this.context.pool.giveBack(attempt.target, attempt.connection, this.readNow());
-		}
-
 		if (!this.hasBegun) {
 			this.passKept(head);
 		}
--- a/src/forwarding/call-types/index.ts
+++ b/src/forwarding/call-types/index.ts
@@ -63,11 +63,7 @@
 	readonly isGenuine: boolean;
 	/** Whether another target listens at the address now. */
 	readonly isOtherTarget: boolean;
-	/** Whether the target closes the connection after this answer. */
-	readonly isClosing: boolean;
 	readonly weightsVersion: number | undefined;
-	/** Length of the body in bytes, if stated. */
-	readonly contentLength: number | undefined;
 };
 
 /** Translates between the core and the wire format of targets. */
--- a/src/gateway/gateway-feeds/index.ts
+++ b/src/gateway/gateway-feeds/index.ts
@@ -15,7 +15,7 @@
 import type {StoredObject} from '../../platform/object-api/index.js';
 import type {RandomSource} from '../../random/random-source/index.js';
 import type {RoutingConfiguration} from '../../routing/routing-types/index.js';
-import type {NamedWeights, PlatformAdapter} from '../platform-adapter/index.js';
+import type {WeightsNotice, PlatformAdapter} from '../platform-adapter/index.js';
 
 /** JSON-RPC method that returns collections newer than the caller's. */
 export const readFeedsMethod = 'feeds.read';
@@ -40,7 +40,7 @@
 	readonly listPeers: () => readonly Member[];
 	readonly onConfiguration: (configuration: RoutingConfiguration) => void;
 	readonly onTargets: (targets: readonly TargetDescription[]) => void;
-	readonly onWeights: (weights: NamedWeights) => void;
+	readonly onWeights: (weights: WeightsNotice) => void;
 };
 
 type CollectionCopy = {readonly collection: string; readonly version: string; readonly objects: readonly StoredObject[]};
--- a/src/gateway/gateway-settings/index.ts
+++ b/src/gateway/gateway-settings/index.ts
@@ -24,6 +24,11 @@
 	seeds: z.array(z.string()),
 	/** Retries that all instances together may send per service: `ratio` for each call and `extra` in any window. */
 	retryBudget: z.object({ratio: z.number().min(0).max(10), extra: z.number().min(0)}),
+	/**
+	 * Tolerance that operators grant on token quotas, since instances agree with a delay: a part of rate and
+	 * burst, and tokens in any window.
+	 */
+	quotaTolerance: z.object({ratio: z.number().min(0).max(1), extraTokens: z.number().min(0)}),
 	/** Time after which no call may begin on weights older than those named, in milliseconds. */
 	weightsLimitMs: z.number().positive(),
 	/** Time between SIGTERM and SIGKILL, in milliseconds. */
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -3,11 +3,10 @@
 import type {Clock} from '../../clock/clock/index.js';
 import {AdminServer} from '../../daemon/admin-server/index.js';
 import {PlannedStop} from '../../daemon/planned-stop/index.js';
-import type {WantedWeights} from '../../fleet/choose-target/index.js';
 import {LoadExchange} from '../../fleet/load-exchange/index.js';
 import {TargetFleet} from '../../fleet/target-fleet/index.js';
-import {ConnectionPool} from '../../forwarding/connection-pool/index.js';
 import type {ForwardingContext} from '../../forwarding/forwarding-context/index.js';
+import {TargetExchange} from '../../forwarding/target-exchange/index.js';
 import {listenForQuestions} from '../../http/listen-for-questions/index.js';
 import {parseAddress} from '../../http/parse-address/index.js';
 import type {
@@ -28,6 +27,7 @@
 import {QuotaLending} from '../../quota/quota-lending/index.js';
 import type {RandomSource} from '../../random/random-source/index.js';
 import {RetryBudget} from '../../requests/retry-budget/index.js';
+import {NamedWeights} from '../../rollout/named-weights/index.js';
 import {
 	RolloutController, rolloutLeaseMs, rolloutLeaseName, type RolloutNotice,
 } from '../../rollout/rollout-controller/index.js';
@@ -37,7 +37,7 @@
 import {GatewayFeeds} from '../gateway-feeds/index.js';
 import type {GatewayMetrics} from '../gateway-metrics/index.js';
 import type {GatewaySettings} from '../gateway-settings/index.js';
-import type {NamedWeights, PlatformAdapter} from '../platform-adapter/index.js';
+import type {PlatformAdapter, WeightsNotice} from '../platform-adapter/index.js';
 
 /** What a gateway is made of. */
 export type GatewayOptions = {
@@ -78,7 +78,7 @@
 export class Gateway {
 	private readonly controller = new AbortController();
 	private readonly fleet: TargetFleet;
-	private readonly pool = new ConnectionPool();
+	private readonly exchange = new TargetExchange();
 	private readonly peerServer: PeerServer;
 	private readonly peerClient: PeerClient;
 	private readonly membership: Membership;
@@ -89,7 +89,7 @@
 	private readonly loads: LoadExchange;
 	private readonly listener: CallListener;
 	private readonly retryBudgets = new Map<ServiceId, RetryBudget>();
-	private readonly wantedWeights = new Map<string, WantedWeights>();
+	private readonly namedWeights = new Map<string, NamedWeights>();
 	private readonly startedAt: number;
 	private table: RoutingTable | undefined;
 	private registeredInstances = 0;
@@ -119,6 +119,7 @@
 		this.quota = new QuotaLending({
 			clock, random, caller: this.peerClient, registry: this.peerServer,
 			countInstances: () => this.countInstances(),
+			tolerance: settings.quotaTolerance,
 			listPeers: () => this.listPeers().map(peer => peer.id),
 		});
 		this.relayedApi = new RelayedObjectApi({
@@ -171,7 +172,7 @@
 			membership: this.membership.dump(),
 			rollout: this.rollout.dump(),
 			quota: this.quota.dump(),
-			wantedWeights: Object.fromEntries(this.wantedWeights),
+			namedWeights: Object.fromEntries([...this.namedWeights].map(([model, {version}]) => [model, version])),
 			callsInProgress: this.listener.callsInProgress,
 			targets: [...this.fleet.list()].map(target => ({
 				...target.description, weightsVersions: Object.fromEntries(target.description.weightsVersions),
@@ -260,7 +261,7 @@
 				durationMs: rolloutLeaseMs, succeedsOwnHolder: true, maximumReadGapMs: rolloutLeaseMs,
 			}),
 			commander: adapter.createCommander(self),
-			listWanted: () => this.wantedWeights,
+			listWanted: () => this.namedWeights,
 			isContender: () => this.isContender(),
 			announce: notices => {
 				this.announce(notices);
@@ -268,11 +269,11 @@
 		});
 	}
 
-	/** The first live instances in the order of their names contend for the lease. */
+	/** The instances that started last contend for the lease: in a rolling restart they are not stopped again soon. */
 	private isContender(): boolean {
 		const live = this.membership.listLive(this.options.clock.readMonotonic()).filter(member => member.state === 'live');
-		const names = live.map(member => member.id).toSorted();
-		return names.indexOf(this.options.settings.instance as InstanceId) < contenders;
+		const youngest = live.toSorted((a, b) => a.incarnation > b.incarnation ? -1 : 1).slice(0, contenders);
+		return youngest.some(member => member.id === this.options.settings.instance);
 	}
 
 	private announce(notices: readonly RolloutNotice[]): void {
@@ -303,29 +304,32 @@
 		this.quota.apply(configuration.organisations);
 	}
 
-	private applyWeights({model, version}: NamedWeights): void {
-		if (version > (this.wantedWeights.get(model)?.version ?? 0)) {
-			this.wantedWeights.set(model, this.dateWeights(version));
+	private applyWeights({model, version}: WeightsNotice): void {
+		let named = this.namedWeights.get(model);
+		if (named === undefined) {
+			named = new NamedWeights();
+			this.namedWeights.set(model, named);
+		}
+
+		if (named.note(version, this.chooseWeightsGrace(), this.options.clock.readMonotonic())) {
 			this.options.logger.info('weights named', {model, version});
 		}
 	}
 
-	/** Weights that are already named when this instance starts may have been named long before. */
-	private dateWeights(version: number): WantedWeights {
+	/** Time for which older weights may still be used. Weights already named when this instance starts may have been named long before. */
+	private chooseWeightsGrace(): number {
 		const {clock, settings} = this.options;
-		const now = clock.readMonotonic();
-		const isFirst = now - this.startedAt < startWeightsMs;
-		const graceMs = isFirst ? startWeightsMs : settings.weightsLimitMs * weightsLimitShare;
-		return {version, since: now, exclusiveFrom: now + graceMs as MonotonicMs};
+		const isStarting = clock.readMonotonic() - this.startedAt < startWeightsMs;
+		return isStarting ? startWeightsMs : settings.weightsLimitMs * weightsLimitShare;
 	}
 
 	private createContext(): ForwardingContext {
 		const {settings, adapter, clock, logger, random, metrics} = this.options;
 		return {
-			clock, logger, fleet: this.fleet, pool: this.pool, protocol: adapter.targetProtocol, quota: this.quota,
+			clock, logger, fleet: this.fleet, exchange: this.exchange, protocol: adapter.targetProtocol, quota: this.quota,
 			dataCentre: settings.dataCentre as DataCentreId,
 			draw: () => random.pickIndex(drawSteps) / drawSteps,
-			readWantedWeights: model => this.wantedWeights.get(model),
+			findNamedWeights: model => this.namedWeights.get(model),
 			findRetryBudget: service => this.findRetryBudget(service),
 			listCacheStores: () => this.table?.configuration.cacheStores ?? [],
 			report(report) {
@@ -394,7 +398,7 @@
 		const {clock} = this.options;
 		while (!signal.aborted) {
 			await clock.sleep(pruneIntervalMs, signal);
-			this.pool.prune(new Set(this.fleet.list()), clock.readMonotonic());
+			this.exchange.prune(new Set(this.fleet.list()));
 		}
 	}
 
--- a/src/gateway/platform-adapter/index.ts
+++ b/src/gateway/platform-adapter/index.ts
@@ -10,7 +10,7 @@
 import type {CallerProtocol} from '../call-listener/index.js';
 
 /** Newly named weights of a model. */
-export type NamedWeights = {readonly model: string; readonly version: number};
+export type WeightsNotice = {readonly model: string; readonly version: number};
 
 /** Names of the platform's collections. */
 export type PlatformCollections = {
@@ -35,7 +35,7 @@
 	/** Decodes a target's entry; undefined when it is not valid and names no target to use. */
 	decodeTarget(object: StoredObject): TargetDescription | undefined;
 	/** Decodes named weights; undefined when they are not valid. */
-	decodeWeights(object: StoredObject): NamedWeights | undefined;
+	decodeWeights(object: StoredObject): WeightsNotice | undefined;
 	createCommander(instance: InstanceId): EngineCommander;
 	/** Path of the readiness question. */
 	readonly readinessPath: string;
--- a/src/leases/lease/index.ts
+++ b/src/leases/lease/index.ts
@@ -25,6 +25,8 @@
 	/** Differs from write to write of one tenure. */
 	readonly renewals: number;
 	readonly durationMs: number;
+	/** In a released record: time for which the last holder had not used the lease, in milliseconds. */
+	readonly unusedMs?: number;
 };
 
 /** What a lease is made of. */
@@ -54,6 +56,7 @@
 	private confirmed: Confirmed | undefined;
 	private observation: Observation | undefined;
 	private hasHeld = false;
+	private predecessor: LeaseRecord | undefined;
 	private writes = 0;
 	/** Sending time of each write that is not known to have failed, by its number of renewals. */
 	private readonly sentTimes = new Map<number, MonotonicMs>();
@@ -75,6 +78,11 @@
 		return this.confirmed?.record.fencing;
 	}
 
+	/** Record that the current tenure replaced; undefined for the first one. */
+	readPredecessor(): LeaseRecord | undefined {
+		return this.predecessor;
+	}
+
 	/** Reads the record once and takes the lease if that is allowed by now. Resolves to whether it is held. */
 	async acquire(): Promise<boolean> {
 		if (this.confirmed !== undefined) {
@@ -91,6 +99,7 @@
 			return this.renew();
 		}
 
+		this.predecessor = object.value;
 		return this.canTake(object.value) && this.writeRecord(object.resourceVersion, this.buildRecord(object.value.fencing + 1));
 	}
 
@@ -107,8 +116,11 @@
 		return this.writeRecord(this.confirmed.version, this.buildRecord(this.confirmed.record.fencing));
 	}
 
-	/** Gives the lease up, so that others need not wait. The validity ends before the write is sent. */
-	async release(): Promise<void> {
+	/**
+	 * Gives the lease up, so that others need not wait. The validity ends before the write is sent.
+	 * `unusedMs` tells the next holder how long ago the lease was last used.
+	 */
+	async release(unusedMs = 0): Promise<void> {
 		const {confirmed} = this;
 		if (confirmed === undefined) {
 			return;
@@ -116,7 +128,7 @@
 
 		this.confirmed = undefined;
 		const {objectApi, name} = this.options;
-		await objectApi.update(leaseCollection, name, {...confirmed.record, holder: '', renewals: this.writes + 1}, confirmed.version);
+		await objectApi.update(leaseCollection, name, {...confirmed.record, holder: '', renewals: this.writes + 1, unusedMs}, confirmed.version);
 	}
 
 	private async readRecord(): Promise<StoredObject<LeaseRecord> | undefined> {
--- a/src/platform/collection-mirror/index.ts
+++ b/src/platform/collection-mirror/index.ts
@@ -51,6 +51,8 @@
 	isSynced = false;
 	private version: ResourceVersion | undefined;
 	private needsList = true;
+	/** Whether nothing has been heard since the last fault. */
+	private isFaulty = false;
 	private heardAt: MonotonicMs;
 	private failures = 0;
 	private waiters: Waiter[] = [];
@@ -95,7 +97,7 @@
 
 	/** Whether the watch is broken at present. */
 	get isBroken(): boolean {
-		return !this.isSynced || this.failures > 0;
+		return !this.isSynced || this.isFaulty;
 	}
 
 	/** Takes over a newer copy from another instance; the watch goes on from there. */
@@ -216,6 +218,7 @@
 
 	private markHeard(): void {
 		this.heardAt = this.options.clock.readMonotonic();
+		this.isFaulty = false;
 		this.options.onHeard?.(this.heardAt);
 	}
 
@@ -225,6 +228,7 @@
 			this.needsList = true;
 		}
 
+		this.isFaulty = true;
 		onReplaced?.(collection);
 		if (this.failures === 0) {
 			logger.warn('watch replaced', {collection, reason: error.message});
--- a/src/quota/quota-lending/index.ts
+++ b/src/quota/quota-lending/index.ts
@@ -22,6 +22,8 @@
 const maximumLenders = 3;
 /** Time after a failed round in which no other instance is asked again, in milliseconds. */
 const dryMs = 150;
+/** Part of the extra tokens that is added to the burst; the rest covers calls larger than the burst of a share. */
+const extraShare = 0.6;
 const msPerSecond = 1000;
 
 /** What lending needs. */
@@ -33,8 +35,13 @@
 	/** Instances that may have a share now, this one included; more than there are wastes quota, fewer would exceed it. */
 	readonly countInstances: () => number;
 	readonly listPeers: () => readonly InstanceId[];
+	/** Tolerance that is granted on each quota. */
+	readonly tolerance: QuotaTolerance;
 };
 
+/** Tolerance on a quota: a part of rate and burst, and tokens in any window. */
+export type QuotaTolerance = {readonly ratio: number; readonly extraTokens: number};
+
 type ShareRecord = {readonly share: QuotaShare; quota: TokenQuota; instances: number; dryUntil: number};
 type BorrowRequest = {readonly organisation: OrganisationId; readonly tokens: number};
 
@@ -128,21 +135,26 @@
 		let record = this.records.get(id);
 		if (record === undefined) {
 			record = {
-				share: new QuotaShare(divideQuota(quota, instances), now), quota, instances, dryUntil: 0,
+				share: new QuotaShare(this.divideQuota(quota, instances), now), quota, instances, dryUntil: 0,
 			};
 			this.records.set(id, record);
 		} else if (record.instances !== instances || !equalsQuota(record.quota, quota)) {
-			record.share.resize(divideQuota(quota, instances), now);
+			record.share.resize(this.divideQuota(quota, instances), now);
 			record.quota = quota;
 			record.instances = instances;
 		}
 
 		return record;
 	}
-}
 
-function divideQuota({tokensPerSecond, burstTokens}: TokenQuota, instances: number): ShareSize {
-	return {tokensPerMs: tokensPerSecond / msPerSecond / instances, burstTokens: burstTokens / instances};
+	private divideQuota({tokensPerSecond, burstTokens}: TokenQuota, instances: number): ShareSize {
+		const {ratio, extraTokens} = this.options.tolerance;
+		const factor = (1 + ratio) / instances;
+		return {
+			tokensPerMs: tokensPerSecond / msPerSecond * factor,
+			burstTokens: (burstTokens * factor) + (extraTokens * extraShare / instances),
+		};
+	}
 }
 
 function equalsQuota(a: TokenQuota, b: TokenQuota): boolean {
--- a/src/rollout/rollout-controller/index.ts
+++ b/src/rollout/rollout-controller/index.ts
@@ -4,7 +4,7 @@
 import type {FleetTarget} from '../../fleet/fleet-target/index.js';
 import type {TargetFleet} from '../../fleet/target-fleet/index.js';
 import type {FencingNumber, MonotonicMs, TargetId} from '../../identity/ids/index.js';
-import type {Lease} from '../../leases/lease/index.js';
+import type {Lease, LeaseRecord} from '../../leases/lease/index.js';
 import type {EventLogger} from '../../logging/create-logger/index.js';
 import {
 	cordonMs, planRollout, type RolloutPhase, type RolloutStep,
@@ -16,8 +16,11 @@
 export const rolloutLeaseMs = 3000;
 /** Age of the last confirmed renewal up to which orders are given, in milliseconds; a successor starts that much earlier. */
 const orderValidityMs = 1500;
-/** Time that a new holder waits after a different one, in milliseconds: orders of two holders must be a lease duration apart. */
-const takeoverPauseMs = orderValidityMs + 400;
+/** Least time between the orders of two holders, in milliseconds. */
+const orderPauseMs = rolloutLeaseMs;
+const marginMs = 400;
+/** Time for which a stopping holder goes on with a rollout, in milliseconds. */
+const finishMs = 2500;
 const renewIntervalMs = 700;
 /** Pause between two attempts of a contender, in milliseconds. */
 const contendIntervalMs = 700;
@@ -80,6 +83,7 @@
 	/** Orders that each engine has accepted in its present life. */
 	private readonly acceptedOrders = new WeakMap<FleetTarget, number>();
 	private mayOrderAt = 0;
+	private lastOrderAt = -Infinity;
 	private isHolder = false;
 	private isStopping = false;
 
@@ -90,11 +94,17 @@
 		await Promise.all([this.contend(signal), this.work(signal)]);
 	}
 
-	/** Gives no further orders and lets another instance take over after the pause between two holders. */
+	/** Finishes a rollout in progress if that takes little time, then lets another instance take over. */
 	async stop(): Promise<void> {
+		const {clock, lease} = this.options;
+		const end = clock.readMonotonic() + finishMs;
+		while (this.isHolder && this.changes.size > 0 && clock.readMonotonic() < end) {
+			await clock.sleep(stepIntervalMs);
+		}
+
 		this.isStopping = true;
-		await this.options.clock.sleep(orderValidityMs);
-		await this.options.lease.release();
+		this.isHolder = false;
+		await lease.release(clock.readMonotonic() - this.lastOrderAt);
 	}
 
 	dump(): unknown {
@@ -118,9 +128,9 @@
 			const isHeld = await lease.acquire();
 			if (isHeld && !this.isHolder) {
 				const fencing = lease.readFencing();
-				// The first holder ever follows nobody.
-				this.mayOrderAt = fencing === 1 ? 0 : clock.readMonotonic() + takeoverPauseMs;
-				logger.info('rollout lease acquired', {fencing});
+				const pauseMs = calculatePause(lease.readPredecessor());
+				this.mayOrderAt = clock.readMonotonic() + pauseMs;
+				logger.info('rollout lease acquired', {fencing, pauseMs});
 			} else if (!isHeld && this.isHolder) {
 				logger.warn('rollout lease lost');
 			}
@@ -221,6 +231,7 @@
 
 		change.isBusy = true;
 		const expectedOrders = this.acceptedOrders.get(target) ?? 0;
+		this.lastOrderAt = clock.readMonotonic();
 		const outcome = await commander.order(target, {
 			model, version, fencing, expectedOrders,
 		});
@@ -274,3 +285,14 @@
 		}
 	}
 }
+
+/** Time that a new holder waits before its first order. A holder that did not release its lease may have given orders until shortly before its end. */
+function calculatePause(predecessor: LeaseRecord | undefined): number {
+	if (predecessor === undefined) {
+		return 0;
+	}
+
+	return predecessor.holder === ''
+		? Math.max(0, orderPauseMs - (predecessor.unusedMs ?? 0) + marginMs)
+		: orderPauseMs + orderValidityMs + marginMs - rolloutLeaseMs;
+}
