--- a/src/fleet/fleet-target/index.ts
+++ b/src/fleet/fleet-target/index.ts
@@ -30,6 +30,8 @@
 const longestAvoidanceMs = 4000;
 /** Failures in a row from which a target is avoided. A single failure says little about the next call. */
 const toleratedFailures = 1;
+/** Failures that an unreachable target counts for; the list names it until its heartbeats are missed. */
+const unreachableFailures = 4;
 /** Time without any byte from a target with unanswered calls after which it counts as silent, in milliseconds. */
 export const silenceMs = 700;
 /** Weight of the newest answer in the mean of the answer times. */
@@ -118,6 +120,12 @@
 		this.failedAt = now;
 	}
 
+	/** Notes that nothing listens at the target's address, or another target does. */
+	noteUnreachable(now: MonotonicMs): void {
+		this.noteFailure(now);
+		this.failures = Math.max(this.failures, unreachableFailures);
+	}
+
 	/** Whether recent failures advise against this target. */
 	isAvoided(now: MonotonicMs): boolean {
 		if (this.failures <= toleratedFailures) {
--- a/src/forwarding/call-session/index.ts
+++ b/src/forwarding/call-session/index.ts
@@ -241,7 +241,7 @@
 			method: call.method, path: call.path, headers, body, isFresh: !this.isRepeatable,
 		}, {
 			onHead: (status, rawHeaders) => {
-				this.handleHead(attempt, this.context.protocol.readHead(call, status, rawHeaders));
+				this.handleHead(attempt, this.context.protocol.readHead(call, target.description.id, status, rawHeaders));
 			},
 			onChunk: chunk => {
 				this.handleChunk(attempt, chunk);
@@ -288,7 +288,7 @@
 	/** Handles a statement of the target that it did not run the call. */
 	private handleRejection(attempt: Attempt, head: AnswerHead, now: MonotonicMs): void {
 		if (head.isOtherTarget) {
-			attempt.target.noteFailure(now);
+			attempt.target.noteUnreachable(now);
 		}
 
 		attempt.exchange?.abort();
@@ -391,13 +391,14 @@
 			return;
 		}
 
-		attempt.target.noteFailure(this.readNow());
 		this.endAttempt(attempt);
 		if (stage === 'notSent') {
+			attempt.target.noteUnreachable(this.readNow());
 			this.goOn('notRun', error.message, attempt);
 			return;
 		}
 
+		attempt.target.noteFailure(this.readNow());
 		this.runs += 1;
 		this.kept = [];
 		this.keptBytes = 0;
--- a/src/forwarding/call-types/index.ts
+++ b/src/forwarding/call-types/index.ts
@@ -1,6 +1,6 @@
 /** A caller's call and a target's answer, as the forwarding core sees them, apart from any wire format. */
 
-import type {OrganisationId, RequestId} from '../../identity/ids/index.js';
+import type {OrganisationId, RequestId, TargetId} from '../../identity/ids/index.js';
 import type {FleetTarget} from '../../fleet/fleet-target/index.js';
 import type {Route} from '../../routing/routing-types/index.js';
 
@@ -70,7 +70,7 @@
 export type TargetProtocol = {
 	/** Header names and values in turn. */
 	buildHeaders(call: InboundCall, options: AttemptOptions): string[];
-	readHead(call: InboundCall, status: number, rawHeaders: readonly string[]): AnswerHead;
+	readHead(call: InboundCall, target: TargetId, status: number, rawHeaders: readonly string[]): AnswerHead;
 };
 
 /** The way back to the caller. */
--- a/src/rollout/rollout-controller/index.ts
+++ b/src/rollout/rollout-controller/index.ts
@@ -243,7 +243,7 @@
 			this.acceptedOrders.set(target, outcome === 'accepted' ? expectedOrders + 1 : expectedOrders);
 			change.phase = {type: 'loading', since: clock.readMonotonic(), version};
 			this.notify(target, model, loadCordonMs);
-		} else if (outcome === 'unreachable') {
+		} else if (outcome === 'unreachable' || outcome === 'gone') {
 			change.phase = {type: 'unreachable', since: clock.readMonotonic()};
 		} else {
 			await this.readReport(target);
