Share knowledge of prefix holders; leave short prefixes out of the cache store

Ruled out: stalls of the forwarder (no pause in any stream that ended late); a peer as source of the prefix (532 to 1579 thousand tokens read again without the store, 681 with a peer in place of the store, 311 with the store alone).

--- a/src/fleet/choose-target/index.ts
+++ b/src/fleet/choose-target/index.ts
@@ -21,18 +21,23 @@
 	readonly model: string | undefined;
 	/** Weights that were named for the model; undefined when none are known. */
 	readonly named: NamedWeights | undefined;
-	/** Deepest part of the prompt that other calls share, with the tokens up to its end. */
-	readonly sharedPrefix: {readonly id: string; readonly tokens: number} | undefined;
+	/** Deepest part of the prompt that other calls share, with the tokens up to its end; undefined when it is short. */
+	readonly sharedPrefix: SharedPrefix | undefined;
+	/** Targets that probably hold the shared prefix for the weights that they have. */
+	readonly holders: ReadonlySet<FleetTarget>;
 	/** Data centre of this instance. */
 	readonly dataCentre: DataCentreId;
 	/** From 0 up to, not including, 1. */
 	readonly draw: number;
 };
 
-/** Shared tokens below which a cached prefix does not matter. */
-const shortestPrefixTokens = 1000;
-/** Part of a missing prefix that it costs to fetch it from a cache store or to compute it. */
-const missingPrefixShare = 0.5;
+/** A prompt prefix that calls share. */
+export type SharedPrefix = {readonly id: string; readonly tokens: number};
+
+/** Handicap of fetching the prefix from another target, in tokens: the time, and the memory that a copy takes. */
+const fetchTokens = 3000;
+/** Handicap of a target that is not the home of a prefix which nobody holds, in tokens. */
+const strangerTokens = 1000;
 /** Handicap of old weights once answers on them lose value, in tokens of waiting work. */
 const oldWeightsTokens = 15_000;
 /** Handicap of a target in another data centre, in tokens. */
@@ -61,8 +66,8 @@
 }
 
 /** The target that the prompt's shared prefix belongs on; undefined when it has no long one. */
-export function findHome({sharedPrefix}: Pick<TargetQuery, 'sharedPrefix'>, candidates: readonly FleetTarget[]): FleetTarget | undefined {
-	return sharedPrefix !== undefined && sharedPrefix.tokens >= shortestPrefixTokens ? rankByPrefix(sharedPrefix.id, candidates)[0] : undefined;
+function findHome({sharedPrefix}: TargetQuery, candidates: readonly FleetTarget[]): FleetTarget | undefined {
+	return sharedPrefix === undefined ? undefined : rankByPrefix(sharedPrefix.id, candidates)[0];
 }
 
 function listUsable({targets, excluded, model, named}: TargetQuery, now: MonotonicMs): FleetTarget[] {
@@ -82,11 +87,8 @@
 
 /** Rates a target in tokens of work before the answer; the lowest is best. */
 function rateTarget(target: FleetTarget, query: TargetQuery, home: FleetTarget | undefined, now: MonotonicMs): number {
-	const {sharedPrefix, dataCentre, model, named} = query;
-	let rating = target.measureLoad(now);
-	if (home !== undefined && target !== home) {
-		rating += sharedPrefix!.tokens * missingPrefixShare;
-	}
+	const {dataCentre, model, named} = query;
+	let rating = target.measureLoad(now) + ratePrefix(target, query, home);
 
 	if (target.description.dataCentre !== dataCentre) {
 		rating += distanceTokens;
@@ -98,3 +100,16 @@
 
 	return rating;
 }
+
+/** Work that the shared prefix adds at a target. A prefix that nobody holds is computed wherever the call goes. */
+function ratePrefix(target: FleetTarget, {sharedPrefix, holders}: TargetQuery, home: FleetTarget | undefined): number {
+	if (sharedPrefix === undefined || holders.has(target)) {
+		return 0;
+	}
+
+	if (holders.size > 0) {
+		return fetchTokens;
+	}
+
+	return sharedPrefix.tokens + (target === home ? 0 : strangerTokens);
+}
--- a/src/fleet/load-exchange/index.ts
+++ b/src/fleet/load-exchange/index.ts
@@ -1,5 +1,6 @@
 /**
- * Tells the other instances what work this one has sent to each target, by datagrams.
+ * Tells the other instances what work this one has sent to each target and which prompt prefixes it used
+ * there, by datagrams.
  *
  * Load pattern: each instance sees only its part of the traffic, and bursts fill a target before any
  * single instance notices. A lost datagram is replaced by the next one, so nothing is repeated.
@@ -13,6 +14,7 @@
 import type {EventLogger} from '../../logging/create-logger/index.js';
 import type {Member} from '../../membership/member/index.js';
 import type {RandomSource} from '../../random/random-source/index.js';
+import type {PrefixDirectory, PrefixUse} from '../prefix-directory/index.js';
 import type {TargetFleet} from '../target-fleet/index.js';
 
 /** Interval of the datagrams while there is work to report, in milliseconds. */
@@ -28,6 +30,7 @@
 	readonly clock: Clock;
 	readonly random: RandomSource;
 	readonly fleet: TargetFleet;
+	readonly prefixes: PrefixDirectory;
 	readonly logger: EventLogger;
 	/** Live instances other than this one. */
 	readonly listPeers: () => readonly Member[];
@@ -35,7 +38,7 @@
 
 /** Target, calls in progress and prompt tokens not computed yet. */
 type LoadEntry = readonly [id: TargetId, calls: number, prefillTokens: number];
-type LoadMessage = {readonly from: InstanceId; readonly loads: readonly LoadEntry[]};
+type LoadMessage = {readonly from: InstanceId; readonly loads: readonly LoadEntry[]; readonly prefixes: readonly PrefixUse[]};
 
 /** Sends own loads and takes over those of others. */
 export class LoadExchange {
@@ -71,15 +74,16 @@
 	}
 
 	private send(): void {
-		const {self, random, listPeers} = this.options;
+		const {self, random, listPeers, prefixes} = this.options;
 		const loads = this.listLoads();
+		const uses = prefixes.takeUntold();
 		// One empty report after the last work lets the others forget it at once.
-		if (loads.length === 0 && this.wasIdle) {
+		if (loads.length === 0 && uses.length === 0 && this.wasIdle) {
 			return;
 		}
 
 		this.wasIdle = loads.length === 0;
-		const message: LoadMessage = {from: self, loads};
+		const message: LoadMessage = {from: self, loads, prefixes: uses};
 		const data = Buffer.from(JSON.stringify(message));
 		for (const peer of random.pickSome(listPeers(), maximumReceivers)) {
 			const {host, port} = parseAddress(peer.peerAddress);
@@ -100,11 +104,15 @@
 	}
 
 	private receive(data: Buffer): void {
-		const {clock, fleet, logger} = this.options;
+		const {clock, fleet, logger, prefixes} = this.options;
 		try {
-			const {from, loads} = JSON.parse(data.toString('utf8')) as LoadMessage;
+			const {from, loads, prefixes: uses} = JSON.parse(data.toString('utf8')) as LoadMessage;
 			const now = clock.readMonotonic();
 			const reported = new Map(loads.map(entry => [entry[0], entry]));
+			for (const [prefix, target] of uses) {
+				prefixes.noteUse(prefix, target, now);
+			}
+
 			for (const target of fleet.list()) {
 				const [, calls = 0, prefillTokens = 0] = reported.get(target.description.id) ?? [];
 				target.noteRemoteLoad(from, {calls, prefillTokens}, now);
--- a/src/forwarding/call-session/index.ts
+++ b/src/forwarding/call-session/index.ts
@@ -6,9 +6,10 @@
  * whole event that the caller has.
  */
 
-import {chooseTarget} from '../../fleet/choose-target/index.js';
+import {chooseTarget, type SharedPrefix} from '../../fleet/choose-target/index.js';
 import type {FleetTarget, TargetCall} from '../../fleet/fleet-target/index.js';
-import type {MonotonicMs} from '../../identity/ids/index.js';
+import {formatPrefixKey} from '../../fleet/prefix-directory/index.js';
+import type {MonotonicMs, TargetId} from '../../identity/ids/index.js';
 import {createRouterError, type RouterError} from '../../results/create-router-error/index.js';
 import type {CallerOrganisation, Route, ServiceId} from '../../routing/routing-types/index.js';
 import type {
@@ -52,10 +53,13 @@
 /** Seconds until a caller may return when no target could take its call, before they are spread. */
 const retryAfterSeconds = 0.3;
 const priorities = 10;
+/** Shared tokens below which neither placement nor transfers of cache entries pay. */
+const shortestPrefixTokens = 1000;
 
 /** A call in progress. */
 export class CallSession {
 	readonly deadline: MonotonicMs;
+	private readonly sharedPrefix: SharedPrefix | undefined;
 	private readonly tried = new Set<FleetTarget>();
 	private attempt: Attempt | undefined;
 	private attempts = 0;
@@ -67,6 +71,8 @@
 	private splitter: EventSplitter | undefined;
 	private lastEventId: string | undefined;
 	private chargedTokens = 0;
+	private passedBytes = 0;
+	private pauses = 0;
 	private firstSentAt: MonotonicMs | undefined;
 	private firstHeardAt: MonotonicMs | undefined;
 	private deadlineTimer: NodeJS.Timeout | undefined;
@@ -77,6 +83,7 @@
 		const {call, route, arrivedAt} = options;
 		this.deadline = arrivedAt + Math.min(call.waitMs ?? route.timeoutMs, route.timeoutMs) as MonotonicMs;
 		this.lastEventId = call.lastEventId;
+		this.sharedPrefix = findSharedPrefix(call);
 	}
 
 	private get isRepeatable(): boolean {
@@ -178,15 +185,17 @@
 	private choose(now: MonotonicMs): FleetTarget | undefined {
 		const {call, service} = this.options;
 		const {fleet, dataCentre, draw, findNamedWeights} = this.context;
-		const query = {
-			targets: fleet.listServing(service, now),
+		const targets = fleet.listServing(service, now);
+		return chooseTarget({
+			targets,
+			excluded: this.tried,
 			model: call.work?.model,
 			named: call.work === undefined ? undefined : findNamedWeights(call.work.model),
-			sharedPrefix: findSharedPrefix(call),
+			sharedPrefix: this.sharedPrefix,
+			holders: new Set(targets.filter(target => this.isHolder(target, now))),
 			dataCentre,
 			draw: draw(),
-		};
-		return chooseTarget({...query, excluded: this.tried}, now);
+		}, now);
 	}
 
 	/** Waits until the fleet changes, up to a part of the latency goal. */
@@ -218,10 +227,10 @@
 	private send(target: FleetTarget, now: MonotonicMs): void {
 		const {call, route, organisation, body} = this.options;
 		const weightsVersion = call.work === undefined ? undefined : target.readVersion(call.work.model);
-		const store = call.work === undefined ? undefined : this.chooseCacheStore();
+		const store = this.sharedPrefix === undefined ? undefined : this.chooseCacheStore();
 		const attempt: Attempt = {
 			target, weightsVersion, exchange: undefined, head: undefined, heardAt: now,
-			record: target.beginCall(estimatePrefill(call), now),
+			record: target.beginCall(estimatePrefill(call, this.isHolder(target, now)), now),
 		};
 		this.attempt = attempt;
 		this.attempts += 1;
@@ -231,7 +240,7 @@
 			target, route, weightsVersion,
 			organisation: organisation?.id,
 			remainingMs: this.deadline - now,
-			cacheScope: call.work === undefined ? undefined : `${organisation?.isIsolated ? organisation.id : ''}/${weightsVersion ?? 0}`,
+			cacheScope: this.formatScope(target),
 			priority: Math.min(organisation?.priority ?? route.priority, priorities - 1),
 			cacheSource: store,
 			cacheDestination: store,
@@ -255,6 +264,31 @@
 		});
 	}
 
+	/** Name space of the call's cache entries at a target: they hold for one version of the weights, and for one organisation if it is isolated. */
+	private formatScope(target: FleetTarget): string | undefined {
+		const {call, organisation} = this.options;
+		return call.work === undefined ? undefined : `${organisation?.isIsolated ? organisation.id : ''}/${target.readVersion(call.work.model) ?? 0}`;
+	}
+
+	private isHolder(target: FleetTarget, now: MonotonicMs): boolean {
+		return this.listHolders(target, now).includes(target.description.id);
+	}
+
+	/** Targets that probably hold the shared prefix in the name space that the call has at `target`. */
+	private listHolders(target: FleetTarget, now: MonotonicMs): readonly TargetId[] {
+		const scope = this.formatScope(target);
+		return scope === undefined || this.sharedPrefix === undefined
+			? []
+			: this.context.prefixes.listHolders(formatPrefixKey(scope, this.sharedPrefix.id), now);
+	}
+
+	private noteUse(target: FleetTarget, now: MonotonicMs): void {
+		const scope = this.formatScope(target);
+		if (scope !== undefined && this.sharedPrefix !== undefined) {
+			this.context.prefixes.noteOwnUse(formatPrefixKey(scope, this.sharedPrefix.id), target.description.id, now);
+		}
+	}
+
 	private chooseCacheStore(): string | undefined {
 		const stores = this.context.listCacheStores();
 		return (stores.find(store => store.dataCentre === this.context.dataCentre) ?? stores[0])?.address;
@@ -278,6 +312,7 @@
 		}
 
 		attempt.target.noteAnswer(attempt.record, now);
+		this.noteUse(attempt.target, now);
 		if (head.status >= 500 && this.retryFailedAnswer(attempt)) {
 			return;
 		}
@@ -361,7 +396,9 @@
 	}
 
 	private pass(attempt: Attempt, bytes: Buffer): void {
+		this.passedBytes += bytes.length;
 		if (bytes.length > 0 && !this.options.sink.write(bytes)) {
+			this.pauses += 1;
 			attempt.exchange?.pause();
 			this.options.sink.onDrain(() => {
 				attempt.exchange?.resume();
@@ -510,7 +547,8 @@
 		this.context.logger.info('call finished', {
 			id: call.id, outcome, status, route: route.id, organisation: organisation?.id,
 			target: attempt?.target.description.id, weights: attempt?.weightsVersion, attempts: this.attempts,
-			sentMs: measure(this.firstSentAt), firstMs: measure(this.firstHeardAt), durationMs,
+			sentMs: measure(this.firstSentAt), firstMs: measure(this.firstHeardAt), heardMs: measure(attempt?.heardAt), durationMs,
+			passedBytes: this.passedBytes, pauses: this.pauses,
 		});
 		this.context.report({
 			outcome, status, durationMs, route: route.id, attempts: this.attempts,
@@ -519,14 +557,19 @@
 	}
 }
 
-/** The deepest part of the prompt that other calls share: all but the last part. */
-function findSharedPrefix({work}: InboundCall): {id: string; tokens: number} | undefined {
-	const shared = work?.parts.slice(0, -1);
-	const last = shared?.at(-1);
-	return shared === undefined || last === undefined ? undefined : {id: last.id, tokens: shared.reduce((sum, part) => sum + part.tokens, 0)};
+/** The deepest part of the prompt that other calls share: all but the last part. Undefined when it is too short to matter. */
+function findSharedPrefix({work}: InboundCall): SharedPrefix | undefined {
+	const shared = work?.parts.slice(0, -1) ?? [];
+	const last = shared.at(-1);
+	const tokens = shared.reduce((sum, part) => sum + part.tokens, 0);
+	return last === undefined || tokens < shortestPrefixTokens ? undefined : {id: last.id, tokens};
 }
 
-/** Prompt tokens that a target computes for the call when it has the shared parts. */
-function estimatePrefill({work}: InboundCall): number {
-	return work === undefined ? 0 : work.parts.at(-1)?.tokens ?? work.promptTokens;
+/** Prompt tokens that a target computes for the call; without the shared parts when it has or can fetch them. */
+function estimatePrefill({work}: InboundCall, hasPrefix: boolean): number {
+	if (work === undefined) {
+		return 0;
+	}
+
+	return hasPrefix ? work.parts.at(-1)?.tokens ?? work.promptTokens : work.promptTokens;
 }
--- a/src/forwarding/forwarding-context/index.ts
+++ b/src/forwarding/forwarding-context/index.ts
@@ -1,6 +1,7 @@
 /** What all forwarded calls of an instance share. */
 
 import type {Clock} from '../../clock/clock/index.js';
+import type {PrefixDirectory} from '../../fleet/prefix-directory/index.js';
 import type {TargetFleet} from '../../fleet/target-fleet/index.js';
 import type {DataCentreId} from '../../identity/ids/index.js';
 import type {EventLogger} from '../../logging/create-logger/index.js';
@@ -32,6 +33,7 @@
 	readonly clock: Clock;
 	readonly logger: EventLogger;
 	readonly fleet: TargetFleet;
+	readonly prefixes: PrefixDirectory;
 	readonly exchange: TargetExchange;
 	readonly protocol: TargetProtocol;
 	readonly quota: QuotaGate;
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -4,6 +4,7 @@
 import {AdminServer} from '../../daemon/admin-server/index.js';
 import {PlannedStop} from '../../daemon/planned-stop/index.js';
 import {LoadExchange} from '../../fleet/load-exchange/index.js';
+import {PrefixDirectory} from '../../fleet/prefix-directory/index.js';
 import {TargetFleet} from '../../fleet/target-fleet/index.js';
 import type {ForwardingContext} from '../../forwarding/forwarding-context/index.js';
 import {TargetExchange} from '../../forwarding/target-exchange/index.js';
@@ -79,6 +80,7 @@
 	private readonly controller = new AbortController();
 	private readonly fleet: TargetFleet;
 	private readonly exchange = new TargetExchange();
+	private readonly prefixes = new PrefixDirectory();
 	private readonly peerServer: PeerServer;
 	private readonly peerClient: PeerClient;
 	private readonly membership: Membership;
@@ -128,7 +130,7 @@
 		});
 		this.rollout = this.createRollout(self);
 		this.loads = new LoadExchange({
-			self, clock, random, fleet: this.fleet, logger,
+			self, clock, random, fleet: this.fleet, prefixes: this.prefixes, logger,
 			listPeers: () => this.listPeers(),
 		});
 		this.listener = new CallListener({context: this.createContext(), protocol: adapter.callerProtocol, readTable: () => this.table});
@@ -326,7 +328,7 @@
 	private createContext(): ForwardingContext {
 		const {settings, adapter, clock, logger, random, metrics} = this.options;
 		return {
-			clock, logger, fleet: this.fleet, exchange: this.exchange, protocol: adapter.targetProtocol, quota: this.quota,
+			clock, logger, fleet: this.fleet, prefixes: this.prefixes, exchange: this.exchange, protocol: adapter.targetProtocol, quota: this.quota,
 			dataCentre: settings.dataCentre as DataCentreId,
 			draw: () => random.pickIndex(drawSteps) / drawSteps,
 			findNamedWeights: model => this.namedWeights.get(model),
