--- a/src/daemon/admin-server/index.ts
+++ b/src/daemon/admin-server/index.ts
@@ -9,7 +9,6 @@
 import {parseAddress} from '../../http/parse-address/index.js';
 import {sendJson} from '../../http/send-json/index.js';
 
-
 /** What the listener shows. */
 export type AdminSources = {
 	readonly metrics: {readonly registry: Registry};
--- a/src/fleet/fleet-target/index.ts
+++ b/src/fleet/fleet-target/index.ts
@@ -77,9 +77,11 @@
 		return learnt === undefined || (announced !== undefined && announced >= learnt) ? announced : learnt;
 	}
 
-	/** Notes the weights version that an answer or a report showed. */
-	noteVersion(model: string, version: number): void {
-		this.learntVersions.set(model, version);
+	/** Notes the weights version that an answer or a report showed, if it did. */
+	noteVersion(model: string | undefined, version: number | undefined): void {
+		if (model !== undefined && version !== undefined) {
+			this.learntVersions.set(model, version);
+		}
 	}
 
 	beginCall(prefillTokens: number, now: MonotonicMs): TargetCall {
--- a/src/fleet/target-fleet/index.ts
+++ b/src/fleet/target-fleet/index.ts
@@ -36,7 +36,7 @@
 		this.notify();
 	}
 
-	find(id: TargetId): FleetTarget | undefined {
+	locate(id: TargetId): FleetTarget | undefined {
 		return this.targets.get(id);
 	}
 
--- a/src/forwarding/call-session/index.ts
+++ b/src/forwarding/call-session/index.ts
@@ -6,89 +6,60 @@
  * whole event that the caller has.
  */
 
-import {chooseTarget, type SharedPrefix} from '../../fleet/choose-target/index.js';
-import type {FleetTarget, TargetCall} from '../../fleet/fleet-target/index.js';
-import {formatPrefixKey} from '../../fleet/prefix-directory/index.js';
-import type {MonotonicMs, TargetId} from '../../identity/ids/index.js';
+import type {FleetTarget} from '../../fleet/fleet-target/index.js';
+import type {MonotonicMs} from '../../identity/ids/index.js';
 import {createRouterError, type RouterError} from '../../results/create-router-error/index.js';
-import type {CallerOrganisation, Route, ServiceId} from '../../routing/routing-types/index.js';
-import type {
-	AnswerHead, CallerSink, InboundCall,
-} from '../call-types/index.js';
-import {EventSplitter} from '../event-splitter/index.js';
+import type {ResultName} from '../../results/result-codes/index.js';
+import {isRepeatable} from '../../routing/is-repeatable/index.js';
+import {spreadRetryAfter} from '../spread-retry-after/index.js';
+import {AnswerRelay} from '../answer-relay/index.js';
+import {buildAttemptOptions} from '../build-attempt-options/index.js';
+import {CallCharge} from '../call-charge/index.js';
+import {CallTimes} from '../call-times/index.js';
+import type {AnswerHead} from '../call-types/index.js';
 import type {ForwardingContext} from '../forwarding-context/index.js';
+import {isAttemptStuck} from '../is-attempt-stuck/index.js';
 import {planNextStep, type AttemptFailure} from '../plan-next-step/index.js';
-import type {Exchange, ExchangeStage} from '../target-exchange/index.js';
-
-/** A call that passed the checks of its route and key. */
-export type SessionOptions = {
-	readonly call: InboundCall;
-	readonly body: Buffer | undefined;
-	readonly route: Route;
-	readonly service: ServiceId;
-	readonly organisation: CallerOrganisation | undefined;
-	readonly arrivedAt: MonotonicMs;
-	readonly sink: CallerSink;
-	/** Answers the caller with an error before any answer was begun. */
-	readonly refuse: (error: RouterError) => void;
-};
-
-type Attempt = {
-	readonly target: FleetTarget;
-	readonly record: TargetCall;
-	readonly weightsVersion: number | undefined;
-	exchange: Exchange | undefined;
-	head: AnswerHead | undefined;
-	heardAt: MonotonicMs;
-};
+import {PrefixHints} from '../prefix-hints/index.js';
+import {reportCall} from '../report-call/index.js';
+import {hasAlternative, selectTarget, type TargetSelection} from '../select-target/index.js';
+import type {Attempt, SessionOptions} from '../session-types/index.js';
+import type {ExchangeStage} from '../target-exchange/index.js';
+import {TargetWaiter} from '../target-waiter/index.js';
 
 /** Time that a call waits for a target to become usable, as a part of its latency goal. */
 const waitShare = 0.6;
-/** Answers of idempotent calls up to this size are kept back until they are complete, in bytes. */
-const maximumKeptBytes = 256 * 1024;
-/** Silence of a stream after which another target continues it, in milliseconds. */
-const streamSilenceMs = 1000;
-/** Time without an answer after which a call is moved from a target that has gone silent, in milliseconds. */
-const moveAfterMs = 1200;
 /** Seconds until a caller may return when no target could take its call, before they are spread. */
 const retryAfterSeconds = 0.3;
-const priorities = 10;
-/** Shared tokens below which neither placement nor transfers of cache entries pay. */
-const shortestPrefixTokens = 1000;
 
 /** A call in progress. */
 export class CallSession {
 	readonly deadline: MonotonicMs;
-	private readonly sharedPrefix: SharedPrefix | undefined;
+	private readonly hints: PrefixHints;
+	private readonly relay: AnswerRelay;
+	private readonly charge: CallCharge;
+	private readonly waiter: TargetWaiter;
+	private readonly times: CallTimes;
+	private readonly isRepeatable: boolean;
 	private readonly tried = new Set<FleetTarget>();
+	private readonly selection: TargetSelection;
 	private attempt: Attempt | undefined;
 	private attempts = 0;
 	private runs = 0;
 	private isDone = false;
-	private hasBegun = false;
-	private kept: Buffer[] = [];
-	private keptBytes = 0;
-	private splitter: EventSplitter | undefined;
-	private lastEventId: string | undefined;
-	private chargedTokens = 0;
-	private passedBytes = 0;
-	private pauses = 0;
-	private firstSentAt: MonotonicMs | undefined;
-	private firstHeardAt: MonotonicMs | undefined;
 	private deadlineTimer: NodeJS.Timeout | undefined;
-	private stopWaiting: (() => void) | undefined;
 	private onDone: (() => void) | undefined;
 
 	constructor(private readonly options: SessionOptions, private readonly context: ForwardingContext) {
 		const {call, route, arrivedAt} = options;
 		this.deadline = arrivedAt + Math.min(call.waitMs ?? route.timeoutMs, route.timeoutMs) as MonotonicMs;
-		this.lastEventId = call.lastEventId;
-		this.sharedPrefix = findSharedPrefix(call);
-	}
-
-	private get isRepeatable(): boolean {
-		const {kind, isResumable} = this.options.route;
-		return kind === 'idempotent' || (kind === 'streaming' && isResumable);
+		this.isRepeatable = isRepeatable(route);
+		this.hints = new PrefixHints(call.work, options.organisation, context.prefixes);
+		this.selection = {session: options, tried: this.tried, hints: this.hints};
+		this.waiter = new TargetWaiter(context.fleet);
+		this.times = new CallTimes(arrivedAt);
+		this.charge = new CallCharge(context.quota, options.organisation, call.work);
+		this.relay = new AnswerRelay(options.sink, route, call.lastEventId);
 	}
 
 	/** Whether any target may have run a part of the call. */
@@ -102,13 +73,13 @@
 			this.onDone = resolve;
 		});
 		this.deadlineTimer = setTimeout(() => {
-			this.expire();
+			this.endEarly('noTarget', 'targetTimeout');
 		}, Math.max(0, this.deadline - this.readNow()));
-		if (await this.charge()) {
+		if (await this.charge.charge()) {
 			this.context.findRetryBudget(this.options.service).noteRequest();
 			this.tryNext();
 		} else {
-			this.refuse(createRouterError('budgetExceeded', undefined, {retryAfterSeconds: this.spreadRetry(1)}));
+			this.refuse(createRouterError('budgetExceeded', undefined, {retryAfterSeconds: spreadRetryAfter(1, this.context.draw())}));
 		}
 
 		await done;
@@ -124,10 +95,7 @@
 
 	/** Ends the call with an error when the instance stops. */
 	cut(): void {
-		if (!this.isDone) {
-			this.attempt?.exchange?.abort();
-			this.fail(this.mayHaveRun ? createRouterError('outcomeUnknown', 'the instance is stopping') : createRouterError('stopping'));
-		}
+		this.endEarly('stopping', 'outcomeUnknown');
 	}
 
 	/** Moves a repeatable call away from a target that has gone silent. */
@@ -137,10 +105,7 @@
 			return;
 		}
 
-		const isStuck = attempt.head === undefined
-			? attempt.target.isSilent(now) && now - attempt.record.sentAt > moveAfterMs
-			: now - attempt.heardAt > streamSilenceMs && now - attempt.target.readHeardAt() > streamSilenceMs;
-		if (isStuck && this.hasAlternative(attempt.target, now)) {
+		if (isAttemptStuck(attempt, now) && hasAlternative(this.selection, attempt.target, this.context, now)) {
 			attempt.exchange?.abort();
 			this.handleFailure(attempt, attempt.head === undefined ? 'sent' : 'answering', new Error('target silent'));
 		}
@@ -150,31 +115,13 @@
 		return this.context.clock.readMonotonic();
 	}
 
-	private async charge(): Promise<boolean> {
-		const {organisation, call} = this.options;
-		if (organisation?.quota === undefined) {
-			return true;
-		}
-
-		const {plainCallTokens, countsTokens} = organisation.quota;
-		const tokens = call.work === undefined || !countsTokens ? plainCallTokens : call.work.promptTokens + call.work.maximumOutputTokens;
-		const isCharged = await this.context.quota.charge(organisation, tokens);
-		this.chargedTokens = isCharged ? tokens : 0;
-		return isCharged;
-	}
-
-	private hasAlternative(target: FleetTarget, now: MonotonicMs): boolean {
-		return this.context.fleet.listServing(this.options.service, now)
-			.some(other => other !== target && !this.tried.has(other) && !other.isSilent(now) && !other.isCordoned(now));
-	}
-
 	private tryNext(): void {
 		if (this.isDone) {
 			return;
 		}
 
 		const now = this.readNow();
-		const target = this.choose(now);
+		const target = selectTarget(this.selection, this.context, now);
 		if (target === undefined) {
 			this.waitForTarget(now);
 		} else {
@@ -182,22 +129,6 @@
 		}
 	}
 
-	private choose(now: MonotonicMs): FleetTarget | undefined {
-		const {call, service} = this.options;
-		const {fleet, dataCentre, draw, findNamedWeights} = this.context;
-		const targets = fleet.listServing(service, now);
-		return chooseTarget({
-			targets,
-			excluded: this.tried,
-			model: call.work?.model,
-			named: call.work === undefined ? undefined : findNamedWeights(call.work.model),
-			sharedPrefix: this.sharedPrefix,
-			holders: new Set(targets.filter(target => this.isHolder(target, now))),
-			dataCentre,
-			draw: draw(),
-		}, now);
-	}
-
 	/** Waits until the fleet changes, up to a part of the latency goal. */
 	private waitForTarget(now: MonotonicMs): void {
 		const {route, arrivedAt} = this.options;
@@ -205,52 +136,36 @@
 		if (now >= waitUntil) {
 			this.refuse(this.mayHaveRun
 				? createRouterError('outcomeUnknown', 'no other target is usable')
-				: createRouterError('noTarget', undefined, {retryAfterSeconds: this.spreadRetry(retryAfterSeconds)}));
+				: createRouterError('noTarget', undefined, this.buildReturn()));
 			return;
 		}
 
-		const retry = () => {
-			this.stopWaiting?.();
-			this.stopWaiting = undefined;
+		this.waiter.wait(waitUntil - now, () => {
 			this.tried.clear();
 			this.tryNext();
-		};
-
-		const unsubscribe = this.context.fleet.subscribe(retry);
-		const timer = setTimeout(retry, waitUntil - now);
-		this.stopWaiting = () => {
-			unsubscribe();
-			clearTimeout(timer);
-		};
+		});
 	}
 
 	private send(target: FleetTarget, now: MonotonicMs): void {
 		const {call, route, organisation, body} = this.options;
-		const weightsVersion = call.work === undefined ? undefined : target.readVersion(call.work.model);
-		const store = this.sharedPrefix === undefined ? undefined : this.chooseCacheStore();
+		const {protocol, listCacheStores, dataCentre} = this.context;
+		const options = buildAttemptOptions({
+			call, route, organisation, target, hints: this.hints, remainingMs: this.deadline - now,
+			lastEventId: this.relay.readLastEventId(), cacheStores: listCacheStores(), dataCentre,
+		});
 		const attempt: Attempt = {
-			target, weightsVersion, exchange: undefined, head: undefined, heardAt: now,
-			record: target.beginCall(estimatePrefill(call, this.isHolder(target, now)), now),
+			target, weightsVersion: options.weightsVersion, exchange: undefined, head: undefined, heardAt: now,
+			record: target.beginCall(this.hints.estimatePrefill(target, now), now),
 		};
 		this.attempt = attempt;
 		this.attempts += 1;
-		this.firstSentAt ??= now;
+		this.times.noteSent(now);
 		this.tried.add(target);
-		const headers = this.context.protocol.buildHeaders(call, {
-			target, route, weightsVersion,
-			organisation: organisation?.id,
-			remainingMs: this.deadline - now,
-			cacheScope: this.formatScope(target),
-			priority: Math.min(organisation?.priority ?? route.priority, priorities - 1),
-			cacheSource: store,
-			cacheDestination: store,
-			lastEventId: this.lastEventId,
-		});
 		attempt.exchange = this.context.exchange.start(target, {
-			method: call.method, path: call.path, headers, body, isFresh: !this.isRepeatable,
+			method: call.method, path: call.path, headers: protocol.buildHeaders(call, options), body, isFresh: !this.isRepeatable,
 		}, {
 			onHead: (status, rawHeaders) => {
-				this.handleHead(attempt, this.context.protocol.readHead(call, target.description.id, status, rawHeaders));
+				this.handleHead(attempt, protocol.readHead(call, target.description.id, status, rawHeaders));
 			},
 			onChunk: chunk => {
 				this.handleChunk(attempt, chunk);
@@ -264,41 +179,11 @@
 		});
 	}
 
-	/** Name space of the call's cache entries at a target: they hold for one version of the weights, and for one organisation if it is isolated. */
-	private formatScope(target: FleetTarget): string | undefined {
-		const {call, organisation} = this.options;
-		return call.work === undefined ? undefined : `${organisation?.isIsolated ? organisation.id : ''}/${target.readVersion(call.work.model) ?? 0}`;
-	}
-
-	private isHolder(target: FleetTarget, now: MonotonicMs): boolean {
-		return this.listHolders(target, now).includes(target.description.id);
-	}
-
-	/** Targets that probably hold the shared prefix in the name space that the call has at `target`. */
-	private listHolders(target: FleetTarget, now: MonotonicMs): readonly TargetId[] {
-		const scope = this.formatScope(target);
-		return scope === undefined || this.sharedPrefix === undefined
-			? []
-			: this.context.prefixes.listHolders(formatPrefixKey(scope, this.sharedPrefix.id), now);
-	}
-
-	private noteUse(target: FleetTarget, now: MonotonicMs): void {
-		const scope = this.formatScope(target);
-		if (scope !== undefined && this.sharedPrefix !== undefined) {
-			this.context.prefixes.noteOwnUse(formatPrefixKey(scope, this.sharedPrefix.id), target.description.id, now);
-		}
-	}
-
-	private chooseCacheStore(): string | undefined {
-		const stores = this.context.listCacheStores();
-		return (stores.find(store => store.dataCentre === this.context.dataCentre) ?? stores[0])?.address;
-	}
-
 	private handleHead(attempt: Attempt, head: AnswerHead): void {
 		const now = this.readNow();
 		attempt.head = head;
 		attempt.heardAt = now;
-		this.noteVersion(attempt, head);
+		attempt.target.noteVersion(this.options.call.work?.model, head.weightsVersion);
 		if (head.isNotRun) {
 			this.handleRejection(attempt, head, now);
 			return;
@@ -312,12 +197,12 @@
 		}
 
 		attempt.target.noteAnswer(attempt.record, now);
-		this.noteUse(attempt.target, now);
+		this.hints.noteUse(attempt.target, now);
 		if (head.status >= 500 && this.retryFailedAnswer(attempt)) {
 			return;
 		}
 
-		this.beginAnswer(head);
+		this.relay.begin(head);
 	}
 
 	/** Handles a statement of the target that it did not run the call. */
@@ -333,74 +218,26 @@
 
 	/** Repeats an idempotent call that the target answered with a failure of its own. */
 	private retryFailedAnswer(attempt: Attempt): boolean {
-		if (this.options.route.kind !== 'idempotent') {
+		const {kind} = this.options.route;
+		if (kind !== 'idempotent' || planNextStep({...this.buildStepQuery('unknown'), runs: this.runs + 1}).type !== 'retry') {
 			return false;
 		}
 
-		const step = planNextStep({...this.buildStepQuery('unknown'), runs: this.runs + 1});
-		if (step.type === 'retry') {
-			attempt.exchange?.abort();
-			this.endAttempt(attempt);
-			this.runs += 1;
-			this.tryNext();
-		}
-
-		return step.type === 'retry';
-	}
-
-	private beginAnswer(head: AnswerHead): void {
-		if (this.options.route.kind === 'streaming' && this.options.route.isResumable && head.status === 200) {
-			this.splitter ??= new EventSplitter(this.lastEventId);
-		}
-
-		if (!this.hasBegun && this.options.route.kind !== 'idempotent') {
-			this.hasBegun = true;
-			this.options.sink.begin(head.status, head.headers);
-		}
+		attempt.exchange?.abort();
+		this.endAttempt(attempt);
+		this.runs += 1;
+		this.tryNext();
+		return true;
 	}
 
 	private handleChunk(attempt: Attempt, chunk: Buffer): void {
 		const now = this.readNow();
 		attempt.heardAt = now;
-		this.firstHeardAt ??= now;
+		this.times.noteHeard(now);
 		attempt.target.noteHeard(now);
-		if (!this.hasBegun) {
-			this.keep(attempt, chunk);
-		} else if (this.splitter === undefined) {
-			this.pass(attempt, chunk);
-		} else {
-			const {bytes, lastEventId} = this.splitter.add(chunk);
-			this.lastEventId = lastEventId;
-			this.pass(attempt, bytes);
-		}
-	}
-
-	/** Keeps the answer of an idempotent call back, so that a broken one can be repeated. */
-	private keep(attempt: Attempt, chunk: Buffer): void {
-		this.kept.push(chunk);
-		this.keptBytes += chunk.length;
-		if (this.keptBytes > maximumKeptBytes) {
-			this.passKept(attempt.head!);
-		}
-	}
-
-	private passKept(head: AnswerHead): void {
-		const {sink} = this.options;
-		this.hasBegun = true;
-		sink.begin(head.status, head.headers);
-		for (const chunk of this.kept) {
-			sink.write(chunk);
-		}
-
-		this.kept = [];
-	}
-
-	private pass(attempt: Attempt, bytes: Buffer): void {
-		this.passedBytes += bytes.length;
-		if (bytes.length > 0 && !this.options.sink.write(bytes)) {
-			this.pauses += 1;
+		if (!this.relay.add(attempt.head!, chunk)) {
 			attempt.exchange?.pause();
-			this.options.sink.onDrain(() => {
+			this.relay.onDrain(() => {
 				attempt.exchange?.resume();
 			});
 		}
@@ -410,16 +247,7 @@
 		const head = attempt.head!;
 		attempt.target.noteSuccess();
 		this.endAttempt(attempt);
-		if (!this.hasBegun) {
-			this.passKept(head);
-		}
-
-		const rest = this.splitter?.flush();
-		if (rest !== undefined && rest.length > 0) {
-			this.options.sink.write(rest);
-		}
-
-		this.options.sink.end();
+		this.relay.end(head);
 		this.finish('answered', head.status, attempt);
 	}
 
@@ -437,17 +265,15 @@
 
 		attempt.target.noteFailure(this.readNow());
 		this.runs += 1;
-		this.kept = [];
-		this.keptBytes = 0;
-		this.splitter?.discardRest();
-		this.goOn(this.hasBegun ? 'broken' : 'unknown', error.message, attempt);
+		this.relay.discard();
+		this.goOn(this.relay.hasBegun ? 'broken' : 'unknown', error.message, attempt);
 	}
 
 	private buildStepQuery(failure: AttemptFailure) {
 		const {route, service} = this.options;
 		return {
 			failure,
-			isRepeatable: this.isRepeatable && (!this.hasBegun || this.splitter !== undefined),
+			isRepeatable: this.isRepeatable && (!this.relay.hasBegun || this.relay.isResumable),
 			runs: this.runs,
 			maximumRuns: route.maximumAttempts,
 			attempts: this.attempts,
@@ -462,28 +288,29 @@
 			id: this.options.call.id, target: attempt.target.description.id, attempt: this.attempts, failure, reason, step: step.type,
 		});
 		if (step.type === 'retry') {
-			this.tryNext();
-			return;
+			this.tryNext(); return;
 		}
 
-		const retryAfter = step.result === 'targetRefused' ? {retryAfterSeconds: this.spreadRetry(retryAfterSeconds)} : {};
-		this.fail(createRouterError(step.result, reason, retryAfter));
+		this.fail(createRouterError(step.result, reason, step.result === 'targetRefused' ? this.buildReturn() : {}));
 	}
 
-	private expire(): void {
-		if (this.isDone) {
-			return;
+	/** Ends the call before its answer is complete; the result depends on whether a target may have run it. */
+	private endEarly(notRun: ResultName, mayHaveRun: ResultName): void {
+		if (!this.isDone) {
+			const result = this.mayHaveRun ? mayHaveRun : notRun;
+			this.attempt?.exchange?.abort();
+			this.fail(createRouterError(result));
 		}
+	}
 
-		const {mayHaveRun} = this;
-		this.attempt?.exchange?.abort();
-		this.fail(mayHaveRun ? createRouterError('targetTimeout') : createRouterError('noTarget', 'no target took the call in time'));
+	private buildReturn() {
+		return {retryAfterSeconds: spreadRetryAfter(retryAfterSeconds, this.context.draw())};
 	}
 
 	/** Answers with an error, or breaks an answer that has begun. */
 	private fail(error: RouterError): void {
-		if (this.hasBegun) {
-			this.options.sink.destroy();
+		if (this.relay.hasBegun) {
+			this.relay.destroy();
 			this.finish(error.entry.name, 0);
 		} else {
 			this.refuse(error);
@@ -496,31 +323,13 @@
 		}
 
 		if (error.notRun) {
-			this.refund();
+			this.charge.refund();
 		}
 
 		this.options.refuse(error);
 		this.finish(error.entry.name, error.entry.httpStatus);
 	}
 
-	private refund(): void {
-		if (this.chargedTokens > 0 && this.options.organisation !== undefined) {
-			this.context.quota.refund(this.options.organisation, this.chargedTokens);
-			this.chargedTokens = 0;
-		}
-	}
-
-	private spreadRetry(seconds: number): number {
-		return seconds * (1 + this.context.draw());
-	}
-
-	private noteVersion({target}: Attempt, {weightsVersion}: AnswerHead): void {
-		const {work} = this.options.call;
-		if (work !== undefined && weightsVersion !== undefined) {
-			target.noteVersion(work.model, weightsVersion);
-		}
-	}
-
 	private endAttempt(attempt: Attempt): void {
 		attempt.target.endCall(attempt.record);
 		if (this.attempt === attempt) {
@@ -535,41 +344,15 @@
 
 		this.isDone = true;
 		clearTimeout(this.deadlineTimer);
-		this.stopWaiting?.();
+		this.waiter.stop();
 		const attempt = last ?? this.attempt;
 		if (this.attempt !== undefined) {
 			this.endAttempt(this.attempt);
 		}
 
-		const {call, route, organisation, arrivedAt} = this.options;
-		const durationMs = Math.round(this.readNow() - arrivedAt);
-		const measure = (at: MonotonicMs | undefined) => at === undefined ? undefined : Math.round(at - arrivedAt);
-		this.context.logger.info('call finished', {
-			id: call.id, outcome, status, route: route.id, organisation: organisation?.id,
-			target: attempt?.target.description.id, weights: attempt?.weightsVersion, attempts: this.attempts,
-			sentMs: measure(this.firstSentAt), firstMs: measure(this.firstHeardAt), heardMs: measure(attempt?.heardAt), durationMs,
-			passedBytes: this.passedBytes, pauses: this.pauses,
-		});
-		this.context.report({
-			outcome, status, durationMs, route: route.id, attempts: this.attempts,
+		reportCall(this.context, this.options, {
+			outcome, status, attempt, attempts: this.attempts, passedBytes: this.relay.passedBytes, times: this.times.describe(this.readNow()),
 		});
 		this.onDone?.();
 	}
 }
-
-/** The deepest part of the prompt that other calls share: all but the last part. Undefined when it is too short to matter. */
-function findSharedPrefix({work}: InboundCall): SharedPrefix | undefined {
-	const shared = work?.parts.slice(0, -1) ?? [];
-	const last = shared.at(-1);
-	const tokens = shared.reduce((sum, part) => sum + part.tokens, 0);
-	return last === undefined || tokens < shortestPrefixTokens ? undefined : {id: last.id, tokens};
-}
-
-/** Prompt tokens that a target computes for the call; without the shared parts when it has or can fetch them. */
-function estimatePrefill({work}: InboundCall, hasPrefix: boolean): number {
-	if (work === undefined) {
-		return 0;
-	}
-
-	return hasPrefix ? work.parts.at(-1)?.tokens ?? work.promptTokens : work.promptTokens;
-}
--- a/src/forwarding/call-types/index.ts
+++ b/src/forwarding/call-types/index.ts
@@ -64,6 +64,8 @@
 	/** Whether another target listens at the address now. */
 	readonly isOtherTarget: boolean;
 	readonly weightsVersion: number | undefined;
+	/** Whether the body has neither length nor chunks and ends with the connection, so that its end proves nothing. */
+	readonly isUnframed: boolean;
 };
 
 /** Translates between the core and the wire format of targets. */
@@ -75,8 +77,8 @@
 
 /** The way back to the caller. */
 export type CallerSink = {
-	/** Starts an answer. */
-	begin(status: number, headers: readonly string[]): void;
+	/** Starts an answer. The body of an unframed one ends with the connection, as the target's did. */
+	begin(status: number, headers: readonly string[], isUnframed: boolean): void;
 	/** Passes bytes on; false asks to wait for `onDrain`. */
 	write(chunk: Buffer): boolean;
 	end(): void;
--- /dev/null
+++ b/src/forwarding/select-target/index.ts
@@ -0,0 +1,37 @@
+/** Selects the target of a call's next attempt from what the instance knows. */
+
+import {chooseTarget} from '../../fleet/choose-target/index.js';
+import type {FleetTarget} from '../../fleet/fleet-target/index.js';
+import type {MonotonicMs} from '../../identity/ids/index.js';
+import type {ForwardingContext} from '../forwarding-context/index.js';
+import type {PrefixHints} from '../prefix-hints/index.js';
+import type {SessionOptions} from '../session-types/index.js';
+
+/** The call and the targets that it was sent to before. */
+export type TargetSelection = {
+	readonly session: Pick<SessionOptions, 'call' | 'service'>;
+	readonly tried: ReadonlySet<FleetTarget>;
+	readonly hints: PrefixHints;
+};
+
+/** Selects a target; undefined when none can take the call now. */
+export function selectTarget({session, tried, hints}: TargetSelection, context: ForwardingContext, now: MonotonicMs): FleetTarget | undefined {
+	const {work} = session.call;
+	const targets = context.fleet.listServing(session.service, now);
+	return chooseTarget({
+		targets,
+		excluded: tried,
+		model: work?.model,
+		named: work === undefined ? undefined : context.findNamedWeights(work.model),
+		sharedPrefix: hints.sharedPrefix,
+		holders: hints.selectHolders(targets, now),
+		dataCentre: context.dataCentre,
+		draw: context.draw(),
+	}, now);
+}
+
+/** Whether another target than `current` could take the call over. */
+export function hasAlternative({session, tried}: TargetSelection, current: FleetTarget, context: ForwardingContext, now: MonotonicMs): boolean {
+	return context.fleet.listServing(session.service, now)
+		.some(other => other !== current && !tried.has(other) && !other.isSilent(now) && !other.isCordoned(now));
+}
--- a/src/gateway/call-listener/index.ts
+++ b/src/gateway/call-listener/index.ts
@@ -11,7 +11,9 @@
 import {CallSession} from '../../forwarding/call-session/index.js';
 import type {ForwardingContext} from '../../forwarding/forwarding-context/index.js';
 import {hashKey} from '../../keys/hash-key/index.js';
-import {convertToRouterError, createRouterError, formatErrorBody, RouterError} from '../../results/create-router-error/index.js';
+import {
+	convertToRouterError, createRouterError, formatErrorBody, type RouterError,
+} from '../../results/create-router-error/index.js';
 import {chooseService} from '../../routing/choose-service/index.js';
 import type {RoutingTable} from '../../routing/routing-table/index.js';
 import type {CallerLimits, CallerOrganisation, Route} from '../../routing/routing-types/index.js';
@@ -53,7 +55,7 @@
 	lastCallAt: MonotonicMs;
 	private readonly server: Server;
 	private readonly sessions = new Set<CallSession>();
-	private silenceTimer: NodeJS.Timeout | undefined;
+	private isWatchingSilence = false;
 
 	constructor(private readonly options: CallListenerOptions) {
 		this.lastCallAt = options.context.clock.readMonotonic();
@@ -176,14 +178,22 @@
 		const body = JSON.stringify(formatErrorBody(error));
 		response.writeHead(error.entry.httpStatus, [
 			...this.options.protocol.buildErrorHeaders(error, call),
-			'content-type', 'application/json', 'content-length', String(Buffer.byteLength(body)),
+			'content-type',
+			'application/json',
+			'content-length',
+			String(Buffer.byteLength(body)),
 		]);
 		response.end(body);
 	}
 
 	private watchSilence(): void {
-		this.silenceTimer ??= setTimeout(() => {
-			this.silenceTimer = undefined;
+		if (this.isWatchingSilence) {
+			return;
+		}
+
+		this.isWatchingSilence = true;
+		setTimeout(() => {
+			this.isWatchingSilence = false;
 			const now = this.options.context.clock.readMonotonic();
 			for (const session of this.sessions) {
 				session.checkSilence(now);
@@ -198,7 +208,13 @@
 
 function createSink(response: ServerResponse): CallerSink {
 	return {
-		begin(status, headers) {
+		begin(status, headers, isUnframed) {
+			if (isUnframed) {
+				// Chunks with an end marker would claim that the answer is complete.
+				response.useChunkedEncodingByDefault = false;
+				response.shouldKeepAlive = false;
+			}
+
 			response.writeHead(status, headers as string[]);
 			response.flushHeaders();
 		},
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -22,23 +22,21 @@
 import type {Member} from '../../membership/member/index.js';
 import {PeerClient} from '../../peers/peer-client/index.js';
 import {PeerServer} from '../../peers/peer-server/index.js';
-import {ObjectApiError} from '../../platform/object-api/index.js';
 import {RelayedObjectApi} from '../../platform/relayed-object-api/index.js';
-import type {InstanceList} from '../../platform/instance-list/index.js';
 import {QuotaLending} from '../../quota/quota-lending/index.js';
 import type {RandomSource} from '../../random/random-source/index.js';
-import {RetryBudget} from '../../requests/retry-budget/index.js';
-import {NamedWeights} from '../../rollout/named-weights/index.js';
-import {
-	RolloutController, rolloutLeaseMs, rolloutLeaseName, type RolloutNotice,
-} from '../../rollout/rollout-controller/index.js';
+import {RolloutController, rolloutLeaseMs, rolloutLeaseName} from '../../rollout/rollout-controller/index.js';
+import {RolloutNotices} from '../../rollout/rollout-notices/index.js';
+import {WeightsRegistry} from '../../rollout/weights-registry/index.js';
 import {RoutingTable} from '../../routing/routing-table/index.js';
-import type {RoutingConfiguration, ServiceId} from '../../routing/routing-types/index.js';
+import type {RoutingConfiguration} from '../../routing/routing-types/index.js';
 import {CallListener} from '../call-listener/index.js';
 import {GatewayFeeds} from '../gateway-feeds/index.js';
 import type {GatewayMetrics} from '../gateway-metrics/index.js';
 import type {GatewaySettings} from '../gateway-settings/index.js';
+import {InstanceRegistry} from '../instance-registry/index.js';
 import type {PlatformAdapter, WeightsNotice} from '../platform-adapter/index.js';
+import {ServiceRetryBudgets} from '../service-retry-budgets/index.js';
 
 /** What a gateway is made of. */
 export type GatewayOptions = {
@@ -50,8 +48,6 @@
 	readonly metrics: GatewayMetrics;
 };
 
-const noticeMethod = 'rollout.notice';
-const noticeTimeoutMs = 300;
 /** Validity of an address answer, in seconds. */
 const addressValiditySeconds = 1;
 /** Multiple of the validity for which some callers keep an answer. */
@@ -63,15 +59,9 @@
 const pruneIntervalMs = 2000;
 /** Instances that contend for the rollout lease. */
 const contenders = 2;
-/** Share of the retry allowance that is used, as a reserve for restarts, which begin with a full budget. */
-const retryReserve = 0.6;
 /** Instances assumed until membership and registry have been heard, so that quota shares are not too large. */
 const assumedInstances = 12;
 const assumptionMs = 4000;
-/** Time after the start for which old weights may still be used, in milliseconds. */
-const startWeightsMs = 3000;
-/** Part of the time limit for new weights after which old ones are not used any more; the rest covers the delay of the news. */
-const weightsLimitShare = 0.75;
 const drawSteps = 0x40_00_00_00;
 const msPerSecond = 1000;
 
@@ -89,12 +79,13 @@
 	private readonly relayedApi: RelayedObjectApi;
 	private readonly rollout: RolloutController;
 	private readonly loads: LoadExchange;
+	private readonly notices: RolloutNotices;
 	private readonly listener: CallListener;
-	private readonly retryBudgets = new Map<ServiceId, RetryBudget>();
-	private readonly namedWeights = new Map<string, NamedWeights>();
-	private readonly startedAt: number;
+	private readonly retryBudgets: ServiceRetryBudgets;
+	private readonly weights: WeightsRegistry;
+	private readonly registry: InstanceRegistry;
+	private readonly startedAt: MonotonicMs;
 	private table: RoutingTable | undefined;
-	private registeredInstances = 0;
 	private stopInProgress: PlannedStop | undefined;
 
 	constructor(private readonly options: GatewayOptions) {
@@ -102,6 +93,11 @@
 		const self = settings.instance as InstanceId;
 		this.startedAt = clock.readMonotonic();
 		this.fleet = new TargetFleet(logger);
+		this.weights = new WeightsRegistry(this.startedAt, settings.weightsLimitMs);
+		this.retryBudgets = new ServiceRetryBudgets(settings.retryBudget, () => this.countInstances());
+		this.registry = new InstanceRegistry({
+			objectApi: adapter.objectApi, collection: adapter.collections.instances, self, peerAddress: settings.listen.peer, clock, logger,
+		});
 		this.peerServer = new PeerServer(self);
 		this.peerClient = new PeerClient({self, locate: id => this.membership.locate(id)});
 		this.membership = this.createMembership(self);
@@ -128,13 +124,15 @@
 			objectApi: adapter.objectApi, caller: this.peerClient, registry: this.peerServer, random, clock,
 			listPeers: () => this.listPeers().map(peer => peer.id),
 		});
+		this.notices = new RolloutNotices({
+			clock, logger, fleet: this.fleet, caller: this.peerClient, registry: this.peerServer, listPeers: () => this.listPeers().map(peer => peer.id),
+		});
 		this.rollout = this.createRollout(self);
 		this.loads = new LoadExchange({
 			self, clock, random, fleet: this.fleet, prefixes: this.prefixes, logger,
 			listPeers: () => this.listPeers(),
 		});
 		this.listener = new CallListener({context: this.createContext(), protocol: adapter.callerProtocol, readTable: () => this.table});
-		this.peerServer.register(noticeMethod, async parameters => this.applyNotices(parameters as RolloutNotice[]));
 		this.addGauges();
 	}
 
@@ -147,7 +145,7 @@
 		void this.feeds.run(signal);
 		void this.rollout.run(signal);
 		await this.loads.start(settings.listen.peer, signal);
-		void this.register();
+		void this.registry.register(signal);
 		void this.runPruning(signal);
 		await this.listener.listen(settings.listen.caller);
 		await listenForQuestions(settings.listen.readiness, url => url.pathname === adapter.readinessPath
@@ -174,7 +172,7 @@
 			membership: this.membership.dump(),
 			rollout: this.rollout.dump(),
 			quota: this.quota.dump(),
-			namedWeights: Object.fromEntries([...this.namedWeights].map(([model, {version}]) => [model, version])),
+			namedWeights: this.weights.dump(),
 			callsInProgress: this.listener.callsInProgress,
 			targets: [...this.fleet.list()].map(target => ({
 				...target.description, weightsVersions: Object.fromEntries(target.description.weightsVersions),
@@ -194,7 +192,7 @@
 
 	private countInstances(): number {
 		const age = this.options.clock.readMonotonic() - this.startedAt;
-		const known = Math.max(this.registeredInstances, this.membership.countKnown());
+		const known = Math.max(this.registry.registeredInstances, this.membership.countKnown());
 		return age < assumptionMs ? Math.max(known, assumedInstances) : known;
 	}
 
@@ -207,7 +205,7 @@
 				peerAddress: settings.listen.peer, callerAddress: settings.listen.caller,
 			},
 			seeds: settings.seeds.map(seed => `${parseAddress(seed).host}:${port}`),
-			instanceList: this.createInstanceList(),
+			instanceList: this.registry,
 			caller: this.peerClient,
 			registry: this.peerServer,
 			clock, random, logger,
@@ -221,38 +219,6 @@
 		});
 	}
 
-	private createInstanceList(): InstanceList {
-		const {adapter} = this.options;
-		return {
-			read: async () => {
-				const {items} = await adapter.objectApi.list<{peerAddress: string}>(adapter.collections.instances);
-				this.registeredInstances = items.length;
-				return items.map(({name, value}) => ({
-					id: name, role: 'entry' as const, address: value.peerAddress, state: 'live' as const,
-				}));
-			},
-		};
-	}
-
-	/** Enters this instance in the registry, by which instances find each other when no seed answers. */
-	private async register(): Promise<void> {
-		const {adapter, settings, clock, logger} = this.options;
-		const {signal} = this.controller;
-		while (!signal.aborted) {
-			try {
-				await adapter.objectApi.create(adapter.collections.instances, settings.instance, {peerAddress: settings.listen.peer});
-				return;
-			} catch (error) {
-				if (error instanceof ObjectApiError && error.failure === 'conflict') {
-					return;
-				}
-
-				logger.warn('instance not registered yet', {reason: (error as Error).message});
-				await clock.sleep(msPerSecond, signal);
-			}
-		}
-	}
-
 	private createRollout(self: InstanceId): RolloutController {
 		const {settings, adapter, clock, logger} = this.options;
 		const {host} = parseAddress(settings.listen.peer);
@@ -263,10 +229,10 @@
 				durationMs: rolloutLeaseMs, succeedsOwnHolder: true, maximumReadGapMs: rolloutLeaseMs,
 			}),
 			commander: adapter.createCommander(self),
-			listWanted: () => this.namedWeights,
+			listWanted: () => this.weights.list(),
 			isContender: () => this.isContender(),
 			announce: notices => {
-				this.announce(notices);
+				this.notices.announce(notices);
 			},
 		});
 	}
@@ -278,28 +244,6 @@
 		return youngest.some(member => member.id === this.options.settings.instance);
 	}
 
-	private announce(notices: readonly RolloutNotice[]): void {
-		for (const peer of this.listPeers()) {
-			this.peerClient.call(peer.id, noticeMethod, notices, noticeTimeoutMs).catch(() => {
-				// A target that changes weights refuses calls by itself; the notice only saves that attempt.
-			});
-		}
-	}
-
-	private async applyNotices(notices: readonly RolloutNotice[]): Promise<boolean> {
-		const now = this.options.clock.readMonotonic();
-		for (const notice of notices) {
-			const target = this.fleet.find(notice.target as TargetId);
-			if (target !== undefined) {
-				target.cordonedUntil = now + notice.cordonMs;
-				target.noteVersion(notice.model, notice.version);
-			}
-		}
-
-		this.fleet.notify();
-		return true;
-	}
-
 	private applyConfiguration(configuration: RoutingConfiguration): void {
 		this.table = new RoutingTable(configuration);
 		this.listener.applyLimits(configuration.limits);
@@ -307,32 +251,19 @@
 	}
 
 	private applyWeights({model, version}: WeightsNotice): void {
-		let named = this.namedWeights.get(model);
-		if (named === undefined) {
-			named = new NamedWeights();
-			this.namedWeights.set(model, named);
-		}
-
-		if (named.note(version, this.chooseWeightsGrace(), this.options.clock.readMonotonic())) {
+		if (this.weights.note(model, version, this.options.clock.readMonotonic())) {
 			this.options.logger.info('weights named', {model, version});
 		}
 	}
 
-	/** Time for which older weights may still be used. Weights already named when this instance starts may have been named long before. */
-	private chooseWeightsGrace(): number {
-		const {clock, settings} = this.options;
-		const isStarting = clock.readMonotonic() - this.startedAt < startWeightsMs;
-		return isStarting ? startWeightsMs : settings.weightsLimitMs * weightsLimitShare;
-	}
-
 	private createContext(): ForwardingContext {
 		const {settings, adapter, clock, logger, random, metrics} = this.options;
 		return {
 			clock, logger, fleet: this.fleet, prefixes: this.prefixes, exchange: this.exchange, protocol: adapter.targetProtocol, quota: this.quota,
 			dataCentre: settings.dataCentre as DataCentreId,
 			draw: () => random.pickIndex(drawSteps) / drawSteps,
-			findNamedWeights: model => this.namedWeights.get(model),
-			findRetryBudget: service => this.findRetryBudget(service),
+			findNamedWeights: model => this.weights.find(model),
+			findRetryBudget: service => this.retryBudgets.find(service),
 			listCacheStores: () => this.table?.configuration.cacheStores ?? [],
 			report(report) {
 				metrics.noteCall(report);
@@ -340,18 +271,6 @@
 		};
 	}
 
-	private findRetryBudget(service: ServiceId): RetryBudget {
-		let budget = this.retryBudgets.get(service);
-		if (budget === undefined) {
-			const {ratio, extra} = this.options.settings.retryBudget;
-			const own = Math.max(1, extra * retryReserve / Math.max(1, this.countInstances()));
-			budget = new RetryBudget({retriesPerRequest: ratio * retryReserve, initialRetries: own, highestLevel: own});
-			this.retryBudgets.set(service, budget);
-		}
-
-		return budget;
-	}
-
 	private answerDirectory(url: URL) {
 		const {adapter, random, clock} = this.options;
 		const question = adapter.readAddressQuestion(url);
--- a/src/gateway/platform-adapter/index.ts
+++ b/src/gateway/platform-adapter/index.ts
@@ -30,6 +30,8 @@
 	readonly collections: PlatformCollections;
 	readonly callerProtocol: CallerProtocol;
 	readonly targetProtocol: TargetProtocol;
+	/** Path of the readiness question. */
+	readonly readinessPath: string;
 	/** Decodes an object of the configuration collection; throws when it is not valid. */
 	decodeConfiguration(object: StoredObject): RoutingConfiguration;
 	/** Decodes a target's entry; undefined when it is not valid and names no target to use. */
@@ -37,8 +39,6 @@
 	/** Decodes named weights; undefined when they are not valid. */
 	decodeWeights(object: StoredObject): WeightsNotice | undefined;
 	createCommander(instance: InstanceId): EngineCommander;
-	/** Path of the readiness question. */
-	readonly readinessPath: string;
 	/** Reads a question for addresses; undefined when the URL is another one. */
 	readAddressQuestion(url: URL): AddressQuestion | undefined;
 	answerAddresses(addresses: readonly string[], validSeconds: number): Answer;
--- a/src/leases/lease/index.ts
+++ b/src/leases/lease/index.ts
@@ -128,7 +128,9 @@
 
 		this.confirmed = undefined;
 		const {objectApi, name} = this.options;
-		await objectApi.update(leaseCollection, name, {...confirmed.record, holder: '', renewals: this.writes + 1, unusedMs}, confirmed.version);
+		await objectApi.update(leaseCollection, name, {
+			...confirmed.record, holder: '', renewals: this.writes + 1, unusedMs,
+		}, confirmed.version);
 	}
 
 	private async readRecord(): Promise<StoredObject<LeaseRecord> | undefined> {
--- a/src/platform/relayed-object-api/index.ts
+++ b/src/platform/relayed-object-api/index.ts
@@ -4,7 +4,9 @@
  * one fails with a conflict if the first took effect, and the caller reads back what is stored.
  */
 
-import {ObjectApiError, type ObjectApi, type ObjectApiFailure, type StoredObject} from '../object-api/index.js';
+import {
+	ObjectApiError, type ObjectApi, type ObjectApiFailure, type StoredObject,
+} from '../object-api/index.js';
 import type {Clock} from '../../clock/clock/index.js';
 import type {InstanceId, ResourceVersion} from '../../identity/ids/index.js';
 import type {PeerCaller, PeerMethodRegistry} from '../../peers/peer-caller/index.js';
--- a/src/rollout/rollout-controller/index.ts
+++ b/src/rollout/rollout-controller/index.ts
@@ -174,12 +174,14 @@
 			phase: this.changes.get(target.description.id)?.phase,
 		}));
 		for (const step of planRollout(engines, wanted, now)) {
-			const target = targets.find(({description}) => description.id === step.id)!;
-			this.perform(step, target, model, wanted);
+			const target = this.options.fleet.locate(step.id);
+			if (target !== undefined) {
+				this.perform(step, target, model, wanted);
+			}
 		}
 
 		for (const id of this.changes.keys()) {
-			if (this.options.fleet.find(id) === undefined) {
+			if (this.options.fleet.locate(id) === undefined) {
 				this.changes.delete(id);
 			}
 		}
--- /dev/null
+++ b/src/routing/is-repeatable/index.ts
@@ -0,0 +1,8 @@
+/** Which calls may run more than once. */
+
+import type {Route} from '../routing-types/index.js';
+
+/** Whether a call of the route may run again, from its beginning or from the last event that the caller has. */
+export function isRepeatable({kind, isResumable}: Route): boolean {
+	return kind === 'idempotent' || (kind === 'streaming' && isResumable);
+}
--- a/xo.config.js
+++ b/xo.config.js
@@ -38,7 +38,16 @@
 		},
 	},
 	{
-		files: ['src/**/test.ts'],
+		files: ['platform/main/index.ts'],
+		rules: {
+			// The entry point of a process may end it.
+			'unicorn/no-process-exit': 'off',
+			// The bundle is a CommonJS module, which has no top-level await.
+			'unicorn/prefer-top-level-await': 'off',
+		},
+	},
+	{
+		files: ['src/**/test.ts', 'platform/**/test.ts'],
 		rules: {
 			// The runner awaits the promises of `test` and `describe` itself.
 			'@typescript-eslint/no-floating-promises': 'off',
