Test routing, placement, forwarding, quota shares and the call listener

Borrowing from three instances refused a fifth of the calls of callers that all use one of eight instances within the rate; seven lenders admit them (quota-lending test, failed before).

--- /dev/null
+++ b/src/fleet/choose-target/test.ts
@@ -0,0 +1,90 @@
+import {test} from 'node:test';
+import {expect} from 'earl';
+import {createFleetTarget, testModel} from '../../fixtures/create-fleet-target/index.js';
+import type {DataCentreId, InstanceId, MonotonicMs} from '../../identity/ids/index.js';
+import {RandomSource} from '../../random/random-source/index.js';
+import {NamedWeights} from '../../rollout/named-weights/index.js';
+import type {FleetTarget} from '../fleet-target/index.js';
+import {chooseTarget, type TargetQuery} from './index.js';
+
+const at = (ms: number) => ms as MonotonicMs;
+
+function createTargets(count: number): FleetTarget[] {
+	return Array.from({length: count}, (_, index) => createFleetTarget(`t${index}`));
+}
+
+function createQuery(targets: readonly FleetTarget[], changes: Partial<TargetQuery> = {}): TargetQuery {
+	return {
+		targets, excluded: new Set(), model: testModel, named: undefined, sharedPrefix: undefined, holders: new Set(),
+		dataCentre: 'dc-1' as DataCentreId, draw: 0.5, ...changes,
+	};
+}
+
+test('sends a prefix to the target that holds it', () => {
+	const targets = createTargets(6);
+	const query = createQuery(targets, {sharedPrefix: {id: 'p', tokens: 6000}, holders: new Set([targets[4]!])});
+	expect(chooseTarget(query, at(0)) === targets[4]).toEqual(true);
+});
+
+test('replays a hot prefix: its home is buried and calls go elsewhere, and come back when it is free', () => {
+	const targets = createTargets(6);
+	const query = createQuery(targets, {sharedPrefix: {id: 'hot', tokens: 6000}});
+	const home = chooseTarget(query, at(0))!;
+	const calls = Array.from({length: 5}, () => home.beginCall(3000, at(0)));
+	const hot = {...query, holders: new Set([home])};
+	expect(chooseTarget(hot, at(0)) === home).toEqual(false);
+	for (const call of calls) {
+		home.endCall(call);
+	}
+
+	expect(chooseTarget(hot, at(0)) === home).toEqual(true);
+});
+
+test('replays a burst seen by eight instances: reported loads keep the busiest target within twice the mean', () => {
+	const random = new RandomSource(7);
+	const targets = createTargets(6);
+	for (let index = 0; index < 60; index += 1) {
+		const chosen = chooseTarget(createQuery(targets, {draw: random.pickIndex(1000) / 1000}), at(0))!;
+		const {calls, prefillTokens} = chosen.readOwnLoad();
+		chosen.noteRemoteLoad(`i${index % 8}` as InstanceId, {calls: 0, prefillTokens: 0}, at(0));
+		chosen.beginCall(800, at(0));
+		expect(calls * 800).toEqual(prefillTokens);
+	}
+
+	expect(Math.max(...targets.map(target => target.calls.size)) <= 20).toEqual(true);
+});
+
+test('replays new weights under load: the first changed engine is not buried before old answers lose value', () => {
+	const targets = createTargets(6);
+	const named = new NamedWeights();
+	named.note(2, 7500, at(0));
+	targets[0]!.noteVersion(testModel, 2);
+	targets[0]!.beginCall(9000, at(0));
+	expect(chooseTarget(createQuery(targets, {named}), at(500)) === targets[0]).toEqual(false);
+	targets[0]!.noteHeard(at(1900));
+	expect(chooseTarget(createQuery(targets, {named}), at(2000)) === targets[0]).toEqual(true);
+});
+
+test('guards against beginning a call on weights whose time limit is over, also when no other engine is there', () => {
+	const targets = createTargets(2);
+	const named = new NamedWeights();
+	named.note(2, 7500, at(0));
+	expect(chooseTarget(createQuery(targets, {named}), at(7400)) === undefined).toEqual(false);
+	expect(chooseTarget(createQuery(targets, {named}), at(7500))).toEqual(undefined);
+});
+
+test('guards against cordoned, tried and model-less targets', () => {
+	const targets = createTargets(3);
+	targets[0]!.cordonedUntil = 100;
+	targets[1]!.description = {...targets[1]!.description, weightsVersions: new Map()};
+	expect(chooseTarget(createQuery(targets, {excluded: new Set([targets[2]!])}), at(50))).toEqual(undefined);
+	expect(chooseTarget(createQuery(targets, {excluded: new Set([targets[2]!])}), at(150)) === targets[0]).toEqual(true);
+});
+
+test('uses an avoided target only when there is no sound one', () => {
+	const targets = createTargets(2);
+	targets[0]!.noteUnreachable(at(0));
+	expect(chooseTarget(createQuery(targets), at(10)) === targets[1]).toEqual(true);
+	targets[1]!.noteUnreachable(at(0));
+	expect(chooseTarget(createQuery(targets), at(10)) === undefined).toEqual(false);
+});
--- a/src/forwarding/call-session/index.ts
+++ b/src/forwarding/call-session/index.ts
@@ -288,7 +288,8 @@
 			id: this.options.call.id, target: attempt.target.description.id, attempt: this.attempts, failure, reason, step: step.type,
 		});
 		if (step.type === 'retry') {
-			this.tryNext(); return;
+			this.tryNext();
+			return;
 		}
 
 		this.fail(createRouterError(step.result, reason, step.result === 'targetRefused' ? this.buildReturn() : {}));
--- /dev/null
+++ b/src/forwarding/plan-next-step/test.ts
@@ -0,0 +1,49 @@
+import {test} from 'node:test';
+import {expect} from 'earl';
+import {planNextStep, type NextStepQuery} from './index.js';
+
+function createQuery(changes: Partial<NextStepQuery> = {}): NextStepQuery {
+	return {
+		failure: 'notRun', isRepeatable: false, runs: 0, maximumRuns: 1, attempts: 1, remainingMs: 500, takeRetry: () => true, ...changes,
+	};
+}
+
+test('guards against running a call twice that may run once', () => {
+	expect(planNextStep(createQuery({failure: 'unknown', runs: 1}))).toEqual({type: 'give up', result: 'outcomeUnknown'});
+});
+
+test('sends a call again that certainly did not run', () => {
+	expect(planNextStep(createQuery()).type).toEqual('retry');
+});
+
+test('guards against more runs than the route allows', () => {
+	const query = createQuery({
+		failure: 'unknown', isRepeatable: true, runs: 1, maximumRuns: 2,
+	});
+	expect(planNextStep(query).type).toEqual('retry');
+	expect(planNextStep({...query, runs: 2})).toEqual({type: 'give up', result: 'outcomeUnknown'});
+});
+
+test('guards against a false "not run" after an earlier attempt that may have run', () => {
+	expect(planNextStep(createQuery({
+		failure: 'notRun', isRepeatable: true, runs: 1, takeRetry: () => false,
+	})))
+		.toEqual({type: 'give up', result: 'outcomeUnknown'});
+});
+
+test('guards against retries beyond the budget and against takings from it without need', () => {
+	let taken = 0;
+	const takeRetry = () => {
+		taken += 1;
+		return false;
+	};
+
+	expect(planNextStep(createQuery({takeRetry}))).toEqual({type: 'give up', result: 'targetRefused'});
+	expect(planNextStep(createQuery({failure: 'unknown', takeRetry})).type).toEqual('give up');
+	expect(planNextStep(createQuery({remainingMs: 5, takeRetry})).type).toEqual('give up');
+	expect(taken).toEqual(1);
+});
+
+test('names an answer that broke off', () => {
+	expect(planNextStep(createQuery({failure: 'broken', runs: 1}))).toEqual({type: 'give up', result: 'streamBroken'});
+});
--- /dev/null
+++ b/src/forwarding/prefix-hints/test.ts
@@ -0,0 +1,40 @@
+import {test} from 'node:test';
+import {expect} from 'earl';
+import {PrefixDirectory} from '../../fleet/prefix-directory/index.js';
+import {createFleetTarget, testModel} from '../../fixtures/create-fleet-target/index.js';
+import {createOrganisation} from '../../fixtures/create-routing-configuration/index.js';
+import type {MonotonicMs} from '../../identity/ids/index.js';
+import {PrefixHints} from './index.js';
+
+const now = 0 as MonotonicMs;
+const work = {
+	model: testModel, promptTokens: 9000, maximumOutputTokens: 10, parts: [{id: 'a', tokens: 2500}, {id: 'b', tokens: 3500}, {id: 'c', tokens: 3000}],
+};
+
+test('guards against cache entries of older weights and of isolated organisations', () => {
+	const target = createFleetTarget('t');
+	const shared = new PrefixHints(work, createOrganisation('one'), new PrefixDirectory());
+	const isolated = new PrefixHints(work, createOrganisation('two', {isIsolated: true}), new PrefixDirectory());
+	const scopes = [shared.formatScope(target), isolated.formatScope(target)];
+	target.noteVersion(testModel, 2);
+	scopes.push(shared.formatScope(target), isolated.formatScope(target));
+	expect(new Set(scopes).size).toEqual(4);
+});
+
+test('expects the own part only where the shared prefix is held for the same weights', () => {
+	const directory = new PrefixDirectory();
+	const target = createFleetTarget('t');
+	const hints = new PrefixHints(work, undefined, directory);
+	expect(hints.estimatePrefill(target, now)).toEqual(9000);
+	hints.noteUse(target, now);
+	expect(hints.estimatePrefill(target, now)).toEqual(3000);
+	target.noteVersion(testModel, 2);
+	expect(hints.estimatePrefill(target, now)).toEqual(9000);
+});
+
+test('leaves short prefixes and plain calls alone', () => {
+	const short = new PrefixHints({...work, parts: [{id: 'a', tokens: 200}, {id: 'c', tokens: 600}]}, undefined, new PrefixDirectory());
+	expect(short.sharedPrefix).toEqual(undefined);
+	const plain = new PrefixHints(undefined, undefined, new PrefixDirectory());
+	expect(plain.formatScope(createFleetTarget('t'))).toEqual(undefined);
+});
--- a/src/forwarding/target-exchange/test.ts
+++ b/src/forwarding/target-exchange/test.ts
@@ -62,11 +62,13 @@
 const unframedHead = 'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n';
 
 test('guards against a cut chunked answer that looks complete since its connection was to be closed', async () => {
-	expect((await exchangeOnce(`${chunkedHead}4\r\nabcd\r\n`, finish)).outcome).toEqual('answering');
+	const {outcome} = await exchangeOnce(`${chunkedHead}4\r\nabcd\r\n`, finish);
+	expect(outcome).toEqual('answering');
 });
 
 test('guards against an answer without length that was reset and looks complete', async () => {
-	expect((await exchangeOnce(`${unframedHead}abcd`, reset)).outcome).toEqual('answering');
+	const {outcome} = await exchangeOnce(`${unframedHead}abcd`, reset);
+	expect(outcome).toEqual('answering');
 });
 
 test('takes an answer without length as complete when the connection ends in order', async () => {
@@ -74,7 +76,8 @@
 });
 
 test('guards against an answer that is shorter than its stated length', async () => {
-	expect((await exchangeOnce('HTTP/1.1 200 OK\r\nContent-Length: 9\r\nConnection: close\r\n\r\nabcd', finish)).outcome).toEqual('answering');
+	const {outcome} = await exchangeOnce('HTTP/1.1 200 OK\r\nContent-Length: 9\r\nConnection: close\r\n\r\nabcd', finish);
+	expect(outcome).toEqual('answering');
 });
 
 test('guards against claiming that a call ran when no connection could be opened', async () => {
@@ -83,7 +86,8 @@
 	});
 	server.close();
 	await delay(20);
-	expect((await exchange(new TargetExchange(), server.address, true)).outcome).toEqual('notSent');
+	const {outcome} = await exchange(new TargetExchange(), server.address, true);
+	expect(outcome).toEqual('notSent');
 });
 
 test('guards against sending a call that may run once on a connection that another call has used', async () => {
--- a/src/gateway/call-listener/index.ts
+++ b/src/gateway/call-listener/index.ts
@@ -4,6 +4,7 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {once} from 'node:events';
+import type {AddressInfo} from 'node:net';
 import {parseAddress} from '../../http/parse-address/index.js';
 import {readBody} from '../../http/read-body/index.js';
 import type {MonotonicMs} from '../../identity/ids/index.js';
@@ -38,6 +39,8 @@
 
 /** Interval of the checks for silent calls, in milliseconds. */
 const silenceCheckMs = 150;
+/** Connections that wait to be accepted; a burst beyond it would be delayed by seconds. */
+const connectionBacklog = 4096;
 const maximumHeaderBytes = 16_384;
 /** Interval in which the server looks for headers that take too long, in milliseconds. */
 const connectionCheckMs = 1000;
@@ -70,10 +73,12 @@
 		return this.sessions.size;
 	}
 
-	async listen(address: string): Promise<void> {
+	/** Starts listening; returns `host:port`. */
+	async listen(address: string): Promise<string> {
 		const {host, port} = parseAddress(address);
-		this.server.listen(port, host, 4096);
+		this.server.listen(port, host, connectionBacklog);
 		await once(this.server, 'listening');
+		return `${host}:${(this.server.address() as AddressInfo).port}`;
 	}
 
 	/** Takes over the limits of a new configuration. */
--- /dev/null
+++ b/src/gateway/call-listener/test.ts
@@ -0,0 +1,138 @@
+import type {Socket} from 'node:net';
+import {test} from 'node:test';
+import {expect} from 'earl';
+import {request} from 'undici';
+import {createDescription} from '../../fixtures/create-fleet-target/index.js';
+import {findClosedAddress, startGatewayParts} from '../../fixtures/create-gateway-parts/index.js';
+import {createOrganisation, createRoute, createRoutingConfiguration} from '../../fixtures/create-routing-configuration/index.js';
+import {startRawServer} from '../../fixtures/start-raw-server/index.js';
+import {hashKey} from '../../keys/hash-key/index.js';
+import type {Route} from '../../routing/routing-types/index.js';
+
+type Script = (socket: Socket, id: string, head: string) => void;
+type Outcome = {status: number; body: string; runs: number; outcome: string | undefined};
+
+/** Sends one call over a gateway to targets that answer by their scripts; `null` stands for a target that refuses connections. */
+async function callOnce(route: Partial<Route>, scripts: ReadonlyArray<Script | null>, wait = 2000): Promise<Outcome> {
+	let runs = 0;
+	const servers = await Promise.all(scripts.map(async script => script === null
+		? undefined
+		: startRawServer((socket, head) => {
+			runs += 1;
+			script(socket, /x-id: (\S+)/u.exec(head)?.[1] ?? '', head);
+		})));
+	const descriptions = await Promise.all(servers.map(async (server, index) => createDescription(`t${index}`, {
+		address: server?.address ?? await findClosedAddress(), weightsVersions: new Map(),
+	})));
+	const parts = await startGatewayParts(createRoutingConfiguration({routes: [createRoute('r', {host: '127.0.0.1', ...route})]}), descriptions);
+	try {
+		const answer = await request(`http://${parts.address}/x`, {headers: {'x-id': 'call-1', 'x-wait': String(wait)}, method: 'POST', body: 'body'});
+		const body = await answer.body.text().catch(() => 'cut');
+		return {
+			status: answer.statusCode, body, runs, outcome: parts.reports.at(-1)?.outcome,
+		};
+	} finally {
+		parts.close();
+		for (const server of servers) {
+			server?.close();
+		}
+	}
+}
+
+const answerOk: Script = (socket, id) => {
+	socket.write(`HTTP/1.1 200 OK\r\nx-id: ${id}\r\nContent-Length: 2\r\n\r\nok`);
+};
+
+const rejectNotRun: Script = socket => {
+	socket.write('HTTP/1.1 503 Full\r\nx-not-run: 1\r\nContent-Length: 0\r\n\r\n');
+};
+
+const breakOff: Script = socket => {
+	socket.destroy();
+};
+
+const answerOther: Script = socket => {
+	socket.write('HTTP/1.1 200 OK\r\nx-id: another\r\nContent-Length: 2\r\n\r\nno');
+};
+
+test('guards against running a call twice that may run once: a lost answer is told as unknown', async () => {
+	const {status, runs, outcome} = await callOnce({kind: 'nonIdempotent'}, [breakOff, breakOff]);
+	expect([status, runs, outcome]).toEqual([502, 1, 'outcomeUnknown']);
+});
+
+test('repeats an idempotent call whose answer was lost', async () => {
+	const {status, body, runs} = await callOnce({}, [breakOff, answerOk].toReversed().concat(breakOff));
+	expect([status, body]).toEqual([200, 'ok']);
+	expect(runs <= 2).toEqual(true);
+});
+
+test('sends a call that may run once to another target when one refuses connections or states that it did not run', async () => {
+	const refused = await callOnce({kind: 'nonIdempotent'}, [null, answerOk]);
+	expect([refused.status, refused.body, refused.runs]).toEqual([200, 'ok', 1]);
+	const rejected = await callOnce({kind: 'nonIdempotent'}, [rejectNotRun, rejectNotRun]);
+	expect([rejected.status, rejected.outcome]).toEqual([503, 'targetRefused']);
+});
+
+test('guards against giving a caller the answer to another call', async () => {
+	const {status, runs} = await callOnce({kind: 'nonIdempotent'}, [answerOther]);
+	expect([status, runs]).toEqual([502, 1]);
+});
+
+test('guards against a broken stream that looks complete', async () => {
+	const {body, outcome} = await callOnce({kind: 'streaming'}, [(socket, id) => {
+		socket.write(`HTTP/1.1 200 OK\r\nx-id: ${id}\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nid: 1\nda\n\r\n`);
+		setTimeout(() => {
+			socket.destroy();
+		}, 20);
+	}]);
+	expect([body, outcome]).toEqual(['cut', 'streamBroken']);
+});
+
+test('continues a resumable stream at another target after the last whole event', async () => {
+	const first: Script = (socket, id) => {
+		const events = 'id: 1\ndata: a\n\nid: 2\nda';
+		socket.write(`HTTP/1.1 200 OK\r\nx-id: ${id}\r\nTransfer-Encoding: chunked\r\n\r\n${events.length.toString(16)}\r\n${events}\r\n`);
+		setTimeout(() => {
+			socket.destroy();
+		}, 20);
+	};
+
+	const second: Script = (socket, id, head) => {
+		const events = head.includes('last-event-id: 1') ? 'id: 2\ndata: b\n\n' : '';
+		socket.write(`HTTP/1.1 200 OK\r\nx-id: ${id}\r\nContent-Length: ${events.length}\r\n\r\n${events}`);
+	};
+
+	let isFirst = true;
+	const either: Script = (socket, id, head) => {
+		(isFirst ? first : second)(socket, id, head);
+		isFirst = false;
+	};
+
+	const {body, runs} = await callOnce({kind: 'streaming', isResumable: true}, [either, either]);
+	expect([body, runs]).toEqual(['id: 1\ndata: a\n\nid: 2\ndata: b\n\n', 2]);
+});
+
+test('gives the final answer at the end of the waiting time of caller or route', async () => {
+	const {status, outcome} = await callOnce({kind: 'nonIdempotent', timeoutMs: 150}, [() => {
+		// The target never answers.
+	}]);
+	expect([status, outcome]).toEqual([504, 'targetTimeout']);
+});
+
+test('guards against calls of withdrawn keys, without routes and without ids', async () => {
+	const parts = await startGatewayParts(createRoutingConfiguration({
+		routes: [createRoute('r', {host: '127.0.0.1', pathPrefix: '/a/'})], organisations: [createOrganisation('org', {keyHashes: [hashKey('good')]})],
+	}), []);
+	const send = async (path: string, headers: Record<string, string>) => {
+		const answer = await request(`http://${parts.address}${path}`, {headers});
+		await answer.body.dump();
+		return answer.statusCode;
+	};
+
+	expect(await send('/a/', {'x-id': '1', 'x-key': 'bad'})).toEqual(401);
+	expect(await send('/a/', {'x-id': '1'})).toEqual(401);
+	expect(await send('/b/', {'x-id': '1', 'x-key': 'good'})).toEqual(404);
+	expect(await send('/a/', {'x-key': 'good'})).toEqual(400);
+	expect(await send('/a/', {'x-id': '1', 'x-key': 'good'})).toEqual(503);
+	parts.close();
+});
--- a/src/quota/quota-lending/index.ts
+++ b/src/quota/quota-lending/index.ts
@@ -19,9 +19,9 @@
 export const borrowMethod = 'quota.borrow';
 const borrowTimeoutMs = 60;
 /** Instances asked for tokens for one call. */
-const maximumLenders = 3;
+const maximumLenders = 7;
 /** Time after a failed round in which no other instance is asked again, in milliseconds. */
-const dryMs = 150;
+const dryMs = 100;
 /** Part of the extra tokens that is added to the burst; the rest covers calls larger than the burst of a share. */
 const extraShare = 0.6;
 const msPerSecond = 1000;
--- /dev/null
+++ b/src/quota/quota-lending/test.ts
@@ -0,0 +1,95 @@
+import {test} from 'node:test';
+import {expect} from 'earl';
+import {ManualClock} from '../../clock/manual-clock/index.js';
+import {createOrganisation} from '../../fixtures/create-routing-configuration/index.js';
+import type {InstanceId} from '../../identity/ids/index.js';
+import {FakePeerNetwork} from '../../peers/fake-peer-network/index.js';
+import {RandomSource} from '../../random/random-source/index.js';
+import {QuotaLending} from './index.js';
+
+const quota = {
+	tokensPerSecond: 40_000, burstTokens: 40_000, plainCallTokens: 200, countsTokens: true,
+};
+const organisation = createOrganisation('org', {quota});
+const callTokens = 4000;
+
+/** Instances that share the quota of one organisation. */
+function createFleet(count: number) {
+	const clock = new ManualClock();
+	const network = new FakePeerNetwork(clock);
+	const ids = Array.from({length: count}, (_, index) => `i${index}` as InstanceId);
+	const lendings = ids.map((id, index) => {
+		const endpoint = network.open(id);
+		const lending = new QuotaLending({
+			clock, random: new RandomSource(index + 1), caller: endpoint, registry: endpoint, countInstances: () => count,
+			listPeers: () => ids.filter(other => other !== id), tolerance: {ratio: 0, extraTokens: 0},
+		});
+		lending.apply([organisation]);
+		return lending;
+	});
+	return {
+		clock, network, ids, lendings,
+	};
+}
+
+/** Charges one call and lets the time pass that lenders without an answer take. */
+async function chargeCall(fleet: ReturnType<typeof createFleet>, instance: number): Promise<boolean> {
+	let isCharged: boolean | undefined;
+	void fleet.lendings[instance]!.charge(organisation, callTokens).then(result => {
+		isCharged = result;
+	});
+	await fleet.clock.advance(0);
+	while (isCharged === undefined) {
+		await fleet.clock.advance(10);
+	}
+
+	return isCharged;
+}
+
+/** Sends calls for `seconds`, the instance of each chosen by `choose`; resolves to the admitted tokens. */
+async function drive(fleet: ReturnType<typeof createFleet>, callsPerSecond: number, seconds: number, choose: (index: number) => number): Promise<number> {
+	let admitted = 0;
+	for (let index = 0; index < callsPerSecond * seconds; index += 1) {
+		admitted += await chargeCall(fleet, choose(index)) ? callTokens : 0;
+		await fleet.clock.advance(1000 / callsPerSecond);
+	}
+
+	return admitted;
+}
+
+test('replays callers that all use one of eight instances: within the rate nearly all are admitted', async () => {
+	const fleet = createFleet(8);
+	await fleet.clock.advance(2000);
+	const admitted = await drive(fleet, 8, 10, () => 0);
+	expect(admitted >= 0.95 * 8 * 10 * callTokens).toEqual(true);
+});
+
+test('replays an organisation that sends seven times its rate everywhere: rate, burst and one call an instance are the limit', async () => {
+	const fleet = createFleet(8);
+	await fleet.clock.advance(2000);
+	const admitted = await drive(fleet, 70, 8, index => index % 8);
+	expect(admitted <= (8 * quota.tokensPerSecond) + quota.burstTokens + (8 * callTokens)).toEqual(true);
+	expect(admitted >= 0.9 * 8 * quota.tokensPerSecond).toEqual(true);
+});
+
+test('guards against creating tokens when answers of lenders are lost', async () => {
+	const fleet = createFleet(4);
+	await fleet.clock.advance(2000);
+	for (const id of fleet.ids.slice(1)) {
+		fleet.network.setCut(id, fleet.ids[0]!, true);
+	}
+
+	const before = fleet.clock.readMonotonic();
+	const admitted = await drive(fleet, 40, 4, () => 0);
+	const seconds = (fleet.clock.readMonotonic() - before) / 1000;
+	expect(admitted <= ((seconds * quota.tokensPerSecond / 4) + (quota.burstTokens / 4) + callTokens)).toEqual(true);
+});
+
+test('returns the tokens of a call that did not run', async () => {
+	const fleet = createFleet(1);
+	await fleet.clock.advance(1000);
+	expect(await fleet.lendings[0]!.charge(organisation, 40_000)).toEqual(true);
+	expect(await fleet.lendings[0]!.charge(organisation, 40_000)).toEqual(false);
+	fleet.lendings[0]!.refund(organisation, 40_000);
+	expect(await fleet.lendings[0]!.charge(organisation, 40_000)).toEqual(true);
+});
--- /dev/null
+++ b/src/quota/quota-share/test.ts
@@ -0,0 +1,44 @@
+import {test} from 'node:test';
+import {expect} from 'earl';
+import type {MonotonicMs} from '../../identity/ids/index.js';
+import {QuotaShare} from './index.js';
+
+const at = (ms: number) => ms as MonotonicMs;
+const size = {tokensPerMs: 1, burstTokens: 1000};
+
+test('guards against a restarted instance that spends its burst again', () => {
+	expect(new QuotaShare(size, at(0)).charge(1, at(0))).toEqual(false);
+});
+
+test('admits rate and burst over any window and no more', () => {
+	const share = new QuotaShare(size, at(0));
+	let admitted = 0;
+	for (let now = 0; now <= 8000; now += 10) {
+		admitted += share.charge(100, at(now)) ? 100 : 0;
+	}
+
+	expect(admitted <= 8000).toEqual(true);
+	expect(admitted >= 7900).toEqual(true);
+});
+
+test('guards against refusing each call that is larger than the burst of a share', () => {
+	const share = new QuotaShare(size, at(0));
+	expect(share.charge(5000, at(2000))).toEqual(false);
+	expect(share.overdraw(5000, at(2000))).toEqual(true);
+	expect(share.overdraw(5000, at(5000))).toEqual(false);
+	expect(share.charge(1, at(5999))).toEqual(false);
+});
+
+test('lends no more than it has and grows by what it receives', () => {
+	const share = new QuotaShare(size, at(0));
+	expect(share.lend(800, at(500))).toEqual(500);
+	expect(share.lend(800, at(500))).toEqual(0);
+	share.receive(300, at(500));
+	expect(share.charge(300, at(500))).toEqual(true);
+});
+
+test('guards against keeping the level of a higher quota after it was lowered', () => {
+	const share = new QuotaShare(size, at(0));
+	share.resize({tokensPerMs: 0.1, burstTokens: 100}, at(2000));
+	expect(share.charge(101, at(2000))).toEqual(false);
+});
--- /dev/null
+++ b/src/rollout/plan-rollout/test.ts
@@ -0,0 +1,84 @@
+import {test} from 'node:test';
+import {expect} from 'earl';
+import type {MonotonicMs, TargetId} from '../../identity/ids/index.js';
+import {
+	cordonMs, planRollout, type RolloutEngine, type RolloutPhase,
+} from './index.js';
+
+const at = (ms: number) => ms as MonotonicMs;
+
+function createEngine(id: string, version: number, phase?: RolloutPhase, calls = 0): RolloutEngine {
+	return {
+		id: id as TargetId, version, calls, phase,
+	};
+}
+
+/** Plays the plan against engines that take `loadMs` for a load; returns the time until all have version 2 and the most engines out at once. */
+function simulateRollout(count: number, loadMs: number): {doneMs: number; mostOut: number} {
+	const engines = Array.from({length: count}, (_, index) => ({...createEngine(`e${index}`, 1), loadedAt: Infinity}));
+	let mostOut = 0;
+	for (let now = 0; now < 60_000; now += 100) {
+		for (const engine of engines) {
+			Object.assign(engine, now >= engine.loadedAt && {version: 2});
+		}
+
+		for (const step of planRollout(engines, 2, at(now))) {
+			const engine = engines.find(({id}) => id === step.id)!;
+			switch (step.type) {
+				case 'cordon': {
+					Object.assign(engine, {phase: {type: 'cordoned', since: at(now)}});
+
+					break;
+				}
+
+				case 'order': {
+					Object.assign(engine, {phase: {type: 'loading', since: at(now), version: 2}, loadedAt: now + loadMs});
+
+					break;
+				}
+
+				case 'release': {
+					Object.assign(engine, {phase: undefined});
+
+					break;
+				}
+			// No default
+			}
+		}
+
+		mostOut = Math.max(mostOut, engines.filter(engine => engine.phase !== undefined).length);
+		if (engines.every(engine => engine.version === 2 && engine.phase === undefined)) {
+			return {doneMs: now, mostOut};
+		}
+	}
+
+	return {doneMs: Infinity, mostOut};
+}
+
+test('keeps most engines serving and ends within the time limit, on small and large fleets', () => {
+	for (const count of [1, 2, 3, 6, 8, 63, 98]) {
+		const {doneMs, mostOut} = simulateRollout(count, 900);
+		expect(doneMs < 7500).toEqual(true);
+		expect(mostOut <= Math.max(1, count / 2)).toEqual(true);
+	}
+});
+
+test('cordons the engines with the fewest calls first and orders only after the cordon', () => {
+	const engines = [createEngine('a', 1, undefined, 9), createEngine('b', 1, undefined, 0), createEngine('c', 1, undefined, 5)];
+	expect(planRollout(engines, 2, at(0))).toEqual([{type: 'cordon', id: 'b' as TargetId}]);
+	const cordoned = [createEngine('b', 1, {type: 'cordoned', since: at(0)})];
+	expect(planRollout(cordoned, 2, at(cordonMs - 1))).toEqual([]);
+	expect(planRollout(cordoned, 2, at(cordonMs))).toEqual([{type: 'order', id: 'b' as TargetId}]);
+});
+
+test('guards against an engine that cannot be reached and keeps its place for seconds', () => {
+	const engines = [createEngine('gone', 1, {type: 'unreachable', since: at(0)}), createEngine('b', 1)];
+	expect(planRollout(engines, 2, at(500))).toEqual([{type: 'cordon', id: 'b' as TargetId}]);
+	expect(planRollout(engines, 2, at(1000))).toEqual([{type: 'release', id: 'gone' as TargetId}, {type: 'cordon', id: 'b' as TargetId}]);
+});
+
+test('repeats an order that was lost, and asks for a report before', () => {
+	const loading = [createEngine('a', 1, {type: 'loading', since: at(0), version: 2})];
+	expect(planRollout(loading, 2, at(700))).toEqual([{type: 'report', id: 'a' as TargetId}]);
+	expect(planRollout(loading, 2, at(5000))).toEqual([{type: 'order', id: 'a' as TargetId}]);
+});
