--- a/src/rollout/plan-rollout/index.ts
+++ b/src/rollout/plan-rollout/index.ts
@@ -34,8 +34,8 @@
 export const cordonMs = 300;
 /** Shortest time of a load, in milliseconds; before it, asking is of no use. */
 const shortestLoadMs = 600;
-/** Time after which an engine that could not be reached is tried again, in milliseconds. */
-const unreachableMs = 1000;
+/** Time after which an engine that could not be reached is tried again, in milliseconds. A restarted one is another engine and not held up. */
+const unreachableMs = 2500;
 /** Time after which an order counts as lost, in milliseconds. */
 const loadTimeoutMs = 4000;
 
--- a/src/rollout/rollout-controller/index.ts
+++ b/src/rollout/rollout-controller/index.ts
@@ -77,7 +77,7 @@
 	readonly announce: (notices: readonly RolloutNotice[]) => void;
 };
 
-type Change = {phase: RolloutPhase; readonly model: string; isBusy: boolean};
+type Change = {phase: RolloutPhase; readonly target: FleetTarget; readonly model: string; isBusy: boolean};
 
 /** The task that contends for the lease and rolls weights out while it has it. */
 export class RolloutController {
@@ -168,6 +168,7 @@
 	}
 
 	private step(model: string, wanted: number, now: MonotonicMs): void {
+		this.forgetRestarted();
 		const targets = this.listEngines(model);
 		const engines = targets.map(target => ({
 			id: target.description.id,
@@ -181,9 +182,12 @@
 				this.perform(step, target, model, wanted);
 			}
 		}
+	}
 
-		for (const id of this.changes.keys()) {
-			if (this.options.fleet.locate(id) === undefined) {
+	/** Drops what was begun with engines that are gone or have another life by now. */
+	private forgetRestarted(): void {
+		for (const [id, {target}] of this.changes) {
+			if (this.options.fleet.locate(id) !== target) {
 				this.changes.delete(id);
 			}
 		}
@@ -198,7 +202,9 @@
 		const now = this.options.clock.readMonotonic();
 		switch (step.type) {
 			case 'cordon': {
-				this.changes.set(id, {phase: {type: 'cordoned', since: now}, model, isBusy: false});
+				this.changes.set(id, {
+					phase: {type: 'cordoned', since: now}, target, model, isBusy: false,
+				});
 				this.notify(target, model, cordonMs + loadCordonMs);
 				if (!this.acceptedOrders.has(target)) {
 					void this.readReport(target);
--- a/src/rollout/rollout-controller/test.ts
+++ b/src/rollout/rollout-controller/test.ts
@@ -157,3 +157,16 @@
 	expect(new Set(engines.orders.map(({order}) => order.expectedOrders)).size).toEqual(1);
 	kill();
 });
+
+test('guards against holding up an engine that restarted under its id after it could not be reached', async () => {
+	const {clock, engines, wanted, start} = createWorld(2);
+	engines.answer = target => target.description.startedAt === 1 ? 'unreachable' : 'accepted';
+	const {fleet, kill} = start('a');
+	await clock.advance(2000);
+	wanted.set(testModel, {version: 2});
+	await clock.advance(1000);
+	fleet.replace([createDescription('e0', {startedAt: 2}), createDescription('e1', {startedAt: 2})]);
+	await clock.advance(1800);
+	expect([...fleet.list()].some(target => target.readVersion(testModel) === 2)).toEqual(true);
+	kill();
+});
