--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -59,9 +59,8 @@
 const pruneIntervalMs = 2000;
 /** Instances that contend for the rollout lease. */
 const contenders = 2;
-/** Instances assumed until membership and registry have been heard, so that quota shares are not too large. */
+/** Instances assumed until the registry has been read, so that quota shares are not too large. */
 const assumedInstances = 12;
-const assumptionMs = 4000;
 const drawSteps = 0x40_00_00_00;
 const msPerSecond = 1000;
 
@@ -191,9 +190,9 @@
 	}
 
 	private countInstances(): number {
-		const age = this.options.clock.readMonotonic() - this.startedAt;
-		const known = Math.max(this.registry.registeredInstances, this.membership.countKnown());
-		return age < assumptionMs ? Math.max(known, assumedInstances) : known;
+		const {registeredInstances} = this.registry;
+		const known = Math.max(registeredInstances, this.membership.countKnown());
+		return registeredInstances === 0 ? Math.max(known, assumedInstances) : known;
 	}
 
 	private createMembership(self: InstanceId): Membership {
--- a/src/quota/quota-lending/index.ts
+++ b/src/quota/quota-lending/index.ts
@@ -24,6 +24,8 @@
 const dryMs = 100;
 /** Part of the extra tokens that is added to the burst; the rest covers calls larger than the burst of a share. */
 const extraShare = 0.6;
+/** Part of the extra tokens with which all shares together start, so that calls after a restart of all instances need not wait for the first tokens. */
+const startShare = 0.25;
 const msPerSecond = 1000;
 
 /** What lending needs. */
@@ -135,7 +137,7 @@
 		let record = this.records.get(id);
 		if (record === undefined) {
 			record = {
-				share: new QuotaShare(this.divideQuota(quota, instances), now), quota, instances, dryUntil: 0,
+				share: new QuotaShare(this.divideQuota(quota, instances), now, this.options.tolerance.extraTokens * startShare / instances), quota, instances, dryUntil: 0,
 			};
 			this.records.set(id, record);
 		} else if (record.instances !== instances || !equalsQuota(record.quota, quota)) {
--- a/src/quota/quota-lending/test.ts
+++ b/src/quota/quota-lending/test.ts
@@ -14,7 +14,7 @@
 const callTokens = 4000;
 
 /** Instances that share the quota of one organisation. */
-function createFleet(count: number) {
+function createFleet(count: number, extraTokens = 0) {
 	const clock = new ManualClock();
 	const network = new FakePeerNetwork(clock);
 	const ids = Array.from({length: count}, (_, index) => `i${index}` as InstanceId);
@@ -22,7 +22,7 @@
 		const endpoint = network.open(id);
 		const lending = new QuotaLending({
 			clock, random: new RandomSource(index + 1), caller: endpoint, registry: endpoint, countInstances: () => count,
-			listPeers: () => ids.filter(other => other !== id), tolerance: {ratio: 0, extraTokens: 0},
+			listPeers: () => ids.filter(other => other !== id), tolerance: {ratio: 0, extraTokens},
 		});
 		lending.apply([organisation]);
 		return lending;
@@ -93,3 +93,15 @@
 	fleet.lendings[0]!.refund(organisation, 40_000);
 	expect(await fleet.lendings[0]!.charge(organisation, 40_000)).toEqual(true);
 });
+
+test('replays a restart of all instances: the first calls are admitted, within the extra tokens that the operator grants', async () => {
+	const extraTokens = 110_000;
+	const fleet = createFleet(8, extraTokens);
+	let admitted = 0;
+	for (let index = 0; index < 80; index += 1) {
+		admitted += await chargeCall(fleet, index % 8) ? callTokens : 0;
+	}
+
+	expect(admitted > 0).toEqual(true);
+	expect(admitted <= extraTokens / 2).toEqual(true);
+});
--- a/src/quota/quota-share/index.ts
+++ b/src/quota/quota-share/index.ts
@@ -9,11 +9,9 @@
 /** Rate and burst of a share. */
 export type ShareSize = {readonly tokensPerMs: number; readonly burstTokens: number};
 
-/** Token bucket that starts empty, since an earlier life of the instance may have spent its burst. */
+/** Token bucket. It starts with `level` tokens and not with its burst, which an earlier life of the instance may have spent. */
 export class QuotaShare {
-	private level = 0;
-
-	constructor(private size: ShareSize, private filledAt: MonotonicMs) {}
+	constructor(private size: ShareSize, private filledAt: MonotonicMs, private level = 0) {}
 
 	/** Takes `tokens` when they are there. */
 	charge(tokens: number, now: MonotonicMs): boolean {
