--- a/src/quota/quota-lending/index.ts
+++ b/src/quota/quota-lending/index.ts
@@ -136,8 +136,9 @@
 		const instances = Math.max(1, this.options.countInstances());
 		let record = this.records.get(id);
 		if (record === undefined) {
+			const level = this.options.tolerance.extraTokens * startShare / instances;
 			record = {
-				share: new QuotaShare(this.divideQuota(quota, instances), now, this.options.tolerance.extraTokens * startShare / instances), quota, instances, dryUntil: 0,
+				share: new QuotaShare(this.divideQuota(quota, instances), now, level), quota, instances, dryUntil: 0,
 			};
 			this.records.set(id, record);
 		} else if (record.instances !== instances || !equalsQuota(record.quota, quota)) {
