--- a/src/forwarding/call-session/index.ts
+++ b/src/forwarding/call-session/index.ts
@@ -259,7 +259,7 @@
 		this.endAttempt(attempt);
 		if (stage === 'notSent') {
 			attempt.target.noteUnreachable(this.readNow());
-			this.goOn('notRun', error.message, attempt);
+			this.goOn('notSent', error.message, attempt);
 			return;
 		}
 
--- a/src/forwarding/plan-next-step/index.ts
+++ b/src/forwarding/plan-next-step/index.ts
@@ -3,10 +3,10 @@
 import type {ResultName} from '../../results/result-codes/index.js';
 
 /**
- * How an attempt failed. `notRun`: the target stated it or no byte was sent; `unknown`: the target may have
- * run the call; `broken`: the answer broke off after its first bytes had been passed on.
+ * How an attempt failed. `notSent`: no byte was sent; `notRun`: the target stated it; `unknown`: the target may
+ * have run the call; `broken`: the answer broke off after its first bytes had been passed on.
  */
-export type AttemptFailure = 'notRun' | 'unknown' | 'broken';
+export type AttemptFailure = 'notSent' | 'notRun' | 'unknown' | 'broken';
 
 /** What the decision rests on. */
 export type NextStepQuery = {
@@ -34,9 +34,10 @@
 
 /** Plans the step after a failed attempt. */
 export function planNextStep(query: NextStepQuery): NextStep {
-	const isSafe = query.failure === 'notRun' || (query.isRepeatable && query.runs < query.maximumRuns);
+	const isSafe = isNotRun(query.failure) || (query.isRepeatable && query.runs < query.maximumRuns);
 	const hasTime = query.remainingMs > shortestAttemptMs && query.attempts < maximumAttempts;
-	if (isSafe && hasTime && query.takeRetry()) {
+	// What was never sent is no load on the service, so that sending it elsewhere needs no retry.
+	if (isSafe && hasTime && (query.failure === 'notSent' || query.takeRetry())) {
 		return {type: 'retry'};
 	}
 
@@ -48,5 +49,9 @@
 		return 'streamBroken';
 	}
 
-	return failure === 'notRun' && runs === 0 ? 'targetRefused' : 'outcomeUnknown';
+	return isNotRun(failure) && runs === 0 ? 'targetRefused' : 'outcomeUnknown';
+}
+
+function isNotRun(failure: AttemptFailure): boolean {
+	return failure === 'notSent' || failure === 'notRun';
 }
--- a/src/forwarding/plan-next-step/test.ts
+++ b/src/forwarding/plan-next-step/test.ts
@@ -47,3 +47,8 @@
 test('names an answer that broke off', () => {
 	expect(planNextStep(createQuery({failure: 'broken', runs: 1}))).toEqual({type: 'give up', result: 'streamBroken'});
 });
+
+test('replays a crashed target while the retry budget is empty: calls that were never sent go to another target', () => {
+	expect(planNextStep(createQuery({failure: 'notSent', takeRetry: () => false})).type).toEqual('retry');
+	expect(planNextStep(createQuery({failure: 'notSent', attempts: 4, takeRetry: () => false}))).toEqual({type: 'give up', result: 'targetRefused'});
+});
