--- a/src/bench/measure-configuration/index.ts
+++ b/src/bench/measure-configuration/index.ts
@@ -15,7 +15,7 @@
 import VError from 'verror';
 import {fetchJson} from '../../http/fetch-json/index.js';
 import {hashKey} from '../../keys/hash-key/index.js';
-import {HttpObjectApi} from '../../platform/http-object-api/index.js';
+import {HttpObjectApi} from '../../store/http-object-api/index.js';
 import {reservePorts} from '../../process/reserve-ports/index.js';
 import {startProcess, type StartedProcess} from '../../process/start-process/index.js';
 import {
--- a/src/bench/measure-router-cost/index.ts
+++ b/src/bench/measure-router-cost/index.ts
@@ -17,7 +17,7 @@
 import {Pool} from 'undici';
 import VError from 'verror';
 import {createDemoResources, demoSecrets} from '../../demo/create-demo-resources/index.js';
-import {HttpObjectApi} from '../../platform/http-object-api/index.js';
+import {HttpObjectApi} from '../../store/http-object-api/index.js';
 import {reservePorts} from '../../process/reserve-ports/index.js';
 import {startProcess, type StartedProcess} from '../../process/start-process/index.js';
 import {collectionByKind, formatObjectName} from '../../resources/schemas/index.js';
--- a/src/bench/start-fleet/index.ts
+++ b/src/bench/start-fleet/index.ts
@@ -6,7 +6,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {request} from 'undici';
 import {hashKey} from '../../keys/hash-key/index.js';
-import {HttpObjectApi} from '../../platform/http-object-api/index.js';
+import {HttpObjectApi} from '../../store/http-object-api/index.js';
 import type {PlacementStrategy} from '../../placement/create-placement/index.js';
 import {reservePorts} from '../../process/reserve-ports/index.js';
 import {startProcess, type StartedProcess} from '../../process/start-process/index.js';
--- a/src/bin/standin.ts
+++ b/src/bin/standin.ts
@@ -9,7 +9,7 @@
 	boolean, command, flag, multioption, number, option, optional, run, string, subcommands, array,
 } from 'cmd-ts';
 import {parseAddress} from '../http/parse-address/index.js';
-import {MemoryObjectApi} from '../platform/memory-object-api/index.js';
+import {MemoryObjectApi} from '../store/memory-object-api/index.js';
 import {EngineServer} from '../standin/engine-server/index.js';
 import {createInstanceListServer} from '../standin/instance-list-server/index.js';
 import {createObjectApiServer} from '../standin/object-api-server/index.js';
--- a/src/budget/budget-ledger/index.ts
+++ b/src/budget/budget-ledger/index.ts
@@ -7,7 +7,7 @@
 import type {
 	FencingNumber, Incarnation, InstanceId, OrganisationId, ResourceVersion,
 } from '../../identity/ids/index.js';
-import {ObjectApiError, type ObjectApi, type StoredObject} from '../../platform/object-api/index.js';
+import {ObjectApiError, type ObjectApi, type StoredObject} from '../../store/object-api/index.js';
 import {partCount, slotCount} from '../budget-timings/index.js';
 
 /** Collection of the ledger. */
--- a/src/budget/budget-tenure/index.ts
+++ b/src/budget/budget-tenure/index.ts
@@ -15,7 +15,7 @@
 import {Lease} from '../../leases/lease/index.js';
 import type {EventLogger} from '../../logging/create-logger/index.js';
 import type {MemberView} from '../../membership/member/index.js';
-import type {ObjectApi} from '../../platform/object-api/index.js';
+import type {ObjectApi} from '../../store/object-api/index.js';
 import {
 	BudgetLedger, findSlot, freePart, newPart, removeOwner, selectHandovers, scoreCandidate, type LedgerOwner, type LedgerRecord, type LedgerSnapshot,
 	type PartHandover,
--- a/src/budget/fleet-budget/index.ts
+++ b/src/budget/fleet-budget/index.ts
@@ -12,7 +12,7 @@
 import type {EventLogger} from '../../logging/create-logger/index.js';
 import type {MemberView} from '../../membership/member/index.js';
 import type {PeerCaller, PeerMethodRegistry} from '../../peers/peer-caller/index.js';
-import type {ObjectApi} from '../../platform/object-api/index.js';
+import type {ObjectApi} from '../../store/object-api/index.js';
 import {createRouterError, type RouterError} from '../../results/create-router-error/index.js';
 import {BudgetAccount, type Waiter} from '../budget-account/index.js';
 import {BudgetExchanger} from '../budget-exchanger/index.js';
--- a/src/budget/simulated-fleet/index.ts
+++ b/src/budget/simulated-fleet/index.ts
@@ -10,7 +10,7 @@
 import type {EventLogger} from '../../logging/create-logger/index.js';
 import type {Member, MemberView} from '../../membership/member/index.js';
 import type {PeerCaller} from '../../peers/peer-caller/index.js';
-import {MemoryObjectApi} from '../../platform/memory-object-api/index.js';
+import {MemoryObjectApi} from '../../store/memory-object-api/index.js';
 import {exchangeMethod, type ExchangeAnswer, type ExchangeRequest} from '../budget-exchange/index.js';
 import type {BudgetGate} from '../budget-gate/index.js';
 import type {Random} from '../create-random/index.js';
--- a/src/budget/simulated-node/index.ts
+++ b/src/budget/simulated-node/index.ts
@@ -9,7 +9,7 @@
 import type {PeerMethodHandler} from '../../peers/peer-caller/index.js';
 import {
 	ObjectApiError, type ObjectApi, type ObjectList, type StoredObject, type WatchEvent,
-} from '../../platform/object-api/index.js';
+} from '../../store/object-api/index.js';
 import type {BudgetGate} from '../budget-gate/index.js';
 import type {Random} from '../create-random/index.js';
 
--- a/src/cli/apply-resources/index.ts
+++ b/src/cli/apply-resources/index.ts
@@ -2,7 +2,7 @@
 
 import {isDeepStrictEqual} from 'node:util';
 import type {ResourceVersion} from '../../identity/ids/index.js';
-import {ObjectApiError, type ObjectApi, type StoredObject} from '../../platform/object-api/index.js';
+import {ObjectApiError, type ObjectApi, type StoredObject} from '../../store/object-api/index.js';
 import {
 	collectionByKind, formatObjectName, type Resource, type ResourceKind,
 } from '../../resources/schemas/index.js';
--- a/src/cli/apply-resources/test.ts
+++ b/src/cli/apply-resources/test.ts
@@ -5,7 +5,7 @@
 import {FaultyObjectApi} from '../../fixtures/faulty-object-api/index.js';
 import type {ResourceVersion} from '../../identity/ids/index.js';
 import {hashKey} from '../../keys/hash-key/index.js';
-import {MemoryObjectApi} from '../../platform/memory-object-api/index.js';
+import {MemoryObjectApi} from '../../store/memory-object-api/index.js';
 import {convertToCliError} from '../cli-error/index.js';
 import {createKey, withdrawKey} from '../create-key/index.js';
 import {applyResource} from './index.js';
--- a/src/cli/apply/index.ts
+++ b/src/cli/apply/index.ts
@@ -3,7 +3,7 @@
 import {
 	command, number, option, restPositionals, string,
 } from 'cmd-ts';
-import type {ObjectApi} from '../../platform/object-api/index.js';
+import type {ObjectApi} from '../../store/object-api/index.js';
 import {
 	formatStatusName, isAccepted, statusCollection, type ResourceStatus,
 } from '../../configuration/resource-status/index.js';
--- a/src/cli/cli-error/index.ts
+++ b/src/cli/cli-error/index.ts
@@ -1,6 +1,6 @@
 /** Failures of the command-line tool and their exit codes. */
 
-import {ObjectApiError, type ObjectApiFailure} from '../../platform/object-api/index.js';
+import {ObjectApiError, type ObjectApiFailure} from '../../store/object-api/index.js';
 import {RouterError} from '../../results/create-router-error/index.js';
 
 /** Exit codes; docs/cli.md has the table. A wrong command line ends with 1. */
--- a/src/cli/cli-error/test.ts
+++ b/src/cli/cli-error/test.ts
@@ -5,7 +5,7 @@
 import {describe, test} from 'node:test';
 import {fileURLToPath} from 'node:url';
 import {expect} from 'earl';
-import {MemoryObjectApi} from '../../platform/memory-object-api/index.js';
+import {MemoryObjectApi} from '../../store/memory-object-api/index.js';
 import {locateProgram} from '../../process/start-process/index.js';
 import {createObjectApiServer} from '../../standin/object-api-server/index.js';
 
--- a/src/cli/cli-options/index.ts
+++ b/src/cli/cli-options/index.ts
@@ -3,8 +3,8 @@
 import {
 	oneOf, option, string,
 } from 'cmd-ts';
-import {HttpObjectApi} from '../../platform/http-object-api/index.js';
-import type {ObjectApi} from '../../platform/object-api/index.js';
+import {HttpObjectApi} from '../../store/http-object-api/index.js';
+import type {ObjectApi} from '../../store/object-api/index.js';
 import {collectionByKind, type ResourceKind} from '../../resources/schemas/index.js';
 import {CliError} from '../cli-error/index.js';
 import {formatJson} from '../format-table/index.js';
--- a/src/cli/create-key/index.ts
+++ b/src/cli/create-key/index.ts
@@ -2,7 +2,7 @@
 
 import {randomBytes} from 'node:crypto';
 import {hashKey} from '../../keys/hash-key/index.js';
-import {ObjectApiError, type ObjectApi} from '../../platform/object-api/index.js';
+import {ObjectApiError, type ObjectApi} from '../../store/object-api/index.js';
 import {
 	collectionByKind, formatObjectName, keySchema, type KeyResource,
 } from '../../resources/schemas/index.js';
--- a/src/cli/delete/index.ts
+++ b/src/cli/delete/index.ts
@@ -4,7 +4,7 @@
 	command, option, optional, positional, string,
 } from 'cmd-ts';
 import type {ResourceVersion} from '../../identity/ids/index.js';
-import {ObjectApiError, type ObjectApi} from '../../platform/object-api/index.js';
+import {ObjectApiError, type ObjectApi} from '../../store/object-api/index.js';
 import {readObject} from '../apply-resources/index.js';
 import {CliError, runCommand} from '../cli-error/index.js';
 import {apiOption, parseCollection, useObjectApi} from '../cli-options/index.js';
--- a/src/cli/get/index.ts
+++ b/src/cli/get/index.ts
@@ -3,7 +3,7 @@
 import {
 	command, optional, positional, string,
 } from 'cmd-ts';
-import type {StoredObject} from '../../platform/object-api/index.js';
+import type {StoredObject} from '../../store/object-api/index.js';
 import {runCommand} from '../cli-error/index.js';
 import {
 	apiOption, outputOption, parseCollection, printOutput, useObjectApi,
--- a/src/cli/watch/index.ts
+++ b/src/cli/watch/index.ts
@@ -3,7 +3,7 @@
 import {command, positional, string} from 'cmd-ts';
 import type {ResourceVersion} from '../../identity/ids/index.js';
 import {statusCollection} from '../../configuration/resource-status/index.js';
-import {ObjectApiError, type ObjectApi, type WatchEvent} from '../../platform/object-api/index.js';
+import {ObjectApiError, type ObjectApi, type WatchEvent} from '../../store/object-api/index.js';
 import {runCommand} from '../cli-error/index.js';
 import {
 	apiOption, outputOption, parseCollection, useObjectApi,
--- a/src/configuration/build-statuses/index.ts
+++ b/src/configuration/build-statuses/index.ts
@@ -2,7 +2,7 @@
 
 import type {Revision} from '../../identity/ids/index.js';
 import {formatProblem, type ResourceProblem} from '../../names/resource-problem/index.js';
-import type {StoredObject} from '../../platform/object-api/index.js';
+import type {StoredObject} from '../../store/object-api/index.js';
 import {collectionByKind} from '../../resources/schemas/index.js';
 import {
 	formatStatusName, isAccepted, type InForce, type ResourceStatus, type StatusCondition, type SummaryStatus,
--- a/src/configuration/check-resources/index.ts
+++ b/src/configuration/check-resources/index.ts
@@ -1,6 +1,6 @@
 /** Checks stored objects as one whole: each against its schema, then all together. */
 
-import type {StoredObject} from '../../platform/object-api/index.js';
+import type {StoredObject} from '../../store/object-api/index.js';
 import {
 	collectionByKind, formatObjectName, schemaByKind, type Resource, type ResourceKind,
 } from '../../resources/schemas/index.js';
--- a/src/configuration/configuration-acceptor/index.ts
+++ b/src/configuration/configuration-acceptor/index.ts
@@ -13,7 +13,7 @@
 import type {EventLogger} from '../../logging/create-logger/index.js';
 import type {MemberView} from '../../membership/member/index.js';
 import {formatProblem, type ResourceProblem} from '../../names/resource-problem/index.js';
-import type {ObjectApi, StoredObject} from '../../platform/object-api/index.js';
+import type {ObjectApi, StoredObject} from '../../store/object-api/index.js';
 import type {RandomSource} from '../../random/random-source/index.js';
 import {buildStatuses, buildSummary, type StatusInput} from '../build-statuses/index.js';
 import {checkResources} from '../check-resources/index.js';
--- a/src/configuration/configuration-follower/index.ts
+++ b/src/configuration/configuration-follower/index.ts
@@ -13,7 +13,7 @@
 import {noRevision} from '../../membership/membership/index.js';
 import type {MemberView} from '../../membership/member/index.js';
 import type {PeerCaller, PeerMethodRegistry} from '../../peers/peer-caller/index.js';
-import type {ObjectApi} from '../../platform/object-api/index.js';
+import type {ObjectApi} from '../../store/object-api/index.js';
 import type {RandomSource} from '../../random/random-source/index.js';
 import {createRouterError} from '../../results/create-router-error/index.js';
 import {chooseAhead} from '../choose-ahead/index.js';
--- a/src/configuration/head-store/index.ts
+++ b/src/configuration/head-store/index.ts
@@ -4,7 +4,7 @@
  */
 
 import type {MonotonicMs, ResourceVersion, Revision} from '../../identity/ids/index.js';
-import {ObjectApiError, type ObjectApi, type StoredObject} from '../../platform/object-api/index.js';
+import {ObjectApiError, type ObjectApi, type StoredObject} from '../../store/object-api/index.js';
 import type {ConfigurationData} from '../configuration/index.js';
 import {
 	configurationCollection, extractPartHash, formatPartName, hashParts, headName, headSchema,
--- a/src/configuration/offer/index.ts
+++ b/src/configuration/offer/index.ts
@@ -1,6 +1,6 @@
 /** Sources that offer a head and its parts: the object API and peers. */
 
-import {ObjectApiError, type ObjectApi} from '../../platform/object-api/index.js';
+import {ObjectApiError, type ObjectApi} from '../../store/object-api/index.js';
 import {
 	configurationCollection, formatPartName, headName, headSchema, type ConfigurationHead, type PartHash,
 } from '../configuration-head/index.js';
--- a/src/configuration/resource-mirror/index.ts
+++ b/src/configuration/resource-mirror/index.ts
@@ -1,7 +1,7 @@
 /** Copies of the six collections that operators write. */
 
-import {CollectionMirror, type CollectionMirrorOptions} from '../../platform/collection-mirror/index.js';
-import type {StoredObject} from '../../platform/object-api/index.js';
+import {CollectionMirror, type CollectionMirrorOptions} from '../../store/collection-mirror/index.js';
+import type {StoredObject} from '../../store/object-api/index.js';
 import {collectionByKind} from '../../resources/schemas/index.js';
 
 /** One mirror per collection. */
--- a/src/configuration/status-writer/index.ts
+++ b/src/configuration/status-writer/index.ts
@@ -6,7 +6,7 @@
 import type {Clock} from '../../clock/clock/index.js';
 import type {ResourceVersion} from '../../identity/ids/index.js';
 import type {EventLogger} from '../../logging/create-logger/index.js';
-import {ObjectApiError, type ObjectApi} from '../../platform/object-api/index.js';
+import {ObjectApiError, type ObjectApi} from '../../store/object-api/index.js';
 import type {ConfigurationMetrics} from '../configuration-metrics/index.js';
 import {
 	statusCollection, summaryName, type ResourceStatus, type SummaryStatus,
--- a/src/configuration/store-watcher/index.ts
+++ b/src/configuration/store-watcher/index.ts
@@ -5,8 +5,8 @@
 import type {ContactMonitor} from '../../keys/contact-monitor/index.js';
 import type {EventLogger} from '../../logging/create-logger/index.js';
 import type {MemberView} from '../../membership/member/index.js';
-import {CollectionMirror} from '../../platform/collection-mirror/index.js';
-import type {ObjectApi} from '../../platform/object-api/index.js';
+import {CollectionMirror} from '../../store/collection-mirror/index.js';
+import type {ObjectApi} from '../../store/object-api/index.js';
 import type {RandomSource} from '../../random/random-source/index.js';
 import {chooseWatchers} from '../choose-watchers/index.js';
 import {
--- a/src/configuration/withdraw-keys/index.ts
+++ b/src/configuration/withdraw-keys/index.ts
@@ -4,7 +4,7 @@
  */
 
 import {collectionByKind} from '../../resources/schemas/index.js';
-import type {StoredObject} from '../../platform/object-api/index.js';
+import type {StoredObject} from '../../store/object-api/index.js';
 import type {ConfigurationData, ResolvedKey} from '../configuration/index.js';
 
 /** Returns `accepted` with every key marked withdrawn whose object is withdrawn, deleted or has another secret. */
--- a/src/daemon/admin-server/test.ts
+++ b/src/daemon/admin-server/test.ts
@@ -3,7 +3,7 @@
 import {request} from 'undici';
 import {createDemoResources, demoSecrets} from '../../demo/create-demo-resources/index.js';
 import {hashKey} from '../../keys/hash-key/index.js';
-import {MemoryObjectApi} from '../../platform/memory-object-api/index.js';
+import {MemoryObjectApi} from '../../store/memory-object-api/index.js';
 import {reservePorts} from '../../process/reserve-ports/index.js';
 import {collectionByKind, formatObjectName} from '../../resources/schemas/index.js';
 import {createObjectApiServer} from '../../standin/object-api-server/index.js';
--- a/src/daemon/create-core/index.ts
+++ b/src/daemon/create-core/index.ts
@@ -10,8 +10,8 @@
 import {Membership, type MemberIdentity} from '../../membership/membership/index.js';
 import {PeerClient} from '../../peers/peer-client/index.js';
 import {PeerServer} from '../../peers/peer-server/index.js';
-import {HttpInstanceList} from '../../platform/http-instance-list/index.js';
-import {HttpObjectApi} from '../../platform/http-object-api/index.js';
+import {HttpInstanceList} from '../../store/http-instance-list/index.js';
+import {HttpObjectApi} from '../../store/http-object-api/index.js';
 import {RandomSource} from '../../random/random-source/index.js';
 import {DaemonParts} from '../daemon-parts/index.js';
 import {DaemonMetrics} from '../metrics/index.js';
--- a/src/daemon/register-configuration-parts/test.ts
+++ b/src/daemon/register-configuration-parts/test.ts
@@ -10,7 +10,7 @@
 import {withdrawKey} from '../../cli/create-key/index.js';
 import {createKey, createOrganisation} from '../../fixtures/create-resources/index.js';
 import {hashKey} from '../../keys/hash-key/index.js';
-import {HttpObjectApi} from '../../platform/http-object-api/index.js';
+import {HttpObjectApi} from '../../store/http-object-api/index.js';
 import {reservePorts} from '../../process/reserve-ports/index.js';
 import {startProcess, type StartedProcess} from '../../process/start-process/index.js';
 import {collectionByKind, formatObjectName} from '../../resources/schemas/index.js';
--- a/src/daemon/start-daemon/index.ts
+++ b/src/daemon/start-daemon/index.ts
@@ -10,7 +10,7 @@
 import {registerTargetController} from '../../orders/register-target-controller/index.js';
 import {HttpEngineClient} from '../../targets/http-engine-client/index.js';
 import {LeavingTargets} from '../../targets/leaving-targets/index.js';
-import {HttpInstanceList} from '../../platform/http-instance-list/index.js';
+import {HttpInstanceList} from '../../store/http-instance-list/index.js';
 import {TargetDirectory} from '../../targets/target-directory/index.js';
 import {createCore, type DaemonCore} from '../create-core/index.js';
 import {createRequestPath} from '../create-request-path/index.js';
--- a/src/demo/run-demo/index.ts
+++ b/src/demo/run-demo/index.ts
@@ -9,7 +9,7 @@
 import process from 'node:process';
 import {request} from 'undici';
 import VError from 'verror';
-import {HttpObjectApi} from '../../platform/http-object-api/index.js';
+import {HttpObjectApi} from '../../store/http-object-api/index.js';
 import {reservePorts} from '../../process/reserve-ports/index.js';
 import {startProcess, type StartedProcess} from '../../process/start-process/index.js';
 import {collectionByKind, formatObjectName} from '../../resources/schemas/index.js';
--- a/src/gateway/gateway-feeds/test.ts
+++ b/src/gateway/gateway-feeds/test.ts
@@ -9,7 +9,7 @@
 import {quietLogger} from '../../logging/quiet-logger/index.js';
 import type {Member} from '../../membership/member/index.js';
 import {FakePeerNetwork} from '../../peers/fake-peer-network/index.js';
-import {MemoryObjectApi} from '../../platform/memory-object-api/index.js';
+import {MemoryObjectApi} from '../../store/memory-object-api/index.js';
 import {RandomSource} from '../../random/random-source/index.js';
 import type {PlatformAdapter, WeightsNotice} from '../platform-adapter/index.js';
 import {GatewayFeeds} from './index.js';
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -22,7 +22,7 @@
 import type {Member} from '../../membership/member/index.js';
 import {PeerClient} from '../../peers/peer-client/index.js';
 import {PeerServer} from '../../peers/peer-server/index.js';
-import {RelayedObjectApi} from '../../platform/relayed-object-api/index.js';
+import {RelayedObjectApi} from '../../store/relayed-object-api/index.js';
 import {QuotaLending} from '../../quota/quota-lending/index.js';
 import type {RandomSource} from '../../random/random-source/index.js';
 import {RolloutController, rolloutLeaseMs, rolloutLeaseName} from '../../rollout/rollout-controller/index.js';
--- a/src/gateway/instance-registry/index.ts
+++ b/src/gateway/instance-registry/index.ts
@@ -3,8 +3,8 @@
 import type {Clock} from '../../clock/clock/index.js';
 import type {InstanceId} from '../../identity/ids/index.js';
 import type {EventLogger} from '../../logging/create-logger/index.js';
-import type {InstanceList, ListedInstance} from '../../platform/instance-list/index.js';
-import {ObjectApiError, type ObjectApi} from '../../platform/object-api/index.js';
+import type {InstanceList, ListedInstance} from '../../store/instance-list/index.js';
+import {ObjectApiError, type ObjectApi} from '../../store/object-api/index.js';
 
 /** What the registry needs. */
 export type InstanceRegistryOptions = {
--- a/src/gateway/platform-adapter/index.ts
+++ b/src/gateway/platform-adapter/index.ts
@@ -1,7 +1,7 @@
 /** What the gateway needs from the adapter to a platform. */
 
 import type {InstanceId, DataCentreId} from '../../identity/ids/index.js';
-import type {ObjectApi, StoredObject} from '../../platform/object-api/index.js';
+import type {ObjectApi, StoredObject} from '../../store/object-api/index.js';
 import type {TargetProtocol} from '../../forwarding/call-types/index.js';
 import type {TargetDescription} from '../../fleet/fleet-target/index.js';
 import type {EngineCommander} from '../../rollout/rollout-controller/index.js';
--- a/src/leases/lease/index.ts
+++ b/src/leases/lease/index.ts
@@ -10,7 +10,7 @@
 import type {
 	FencingNumber, Incarnation, MonotonicMs, ResourceVersion,
 } from '../../identity/ids/index.js';
-import {ObjectApiError, type ObjectApi, type StoredObject} from '../../platform/object-api/index.js';
+import {ObjectApiError, type ObjectApi, type StoredObject} from '../../store/object-api/index.js';
 
 /** Collection of all leases. */
 export const leaseCollection = 'leases';
--- a/src/leases/lease/test.ts
+++ b/src/leases/lease/test.ts
@@ -2,7 +2,7 @@
 import {expect} from 'earl';
 import {ManualClock} from '../../clock/manual-clock/index.js';
 import type {Incarnation} from '../../identity/ids/index.js';
-import {MemoryObjectApi} from '../../platform/memory-object-api/index.js';
+import {MemoryObjectApi} from '../../store/memory-object-api/index.js';
 import {
 	Lease, leaseCollection, type LeaseOptions, type LeaseRecord,
 } from './index.js';
--- a/src/membership/membership/index.ts
+++ b/src/membership/membership/index.ts
@@ -8,7 +8,7 @@
 import type {EventLogger} from '../../logging/create-logger/index.js';
 import type {PeerMethodRegistry} from '../../peers/peer-caller/index.js';
 import type {AddressCaller} from '../../peers/peer-client/index.js';
-import type {InstanceList} from '../../platform/instance-list/index.js';
+import type {InstanceList} from '../../store/instance-list/index.js';
 import type {RandomSource} from '../../random/random-source/index.js';
 import {chooseHeartbeatPeers} from '../choose-heartbeat-peers/index.js';
 import {createIncarnation} from '../create-incarnation/index.js';
--- a/src/membership/membership/test.ts
+++ b/src/membership/membership/test.ts
@@ -8,7 +8,7 @@
 import {InvariantChecker} from '../../invariants/invariant-checker/index.js';
 import {createLogger} from '../../logging/create-logger/index.js';
 import {FakePeerNetwork} from '../../peers/fake-peer-network/index.js';
-import type {ListedInstance} from '../../platform/instance-list/index.js';
+import type {ListedInstance} from '../../store/instance-list/index.js';
 import {RandomSource} from '../../random/random-source/index.js';
 import {Membership} from './index.js';
 
--- a/src/orders/plan-orders/test.ts
+++ b/src/orders/plan-orders/test.ts
@@ -2,7 +2,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {expect} from 'earl';
 import {fetchJson} from '../../http/fetch-json/index.js';
-import {HttpObjectApi} from '../../platform/http-object-api/index.js';
+import {HttpObjectApi} from '../../store/http-object-api/index.js';
 import {Cluster} from '../../process/cluster/index.js';
 import {startLoad} from '../../process/cluster-caller/index.js';
 import type {ModelResource} from '../../resources/schemas/index.js';
--- a/src/orders/target-controller/test.ts
+++ b/src/orders/target-controller/test.ts
@@ -8,8 +8,8 @@
 import {InvariantChecker} from '../../invariants/invariant-checker/index.js';
 import {Lease} from '../../leases/lease/index.js';
 import {createLogger} from '../../logging/create-logger/index.js';
-import {MemoryObjectApi} from '../../platform/memory-object-api/index.js';
-import {ObjectApiError, type ObjectApi} from '../../platform/object-api/index.js';
+import {MemoryObjectApi} from '../../store/memory-object-api/index.js';
+import {ObjectApiError, type ObjectApi} from '../../store/object-api/index.js';
 import type {EngineModelState, EngineOrder, EngineState} from '../../targets/engine-client/index.js';
 import {
 	TargetController, controllerLeaseMs, controllerLeaseName, orderTtlMs, type OrderedEngine,
--- a/src/process/cluster/index.ts
+++ b/src/process/cluster/index.ts
@@ -6,7 +6,7 @@
 import VError from 'verror';
 import {request} from 'undici';
 import {createDemoResources} from '../../demo/create-demo-resources/index.js';
-import {HttpObjectApi} from '../../platform/http-object-api/index.js';
+import {HttpObjectApi} from '../../store/http-object-api/index.js';
 import {collectionByKind, formatObjectName} from '../../resources/schemas/index.js';
 import {reservePorts} from '../reserve-ports/index.js';
 import {startProcess, type ProgramName, type StartedProcess} from '../start-process/index.js';
--- a/src/requests/idempotency-records/index.ts
+++ b/src/requests/idempotency-records/index.ts
@@ -9,7 +9,7 @@
 import type {
 	Branded, OrganisationId, ResourceVersion, RouteId, WallMs,
 } from '../../identity/ids/index.js';
-import {ObjectApiError, type ObjectApi, type StoredObject} from '../../platform/object-api/index.js';
+import {ObjectApiError, type ObjectApi, type StoredObject} from '../../store/object-api/index.js';
 import {createRouterError, RouterError} from '../../results/create-router-error/index.js';
 import {calculateBackoff} from '../calculate-backoff/index.js';
 import type {RequestMetrics} from '../request-metrics/index.js';
--- a/src/requests/serve-completion/test.ts
+++ b/src/requests/serve-completion/test.ts
@@ -4,7 +4,7 @@
 import {parseSettings} from '../../daemon/settings/index.js';
 import {startDaemon, type Daemon} from '../../daemon/start-daemon/index.js';
 import {createDemoResources, demoSecrets} from '../../demo/create-demo-resources/index.js';
-import {MemoryObjectApi} from '../../platform/memory-object-api/index.js';
+import {MemoryObjectApi} from '../../store/memory-object-api/index.js';
 import {reservePorts} from '../../process/reserve-ports/index.js';
 import {collectionByKind, formatObjectName} from '../../resources/schemas/index.js';
 import {callCompletion, type CompletionOutcome, type CompletionQuery} from '../../standin/call-completion/index.js';
--- a/src/rollout/rollout-controller/test.ts
+++ b/src/rollout/rollout-controller/test.ts
@@ -7,7 +7,7 @@
 import type {Incarnation} from '../../identity/ids/index.js';
 import {Lease} from '../../leases/lease/index.js';
 import {quietLogger} from '../../logging/quiet-logger/index.js';
-import {MemoryObjectApi} from '../../platform/memory-object-api/index.js';
+import {MemoryObjectApi} from '../../store/memory-object-api/index.js';
 import {
 	RolloutController, rolloutLeaseMs, type EngineCommander, type OrderOutcome, type WeightsOrder,
 } from './index.js';
--- a/src/standin/instance-list-server/index.ts
+++ b/src/standin/instance-list-server/index.ts
@@ -3,7 +3,7 @@
 import {createServer, type Server} from 'node:http';
 import {readJsonBody} from '../../http/read-body/index.js';
 import {sendJson} from '../../http/send-json/index.js';
-import type {ListedInstance} from '../../platform/instance-list/index.js';
+import type {ListedInstance} from '../../store/instance-list/index.js';
 
 const bodyLimitBytes = 1_000_000;
 
--- a/src/standin/local-fleet/index.ts
+++ b/src/standin/local-fleet/index.ts
@@ -10,7 +10,7 @@
 import {InvariantChecker} from '../../invariants/invariant-checker/index.js';
 import {hashKey} from '../../keys/hash-key/index.js';
 import {createLogger} from '../../logging/create-logger/index.js';
-import {MemoryObjectApi} from '../../platform/memory-object-api/index.js';
+import {MemoryObjectApi} from '../../store/memory-object-api/index.js';
 import {EngineGate} from '../../fairness/engine-gate/index.js';
 import {RoundRobinPlacement} from '../../placement/round-robin-placement/index.js';
 import {CallerServer} from '../../requests/caller-server/index.js';
--- a/src/standin/object-api-server/index.ts
+++ b/src/standin/object-api-server/index.ts
@@ -6,10 +6,10 @@
 import {readJsonBody} from '../../http/read-body/index.js';
 import {sendJson} from '../../http/send-json/index.js';
 import type {ResourceVersion} from '../../identity/ids/index.js';
-import {type MemoryObjectApi, maximumValueBytes, type ObjectApiFaults} from '../../platform/memory-object-api/index.js';
+import {type MemoryObjectApi, maximumValueBytes, type ObjectApiFaults} from '../../store/memory-object-api/index.js';
 import {
 	ObjectApiError, type ObjectApiFailure, type StoredObject, type WatchEvent,
-} from '../../platform/object-api/index.js';
+} from '../../store/object-api/index.js';
 
 const bookmarkIntervalMs = 1000;
 const msPerSecond = 1000;
--- a/src/standin/weight-store-server/test.ts
+++ b/src/standin/weight-store-server/test.ts
@@ -14,7 +14,7 @@
 import {Lease} from '../../leases/lease/index.js';
 import {createLogger} from '../../logging/create-logger/index.js';
 import {TargetController, controllerLeaseMs, controllerLeaseName} from '../../orders/target-controller/index.js';
-import {MemoryObjectApi} from '../../platform/memory-object-api/index.js';
+import {MemoryObjectApi} from '../../store/memory-object-api/index.js';
 import {HttpEngineClient} from '../../targets/http-engine-client/index.js';
 import {EngineServer} from '../engine-server/index.js';
 import {WeightStoreServer} from './index.js';
--- a/src/targets/leaving-targets/index.ts
+++ b/src/targets/leaving-targets/index.ts
@@ -1,7 +1,7 @@
 /** Targets that the platform's list or their own answers show as leaving. */
 
 import type {Clock} from '../../clock/clock/index.js';
-import type {InstanceList} from '../../platform/instance-list/index.js';
+import type {InstanceList} from '../../store/instance-list/index.js';
 
 /** Header by which a target says in any answer that it is leaving. */
 export const leavingHeader = 'x-target-leaving';
--- a/src/targets/leaving-targets/test.ts
+++ b/src/targets/leaving-targets/test.ts
@@ -11,7 +11,7 @@
 } from '../../identity/ids/index.js';
 import {sendJson} from '../../http/send-json/index.js';
 import {createLogger} from '../../logging/create-logger/index.js';
-import type {ListedInstance} from '../../platform/instance-list/index.js';
+import type {ListedInstance} from '../../store/instance-list/index.js';
 import {HttpEngineClient} from '../http-engine-client/index.js';
 import {TargetDirectory} from '../target-directory/index.js';
 import {LeavingTargets} from './index.js';
