--- a/src/fleet/choose-target/index.ts
+++ b/src/fleet/choose-target/index.ts
@@ -5,6 +5,9 @@
  * a few engines have the new weights. Every instance derives the same home of a prefix by rendezvous
  * hashing. Each usable target is rated by the work that waits there, the work that a missing prefix adds,
  * and a handicap for old weights, so that neither a hot prefix nor the first changed engines are buried.
+ *
+ * When engines are lost or bursts come, calls that fill an engine's memory push cached prefixes out, which
+ * are then computed again and keep the engine overloaded. So calls wait while every engine is full.
  */
 
 import type {DataCentreId, MonotonicMs} from '../../identity/ids/index.js';
@@ -25,6 +28,8 @@
 	readonly sharedPrefix: SharedPrefix | undefined;
 	/** Targets that probably hold the shared prefix for the weights that they have. */
 	readonly holders: ReadonlySet<FleetTarget>;
+	/** Memory that the call takes at an engine, and that an engine has; undefined for plain services. */
+	readonly memory: MemoryDemand | undefined;
 	/** Data centre of this instance. */
 	readonly dataCentre: DataCentreId;
 	/** From 0 up to, not including, 1. */
@@ -34,6 +39,11 @@
 /** A prompt prefix that calls share. */
 export type SharedPrefix = {readonly id: string; readonly tokens: number};
 
+/** Memory in tokens. */
+export type MemoryDemand = {readonly callTokens: number; readonly engineTokens: number};
+
+/** Part of an engine's memory that running calls may take; the rest keeps cached prefixes. */
+const runningShare = 0.8;
 /** Handicap of fetching the prefix from another target, in tokens: the time, and the memory that a copy takes. */
 const fetchTokens = 3000;
 /** Handicap of a target that is not the home of a prefix which nobody holds, in tokens. */
@@ -70,9 +80,9 @@
 	return sharedPrefix === undefined ? undefined : rankByPrefix(sharedPrefix.id, candidates)[0];
 }
 
-function listUsable({targets, excluded, model, named}: TargetQuery, now: MonotonicMs): FleetTarget[] {
+function listUsable({targets, excluded, model, named, memory}: TargetQuery, now: MonotonicMs): FleetTarget[] {
 	return targets.filter(target => {
-		if (excluded.has(target) || target.isCordoned(now)) {
+		if (excluded.has(target) || target.isCordoned(now) || !hasRoom(target, memory, now)) {
 			return false;
 		}
 
@@ -113,3 +123,13 @@
 
 	return sharedPrefix.tokens + (target === home ? 0 : strangerTokens);
 }
+
+/** Whether the call fits beside the running ones. A call that is too large for any engine is left to an idle one. */
+function hasRoom(target: FleetTarget, memory: MemoryDemand | undefined, now: MonotonicMs): boolean {
+	if (memory === undefined) {
+		return true;
+	}
+
+	const taken = target.measureMemory(now);
+	return taken === 0 || taken + memory.callTokens <= memory.engineTokens * runningShare;
+}
--- a/src/fleet/choose-target/test.ts
+++ b/src/fleet/choose-target/test.ts
@@ -15,7 +15,7 @@
 
 function createQuery(targets: readonly FleetTarget[], changes: Partial<TargetQuery> = {}): TargetQuery {
 	return {
-		targets, excluded: new Set(), model: testModel, named: undefined, sharedPrefix: undefined, holders: new Set(),
+		targets, excluded: new Set(), model: testModel, named: undefined, sharedPrefix: undefined, holders: new Set(), memory: undefined,
 		dataCentre: 'dc-1' as DataCentreId, draw: 0.5, ...changes,
 	};
 }
@@ -46,7 +46,7 @@
 	for (let index = 0; index < 60; index += 1) {
 		const chosen = chooseTarget(createQuery(targets, {draw: random.pickIndex(1000) / 1000}), at(0))!;
 		const {calls, prefillTokens} = chosen.readOwnLoad();
-		chosen.noteRemoteLoad(`i${index % 8}` as InstanceId, {calls: 0, prefillTokens: 0}, at(0));
+		chosen.noteRemoteLoad(`i${index % 8}` as InstanceId, {calls: 0, prefillTokens: 0, memoryTokens: 0}, at(0));
 		chosen.beginCall(800, at(0));
 		expect(calls * 800).toEqual(prefillTokens);
 	}
@@ -88,3 +88,26 @@
 	targets[1]!.noteUnreachable(at(0));
 	expect(chooseTarget(createQuery(targets), at(10)) === undefined).toEqual(false);
 });
+
+test('replays lost engines at high load: calls beyond the memory of all engines wait, and go on when one ends', () => {
+	const targets = createTargets(2);
+	const query = createQuery(targets, {memory: {callTokens: 9000, engineTokens: 100_000}});
+	const sent: Array<() => void> = [];
+	for (let target = chooseTarget(query, at(0)); target !== undefined; target = chooseTarget(query, at(0))) {
+		const chosen = target;
+		const call = chosen.beginCall(3000, at(0), 9000);
+		sent.push(() => {
+			chosen.endCall(call);
+		});
+	}
+
+	expect(sent.length).toEqual(16);
+	sent[0]!();
+	expect(chooseTarget(query, at(0)) === undefined).toEqual(false);
+	expect(chooseTarget({...query, memory: {callTokens: 800, engineTokens: 100_000}}, at(0)) === undefined).toEqual(false);
+});
+
+test('guards against a call that no engine could ever take: an idle one gets it', () => {
+	const targets = createTargets(1);
+	expect(chooseTarget(createQuery(targets, {memory: {callTokens: 90_000, engineTokens: 100_000}}), at(0)) === targets[0]).toEqual(true);
+});
--- a/src/fleet/fleet-target/index.ts
+++ b/src/fleet/fleet-target/index.ts
@@ -43,7 +43,13 @@
 const runningCallTokens = 400;
 
 /** Work at a target that one instance sent there. */
-export type TargetLoad = {readonly calls: number; readonly prefillTokens: number};
+export type TargetLoad = {
+	readonly calls: number;
+	/** Prompt tokens that the target has still to compute. */
+	readonly prefillTokens: number;
+	/** Tokens of memory that the calls take. */
+	readonly memoryTokens: number;
+};
 
 type RemoteLoad = TargetLoad & {readonly at: MonotonicMs};
 
@@ -52,6 +58,8 @@
 	readonly sentAt: MonotonicMs;
 	/** Prompt tokens that the target is expected to compute before its first answer. */
 	readonly prefillTokens: number;
+	/** Tokens of memory that the call takes at an engine. */
+	readonly memoryTokens: number;
 	hasAnswered: boolean;
 };
 
@@ -84,8 +92,10 @@
 		}
 	}
 
-	beginCall(prefillTokens: number, now: MonotonicMs): TargetCall {
-		const call: TargetCall = {sentAt: now, prefillTokens, hasAnswered: false};
+	beginCall(prefillTokens: number, now: MonotonicMs, memoryTokens = 0): TargetCall {
+		const call: TargetCall = {
+			sentAt: now, prefillTokens, memoryTokens, hasAnswered: false,
+		};
 		this.calls.add(call);
 		return call;
 	}
@@ -156,11 +166,13 @@
 	/** Work that this instance sent. */
 	readOwnLoad(): TargetLoad {
 		let prefillTokens = 0;
+		let memoryTokens = 0;
 		for (const call of this.calls) {
 			prefillTokens += call.hasAnswered ? 0 : call.prefillTokens;
+			memoryTokens += call.memoryTokens;
 		}
 
-		return {calls: this.calls.size, prefillTokens};
+		return {calls: this.calls.size, prefillTokens, memoryTokens};
 	}
 
 	/** Takes over what another instance reported. */
@@ -170,17 +182,26 @@
 
 	/** Work of all instances, in prompt tokens of equal effort. */
 	measureLoad(now: MonotonicMs): number {
-		const own = this.readOwnLoad();
-		let tokens = weighLoad(own);
+		return this.listLoads(now).reduce((sum, load) => sum + weighLoad(load), 0);
+	}
+
+	/** Tokens of memory that the calls of all instances take. */
+	measureMemory(now: MonotonicMs): number {
+		return this.listLoads(now).reduce((sum, load) => sum + load.memoryTokens, 0);
+	}
+
+	/** The own load and those of other instances that are recent. */
+	private listLoads(now: MonotonicMs): TargetLoad[] {
+		const loads: TargetLoad[] = [this.readOwnLoad()];
 		for (const [instance, load] of this.remoteLoads) {
 			if (now - load.at > remoteLoadMs) {
 				this.remoteLoads.delete(instance);
 			} else {
-				tokens += weighLoad(load);
+				loads.push(load);
 			}
 		}
 
-		return tokens;
+		return loads;
 	}
 }
 
--- a/src/fleet/load-exchange/index.ts
+++ b/src/fleet/load-exchange/index.ts
@@ -36,8 +36,8 @@
 	readonly listPeers: () => readonly Member[];
 };
 
-/** Target, calls in progress and prompt tokens not computed yet. */
-type LoadEntry = readonly [id: TargetId, calls: number, prefillTokens: number];
+/** Target, calls in progress, prompt tokens not computed yet and tokens of memory taken. */
+type LoadEntry = readonly [id: TargetId, calls: number, prefillTokens: number, memoryTokens: number];
 type LoadMessage = {readonly from: InstanceId; readonly loads: readonly LoadEntry[]; readonly prefixes: readonly PrefixUse[]};
 
 /** Sends own loads and takes over those of others. */
@@ -94,9 +94,9 @@
 	private listLoads(): LoadEntry[] {
 		const loads: LoadEntry[] = [];
 		for (const target of this.options.fleet.list()) {
-			const {calls, prefillTokens} = target.readOwnLoad();
+			const {calls, prefillTokens, memoryTokens} = target.readOwnLoad();
 			if (calls > 0 && loads.length < maximumEntries) {
-				loads.push([target.description.id, calls, prefillTokens]);
+				loads.push([target.description.id, calls, prefillTokens, memoryTokens]);
 			}
 		}
 
@@ -114,8 +114,8 @@
 			}
 
 			for (const target of fleet.list()) {
-				const [, calls = 0, prefillTokens = 0] = reported.get(target.description.id) ?? [];
-				target.noteRemoteLoad(from, {calls, prefillTokens}, now);
+				const [, calls = 0, prefillTokens = 0, memoryTokens = 0] = reported.get(target.description.id) ?? [];
+				target.noteRemoteLoad(from, {calls, prefillTokens, memoryTokens}, now);
 			}
 		} catch (error) {
 			logger.warn('load report ignored', {reason: (error as Error).message});
--- a/src/forwarding/call-session/index.ts
+++ b/src/forwarding/call-session/index.ts
@@ -29,6 +29,8 @@
 
 /** Time that a call waits for a target to become usable, as a part of its latency goal. */
 const waitShare = 0.6;
+/** Interval in which a waiting call looks for room, in milliseconds; shorter than that of the load reports. */
+const recheckMs = 60;
 /** Seconds until a caller may return when no target could take its call, before they are spread. */
 const retryAfterSeconds = 0.3;
 
@@ -140,7 +142,7 @@
 			return;
 		}
 
-		this.waiter.wait(waitUntil - now, () => {
+		this.waiter.wait(Math.min(recheckMs, waitUntil - now), () => {
 			this.tried.clear();
 			this.tryNext();
 		});
@@ -155,7 +157,7 @@
 		});
 		const attempt: Attempt = {
 			target, weightsVersion: options.weightsVersion, exchange: undefined, head: undefined, heardAt: now,
-			record: target.beginCall(this.hints.estimatePrefill(target, now), now),
+			record: target.beginCall(this.hints.estimatePrefill(target, now), now, this.hints.memoryTokens),
 		};
 		this.attempt = attempt;
 		this.attempts += 1;
--- a/src/forwarding/forwarding-context/index.ts
+++ b/src/forwarding/forwarding-context/index.ts
@@ -7,7 +7,9 @@
 import type {EventLogger} from '../../logging/create-logger/index.js';
 import type {NamedWeights} from '../../rollout/named-weights/index.js';
 import type {RetryBudget} from '../../requests/retry-budget/index.js';
-import type {CacheStore, CallerOrganisation, ServiceId} from '../../routing/routing-types/index.js';
+import type {
+	CacheStore, CallerOrganisation, Service, ServiceId,
+} from '../../routing/routing-types/index.js';
 import type {TargetProtocol} from '../call-types/index.js';
 import type {TargetExchange} from '../target-exchange/index.js';
 
@@ -43,6 +45,7 @@
 	/** Weights that were named for a model. */
 	readonly findNamedWeights: (model: string) => NamedWeights | undefined;
 	readonly findRetryBudget: (service: ServiceId) => RetryBudget;
+	readonly findService: (service: ServiceId) => Service | undefined;
 	readonly listCacheStores: () => readonly CacheStore[];
 	readonly report: (report: CallReport) => void;
 };
--- a/src/forwarding/prefix-hints/index.ts
+++ b/src/forwarding/prefix-hints/index.ts
@@ -23,6 +23,11 @@
 		this.sharedPrefix = findSharedPrefix(work);
 	}
 
+	/** Tokens of memory that the call takes at an engine. */
+	get memoryTokens(): number {
+		return this.work === undefined ? 0 : this.work.promptTokens + this.work.maximumOutputTokens;
+	}
+
 	/**
 	 * Name space of the call's cache entries at `target`: they hold for one version of the weights, and for
 	 * one organisation only if that is isolated. Undefined for calls of plain services.
--- a/src/forwarding/select-target/index.ts
+++ b/src/forwarding/select-target/index.ts
@@ -17,12 +17,16 @@
 /** Selects a target; undefined when none can take the call now. */
 export function selectTarget({session, tried, hints}: TargetSelection, context: ForwardingContext, now: MonotonicMs): FleetTarget | undefined {
 	const {work} = session.call;
+	const engineTokens = context.findService(session.service)?.engine?.memoryTokens;
 	const targets = context.fleet.listServing(session.service, now);
 	return chooseTarget({
 		targets,
 		excluded: tried,
 		model: work?.model,
 		named: work === undefined ? undefined : context.findNamedWeights(work.model),
+		memory: work === undefined || engineTokens === undefined
+			? undefined
+			: {callTokens: work.promptTokens + work.maximumOutputTokens, engineTokens},
 		sharedPrefix: hints.sharedPrefix,
 		holders: hints.selectHolders(targets, now),
 		dataCentre: context.dataCentre,
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -263,6 +263,7 @@
 			draw: () => random.pickIndex(drawSteps) / drawSteps,
 			findNamedWeights: model => this.weights.find(model),
 			findRetryBudget: service => this.retryBudgets.find(service),
+			findService: service => this.table?.findService(service),
 			listCacheStores: () => this.table?.configuration.cacheStores ?? [],
 			report(report) {
 				metrics.noteCall(report);
--- a/src/routing/routing-types/index.ts
+++ b/src/routing/routing-types/index.ts
@@ -64,7 +64,12 @@
 export type CacheStore = {readonly address: string; readonly dataCentre: DataCentreId};
 
 /** Properties of a service's engines. */
-export type EngineTraits = {readonly slots: number; readonly models: readonly string[]};
+export type EngineTraits = {
+	readonly slots: number;
+	/** Tokens that running calls and cached prefixes share. */
+	readonly memoryTokens: number;
+	readonly models: readonly string[];
+};
 
 /** A service and what is known of its targets in general. */
 export type Service = {
