--- /dev/null
+++ b/src/gateway/instance-registry/test.ts
@@ -0,0 +1,39 @@
+import {test} from 'node:test';
+import {expect} from 'earl';
+import {ManualClock} from '../../clock/manual-clock/index.js';
+import type {InstanceId} from '../../identity/ids/index.js';
+import {quietLogger} from '../../logging/quiet-logger/index.js';
+import {MemoryObjectApi} from '../../store/memory-object-api/index.js';
+import {InstanceRegistry} from './index.js';
+
+function createRegistry(objectApi: MemoryObjectApi, clock: ManualClock, name: string): InstanceRegistry {
+	return new InstanceRegistry({
+		objectApi, collection: 'instances', self: name as InstanceId, peerAddress: `${name}:1`, clock, logger: quietLogger,
+	});
+}
+
+test('guards against an instance that nobody finds since the store was down at its start', async () => {
+	const clock = new ManualClock();
+	const objectApi = new MemoryObjectApi();
+	objectApi.setDown(true);
+	const registry = createRegistry(objectApi, clock, 'a');
+	const registered = registry.register(new AbortController().signal);
+	await clock.advance(2500);
+	objectApi.setDown(false);
+	await clock.advance(1000);
+	await registered;
+	const listed = await createRegistry(objectApi, clock, 'b').read();
+	expect(listed.map(({id, address}) => [id, address])).toEqual([['a', 'a:1']]);
+});
+
+test('takes an entry of an earlier life for its own, and counts all entries', async () => {
+	const clock = new ManualClock();
+	const objectApi = new MemoryObjectApi();
+	const registry = createRegistry(objectApi, clock, 'a');
+	await registry.register(new AbortController().signal);
+	await registry.register(new AbortController().signal);
+	await createRegistry(objectApi, clock, 'b').register(new AbortController().signal);
+	expect(registry.registeredInstances).toEqual(0);
+	await registry.read();
+	expect(registry.registeredInstances).toEqual(2);
+});
