--- a/src/bin/laburnumturn.ts
+++ b/src/bin/laburnumturn.ts
@@ -7,6 +7,7 @@
 import {checkCommand} from '../cli/check/index.js';
 import {deleteCommand} from '../cli/delete/index.js';
 import {dumpCommand} from '../cli/dump/index.js';
+import {explainCommand} from '../cli/explain/index.js';
 import {getCommand} from '../cli/get/index.js';
 import {instancesCommand} from '../cli/instances/index.js';
 import {keyCommand} from '../cli/key/index.js';
@@ -19,6 +20,7 @@
 	cmds: {
 		check: checkCommand, apply: applyCommand, get: getCommand, watch: watchCommand, delete: deleteCommand,
 		status: statusCommand, key: keyCommand, dump: dumpCommand, instances: instancesCommand,
+		explain: explainCommand,
 	},
 });
 
