Map failures of store calls in one place and drop members that nothing reads

Both clients of the object API had the same table of statuses and the same conversion of errors. Kept targets are a set, since their times were never read.

--- a/src/fleet/fleet-target/index.ts
+++ b/src/fleet/fleet-target/index.ts
@@ -34,8 +34,6 @@
 const unreachableFailures = 4;
 /** Time without any byte from a target with unanswered calls after which it counts as silent, in milliseconds. */
 export const silenceMs = 700;
-/** Weight of the newest answer in the mean of the answer times. */
-const answerTimeWeight = 0.2;
 
 /** Time for which the load reported by another instance counts, in milliseconds. */
 const remoteLoadMs = 1000;
@@ -68,8 +66,6 @@
 	readonly calls = new Set<TargetCall>();
 	/** Until when a rollout keeps new calls away, on this instance's clock. */
 	cordonedUntil = 0;
-	/** Mean time until the head of an answer, in milliseconds. */
-	meanAnswerMs = 0;
 	private readonly remoteLoads = new Map<InstanceId, RemoteLoad>();
 	private heardAt = 0;
 	private failedAt = 0;
@@ -116,8 +112,6 @@
 
 	/** Notes the head of a good answer. */
 	noteAnswer(call: TargetCall, now: MonotonicMs): void {
-		const answerMs = now - call.sentAt;
-		this.meanAnswerMs = this.meanAnswerMs === 0 ? answerMs : this.meanAnswerMs + ((answerMs - this.meanAnswerMs) * answerTimeWeight);
 		call.hasAnswered = true;
 		this.heardAt = now;
 	}
--- a/src/fleet/target-fleet/index.ts
+++ b/src/fleet/target-fleet/index.ts
@@ -50,11 +50,6 @@
 		return targets.filter(target => !target.description.isLeaving && !this.hasLeft(target, now));
 	}
 
-	/** Lists all targets of a service. */
-	listService(service: ServiceId): readonly FleetTarget[] {
-		return this.byService.get(service) ?? [];
-	}
-
 	/** Notes that the target itself announced in an answer that it is leaving. */
 	noteLeaving(target: FleetTarget, now: MonotonicMs): void {
 		this.leftAt.set(target, now);
--- a/src/forwarding/select-target/index.ts
+++ b/src/forwarding/select-target/index.ts
@@ -26,7 +26,7 @@
 		named: work === undefined ? undefined : context.findNamedWeights(work.model),
 		memory: work === undefined || engineTokens === undefined
 			? undefined
-			: {callTokens: work.promptTokens + work.maximumOutputTokens, engineTokens},
+			: {callTokens: hints.memoryTokens, engineTokens},
 		sharedPrefix: hints.sharedPrefix,
 		holders: hints.selectHolders(targets, now),
 		dataCentre: context.dataCentre,
--- a/src/gateway/call-listener/index.ts
+++ b/src/gateway/call-listener/index.ts
@@ -55,13 +55,11 @@
 export class CallListener {
 	/** Whether callers are asked to open further connections elsewhere. */
 	isLeaving = false;
-	lastCallAt: MonotonicMs;
 	private readonly server: Server;
 	private readonly sessions = new Set<CallSession>();
 	private isWatchingSilence = false;
 
 	constructor(private readonly options: CallListenerOptions) {
-		this.lastCallAt = options.context.clock.readMonotonic();
 		this.server = createServer({
 			maxHeaderSize: maximumHeaderBytes, connectionsCheckingInterval: connectionCheckMs, requestTimeout: requestTimeoutMs, noDelay: true,
 		}, (message, response) => {
@@ -102,7 +100,6 @@
 
 	private async serve(message: IncomingMessage, response: ServerResponse): Promise<void> {
 		const arrivedAt = this.options.context.clock.readMonotonic();
-		this.lastCallAt = arrivedAt;
 		if (this.isLeaving) {
 			response.shouldKeepAlive = false;
 		}
--- a/src/gateway/gateway-feeds/index.ts
+++ b/src/gateway/gateway-feeds/index.ts
@@ -52,7 +52,8 @@
 	private revision = -1 as Revision;
 	/** Names of entries that could not be decoded, so that each is logged once. */
 	private readonly invalidEntries = new Set<string>();
-	private readonly missingSince = new Map<string, MonotonicMs>();
+	/** Names of the targets that are kept although the list lacks them. */
+	private readonly keptTargets = new Set<string>();
 	private lastTargets = new Map<string, TargetDescription>();
 	private interruptedUntil = 0;
 
@@ -132,12 +133,12 @@
 	private keepMissing(current: Map<string, TargetDescription>, now: MonotonicMs): void {
 		for (const [name, description] of this.lastTargets) {
 			if (current.has(name)) {
-				this.missingSince.delete(name);
+				this.keptTargets.delete(name);
 				continue;
 			}
 
 			if (now < this.interruptedUntil && !description.isLeaving) {
-				this.missingSince.set(name, now);
+				this.keptTargets.add(name);
 				current.set(name, description);
 			}
 		}
@@ -183,8 +184,8 @@
 		const wasInterrupted = now < this.interruptedUntil;
 		if (this.isInterrupted(now)) {
 			this.interruptedUntil = now + returnGraceMs;
-		} else if (!wasInterrupted && this.missingSince.size > 0) {
-			this.missingSince.clear();
+		} else if (!wasInterrupted && this.keptTargets.size > 0) {
+			this.keptTargets.clear();
 			this.applyTargets();
 		}
 	}
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -90,6 +90,7 @@
 	constructor(private readonly options: GatewayOptions) {
 		const {settings, adapter, clock, logger, random} = options;
 		const self = settings.instance as InstanceId;
+		const listPeerIds = () => this.listPeers().map(peer => peer.id);
 		this.startedAt = clock.readMonotonic();
 		this.fleet = new TargetFleet(logger);
 		this.weights = new WeightsRegistry(this.startedAt, settings.weightsLimitMs);
@@ -117,14 +118,14 @@
 			clock, random, caller: this.peerClient, registry: this.peerServer,
 			countInstances: () => this.countInstances(),
 			tolerance: settings.quotaTolerance,
-			listPeers: () => this.listPeers().map(peer => peer.id),
+			listPeers: listPeerIds,
 		});
 		this.relayedApi = new RelayedObjectApi({
 			objectApi: adapter.objectApi, caller: this.peerClient, registry: this.peerServer, random, clock,
-			listPeers: () => this.listPeers().map(peer => peer.id),
+			listPeers: listPeerIds,
 		});
 		this.notices = new RolloutNotices({
-			clock, logger, fleet: this.fleet, caller: this.peerClient, registry: this.peerServer, listPeers: () => this.listPeers().map(peer => peer.id),
+			clock, logger, fleet: this.fleet, caller: this.peerClient, registry: this.peerServer, listPeers: listPeerIds,
 		});
 		this.rollout = this.createRollout(self);
 		this.loads = new LoadExchange({
--- a/src/routing/routing-table/index.ts
+++ b/src/routing/routing-table/index.ts
@@ -1,6 +1,6 @@
 /** Look-ups in one accepted routing configuration. */
 
-import type {KeyHash, OrganisationId} from '../../identity/ids/index.js';
+import type {KeyHash} from '../../identity/ids/index.js';
 import type {
 	CallerOrganisation, Route, RoutingConfiguration, Service, ServiceId,
 } from '../routing-types/index.js';
@@ -9,7 +9,6 @@
 export class RoutingTable {
 	private readonly routesByHost = new Map<string, Route[]>();
 	private readonly organisationsByKey = new Map<KeyHash, CallerOrganisation>();
-	private readonly organisations = new Map<OrganisationId, CallerOrganisation>();
 	private readonly services = new Map<ServiceId, Service>();
 
 	constructor(readonly configuration: RoutingConfiguration) {
@@ -23,7 +22,6 @@
 		}
 
 		for (const organisation of configuration.organisations) {
-			this.organisations.set(organisation.id, organisation);
 			for (const hash of organisation.keyHashes) {
 				this.organisationsByKey.set(hash, organisation);
 			}
@@ -45,10 +43,6 @@
 		return this.organisationsByKey.get(hash);
 	}
 
-	findOrganisation(id: OrganisationId): CallerOrganisation | undefined {
-		return this.organisations.get(id);
-	}
-
 	findService(id: ServiceId): Service | undefined {
 		return this.services.get(id);
 	}
--- a/src/store/http-object-api/index.ts
+++ b/src/store/http-object-api/index.ts
@@ -5,11 +5,11 @@
 
 import {type Stream} from 'most';
 import {Agent, request} from 'undici';
-import {classifyCallError} from '../../http/classify-call-error/index.js';
 import type {ResourceVersion} from '../../identity/ids/index.js';
 import {createStream} from '../../streams/create-stream/index.js';
+import {checkStatus, convertCallError} from '../convert-call-error/index.js';
 import {
-	ObjectApiError, type ObjectApi, type ObjectApiFailure, type ObjectList, type StoredObject, type WatchEvent,
+	ObjectApiError, type ObjectApi, type ObjectList, type StoredObject, type WatchEvent,
 } from '../object-api/index.js';
 
 /** Limits of the client. */
@@ -34,15 +34,6 @@
 
 type WireWatchEvent<Value> = {readonly type: 'ADDED' | 'MODIFIED' | 'DELETED' | 'BOOKMARK'; readonly object: WireObject<Value>};
 
-const failureByStatus = new Map<number, ObjectApiFailure>([
-	[404, 'notFound'],
-	[409, 'conflict'],
-	[410, 'expired'],
-	[413, 'tooLarge'],
-	[429, 'rateLimited'],
-	[503, 'unavailable'],
-]);
-
 /** Object API over HTTP. */
 export class HttpObjectApi implements ObjectApi {
 	/** Called whenever the object API has served a call or sent something on a watch; a refused call does not count. */
@@ -163,14 +154,6 @@
 	return name === undefined ? base : `${base}/${encodeURIComponent(name)}`;
 }
 
-function checkStatus(status: number, text: string): void {
-	if (status >= 200 && status < 300) {
-		return;
-	}
-
-	throw new ObjectApiError(failureByStatus.get(status) ?? 'unavailable', `status ${status}: ${text.slice(0, 200)}`);
-}
-
 function convertObject<Value>(collection: string, wire: WireObject<Value>): StoredObject<Value> {
 	return {
 		collection, name: wire.metadata.name, resourceVersion: wire.metadata.resourceVersion, value: wire.value,
@@ -185,14 +168,3 @@
 	const type = wire.type.toLowerCase() as 'added' | 'modified' | 'deleted';
 	return {type, object: convertObject(collection, wire.object)};
 }
-
-function convertCallError(error: unknown, method: string): ObjectApiError {
-	if (error instanceof ObjectApiError) {
-		return error;
-	}
-
-	const {message} = error as Error;
-	const isSent = classifyCallError(error) !== 'neverConnected';
-	const failure = method !== 'GET' && isSent ? 'unknownOutcome' : 'unavailable';
-	return new ObjectApiError(failure, message, {cause: error});
-}
