Let a few instances of a large fleet watch the object API, and the others follow them

Ruled out: fewer or longer watches at each instance alone, since they still grow with the fleet; pushes from watchers, which would need a list of followers.

Change: in a fleet of more than 12, three instances (one more for each 32) watch. The others ask them by turns, hold the question there for up to a second, and get what changed since their version. An instance without news of the object API for 4 s begins to watch as well, a few at a time. The registry of instances is followed like the other collections instead of being listed every 5 s.

The tests with 24 instances failed before in that all 24 watched.

--- a/src/gateway/gateway-feeds/test.ts
+++ b/src/gateway/gateway-feeds/test.ts
@@ -19,7 +19,7 @@
 };
 
 function createMember(id: InstanceId, revision: Revision): Member {
-	const member: Partial<Member> = {id, revision};
+	const member: Partial<Member> = {id, revision, state: 'live'};
 	return member as Member;
 }
 
@@ -32,7 +32,9 @@
 	const instances = ids.map((id, index) => {
 		const api = new FaultyObjectApi(memory, clock);
 		const endpoint = network.open(id);
-		const seen = {revisions: [] as number[], targets: [] as readonly TargetDescription[], weights: [] as WeightsNotice[]};
+		const seen = {
+			revisions: [] as number[], targets: [] as readonly TargetDescription[], weights: [] as WeightsNotice[], instances: 0,
+		};
 		const adapter: Partial<PlatformAdapter> = {
 			objectApi: api, collections,
 			decodeConfiguration(object) {
@@ -46,7 +48,8 @@
 			decodeWeights: object => ({model: object.name, version: Number(object.value)}),
 		};
 		const feeds: GatewayFeeds = new GatewayFeeds({
-			adapter: adapter as PlatformAdapter, clock, logger: quietLogger, random: new RandomSource(index + 1), caller: endpoint, registry: endpoint,
+			self: id, adapter: adapter as PlatformAdapter, clock, logger: quietLogger, random: new RandomSource(index + 1),
+			caller: endpoint, registry: endpoint,
 			listPeers: () => instances.filter(other => other.id !== id).map(other => createMember(other.id, other.feeds.readRevision())),
 			onConfiguration(configuration) {
 				seen.revisions.push(configuration.revision);
@@ -57,16 +60,25 @@
 			onWeights(weights) {
 				seen.weights.push(weights);
 			},
+			onInstances(registered) {
+				seen.instances = registered.length;
+			},
 		});
 		const controller = new AbortController();
-		void feeds.run(controller.signal);
 		return {
 			id, api, feeds, seen,
+			start() {
+				void feeds.run(controller.signal);
+			},
 			stop() {
 				controller.abort();
 			},
 		};
 	});
+	for (const {start} of instances) {
+		start();
+	}
+
 	return {clock, memory, instances};
 }
 
@@ -144,3 +156,77 @@
 	expect(listIds(instances[0]!.seen.targets)).toEqual(['good']);
 	instances[0]!.stop();
 });
+
+/** More instances than watch the object API themselves. */
+const largeFleet = 24;
+
+/** Advances far enough that the instances which do not watch have ended their watches. */
+async function createLargeWorld() {
+	const world = createWorld(largeFleet);
+	const {clock, memory, instances} = world;
+	const configuration = await memory.create('configuration', 'main', 1);
+	await memory.create('targets', 'a', 1);
+	await clock.advance(3000);
+	const watchers = instances.filter(({feeds}) => (feeds.dump() as {isWatcher: boolean}).isWatcher);
+	return {
+		...world, watchers, configuration,
+		stop() {
+			for (const instance of instances) {
+				instance.stop();
+			}
+		},
+	};
+}
+
+test('guards against calls of the object API that grow with the fleet: a few instances watch, the others follow them', async () => {
+	const {clock, memory, instances, watchers, configuration, stop} = await createLargeWorld();
+	expect(watchers.length).toEqual(3);
+	const countCalls = () => instances.reduce((sum, {api}) => sum + api.reads + api.watches, 0);
+	const before = countCalls();
+	await memory.update('configuration', 'main', 2, configuration.resourceVersion);
+	await memory.remove('targets', 'a');
+	await clock.advance(1500);
+	expect(instances.filter(({seen}) => seen.revisions.at(-1) === 2 && seen.targets.length === 0).length).toEqual(largeFleet);
+	expect(countCalls() - before <= 3 * 4).toEqual(true);
+	stop();
+});
+
+test('guards against a watcher whose watch went silent: its followers hear of a change from the next one', async () => {
+	const {clock, memory, instances, watchers, configuration, stop} = await createLargeWorld();
+	for (const {api} of watchers.slice(1)) {
+		api.isCut = true;
+		api.silenceWatches();
+	}
+
+	await memory.update('configuration', 'main', 2, configuration.resourceVersion);
+	await clock.advance(4500);
+	expect(instances.filter(({seen}) => seen.revisions.at(-1) === 2).length >= largeFleet - 2).toEqual(true);
+	stop();
+});
+
+test('guards against a fleet without news when the object API turns all watchers away', async () => {
+	const {clock, memory, instances, watchers, configuration, stop} = await createLargeWorld();
+	for (const {api} of watchers) {
+		api.isCut = true;
+		api.silenceWatches();
+	}
+
+	await memory.update('configuration', 'main', 2, configuration.resourceVersion);
+	await clock.advance(14_000);
+	expect(instances.filter(({seen}) => seen.revisions.at(-1) === 2).length).toEqual(largeFleet);
+	stop();
+});
+
+test('guards against targets that a follower drops although their entries only lapsed while the object API was away', async () => {
+	const {clock, memory, instances, stop} = await createLargeWorld();
+	memory.setDown(true);
+	await clock.advance(4000);
+	memory.faults.isDown = false;
+	await memory.remove('targets', 'a');
+	await clock.advance(1800);
+	expect(instances.filter(({seen}) => seen.targets.length === 1).length).toEqual(largeFleet);
+	await memory.create('targets', 'a', 1);
+	await clock.advance(4000);
+	expect(instances.filter(({seen}) => seen.targets.length === 1).length).toEqual(largeFleet);
+	stop();
+});
--- a/src/gateway/instance-registry/index.ts
+++ b/src/gateway/instance-registry/index.ts
@@ -4,11 +4,11 @@
 import type {InstanceId} from '../../identity/ids/index.js';
 import type {EventLogger} from '../../logging/create-logger/index.js';
 import type {InstanceList, ListedInstance} from '../../store/instance-list/index.js';
-import {ObjectApiError, type ObjectApi} from '../../store/object-api/index.js';
+import {ObjectApiError, type ObjectApi, type StoredObject} from '../../store/object-api/index.js';
 
 /** What the registry needs. */
 export type InstanceRegistryOptions = {
-	readonly objectApi: Pick<ObjectApi, 'list' | 'create'>;
+	readonly objectApi: Pick<ObjectApi, 'create'>;
 	readonly collection: string;
 	readonly self: InstanceId;
 	readonly peerAddress: string;
@@ -22,19 +22,27 @@
 
 /** Client of the registry. */
 export class InstanceRegistry implements InstanceList {
-	/** Entries at the last reading; instances that are gone stay entered. */
-	registeredInstances = 0;
+	private entries: readonly ListedInstance[] = [];
 
 	constructor(private readonly options: InstanceRegistryOptions) {}
 
-	async read(): Promise<readonly ListedInstance[]> {
-		const {items} = await this.options.objectApi.list<RegistryEntry>(this.options.collection);
-		this.registeredInstances = items.length;
-		return items.map(({name, value}) => ({
+	/** Entries known; instances that are gone stay entered. */
+	get registeredInstances(): number {
+		return this.entries.length;
+	}
+
+	/** Takes over the collection as it is now. */
+	replace(objects: readonly StoredObject[]): void {
+		const entries = objects as ReadonlyArray<StoredObject<RegistryEntry>>;
+		this.entries = entries.map(({name, value}) => ({
 			id: name, role: 'entry', address: value.peerAddress, state: 'live',
 		}));
 	}
 
+	async read(): Promise<readonly ListedInstance[]> {
+		return this.entries;
+	}
+
 	/** Enters this instance; repeats that until it has worked or `signal` aborts. */
 	async register(signal: AbortSignal): Promise<void> {
 		const {objectApi, collection, self, peerAddress, clock, logger} = this.options;
--- a/src/gateway/instance-registry/test.ts
+++ b/src/gateway/instance-registry/test.ts
@@ -22,7 +22,10 @@
 	objectApi.setDown(false);
 	await clock.advance(1000);
 	await registered;
-	const listed = await createRegistry(objectApi, clock, 'b').read();
+	const other = createRegistry(objectApi, clock, 'b');
+	const {items} = await objectApi.list('instances');
+	other.replace(items);
+	const listed = await other.read();
 	expect(listed.map(({id, address}) => [id, address])).toEqual([['a', 'a:1']]);
 });
 
@@ -34,6 +37,7 @@
 	await registry.register(new AbortController().signal);
 	await createRegistry(objectApi, clock, 'b').register(new AbortController().signal);
 	expect(registry.registeredInstances).toEqual(0);
-	await registry.read();
+	const {items} = await objectApi.list('instances');
+	registry.replace(items);
 	expect(registry.registeredInstances).toEqual(2);
 });
--- a/src/store/collection-mirror/index.ts
+++ b/src/store/collection-mirror/index.ts
@@ -10,6 +10,8 @@
 import {
 	ObjectApiError, type ObjectApi, type StoredObject, type WatchEvent,
 } from '../object-api/index.js';
+import {isLaterVersion} from '../is-later-version/index.js';
+import {RemovalLog} from '../removal-log/index.js';
 
 /** The object API sends a bookmark at least every second, so that this much silence means a dead connection. */
 export const watchSilenceMs = 2500;
@@ -42,6 +44,18 @@
 	readonly relistsAfterFault?: boolean;
 };
 
+/** Content of a collection for a holder of an older copy. */
+export type CollectionUpdate = {
+	readonly collection: string;
+	/** Version of the copy after this update. */
+	readonly version: string;
+	/** Whether `objects` is the whole collection; otherwise it holds what changed. */
+	readonly isComplete: boolean;
+	readonly objects: readonly StoredObject[];
+	/** Names of the objects that were removed; empty in a complete update. */
+	readonly removed: readonly string[];
+};
+
 type Waiter = {readonly resolve: () => void; readonly reject: (error: Error) => void};
 
 /** Copy of a collection. One task runs `run` until its signal aborts. */
@@ -57,6 +71,7 @@
 	private failures = 0;
 	private waiters: Waiter[] = [];
 	private watchController = new AbortController();
+	private readonly removals = new RemovalLog();
 
 	constructor(private readonly options: CollectionMirrorOptions) {
 		this.heardAt = options.clock.readMonotonic();
@@ -100,17 +115,54 @@
 		return !this.isSynced || this.isFaulty;
 	}
 
-	/** Takes over a newer copy from another instance; the watch goes on from there. */
-	adopt(objects: ReadonlyArray<StoredObject<Value>>, version: ResourceVersion): void {
-		this.objects.clear();
-		for (const object of objects) {
-			this.objects.set(object.name, object);
+	/** Takes over what another instance has; the watch goes on from there. Returns whether it was newer. */
+	adopt({version, isComplete, objects, removed}: CollectionUpdate): boolean {
+		if (!isLaterVersion(version, this.version)) {
+			return false;
+		}
+
+		if (isComplete) {
+			this.replaceAll(objects as ReadonlyArray<StoredObject<Value>>, version as ResourceVersion);
+		} else {
+			for (const name of removed) {
+				this.objects.delete(name);
+				this.removals.add(name);
+			}
+
+			for (const object of objects) {
+				this.objects.set(object.name, object as StoredObject<Value>);
+			}
+
+			this.setVersion(version as ResourceVersion);
 		}
 
-		this.version = version;
 		this.isSynced = true;
 		this.options.onChange();
 		this.watchController.abort();
+		return true;
+	}
+
+	/** Reads what a holder of version `since` lacks; undefined when that is nothing. */
+	readUpdate(since: string | undefined): CollectionUpdate | undefined {
+		const {version, removals} = this;
+		if (version === undefined || !isLaterVersion(version, since)) {
+			return undefined;
+		}
+
+		const {collection} = this.options;
+		const removed = since === undefined ? undefined : removals.listSince(since);
+		if (removed === undefined) {
+			return {
+				collection, version, isComplete: true, objects: [...this.objects.values()], removed: [],
+			};
+		}
+
+		const objects = [...this.objects.values()].filter(object => isLaterVersion(object.resourceVersion, since));
+		return objects.length === 0 && removed.length === 0
+			? undefined
+			: {
+				collection, version, isComplete: false, objects, removed,
+			};
 	}
 
 	/** Reads the collection anew. When this resolves, `objects` is at least as new as the call of this method. */
@@ -127,12 +179,7 @@
 		this.waiters = [];
 		try {
 			const list = await this.options.objectApi.list<Value>(this.options.collection);
-			this.objects.clear();
-			for (const object of list.items) {
-				this.objects.set(object.name, object);
-			}
-
-			this.version = list.resourceVersion;
+			this.replaceAll(list.items, list.resourceVersion);
 			this.needsList = false;
 			this.isSynced = true;
 			this.markHeard();
@@ -202,13 +249,17 @@
 		this.markHeard();
 		this.failures = 0;
 		if (event.type === 'bookmark') {
-			this.version = event.resourceVersion;
+			this.setVersion(event.resourceVersion);
 			return;
 		}
 
-		this.version = event.object.resourceVersion;
+		if (isLaterVersion(event.object.resourceVersion, this.version)) {
+			this.setVersion(event.object.resourceVersion);
+		}
+
 		if (event.type === 'deleted') {
 			this.objects.delete(event.object.name);
+			this.removals.add(event.object.name);
 		} else {
 			this.objects.set(event.object.name, event.object);
 		}
@@ -216,6 +267,28 @@
 		this.options.onChange();
 	}
 
+	/** Replaces the whole copy and notes which objects that removes. */
+	private replaceAll(objects: ReadonlyArray<StoredObject<Value>>, version: ResourceVersion): void {
+		const kept = new Set(objects.map(object => object.name));
+		for (const name of this.objects.keys()) {
+			if (!kept.has(name)) {
+				this.removals.add(name);
+			}
+		}
+
+		this.objects.clear();
+		for (const object of objects) {
+			this.objects.set(object.name, object);
+		}
+
+		this.setVersion(version);
+	}
+
+	private setVersion(version: ResourceVersion): void {
+		this.version = version;
+		this.removals.setVersion(version);
+	}
+
 	private markHeard(): void {
 		this.heardAt = this.options.clock.readMonotonic();
 		this.isFaulty = false;
--- a/src/store/collection-mirror/test.ts
+++ b/src/store/collection-mirror/test.ts
@@ -59,9 +59,40 @@
 	const {clock, memory, api, mirror, stop} = await startMirror(true);
 	api.isCut = true;
 	const list = await memory.list<number>('c');
-	mirror.adopt([...list.items, {...list.items[0]!, name: 'two', value: 2}], '7' as ResourceVersion);
+	mirror.adopt({
+		collection: 'c', version: '7', isComplete: true, removed: [], objects: [...list.items, {...list.items[0]!, name: 'two', value: 2}],
+	});
 	await clock.advance(10);
 	expect(mirror.objects.size).toEqual(2);
 	expect(mirror.readVersion() as string).toEqual('7');
 	stop();
 });
+
+test('passes on to holders of older copies only what they lack', async () => {
+	const {clock, memory, mirror, stop} = await startMirror(true);
+	await memory.create('c', 'two', 2);
+	await clock.advance(50);
+	const since = mirror.readVersion()!;
+	expect(mirror.readUpdate(since)).toEqual(undefined);
+	await memory.create('c', 'three', 3);
+	await memory.remove('c', 'two');
+	await clock.advance(50);
+	const update = mirror.readUpdate(since)!;
+	expect(update.objects.map(({name}) => name)).toEqual(['three']);
+	expect(update.removed).toEqual(['two']);
+	expect(update.isComplete).toEqual(false);
+	expect(mirror.readUpdate(undefined)!.objects.length).toEqual(2);
+	stop();
+});
+
+test('guards against objects that stay at a follower after the watcher listed the collection anew', async () => {
+	const {clock, memory, mirror, stop} = await startMirror(true);
+	const since = mirror.readVersion()!;
+	memory.setDown(true);
+	await clock.advance(100);
+	memory.faults.isDown = false;
+	await memory.remove('c', 'one');
+	await clock.advance(2000);
+	expect(mirror.readUpdate(since)!.removed).toEqual(['one']);
+	stop();
+});
