Size load reports, rollout notices, quota shares and signs of life for large fleets

Ruled out: larger heartbeat samples for all (bytes grow with the square of the fleet); one owner of each quota (its loss and a partition would double the rate).

Change: datagrams have a channel of their own. Receivers of load reports take turns and get all prefix uses since their last turn; reports say how long they count, and are signs of life, so that a dead instance leaves the directory after 2 s in a small fleet instead of 5 s. In fleets of more than 12, shares pass unused tokens to two keepers of each organisation, who lend a call's whole shortage or nothing; shares are not overdrawn there. The planned stop of the gateway is a function of its own.

Before and after: the test of a storm of long calls over 72 instances admitted more than the quota and its tolerance, the test of calls within the rate admitted less than 0.97; both pass.

--- a/src/fleet/choose-target/test.ts
+++ b/src/fleet/choose-target/test.ts
@@ -46,7 +46,7 @@
 	for (let index = 0; index < 60; index += 1) {
 		const chosen = chooseTarget(createQuery(targets, {draw: random.pickIndex(1000) / 1000}), at(0))!;
 		const {calls, prefillTokens} = chosen.readOwnLoad();
-		chosen.noteRemoteLoad(`i${index % 8}` as InstanceId, {calls: 0, prefillTokens: 0, memoryTokens: 0}, at(0));
+		chosen.noteRemoteLoad(`i${index % 8}` as InstanceId, {calls: 0, prefillTokens: 0, memoryTokens: 0}, at(1000));
 		chosen.beginCall(800, at(0));
 		expect(calls * 800).toEqual(prefillTokens);
 	}
--- a/src/fleet/fleet-target/index.ts
+++ b/src/fleet/fleet-target/index.ts
@@ -35,8 +35,6 @@
 /** Time without any byte from a target with unanswered calls after which it counts as silent, in milliseconds. */
 export const silenceMs = 700;
 
-/** Time for which the load reported by another instance counts, in milliseconds. */
-const remoteLoadMs = 1000;
 /** Load of a call that is past its prefill, in prompt tokens of equal effort. */
 const runningCallTokens = 400;
 
@@ -49,7 +47,7 @@
 	readonly memoryTokens: number;
 };
 
-type RemoteLoad = TargetLoad & {readonly at: MonotonicMs};
+type RemoteLoad = TargetLoad & {readonly until: MonotonicMs};
 
 /** A call in progress at the target. */
 export type TargetCall = {
@@ -169,9 +167,14 @@
 		return {calls: this.calls.size, prefillTokens, memoryTokens};
 	}
 
-	/** Takes over what another instance reported. */
-	noteRemoteLoad(instance: InstanceId, load: TargetLoad, now: MonotonicMs): void {
-		this.remoteLoads.set(instance, {...load, at: now});
+	/** Takes over what another instance reported; it counts until `until`. */
+	noteRemoteLoad(instance: InstanceId, load: TargetLoad, until: MonotonicMs): void {
+		this.remoteLoads.set(instance, {...load, until});
+	}
+
+	/** Notes that another instance has no work here any more. */
+	forgetRemoteLoad(instance: InstanceId): void {
+		this.remoteLoads.delete(instance);
 	}
 
 	/** Work of all instances, in prompt tokens of equal effort. */
@@ -188,7 +191,7 @@
 	private listLoads(now: MonotonicMs): TargetLoad[] {
 		const loads: TargetLoad[] = [this.readOwnLoad()];
 		for (const [instance, load] of this.remoteLoads) {
-			if (now - load.at > remoteLoadMs) {
+			if (now > load.until) {
 				this.remoteLoads.delete(instance);
 			} else {
 				loads.push(load);
--- a/src/fleet/fleet-target/test.ts
+++ b/src/fleet/fleet-target/test.ts
@@ -35,7 +35,7 @@
 	const target = createFleetTarget('t');
 	target.beginCall(3000, at(0));
 	const own = target.measureLoad(at(0));
-	target.noteRemoteLoad('other' as InstanceId, {calls: 2, prefillTokens: 1000, memoryTokens: 0}, at(0));
+	target.noteRemoteLoad('other' as InstanceId, {calls: 2, prefillTokens: 1000, memoryTokens: 0}, at(1000));
 	expect(target.measureLoad(at(100))).toEqual(own + 1800);
 	expect(target.measureLoad(at(2000))).toEqual(own);
 });
--- a/src/fleet/load-exchange/test.ts
+++ b/src/fleet/load-exchange/test.ts
@@ -2,15 +2,32 @@
 import {test} from 'node:test';
 import {expect} from 'earl';
 import {SystemClock} from '../../clock/clock/index.js';
+import {ManualClock} from '../../clock/manual-clock/index.js';
 import {createDescription} from '../../fixtures/create-fleet-target/index.js';
-import type {InstanceId, MonotonicMs, TargetId} from '../../identity/ids/index.js';
+import type {InstanceId, Revision, TargetId} from '../../identity/ids/index.js';
 import {quietLogger} from '../../logging/quiet-logger/index.js';
+import type {MemberEntry} from '../../membership/heartbeat/index.js';
 import type {Member} from '../../membership/member/index.js';
+import {DatagramChannel, type DatagramHandler} from '../../peers/datagram-channel/index.js';
 import {reservePorts} from '../../process/reserve-ports/index.js';
 import {RandomSource} from '../../random/random-source/index.js';
 import {PrefixDirectory} from '../prefix-directory/index.js';
 import {TargetFleet} from '../target-fleet/index.js';
-import {LoadExchange} from './index.js';
+import {calculateLifeMs, LoadExchange} from './index.js';
+
+/** Signs of life of one instance; those that it receives are counted. */
+function createSignals(id: InstanceId) {
+	const received: string[] = [];
+	return {
+		received,
+		describeSelf: (): MemberEntry => ({
+			id, life: '12345678', state: 'live', revision: 1 as Revision, counter: 1, ageMs: 0,
+		}),
+		noteEntry(entry: MemberEntry) {
+			received.push(entry.id);
+		},
+	};
+}
 
 test('tells others the work at each target and the prefixes used there', async () => {
 	const clock = new SystemClock();
@@ -21,13 +38,20 @@
 		const fleet = new TargetFleet(quietLogger);
 		fleet.replace([createDescription('t')]);
 		const prefixes = new PrefixDirectory();
+		const channel = new DatagramChannel(quietLogger);
 		const exchange = new LoadExchange({
-			self: member.id, clock, random: new RandomSource(index + 1), fleet, prefixes, logger: quietLogger,
+			membership: createSignals(member.id), clock, random: new RandomSource(index + 1), fleet, prefixes, channel,
 			listPeers: () => members.filter(other => other !== member),
 		});
-		return {fleet, prefixes, exchange};
+		return {
+			fleet, prefixes, channel, exchange,
+		};
 	});
-	await Promise.all(instances.map(async ({exchange}, index) => exchange.start(members[index]!.peerAddress, controller.signal)));
+	await Promise.all(instances.map(async ({channel}, index) => channel.listen(members[index]!.peerAddress, controller.signal)));
+	for (const {exchange} of instances) {
+		void exchange.run(controller.signal);
+	}
+
 	const [sender, receiver] = instances as [typeof instances[0], typeof instances[0]];
 	const call = sender.fleet.locate('t' as TargetId)!.beginCall(5000, clock.readMonotonic());
 	sender.prefixes.noteOwnUse('p', 't' as TargetId, clock.readMonotonic());
@@ -40,3 +64,87 @@
 	expect(target.measureLoad(clock.readMonotonic())).toEqual(0);
 	controller.abort();
 });
+
+/** Instances that exchange loads by way of calls, without loss. */
+function createFleetOfExchanges(count: number) {
+	const clock = new ManualClock();
+	const controller = new AbortController();
+	const members = Array.from({length: count}, (_, index) => ({id: `i${index}`, peerAddress: `h${index}:1`}) as unknown as Member);
+	const handlers = new Map<string, DatagramHandler>();
+	const sent = {datagrams: 0, largestBytes: 0};
+	const instances = members.map((member, index) => {
+		const fleet = new TargetFleet(quietLogger);
+		fleet.replace(Array.from({length: 98}, (_item, number) => createDescription(`i-${number}c37c357a`)));
+		const prefixes = new PrefixDirectory();
+		const membership = createSignals(member.id);
+		const exchange = new LoadExchange({
+			membership, clock, random: new RandomSource(index + 1), fleet, prefixes,
+			channel: {
+				register(_type, handler) {
+					handlers.set(member.peerAddress, handler);
+				},
+				send(addresses, _type, body) {
+					for (const address of addresses) {
+						sent.datagrams += 1;
+						sent.largestBytes = Math.max(sent.largestBytes, JSON.stringify(body).length);
+						handlers.get(address)!(body);
+					}
+				},
+			},
+			listPeers: () => members.filter(other => other !== member),
+		});
+		void exchange.run(controller.signal);
+		return {fleet, prefixes, membership};
+	});
+	return {
+		clock, instances, sent,
+		stop() {
+			controller.abort();
+		},
+	};
+}
+
+test('guards against a large fleet in which most instances never hear where a prefix was used', async () => {
+	const {clock, instances, sent, stop} = createFleetOfExchanges(72);
+	for (const [index, {prefixes}] of instances.entries()) {
+		prefixes.noteOwnUse(`p${index}`, 'i-1c37c357a' as TargetId, clock.readMonotonic());
+	}
+
+	await clock.advance(1200);
+	for (const {prefixes} of instances) {
+		expect(instances.every((_, index) => prefixes.listHolders(`p${index}`, clock.readMonotonic()).length === 1)).toEqual(true);
+	}
+
+	expect(sent.datagrams <= 72 * 8 * 14).toEqual(true);
+	stop();
+});
+
+test('guards against datagrams that do not fit into one packet, and names the targets with most work', async () => {
+	const {clock, instances, sent, stop} = createFleetOfExchanges(3);
+	const [sender, receiver] = instances;
+	for (const [index, target] of [...sender!.fleet.list()].entries()) {
+		target.beginCall(1000, clock.readMonotonic(), 100 + index);
+		sender!.prefixes.noteOwnUse(`fizi14|${'0'.repeat(16)}${index}`, target.description.id, clock.readMonotonic());
+	}
+
+	await clock.advance(300);
+	expect(sent.largestBytes < 1400).toEqual(true);
+	expect(receiver!.fleet.locate('i-97c37c357a' as TargetId)!.measureMemory(clock.readMonotonic())).toEqual(197);
+	stop();
+});
+
+test('guards against an instance that is taken for dead because it has no work', async () => {
+	const {clock, instances, stop} = createFleetOfExchanges(9);
+	await clock.advance(2000);
+	for (const {membership} of instances) {
+		expect(new Set(membership.received).size).toEqual(8);
+		expect(membership.received.length >= 8 * 4).toEqual(true);
+	}
+
+	stop();
+});
+
+test('the time after which an instance counts as dead grows with the turns that others wait for its datagrams', () => {
+	expect(calculateLifeMs(8)).toEqual(2000);
+	expect(calculateLifeMs(72)).toEqual(3600);
+});
--- a/src/fleet/prefix-directory/index.ts
+++ b/src/fleet/prefix-directory/index.ts
@@ -16,22 +16,32 @@
 const keptMs = 12_000;
 /** Prefixes remembered; the least recently used ones go first. */
 const maximumPrefixes = 4000;
-/** Uses that wait to be told to other instances; more than an instance serves in one interval. */
-const maximumUntold = 200;
+/** Own uses that are kept for other instances; more than an instance serves until each of them had its turn. */
+const maximumOwnUses = 400;
 
 /** Remembers the holders of prefixes. */
 export class PrefixDirectory {
 	private readonly holders = new LRUCache<PrefixKey, Map<TargetId, MonotonicMs>>({max: maximumPrefixes});
-	private untold: PrefixUse[] = [];
+	private ownUses: PrefixUse[] = [];
+	/** Own uses that are no longer kept. */
+	private droppedUses = 0;
 
 	/** Notes that this instance sent a call with `prefix` to `target`. */
 	noteOwnUse(prefix: PrefixKey, target: TargetId, now: MonotonicMs): void {
 		this.noteUse(prefix, target, now);
-		if (this.untold.length < maximumUntold) {
-			this.untold.push([prefix, target]);
+		this.ownUses.push([prefix, target]);
+		if (this.ownUses.length > maximumOwnUses) {
+			const dropped = Math.floor(this.ownUses.length / 2);
+			this.ownUses = this.ownUses.slice(dropped);
+			this.droppedUses += dropped;
 		}
 	}
 
+	/** Number that the next own use will get. */
+	get nextOwnUse(): number {
+		return this.droppedUses + this.ownUses.length;
+	}
+
 	/** Notes a use by any instance. */
 	noteUse(prefix: PrefixKey, target: TargetId, now: MonotonicMs): void {
 		const targets = this.holders.get(prefix) ?? new Map<TargetId, MonotonicMs>();
@@ -46,11 +56,9 @@
 		return recent.toSorted((a, b) => b[1] - a[1]).map(([target]) => target);
 	}
 
-	/** Returns the own uses since the last call, for other instances. */
-	takeUntold(): readonly PrefixUse[] {
-		const {untold} = this;
-		this.untold = [];
-		return untold;
+	/** Lists the latest own uses from number `first` on, `count` at most. */
+	listOwnUses(first: number, count: number): readonly PrefixUse[] {
+		return this.ownUses.slice(Math.max(0, first - this.droppedUses)).slice(-count);
 	}
 }
 
--- a/src/fleet/prefix-directory/test.ts
+++ b/src/fleet/prefix-directory/test.ts
@@ -16,12 +16,26 @@
 	expect(directory.listHolders('q', at(6000))).toEqual([]);
 });
 
-test('tells only own uses to other instances, each once', () => {
+test('lists only own uses for other instances, from the one that each has not heard of', () => {
 	const directory = new PrefixDirectory();
 	directory.noteUse('p', a, at(0));
 	directory.noteOwnUse('q', b, at(0));
-	expect(directory.takeUntold()).toEqual([['q', b]]);
-	expect(directory.takeUntold()).toEqual([]);
+	const next = directory.nextOwnUse;
+	directory.noteOwnUse('r', a, at(0));
+	expect(directory.listOwnUses(0, 10)).toEqual([['q', b], ['r', a]]);
+	expect(directory.listOwnUses(next, 10)).toEqual([['r', a]]);
+	expect(directory.listOwnUses(directory.nextOwnUse, 10)).toEqual([]);
+});
+
+test('guards against own uses that grow without bound, and keeps their numbers when old ones are dropped', () => {
+	const directory = new PrefixDirectory();
+	for (let index = 0; index < 1000; index += 1) {
+		directory.noteOwnUse(`p${index}`, a, at(0));
+	}
+
+	expect(directory.nextOwnUse).toEqual(1000);
+	expect(directory.listOwnUses(998, 10).map(([prefix]) => prefix)).toEqual(['p998', 'p999']);
+	expect(directory.listOwnUses(0, 2000).length <= 400).toEqual(true);
 });
 
 test('guards against one prefix id standing for two name spaces', () => {
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -2,8 +2,8 @@
 
 import type {Clock} from '../../clock/clock/index.js';
 import {AdminServer} from '../../daemon/admin-server/index.js';
-import {PlannedStop} from '../../daemon/planned-stop/index.js';
-import {LoadExchange} from '../../fleet/load-exchange/index.js';
+import type {PlannedStop} from '../../daemon/planned-stop/index.js';
+import {calculateLifeMs, LoadExchange} from '../../fleet/load-exchange/index.js';
 import {PrefixDirectory} from '../../fleet/prefix-directory/index.js';
 import {TargetFleet} from '../../fleet/target-fleet/index.js';
 import type {ForwardingContext} from '../../forwarding/forwarding-context/index.js';
@@ -20,6 +20,7 @@
 import {createIncarnation} from '../../membership/create-incarnation/index.js';
 import {Membership} from '../../membership/membership/index.js';
 import type {Member} from '../../membership/member/index.js';
+import {DatagramChannel} from '../../peers/datagram-channel/index.js';
 import {PeerClient} from '../../peers/peer-client/index.js';
 import {PeerServer} from '../../peers/peer-server/index.js';
 import {RelayedObjectApi} from '../../store/relayed-object-api/index.js';
@@ -31,6 +32,7 @@
 import {RoutingTable} from '../../routing/routing-table/index.js';
 import type {RoutingConfiguration} from '../../routing/routing-types/index.js';
 import {CallListener} from '../call-listener/index.js';
+import {createGatewayStop} from '../create-gateway-stop/index.js';
 import {GatewayFeeds} from '../gateway-feeds/index.js';
 import type {GatewayMetrics} from '../gateway-metrics/index.js';
 import type {GatewaySettings} from '../gateway-settings/index.js';
@@ -50,19 +52,12 @@
 
 /** Validity of an address answer, in seconds. */
 const addressValiditySeconds = 1;
-/** Multiple of the validity for which some callers keep an answer. */
-const addressKeepFactor = 3;
-const stopMarginMs = 300;
-/** Time before the end of the grace period at which calls in progress are ended, in milliseconds. */
-const cutMarginMs = 600;
-const drainCheckMs = 50;
 const pruneIntervalMs = 2000;
 /** Instances that contend for the rollout lease. */
 const contenders = 2;
 /** Instances assumed until the registry has been read, so that quota shares are not too large. */
 const assumedInstances = 12;
 const drawSteps = 0x40_00_00_00;
-const msPerSecond = 1000;
 
 /** One gateway instance. */
 export class Gateway {
@@ -77,6 +72,7 @@
 	private readonly quota: QuotaLending;
 	private readonly relayedApi: RelayedObjectApi;
 	private readonly rollout: RolloutController;
+	private readonly channel: DatagramChannel;
 	private readonly loads: LoadExchange;
 	private readonly notices: RolloutNotices;
 	private readonly listener: CallListener;
@@ -93,6 +89,7 @@
 		const listPeerIds = () => this.listPeers().map(peer => peer.id);
 		this.startedAt = clock.readMonotonic();
 		this.fleet = new TargetFleet(logger);
+		this.channel = new DatagramChannel(logger);
 		this.weights = new WeightsRegistry(this.startedAt, settings.weightsLimitMs);
 		this.retryBudgets = new ServiceRetryBudgets(settings.retryBudget, () => this.countInstances());
 		this.registry = new InstanceRegistry({
@@ -102,8 +99,11 @@
 		this.peerClient = new PeerClient({self, locate: id => this.membership.locate(id)});
 		this.membership = this.createMembership(self);
 		this.feeds = new GatewayFeeds({
-			adapter, clock, logger, random, caller: this.peerClient, registry: this.peerServer,
+			self, adapter, clock, logger, random, caller: this.peerClient, registry: this.peerServer,
 			listPeers: () => this.listPeers(),
+			onInstances: instances => {
+				this.registry.replace(instances);
+			},
 			onConfiguration: configuration => {
 				this.applyConfiguration(configuration);
 			},
@@ -118,18 +118,19 @@
 			clock, random, caller: this.peerClient, registry: this.peerServer,
 			countInstances: () => this.countInstances(),
 			tolerance: settings.quotaTolerance,
-			listPeers: listPeerIds,
+			self, channel: this.channel,
+			listPeers: () => this.listPeers(),
 		});
 		this.relayedApi = new RelayedObjectApi({
 			objectApi: adapter.objectApi, caller: this.peerClient, registry: this.peerServer, random, clock,
 			listPeers: listPeerIds,
 		});
 		this.notices = new RolloutNotices({
-			clock, logger, fleet: this.fleet, caller: this.peerClient, registry: this.peerServer, listPeers: listPeerIds,
+			clock, fleet: this.fleet, channel: this.channel, listPeers: () => this.listPeers(),
 		});
 		this.rollout = this.createRollout(self);
 		this.loads = new LoadExchange({
-			self, clock, random, fleet: this.fleet, prefixes: this.prefixes, logger,
+			clock, random, fleet: this.fleet, prefixes: this.prefixes, channel: this.channel, membership: this.membership,
 			listPeers: () => this.listPeers(),
 		});
 		this.listener = new CallListener({context: this.createContext(), protocol: adapter.callerProtocol, readTable: () => this.table});
@@ -144,7 +145,9 @@
 		this.membership.start();
 		void this.feeds.run(signal);
 		void this.rollout.run(signal);
-		await this.loads.start(settings.listen.peer, signal);
+		await this.channel.listen(settings.listen.peer, signal);
+		void this.loads.run(signal);
+		void this.quota.run(signal);
 		void this.registry.register(signal);
 		void this.runPruning(signal);
 		await this.listener.listen(settings.listen.caller);
@@ -160,7 +163,11 @@
 
 	/** Stops gracefully; resolves when the process may exit. */
 	async stop(): Promise<void> {
-		this.stopInProgress ??= this.createStop();
+		const {clock, logger, settings} = this.options;
+		const {membership, listener, rollout, controller} = this;
+		this.stopInProgress ??= createGatewayStop({
+			clock, logger, graceMs: settings.graceMs, addressValiditySeconds, membership, listener, rollout, controller,
+		});
 		await this.stopInProgress.run();
 	}
 
@@ -215,6 +222,7 @@
 					logger.error('invariant violated', {name, detail});
 				},
 			}),
+			calculateTimeout: calculateLifeMs,
 			readRevision: () => this.table === undefined ? -1 as never : this.feeds.readRevision(),
 		});
 	}
@@ -231,8 +239,8 @@
 			commander: adapter.createCommander(self),
 			listWanted: () => this.weights.list(),
 			isContender: () => this.isContender(),
-			announce: notices => {
-				this.notices.announce(notices);
+			announce: notice => {
+				this.notices.announce(notice);
 			},
 		});
 	}
@@ -284,38 +292,6 @@
 		return adapter.answerAddresses(addresses.map(member => member.callerAddress), addressValiditySeconds);
 	}
 
-	private createStop(): PlannedStop {
-		const {clock, logger, settings} = this.options;
-		return new PlannedStop({
-			clock, logger,
-			addressValidityMs: addressValiditySeconds * addressKeepFactor * msPerSecond,
-			marginMs: stopMarginMs,
-			maximumMs: settings.graceMs - cutMarginMs,
-			leave: () => {
-				this.membership.markLeaving();
-				this.listener.isLeaving = true;
-				this.rollout.stop().catch((error: unknown) => {
-					logger.warn('rollout lease not released', {reason: (error as Error).message});
-				});
-			},
-			drain: async () => this.drain(),
-			cut: () => {
-				this.listener.cutAll();
-			},
-			release: async () => {
-				this.membership.stop();
-				this.controller.abort();
-			},
-		});
-	}
-
-	private async drain(): Promise<void> {
-		this.listener.close();
-		while (this.listener.callsInProgress > 0) {
-			await this.options.clock.sleep(drainCheckMs);
-		}
-	}
-
 	private async runPruning(signal: AbortSignal): Promise<void> {
 		const {clock} = this.options;
 		while (!signal.aborted) {
--- a/src/membership/member-table/index.ts
+++ b/src/membership/member-table/index.ts
@@ -2,7 +2,9 @@
 
 import type {InstanceId, MonotonicMs} from '../../identity/ids/index.js';
 import type {RandomSource} from '../../random/random-source/index.js';
-import type {BriefEntry, HeartbeatEntry} from '../heartbeat/index.js';
+import {
+	maximumIntroduction, maximumSample, shortenEntry, type BriefEntry, type HeartbeatEntry,
+} from '../heartbeat/index.js';
 import type {Member} from '../member/index.js';
 
 /** Age of the last counter advance beyond which a member no longer counts as live, in milliseconds. */
@@ -16,8 +18,6 @@
 
 /** One entry out of this many is sent whole. */
 const wholeEntryInterval = 8;
-/** Length of the random end of an incarnation. */
-const lifeLength = 8;
 
 type MemberRecord = {member: Member; counter: number; advancedAt: number; changedAt: number};
 
@@ -25,7 +25,12 @@
 export class MemberTable {
 	private readonly records = new Map<InstanceId, MemberRecord>();
 
-	constructor(private readonly self: InstanceId, private readonly random: RandomSource) {}
+	constructor(
+		private readonly self: InstanceId,
+		private readonly random: RandomSource,
+		/** Age of the last counter advance beyond which a member no longer counts as live, in milliseconds, by the number of known members. */
+		private readonly calculateTimeout: (members: number) => number = () => liveTimeoutMs,
+	) {}
 
 	/** Takes over `entry` if it is newer than what is known. Returns whether it was. */
 	merge(entry: HeartbeatEntry, now: MonotonicMs): boolean {
@@ -64,11 +69,12 @@
 
 	/** Lists the members that are known but not live. */
 	listSilent(now: MonotonicMs): Member[] {
-		return [...this.records.values()].filter(record => !isLive(record, now)).map(record => record.member);
+		return [...this.records.values()].filter(record => !this.isLive(record, now)).map(record => record.member);
 	}
 
-	/** Picks at most `count` live members for a heartbeat to `receiver`, recent changes first. */
-	pickSample(count: number, receiver: InstanceId | undefined, now: MonotonicMs): Array<HeartbeatEntry | BriefEntry> {
+	/** Picks live members for a heartbeat to `receiver`, recent changes first; more of them for a new member. */
+	pickSample(receiver: InstanceId | undefined, now: MonotonicMs): Array<HeartbeatEntry | BriefEntry> {
+		const count = this.isNews(receiver, now) ? maximumIntroduction : maximumSample;
 		const records = this.listLiveRecords(now).filter(record => record.member.id !== receiver);
 		const news = records.filter(record => now - record.changedAt < newsMs);
 		const rest = records.filter(record => now - record.changedAt >= newsMs);
@@ -97,7 +103,7 @@
 
 	dump(now: MonotonicMs): unknown {
 		return [...this.records.values()].map(record => ({
-			...record.member, counter: record.counter, ageMs: Math.round(now - record.advancedAt), isLive: isLive(record, now),
+			...record.member, counter: record.counter, ageMs: Math.round(now - record.advancedAt), isLive: this.isLive(record, now),
 		}));
 	}
 
@@ -109,24 +115,17 @@
 
 	/** Changes, answers to new members and one entry in eight are sent whole, so that receivers that missed a change learn it within seconds. */
 	private formatEntry({member, counter, advancedAt}: MemberRecord, isNews: boolean, now: MonotonicMs): HeartbeatEntry | BriefEntry {
-		const ageMs = Math.max(0, Math.round(now - advancedAt));
-		if (isNews || this.random.pickIndex(wholeEntryInterval) === 0) {
-			return {...member, counter, ageMs};
-		}
-
-		const {id, state, revision, incarnation} = member;
-		return {
-			id, state, revision, counter, ageMs, life: incarnation.slice(-lifeLength),
-		};
+		const entry = {...member, counter, ageMs: Math.max(0, Math.round(now - advancedAt))};
+		return isNews || this.random.pickIndex(wholeEntryInterval) === 0 ? entry : shortenEntry(entry);
 	}
 
 	private listLiveRecords(now: MonotonicMs): MemberRecord[] {
-		return [...this.records.values()].filter(record => isLive(record, now));
+		return [...this.records.values()].filter(record => this.isLive(record, now));
 	}
-}
 
-function isLive(record: MemberRecord, now: MonotonicMs): boolean {
-	return now - record.advancedAt <= liveTimeoutMs;
+	private isLive(record: MemberRecord, now: MonotonicMs): boolean {
+		return now - record.advancedAt <= this.calculateTimeout(this.records.size);
+	}
 }
 
 function isNewer(entry: HeartbeatEntry, known: MemberRecord): boolean {
--- a/src/membership/membership/index.ts
+++ b/src/membership/membership/index.ts
@@ -13,7 +13,7 @@
 import {chooseHeartbeatPeers} from '../choose-heartbeat-peers/index.js';
 import {createIncarnation} from '../create-incarnation/index.js';
 import {
-	heartbeatMethod, maximumSample, parseHeartbeat, type Heartbeat, type HeartbeatEntry,
+	heartbeatMethod, parseHeartbeat, shortenEntry, type Heartbeat, type HeartbeatEntry, type MemberEntry,
 } from '../heartbeat/index.js';
 import {HeartbeatLink} from '../heartbeat-link/index.js';
 import type {Member, MemberView} from '../member/index.js';
@@ -27,6 +27,10 @@
 /** Seeds asked at the start, and members told at once of a planned stop. Later rounds reach the others. */
 const maximumBurst = 32;
 
+/** Rounds at the start of a life in which signs of life describe the whole member, and the interval of whole ones later. */
+const wholeRounds = 10;
+const wholeEntryInterval = 8;
+
 /** Revision of an instance without a configuration. */
 export const noRevision = -1 as Revision;
 
@@ -45,6 +49,8 @@
 	readonly logger: EventLogger;
 	readonly invariants: InvariantChecker;
 	readonly readRevision: () => Revision;
+	/** Time without a sign of life after which a member no longer counts as live, in milliseconds, by the number of members; 5 s by default. */
+	readonly calculateTimeout?: (members: number) => number;
 };
 
 type LinkRecord = {readonly link: HeartbeatLink; usedInRound: number};
@@ -63,7 +69,7 @@
 
 	constructor(private readonly options: MembershipOptions) {
 		this.incarnation = createIncarnation(options.clock.readWall());
-		this.table = new MemberTable(options.identity.id, options.random);
+		this.table = new MemberTable(options.identity.id, options.random, options.calculateTimeout);
 		options.registry.register(heartbeatMethod, async parameters => this.answer(parseHeartbeat(parameters)));
 	}
 
@@ -114,6 +120,27 @@
 		}
 	}
 
+	/** Describes this instance for a sign of life outside heartbeats. It is whole at first, until the others know its life. */
+	describeSelf(): MemberEntry {
+		this.advanceCounter();
+		const entry = {...this.readSelf(), counter: this.counter, ageMs: 0};
+		return this.round <= wholeRounds || this.counter % wholeEntryInterval === 0 ? entry : shortenEntry(entry);
+	}
+
+	/** Takes over what is said of a member, by itself or by others. */
+	noteEntry(received: MemberEntry, now: MonotonicMs): void {
+		const entry = 'life' in received ? this.table.completeEntry(received) : received;
+		if (entry === undefined) {
+			return;
+		}
+
+		if (entry.id === this.options.identity.id) {
+			this.noteOwnEntry(entry);
+		} else {
+			this.mergeEntry(entry, now);
+		}
+	}
+
 	stop(): void {
 		this.controller.abort();
 		for (const {link} of this.links.values()) {
@@ -180,17 +207,8 @@
 	private merge(heartbeat: Heartbeat): void {
 		const now = this.options.clock.readMonotonic();
 		this.lastHeardAt = now;
-		for (const received of [heartbeat.sender, ...heartbeat.sample]) {
-			const entry = 'life' in received ? this.table.completeEntry(received) : received;
-			if (entry === undefined) {
-				continue;
-			}
-
-			if (entry.id === this.options.identity.id) {
-				this.noteOwnEntry(entry);
-			} else {
-				this.mergeEntry(entry, now);
-			}
+		for (const entry of [heartbeat.sender, ...heartbeat.sample]) {
+			this.noteEntry(entry, now);
 		}
 	}
 
@@ -220,7 +238,7 @@
 	private createHeartbeat(receiver?: InstanceId): Heartbeat {
 		const now = this.options.clock.readMonotonic();
 		const sender = {...this.readSelf(), counter: this.counter, ageMs: 0};
-		return {sender, sample: this.table.pickSample(maximumSample, receiver, now)};
+		return {sender, sample: this.table.pickSample(receiver, now)};
 	}
 
 	private advanceCounter(): void {
--- a/src/membership/membership/test.ts
+++ b/src/membership/membership/test.ts
@@ -110,6 +110,31 @@
 		fleet.stop();
 	});
 
+	test('guards against a member that looks dead although its signs of life outside heartbeats arrive', async () => {
+		const fleet = await createFleet('abc');
+		const [a, b] = [fleet.members.get('a')!, fleet.members.get('b')!];
+		fleet.setCut('a', 'b', true);
+		fleet.setCut('a', 'c', true);
+		fleet.setCut('b', 'a', true);
+		fleet.setCut('c', 'a', true);
+		for (let second = 0; second < 10; second += 1) {
+			await fleet.clock.advance(1000);
+			b.noteEntry(a.describeSelf(), fleet.clock.readMonotonic());
+			expect(fleet.listLive('b')).toEqual('abc');
+		}
+
+		fleet.stop();
+	});
+
+	test('guards against a new instance that learns the others of a large fleet only one by one', async () => {
+		const ids = Array.from({length: 40}, (_, index) => String.fromCodePoint(0x4E_00 + index)).join('');
+		const fleet = await createFleet(ids, {seeds: [ids[0]!]});
+		fleet.start('a');
+		await fleet.clock.advance(100);
+		expect(fleet.listLive('a').length > 20).toEqual(true);
+		fleet.stop();
+	});
+
 	test('guards against a herd restart that leaves members unknown or floods the seeds', async () => {
 		const ids = 'abcdefghijklmnopq';
 		const fleet = await createFleet(ids);
--- /dev/null
+++ b/src/peers/datagram-channel/test.ts
@@ -0,0 +1,28 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import {createSocket} from 'node:dgram';
+import {test} from 'node:test';
+import {expect} from 'earl';
+import {quietLogger} from '../../logging/quiet-logger/index.js';
+import {reservePorts} from '../../process/reserve-ports/index.js';
+import {DatagramChannel} from './index.js';
+
+test('delivers a message to the handler of its type, and goes on after one that cannot be read', async () => {
+	const controller = new AbortController();
+	const ports = await reservePorts(2);
+	const addresses = ports.map(port => `127.0.0.1:${port}`);
+	const [sender, receiver] = addresses.map(() => new DatagramChannel(quietLogger)) as [DatagramChannel, DatagramChannel];
+	const received: unknown[] = [];
+	receiver.register('loads', body => {
+		received.push(body);
+	});
+	await sender.listen(addresses[0]!, controller.signal);
+	await receiver.listen(addresses[1]!, controller.signal);
+	const raw = createSocket('udp4');
+	raw.send('{', Number(addresses[1]!.split(':')[1]), '127.0.0.1');
+	sender.send([addresses[1]!], 'other', 1);
+	sender.send([addresses[1]!], 'loads', {calls: 2});
+	await delay(100);
+	expect(received).toEqual([{calls: 2}]);
+	raw.close();
+	controller.abort();
+});
--- a/src/quota/quota-lending/test.ts
+++ b/src/quota/quota-lending/test.ts
@@ -3,6 +3,8 @@
 import {ManualClock} from '../../clock/manual-clock/index.js';
 import {createOrganisation} from '../../fixtures/create-routing-configuration/index.js';
 import type {InstanceId} from '../../identity/ids/index.js';
+import type {Member} from '../../membership/member/index.js';
+import type {DatagramHandler} from '../../peers/datagram-channel/index.js';
 import {FakePeerNetwork} from '../../peers/fake-peer-network/index.js';
 import {RandomSource} from '../../random/random-source/index.js';
 import {QuotaLending} from './index.js';
@@ -14,17 +16,28 @@
 const callTokens = 4000;
 
 /** Instances that share the quota of one organisation. */
-function createFleet(count: number, extraTokens = 0) {
+function createFleet(count: number, extraTokens = 0, sharedQuota = organisation) {
 	const clock = new ManualClock();
 	const network = new FakePeerNetwork(clock);
 	const ids = Array.from({length: count}, (_, index) => `i${index}` as InstanceId);
+	const members = ids.map(id => ({id, peerAddress: id, state: 'live'}) as unknown as Member);
+	const handlers = new Map<string, DatagramHandler>();
 	const lendings = ids.map((id, index) => {
 		const endpoint = network.open(id);
 		const lending = new QuotaLending({
 			clock, random: new RandomSource(index + 1), caller: endpoint, registry: endpoint, countInstances: () => count,
-			listPeers: () => ids.filter(other => other !== id), tolerance: {ratio: 0, extraTokens},
+			self: id, listPeers: () => members.filter(other => other.id !== id), tolerance: {ratio: 0, extraTokens},
+			channel: {
+				register(_type, handler) {
+					handlers.set(id, handler);
+				},
+				send(addresses, _type, body) {
+					handlers.get(addresses[0]!)!(body);
+				},
+			},
 		});
-		lending.apply([organisation]);
+		lending.apply([sharedQuota]);
+		void lending.run(new AbortController().signal);
 		return lending;
 	});
 	return {
@@ -105,3 +118,43 @@
 	expect(admitted > 0).toEqual(true);
 	expect(admitted <= extraTokens / 2).toEqual(true);
 });
+
+const smallOrganisation = createOrganisation('small', {
+	quota: {
+		tokensPerSecond: 29_000, burstTokens: 58_000, plainCallTokens: 200, countsTokens: true,
+	},
+});
+const longCallTokens = 9200;
+const operatorTokens = 110_000;
+
+/** Sends long calls to random instances of a large fleet for `seconds`; resolves to the admitted share and tokens. */
+async function driveLargeFleet(fleet: ReturnType<typeof createFleet>, callsPerSecond: number, seconds: number) {
+	const random = new RandomSource(3);
+	const results: boolean[] = [];
+	const count = Math.round(callsPerSecond * seconds);
+	for (let index = 0; index < count; index += 1) {
+		void fleet.lendings[random.pickIndex(fleet.ids.length)]!.charge(smallOrganisation, longCallTokens).then(result => {
+			results.push(result);
+		});
+		await fleet.clock.advance(1000 / callsPerSecond);
+	}
+
+	await fleet.clock.advance(1000);
+	const admitted = results.filter(Boolean).length;
+	return {share: admitted / count, tokens: admitted * longCallTokens};
+}
+
+test('replays an organisation with a small quota in a large fleet: long calls within the rate are admitted at any instance', async () => {
+	const fleet = createFleet(72, operatorTokens, smallOrganisation);
+	await fleet.clock.advance(10_000);
+	const {share} = await driveLargeFleet(fleet, 2.8, 30);
+	expect(share >= 0.97).toEqual(true);
+});
+
+test('replays a storm of long calls over a large fleet: the quota and its tolerance are not exceeded', async () => {
+	const fleet = createFleet(72, operatorTokens, smallOrganisation);
+	await fleet.clock.advance(20_000);
+	const {tokens} = await driveLargeFleet(fleet, 40, 8);
+	expect(tokens <= (8 * 29_000) + 58_000 + operatorTokens).toEqual(true);
+	expect(tokens >= 0.9 * 8 * 29_000).toEqual(true);
+});
--- a/src/quota/quota-share/index.ts
+++ b/src/quota/quota-share/index.ts
@@ -7,7 +7,13 @@
 import type {MonotonicMs} from '../../identity/ids/index.js';
 
 /** Rate and burst of a share. */
-export type ShareSize = {readonly tokensPerMs: number; readonly burstTokens: number};
+export type ShareSize = {
+	readonly tokensPerMs: number;
+	/** Level up to which the share fills by itself. */
+	readonly burstTokens: number;
+	/** Level up to which it takes deposits of other shares. */
+	readonly poolTokens: number;
+};
 
 /** Token bucket. It starts with `level` tokens and not with its burst, which an earlier life of the instance may have spent. */
 export class QuotaShare {
@@ -52,11 +58,28 @@
 		this.level += tokens;
 	}
 
-	/** Changes the size; the level never exceeds the new burst. */
+	/** Adds tokens that another share did not use, as far as the pool has room. */
+	deposit(tokens: number, now: MonotonicMs): void {
+		this.fill(now);
+		this.level = Math.max(this.level, Math.min(this.level + tokens, this.size.poolTokens));
+	}
+
+	/** Takes out what the share has beyond `kept` tokens. */
+	takeSurplus(kept: number, now: MonotonicMs): number {
+		return this.lend(this.readLevel(now) - kept, now);
+	}
+
+	/** Changes the size; the level never exceeds the new pool. */
 	resize(size: ShareSize, now: MonotonicMs): void {
 		this.fill(now);
 		this.size = size;
-		this.level = Math.min(this.level, size.burstTokens);
+		this.level = Math.min(this.level, size.poolTokens);
+	}
+
+	/** Tokens that are there; less than zero after an overdraft. */
+	readLevel(now: MonotonicMs): number {
+		this.fill(now);
+		return this.level;
 	}
 
 	/** Tokens that are missing for a charge of `tokens`. */
--- a/src/quota/quota-share/test.ts
+++ b/src/quota/quota-share/test.ts
@@ -4,7 +4,7 @@
 import {QuotaShare} from './index.js';
 
 const at = (ms: number) => ms as MonotonicMs;
-const size = {tokensPerMs: 1, burstTokens: 1000};
+const size = {tokensPerMs: 1, burstTokens: 1000, poolTokens: 1000};
 
 test('guards against a restarted instance that spends its burst again', () => {
 	expect(new QuotaShare(size, at(0)).charge(1, at(0))).toEqual(false);
@@ -39,6 +39,18 @@
 
 test('guards against keeping the level of a higher quota after it was lowered', () => {
 	const share = new QuotaShare(size, at(0));
-	share.resize({tokensPerMs: 0.1, burstTokens: 100}, at(2000));
+	share.resize({tokensPerMs: 0.1, burstTokens: 100, poolTokens: 100}, at(2000));
 	expect(share.charge(101, at(2000))).toEqual(false);
 });
+
+test('guards against a pool that grows without bound in quiet times', () => {
+	const share = new QuotaShare({...size, poolTokens: 5000}, at(0));
+	for (let index = 0; index < 100; index += 1) {
+		share.deposit(400, at(index));
+	}
+
+	expect(share.readLevel(at(100))).toEqual(5000);
+	expect(share.readLevel(at(9000))).toEqual(5000);
+	expect(share.takeSurplus(600, at(9000))).toEqual(4400);
+	expect(share.readLevel(at(9000))).toEqual(600);
+});
--- a/src/rollout/rollout-controller/index.ts
+++ b/src/rollout/rollout-controller/index.ts
@@ -74,7 +74,7 @@
 	readonly listWanted: () => ReadonlyMap<string, {readonly version: number}>;
 	/** Whether this instance tries to acquire the lease. */
 	readonly isContender: () => boolean;
-	readonly announce: (notices: readonly RolloutNotice[]) => void;
+	readonly announce: (notice: RolloutNotice) => void;
 };
 
 type Change = {phase: RolloutPhase; readonly target: FleetTarget; readonly model: string; isBusy: boolean};
@@ -287,9 +287,9 @@
 	private notify(target: FleetTarget, model: string, forMs: number): void {
 		const {clock, fleet, announce} = this.options;
 		target.cordonedUntil = clock.readMonotonic() + forMs;
-		announce([{
+		announce({
 			target: target.description.id, cordonMs: forMs, model, version: target.readVersion(model) ?? 0,
-		}]);
+		});
 		if (forMs === 0) {
 			fleet.notify();
 		}
