Let nothing but a success continue a stream that has begun

Cause: a resumable stream broke off, the next target answered with status 500, and its body was joined to the events that the caller had; the answer ended as complete.

Ruled out: the event splitter, which only cuts at event boundaries; a target that ends its stream early, since the log shows status 500 of the second target.

Change: an answer that does not continue the stream counts as a failed attempt. The stream goes on at another target or breaks off.

Before and after: the test with two targets failed before (a whole answer with the text of the error) and passes.

--- a/src/forwarding/answer-relay/index.ts
+++ b/src/forwarding/answer-relay/index.ts
@@ -33,6 +33,11 @@
 		return this.lastEventId;
 	}
 
+	/** Whether an answer with this head can be passed on: nothing but a success continues a stream that has begun. */
+	accepts(head: AnswerHead): boolean {
+		return !this.hasBegun || head.status === okStatus;
+	}
+
 	/** Takes the head of a target's answer. Only the first one reaches the caller. */
 	begin(head: AnswerHead): void {
 		const {kind, isResumable} = this.route;
--- a/src/forwarding/build-attempt-options/index.ts
+++ b/src/forwarding/build-attempt-options/index.ts
@@ -1,7 +1,8 @@
 /** Builds what a target is told beside the call itself. */
 
 import type {FleetTarget} from '../../fleet/fleet-target/index.js';
-import type {DataCentreId} from '../../identity/ids/index.js';
+import type {SharedPrefix} from '../../fleet/choose-target/index.js';
+import {rankByHash} from '../../random/rank-by-hash/index.js';
 import type {CacheStore, CallerOrganisation, Route} from '../../routing/routing-types/index.js';
 import type {AttemptOptions, InboundCall} from '../call-types/index.js';
 import type {PrefixHints} from '../prefix-hints/index.js';
@@ -16,16 +17,14 @@
 	readonly remainingMs: number;
 	readonly lastEventId: string | undefined;
 	readonly cacheStores: readonly CacheStore[];
-	/** Data centre of this instance. */
-	readonly dataCentre: DataCentreId;
 };
 
 const lowestPriority = 9;
 
 /** Builds the options of an attempt. Only prompts with a long shared part use the cache store, which short ones would fill. */
 export function buildAttemptOptions(plan: AttemptPlan): AttemptOptions {
-	const {call, route, organisation, target, hints, cacheStores, dataCentre} = plan;
-	const store = hints.sharedPrefix === undefined ? undefined : cacheStores.find(item => item.dataCentre === dataCentre) ?? cacheStores[0];
+	const {call, route, organisation, target, hints, cacheStores} = plan;
+	const store = chooseStore(hints.sharedPrefix, cacheStores);
 	return {
 		target, route,
 		organisation: organisation?.id,
@@ -38,3 +37,13 @@
 		lastEventId: plan.lastEventId,
 	};
 }
+
+/**
+ * The store that keeps a prefix.
+ *
+ * Load pattern: after new weights are named, all engines fetch prefixes at once, and transfers of one store
+ * wait for each other. So prefixes are spread over all stores, the same one for each prefix everywhere.
+ */
+function chooseStore(prefix: SharedPrefix | undefined, stores: readonly CacheStore[]): CacheStore | undefined {
+	return prefix === undefined ? undefined : rankByHash(prefix.id, stores, store => store.address)[0];
+}
--- a/src/forwarding/call-session/index.ts
+++ b/src/forwarding/call-session/index.ts
@@ -150,10 +150,10 @@
 
 	private send(target: FleetTarget, now: MonotonicMs): void {
 		const {call, route, organisation, body} = this.options;
-		const {protocol, listCacheStores, dataCentre} = this.context;
+		const {protocol, listCacheStores} = this.context;
 		const options = buildAttemptOptions({
 			call, route, organisation, target, hints: this.hints, remainingMs: this.deadline - now,
-			lastEventId: this.relay.readLastEventId(), cacheStores: listCacheStores(), dataCentre,
+			lastEventId: this.relay.readLastEventId(), cacheStores: listCacheStores(),
 		});
 		const attempt: Attempt = {
 			target, weightsVersion: options.weightsVersion, exchange: undefined, head: undefined, heardAt: now,
@@ -191,10 +191,10 @@
 			return;
 		}
 
-		if (!head.isGenuine) {
+		if (!head.isGenuine || !this.relay.accepts(head)) {
 			attempt.exchange?.abort();
 			attempt.head = undefined;
-			this.handleFailure(attempt, 'sent', new Error(`answer with status ${head.status} is not the target's own`));
+			this.handleFailure(attempt, 'sent', new Error(`answer with status ${head.status} is not the target's own, or does not continue the stream`));
 			return;
 		}
 
--- a/src/gateway/call-listener/test.ts
+++ b/src/gateway/call-listener/test.ts
@@ -112,6 +112,26 @@
 	expect([body, runs]).toEqual(['id: 1\ndata: a\n\nid: 2\ndata: b\n\n', 2]);
 });
 
+test('guards against an error of the second target that is joined to the broken stream of the first, and looks complete', async () => {
+	let requests = 0;
+	const script: Script = (socket, id) => {
+		requests += 1;
+		if (requests > 1) {
+			socket.write(`HTTP/1.1 500 Failed\r\nx-id: ${id}\r\nContent-Length: 6\r\n\r\nfailed`);
+			return;
+		}
+
+		const events = 'id: 1\ndata: a\n\n';
+		socket.write(`HTTP/1.1 200 OK\r\nx-id: ${id}\r\nTransfer-Encoding: chunked\r\n\r\n${events.length.toString(16)}\r\n${events}\r\n`);
+		setTimeout(() => {
+			socket.destroy();
+		}, 20);
+	};
+
+	const {body, outcome, runs} = await callOnce({kind: 'streaming', isResumable: true}, [script, script]);
+	expect([body, outcome, runs]).toEqual(['cut', 'streamBroken', 2]);
+});
+
 test('gives the final answer at the end of the waiting time of caller or route', async () => {
 	const {status, outcome} = await callOnce({kind: 'nonIdempotent', timeoutMs: 150}, [() => {
 		// The target never answers.
