Compare a few random targets instead of all in a large fleet

Instances hear each other's loads every 0.8 s, later than most work takes, and all of them sent to the few engines that looked idle.

Change: with more than 16 usable targets, the home and the holders of the prefix and two random targets of each kind of weights are compared. The home of a prefix is an engine with weights that have kept their value, if there is one.

Two tests replay late reports in a large fleet and failed before.

Fleets of 16 usable targets or less are compared as before.

--- a/src/fleet/choose-target/index.ts
+++ b/src/fleet/choose-target/index.ts
@@ -55,15 +55,22 @@
 /** Random part of each rating, in tokens, so that instances with the same view do not all choose alike. */
 const jitterTokens = 400;
 
+/** Targets up to which all are compared; in larger fleets the reported loads are too old for that. */
+const largestComparison = 16;
+/** Targets of each kind of weights that are compared beside those that the prefix speaks for. */
+const randomCandidates = 2;
+/** Factor that spreads one draw over several choices. */
+const randomStep = 7919;
+
 /** Chooses the target for the next attempt; undefined when none can take the call now. */
 export function chooseTarget(query: TargetQuery, now: MonotonicMs): FleetTarget | undefined {
 	const usable = listUsable(query, now);
 	const sound = usable.filter(target => !target.isAvoided(now) && !target.isSilent(now));
 	const candidates = sound.length > 0 ? sound : usable;
-	const home = findHome(query, candidates);
+	const home = findHome(query, candidates, now);
 	let best: FleetTarget | undefined;
 	let bestRating = Infinity;
-	for (const [index, target] of candidates.entries()) {
+	for (const [index, target] of sampleTargets(candidates, query, home, now).entries()) {
 		const jitter = ((query.draw * (index + 1) * candidates.length) % 1) * jitterTokens;
 		const rating = rateTarget(target, query, home, now) + jitter;
 		if (rating < bestRating) {
@@ -75,9 +82,45 @@
 	return best;
 }
 
-/** The target that the prompt's shared prefix belongs on; undefined when it has no long one. */
-function findHome({sharedPrefix}: TargetQuery, candidates: readonly FleetTarget[]): FleetTarget | undefined {
-	return sharedPrefix === undefined ? undefined : rankByPrefix(sharedPrefix.id, candidates)[0];
+/**
+ * In a large fleet: the targets that the prefix speaks for, and a few at random of those with new and with old weights.
+ *
+ * Load pattern: reports of the loads of many instances are older than most work takes, so that all instances
+ * that compare all targets send to the same few, which look idle for a moment.
+ */
+function sampleTargets(candidates: readonly FleetTarget[], query: TargetQuery, home: FleetTarget | undefined, now: MonotonicMs): readonly FleetTarget[] {
+	if (candidates.length <= largestComparison) {
+		return candidates;
+	}
+
+	const {draw, holders} = query;
+	const sample = new Set(candidates.filter(target => target === home || holders.has(target)));
+	const groups = [candidates.filter(target => !isDevalued(target, query, now)), candidates.filter(target => isDevalued(target, query, now))];
+	let position = draw;
+	for (const group of groups) {
+		for (let count = Math.min(randomCandidates, group.length); count > 0; count -= 1) {
+			position = (position * randomStep) % 1;
+			sample.add(group[Math.floor(position * group.length)]!);
+		}
+	}
+
+	return [...sample];
+}
+
+/** Whether answers of the target's weights have lost value. */
+function isDevalued(target: FleetTarget, {model, named}: TargetQuery, now: MonotonicMs): boolean {
+	return model !== undefined && (named?.isDevalued(target.readVersion(model) ?? 0, now) ?? false);
+}
+
+/** The target that the prompt's shared prefix belongs on, with new weights if any has them; undefined when the prompt has no long one. */
+function findHome(query: TargetQuery, candidates: readonly FleetTarget[], now: MonotonicMs): FleetTarget | undefined {
+	const {sharedPrefix} = query;
+	if (sharedPrefix === undefined) {
+		return undefined;
+	}
+
+	const ranked = rankByPrefix(sharedPrefix.id, candidates);
+	return ranked.find(target => !isDevalued(target, query, now)) ?? ranked[0];
 }
 
 function listUsable({targets, excluded, model, named, memory}: TargetQuery, now: MonotonicMs): FleetTarget[] {
@@ -97,14 +140,14 @@
 
 /** Rates a target in tokens of work before the answer; the lowest is best. */
 function rateTarget(target: FleetTarget, query: TargetQuery, home: FleetTarget | undefined, now: MonotonicMs): number {
-	const {dataCentre, model, named} = query;
+	const {dataCentre} = query;
 	let rating = target.measureLoad(now) + ratePrefix(target, query, home);
 
 	if (target.description.dataCentre !== dataCentre) {
 		rating += distanceTokens;
 	}
 
-	if (model !== undefined && (named?.isDevalued(target.readVersion(model) ?? 0, now) ?? false)) {
+	if (isDevalued(target, query, now)) {
 		rating += oldWeightsTokens;
 	}
 
--- a/src/fleet/choose-target/test.ts
+++ b/src/fleet/choose-target/test.ts
@@ -2,6 +2,7 @@
 import {expect} from 'earl';
 import {createFleetTarget, testModel} from '../../fixtures/create-fleet-target/index.js';
 import type {DataCentreId, InstanceId, MonotonicMs} from '../../identity/ids/index.js';
+import {simulateFleet} from '../../fixtures/simulate-fleet/index.js';
 import {RandomSource} from '../../random/random-source/index.js';
 import {NamedWeights} from '../../rollout/named-weights/index.js';
 import type {FleetTarget} from '../fleet-target/index.js';
@@ -111,3 +112,18 @@
 	const targets = createTargets(1);
 	expect(chooseTarget(createQuery(targets, {memory: {callTokens: 90_000, engineTokens: 100_000}}), at(0)) === targets[0]).toEqual(true);
 });
+
+const largeFleet = {
+	instances: 62, engines: 63, callsPerSecond: 280, seconds: 8, stores: 3, subjects: 1600, firstEngines: 63, engineIntervalMs: 60, seed: 1,
+};
+
+test('replays a large fleet whose load reports are late: no engine gets three times the calls of the others', async () => {
+	const {busiestFactor, lateShare} = await simulateFleet(largeFleet);
+	expect(busiestFactor < 3).toEqual(true);
+	expect(lateShare < 0.01).toEqual(true);
+});
+
+test('replays new weights in a large fleet, with cold caches and 25 of 63 engines at first: few calls are late', async () => {
+	const {lateShare} = await simulateFleet({...largeFleet, firstEngines: 25});
+	expect(lateShare < 0.01).toEqual(true);
+});
