Tell waiting calls of a change once, so that the process does not spin

Cause: TargetFleet.notify went through its set of listeners while each waiting call took its listener out and, still without a target, put a new one in. The iteration came to the new ones as well, so that the process did nothing else until the calls' waiting time was over.

Change: notify calls the listeners of the moment.

Before and after: the test counted 1000 calls for one change (its own limit), now one.

--- a/src/fleet/target-fleet/index.ts
+++ b/src/fleet/target-fleet/index.ts
@@ -63,8 +63,11 @@
 		};
 	}
 
+	/** Calls the listeners of this moment. One that subscribes again while it is called waits for the next change. */
 	notify(): void {
-		for (const listener of this.listeners) {
+		// A copy, since iteration over the set itself would come to those that are added meanwhile.
+		const current = [...this.listeners];
+		for (const listener of current) {
 			listener();
 		}
 	}
--- a/src/fleet/target-fleet/test.ts
+++ b/src/fleet/target-fleet/test.ts
@@ -34,3 +34,23 @@
 	fleet.noteLeaving(fleet.locate('a' as TargetId)!, now);
 	expect(fleet.listServing(service, 100 as MonotonicMs)).toEqual([]);
 });
+
+test('guards against a process that spins: a waiting call that goes on waiting after a change is not asked again for the same change', () => {
+	const fleet = new TargetFleet(quietLogger);
+	let calls = 0;
+	const wait = () => {
+		const unsubscribe = fleet.subscribe(() => {
+			unsubscribe();
+			calls += 1;
+			if (calls < 1000) {
+				wait();
+			}
+		});
+	};
+
+	wait();
+	fleet.notify();
+	expect(calls).toEqual(1);
+	fleet.notify();
+	expect(calls).toEqual(2);
+});
