--- a/src/gateway/gateway-feeds/index.ts
+++ b/src/gateway/gateway-feeds/index.ts
@@ -254,9 +254,9 @@
 		const watchers = listWatchers(this.listLiveIds()).filter(id => id !== self);
 		this.questions += 1;
 		const watcher = watchers[this.questions % Math.max(1, watchers.length)];
-		const hasNews = watcher === undefined ? true : await this.askPeer(watcher, followWaitMs);
+		const mayAskAtOnce = watcher !== undefined && await this.askPeer(watcher, followWaitMs);
 		this.noteState(clock.readMonotonic());
-		if (hasNews) {
+		if (!mayAskAtOnce) {
 			await clock.sleep(followPauseMs, signal);
 		}
 	}
@@ -286,7 +286,7 @@
 		return this.options.random.pickSome(candidates, 1)[0];
 	}
 
-	/** Asks another instance for newer copies. Returns false when it had none, so that it may be asked again at once. */
+	/** Asks another instance for newer copies. Returns whether the next question may follow at once: it had none, and has waited for them. */
 	private async askPeer(peer: InstanceId, waitMs: number): Promise<boolean> {
 		const {caller, clock, logger} = this.options;
 		const known = Object.fromEntries([...this.mirrors].map(([collection, mirror]) => [collection, mirror.readVersion() ?? '']));
@@ -303,10 +303,10 @@
 				}
 			}
 
-			return updates.length > 0;
+			return updates.length === 0;
 		} catch (error) {
 			logger.warn('peer did not pass collections on', {peer, reason: (error as Error).message});
-			return true;
+			return false;
 		}
 	}
 
