Use one faulty proxy and one local listener, and keep wire-free soak parts out of platform/

The soak's proxy repeated the stand-in SilenceProxy; FaultyProxy does both jobs, and the test of silent peer connections uses it with its assertions unchanged. Servers of the soak and of fixtures that listened by hand call listenLocally. Plan, ledger, processes and seeds of the soak know nothing of the wire and move to src/soak; platform/ keeps what translates.

--- a/src/http/listen-locally/index.ts
+++ b/src/http/listen-locally/index.ts
@@ -1,8 +1,7 @@
 /** Starts servers on the loopback address, for tools and tests. */
 
 import {once} from 'node:events';
-import type {Server} from 'node:http';
-import type {AddressInfo} from 'node:net';
+import type {AddressInfo, Server} from 'node:net';
 
 /** Listens on a free port; returns `host:port`. */
 export async function listenLocally(server: Server): Promise<string> {
--- a/src/peers/peer-client/test.ts
+++ b/src/peers/peer-client/test.ts
@@ -1,7 +1,7 @@
 import {after, describe, test} from 'node:test';
 import {expect} from 'earl';
 import type {InstanceId} from '../../identity/ids/index.js';
-import {SilenceProxy} from '../../standin/silence-proxy/index.js';
+import {FaultyProxy} from '../../standin/faulty-proxy/index.js';
 import {PeerServer} from '../peer-server/index.js';
 import {PeerClient} from './index.js';
 
@@ -10,7 +10,7 @@
 
 async function createPair() {
 	const server = new PeerServer(callee);
-	const proxy = new SilenceProxy(await server.listen('127.0.0.1:0'));
+	const proxy = new FaultyProxy(await server.listen('127.0.0.1:0'));
 	const address = await proxy.listen();
 	const client = new PeerClient({self: 'a' as InstanceId, locate: peer => peer === 'unknown' ? undefined : address});
 	server.register('echo', async (parameters, from) => ({parameters, from}));
--- a/platform/soak/plan-faults/index.ts
+++ b/src/soak/plan-faults/index.ts
@@ -1,6 +1,6 @@
 /** Plans the faults of a soak from its seed: they come in series, overlap, and leave a quiet end. */
 
-import {RandomSource} from '../../../src/random/random-source/index.js';
+import {RandomSource} from '../../random/random-source/index.js';
 
 /** Kinds of faults, by what they act on. */
 export const faultKinds = {
--- a/platform/soak/soak-instance/index.ts
+++ b/src/soak/soak-instance/index.ts
@@ -5,7 +5,7 @@
 import {writeFile} from 'node:fs/promises';
 import {join} from 'node:path';
 import {setTimeout as delay} from 'node:timers/promises';
-import {TcpProxy, type ProxyMode} from '../tcp-proxy/index.js';
+import {FaultyProxy, type ProxyMode} from '../../standin/faulty-proxy/index.js';
 
 const program = 'target/gateway.cjs';
 const restartMs = 300;
@@ -22,7 +22,8 @@
 	readonly host: string;
 	readonly zone: string;
 	readonly seeds: readonly string[];
-	readonly storePort: number;
+	/** `host:port`. */
+	readonly storeAddress: string;
 	/** Directory of settings and logs. */
 	readonly directory: string;
 	/** Called when the process ends although nothing ended it. */
@@ -37,10 +38,10 @@
 	private isEnding = false;
 	private isClosed = false;
 	private log: WriteStream | undefined;
-	private readonly storePath: TcpProxy;
+	private readonly storePath: FaultyProxy;
 
 	constructor(readonly options: SoakInstanceOptions) {
-		this.storePath = new TcpProxy(() => options.storePort);
+		this.storePath = new FaultyProxy(options.storeAddress);
 	}
 
 	get callerAddress(): string {
@@ -53,9 +54,9 @@
 
 	async start(): Promise<void> {
 		const {name, host, zone, seeds, directory} = this.options;
-		const storePort = await this.storePath.listen();
+		const objectApi = await this.storePath.listen();
 		await writeFile(this.settingsFile, JSON.stringify({
-			instance: name, dataCentre: zone, region: 'east', objectApi: `127.0.0.1:${storePort}`,
+			instance: name, dataCentre: zone, region: 'east', objectApi,
 			seeds: seeds.map(seed => `${seed}:1`), retryBudget: {ratio: 0.2, extra: 50}, quotaTolerance: {ratio: 0.1, extraTokens: 110_000},
 			weightsLimitMs: 10_000, graceMs,
 			listen: Object.fromEntries(Object.entries(ports).map(([use, port]) => [use, `${host}:${port}`])),
--- a/platform/soak/tcp-proxy/index.ts
+++ b/src/standin/faulty-proxy/index.ts
@@ -1,10 +1,11 @@
-/** A proxy on the loopback address that delays, resets, silences or cuts connections one way. */
+/** A TCP relay whose connections can be delayed, reset, silenced or cut one way. */
 
-import {once} from 'node:events';
 import {
 	connect, createServer, type Server, type Socket,
 } from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
+import {listenLocally} from '../../http/listen-locally/index.js';
+import {parseAddress} from '../../http/parse-address/index.js';
 
 /**
  * What happens to bytes. `deaf`: bytes to the server arrive, its answers do not. `silent`: no bytes pass, and
@@ -14,42 +15,52 @@
 
 const delayMs = 150;
 
-/** Proxy before one server. */
-export class TcpProxy {
+/** Relay to one address. */
+export class FaultyProxy {
 	private mode: ProxyMode = 'pass';
 	private readonly sockets = new Set<Socket>();
+	/** Sockets of connections that went silent for good. */
+	private readonly silenced = new WeakSet<Socket>();
 	private readonly server: Server;
 
-	/** `readUpstream` returns the port of the server on the loopback address. */
-	constructor(private readonly readUpstream: () => number) {
+	constructor(private readonly upstream: string) {
 		this.server = createServer(socket => {
 			this.accept(socket);
 		});
 	}
 
-	async listen(port = 0): Promise<number> {
-		this.server.listen(port, '127.0.0.1');
-		await once(this.server, 'listening');
-		return (this.server.address() as {port: number}).port;
+	/** Number of connections relayed now, the silent ones included. */
+	get connectionCount(): number {
+		return this.sockets.size / 2;
 	}
 
+	/** Starts listening; returns `host:port`. */
+	async listen(): Promise<string> {
+		return listenLocally(this.server);
+	}
+
+	/** Sets what happens to the bytes of all connections, new ones included. */
 	setMode(mode: ProxyMode): void {
 		this.mode = mode;
 		if (mode === 'reset') {
-			this.resetAll();
+			for (const socket of this.sockets) {
+				resetSocket(socket);
+			}
 		}
 	}
 
-	close(): void {
-		this.server.close();
+	/** Stops relaying on every connection that is open now, without closing it; new ones work. */
+	silence(): void {
 		for (const socket of this.sockets) {
-			socket.destroy();
+			this.silenced.add(socket);
 		}
 	}
 
-	private resetAll(): void {
+	/** Destroys all connections and stops listening. */
+	close(): void {
+		this.server.close();
 		for (const socket of this.sockets) {
-			resetSocket(socket);
+			socket.destroy();
 		}
 	}
 
@@ -59,7 +70,8 @@
 			return;
 		}
 
-		const server = connect(this.readUpstream(), '127.0.0.1');
+		const {host, port} = parseAddress(this.upstream);
+		const server = connect(port, host);
 		this.track(client, server);
 		this.track(server, client);
 		client.on('data', chunk => {
@@ -86,7 +98,7 @@
 	}
 
 	private async pass(chunk: Buffer, to: Socket, isDropped: boolean): Promise<void> {
-		if (isDropped) {
+		if (isDropped || this.silenced.has(to)) {
 			return;
 		}
 
--- a/platform/soak/tcp-proxy/test.ts
+++ b/src/standin/faulty-proxy/test.ts
@@ -3,7 +3,9 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {test} from 'node:test';
 import {expect} from 'earl';
-import {TcpProxy, type ProxyMode} from './index.js';
+import {listenLocally} from '../../http/listen-locally/index.js';
+import {parseAddress} from '../../http/parse-address/index.js';
+import {FaultyProxy, type ProxyMode} from './index.js';
 
 /** A server behind a proxy that answers each text with itself, and a connection to it. */
 async function createConnection(mode: ProxyMode) {
@@ -17,10 +19,8 @@
 			socket.write(data);
 		});
 	});
-	server.listen(0, '127.0.0.1');
-	await once(server, 'listening');
-	const proxy = new TcpProxy(() => (server.address() as {port: number}).port);
-	const client: Socket = connect(await proxy.listen(), '127.0.0.1');
+	const proxy = new FaultyProxy(await listenLocally(server));
+	const client: Socket = connect(parseAddress(await proxy.listen()).port, '127.0.0.1');
 	const answers: string[] = [];
 	const faults: string[] = [];
 	client.on('data', (data: Buffer) => {
