--- a/src/store/http-object-api/index.ts
+++ b/src/store/http-object-api/index.ts
@@ -6,7 +6,7 @@
 import {type Stream} from 'most';
 import {Agent, request} from 'undici';
 import type {ResourceVersion} from '../../identity/ids/index.js';
-import {createStream} from '../../streams/create-stream/index.js';
+import {createTaskStream} from '../../streams/create-task-stream/index.js';
 import {checkStatus, convertCallError} from '../convert-call-error/index.js';
 import {
 	ObjectApiError, type ObjectApi, type ObjectList, type StoredObject, type WatchEvent,
@@ -81,22 +81,10 @@
 	}
 
 	watch<Value>(collection: string, from: ResourceVersion): Stream<WatchEvent<Value>> {
-		return createStream(subscriber => {
-			const controller = new AbortController();
+		return createTaskStream(async (emit, signal) => {
 			this.options.onCall?.('watch');
 			const path = `${formatPath(collection)}?watch=true&resourceVersion=${encodeURIComponent(from)}`;
-			const emit = (event: WatchEvent<Value>) => {
-				subscriber.next(event);
-			};
-
-			void this.readWatch(collection, path, controller.signal, emit).catch((error: unknown) => {
-				if (!controller.signal.aborted) {
-					subscriber.error(error as Error);
-				}
-			});
-			return () => {
-				controller.abort();
-			};
+			await this.readWatch(collection, path, signal, emit);
 		});
 	}
 
--- a/src/targets/http-engine-client/index.ts
+++ b/src/targets/http-engine-client/index.ts
@@ -3,7 +3,7 @@
 import type {IncomingHttpHeaders} from 'node:http';
 import type {Stream} from 'most';
 import {Pool, type Dispatcher} from 'undici';
-import {createStream} from '../../streams/create-stream/index.js';
+import {createTaskStream} from '../../streams/create-task-stream/index.js';
 import {createRouterError, RouterError} from '../../results/create-router-error/index.js';
 import {classifyCallError} from '../../http/classify-call-error/index.js';
 import {discardBody} from '../../http/discard-body/index.js';
@@ -97,21 +97,7 @@
 	}
 
 	watchCacheEvents(after: number): Stream<CacheEvent> {
-		return createStream(subscriber => {
-			const controller = new AbortController();
-			const emit = (event: CacheEvent) => {
-				subscriber.next(event);
-			};
-
-			void this.readEvents(after, controller.signal, emit).catch((error: unknown) => {
-				if (!controller.signal.aborted) {
-					subscriber.error(error as Error);
-				}
-			});
-			return () => {
-				controller.abort();
-			};
-		});
+		return createTaskStream(async (emit, signal) => this.readEvents(after, signal, emit));
 	}
 
 	async sendOrder(order: EngineOrder, timeoutMs: number): Promise<'accepted' | 'staleFencing' | 'refused'> {
