--- a/src/fleet/load-exchange/test.ts
+++ b/src/fleet/load-exchange/test.ts
@@ -3,32 +3,19 @@
 import {expect} from 'earl';
 import {SystemClock} from '../../clock/clock/index.js';
 import {ManualClock} from '../../clock/manual-clock/index.js';
+import {createMembershipSignals} from '../../fixtures/create-membership-signals/index.js';
 import {createDescription} from '../../fixtures/create-fleet-target/index.js';
-import type {InstanceId, Revision, TargetId} from '../../identity/ids/index.js';
+import type {TargetId} from '../../identity/ids/index.js';
 import {quietLogger} from '../../logging/quiet-logger/index.js';
-import type {MemberEntry} from '../../membership/heartbeat/index.js';
 import type {Member} from '../../membership/member/index.js';
-import {DatagramChannel, type DatagramHandler} from '../../peers/datagram-channel/index.js';
+import {DatagramChannel} from '../../peers/datagram-channel/index.js';
+import {FakeDatagramNetwork} from '../../peers/fake-datagram-network/index.js';
 import {reservePorts} from '../../process/reserve-ports/index.js';
 import {RandomSource} from '../../random/random-source/index.js';
 import {PrefixDirectory} from '../prefix-directory/index.js';
 import {TargetFleet} from '../target-fleet/index.js';
 import {calculateLifeMs, LoadExchange} from './index.js';
 
-/** Signs of life of one instance; those that it receives are counted. */
-function createSignals(id: InstanceId) {
-	const received: string[] = [];
-	return {
-		received,
-		describeSelf: (): MemberEntry => ({
-			id, life: '12345678', state: 'live', revision: 1 as Revision, counter: 1, ageMs: 0,
-		}),
-		noteEntry(entry: MemberEntry) {
-			received.push(entry.id);
-		},
-	};
-}
-
 test('tells others the work at each target and the prefixes used there', async () => {
 	const clock = new SystemClock();
 	const controller = new AbortController();
@@ -40,7 +27,7 @@
 		const prefixes = new PrefixDirectory();
 		const channel = new DatagramChannel(quietLogger);
 		const exchange = new LoadExchange({
-			membership: createSignals(member.id), clock, random: new RandomSource(index + 1), fleet, prefixes, channel,
+			membership: createMembershipSignals(member.id), clock, random: new RandomSource(index + 1), fleet, prefixes, channel,
 			listPeers: () => members.filter(other => other !== member),
 		});
 		return {
@@ -70,34 +57,22 @@
 	const clock = new ManualClock();
 	const controller = new AbortController();
 	const members = Array.from({length: count}, (_, index) => ({id: `i${index}`, peerAddress: `h${index}:1`}) as unknown as Member);
-	const handlers = new Map<string, DatagramHandler>();
-	const sent = {datagrams: 0, largestBytes: 0};
+	const network = new FakeDatagramNetwork();
 	const instances = members.map((member, index) => {
 		const fleet = new TargetFleet(quietLogger);
 		fleet.replace(Array.from({length: 98}, (_item, number) => createDescription(`i-${number}c37c357a`)));
 		const prefixes = new PrefixDirectory();
-		const membership = createSignals(member.id);
+		const membership = createMembershipSignals(member.id);
 		const exchange = new LoadExchange({
 			membership, clock, random: new RandomSource(index + 1), fleet, prefixes,
-			channel: {
-				register(_type, handler) {
-					handlers.set(member.peerAddress, handler);
-				},
-				send(addresses, _type, body) {
-					for (const address of addresses) {
-						sent.datagrams += 1;
-						sent.largestBytes = Math.max(sent.largestBytes, JSON.stringify(body).length);
-						handlers.get(address)!(body);
-					}
-				},
-			},
+			channel: network.open(member.peerAddress),
 			listPeers: () => members.filter(other => other !== member),
 		});
 		void exchange.run(controller.signal);
 		return {fleet, prefixes, membership};
 	});
 	return {
-		clock, instances, sent,
+		clock, instances, sent: network.sent,
 		stop() {
 			controller.abort();
 		},
--- a/src/quota/quota-lending/test.ts
+++ b/src/quota/quota-lending/test.ts
@@ -4,7 +4,7 @@
 import {createOrganisation} from '../../fixtures/create-routing-configuration/index.js';
 import type {InstanceId} from '../../identity/ids/index.js';
 import type {Member} from '../../membership/member/index.js';
-import type {DatagramHandler} from '../../peers/datagram-channel/index.js';
+import {FakeDatagramNetwork} from '../../peers/fake-datagram-network/index.js';
 import {FakePeerNetwork} from '../../peers/fake-peer-network/index.js';
 import {RandomSource} from '../../random/random-source/index.js';
 import {QuotaLending} from './index.js';
@@ -21,20 +21,13 @@
 	const network = new FakePeerNetwork(clock);
 	const ids = Array.from({length: count}, (_, index) => `i${index}` as InstanceId);
 	const members = ids.map(id => ({id, peerAddress: id, state: 'live'}) as unknown as Member);
-	const handlers = new Map<string, DatagramHandler>();
+	const datagrams = new FakeDatagramNetwork();
 	const lendings = ids.map((id, index) => {
 		const endpoint = network.open(id);
 		const lending = new QuotaLending({
 			clock, random: new RandomSource(index + 1), caller: endpoint, registry: endpoint, countInstances: () => count,
 			self: id, listPeers: () => members.filter(other => other.id !== id), tolerance: {ratio: 0, extraTokens},
-			channel: {
-				register(_type, handler) {
-					handlers.set(id, handler);
-				},
-				send(addresses, _type, body) {
-					handlers.get(addresses[0]!)!(body);
-				},
-			},
+			channel: datagrams.open(id),
 		});
 		lending.apply([sharedQuota]);
 		void lending.run(new AbortController().signal);
--- a/src/rollout/rollout-notices/test.ts
+++ b/src/rollout/rollout-notices/test.ts
@@ -6,7 +6,7 @@
 import {TargetFleet} from '../../fleet/target-fleet/index.js';
 import {quietLogger} from '../../logging/quiet-logger/index.js';
 import type {Member} from '../../membership/member/index.js';
-import type {DatagramHandler} from '../../peers/datagram-channel/index.js';
+import {FakeDatagramNetwork} from '../../peers/fake-datagram-network/index.js';
 import {RolloutNotices} from './index.js';
 
 const engineCount = 39;
@@ -16,30 +16,18 @@
 function createPair(peerCount: number) {
 	const clock = new ManualClock();
 	const peers = Array.from({length: peerCount}, (_, index) => ({id: `p${index}`, peerAddress: `p${index}:1`}) as unknown as Member);
-	const sent = {messages: 0, datagrams: 0, largestBytes: 0};
-	let handler: DatagramHandler | undefined;
-	const createNotices = (isSender: boolean) => {
+	const network = new FakeDatagramNetwork();
+	const createNotices = (address: string) => {
 		const fleet = new TargetFleet(quietLogger);
 		fleet.replace(Array.from({length: engineCount}, (_, index) => createDescription(createId(index))));
 		const notices = new RolloutNotices({
-			clock, fleet, listPeers: () => peers,
-			channel: {
-				register(_type, registered) {
-					handler = isSender ? handler : registered;
-				},
-				send(addresses, _type, body) {
-					sent.messages += 1;
-					sent.datagrams += addresses.length;
-					sent.largestBytes = Math.max(sent.largestBytes, JSON.stringify(body).length);
-					handler!(body);
-				},
-			},
+			clock, fleet, channel: network.open(address), listPeers: () => peers,
 		});
 		return {fleet, notices};
 	};
 
 	return {
-		clock, sent, sender: createNotices(true), receiver: createNotices(false),
+		clock, sent: network.sent, sender: createNotices('sender:1'), receiver: createNotices('p0:1'),
 	};
 }
 
