Do the work of placement and of load reports once for each call and round

Whether weights are devalued was asked several times for each target, the holders of a prefix were listed and sorted once for each target, and a load report was encoded once for each receiver. Targets are now split once, holders are listed once for each weights version, and receivers that lack the same prefix uses share one message.

--- a/src/fleet/choose-target/index.ts
+++ b/src/fleet/choose-target/index.ts
@@ -39,6 +39,9 @@
 /** A prompt prefix that calls share. */
 export type SharedPrefix = {readonly id: string; readonly tokens: number};
 
+/** Targets that take the call, with those apart whose answers have lost value. */
+type Candidates = {readonly all: readonly FleetTarget[]; readonly valued: readonly FleetTarget[]; readonly devalued: readonly FleetTarget[]};
+
 /** Memory in tokens. */
 export type MemoryDemand = {readonly callTokens: number; readonly engineTokens: number};
 
@@ -66,12 +69,13 @@
 export function chooseTarget(query: TargetQuery, now: MonotonicMs): FleetTarget | undefined {
 	const usable = listUsable(query, now);
 	const sound = usable.filter(target => !target.isAvoided(now) && !target.isSilent(now));
-	const candidates = sound.length > 0 ? sound : usable;
-	const home = findHome(query, candidates, now);
+	const candidates = splitByValue(sound.length > 0 ? sound : usable, query, now);
+	const home = findHome(query, candidates);
+	const compared = sampleTargets(candidates, query, home);
 	let best: FleetTarget | undefined;
 	let bestRating = Infinity;
-	for (const [index, target] of sampleTargets(candidates, query, home, now).entries()) {
-		const jitter = ((query.draw * (index + 1) * candidates.length) % 1) * jitterTokens;
+	for (const [index, target] of compared.entries()) {
+		const jitter = ((query.draw * (index + 1) * candidates.all.length) % 1) * jitterTokens;
 		const rating = rateTarget(target, query, home, now) + jitter;
 		if (rating < bestRating) {
 			best = target;
@@ -88,16 +92,14 @@
  * Load pattern: reports of the loads of many instances are older than most work takes, so that all instances
  * that compare all targets send to the same few, which look idle for a moment.
  */
-function sampleTargets(candidates: readonly FleetTarget[], query: TargetQuery, home: FleetTarget | undefined, now: MonotonicMs): readonly FleetTarget[] {
-	if (candidates.length <= largestComparison) {
-		return candidates;
+function sampleTargets({all, valued, devalued}: Candidates, {draw, holders}: TargetQuery, home: FleetTarget | undefined): readonly FleetTarget[] {
+	if (all.length <= largestComparison) {
+		return all;
 	}
 
-	const {draw, holders} = query;
-	const sample = new Set(candidates.filter(target => target === home || holders.has(target)));
-	const groups = [candidates.filter(target => !isDevalued(target, query, now)), candidates.filter(target => isDevalued(target, query, now))];
+	const sample = new Set(all.filter(target => target === home || holders.has(target)));
 	let position = draw;
-	for (const group of groups) {
+	for (const group of [valued, devalued]) {
 		for (let count = Math.min(randomCandidates, group.length); count > 0; count -= 1) {
 			position = (position * randomStep) % 1;
 			sample.add(group[Math.floor(position * group.length)]!);
@@ -107,20 +109,25 @@
 	return [...sample];
 }
 
+/** Splits targets by whether answers of their weights have kept their value. */
+function splitByValue(all: readonly FleetTarget[], query: TargetQuery, now: MonotonicMs): Candidates {
+	const valued: FleetTarget[] = [];
+	const devalued: FleetTarget[] = [];
+	for (const target of all) {
+		(isDevalued(target, query, now) ? devalued : valued).push(target);
+	}
+
+	return {all, valued, devalued};
+}
+
 /** Whether answers of the target's weights have lost value. */
 function isDevalued(target: FleetTarget, {model, named}: TargetQuery, now: MonotonicMs): boolean {
 	return model !== undefined && (named?.isDevalued(target.readVersion(model) ?? 0, now) ?? false);
 }
 
 /** The target that the prompt's shared prefix belongs on, with new weights if any has them; undefined when the prompt has no long one. */
-function findHome(query: TargetQuery, candidates: readonly FleetTarget[], now: MonotonicMs): FleetTarget | undefined {
-	const {sharedPrefix} = query;
-	if (sharedPrefix === undefined) {
-		return undefined;
-	}
-
-	const ranked = rankByPrefix(sharedPrefix.id, candidates);
-	return ranked.find(target => !isDevalued(target, query, now)) ?? ranked[0];
+function findHome({sharedPrefix}: TargetQuery, {all, valued}: Candidates): FleetTarget | undefined {
+	return sharedPrefix === undefined ? undefined : rankByPrefix(sharedPrefix.id, valued.length > 0 ? valued : all)[0];
 }
 
 function listUsable({targets, excluded, model, named, memory}: TargetQuery, now: MonotonicMs): FleetTarget[] {
--- a/src/fleet/load-exchange/index.ts
+++ b/src/fleet/load-exchange/index.ts
@@ -92,20 +92,39 @@
 		const validMs = Math.max(shortestValidityMs, missedTurns * countTurns(peers.length) * intervalMs);
 		const sender = membership.describeSelf();
 		this.round += 1;
-		for (const peer of this.chooseReceivers(peers)) {
-			const before = this.told.get(peer.id);
-			const uses = prefixes.listOwnUses(before?.nextUse ?? 0, maximumUses);
-			// One empty report after the last work lets the others forget it at once.
-			if (loads.length === 0 && uses.length === 0 && before?.wasIdle === true && this.round - before.round < longestQuiet) {
+		for (const [nextUse, receivers] of this.groupByNextUse(this.chooseReceivers(peers))) {
+			const uses = prefixes.listOwnUses(nextUse, maximumUses);
+			const due = receivers.filter(peer => loads.length > 0 || uses.length > 0 || this.isDue(peer));
+			for (const peer of due) {
+				this.told.set(peer.id, {round: this.round, nextUse: prefixes.nextOwnUse, wasIdle: loads.length === 0});
+			}
+
+			if (due.length === 0) {
 				continue;
 			}
 
-			this.told.set(peer.id, {round: this.round, nextUse: prefixes.nextOwnUse, wasIdle: loads.length === 0});
 			const message: LoadMessage = {
 				sender, validMs, loads, prefixes: uses,
 			};
-			channel.send([peer.peerAddress], loadMessageType, message);
+			channel.send(due.map(peer => peer.peerAddress), loadMessageType, message);
+		}
+	}
+
+	/** Groups receivers that lack the same prefix uses, so that they share a message. */
+	private groupByNextUse(receivers: readonly Member[]): Map<number, Member[]> {
+		const groups = new Map<number, Member[]>();
+		for (const peer of receivers) {
+			const nextUse = this.told.get(peer.id)?.nextUse ?? 0;
+			groups.set(nextUse, [...groups.get(nextUse) ?? [], peer]);
 		}
+
+		return groups;
+	}
+
+	/** Whether a receiver gets an empty report: once after the last work, so that it forgets that at once, and when it has heard nothing for long. */
+	private isDue(peer: Member): boolean {
+		const before = this.told.get(peer.id);
+		return before?.wasIdle !== true || this.round - before.round >= longestQuiet;
 	}
 
 	/** The instances that were told longest ago. */
--- a/src/forwarding/prefix-hints/index.ts
+++ b/src/forwarding/prefix-hints/index.ts
@@ -2,8 +2,8 @@
 
 import type {SharedPrefix} from '../../fleet/choose-target/index.js';
 import type {FleetTarget} from '../../fleet/fleet-target/index.js';
-import {formatPrefixKey, type PrefixDirectory} from '../../fleet/prefix-directory/index.js';
-import type {MonotonicMs} from '../../identity/ids/index.js';
+import {formatPrefixKey, type PrefixDirectory, type PrefixKey} from '../../fleet/prefix-directory/index.js';
+import type {MonotonicMs, TargetId} from '../../identity/ids/index.js';
 import type {CallerOrganisation} from '../../routing/routing-types/index.js';
 import type {EngineWork} from '../call-types/index.js';
 
@@ -43,7 +43,17 @@
 
 	/** Selects the targets that probably hold the shared prefix for the weights that they have. */
 	selectHolders(targets: readonly FleetTarget[], now: MonotonicMs): ReadonlySet<FleetTarget> {
-		return new Set(targets.filter(target => this.isHolder(target, now)));
+		const holdersByKey = new Map<PrefixKey, readonly TargetId[]>();
+		return new Set(targets.filter(target => {
+			const key = this.formatKey(target);
+			if (key === undefined) {
+				return false;
+			}
+
+			const holders = holdersByKey.get(key) ?? this.directory.listHolders(key, now);
+			holdersByKey.set(key, holders);
+			return holders.includes(target.description.id);
+		}));
 	}
 
 	/** Notes that `target` has the shared prefix from now on. */
@@ -61,15 +71,10 @@
 		}
 
 		const {parts, promptTokens} = this.work;
-		return this.isHolder(target, now) ? parts.at(-1)?.tokens ?? promptTokens : promptTokens;
-	}
-
-	private isHolder(target: FleetTarget, now: MonotonicMs): boolean {
-		const key = this.formatKey(target);
-		return key !== undefined && this.directory.listHolders(key, now).includes(target.description.id);
+		return this.selectHolders([target], now).has(target) ? parts.at(-1)?.tokens ?? promptTokens : promptTokens;
 	}
 
-	private formatKey(target: FleetTarget): string | undefined {
+	private formatKey(target: FleetTarget): PrefixKey | undefined {
 		const scope = this.formatScope(target);
 		return scope === undefined || this.sharedPrefix === undefined ? undefined : formatPrefixKey(scope, this.sharedPrefix.id);
 	}
