--- a/src/forwarding/build-attempt-options/test.ts
+++ b/src/forwarding/build-attempt-options/test.ts
@@ -3,7 +3,7 @@
 import {createFleetTarget, testModel} from '../../fixtures/create-fleet-target/index.js';
 import {createOrganisation, createRoute} from '../../fixtures/create-routing-configuration/index.js';
 import {PrefixDirectory} from '../../fleet/prefix-directory/index.js';
-import type {DataCentreId, RequestId} from '../../identity/ids/index.js';
+import type {RequestId} from '../../identity/ids/index.js';
 import type {EngineWork, InboundCall} from '../call-types/index.js';
 import {PrefixHints} from '../prefix-hints/index.js';
 import {buildAttemptOptions} from './index.js';
@@ -23,7 +23,7 @@
 	return buildAttemptOptions({
 		call, route: createRoute('r', {priority: 3}), organisation, target: createFleetTarget('t'), hints: new PrefixHints(work, organisation, new PrefixDirectory()),
 		remainingMs: 100, lastEventId: undefined,
-		cacheStores: stores.map(address => ({address, dataCentre: 'dc-1' as DataCentreId})),
+		cacheStores: stores.map(address => ({address})),
 	});
 }
 
--- a/src/membership/heartbeat/index.ts
+++ b/src/membership/heartbeat/index.ts
@@ -9,6 +9,8 @@
 export const maximumSample = 8;
 /** The same for an answer to a member that has just begun its life, and knows nobody yet. */
 export const maximumIntroduction = 64;
+/** One entry out of this many is sent whole, for receivers that missed the beginning of the member's life. */
+export const wholeEntryInterval = 8;
 
 /** Length of the random end of an incarnation. */
 const lifeLength = 8;
--- a/src/membership/member-table/index.ts
+++ b/src/membership/member-table/index.ts
@@ -3,7 +3,7 @@
 import type {InstanceId, MonotonicMs} from '../../identity/ids/index.js';
 import type {RandomSource} from '../../random/random-source/index.js';
 import {
-	maximumIntroduction, maximumSample, shortenEntry, type BriefEntry, type HeartbeatEntry,
+	maximumIntroduction, maximumSample, shortenEntry, wholeEntryInterval, type BriefEntry, type HeartbeatEntry,
 } from '../heartbeat/index.js';
 import type {Member} from '../member/index.js';
 
@@ -16,9 +16,6 @@
 /** Time during which a change is put into samples first, in milliseconds. */
 const newsMs = 5000;
 
-/** One entry out of this many is sent whole. */
-const wholeEntryInterval = 8;
-
 type MemberRecord = {member: Member; counter: number; advancedAt: number; changedAt: number};
 
 /** Members by id with their heartbeat counters. */
--- a/src/membership/membership/index.ts
+++ b/src/membership/membership/index.ts
@@ -13,7 +13,7 @@
 import {chooseHeartbeatPeers} from '../choose-heartbeat-peers/index.js';
 import {createIncarnation} from '../create-incarnation/index.js';
 import {
-	heartbeatMethod, parseHeartbeat, shortenEntry, type Heartbeat, type HeartbeatEntry, type MemberEntry,
+	heartbeatMethod, parseHeartbeat, shortenEntry, wholeEntryInterval, type Heartbeat, type HeartbeatEntry, type MemberEntry,
 } from '../heartbeat/index.js';
 import {HeartbeatLink} from '../heartbeat-link/index.js';
 import type {Member, MemberView} from '../member/index.js';
@@ -27,9 +27,8 @@
 /** Seeds asked at the start, and members told at once of a planned stop. Later rounds reach the others. */
 const maximumBurst = 32;
 
-/** Rounds at the start of a life in which signs of life describe the whole member, and the interval of whole ones later. */
+/** Rounds at the start of a life in which signs of life describe the whole member. */
 const wholeRounds = 10;
-const wholeEntryInterval = 8;
 
 /** Revision of an instance without a configuration. */
 export const noRevision = -1 as Revision;
--- a/src/routing/routing-types/index.ts
+++ b/src/routing/routing-types/index.ts
@@ -1,7 +1,7 @@
 /** What operators declare for calls: routes, services, organisations and limits, as one accepted revision. */
 
 import type {
-	Branded, DataCentreId, KeyHash, OrganisationId, Revision, RouteId,
+	Branded, KeyHash, OrganisationId, Revision, RouteId,
 } from '../../identity/ids/index.js';
 
 /** Name of a group of targets that serve the same calls. */
@@ -61,7 +61,10 @@
 };
 
 /** A store of cache entries that engines read from and write to. */
-export type CacheStore = {readonly address: string; readonly dataCentre: DataCentreId};
+export type CacheStore = {
+	/** `host:port`. */
+	readonly address: string;
+};
 
 /** Properties of a service's engines. */
 export type EngineTraits = {
