Exchange loads and heartbeats of large fleets through an aggregator in each data centre

Change: above 12 other instances, an instance reports to the aggregator of its data centre every 200 ms and gets the sums of the whole fleet back. The aggregator is the instance with the most capacity (settings `capacity`); reporters turn to the next one 0.7 s after the last sums. Sums carry heartbeats, so heartbeat calls are made every 5 s instead of every second. The liveness timeout no longer grows with the fleet: 4 s (3.6 s at 72 instances, 9.8 s at 195 before).

--- a/src/fleet/fleet-target/index.ts
+++ b/src/fleet/fleet-target/index.ts
@@ -179,26 +179,33 @@
 
 	/** Load from all instances, as the number of prompt tokens that take the same effort. */
 	measureLoad(now: MonotonicMs): number {
-		return this.listLoads(now).reduce((sum, load) => sum + weighLoad(load), 0);
+		return weighLoad(this.readTotalLoad(now));
 	}
 
 	/** Engine memory that the calls of all instances take, in tokens. */
 	measureMemory(now: MonotonicMs): number {
-		return this.listLoads(now).reduce((sum, load) => sum + load.memoryTokens, 0);
+		return this.readTotalLoad(now).memoryTokens;
 	}
 
-	/** Lists this instance's load and the reports of others that haven't expired; deletes expired ones. */
-	private listLoads(now: MonotonicMs): TargetLoad[] {
-		const loads: TargetLoad[] = [this.readOwnLoad()];
+	/** Work in flight from all instances. Reports that have expired are deleted. */
+	readTotalLoad(now: MonotonicMs): TargetLoad {
+		return this.readLoadFrom(this.remoteLoads, now);
+	}
+
+	/** Work in flight from this instance and from `instances`. Reports that have expired are deleted. */
+	readLoadFrom(instances: {has(instance: InstanceId): boolean}, now: MonotonicMs): TargetLoad {
+		let {calls, prefillTokens, memoryTokens} = this.readOwnLoad();
 		for (const [instance, load] of this.remoteLoads) {
 			if (now > load.expiresAt) {
 				this.remoteLoads.delete(instance);
-			} else {
-				loads.push(load);
+			} else if (instances.has(instance)) {
+				calls += load.calls;
+				prefillTokens += load.prefillTokens;
+				memoryTokens += load.memoryTokens;
 			}
 		}
 
-		return loads;
+		return {calls, prefillTokens, memoryTokens};
 	}
 }
 
--- a/src/fleet/load-exchange/index.ts
+++ b/src/fleet/load-exchange/index.ts
@@ -3,38 +3,52 @@
  * target, and the prompt prefixes that it used there. The datagrams also serve as heartbeats.
  *
  * Each instance sees only its own traffic, and a burst fills a target before any single instance notices.
- * The next datagram replaces a lost one, so nothing is retransmitted. In a large fleet the receivers are served
- * round robin, and each gets all prefix uses since its previous report.
+ * The next datagram replaces a lost one, so nothing is retransmitted. In a small fleet each instance reports to all
+ * others. In a large one it reports to the aggregator of its data centre, which sends the sums of the whole fleet back.
  */
 
 import type {Clock} from '../../clock/clock/index.js';
-import type {InstanceId, MonotonicMs, TargetId} from '../../identity/ids/index.js';
-import {parseMemberEntry, type MemberEntry} from '../../membership/heartbeat/index.js';
+import type {InstanceId, MonotonicMs} from '../../identity/ids/index.js';
+import {parseMemberEntry} from '../../membership/heartbeat/index.js';
 import type {Member} from '../../membership/member/index.js';
 import type {DatagramTransport} from '../../peers/datagram-channel/index.js';
 import type {RandomSource} from '../../random/random-source/index.js';
+import {AggregatorChoice} from '../aggregator-choice/index.js';
+import type {TargetLoad} from '../fleet-target/index.js';
+import {LoadAggregator, sumValidityMs, type AggregatedMembership} from '../load-aggregator/index.js';
+import {
+	formatLoad, loadMessageType, parseLoad, type LoadEntry, type LoadMessage,
+} from '../load-messages/index.js';
 import type {PrefixDirectory, PrefixUse} from '../prefix-directory/index.js';
+import {hasAggregators, rankAggregators} from '../rank-aggregators/index.js';
 import type {TargetFleet} from '../target-fleet/index.js';
 
-/** Message type of the load reports. */
-export const loadMessageType = 'loads';
-/** Interval between rounds of reports; receivers get fewer while there is no work to report. */
-const roundIntervalMs = 100;
-/** Receivers in one round; with more instances, each gets reports less often. */
-const maximumReceiversPerRound = 8;
-/** Maximum loads and prefix uses in one datagram, so that it fits into one packet. */
-const maximumLoadsPerMessage = 16;
-const maximumPrefixUsesPerMessage = 12;
-/** Cycles without a report after which a reported load expires. In a cycle, each other instance gets one report. */
-const loadValidityCycles = 3;
-/** Minimum time for which a reported load counts. */
-const minimumLoadValidityMs = 1000;
-/** Rounds without a datagram to a receiver after which it gets an empty one as a heartbeat. */
-const idleHeartbeatRounds = 3;
-/** Minimum time without a datagram after which an instance no longer counts as live. */
-const minimumLivenessTimeoutMs = 2000;
-/** Cycles without a datagram after which an instance no longer counts as live: one of as many consecutive datagrams has to arrive. */
-const livenessTimeoutCycles = 4;
+/** Interval between the rounds of a small fleet, and between those of a large one, in milliseconds. */
+const directRoundIntervalMs = 100;
+const aggregatedRoundIntervalMs = 200;
+/** Limits of the reports to one kind of receiver. */
+type ReportLimits = {
+	/** Maximum number of loads and of prefix uses in a datagram. */
+	readonly loads: number;
+	readonly prefixUses: number;
+	/** Time for which a reported load counts, in milliseconds. */
+	readonly validMs: number;
+	/** Rounds without a datagram to a receiver after which it gets an empty one as a heartbeat. */
+	readonly idleRounds: number;
+};
+
+/** Reports to all others: a datagram fits into one packet. */
+const directLimits: ReportLimits = {
+	loads: 16, prefixUses: 12, validMs: 1000, idleRounds: 3,
+};
+/** Reports to an aggregator, of which an instance sends only one in a round. */
+const aggregatedLimits: ReportLimits = {
+	loads: 64, prefixUses: 32, validMs: sumValidityMs, idleRounds: 2,
+};
+/** Time without a heartbeat after which an instance of a small fleet no longer counts as live, in milliseconds. */
+const directLivenessTimeoutMs = 2000;
+/** The same in a large fleet, where a heartbeat passes two aggregators and several messages in a row may be lost. */
+const aggregatedLivenessTimeoutMs = 4000;
 
 /** Dependencies of the exchange. */
 export type LoadExchangeOptions = {
@@ -43,68 +57,99 @@
 	readonly fleet: TargetFleet;
 	readonly prefixes: PrefixDirectory;
 	readonly channel: DatagramTransport;
+	readonly readSelf: () => Member;
 	/** Live instances other than this one. */
 	readonly listPeers: () => readonly Member[];
-	readonly membership: MembershipHeartbeats;
+	readonly membership: AggregatedMembership;
 };
 
-/** The part of the membership that sends and receives heartbeats. */
-export type MembershipHeartbeats = {
-	describeSelf(): MemberEntry;
-	applyEntry(entry: MemberEntry, now: MonotonicMs): void;
-};
-
-/** Load of one target: calls in flight, prompt tokens still to compute and engine memory taken, in tokens. */
-type LoadEntry = readonly [id: TargetId, calls: number, prefillTokens: number, memoryTokens: number];
-type LoadMessage = {
-	readonly sender: MemberEntry;
-	/** Time after receipt for which the loads count, in milliseconds. */
-	readonly validMs: number;
-	readonly loads: readonly LoadEntry[];
-	readonly prefixes: readonly PrefixUse[];
-};
+type LastReport = {readonly round: number; readonly nextUseNumber: number; readonly wasIdle: boolean};
 
 /** Reports the loads of this instance to the others and records theirs. */
 export class LoadExchange {
 	/** The last report sent to each instance. */
-	private readonly lastReports = new Map<InstanceId, {readonly round: number; readonly nextUseNumber: number; readonly wasIdle: boolean}>();
+	private readonly lastReports = new Map<InstanceId, LastReport>();
+	private readonly aggregator: LoadAggregator;
+	private readonly aggregatorChoice = new AggregatorChoice();
+	/** The loads in the last report to an aggregator. */
+	private reportedLoads: ReadonlyMap<LoadEntry[0], TargetLoad> = new Map();
 	private round = 0;
 
 	constructor(private readonly options: LoadExchangeOptions) {
 		options.channel.register(loadMessageType, body => {
 			this.receive(body as LoadMessage);
 		});
+		this.aggregator = new LoadAggregator({
+			...options,
+			readReportedLoad: target => this.reportedLoads.get(target),
+			onSums: (sender, now) => {
+				this.aggregatorChoice.recordSums(sender, now);
+			},
+		});
 	}
 
 	/** Sends reports until `signal` aborts. */
 	async run(signal: AbortSignal): Promise<void> {
-		const {clock, random} = this.options;
+		const {clock, random, listPeers} = this.options;
+		let intervalMs = directRoundIntervalMs;
 		while (!signal.aborted) {
-			await clock.sleep(random.applyJitter(roundIntervalMs), signal);
-			this.send();
+			await clock.sleep(random.applyJitter(intervalMs), signal);
+			const peers = listPeers();
+			this.round += 1;
+			this.forgetReportsOfLost(peers);
+			if (hasAggregators(peers.length)) {
+				this.exchangeWithAggregators(peers);
+				intervalMs = aggregatedRoundIntervalMs;
+			} else {
+				this.reportToAll(peers);
+				intervalMs = directRoundIntervalMs;
+			}
 		}
 	}
 
-	private send(): void {
-		const {channel, listPeers, prefixes, membership} = this.options;
-		const loads = this.listLoads();
-		const peers = listPeers();
-		const validMs = Math.max(minimumLoadValidityMs, loadValidityCycles * countRoundsPerCycle(peers.length) * roundIntervalMs);
-		const sender = membership.describeSelf();
-		this.round += 1;
-		for (const [nextUseNumber, receivers] of this.groupByNextUseNumber(this.chooseReceivers(peers))) {
-			const uses = prefixes.listOwnUses(nextUseNumber, maximumPrefixUsesPerMessage);
-			const dueReceivers = receivers.filter(peer => loads.length > 0 || uses.length > 0 || this.isEmptyReportDue(peer));
-			for (const peer of dueReceivers) {
-				this.lastReports.set(peer.id, {round: this.round, nextUseNumber: prefixes.nextOwnUseNumber, wasIdle: loads.length === 0});
-			}
+	/** Reports to the aggregator of the data centre, or acts as the aggregator. */
+	private exchangeWithAggregators(peers: readonly Member[]): void {
+		const self = this.options.readSelf();
+		const now = this.options.clock.readMonotonic();
+		const aggregator = this.aggregatorChoice.choose(rankAggregators([self, ...peers], self.dataCentre), now);
+		if (this.aggregator.hasReporters() || aggregator?.id === self.id) {
+			this.aggregatorChoice.recordSums(self.id, now);
+			this.aggregator.recordUses(this.takeOwnUses(self.id));
+			this.aggregator.sendSums(now);
+		} else if (aggregator !== undefined) {
+			const loads = this.listLoads(aggregatedLimits.loads);
+			this.reportedLoads = new Map(loads.map(entry => [entry[0], parseLoad(entry)]));
+			this.report([aggregator], loads, aggregatedLimits);
+		}
+	}
 
-			if (dueReceivers.length === 0) {
-				continue;
-			}
+	/** Returns the prefix uses of this instance since the last sums that it sent. */
+	private takeOwnUses(self: InstanceId): readonly PrefixUse[] {
+		const {prefixes} = this.options;
+		const uses = prefixes.listOwnUses(this.lastReports.get(self)?.nextUseNumber ?? 0, aggregatedLimits.prefixUses);
+		this.lastReports.set(self, {round: this.round, nextUseNumber: prefixes.nextOwnUseNumber, wasIdle: false});
+		return uses;
+	}
+
+	private reportToAll(peers: readonly Member[]): void {
+		const loads = this.listLoads(directLimits.loads);
+		for (const receivers of this.groupByNextUseNumber(peers).values()) {
+			this.report(receivers, loads, directLimits);
+		}
+	}
+
+	/** Sends a report to receivers that need the same prefix uses. */
+	private report(receivers: readonly Member[], loads: readonly LoadEntry[], limits: ReportLimits): void {
+		const {channel, prefixes, membership} = this.options;
+		const uses = prefixes.listOwnUses(this.lastReports.get(receivers[0]!.id)?.nextUseNumber ?? 0, limits.prefixUses);
+		const dueReceivers = receivers.filter(peer => loads.length > 0 || uses.length > 0 || this.isEmptyReportDue(peer, limits.idleRounds));
+		for (const peer of dueReceivers) {
+			this.lastReports.set(peer.id, {round: this.round, nextUseNumber: prefixes.nextOwnUseNumber, wasIdle: loads.length === 0});
+		}
 
+		if (dueReceivers.length > 0) {
 			const message: LoadMessage = {
-				sender, validMs, loads, prefixes: uses,
+				sender: membership.describeSelf(), validMs: limits.validMs, loads, prefixes: uses,
 			};
 			channel.send(dueReceivers.map(peer => peer.peerAddress), loadMessageType, message);
 		}
@@ -122,43 +167,36 @@
 	}
 
 	/** Whether a receiver gets an empty report: once when the last work has ended, so that it drops the load at once, and then as a heartbeat. */
-	private isEmptyReportDue(peer: Member): boolean {
+	private isEmptyReportDue(peer: Member, idleRounds: number): boolean {
 		const lastReport = this.lastReports.get(peer.id);
-		return lastReport?.wasIdle !== true || this.round - lastReport.round >= idleHeartbeatRounds;
+		return lastReport?.wasIdle !== true || this.round - lastReport.round >= idleRounds;
 	}
 
-	/** Chooses the instances whose last report is the oldest. */
-	private chooseReceivers(peers: readonly Member[]): Member[] {
-		if (peers.length <= maximumReceiversPerRound) {
-			return [...peers];
-		}
-
-		const liveIds = new Set(peers.map(peer => peer.id));
-		for (const id of this.lastReports.keys()) {
-			if (!liveIds.has(id)) {
-				this.lastReports.delete(id);
+	private forgetReportsOfLost(peers: readonly Member[]): void {
+		if (this.lastReports.size > peers.length + 1) {
+			const liveIds = new Set(peers.map(peer => peer.id));
+			for (const id of this.lastReports.keys()) {
+				if (!liveIds.has(id)) {
+					this.lastReports.delete(id);
+				}
 			}
 		}
-
-		const readRound = (peer: Member) => this.lastReports.get(peer.id)?.round ?? 0;
-		return peers.toSorted((a, b) => readRound(a) - readRound(b)).slice(0, maximumReceiversPerRound);
 	}
 
-	/** Lists the loads of this instance; those that take the most memory if there are too many for a message. */
-	private listLoads(): LoadEntry[] {
+	/** Lists the loads of this instance; those that take the most memory if there are more than `limit`. */
+	private listLoads(limit: number): LoadEntry[] {
 		const loads: LoadEntry[] = [];
 		for (const target of this.options.fleet.list()) {
 			if (target.calls.size > 0) {
-				const {calls, prefillTokens, memoryTokens} = target.readOwnLoad();
-				loads.push([target.description.id, calls, prefillTokens, memoryTokens]);
+				loads.push(formatLoad(target.description.id, target.readOwnLoad()));
 			}
 		}
 
-		return loads.length <= maximumLoadsPerMessage ? loads : loads.toSorted((a, b) => b[3] - a[3]).slice(0, maximumLoadsPerMessage);
+		return loads.length <= limit ? loads : loads.toSorted((a, b) => b[3] - a[3]).slice(0, limit);
 	}
 
 	private receive({sender, validMs, loads, prefixes: uses}: LoadMessage): void {
-		const {clock, fleet, prefixes, membership} = this.options;
+		const {clock, fleet, prefixes, membership, listPeers} = this.options;
 		const now = clock.readMonotonic();
 		const senderId = sender.id;
 		membership.applyEntry(parseMemberEntry(sender), now);
@@ -172,19 +210,17 @@
 			if (entry === undefined) {
 				target.forgetRemoteLoad(senderId);
 			} else {
-				const [, calls, prefillTokens, memoryTokens] = entry;
-				target.recordRemoteLoad(senderId, {calls, prefillTokens, memoryTokens}, now + validMs as MonotonicMs);
+				target.recordRemoteLoad(senderId, parseLoad(entry), now + validMs as MonotonicMs);
 			}
 		}
+
+		if (hasAggregators(listPeers().length)) {
+			this.aggregator.recordReport(senderId, uses, now);
+		}
 	}
 }
 
-/** Calculates the time without a datagram after which an instance no longer counts as live, in a fleet of `memberCount` instances. */
+/** Calculates the time without a heartbeat after which an instance no longer counts as live, in a fleet of `memberCount` other instances. */
 export function calculateLivenessTimeoutMs(memberCount: number): number {
-	return Math.max(minimumLivenessTimeoutMs, livenessTimeoutCycles * countRoundsPerCycle(memberCount) * roundIntervalMs);
-}
-
-/** Counts the rounds of a cycle, in which each other instance gets one report. */
-function countRoundsPerCycle(peerCount: number): number {
-	return Math.max(1, Math.ceil(peerCount / maximumReceiversPerRound));
+	return hasAggregators(memberCount) ? aggregatedLivenessTimeoutMs : directLivenessTimeoutMs;
 }
--- a/src/fleet/load-exchange/test.ts
+++ b/src/fleet/load-exchange/test.ts
@@ -5,9 +5,9 @@
 import {ManualClock} from '../../clock/manual-clock/index.js';
 import {createMembershipHeartbeats} from '../../fixtures/create-membership-heartbeats/index.js';
 import {createDescription} from '../../fixtures/create-fleet-target/index.js';
-import type {TargetId} from '../../identity/ids/index.js';
+import {createMember} from '../../fixtures/create-member/index.js';
+import type {DataCentreId, TargetId} from '../../identity/ids/index.js';
 import {quietLogger} from '../../logging/quiet-logger/index.js';
-import type {Member} from '../../membership/member/index.js';
 import {DatagramChannel} from '../../peers/datagram-channel/index.js';
 import {FakeDatagramNetwork} from '../../peers/fake-datagram-network/index.js';
 import {reservePorts} from '../../process/reserve-ports/index.js';
@@ -20,7 +20,7 @@
 	const clock = new SystemClock();
 	const controller = new AbortController();
 	const ports = await reservePorts(2);
-	const members = ports.map((port, index) => ({id: `i${index}`, peerAddress: `127.0.0.1:${port}`}) as unknown as Member);
+	const members = ports.map((port, index) => createMember(`i${index}`, {peerAddress: `127.0.0.1:${port}`}));
 	const instances = members.map((member, index) => {
 		const fleet = new TargetFleet(quietLogger);
 		fleet.replace([createDescription('t')]);
@@ -28,6 +28,7 @@
 		const channel = new DatagramChannel(quietLogger);
 		const exchange = new LoadExchange({
 			membership: createMembershipHeartbeats(member.id), clock, random: new RandomSource(index + 1), fleet, prefixes, channel,
+			readSelf: () => member,
 			listPeers: () => members.filter(other => other !== member),
 		});
 		return {
@@ -52,11 +53,13 @@
 	controller.abort();
 });
 
+const dataCentreCount = 3;
+
 /** Creates instances that exchange loads over a fake network without loss. */
 function createExchangingInstances(count: number) {
 	const clock = new ManualClock();
 	const controller = new AbortController();
-	const members = Array.from({length: count}, (_, index) => ({id: `i${index}`, peerAddress: `h${index}:1`}) as unknown as Member);
+	const members = Array.from({length: count}, (_, index) => createMember(`i${index}`, {dataCentre: `dc-${index % dataCentreCount}` as DataCentreId}));
 	const network = new FakeDatagramNetwork();
 	const instances = members.map((member, index) => {
 		const fleet = new TargetFleet(quietLogger);
@@ -66,6 +69,7 @@
 		const exchange = new LoadExchange({
 			membership, clock, random: new RandomSource(index + 1), fleet, prefixes,
 			channel: network.open(member.peerAddress),
+			readSelf: () => member,
 			listPeers: () => members.filter(other => other !== member),
 		});
 		void exchange.run(controller.signal);
@@ -81,6 +85,7 @@
 
 test('guards against prefix uses that do not reach every instance of a large fleet', async () => {
 	const {clock, instances, sent, stop} = createExchangingInstances(72);
+	await clock.advance(600);
 	for (const [index, {prefixes}] of instances.entries()) {
 		prefixes.recordOwnUse(`p${index}`, 'i-1c37c357a' as TargetId, clock.readMonotonic());
 	}
@@ -90,7 +95,7 @@
 		expect(instances.every((_, index) => prefixes.listHolders(`p${index}`, clock.readMonotonic()).length === 1)).toEqual(true);
 	}
 
-	expect(sent.datagrams <= 72 * 8 * 14).toEqual(true);
+	expect(sent.datagrams <= 72 * 3 * 10).toEqual(true);
 	stop();
 });
 
@@ -119,7 +124,8 @@
 	stop();
 });
 
-test('guards against treating instances of a large fleet as dead because their reports arrive less often', () => {
+test('guards against a liveness timeout that grows with the fleet, so that callers are sent to dead instances for many seconds', () => {
 	expect(calculateLivenessTimeoutMs(8)).toEqual(2000);
-	expect(calculateLivenessTimeoutMs(72)).toEqual(3600);
+	expect(calculateLivenessTimeoutMs(195)).toEqual(calculateLivenessTimeoutMs(72));
+	expect(calculateLivenessTimeoutMs(350) < 5000).toEqual(true);
 });
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -4,6 +4,7 @@
 import {AdminServer} from '../../daemon/admin-server/index.js';
 import type {PlannedStop} from '../../daemon/planned-stop/index.js';
 import {calculateLivenessTimeoutMs, LoadExchange} from '../../fleet/load-exchange/index.js';
+import {hasAggregators} from '../../fleet/rank-aggregators/index.js';
 import {PrefixDirectory} from '../../fleet/prefix-directory/index.js';
 import {TargetFleet} from '../../fleet/target-fleet/index.js';
 import type {ForwardingContext} from '../../forwarding/forwarding-context/index.js';
@@ -31,6 +32,7 @@
 import {WeightsRegistry} from '../../rollout/weights-registry/index.js';
 import {RoutingTable} from '../../routing/routing-table/index.js';
 import type {RoutingConfiguration} from '../../routing/routing-types/index.js';
+import {calculateCapacity} from '../calculate-capacity/index.js';
 import {CallListener} from '../call-listener/index.js';
 import {createGatewayStop} from '../create-gateway-stop/index.js';
 import {GatewayFeeds} from '../gateway-feeds/index.js';
@@ -58,6 +60,8 @@
 const maximumContenders = 2;
 /** Minimum number of instances assumed until the registry has been read, so that quota shares are not too large. */
 const assumedInstanceCount = 12;
+/** Rounds from one heartbeat call to the next in a fleet with load aggregators, whose messages carry heartbeats. */
+const heartbeatRoundsWithAggregators = 5;
 /** Number of distinct values that `draw` returns. */
 const drawResolution = 0x40_00_00_00;
 
@@ -133,6 +137,7 @@
 		this.rollout = this.createRollout(self);
 		this.loadExchange = new LoadExchange({
 			clock, random, fleet: this.fleet, prefixes: this.prefixDirectory, channel: this.datagramChannel, membership: this.membership,
+			readSelf: () => this.membership.readSelf(),
 			listPeers: () => this.listPeers(),
 		});
 		this.listener = new CallListener({context: this.createContext(), protocol: adapter.callerProtocol, readTable: () => this.routingTable});
@@ -208,10 +213,11 @@
 	private createMembership(self: InstanceId): Membership {
 		const {settings, clock, random, logger} = this.options;
 		const {port} = parseAddress(settings.listen.peer);
+		const capacity = settings.capacity === undefined ? undefined : calculateCapacity(settings.capacity);
 		return new Membership({
 			identity: {
 				id: self, fleet: 'gateway' as FleetId, region: settings.region, dataCentre: settings.dataCentre as DataCentreId,
-				peerAddress: settings.listen.peer, callerAddress: settings.listen.caller,
+				peerAddress: settings.listen.peer, callerAddress: settings.listen.caller, capacity,
 			},
 			seeds: settings.seeds.map(seed => `${parseAddress(seed).host}:${port}`),
 			instanceList: this.instanceRegistry,
@@ -225,6 +231,7 @@
 				},
 			}),
 			calculateLivenessTimeoutMs,
+			countRoundsPerHeartbeat: count => hasAggregators(count) ? heartbeatRoundsWithAggregators : 1,
 			readRevision: () => this.routingTable === undefined ? -1 as never : this.feeds.readRevision(),
 		});
 	}
--- a/src/membership/heartbeat/index.ts
+++ b/src/membership/heartbeat/index.ts
@@ -28,6 +28,7 @@
 	revision: z.number().int(),
 	counter: z.number().int().nonnegative(),
 	ageMs: z.number().nonnegative(),
+	capacity: z.number().positive().optional(),
 });
 
 /** Only the fields that change within an incarnation, for receivers that know the others. */
--- a/src/membership/member-table/index.ts
+++ b/src/membership/member-table/index.ts
@@ -81,6 +81,19 @@
 		return picked.map(record => this.formatEntry(record, isReceiverChanged || changed.includes(record), now));
 	}
 
+	/** Lists one of `turns` parts of the live members that `isIncluded` accepts; consecutive turns cover all of them. */
+	listTurn(turn: number, turns: number, now: MonotonicMs, isIncluded: (member: Member) => boolean): CompactEntry[] {
+		return this.listLiveRecords(now)
+			.filter((record, index) => index % turns === turn % turns && isIncluded(record.member))
+			.map(record => compactEntry(formatRecord(record, now)));
+	}
+
+	/** Picks full entries of members that have recently started or changed their state. */
+	pickChanged(limit: number, now: MonotonicMs, isIncluded: (member: Member) => boolean): HeartbeatEntry[] {
+		const changed = this.listLiveRecords(now).filter(record => now - record.changedAt < recentChangeMs && isIncluded(record.member));
+		return this.random.pickSome(changed, limit).map(record => formatRecord(record, now));
+	}
+
 	/** Expands a compact entry with the known fields of the same incarnation. Returns undefined if that incarnation is unknown. */
 	expandEntry(entry: CompactEntry): HeartbeatEntry | undefined {
 		const member = this.records.get(entry.id)?.member;
@@ -114,13 +127,14 @@
 	 * Formats a full entry for a changed member or receiver, and at random for one in eight others, so that
 	 * receivers that missed a change learn it within seconds.
 	 */
-	private formatEntry({member, counter, advancedAt}: MemberRecord, shouldBeFull: boolean, now: MonotonicMs): HeartbeatEntry | CompactEntry {
-		const entry = {...member, counter, ageMs: Math.max(0, Math.round(now - advancedAt))};
+	private formatEntry(record: MemberRecord, shouldBeFull: boolean, now: MonotonicMs): HeartbeatEntry | CompactEntry {
+		const entry = formatRecord(record, now);
 		return shouldBeFull || this.random.pickIndex(fullEntryInterval) === 0 ? entry : compactEntry(entry);
 	}
 
 	private listLiveRecords(now: MonotonicMs): MemberRecord[] {
-		return [...this.records.values()].filter(record => this.isLive(record, now));
+		const timeoutMs = this.calculateLivenessTimeoutMs(this.records.size);
+		return [...this.records.values()].filter(record => now - record.advancedAt <= timeoutMs);
 	}
 
 	private isLive(record: MemberRecord, now: MonotonicMs): boolean {
@@ -128,6 +142,10 @@
 	}
 }
 
+function formatRecord({member, counter, advancedAt}: MemberRecord, now: MonotonicMs): HeartbeatEntry {
+	return {...member, counter, ageMs: Math.max(0, Math.round(now - advancedAt))};
+}
+
 function isNewer(entry: HeartbeatEntry, existing: MemberRecord): boolean {
 	return entry.incarnation > existing.member.incarnation
 		|| (entry.incarnation === existing.member.incarnation && entry.counter > existing.counter);
--- a/src/membership/member/index.ts
+++ b/src/membership/member/index.ts
@@ -18,6 +18,8 @@
 	readonly state: 'live' | 'leaving';
 	/** Revision of the configuration in force on the instance. */
 	readonly revision: Revision;
+	/** Work that the instance can take, in processor cores; undefined if it is not known. */
+	readonly capacity?: number | undefined;
 };
 
 /** Read access to membership for the other parts of the daemon. */
--- a/src/membership/membership/index.ts
+++ b/src/membership/membership/index.ts
@@ -13,7 +13,7 @@
 import {chooseHeartbeatPeers} from '../choose-heartbeat-peers/index.js';
 import {createIncarnation} from '../create-incarnation/index.js';
 import {
-	heartbeatMethod, parseHeartbeat, compactEntry, fullEntryInterval, type Heartbeat, type HeartbeatEntry, type MemberEntry,
+	heartbeatMethod, parseHeartbeat, compactEntry, fullEntryInterval, type CompactEntry, type Heartbeat, type HeartbeatEntry, type MemberEntry,
 } from '../heartbeat/index.js';
 import {HeartbeatLink} from '../heartbeat-link/index.js';
 import type {Member, MemberView} from '../member/index.js';
@@ -29,6 +29,8 @@
 
 /** Number of rounds after the start in which `describeSelf` returns full entries. */
 const initialFullEntryRounds = 10;
+/** Number of rounds after the start in which heartbeats are sent each round, so that the instance becomes known soon. */
+const initialHeartbeatRounds = 3;
 
 /** Revision of an instance without a configuration. */
 export const noRevision = -1 as Revision;
@@ -48,6 +50,8 @@
 	readonly logger: EventLogger;
 	readonly invariants: InvariantChecker;
 	readonly readRevision: () => Revision;
+	/** Counts the rounds from one round of heartbeats to the next, once the first ones are over. Defaults to 1; other messages may carry heartbeats as well. */
+	readonly countRoundsPerHeartbeat?: (knownMembers: number) => number;
 	/** Calculates the time after which a member whose counter does not advance is no longer live, in milliseconds. Defaults to 5 s. */
 	readonly calculateLivenessTimeoutMs?: (knownMembers: number) => number;
 };
@@ -126,6 +130,16 @@
 		return this.round <= initialFullEntryRounds || this.counter % fullEntryInterval === 0 ? entry : compactEntry(entry);
 	}
 
+	/** Lists one of `turns` parts of the other live members that `isIncluded` accepts, for messages other than heartbeats. */
+	listTurn(turn: number, turns: number, now: MonotonicMs, isIncluded: (member: Member) => boolean): CompactEntry[] {
+		return this.table.listTurn(turn, turns, now, isIncluded);
+	}
+
+	/** Picks up to `limit` full entries of members that have recently started or changed their state. */
+	pickChanged(limit: number, now: MonotonicMs, isIncluded: (member: Member) => boolean): HeartbeatEntry[] {
+		return this.table.pickChanged(limit, now, isIncluded);
+	}
+
 	/** Applies an entry about a member, whether it was sent by that member or by another one. */
 	applyEntry(received: MemberEntry, now: MonotonicMs): void {
 		const entry = 'life' in received ? this.table.expandEntry(received) : received;
@@ -172,6 +186,19 @@
 		this.round += 1;
 		this.advanceCounter();
 		this.table.prune(now);
+		if (this.isHeartbeatDue()) {
+			this.sendHeartbeats(now);
+		}
+
+		this.closeIdleLinks();
+	}
+
+	private isHeartbeatDue(): boolean {
+		const roundsPerHeartbeat = this.options.countRoundsPerHeartbeat?.(this.table.count()) ?? 1;
+		return this.round <= initialHeartbeatRounds || this.round % roundsPerHeartbeat === 0;
+	}
+
+	private sendHeartbeats(now: MonotonicMs): void {
 		const live = this.table.listLive(now);
 		const liveAddresses = new Set([this.options.identity.peerAddress, ...live.map(member => member.peerAddress)]);
 		const candidateAddresses = [...this.listSeeds(), ...this.listedAddresses, ...this.table.listSilent(now).map(member => member.peerAddress)];
@@ -179,8 +206,6 @@
 		for (const address of chooseHeartbeatPeers({self: this.readSelf(), live, silentAddresses}, this.options.random)) {
 			this.openLink(address).link.request();
 		}
-
-		this.closeIdleLinks();
 	}
 
 	private async runListReader(instanceList: InstanceList): Promise<void> {
