Let additional instances watch the object API 1.5 s after all watchers were turned away, and only seeds before peers are known

Additional instances began to watch only after 4 s without a healthy watcher, and followers did not poll them.

Ruled out: a slow apply of the configuration; calls reached targets with version 11 although version 16 was acknowledged, at instances that were not turned away themselves.

Change: a watcher that is cut off answers waiting followers at once, and they poll the others. At the start an instance that is no seed waits up to 1.5 s for its peers before it watches as in a small fleet.

--- a/src/gateway/feed-relay/index.ts
+++ b/src/gateway/feed-relay/index.ts
@@ -12,7 +12,7 @@
 import type {PeerCaller, PeerMethodRegistry} from '../../peers/peer-caller/index.js';
 import type {RandomSource} from '../../random/random-source/index.js';
 import type {CollectionMirror, CollectionUpdate} from '../../store/collection-mirror/index.js';
-import {isWatcher, listWatchers} from '../list-watchers/index.js';
+import {isWatcher, listWatchers, smallFleetSize} from '../list-watchers/index.js';
 
 /** JSON-RPC method that returns the collections that are newer than the caller's copies. */
 export const readFeedsMethod = 'feeds.read';
@@ -22,6 +22,12 @@
 const peerCheckIntervalMs = 300;
 /** Maximum time for which a watcher holds a follower's request until a collection changes, in milliseconds. */
 const longPollTimeoutMs = 1000;
+/** Time for which a watcher that is cut off from the object API is polled only if all others are as well, in milliseconds. */
+const interruptedWatcherPauseMs = 2000;
+/** Pause of a follower after a watcher that is cut off has answered, in milliseconds. */
+const interruptedPollPauseMs = 250;
+/** Time after the start in which an instance that is no seed watches only if its peers make it a watcher, in milliseconds. */
+const startupSettleMs = 1500;
 /** Pause of a follower after an update or a failed request, in milliseconds; changes in quick succession share a response. */
 const pollPauseMs = 100;
 /** Time without a response from a healthy watcher after which a follower considers the object API interrupted, in milliseconds. */
@@ -37,6 +43,8 @@
 /** Options of the feed relay. */
 export type FeedRelayOptions = {
 	readonly self: InstanceId;
+	/** Whether other instances know this one before they have started. */
+	readonly isSeed: boolean;
 	readonly clock: Clock;
 	readonly logger: EventLogger;
 	readonly random: RandomSource;
@@ -57,17 +65,26 @@
 /** `isInterrupted`: whether the object API is currently interrupted for the responding instance. */
 type FeedsResponse = {readonly updates: readonly CollectionUpdate[]; readonly isInterrupted: boolean};
 
+/** Outcome of a request to a peer. `interrupted`: the peer is cut off from the object API. */
+type FetchOutcome = 'changed' | 'unchanged' | 'interrupted' | 'failed';
+
 /** Watches or follows the collections on one instance, and serves copies of them to its peers. */
 export class FeedRelay {
 	private activeWatch: {readonly controller: AbortController; readonly ended: Promise<unknown>} | undefined;
 	private additionalWatchUntil = 0;
 	/** When this instance last had contact with the object API, directly or through a peer for which it was available. */
 	private lastHealthyAt: MonotonicMs;
+	/** When a regular watcher was last healthy; additional ones do not count, so that they are polled until then. */
+	private regularHealthyAt: MonotonicMs;
+	private readonly startedAt: MonotonicMs;
+	private readonly interruptedUntil = new Map<InstanceId, number>();
 	private pollCount = 0;
 	private readonly waitingRequests = new Set<() => void>();
 
 	constructor(private readonly options: FeedRelayOptions) {
-		this.lastHealthyAt = options.clock.readMonotonic();
+		this.startedAt = options.clock.readMonotonic();
+		this.lastHealthyAt = this.startedAt;
+		this.regularHealthyAt = this.startedAt;
 		options.registry.register(readFeedsMethod, async parameters => this.answer(parameters as FeedsRequest));
 	}
 
@@ -81,7 +98,7 @@
 		await this.setWatching(false, signal);
 	}
 
-	/** Responds to the requests that are waiting for a change. */
+	/** Responds to the requests that are waiting for a change or an interruption. */
 	answerWaitingRequests(): void {
 		for (const release of this.waitingRequests) {
 			release();
@@ -101,11 +118,15 @@
 		const {self, clock} = this.options;
 		const now = clock.readMonotonic();
 		const live = this.listLiveIds();
+		if (this.isSettling(live.length, now)) {
+			return false;
+		}
+
 		if (isWatcher(self, live, 0) || now < this.additionalWatchUntil) {
 			return true;
 		}
 
-		if (!isWatcher(self, live, now - this.lastHealthyAt)) {
+		if (!isWatcher(self, live, now - this.regularHealthyAt)) {
 			return false;
 		}
 
@@ -113,6 +134,14 @@
 		return true;
 	}
 
+	/**
+	 * Whether it is too early to tell whether this instance is a watcher. When a large fleet starts, each instance knows
+	 * only a few others for a moment, and would watch as in a small fleet.
+	 */
+	private isSettling(liveCount: number, now: MonotonicMs): boolean {
+		return !this.options.isSeed && liveCount <= smallFleetSize && now - this.startedAt < startupSettleMs;
+	}
+
 	/** Starts or stops the watches of this instance. */
 	private async setWatching(isWanted: boolean, signal: AbortSignal): Promise<void> {
 		if (isWanted === (this.activeWatch !== undefined)) {
@@ -149,21 +178,29 @@
 
 	/** As a follower: long-polls the next watcher for changes. */
 	private async pollNextWatcher(signal: AbortSignal): Promise<void> {
-		const {clock, self} = this.options;
-		const watchers = listWatchers(this.listLiveIds()).filter(id => id !== self);
+		const {clock} = this.options;
+		const watchers = this.listPolledWatchers(clock.readMonotonic());
 		this.pollCount += 1;
 		const watcher = watchers[this.pollCount % Math.max(1, watchers.length)];
-		const canPollImmediately = watcher !== undefined && await this.fetchFromPeer(watcher, longPollTimeoutMs);
+		const outcome = watcher === undefined ? 'failed' : await this.fetchFromPeer(watcher, longPollTimeoutMs);
 		this.reportInterruption(clock.readMonotonic());
-		if (!canPollImmediately) {
-			await clock.sleep(pollPauseMs, signal);
+		if (outcome !== 'unchanged') {
+			await clock.sleep(outcome === 'interrupted' ? interruptedPollPauseMs : pollPauseMs, signal);
 		}
 	}
 
+	/** Lists the watchers that a follower polls by turns: those that are not cut off from the object API, as far as it knows. */
+	private listPolledWatchers(now: MonotonicMs): InstanceId[] {
+		const watchers = listWatchers(this.listLiveIds(), now - this.regularHealthyAt).filter(id => id !== this.options.self);
+		const connected = watchers.filter(id => now >= (this.interruptedUntil.get(id) ?? 0));
+		return connected.length > 0 ? connected : watchers;
+	}
+
 	private reportInterruption(now: MonotonicMs): void {
 		const isInterrupted = this.isInterrupted(now);
 		if (!isInterrupted && this.activeWatch !== undefined) {
 			this.lastHealthyAt = now;
+			this.regularHealthyAt = now;
 		}
 
 		this.options.onInterruptionCheck(isInterrupted, now);
@@ -183,34 +220,50 @@
 		return this.options.random.pickSome(candidates, 1)[0];
 	}
 
-	/** Fetches newer copies from a peer. Returns whether the next poll may follow immediately: the peer waited for newer copies and had none. */
-	private async fetchFromPeer(peer: InstanceId, waitMs: number): Promise<boolean> {
-		const {caller, clock, logger} = this.options;
+	/** Fetches newer copies from a peer. The outcome `unchanged` means that the peer waited for newer copies and had none. */
+	private async fetchFromPeer(peer: InstanceId, waitMs: number): Promise<FetchOutcome> {
+		const {caller, logger} = this.options;
 		const known = Object.fromEntries([...this.options.mirrors].map(([collection, mirror]) => [collection, mirror.readVersion() ?? '']));
 		const request: FeedsRequest = {known, waitMs};
 		try {
 			const {updates, isInterrupted} = await caller.call<FeedsResponse>(peer, readFeedsMethod, request, waitMs + peerCallTimeoutMs);
-			if (!isInterrupted) {
-				this.lastHealthyAt = clock.readMonotonic();
-			}
-
+			this.recordContact(peer, isInterrupted);
 			for (const update of updates) {
 				if (this.options.mirrors.get(update.collection)?.applyUpdate(update) === true) {
 					logger.info('collection taken over from peer', {collection: update.collection, version: update.version, peer});
 				}
 			}
 
-			return updates.length === 0;
+			if (isInterrupted) {
+				return 'interrupted';
+			}
+
+			return updates.length === 0 ? 'unchanged' : 'changed';
 		} catch (error) {
 			logger.warn('peer did not pass collections on', {peer, reason: (error as Error).message});
-			return false;
+			return 'failed';
+		}
+	}
+
+	/** Records whether a peer that answered is cut off from the object API. */
+	private recordContact(peer: InstanceId, isInterrupted: boolean): void {
+		const now = this.options.clock.readMonotonic();
+		if (isInterrupted) {
+			this.interruptedUntil.set(peer, now + interruptedWatcherPauseMs);
+			return;
+		}
+
+		this.interruptedUntil.delete(peer);
+		this.lastHealthyAt = now;
+		if (listWatchers(this.listLiveIds()).includes(peer)) {
+			this.regularHealthyAt = now;
 		}
 	}
 
-	/** Responds to a peer as soon as there are newer copies, or without any after `waitMs`. */
+	/** Responds to a peer as soon as there are newer copies, without any after `waitMs`, or at once while the object API is interrupted. */
 	private async answer({known: knownVersions, waitMs}: FeedsRequest): Promise<FeedsResponse> {
 		let updates = this.listUpdates(knownVersions);
-		if (updates.length === 0 && waitMs > 0) {
+		if (updates.length === 0 && waitMs > 0 && !this.isInterrupted(this.options.clock.readMonotonic())) {
 			await this.waitForChange(waitMs);
 			updates = this.listUpdates(knownVersions);
 		}
--- a/src/gateway/gateway-feeds/index.ts
+++ b/src/gateway/gateway-feeds/index.ts
@@ -24,6 +24,8 @@
 /** Options of the gateway's feeds. */
 export type GatewayFeedsOptions = {
 	readonly self: InstanceId;
+	/** Whether other instances know this one before they have started. */
+	readonly isSeed: boolean;
 	readonly adapter: PlatformAdapter;
 	readonly clock: Clock;
 	readonly logger: EventLogger;
@@ -96,6 +98,9 @@
 		const {adapter, clock, logger, random} = this.options;
 		this.mirrors.set(collection, new CollectionMirror({
 			objectApi: adapter.objectApi, collection, clock, logger, random, silenceMs: watchSilenceTimeoutMs, shouldRelistAfterFailure: true,
+			onWatchReplaced: () => {
+				this.relay.answerWaitingRequests();
+			},
 			onChange: () => {
 				this.scheduleApply(collection, onChange);
 			},
--- a/src/gateway/gateway-feeds/test.ts
+++ b/src/gateway/gateway-feeds/test.ts
@@ -23,6 +23,10 @@
 	return member as Member;
 }
 
+const seedCount = 3;
+/** Time after which all instances know each other; until then each knows only the seeds. */
+const discoveryMs = 600;
+
 /** Starts instances that follow the same object API. */
 function startInstances(count: number) {
 	const clock = new ManualClock();
@@ -48,9 +52,11 @@
 			decodeWeights: object => ({model: object.name, version: Number(object.value)}),
 		};
 		const feeds: GatewayFeeds = new GatewayFeeds({
-			self: id, adapter: adapter as PlatformAdapter, clock, logger: quietLogger, random: new RandomSource(index + 1),
+			self: id, isSeed: index < seedCount, adapter: adapter as PlatformAdapter, clock, logger: quietLogger, random: new RandomSource(index + 1),
 			caller: endpoint, registry: endpoint,
-			listPeers: () => instances.filter(other => other.id !== id).map(other => createMember(other.id, other.feeds.readRevision())),
+			listPeers: () => instances
+				.filter((other, number) => other.id !== id && (number < seedCount || clock.readMonotonic() >= discoveryMs))
+				.map(other => createMember(other.id, other.feeds.readRevision())),
 			onConfiguration(configuration) {
 				applied.revisions.push(configuration.revision);
 			},
@@ -161,8 +167,8 @@
 const largeFleetSize = 24;
 
 /** Starts a large fleet, and advances the clock until only the watchers still watch. */
-async function startLargeFleet() {
-	const fleet = startInstances(largeFleetSize);
+async function startLargeFleet(size = largeFleetSize) {
+	const fleet = startInstances(size);
 	const {clock, objectApi, instances} = fleet;
 	const configuration = await objectApi.create('configuration', 'main', 1);
 	await objectApi.create('targets', 'a', 1);
@@ -230,3 +236,28 @@
 	expect(instances.filter(({applied}) => applied.targets.length === 1).length).toEqual(largeFleetSize);
 	stop();
 });
+
+/** Time within which a configuration has to be in force, in milliseconds. */
+const configurationLimitMs = 3000;
+
+test('guards against an outdated configuration when the object API turns away all watchers and a third of the other instances', async () => {
+	const {clock, objectApi, instances, watchers, configuration, stop} = await startLargeFleet(72);
+	const others = instances.filter(instance => !watchers.includes(instance));
+	for (const {api} of [...watchers, ...others.slice(0, others.length / 3)]) {
+		api.isCut = true;
+		api.breakWatches();
+	}
+
+	await clock.advance(160);
+	await objectApi.update('configuration', 'main', 2, configuration.resourceVersion);
+	await clock.advance(configurationLimitMs);
+	expect(instances.filter(({applied}) => applied.revisions.at(-1) === 2).length).toEqual(72);
+	stop();
+});
+
+test('guards against object API calls of each instance at the start of a large fleet: only seeds watch before they know their peers', async () => {
+	const {instances, stop} = await startLargeFleet(72);
+	const callCount = instances.reduce((sum, {api}) => sum + api.readCount + api.watchCount, 0);
+	expect(callCount <= 6 * 4 * 3).toEqual(true);
+	stop();
+});
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -106,6 +106,7 @@
 		this.membership = this.createMembership(self);
 		this.feeds = new GatewayFeeds({
 			self, adapter, clock, logger, random, caller: this.peerClient, registry: this.peerServer,
+			isSeed: settings.seeds.some(seed => parseAddress(seed).host === parseAddress(settings.listen.peer).host),
 			listPeers: () => this.listPeers(),
 			onInstances: instances => {
 				this.instanceRegistry.replace(instances);
--- a/src/gateway/list-watchers/test.ts
+++ b/src/gateway/list-watchers/test.ts
@@ -21,7 +21,8 @@
 test('guards against a fleet in which no watcher can reach the object API: additional instances watch, a few at a time', () => {
 	const ids = createIds(72);
 	const countWatching = (staleMs: number) => ids.filter(id => isWatcher(id, ids, staleMs)).length;
-	expect(countWatching(4000)).toEqual(3);
-	expect(countWatching(4500)).toEqual(6);
-	expect(countWatching(6500)).toEqual(9);
+	expect(countWatching(1500)).toEqual(3);
+	expect(countWatching(1600)).toEqual(6);
+	expect(countWatching(3100)).toEqual(9);
+	expect(countWatching(60_000)).toEqual(12);
 });
