Make fewer heartbeat calls and wake-ups where aggregators carry heartbeats

An instance that does not hold the rollout lease checks every 500 ms whether it does (100 ms before); heartbeat calls are made every 10 s in a large fleet.

--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -61,7 +61,7 @@
 /** Minimum number of instances assumed until the registry has been read, so that quota shares are not too large. */
 const assumedInstanceCount = 12;
 /** Rounds from one heartbeat call to the next in a fleet with load aggregators, whose messages carry heartbeats. */
-const heartbeatRoundsWithAggregators = 5;
+const heartbeatRoundsWithAggregators = 10;
 /** Number of distinct values that `draw` returns. */
 const drawResolution = 0x40_00_00_00;
 
--- a/src/rollout/rollout-controller/index.ts
+++ b/src/rollout/rollout-controller/index.ts
@@ -28,8 +28,9 @@
 const renewIntervalMs = 700;
 /** Interval at which an instance without the lease tries to acquire it. */
 const acquireIntervalMs = 700;
-/** Interval at which the rollout is planned anew. */
+/** Interval at which the holder of the lease plans the rollout anew, and at which others check whether they hold it. */
 const planIntervalMs = 100;
+const idleCheckIntervalMs = 500;
 /** Time for which an engine stays cordoned at all instances once it is ordered to load; each report of a load in progress renews the cordon. */
 const loadCordonMs = 1500;
 
@@ -168,7 +169,7 @@
 				}
 			}
 
-			await clock.sleep(planIntervalMs, signal);
+			await clock.sleep(this.isHolder ? planIntervalMs : idleCheckIntervalMs, signal);
 		}
 	}
 
