--- a/src/soak/soak-instance/index.ts
+++ b/src/soak/soak-instance/index.ts
@@ -8,6 +8,8 @@
 import {FaultyProxy, type ProxyMode} from '../../standin/faulty-proxy/index.js';
 
 const gatewayProgram = 'target/gateway.cjs';
+/** Flags of the deployed process; the program's code cache is valid only with these. */
+const nodeFlags = ['--max-old-space-size=90', '--max-semi-space-size=2', '--optimize-for-size'];
 const restartDelayMs = 300;
 /** Maximum time between SIGTERM and SIGKILL, in milliseconds. */
 export const terminationGraceMs = 8000;
@@ -122,7 +124,7 @@
 
 	private launch(): void {
 		this.isExitExpected = false;
-		const child = spawn(process.execPath, ['--max-old-space-size=90', gatewayProgram], {
+		const child = spawn(process.execPath, [...nodeFlags, gatewayProgram], {
 			env: {PATH: process.env.PATH, LABURNUMTURN_SETTINGS: this.settingsFile}, stdio: ['ignore', 'pipe', 'pipe'],
 		});
 		child.stdout.pipe(this.log!, {end: false});
