End attempts at targets that send bytes without an answer

Causes, each shown by a test that failed before the change: a stalled resumable stream whose target sent part of an event, comments or blank lines now and then kept its call until the deadline, because any byte counted as progress; interim responses (1xx) without end kept an exchange going until the deadline; an event without an end filled the memory of the splitter.

Change: progress is a complete event with data. A stream moves to another target after a second without one if its target is silent or sends only such bytes, also when the target answers other calls. More than 16 interim responses, or an event above 1 MiB, end the attempt as one that may have run.

New tests also prove that a second copy of an answer, sent at once, on an idle connection or just after the next request was written, never reaches the next caller, for each kind of call. They passed before the change.

Followers pause 250 ms after an update instead of 100 ms: changes of targets come many times a second during a rollout, and each costs every instance a response and a new list.

--- a/src/forwarding/call-session/index.ts
+++ b/src/forwarding/call-session/index.ts
@@ -19,6 +19,7 @@
 import type {ResponseHead} from '../call-types/index.js';
 import type {ForwardingContext} from '../forwarding-context/index.js';
 import {isAttemptStalled} from '../is-attempt-stalled/index.js';
+import {passChunk} from '../pass-chunk/index.js';
 import {planNextStep, type AttemptFailure} from '../plan-next-step/index.js';
 import {PrefixHints} from '../prefix-hints/index.js';
 import {reportCall} from '../report-call/index.js';
@@ -159,7 +160,7 @@
 			lastEventId: this.relay.readLastEventId(), cacheStores: listCacheStores(),
 		});
 		const attempt: Attempt = {
-			target, weightsVersion: options.weightsVersion, exchange: undefined, head: undefined, lastReceivedAt: now,
+			target, weightsVersion: options.weightsVersion, exchange: undefined, head: undefined, lastReceivedAt: now, lastProgressAt: now,
 			record: target.beginCall(this.hints.estimatePrefillTokens(target, now), now, this.hints.memoryTokens),
 		};
 		this.attempt = attempt;
@@ -188,6 +189,7 @@
 		const now = this.readNow();
 		attempt.head = head;
 		attempt.lastReceivedAt = now;
+		attempt.lastProgressAt = now;
 		attempt.target.recordVersion(this.options.call.work?.model, head.weightsVersion);
 		if (head.isNotRun) {
 			this.handleRejection(attempt, head, now);
@@ -240,11 +242,11 @@
 		attempt.lastReceivedAt = now;
 		this.times.recordChunk(now);
 		attempt.target.recordReceivedBytes(now);
-		if (!this.relay.addChunk(attempt.head!, chunk)) {
-			attempt.exchange?.pause();
-			this.relay.onDrain(() => {
-				attempt.exchange?.resume();
-			});
+		try {
+			passChunk(attempt, this.relay, chunk, now);
+		} catch (error) {
+			attempt.exchange?.abort();
+			this.handleFailure(attempt, 'responding', error as Error);
 		}
 	}
 
--- /dev/null
+++ b/src/forwarding/call-session/test.ts
@@ -0,0 +1,150 @@
+import type {Socket} from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
+import {test, type TestContext} from 'node:test';
+import {expect} from 'earl';
+import {request} from 'undici';
+import {createDescription} from '../../fixtures/create-fleet-target/index.js';
+import {createRoute, createRoutingConfiguration} from '../../fixtures/create-routing-configuration/index.js';
+import {startRawServer} from '../../fixtures/start-raw-server/index.js';
+import {startTestGateway} from '../../fixtures/start-test-gateway/index.js';
+import type {Route} from '../../routing/routing-types/index.js';
+
+/** Answers one request; `requestNumber` counts the requests at all targets, from 1. */
+type Script = (socket: Socket, id: string, requestNumber: number) => void;
+
+/** Starts a call listener before two targets that answer as scripted. They are closed after the test. */
+async function startTargets(t: TestContext, route: Partial<Route>, script: Script) {
+	let requests = 0;
+	const servers = await Promise.all([0, 1].map(async () => startRawServer((socket, head) => {
+		requests += 1;
+		script(socket, /x-id: (\S+)/u.exec(head)?.[1] ?? '', requests);
+	})));
+	const descriptions = servers.map(({address}, index) => createDescription(`t${index}`, {address, weightsVersions: new Map()}));
+	const gateway = await startTestGateway(createRoutingConfiguration({routes: [createRoute('r', {host: '127.0.0.1', ...route})]}), descriptions);
+	t.after(() => {
+		gateway.close();
+		for (const server of servers) {
+			server.close();
+		}
+	});
+	return {
+		countRequests: () => requests,
+		async call(id: string, waitMs = 4000) {
+			const startedAt = performance.now();
+			const answer = await request(`http://${gateway.address}/x`, {headers: {'x-id': id, 'x-wait': String(waitMs)}, method: 'POST', body: 'body'});
+			const body = await answer.body.text().catch(() => 'cut');
+			return {status: answer.statusCode, body, durationMs: performance.now() - startedAt};
+		},
+	};
+}
+
+/** Writes `piece` every `intervalMs` until the connection is closed. Returns a function that stops it. */
+function writeRepeatedly(socket: Socket, piece: string | Buffer, intervalMs: number): () => void {
+	const timer = setInterval(() => {
+		socket.write(piece);
+	}, intervalMs);
+	const stop = () => {
+		clearInterval(timer);
+	};
+
+	socket.once('close', stop);
+	return stop;
+}
+
+const formatChunk = (text: string) => `${text.length.toString(16)}\r\n${text}\r\n`;
+const formatEvent = (id: number) => formatChunk(`id: ${id}\ndata: x\n\n`);
+const startStream = (id: string) => `HTTP/1.1 200 OK\r\nx-id: ${id}\r\nTransfer-Encoding: chunked\r\n\r\n`;
+const formatAnswer = (id: string, body: string) => `HTTP/1.1 200 OK\r\nx-id: ${id}\r\nContent-Length: ${body.length}\r\n\r\n${body}`;
+const lastChunk = '0\r\n\r\n';
+
+for (const [name, start, piece] of [['a partial event', 'data: ', 'x'], ['a comment', '', ': wait\n\n'], ['a blank line', '', '\n']] as const) {
+	test(`guards against a stalled stream that never ends because its target sends ${name} now and then`, async t => {
+		const {call, countRequests} = await startTargets(t, {kind: 'streaming', isResumable: true}, (socket, id, requestNumber) => {
+			if (requestNumber === 1) {
+				socket.write(startStream(id) + formatEvent(1) + (start === '' ? '' : formatChunk(start)));
+				writeRepeatedly(socket, formatChunk(piece), 150);
+			} else {
+				socket.write(startStream(id) + formatEvent(1) + formatEvent(2) + lastChunk);
+			}
+		});
+		const {body, durationMs} = await call('c1');
+		expect(body.match(/id: \d/gu)).toEqual(['id: 1', 'id: 2']);
+		expect(countRequests()).toEqual(2);
+		expect(durationMs < 2000).toEqual(true);
+	});
+}
+
+test('guards against cutting a slow but sound stream', async t => {
+	const {call, countRequests} = await startTargets(t, {kind: 'streaming', isResumable: true, timeoutMs: 8000}, (socket, id) => {
+		socket.write(startStream(id));
+		let number = 0;
+		const timer = setInterval(() => {
+			number += 1;
+			socket.write(number > 4 ? lastChunk : formatEvent(number));
+			if (number > 4) {
+				clearInterval(timer);
+			}
+		}, 700);
+	});
+	const {body} = await call('c1', 6000);
+	expect(body).toEqual([1, 2, 3, 4].map(number => `id: ${number}\ndata: x\n\n`).join(''));
+	expect(countRequests()).toEqual(1);
+});
+
+test('guards against memory that an event without an end fills', async t => {
+	const {call, countRequests} = await startTargets(t, {kind: 'streaming', isResumable: true}, (socket, id, requestNumber) => {
+		if (requestNumber === 1) {
+			socket.write(startStream(id) + formatEvent(1));
+			writeRepeatedly(socket, formatChunk('x'.repeat(65_536)), 1);
+		} else {
+			socket.write(startStream(id) + formatEvent(2) + lastChunk);
+		}
+	});
+	const {body, durationMs} = await call('c1');
+	expect([body, countRequests()]).toEqual(['id: 1\ndata: x\n\nid: 2\ndata: x\n\n', 2]);
+	expect(durationMs < 1000).toEqual(true);
+});
+
+for (const kind of ['idempotent', 'nonIdempotent', 'streaming'] as const) {
+	test(`guards against interim responses without end that keep a call of kind ${kind} until its deadline`, async t => {
+		const {call, countRequests} = await startTargets(t, {kind}, (socket, id, requestNumber) => {
+			if (requestNumber === 1) {
+				writeRepeatedly(socket, 'HTTP/1.1 102 Processing\r\n\r\n', 1);
+			} else {
+				socket.write(formatAnswer(id, 'ok'));
+			}
+		});
+		const {status, durationMs} = await call('c1');
+		expect([status, countRequests()]).toEqual(kind === 'idempotent' ? [200, 2] : [502, 1]);
+		expect(durationMs < 1000).toEqual(true);
+	});
+}
+
+/** Delays of the second copy of an answer: at once, while the connection is idle, and just after the next request was written. */
+const copyDelaysMs = [0, 15, 45];
+
+for (const kind of ['idempotent', 'nonIdempotent', 'streaming'] as const) {
+	for (const copyDelayMs of copyDelaysMs) {
+		test(`guards against the second copy of an answer, sent ${copyDelayMs} ms after the first, as the answer to the next call of kind ${kind}`, async t => {
+			const {call} = await startTargets(t, {kind}, (socket, id, requestNumber) => {
+				const answer = formatAnswer(id, `body of ${id}`);
+				if (requestNumber % 2 === 0) {
+					setTimeout(() => {
+						socket.write(answer);
+					}, 20);
+					return;
+				}
+
+				socket.write(answer);
+				setTimeout(() => {
+					socket.write(answer);
+				}, copyDelayMs);
+			});
+			for (let number = 0; number < 8; number += 1) {
+				const {status, body} = await call(`c${number}`);
+				expect(status === 200 ? body === `body of c${number}` : status === 502).toEqual(true);
+				await delay(30);
+			}
+		});
+	}
+}
--- a/src/forwarding/event-splitter/index.ts
+++ b/src/forwarding/event-splitter/index.ts
@@ -6,10 +6,15 @@
 	readonly bytes: Buffer;
 	/** Id of the last event returned so far; undefined before the first. */
 	readonly lastEventId: string | undefined;
+	/** Whether any of the completed events has data. Comments and blank lines are no progress. */
+	readonly hasProgress: boolean;
 };
 
 const eventTerminator = Buffer.from('\n\n');
 const idPattern = /^id: ?(.*)$/mu;
+const contentPattern = /^(?:data|id|event):/mu;
+/** Maximum size of one event, in bytes. A target that sends bytes without an end of an event would fill the memory. */
+export const maximumEventBytes = 1_048_576;
 const emptyBuffer = Buffer.alloc(0);
 
 /** Buffers the bytes of an incomplete event. */
@@ -19,22 +24,29 @@
 	/** `lastEventId` identifies the last event that the caller received. If ids are numeric, events up to it are dropped. */
 	constructor(private lastEventId: string | undefined) {}
 
-	/** Adds a chunk and returns the events that it completes. */
+	/** Adds a chunk and returns the events that it completes. Throws a `RangeError` if an incomplete event exceeds `maximumEventBytes`. */
 	add(chunk: Buffer): CompleteEvents {
 		this.pendingBytes = this.pendingBytes.length === 0 ? chunk : Buffer.concat([this.pendingBytes, chunk]);
 		const accepted: Buffer[] = [];
+		let hasProgress = false;
 		let end = this.pendingBytes.indexOf(eventTerminator);
 		while (end !== -1) {
 			const event = this.pendingBytes.subarray(0, end + eventTerminator.length);
 			this.pendingBytes = this.pendingBytes.subarray(end + eventTerminator.length);
-			if (this.acceptEvent(event)) {
+			const text = event.toString('latin1');
+			hasProgress ||= contentPattern.test(text);
+			if (this.acceptEvent(text)) {
 				accepted.push(event);
 			}
 
 			end = this.pendingBytes.indexOf(eventTerminator);
 		}
 
-		return {bytes: accepted.length === 1 ? accepted[0]! : Buffer.concat(accepted), lastEventId: this.lastEventId};
+		if (this.pendingBytes.length > maximumEventBytes) {
+			throw new RangeError(`an event exceeds ${maximumEventBytes} bytes`);
+		}
+
+		return {bytes: accepted.length === 1 ? accepted[0]! : Buffer.concat(accepted), lastEventId: this.lastEventId, hasProgress};
 	}
 
 	/** Returns the bytes after the last complete event; call it once the response is complete. */
@@ -49,8 +61,8 @@
 		this.pendingBytes = emptyBuffer;
 	}
 
-	private acceptEvent(event: Buffer): boolean {
-		const id = idPattern.exec(event.toString('latin1'))?.[1];
+	private acceptEvent(event: string): boolean {
+		const id = idPattern.exec(event)?.[1];
 		if (id === undefined) {
 			return true;
 		}
--- a/src/forwarding/is-attempt-stalled/test.ts
+++ b/src/forwarding/is-attempt-stalled/test.ts
@@ -17,7 +17,7 @@
 	const record = target.beginCall(1000, at(0));
 	record.hasAnswered = hasAnswered;
 	return {
-		target, record, weightsVersion: 1, exchange: undefined, lastReceivedAt: at(0), head: hasAnswered ? head : undefined,
+		target, record, weightsVersion: 1, exchange: undefined, lastReceivedAt: at(0), lastProgressAt: at(0), head: hasAnswered ? head : undefined,
 	};
 }
 
@@ -35,3 +35,11 @@
 		expect(isAttemptStalled(attempt, at(1300))).toEqual(false);
 	}
 });
+
+test('guards against waiting for a target that sends bytes that complete no event, also when it answers other calls', () => {
+	const attempt = createAttempt(true);
+	attempt.lastReceivedAt = at(1000);
+	attempt.target.recordReceivedBytes(at(1000));
+	expect(isAttemptStalled(attempt, at(900))).toEqual(false);
+	expect(isAttemptStalled(attempt, at(1100))).toEqual(true);
+});
--- a/src/forwarding/response-relay/index.ts
+++ b/src/forwarding/response-relay/index.ts
@@ -8,6 +8,9 @@
 import {EventSplitter} from '../event-splitter/index.js';
 import type {Route} from '../../routing/routing-types/index.js';
 
+/** Outcome of a chunk: whether the target may send more at once, and whether the response came closer to its end. */
+export type ChunkOutcome = {readonly canContinue: boolean; readonly hasProgress: boolean};
+
 /** Larger responses to idempotent calls are forwarded before they are complete. */
 const maximumBufferedBytes = 256 * 1024;
 const okStatus = 200;
@@ -50,20 +53,23 @@
 		}
 	}
 
-	/** Handles a chunk of the body; returns false if the target should be paused until `onDrain`. */
-	addChunk(head: ResponseHead, chunk: Buffer): boolean {
+	/**
+	 * Handles a chunk of the body. If the target may not continue, it is to be paused until `onDrain`. Throws a
+	 * `RangeError` if an event of a resumable stream is too large.
+	 */
+	addChunk(head: ResponseHead, chunk: Buffer): ChunkOutcome {
 		if (!this.hasBegun) {
 			this.buffer(head, chunk);
-			return true;
+			return {canContinue: true, hasProgress: true};
 		}
 
 		if (this.splitter === undefined) {
-			return this.write(chunk);
+			return {canContinue: this.write(chunk), hasProgress: true};
 		}
 
-		const {bytes, lastEventId} = this.splitter.add(chunk);
+		const {bytes, lastEventId, hasProgress} = this.splitter.add(chunk);
 		this.lastEventId = lastEventId;
-		return this.write(bytes);
+		return {canContinue: this.write(bytes), hasProgress};
 	}
 
 	/** Ends a complete response. */
--- a/src/forwarding/session-types/index.ts
+++ b/src/forwarding/session-types/index.ts
@@ -29,4 +29,6 @@
 	head: ResponseHead | undefined;
 	/** When response data was last received; until then, when the call was sent. */
 	lastReceivedAt: MonotonicMs;
+	/** When response data last brought the response closer to its end. In a resumable stream, only complete events do. */
+	lastProgressAt: MonotonicMs;
 };
--- a/src/forwarding/target-client/index.ts
+++ b/src/forwarding/target-client/index.ts
@@ -48,6 +48,8 @@
 /** Idle time after which a pooled connection is closed. */
 const connectionIdleTimeoutMs = 3000;
 const maximumHeaderBytes = 32 * 1024;
+/** Maximum number of interim (1xx) responses. A target that sends them without end never answers. */
+const maximumInterimResponses = 16;
 
 /** Sends requests to targets and pools their connections. */
 export class TargetClient {
@@ -92,6 +94,7 @@
 	private stage: ExchangeStage = 'notSent';
 	private isDone = false;
 	private response: IncomingMessage | undefined;
+	private interimResponses = 0;
 	private readonly connectTimer: NodeJS.Timeout;
 
 	constructor(private readonly request: ClientRequest, body: Buffer | undefined, private readonly listener: ExchangeListener) {
@@ -108,6 +111,12 @@
 				this.markSent();
 			});
 		});
+		request.on('information', () => {
+			this.interimResponses += 1;
+			if (this.interimResponses > maximumInterimResponses) {
+				this.fail(new Error('the target sends interim responses without an answer'));
+			}
+		});
 		request.once('response', response => {
 			this.receive(response);
 		});
--- a/src/gateway/feed-relay/index.ts
+++ b/src/gateway/feed-relay/index.ts
@@ -29,7 +29,7 @@
 /** Time after the start in which an instance that is no seed watches only if its peers make it a watcher, in milliseconds. */
 const startupSettleMs = 1500;
 /** Pause of a follower after an update or a failed request, in milliseconds; changes in quick succession share a response. */
-const pollPauseMs = 100;
+const pollPauseMs = 250;
 /** Time without a response from a healthy watcher after which a follower considers the object API interrupted, in milliseconds. */
 const followerSilenceLimitMs = 2000;
 /** Time for which an additional watcher, started because no watcher was healthy, keeps watching, in milliseconds. */
