--- a/src/cli/instances/index.ts
+++ b/src/cli/instances/index.ts
@@ -16,15 +16,15 @@
 /** Formats members as a table. */
 export function formatMembers(members: readonly Member[]): string {
 	const rows = members.map(member => [
-		member.id, member.fleet, member.dataCentre, member.state, String(member.revision), member.callerAddress, member.peerAddress,
+		member.id, member.fleet, member.dataCentre, member.state, String(member.revision), member.settingsRevision ?? '', member.callerAddress, member.peerAddress,
 	]);
-	return formatTable(['INSTANCE', 'FLEET', 'DATA CENTRE', 'STATE', 'REVISION', 'CALLERS', 'PEERS'], rows);
+	return formatTable(['INSTANCE', 'FLEET', 'DATA CENTRE', 'STATE', 'REVISION', 'SETTINGS', 'CALLERS', 'PEERS'], rows);
 }
 
 /** Command `instances`. */
 export const instancesCommand = command({
 	name: 'instances',
-	description: 'show the instances that an instance knows, and the revision in force on each',
+	description: 'show the instances that an instance knows, and the revisions of configuration and settings in force on each',
 	args: {admin: adminOption, output: outputOption},
 	handler: async ({admin, output}) => runCommand(async () => {
 		const members = extractMembers(await fetchDump(admin));
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -37,14 +37,14 @@
 import {createGatewayStop} from '../create-gateway-stop/index.js';
 import {GatewayFeeds} from '../gateway-feeds/index.js';
 import type {GatewayMetrics} from '../gateway-metrics/index.js';
-import type {GatewaySettings} from '../gateway-settings/index.js';
 import {InstanceRegistry} from '../instance-registry/index.js';
 import type {PlatformAdapter, WeightsNotice} from '../platform-adapter/index.js';
 import {ServiceRetryBudgets} from '../service-retry-budgets/index.js';
+import type {SettingsStore} from '../settings-store/index.js';
 
 /** Options of a gateway. */
 export type GatewayOptions = {
-	readonly settings: GatewaySettings;
+	readonly settings: SettingsStore;
 	readonly adapter: PlatformAdapter;
 	readonly clock: Clock;
 	readonly logger: EventLogger;
@@ -90,14 +90,19 @@
 	private plannedStop: PlannedStop | undefined;
 
 	constructor(private readonly options: GatewayOptions) {
-		const {settings, adapter, clock, logger, random} = options;
+		const {adapter, clock, logger, random} = options;
+		const store = options.settings;
+		const settings = store.current;
 		const self = settings.instance as InstanceId;
 		const listPeerIds = () => this.listPeers().map(peer => peer.id);
 		this.startedAt = clock.readMonotonic();
 		this.fleet = new TargetFleet(logger);
 		this.datagramChannel = new DatagramChannel(logger);
-		this.weightsRegistry = new WeightsRegistry(this.startedAt, settings.weightsLimitMs);
-		this.retryBudgets = new ServiceRetryBudgets(settings.retryBudget, () => this.countInstances());
+		this.weightsRegistry = new WeightsRegistry(this.startedAt, () => store.current.weightsLimitMs);
+		this.retryBudgets = new ServiceRetryBudgets(() => store.current.retryBudget, () => this.countInstances());
+		store.onChange(() => {
+			this.retryBudgets.reset();
+		});
 		this.instanceRegistry = new InstanceRegistry({
 			objectApi: adapter.objectApi, collection: adapter.collections.instances, self, peerAddress: settings.listen.peer, clock, logger,
 		});
@@ -124,7 +129,7 @@
 		this.quotaLending = new QuotaLending({
 			clock, random, caller: this.peerClient, registry: this.peerServer,
 			countInstances: () => this.countInstances(),
-			tolerance: settings.quotaTolerance,
+			readTolerance: () => store.current.quotaTolerance,
 			self, channel: this.datagramChannel,
 			listPeers: () => this.listPeers(),
 		});
@@ -147,7 +152,8 @@
 
 	/** Starts all listeners and tasks. */
 	async start(): Promise<void> {
-		const {settings, adapter, metrics} = this.options;
+		const {adapter, metrics, logger} = this.options;
+		const settings = this.options.settings.current;
 		const {signal} = this.controller;
 		await this.peerServer.listen(settings.listen.peer);
 		this.membership.start();
@@ -158,6 +164,7 @@
 		void this.quotaLending.run(signal);
 		void this.instanceRegistry.register(signal);
 		void this.pruneConnections(signal);
+		void this.options.settings.run(logger, signal);
 		await this.listener.listen(settings.listen.caller);
 		await startJsonServer(settings.listen.readiness, url => url.pathname === adapter.readinessPath
 			? {status: this.isReady() ? 200 : 503, body: {ready: this.isReady()}}
@@ -166,7 +173,7 @@
 		await new AdminServer({
 			metrics, dump: () => this.dump(), readObstacle: () => this.isReady() ? undefined : 'no configuration, or stopping',
 		}).listen(settings.listen.admin);
-		this.options.logger.info('gateway started', {peer: settings.listen.peer, seeds: settings.seeds.length});
+		logger.info('gateway started', {peer: settings.listen.peer, seeds: settings.seeds.length, settings: this.options.settings.revision});
 	}
 
 	/** Stops the gateway gracefully; resolves when the process may exit. */
@@ -174,7 +181,7 @@
 		const {clock, logger, settings} = this.options;
 		const {membership, listener, rollout, controller} = this;
 		this.plannedStop ??= createGatewayStop({
-			clock, logger, graceMs: settings.graceMs, addressValiditySeconds, membership, listener, rollout, controller,
+			clock, logger, graceMs: settings.current.graceMs, addressValiditySeconds, membership, listener, rollout, controller,
 		});
 		await this.plannedStop.run();
 	}
@@ -183,6 +190,7 @@
 		const now = this.options.clock.readMonotonic();
 		return {
 			revision: this.feeds.readRevision(),
+			settings: this.options.settings.dump(),
 			feeds: this.feeds.dump(),
 			membership: this.membership.dump(),
 			rollout: this.rollout.dump(),
@@ -201,7 +209,7 @@
 	}
 
 	private listPeers(): readonly Member[] {
-		const self = this.options.settings.instance;
+		const self = this.options.settings.current.instance;
 		return this.membership.listLive(this.options.clock.readMonotonic()).filter(member => member.id !== self);
 	}
 
@@ -212,7 +220,8 @@
 	}
 
 	private createMembership(self: InstanceId): Membership {
-		const {settings, clock, random, logger} = this.options;
+		const {clock, random, logger} = this.options;
+		const settings = this.options.settings.current;
 		const {port} = parseAddress(settings.listen.peer);
 		const capacity = settings.capacity === undefined ? undefined : calculateCapacity(settings.capacity);
 		return new Membership({
@@ -233,13 +242,14 @@
 			}),
 			calculateLivenessTimeoutMs,
 			countRoundsPerHeartbeat: count => hasAggregators(count) ? heartbeatRoundsWithAggregators : 1,
+			readSettingsRevision: () => this.options.settings.revision,
 			readRevision: () => this.routingTable === undefined ? -1 as never : this.feeds.readRevision(),
 		});
 	}
 
 	private createRollout(self: InstanceId): RolloutController {
 		const {settings, adapter, clock, logger} = this.options;
-		const {host} = parseAddress(settings.listen.peer);
+		const {host} = parseAddress(settings.current.listen.peer);
 		return new RolloutController({
 			clock, logger, fleet: this.fleet,
 			lease: new Lease({
@@ -262,7 +272,7 @@
 	private isContender(): boolean {
 		const live = this.membership.listLive(this.options.clock.readMonotonic()).filter(member => member.state === 'live');
 		const mostRecentlyStarted = live.toSorted((a, b) => a.incarnation > b.incarnation ? -1 : 1).slice(0, maximumContenders);
-		return mostRecentlyStarted.some(member => member.id === this.options.settings.instance);
+		return mostRecentlyStarted.some(member => member.id === this.options.settings.current.instance);
 	}
 
 	private applyConfiguration(configuration: RoutingConfiguration): void {
@@ -282,7 +292,7 @@
 		return {
 			clock, logger, fleet: this.fleet, prefixes: this.prefixDirectory, targetClient: this.targetClient,
 			protocol: adapter.targetProtocol, quota: this.quotaLending,
-			dataCentre: settings.dataCentre as DataCentreId,
+			dataCentre: settings.current.dataCentre as DataCentreId,
 			draw: () => random.pickIndex(drawResolution) / drawResolution,
 			findVersionHistory: model => this.weightsRegistry.find(model),
 			findRetryBudget: service => this.retryBudgets.find(service),
--- a/src/gateway/service-retry-budgets/index.ts
+++ b/src/gateway/service-retry-budgets/index.ts
@@ -13,16 +13,22 @@
 export class ServiceRetryBudgets {
 	private readonly budgets = new Map<ServiceId, RetryBudget>();
 
-	constructor(private readonly allowance: RetryAllowance, private readonly countInstances: () => number) {}
+	constructor(private readonly readAllowance: () => RetryAllowance, private readonly countInstances: () => number) {}
 
 	find(service: ServiceId): RetryBudget {
 		let budget = this.budgets.get(service);
 		if (budget === undefined) {
-			const burstRetries = Math.max(1, this.allowance.extra * distributedRatio / Math.max(1, this.countInstances()));
-			budget = new RetryBudget({retriesPerRequest: this.allowance.ratio * distributedRatio, initialRetries: burstRetries, maximumLevel: burstRetries});
+			const {ratio, extra} = this.readAllowance();
+			const burstRetries = Math.max(1, extra * distributedRatio / Math.max(1, this.countInstances()));
+			budget = new RetryBudget({retriesPerRequest: ratio * distributedRatio, initialRetries: burstRetries, maximumLevel: burstRetries});
 			this.budgets.set(service, budget);
 		}
 
 		return budget;
 	}
+
+	/** Creates the budgets anew at their next use, with the allowance of that time. */
+	reset(): void {
+		this.budgets.clear();
+	}
 }
--- a/src/gateway/service-retry-budgets/test.ts
+++ b/src/gateway/service-retry-budgets/test.ts
@@ -6,7 +6,7 @@
 const service = 'service-1' as ServiceId;
 
 test('guards against more retries to a failing service than all instances together may send', () => {
-	const instances = Array.from({length: 8}, () => new ServiceRetryBudgets({ratio: 0.2, extra: 56}, () => 8));
+	const instances = Array.from({length: 8}, () => new ServiceRetryBudgets(() => ({ratio: 0.2, extra: 56}), () => 8));
 	let retries = 0;
 	const calls = 100;
 	for (const budgets of instances) {
@@ -20,5 +20,5 @@
 });
 
 test('allows a first retry before any call has been counted', () => {
-	expect(new ServiceRetryBudgets({ratio: 0.2, extra: 56}, () => 8).find(service).take()).toEqual(true);
+	expect(new ServiceRetryBudgets(() => ({ratio: 0.2, extra: 56}), () => 8).find(service).take()).toEqual(true);
 });
--- a/src/membership/heartbeat/index.ts
+++ b/src/membership/heartbeat/index.ts
@@ -29,6 +29,7 @@
 	counter: z.number().int().nonnegative(),
 	ageMs: z.number().nonnegative(),
 	capacity: z.number().positive().optional(),
+	settingsRevision: textSchema.optional(),
 });
 
 /** Only the fields that change within an incarnation, for receivers that know the others. */
--- a/src/membership/member/index.ts
+++ b/src/membership/member/index.ts
@@ -20,6 +20,8 @@
 	readonly revision: Revision;
 	/** Work that the instance can take, in processor cores; undefined if it is not known. */
 	readonly capacity?: number | undefined;
+	/** Revision of the settings in force on the instance, as far as it is known. */
+	readonly settingsRevision?: string | undefined;
 };
 
 /** Read access to membership for the other parts of the daemon. */
--- a/src/membership/membership/index.ts
+++ b/src/membership/membership/index.ts
@@ -36,7 +36,7 @@
 export const noRevision = -1 as Revision;
 
 /** Properties that do not change while an instance runs. */
-export type MemberIdentity = Omit<Member, 'incarnation' | 'state' | 'revision'>;
+export type MemberIdentity = Omit<Member, 'incarnation' | 'state' | 'revision' | 'settingsRevision'>;
 
 /** Options of `Membership`. */
 export type MembershipOptions = {
@@ -50,6 +50,8 @@
 	readonly logger: EventLogger;
 	readonly invariants: InvariantChecker;
 	readonly readRevision: () => Revision;
+	/** Returns the revision of the settings in force, if the instance has one. */
+	readonly readSettingsRevision?: () => string;
 	/** Counts the rounds from one round of heartbeats to the next, once the first ones are over. Defaults to 1; other messages may carry heartbeats as well. */
 	readonly countRoundsPerHeartbeat?: (knownMembers: number) => number;
 	/** Calculates the time after which a member whose counter does not advance is no longer live, in milliseconds. Defaults to 5 s. */
@@ -79,6 +81,7 @@
 	readSelf(): Member {
 		return {
 			...this.options.identity, incarnation: this.incarnation, state: this.state, revision: this.options.readRevision(),
+			settingsRevision: this.options.readSettingsRevision?.(),
 		};
 	}
 
--- a/src/quota/quota-lending/index.ts
+++ b/src/quota/quota-lending/index.ts
@@ -52,7 +52,7 @@
 	readonly listPeers: () => readonly Member[];
 	readonly channel: DatagramTransport;
 	/** Tolerance granted on each quota. */
-	readonly tolerance: QuotaTolerance;
+	readonly readTolerance: () => QuotaTolerance;
 };
 
 /** Tolerance on a quota: a fraction of rate and burst, and a number of extra tokens in any window. */
@@ -216,7 +216,7 @@
 		const instances = Math.max(1, this.options.countInstances());
 		const existing = this.records.get(id);
 		if (existing === undefined) {
-			const level = this.options.tolerance.extraTokens * extraTokensInitialFraction / instances;
+			const level = this.options.readTolerance().extraTokens * extraTokensInitialFraction / instances;
 			const size = this.calculateShareSize({quota, instances, poolInstances: []});
 			const record: ShareRecord = {
 				share: new QuotaShare(size, now, level), quota, instances, poolInstances: [], borrowBackoffUntil: 0,
@@ -235,7 +235,7 @@
 	}
 
 	private calculateShareSize({quota, instances, poolInstances}: Pick<ShareRecord, 'quota' | 'instances' | 'poolInstances'>): ShareSize {
-		const tokensPerMs = quota.tokensPerSecond * (1 + this.options.tolerance.ratio) / msPerSecond / instances;
+		const tokensPerMs = quota.tokensPerSecond * (1 + this.options.readTolerance().ratio) / msPerSecond / instances;
 		const totalBurstTokens = this.calculateTotalBurst(quota);
 		if (poolInstances.length === 0) {
 			const burstTokens = totalBurstTokens / instances;
@@ -248,7 +248,7 @@
 
 	/** Calculates the burst of all shares and pools together, in tokens. */
 	private calculateTotalBurst({burstTokens}: TokenQuota): number {
-		const {ratio, extraTokens} = this.options.tolerance;
+		const {ratio, extraTokens} = this.options.readTolerance();
 		return (burstTokens * (1 + ratio)) + (extraTokens * extraTokensBurstFraction);
 	}
 
--- a/src/quota/quota-lending/test.ts
+++ b/src/quota/quota-lending/test.ts
@@ -26,7 +26,7 @@
 		const endpoint = network.open(id);
 		const lending = new QuotaLending({
 			clock, random: new RandomSource(index + 1), caller: endpoint, registry: endpoint, countInstances: () => count,
-			self: id, listPeers: () => members.filter(other => other.id !== id), tolerance: {ratio: 0, extraTokens},
+			self: id, listPeers: () => members.filter(other => other.id !== id), readTolerance: () => ({ratio: 0, extraTokens}),
 			channel: datagrams.open(id),
 		});
 		lending.apply([sharedQuota]);
--- a/src/rollout/weights-registry/index.ts
+++ b/src/rollout/weights-registry/index.ts
@@ -15,8 +15,8 @@
 export class WeightsRegistry {
 	private readonly weightsByModel = new Map<string, WeightsVersionHistory>();
 
-	/** `oldWeightsLimitMs` is the time after an announcement from which no call may start on older weights. */
-	constructor(private readonly startedAt: MonotonicMs, private readonly oldWeightsLimitMs: number) {}
+	/** `readOldWeightsLimitMs` returns the time after an announcement from which no call may start on older weights. */
+	constructor(private readonly startedAt: MonotonicMs, private readonly readOldWeightsLimitMs: () => number) {}
 
 	/** Adds a version announced at `now`. Returns whether it is newer than all previous ones. */
 	addVersion(model: string, version: number, now: MonotonicMs): boolean {
@@ -27,7 +27,7 @@
 		}
 
 		const isStarting = now - this.startedAt < startupGraceMs;
-		return weights.addVersion(version, isStarting ? startupGraceMs : this.oldWeightsLimitMs * graceShare, now);
+		return weights.addVersion(version, isStarting ? startupGraceMs : this.readOldWeightsLimitMs() * graceShare, now);
 	}
 
 	find(model: string): WeightsVersionHistory | undefined {
