--- a/src/process/log-unexpected-errors/index.ts
+++ b/src/process/log-unexpected-errors/index.ts
@@ -5,11 +5,13 @@
  * the others; the call that caused it ends at its deadline.
  */
 
-import type {EventEmitter} from 'node:events';
 import type {EventLogger} from '../../logging/create-logger/index.js';
 
+/** The events of a process that tell of unexpected errors. */
+export type ErrorEvents = {on(event: 'uncaughtException' | 'unhandledRejection', listener: (reason: unknown) => void): unknown};
+
 /** Logs uncaught exceptions and unhandled rejections of `target`, usually `process`, with their stack traces. */
-export function logUnexpectedErrors(target: Pick<EventEmitter, 'on'>, logger: EventLogger): void {
+export function logUnexpectedErrors(target: ErrorEvents, logger: EventLogger): void {
 	target.on('uncaughtException', (error: unknown) => {
 		logger.error('uncaught exception', {reason: formatReason(error)});
 	});
--- a/src/process/log-unexpected-errors/test.ts
+++ b/src/process/log-unexpected-errors/test.ts
@@ -1,4 +1,3 @@
-import {EventEmitter} from 'node:events';
 import {spawnSync} from 'node:child_process';
 import {fileURLToPath} from 'node:url';
 import {test} from 'node:test';
@@ -12,10 +11,14 @@
 		reasons.push(`${event}: ${String(fields?.reason).split('\n')[0]}`);
 	};
 
-	const emitter = new EventEmitter();
-	logUnexpectedErrors(emitter, {info: log, warn: log, error: log});
-	emitter.emit('uncaughtException', new TypeError('wrong'));
-	emitter.emit('unhandledRejection', undefined);
+	const listeners = new Map<string, (reason: unknown) => void>();
+	logUnexpectedErrors({
+		on(event, listener) {
+			listeners.set(event, listener);
+		},
+	}, {info: log, warn: log, error: log});
+	listeners.get('uncaughtException')!(new TypeError('wrong'));
+	listeners.get('unhandledRejection')!(undefined);
 	expect(reasons).toEqual(['uncaught exception: TypeError: wrong', 'unhandled rejection: undefined']);
 });
 
