Watch at once after a restart of all instances, where callers already wait

Instances that are no seeds waited for their peers before they watched, and the seeds had started up to 0.4 s later than they. That wait came in with the rule that only seeds watch before peers are known.

Ruled out: the store (seeds had the configuration 0.1 s after their start) and the start itself.

Change: an instance that has refused a call for want of a configuration does not wait. The wait remains at the first start of a fleet, where no callers are. The new test fails without the change.

The dump of a target and the choice of contenders for the rollout lease have moved out of the gateway's file.

--- /dev/null
+++ b/src/gateway/describe-target/index.ts
@@ -0,0 +1,12 @@
+/** Describes a target in the dump of an instance: what it announced, and what keeps calls away from it. */
+
+import type {FleetTarget} from '../../fleet/fleet-target/index.js';
+import type {MonotonicMs} from '../../identity/ids/index.js';
+
+/** Describes `target` as it is at `now`. */
+export function describeTarget(target: FleetTarget, now: MonotonicMs) {
+	return {
+		...target.description, weightsVersions: Object.fromEntries(target.description.weightsVersions),
+		calls: target.calls.size, avoided: target.isInCooldown(now), silent: target.isSilent(now), cordoned: target.isCordoned(now),
+	};
+}
--- a/src/gateway/feed-relay/index.ts
+++ b/src/gateway/feed-relay/index.ts
@@ -45,6 +45,8 @@
 	readonly self: InstanceId;
 	/** Whether other instances know this one before they have started. */
 	readonly isSeed: boolean;
+	/** Whether calls have been refused for want of a configuration. */
+	readonly isConfigurationMissed: () => boolean;
 	readonly clock: Clock;
 	readonly logger: EventLogger;
 	readonly random: RandomSource;
@@ -136,10 +138,12 @@
 
 	/**
 	 * Whether it is too early to tell whether this instance is a watcher. When a large fleet starts, each instance knows
-	 * only a few others for a moment, and would watch as in a small fleet.
+	 * only a few others for a moment, and would watch as in a small fleet. An instance that callers already use does not
+	 * wait: after a restart of all instances, its peers have no configuration either.
 	 */
 	private isSettling(liveCount: number, now: MonotonicMs): boolean {
-		return !this.options.isSeed && liveCount <= smallFleetSize && now - this.startedAt < startupSettleMs;
+		const {isSeed, isConfigurationMissed} = this.options;
+		return !isSeed && !isConfigurationMissed() && liveCount <= smallFleetSize && now - this.startedAt < startupSettleMs;
 	}
 
 	/** Starts or stops the watches of this instance. */
--- a/src/gateway/gateway-feeds/index.ts
+++ b/src/gateway/gateway-feeds/index.ts
@@ -26,6 +26,8 @@
 	readonly self: InstanceId;
 	/** Whether other instances know this one before they have started. */
 	readonly isSeed: boolean;
+	/** Whether calls have been refused for want of a configuration. */
+	readonly isConfigurationMissed: () => boolean;
 	readonly adapter: PlatformAdapter;
 	readonly clock: Clock;
 	readonly logger: EventLogger;
--- a/src/gateway/gateway-feeds/test.ts
+++ b/src/gateway/gateway-feeds/test.ts
@@ -28,7 +28,7 @@
 const discoveryMs = 600;
 
 /** Starts instances that follow the same object API. */
-function startInstances(count: number) {
+function startInstances(count: number, isConfigurationMissed = false) {
 	const clock = new ManualClock();
 	const objectApi = new MemoryObjectApi();
 	const network = new FakePeerNetwork(clock);
@@ -52,7 +52,8 @@
 			decodeWeights: object => ({model: object.name, version: Number(object.value)}),
 		};
 		const feeds: GatewayFeeds = new GatewayFeeds({
-			self: id, isSeed: index < seedCount, adapter: adapter as PlatformAdapter, clock, logger: quietLogger, random: new RandomSource(index + 1),
+			self: id, isSeed: index < seedCount, isConfigurationMissed: () => isConfigurationMissed,
+			adapter: adapter as PlatformAdapter, clock, logger: quietLogger, random: new RandomSource(index + 1),
 			caller: endpoint, registry: endpoint,
 			listPeers: () => instances
 				.filter((other, number) => other.id !== id && (number < seedCount || clock.readMonotonic() >= discoveryMs))
@@ -261,3 +262,17 @@
 	expect(callCount <= 6 * 4 * 3).toEqual(true);
 	stop();
 });
+
+test('guards against calls that wait for seeds after a restart of all instances: an instance that callers use reads the configuration itself', async () => {
+	const {clock, objectApi, instances} = startInstances(8, true);
+	await objectApi.create('configuration', 'main', 1);
+	for (const {api} of instances.slice(0, seedCount)) {
+		api.isCut = true;
+	}
+
+	await clock.advance(400);
+	for (const {applied, stop} of instances) {
+		expect(applied.revisions.length === 1 || instances.findIndex(instance => instance.applied === applied) < seedCount).toEqual(true);
+		stop();
+	}
+});
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -27,6 +27,7 @@
 import {RelayedObjectApi} from '../../store/relayed-object-api/index.js';
 import {QuotaLending} from '../../quota/quota-lending/index.js';
 import type {RandomSource} from '../../random/random-source/index.js';
+import {chooseContenders} from '../../rollout/choose-contenders/index.js';
 import {RolloutController, rolloutLeaseMs, rolloutLeaseName} from '../../rollout/rollout-controller/index.js';
 import {RolloutNotices} from '../../rollout/rollout-notices/index.js';
 import {WeightsRegistry} from '../../rollout/weights-registry/index.js';
@@ -35,6 +36,7 @@
 import {calculateCapacity} from '../calculate-capacity/index.js';
 import {CallListener} from '../call-listener/index.js';
 import {createGatewayStop} from '../create-gateway-stop/index.js';
+import {describeTarget} from '../describe-target/index.js';
 import {GatewayFeeds} from '../gateway-feeds/index.js';
 import type {GatewayMetrics} from '../gateway-metrics/index.js';
 import {InstanceRegistry} from '../instance-registry/index.js';
@@ -56,8 +58,6 @@
 const addressValiditySeconds = 1;
 /** Interval at which connections to removed targets are closed, in milliseconds. */
 const pruneIntervalMs = 2000;
-/** Maximum number of instances that contend for the rollout lease. */
-const maximumContenders = 2;
 /** Minimum number of instances assumed until the registry has been read, so that quota shares are not too large. */
 const assumedInstanceCount = 12;
 /** Rounds from one heartbeat call to the next in a fleet with load aggregators, whose messages carry heartbeats. */
@@ -88,10 +88,10 @@
 	private readonly startedAt: MonotonicMs;
 	private routingTable: RoutingTable | undefined;
 	private plannedStop: PlannedStop | undefined;
+	private isConfigurationMissed = false;
 
 	constructor(private readonly options: GatewayOptions) {
-		const {adapter, clock, logger, random} = options;
-		const store = options.settings;
+		const {adapter, clock, logger, random, settings: store} = options;
 		const settings = store.current;
 		const self = settings.instance as InstanceId;
 		const listPeerIds = () => this.listPeers().map(peer => peer.id);
@@ -112,6 +112,7 @@
 		this.feeds = new GatewayFeeds({
 			self, adapter, clock, logger, random, caller: this.peerClient, registry: this.peerServer,
 			isSeed: settings.seeds.some(seed => parseAddress(seed).host === parseAddress(settings.listen.peer).host),
+			isConfigurationMissed: () => this.isConfigurationMissed,
 			listPeers: () => this.listPeers(),
 			onInstances: instances => {
 				this.instanceRegistry.replace(instances);
@@ -146,7 +147,7 @@
 			readSelf: () => this.membership.readSelf(),
 			listPeers: () => this.listPeers(),
 		});
-		this.listener = new CallListener({context: this.createContext(), protocol: adapter.callerProtocol, readTable: () => this.routingTable});
+		this.listener = new CallListener({context: this.createContext(), protocol: adapter.callerProtocol, readTable: () => this.readRoutingTable()});
 		this.addGauges();
 	}
 
@@ -179,9 +180,9 @@
 	/** Stops the gateway gracefully; resolves when the process may exit. */
 	async stop(): Promise<void> {
 		const {clock, logger, settings} = this.options;
-		const {membership, listener, rollout, controller} = this;
 		this.plannedStop ??= createGatewayStop({
-			clock, logger, graceMs: settings.current.graceMs, addressValiditySeconds, membership, listener, rollout, controller,
+			clock, logger, graceMs: settings.current.graceMs, addressValiditySeconds,
+			membership: this.membership, listener: this.listener, rollout: this.rollout, controller: this.controller,
 		});
 		await this.plannedStop.run();
 	}
@@ -197,10 +198,7 @@
 			quota: this.quotaLending.dump(),
 			namedWeights: this.weightsRegistry.dump(),
 			callsInProgress: this.listener.callsInProgress,
-			targets: [...this.fleet.list()].map(target => ({
-				...target.description, weightsVersions: Object.fromEntries(target.description.weightsVersions),
-				calls: target.calls.size, avoided: target.isInCooldown(now), silent: target.isSilent(now), cordoned: target.isCordoned(now),
-			})),
+			targets: [...this.fleet.list()].map(target => describeTarget(target, now)),
 		};
 	}
 
@@ -208,6 +206,12 @@
 		return this.routingTable !== undefined && this.plannedStop === undefined;
 	}
 
+	/** Returns the routing table for a call, and notes when there is none yet. */
+	private readRoutingTable(): RoutingTable | undefined {
+		this.isConfigurationMissed ||= this.routingTable === undefined;
+		return this.routingTable;
+	}
+
 	private listPeers(): readonly Member[] {
 		const self = this.options.settings.current.instance;
 		return this.membership.listLive(this.options.clock.readMonotonic()).filter(member => member.id !== self);
@@ -265,14 +269,9 @@
 		});
 	}
 
-	/**
-	 * Whether this instance contends for the rollout lease. Only the most recently started instances do, because
-	 * a rolling restart does not stop them again soon.
-	 */
 	private isContender(): boolean {
-		const live = this.membership.listLive(this.options.clock.readMonotonic()).filter(member => member.state === 'live');
-		const mostRecentlyStarted = live.toSorted((a, b) => a.incarnation > b.incarnation ? -1 : 1).slice(0, maximumContenders);
-		return mostRecentlyStarted.some(member => member.id === this.options.settings.current.instance);
+		const live = this.membership.listLive(this.options.clock.readMonotonic());
+		return chooseContenders(live).some(member => member.id === this.options.settings.current.instance);
 	}
 
 	private applyConfiguration(configuration: RoutingConfiguration): void {
