List the peers once a round instead of at each received load report

In a small fleet each instance receives 80 reports a second. The own entry of the last reports is kept, so that prefix uses are not sent again.

--- a/src/fleet/load-exchange/index.ts
+++ b/src/fleet/load-exchange/index.ts
@@ -74,6 +74,8 @@
 	/** The loads in the last report to an aggregator. */
 	private reportedLoads: ReadonlyMap<LoadEntry[0], TargetLoad> = new Map();
 	private round = 0;
+	/** Whether the fleet was large in the last round. */
+	private usesAggregators = false;
 
 	constructor(private readonly options: LoadExchangeOptions) {
 		options.channel.register(loadMessageType, body => {
@@ -97,7 +99,8 @@
 			const peers = listPeers();
 			this.round += 1;
 			this.forgetReportsOfLost(peers);
-			if (hasAggregators(peers.length)) {
+			this.usesAggregators = hasAggregators(peers.length);
+			if (this.usesAggregators) {
 				this.exchangeWithAggregators(peers);
 				intervalMs = aggregatedRoundIntervalMs;
 			} else {
@@ -174,7 +177,7 @@
 
 	private forgetReportsOfLost(peers: readonly Member[]): void {
 		if (this.lastReports.size > peers.length + 1) {
-			const liveIds = new Set(peers.map(peer => peer.id));
+			const liveIds = new Set([this.options.readSelf().id, ...peers.map(peer => peer.id)]);
 			for (const id of this.lastReports.keys()) {
 				if (!liveIds.has(id)) {
 					this.lastReports.delete(id);
@@ -196,7 +199,7 @@
 	}
 
 	private receive({sender, validMs, loads, prefixes: uses}: LoadMessage): void {
-		const {clock, fleet, prefixes, membership, listPeers} = this.options;
+		const {clock, fleet, prefixes, membership} = this.options;
 		const now = clock.readMonotonic();
 		const senderId = sender.id;
 		membership.applyEntry(parseMemberEntry(sender), now);
@@ -214,7 +217,7 @@
 			}
 		}
 
-		if (hasAggregators(listPeers().length)) {
+		if (this.usesAggregators) {
 			this.aggregator.recordReport(senderId, uses, now);
 		}
 	}
