Bound the prefix uses that an aggregator keeps, and drop a distinction without effect

An instance that got sums of data centres without sending any itself kept their prefix uses without bound; both lists now keep what one message can carry, so messages are as before. Sums without receivers are no longer built. A follower paused equally long after an interrupted, a changed and a failed answer, so the three outcomes are one again.

Run on it: lint and types of the files, 23 tests of aggregator, load exchange and feeds.

--- a/src/fleet/load-aggregator/index.ts
+++ b/src/fleet/load-aggregator/index.ts
@@ -92,7 +92,7 @@
 
 	/** Records uses of prefixes in this data centre. */
 	recordUses(uses: readonly PrefixUse[]): void {
-		this.ownUses.push(...uses);
+		this.ownUses = [...this.ownUses, ...uses].slice(-maximumPrefixUses);
 	}
 
 	/** Sends the sums of a round to reporters and other aggregators. */
@@ -104,8 +104,8 @@
 		const reporters = peers.filter(peer => this.reportedAt.has(peer.id));
 		const sender = this.options.membership.describeSelf();
 		this.round += 1;
-		this.send(reporters, this.buildFleetSums(sender, now));
-		this.send(aggregators, this.buildDataCentreSums(sender, now));
+		this.send(reporters, () => this.buildFleetSums(sender, now));
+		this.send(aggregators, () => this.buildDataCentreSums(sender, now));
 		this.ownUses = [];
 		this.remoteUses = [];
 	}
@@ -133,9 +133,9 @@
 		};
 	}
 
-	private send(receivers: readonly Member[], message: SumsMessage): void {
+	private send(receivers: readonly Member[], build: () => SumsMessage): void {
 		if (receivers.length > 0) {
-			this.options.channel.send(receivers.map(member => member.peerAddress), sumsMessageType, message);
+			this.options.channel.send(receivers.map(member => member.peerAddress), sumsMessageType, build());
 		}
 	}
 
@@ -177,7 +177,7 @@
 			this.applyFleetSums(message, now);
 		} else {
 			this.aggregatorHeardAt.set(sender.id, now);
-			this.remoteUses.push(...message.prefixes);
+			this.remoteUses = [...this.remoteUses, ...message.prefixes].slice(-maximumPrefixUses);
 			this.applyLoads(sender.id, message, now, load => load);
 		}
 	}
--- a/src/gateway/feed-relay/index.ts
+++ b/src/gateway/feed-relay/index.ts
@@ -24,8 +24,6 @@
 const longPollTimeoutMs = 1000;
 /** Time for which a watcher that is cut off from the object API is polled only if all others are as well, in milliseconds. */
 const interruptedWatcherPauseMs = 2000;
-/** Pause of a follower after a watcher that is cut off has answered, in milliseconds. */
-const interruptedPollPauseMs = 250;
 /** Time after the start in which an instance that is no seed watches only if its peers make it a watcher, in milliseconds. */
 const startupSettleMs = 1500;
 /** Pause of a follower after an update or a failed request, in milliseconds; changes in quick succession share a response. */
@@ -67,9 +65,6 @@
 /** `isInterrupted`: whether the object API is currently interrupted for the responding instance. */
 type FeedsResponse = {readonly updates: readonly CollectionUpdate[]; readonly isInterrupted: boolean};
 
-/** Outcome of a request to a peer. `interrupted`: the peer is cut off from the object API. */
-type FetchOutcome = 'changed' | 'unchanged' | 'interrupted' | 'failed';
-
 /** Watches or follows the collections on one instance, and serves copies of them to its peers. */
 export class FeedRelay {
 	private activeWatch: {readonly controller: AbortController; readonly ended: Promise<unknown>} | undefined;
@@ -186,10 +181,10 @@
 		const watchers = this.listPolledWatchers(clock.readMonotonic());
 		this.pollCount += 1;
 		const watcher = watchers[this.pollCount % Math.max(1, watchers.length)];
-		const outcome = watcher === undefined ? 'failed' : await this.fetchFromPeer(watcher, longPollTimeoutMs);
+		const canPollImmediately = watcher !== undefined && await this.fetchFromPeer(watcher, longPollTimeoutMs);
 		this.reportInterruption(clock.readMonotonic());
-		if (outcome !== 'unchanged') {
-			await clock.sleep(outcome === 'interrupted' ? interruptedPollPauseMs : pollPauseMs, signal);
+		if (!canPollImmediately) {
+			await clock.sleep(pollPauseMs, signal);
 		}
 	}
 
@@ -224,8 +219,8 @@
 		return this.options.random.pickSome(candidates, 1)[0];
 	}
 
-	/** Fetches newer copies from a peer. The outcome `unchanged` means that the peer waited for newer copies and had none. */
-	private async fetchFromPeer(peer: InstanceId, waitMs: number): Promise<FetchOutcome> {
+	/** Fetches newer copies from a peer. Returns whether the next poll may follow immediately: the peer waited for newer copies and had none. */
+	private async fetchFromPeer(peer: InstanceId, waitMs: number): Promise<boolean> {
 		const {caller, logger} = this.options;
 		const known = Object.fromEntries([...this.options.mirrors].map(([collection, mirror]) => [collection, mirror.readVersion() ?? '']));
 		const request: FeedsRequest = {known, waitMs};
@@ -238,14 +233,10 @@
 				}
 			}
 
-			if (isInterrupted) {
-				return 'interrupted';
-			}
-
-			return updates.length === 0 ? 'unchanged' : 'changed';
+			return !isInterrupted && updates.length === 0;
 		} catch (error) {
 			logger.warn('peer did not pass collections on', {peer, reason: (error as Error).message});
-			return 'failed';
+			return false;
 		}
 	}
 
