--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -3,8 +3,7 @@
 import type {Clock} from '../../clock/clock/index.js';
 import {AdminServer} from '../../daemon/admin-server/index.js';
 import type {PlannedStop} from '../../daemon/planned-stop/index.js';
-import {calculateLivenessTimeoutMs, LoadExchange} from '../../fleet/load-exchange/index.js';
-import {hasAggregators} from '../../fleet/rank-aggregators/index.js';
+import {LoadExchange} from '../../fleet/load-exchange/index.js';
 import {PrefixDirectory} from '../../fleet/prefix-directory/index.js';
 import {TargetFleet} from '../../fleet/target-fleet/index.js';
 import type {ForwardingContext} from '../../forwarding/forwarding-context/index.js';
@@ -12,14 +11,13 @@
 import {startJsonServer} from '../../http/start-json-server/index.js';
 import {parseAddress} from '../../http/parse-address/index.js';
 import type {
-	DataCentreId, FleetId, InstanceId, MonotonicMs, TargetId,
+	DataCentreId, InstanceId, MonotonicMs, Revision, TargetId,
 } from '../../identity/ids/index.js';
-import {InvariantChecker} from '../../invariants/invariant-checker/index.js';
 import {Lease} from '../../leases/lease/index.js';
 import type {EventLogger} from '../../logging/create-logger/index.js';
 import {chooseAddresses} from '../../membership/choose-addresses/index.js';
 import {createIncarnation} from '../../membership/create-incarnation/index.js';
-import {Membership} from '../../membership/membership/index.js';
+import type {Membership} from '../../membership/membership/index.js';
 import type {Member} from '../../membership/member/index.js';
 import {DatagramChannel} from '../../peers/datagram-channel/index.js';
 import {PeerClient} from '../../peers/peer-client/index.js';
@@ -33,9 +31,9 @@
 import {WeightsRegistry} from '../../rollout/weights-registry/index.js';
 import {RoutingTable} from '../../routing/routing-table/index.js';
 import type {RoutingConfiguration} from '../../routing/routing-types/index.js';
-import {calculateCapacity} from '../calculate-capacity/index.js';
 import {CallListener} from '../call-listener/index.js';
 import {createGatewayStop} from '../create-gateway-stop/index.js';
+import {createMembership} from '../create-membership/index.js';
 import {describeTarget} from '../describe-target/index.js';
 import {GatewayFeeds} from '../gateway-feeds/index.js';
 import type {GatewayMetrics} from '../gateway-metrics/index.js';
@@ -60,8 +58,6 @@
 const pruneIntervalMs = 2000;
 /** Minimum number of instances assumed until the registry has been read, so that quota shares are not too large. */
 const assumedInstanceCount = 12;
-/** Rounds from one heartbeat call to the next in a fleet with load aggregators, whose messages carry heartbeats. */
-const heartbeatRoundsWithAggregators = 10;
 /** Number of distinct values that `draw` returns. */
 const drawResolution = 0x40_00_00_00;
 
@@ -108,7 +104,10 @@
 		});
 		this.peerServer = new PeerServer(self);
 		this.peerClient = new PeerClient({self, findPeerAddress: id => this.membership.findPeerAddress(id)});
-		this.membership = this.createMembership(self);
+		this.membership = createMembership({
+			settings: store, instanceRegistry: this.instanceRegistry, caller: this.peerClient, registry: this.peerServer, clock, random, logger,
+			readRevision: () => this.routingTable === undefined ? -1 as Revision : this.feeds.readRevision(),
+		});
 		this.feeds = new GatewayFeeds({
 			self, adapter, clock, logger, random, caller: this.peerClient, registry: this.peerServer,
 			isSeed: settings.seeds.some(seed => parseAddress(seed).host === parseAddress(settings.listen.peer).host),
@@ -223,34 +222,6 @@
 		return registeredInstanceCount === 0 ? Math.max(knownCount, assumedInstanceCount) : knownCount;
 	}
 
-	private createMembership(self: InstanceId): Membership {
-		const {clock, random, logger} = this.options;
-		const settings = this.options.settings.current;
-		const {port} = parseAddress(settings.listen.peer);
-		const capacity = settings.capacity === undefined ? undefined : calculateCapacity(settings.capacity);
-		return new Membership({
-			identity: {
-				id: self, fleet: 'gateway' as FleetId, region: settings.region, dataCentre: settings.dataCentre as DataCentreId,
-				peerAddress: settings.listen.peer, callerAddress: settings.listen.caller, capacity,
-			},
-			seeds: settings.seeds.map(seed => `${parseAddress(seed).host}:${port}`),
-			instanceList: this.instanceRegistry,
-			caller: this.peerClient,
-			registry: this.peerServer,
-			clock, random, logger,
-			invariants: new InvariantChecker({
-				isStrict: false,
-				onViolation(name, detail) {
-					logger.error('invariant violated', {name, detail});
-				},
-			}),
-			calculateLivenessTimeoutMs,
-			countRoundsPerHeartbeat: count => hasAggregators(count) ? heartbeatRoundsWithAggregators : 1,
-			readSettingsRevision: () => this.options.settings.revision,
-			readRevision: () => this.routingTable === undefined ? -1 as never : this.feeds.readRevision(),
-		});
-	}
-
 	private createRollout(self: InstanceId): RolloutController {
 		const {settings, adapter, clock, logger} = this.options;
 		const {host} = parseAddress(settings.current.listen.peer);
