Log standstills of the process, and for how long old weights may still be used

- 'process stood still' with the time missed on the monotonic and on the wall clock; a suspension may not count on the monotonic one.
- 'weights named' has oldWeightsForMs.

--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -22,6 +22,7 @@
 import {DatagramChannel} from '../../peers/datagram-channel/index.js';
 import {PeerClient} from '../../peers/peer-client/index.js';
 import {PeerServer} from '../../peers/peer-server/index.js';
+import {StandstillMonitor} from '../../process/standstill-monitor/index.js';
 import {RelayedObjectApi} from '../../store/relayed-object-api/index.js';
 import {QuotaLending} from '../../quota/quota-lending/index.js';
 import type {RandomSource} from '../../random/random-source/index.js';
@@ -152,7 +153,7 @@
 
 	/** Starts all listeners and tasks. */
 	async start(): Promise<void> {
-		const {adapter, metrics, logger} = this.options;
+		const {adapter, clock, metrics, logger} = this.options;
 		const settings = this.options.settings.current;
 		const {signal} = this.controller;
 		await this.peerServer.listen(settings.listen.peer);
@@ -164,6 +165,7 @@
 		void this.quotaLending.run(signal);
 		void this.instanceRegistry.register(signal);
 		void this.pruneConnections(signal);
+		void new StandstillMonitor(clock, logger).run(signal);
 		void this.options.settings.run(logger, signal);
 		await this.listener.listen(settings.listen.caller);
 		await startJsonServer(settings.listen.readiness, url => url.pathname === adapter.readinessPath
@@ -252,8 +254,10 @@
 	}
 
 	private applyWeights({model, version}: WeightsNotice): void {
-		if (this.weightsRegistry.addVersion(model, version, this.options.clock.readMonotonic())) {
-			this.options.logger.info('weights named', {model, version});
+		const now = this.options.clock.readMonotonic();
+		if (this.weightsRegistry.addVersion(model, version, now)) {
+			const exclusiveFrom = this.weightsRegistry.find(model)?.readExclusiveFrom() ?? now;
+			this.options.logger.info('weights named', {model, version, oldWeightsForMs: Math.round(exclusiveFrom - now)});
 		}
 	}
 
--- a/src/rollout/weights-version-history/index.ts
+++ b/src/rollout/weights-version-history/index.ts
@@ -5,7 +5,7 @@
 
 import type {MonotonicMs} from '../../identity/ids/index.js';
 
-type AnnouncedVersion = {readonly version: number; readonly announcedAt: MonotonicMs; readonly exclusiveFrom: number};
+type AnnouncedVersion = {readonly version: number; readonly announcedAt: MonotonicMs; readonly exclusiveFrom: MonotonicMs};
 
 /** Time after the announcement of a version for which answers of older versions don't count as stale. */
 const staleGraceMs = 1200;
@@ -21,6 +21,11 @@
 		return this.versions.at(-1)?.version ?? 0;
 	}
 
+	/** Time from which no call may start on versions older than the newest; undefined before the first announcement. */
+	readExclusiveFrom(): MonotonicMs | undefined {
+		return this.versions.at(-1)?.exclusiveFrom;
+	}
+
 	/**
 	 * Adds a version announced at `now`. Calls may start on older versions for another `graceMs`.
 	 * Returns false, without a change, unless the version is the newest.
@@ -30,7 +35,7 @@
 			return false;
 		}
 
-		this.versions = [...this.versions, {version, announcedAt: now, exclusiveFrom: now + graceMs}].slice(-maximumAnnouncedVersions);
+		this.versions = [...this.versions, {version, announcedAt: now, exclusiveFrom: now + graceMs as MonotonicMs}].slice(-maximumAnnouncedVersions);
 		return true;
 	}
 
