Split the start of an attempt from the session of a call

No change of behaviour: the attempt is recorded after its exchange has started instead of before, and no callback comes before that.

--- a/src/forwarding/call-session/index.ts
+++ b/src/forwarding/call-session/index.ts
@@ -13,7 +13,6 @@
 import {isRepeatable} from '../../routing/is-repeatable/index.js';
 import {addRetryAfterJitter} from '../add-retry-after-jitter/index.js';
 import {ResponseRelay} from '../response-relay/index.js';
-import {buildAttemptOptions} from '../build-attempt-options/index.js';
 import {CallCharge} from '../call-charge/index.js';
 import {CallTimes} from '../call-times/index.js';
 import type {ResponseHead} from '../call-types/index.js';
@@ -25,6 +24,7 @@
 import {reportCall} from '../report-call/index.js';
 import {hasAlternativeTarget, selectTarget, type TargetSelection} from '../select-target/index.js';
 import type {Attempt, SessionOptions} from '../session-types/index.js';
+import {startAttempt, type AttemptListener} from '../start-attempt/index.js';
 import type {ExchangeStage} from '../target-client/index.js';
 import {TargetWaiter} from '../target-waiter/index.js';
 
@@ -46,6 +46,20 @@
 	private readonly isRepeatable: boolean;
 	private readonly triedTargets = new Set<FleetTarget>();
 	private readonly selection: TargetSelection;
+	private readonly attemptListener: AttemptListener = {
+		onHead: (attempt, head) => {
+			this.handleHead(attempt, head);
+		},
+		onChunk: (attempt, chunk) => {
+			this.handleChunk(attempt, chunk);
+		},
+		onEnd: attempt => {
+			this.handleEnd(attempt);
+		},
+		onFailure: (attempt, stage, error) => {
+			this.handleFailure(attempt, stage, error);
+		},
+	};
 	/** The attempt in flight. */
 	private attempt: Attempt | undefined;
 	/** Attempts so far. */
@@ -153,36 +167,13 @@
 	}
 
 	private send(target: FleetTarget, now: MonotonicMs): void {
-		const {call, route, organisation, body} = this.options;
-		const {protocol, listCacheStores} = this.context;
-		const options = buildAttemptOptions({
-			call, route, organisation, target, hints: this.hints, remainingMs: this.deadline - now,
-			lastEventId: this.relay.readLastEventId(), cacheStores: listCacheStores(),
-		});
-		const attempt: Attempt = {
-			target, weightsVersion: options.weightsVersion, exchange: undefined, head: undefined, lastReceivedAt: now, lastProgressAt: now,
-			record: target.beginCall(this.hints.estimatePrefillTokens(target, now), now, this.hints.memoryTokens),
-		};
-		this.attempt = attempt;
 		this.attempts += 1;
 		this.times.recordSent(now);
 		this.triedTargets.add(target);
-		attempt.exchange = this.context.targetClient.start(target, {
-			method: call.method, path: call.path, headers: protocol.buildHeaders(call, options), body, shouldUseNewConnection: !this.isRepeatable,
-		}, {
-			onHead: (status, rawHeaders) => {
-				this.handleHead(attempt, protocol.readHead(call, target.description.id, status, rawHeaders));
-			},
-			onChunk: chunk => {
-				this.handleChunk(attempt, chunk);
-			},
-			onEnd: () => {
-				this.handleEnd(attempt);
-			},
-			onFailure: (stage, error) => {
-				this.handleFailure(attempt, stage, error);
-			},
-		});
+		this.attempt = startAttempt({
+			session: this.options, target, hints: this.hints, remainingMs: this.deadline - now,
+			lastEventId: this.relay.readLastEventId(), isRepeatable: this.isRepeatable,
+		}, this.context, this.attemptListener, now);
 	}
 
 	private handleHead(attempt: Attempt, head: ResponseHead): void {
--- /dev/null
+++ b/src/forwarding/start-attempt/index.ts
@@ -0,0 +1,60 @@
+/** Starts an attempt: sends the call to a target and passes what comes back on to the session. */
+
+import type {FleetTarget} from '../../fleet/fleet-target/index.js';
+import type {MonotonicMs} from '../../identity/ids/index.js';
+import {buildAttemptOptions} from '../build-attempt-options/index.js';
+import type {ResponseHead} from '../call-types/index.js';
+import type {ForwardingContext} from '../forwarding-context/index.js';
+import type {PrefixHints} from '../prefix-hints/index.js';
+import type {Attempt, SessionOptions} from '../session-types/index.js';
+import type {ExchangeStage} from '../target-client/index.js';
+
+/** What is sent, and where. */
+export type AttemptRequest = {
+	readonly session: SessionOptions;
+	readonly target: FleetTarget;
+	readonly hints: PrefixHints;
+	readonly remainingMs: number;
+	readonly lastEventId: string | undefined;
+	/** Whether the call may run again; otherwise it gets a new connection. */
+	readonly isRepeatable: boolean;
+};
+
+/** Receives what comes back for an attempt. */
+export type AttemptListener = {
+	onHead(attempt: Attempt, head: ResponseHead): void;
+	onChunk(attempt: Attempt, chunk: Buffer): void;
+	onEnd(attempt: Attempt): void;
+	onFailure(attempt: Attempt, stage: ExchangeStage, error: Error): void;
+};
+
+/** Starts an attempt at `now`. No listener is called before it returns. */
+export function startAttempt(attemptRequest: AttemptRequest, context: ForwardingContext, listener: AttemptListener, now: MonotonicMs): Attempt {
+	const {session, target, hints, remainingMs, lastEventId, isRepeatable} = attemptRequest;
+	const {call, route, organisation, body} = session;
+	const {protocol, listCacheStores, targetClient} = context;
+	const options = buildAttemptOptions({
+		call, route, organisation, target, hints, remainingMs, lastEventId, cacheStores: listCacheStores(),
+	});
+	const attempt: Attempt = {
+		target, weightsVersion: options.weightsVersion, exchange: undefined, head: undefined, lastReceivedAt: now, lastProgressAt: now,
+		record: target.beginCall(hints.estimatePrefillTokens(target, now), now, hints.memoryTokens),
+	};
+	attempt.exchange = targetClient.start(target, {
+		method: call.method, path: call.path, headers: protocol.buildHeaders(call, options), body, shouldUseNewConnection: !isRepeatable,
+	}, {
+		onHead(status, rawHeaders) {
+			listener.onHead(attempt, protocol.readHead(call, target.description.id, status, rawHeaders));
+		},
+		onChunk(chunk) {
+			listener.onChunk(attempt, chunk);
+		},
+		onEnd() {
+			listener.onEnd(attempt);
+		},
+		onFailure(stage, error) {
+			listener.onFailure(attempt, stage, error);
+		},
+	});
+	return attempt;
+}
