Count the time limit of old weights from the earliest possible announcement

Cause: an instance counted the time limit from its receipt of the notice. Three instances stood still for 4.4 s when version 4 was announced, heard of it 4.3 s late, and allowed calls on version 3 until 12 s after the announcement. The class: an age that is measured from the receipt of a message instead of from its origin. The object API tells no times, and no connection had failed.

The rollout that began only 9.8 s after the announcement, as two lease holders stood still one after the other, made the fault visible but may not cause it.

Change: - The object API client tells how long ago the store had a version (an answer without changes is as old as the time by which it came later than the end of the wait), and the feeds keep these times for all collections. A change is at most as old as the last answer at an earlier version. The polls of the four collections end evenly spread, so that this is about a second in calm times. - Elapsed times are the larger of those on the monotonic and the wall clock, since a suspension may not count on the monotonic one. - Watchers pass their confirmed versions on to followers; these count them from the sending of their request. - A started instance that does not know how old an announcement is allows calls on old weights until 2 s after its start, not for 3 s after the receipt. - A call that has not begun 0.5 s before the end of the limit is withdrawn from the engine's queue, since a limit that holds at the sending need not hold at the beginning.

--- a/src/fleet/choose-target/test.ts
+++ b/src/fleet/choose-target/test.ts
@@ -1,5 +1,6 @@
 import {test} from 'node:test';
 import {expect} from 'earl';
+import {createAnnouncedVersion} from '../../fixtures/create-announced-version/index.js';
 import {createFleetTarget, testModel} from '../../fixtures/create-fleet-target/index.js';
 import type {DataCentreId, InstanceId, MonotonicMs} from '../../identity/ids/index.js';
 import {simulateFleet} from '../../fixtures/simulate-fleet/index.js';
@@ -58,7 +59,7 @@
 test('guards against overloading the first engine with new weights while answers on old weights still have value', () => {
 	const targets = createTargets(6);
 	const versionHistory = new WeightsVersionHistory();
-	versionHistory.addVersion(2, 7500, at(0));
+	versionHistory.addVersion(createAnnouncedVersion(2, 7500, 0));
 	targets[0]!.recordVersion(testModel, 2);
 	targets[0]!.beginCall(9000, at(0));
 	expect(chooseTarget(createQuery(targets, {versionHistory}), at(500)) === targets[0]).toEqual(false);
@@ -69,7 +70,7 @@
 test('guards against starting a call on expired weights, even when no other engine is available', () => {
 	const targets = createTargets(2);
 	const versionHistory = new WeightsVersionHistory();
-	versionHistory.addVersion(2, 7500, at(0));
+	versionHistory.addVersion(createAnnouncedVersion(2, 7500, 0));
 	expect(chooseTarget(createQuery(targets, {versionHistory}), at(7400)) === undefined).toEqual(false);
 	expect(chooseTarget(createQuery(targets, {versionHistory}), at(7500))).toEqual(undefined);
 });
--- a/src/forwarding/add-retry-after-jitter/index.ts
+++ b/src/forwarding/add-retry-after-jitter/index.ts
@@ -7,3 +7,11 @@
 export function addRetryAfterJitter(seconds: number, random: number): number {
 	return seconds * (1 + random);
 }
+
+/** Shortest Retry-After of a call that no target could take; jitter is added. */
+const minimumRetryAfterSeconds = 0.3;
+
+/** Builds the Retry-After of a call that no target could take; `draw` is a random number in [0, 1). */
+export function buildShortRetryAfter(draw: number): {readonly retryAfterSeconds: number} {
+	return {retryAfterSeconds: addRetryAfterJitter(minimumRetryAfterSeconds, draw)};
+}
--- a/src/forwarding/call-session/index.ts
+++ b/src/forwarding/call-session/index.ts
@@ -11,7 +11,7 @@
 import {createRouterError, type RouterError} from '../../results/create-router-error/index.js';
 import type {ResultName} from '../../results/result-codes/index.js';
 import {isRepeatable} from '../../routing/is-repeatable/index.js';
-import {addRetryAfterJitter} from '../add-retry-after-jitter/index.js';
+import {addRetryAfterJitter, buildShortRetryAfter} from '../add-retry-after-jitter/index.js';
 import {ResponseRelay} from '../response-relay/index.js';
 import {CallCharge} from '../call-charge/index.js';
 import {CallTimes} from '../call-times/index.js';
@@ -19,6 +19,7 @@
 import type {ForwardingContext} from '../forwarding-context/index.js';
 import {isAttemptStalled} from '../is-attempt-stalled/index.js';
 import {passChunk} from '../pass-chunk/index.js';
+import {mustWithdrawAttempt} from '../must-withdraw-attempt/index.js';
 import {planNextStep, type AttemptFailure} from '../plan-next-step/index.js';
 import {PrefixHints} from '../prefix-hints/index.js';
 import {reportCall} from '../report-call/index.js';
@@ -32,8 +33,6 @@
 const targetWaitFraction = 0.6;
 /** Interval at which a waiting call checks again for a target with free capacity; shorter than the interval of load reports. */
 const targetRecheckMs = 60;
-/** Shortest Retry-After of a call that no target could take; jitter is added. */
-const minimumRetryAfterSeconds = 0.3;
 
 /** A call in progress. */
 export class CallSession {
@@ -46,6 +45,7 @@
 	private readonly isRepeatable: boolean;
 	private readonly triedTargets = new Set<FleetTarget>();
 	private readonly selection: TargetSelection;
+
 	private readonly attemptListener: AttemptListener = {
 		onHead: (attempt, head) => {
 			this.handleHead(attempt, head);
@@ -60,6 +60,7 @@
 			this.handleFailure(attempt, stage, error);
 		},
 	};
+
 	/** The attempt in flight. */
 	private attempt: Attempt | undefined;
 	/** Attempts so far. */
@@ -118,10 +119,19 @@
 		this.endEarly('stopping', 'outcomeUnknown');
 	}
 
-	/** Moves a repeatable call to another target if its attempt has stalled. */
-	checkSilence(now: MonotonicMs): void {
+	/** Withdraws an attempt that must not begin any more, and moves a repeatable call to another target if its attempt has stalled. */
+	checkAttempt(now: MonotonicMs): void {
 		const {attempt} = this;
-		if (attempt === undefined || !this.isRepeatable || this.isDone) {
+		if (attempt === undefined || this.isDone) {
+			return;
+		}
+
+		if (mustWithdrawAttempt(attempt, this.options.call.work?.model, this.context, now)) {
+			this.withdraw(attempt);
+			return;
+		}
+
+		if (!this.isRepeatable) {
 			return;
 		}
 
@@ -131,6 +141,14 @@
 		}
 	}
 
+	/** Ends an attempt that must not begin any more. It may have begun just now, so it counts as one that may have run. */
+	private withdraw(attempt: Attempt): void {
+		attempt.exchange?.abort();
+		this.endAttempt(attempt);
+		this.runs += 1;
+		this.retryOrFail('unknown', 'the call had not begun within the time limit of the old weights', attempt);
+	}
+
 	private readNow(): MonotonicMs {
 		return this.context.clock.readMonotonic();
 	}
@@ -156,7 +174,7 @@
 		if (now >= waitUntil) {
 			this.refuse(this.mayHaveRun
 				? createRouterError('outcomeUnknown', 'no other target is usable')
-				: createRouterError('noTarget', undefined, this.buildRetryAfterOptions()));
+				: createRouterError('noTarget', undefined, buildShortRetryAfter(this.context.draw())));
 			return;
 		}
 
@@ -290,7 +308,7 @@
 			return;
 		}
 
-		this.fail(createRouterError(step.result, reason, step.result === 'targetRefused' ? this.buildRetryAfterOptions() : {}));
+		this.fail(createRouterError(step.result, reason, step.result === 'targetRefused' ? buildShortRetryAfter(this.context.draw()) : {}));
 	}
 
 	/** Ends the call before its response is complete; the result depends on whether a target may have run it. */
@@ -302,10 +320,6 @@
 		}
 	}
 
-	private buildRetryAfterOptions() {
-		return {retryAfterSeconds: addRetryAfterJitter(minimumRetryAfterSeconds, this.context.draw())};
-	}
-
 	/** Responds with an error, or closes the connection if the response has already begun. */
 	private fail(error: RouterError): void {
 		if (this.relay.hasBegun) {
--- a/src/gateway/call-listener/index.ts
+++ b/src/gateway/call-listener/index.ts
@@ -198,7 +198,7 @@
 			this.isSilenceCheckScheduled = false;
 			const now = this.options.context.clock.readMonotonic();
 			for (const session of this.sessions) {
-				session.checkSilence(now);
+				session.checkAttempt(now);
 			}
 
 			if (this.sessions.size > 0) {
--- a/src/gateway/feed-relay/index.ts
+++ b/src/gateway/feed-relay/index.ts
@@ -6,12 +6,14 @@
  */
 
 import type {Clock} from '../../clock/clock/index.js';
+import {readInstant} from '../../clock/instant/index.js';
 import type {InstanceId, MonotonicMs, Revision} from '../../identity/ids/index.js';
 import type {EventLogger} from '../../logging/create-logger/index.js';
 import type {Member} from '../../membership/member/index.js';
 import type {PeerCaller, PeerMethodRegistry} from '../../peers/peer-caller/index.js';
 import type {RandomSource} from '../../random/random-source/index.js';
 import type {CollectionMirror, CollectionUpdate} from '../../store/collection-mirror/index.js';
+import type {ConfirmedVersion, RevisionTimeline} from '../../store/revision-timeline/index.js';
 import {isWatcher, listWatchers, smallFleetSize} from '../list-watchers/index.js';
 
 /** JSON-RPC method that returns the collections that are newer than the caller's copies. */
@@ -20,6 +22,8 @@
 const peerCallTimeoutMs = 400;
 /** Interval at which a watcher checks whether peers have newer copies, in milliseconds. */
 const peerCheckIntervalMs = 300;
+/** Number of confirmed versions in a response. */
+const maximumConfirmedVersions = 8;
 /** Maximum time for which a watcher holds a follower's request until a collection changes, in milliseconds. */
 const longPollTimeoutMs = 1000;
 /** Time for which a watcher that is cut off from the object API is polled only if all others are as well, in milliseconds. */
@@ -54,6 +58,8 @@
 	readonly listPeers: () => readonly Member[];
 	/** Mirrors by collection name. */
 	readonly mirrors: ReadonlyMap<string, CollectionMirror>;
+	/** Versions that the object API is known to have had; peers pass theirs on with their copies. */
+	readonly timeline: RevisionTimeline;
 	/** Returns the revision of the configuration in force; -1 if there is none. */
 	readonly readRevision: () => Revision;
 	/** Called after each check of whether the object API is interrupted for this instance. */
@@ -62,8 +68,11 @@
 
 /** `known`: version of each collection that the requesting instance has; `waitMs`: maximum time to wait for newer ones. */
 type FeedsRequest = {readonly known: Readonly<Record<string, string>>; readonly waitMs: number};
-/** `isInterrupted`: whether the object API is currently interrupted for the responding instance. */
-type FeedsResponse = {readonly updates: readonly CollectionUpdate[]; readonly isInterrupted: boolean};
+/**
+ * `isInterrupted`: whether the object API is currently interrupted for the responding instance. `confirmed`: versions
+ * that the object API is known to have had; instances of earlier releases don't send it.
+ */
+type FeedsResponse = {readonly updates: readonly CollectionUpdate[]; readonly isInterrupted: boolean; readonly confirmed?: readonly ConfirmedVersion[]};
 
 /** Watches or follows the collections on one instance, and serves copies of them to its peers. */
 export class FeedRelay {
@@ -221,11 +230,13 @@
 
 	/** Fetches newer copies from a peer. Returns whether the next poll may follow immediately: the peer waited for newer copies and had none. */
 	private async fetchFromPeer(peer: InstanceId, waitMs: number): Promise<boolean> {
-		const {caller, logger} = this.options;
+		const {caller, clock, logger, timeline} = this.options;
+		const sentAt = readInstant(clock);
 		const known = Object.fromEntries([...this.options.mirrors].map(([collection, mirror]) => [collection, mirror.readVersion() ?? '']));
 		const request: FeedsRequest = {known, waitMs};
 		try {
-			const {updates, isInterrupted} = await caller.call<FeedsResponse>(peer, readFeedsMethod, request, waitMs + peerCallTimeoutMs);
+			const {updates, isInterrupted, confirmed = []} = await caller.call<FeedsResponse>(peer, readFeedsMethod, request, waitMs + peerCallTimeoutMs);
+			timeline.recordConfirmed(confirmed, sentAt);
 			this.recordContact(peer, isInterrupted);
 			for (const update of updates) {
 				if (this.options.mirrors.get(update.collection)?.applyUpdate(update) === true) {
@@ -263,7 +274,10 @@
 			updates = this.listUpdates(knownVersions);
 		}
 
-		return {updates, isInterrupted: this.isInterrupted(this.options.clock.readMonotonic())};
+		const {clock, timeline} = this.options;
+		return {
+			updates, isInterrupted: this.isInterrupted(clock.readMonotonic()), confirmed: timeline.listRecent(maximumConfirmedVersions, readInstant(clock)),
+		};
 	}
 
 	private listUpdates(versions: Readonly<Record<string, string>>): CollectionUpdate[] {
--- a/src/gateway/gateway-feeds/index.ts
+++ b/src/gateway/gateway-feeds/index.ts
@@ -5,6 +5,7 @@
  */
 
 import type {Clock} from '../../clock/clock/index.js';
+import {readInstant, shiftBack} from '../../clock/instant/index.js';
 import type {InstanceId, Revision} from '../../identity/ids/index.js';
 import type {TargetDescription} from '../../fleet/fleet-target/index.js';
 import type {EventLogger} from '../../logging/create-logger/index.js';
@@ -12,6 +13,7 @@
 import type {PeerCaller, PeerMethodRegistry} from '../../peers/peer-caller/index.js';
 import {CollectionMirror} from '../../store/collection-mirror/index.js';
 import type {StoredObject} from '../../store/object-api/index.js';
+import {RevisionTimeline} from '../../store/revision-timeline/index.js';
 import type {RandomSource} from '../../random/random-source/index.js';
 import type {RoutingConfiguration} from '../../routing/routing-types/index.js';
 import type {WeightsNotice, PlatformAdapter} from '../platform-adapter/index.js';
@@ -38,13 +40,15 @@
 	readonly listPeers: () => readonly Member[];
 	readonly onConfiguration: (configuration: RoutingConfiguration) => void;
 	readonly onTargets: (targets: readonly TargetDescription[]) => void;
-	readonly onWeights: (weights: WeightsNotice) => void;
+	/** `maximumAgeMs`: maximum time since the weights were announced; undefined when it is not known. */
+	readonly onWeights: (weights: WeightsNotice, maximumAgeMs: number | undefined) => void;
 	readonly onInstances: (instances: readonly StoredObject[]) => void;
 };
 
 /** Mirrors the platform's collections and applies their changes. */
 export class GatewayFeeds {
 	private readonly mirrors = new Map<string, CollectionMirror>();
+	private readonly timeline = new RevisionTimeline();
 	private readonly retention = new TargetRetention();
 	private revision = -1 as Revision;
 	/** Names of target entries that could not be decoded, so that each is logged once. */
@@ -68,7 +72,7 @@
 			options.onInstances([...this.mirrors.get(instances)!.objects.values()]);
 		});
 		this.relay = new FeedRelay({
-			...options, mirrors: this.mirrors,
+			...options, mirrors: this.mirrors, timeline: this.timeline,
 			readRevision: () => this.revision,
 			onInterruptionCheck: (isInterrupted, now) => {
 				if (this.retention.updateInterruption(isInterrupted, now)) {
@@ -100,6 +104,9 @@
 		const {adapter, clock, logger, random} = this.options;
 		this.mirrors.set(collection, new CollectionMirror({
 			objectApi: adapter.objectApi, collection, clock, logger, random, silenceMs: watchSilenceTimeoutMs, shouldRelistAfterFailure: true,
+			onConfirmed: (version, ageMs) => {
+				this.timeline.record(version, shiftBack(readInstant(clock), ageMs));
+			},
 			onWatchReplaced: () => {
 				this.relay.answerWaitingRequests();
 			},
@@ -165,13 +172,13 @@
 	}
 
 	private applyWeights(): void {
-		const {adapter, logger, onWeights} = this.options;
+		const {adapter, clock, logger, onWeights} = this.options;
 		for (const object of this.mirrors.get(adapter.collections.weights)!.objects.values()) {
 			const weights = adapter.decodeWeights(object);
 			if (weights === undefined) {
 				logger.warn('named weights ignored', {object: object.name, reason: 'fields are missing or not valid'});
 			} else {
-				onWeights(weights);
+				onWeights(weights, this.timeline.measureMaximumAgeMs(object.resourceVersion, readInstant(clock)));
 			}
 		}
 	}
--- a/src/gateway/gateway-feeds/test.ts
+++ b/src/gateway/gateway-feeds/test.ts
@@ -37,7 +37,8 @@
 		const api = new FaultyObjectApi(objectApi, clock);
 		const endpoint = network.open(id);
 		const applied = {
-			revisions: [] as number[], targets: [] as readonly TargetDescription[], weights: [] as WeightsNotice[], instances: 0,
+			revisions: [] as number[], targets: [] as readonly TargetDescription[],
+			weights: [] as WeightsNotice[], weightsAgesMs: [] as Array<number | undefined>, instances: 0,
 		};
 		const adapter: Partial<PlatformAdapter> = {
 			objectApi: api, collections,
@@ -64,8 +65,9 @@
 			onTargets(targets) {
 				applied.targets = targets;
 			},
-			onWeights(weights) {
+			onWeights(weights, maximumAgeMs) {
 				applied.weights.push(weights);
+				applied.weightsAgesMs.push(maximumAgeMs);
 			},
 			onInstances(registered) {
 				applied.instances = registered.length;
@@ -276,3 +278,35 @@
 		stop();
 	}
 });
+
+test('guards against weights that count as newly announced at an instance whose watch was silent, and at followers', async () => {
+	const {clock, objectApi, instances} = startInstances(14);
+	const created = await objectApi.create('weights', 'm', 1);
+	await clock.advance(3000);
+	for (const {api} of instances) {
+		api.isCut = true;
+		api.silenceWatches();
+	}
+
+	const announcedAt = clock.readMonotonic();
+	await objectApi.update('weights', 'm', 2, created.resourceVersion);
+	await clock.advance(2000);
+	for (const {api} of instances) {
+		api.isCut = false;
+	}
+
+	for (let steps = 0; steps < 100 && instances.some(({applied}) => applied.weights.at(-1)?.version !== 2); steps += 1) {
+		await clock.advance(100);
+		for (const {applied} of instances) {
+			if (applied.weights.at(-1)?.version === 2 && applied.weightsAgesMs.length === applied.weights.length) {
+				expect(applied.weightsAgesMs.at(-1)! >= clock.readMonotonic() - announcedAt - 100).toEqual(true);
+				applied.weightsAgesMs.push(undefined);
+			}
+		}
+	}
+
+	for (const {applied, stop} of instances) {
+		expect(applied.weights.at(-1)?.version).toEqual(2);
+		stop();
+	}
+});
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -123,8 +123,8 @@
 			onTargets: targets => {
 				this.fleet.replace(targets);
 			},
-			onWeights: weights => {
-				this.applyWeights(weights);
+			onWeights: (weights, maximumAgeMs) => {
+				this.applyWeights(weights, maximumAgeMs);
 			},
 		});
 		this.quotaLending = new QuotaLending({
@@ -253,11 +253,13 @@
 		this.quotaLending.apply(configuration.organisations);
 	}
 
-	private applyWeights({model, version}: WeightsNotice): void {
+	private applyWeights({model, version}: WeightsNotice, maximumAgeMs: number | undefined): void {
 		const now = this.options.clock.readMonotonic();
-		if (this.weightsRegistry.addVersion(model, version, now)) {
+		if (this.weightsRegistry.addVersion(model, version, maximumAgeMs, now)) {
 			const exclusiveFrom = this.weightsRegistry.find(model)?.readExclusiveFrom() ?? now;
-			this.options.logger.info('weights named', {model, version, oldWeightsForMs: Math.round(exclusiveFrom - now)});
+			this.options.logger.info('weights named', {
+				model, version, maximumAgeMs: maximumAgeMs && Math.round(maximumAgeMs), oldWeightsForMs: Math.round(exclusiveFrom - now),
+			});
 		}
 	}
 
--- a/src/rollout/weights-registry/index.ts
+++ b/src/rollout/weights-registry/index.ts
@@ -1,33 +1,37 @@
 /** Announced weights versions of all models. */
 
 import type {MonotonicMs} from '../../identity/ids/index.js';
-import {WeightsVersionHistory} from '../weights-version-history/index.js';
+import {WeightsVersionHistory, type VersionLimits} from '../weights-version-history/index.js';
 
 /**
- * Duration of the start-up phase, and the grace period for versions received during it. The grace period doesn't
- * depend on the time limit, because such a version may have been announced long before the start.
+ * Time after the start for which calls may be sent to old weights although it is not known when the newer ones were
+ * announced. The operators count an instance as starting for three seconds from the launch of its process.
  */
-const startupGraceMs = 3000;
-/** Share of the time limit for which calls may start on old weights; the remainder allows for the delay of the announcement. */
+const startupGraceMs = 2000;
+/** Share of the time limit for which calls may be sent to old weights; the remainder allows for their queue at the engine. */
 const graceShare = 0.75;
+/** Time before the end of the limit from which calls that have not begun on old weights are withdrawn, in milliseconds. */
+const withdrawalMarginMs = 500;
 
 /** Stores which weights versions were announced and when. */
 export class WeightsRegistry {
 	private readonly weightsByModel = new Map<string, WeightsVersionHistory>();
 
-	/** `readOldWeightsLimitMs` returns the time after an announcement from which no call may start on older weights. */
+	/** `readOldWeightsLimitMs` returns the time after an announcement from which no call may begin on older weights. */
 	constructor(private readonly startedAt: MonotonicMs, private readonly readOldWeightsLimitMs: () => number) {}
 
-	/** Adds a version announced at `now`. Returns whether it is newer than all previous ones. */
-	addVersion(model: string, version: number, now: MonotonicMs): boolean {
+	/**
+	 * Adds a version that was announced at most `maximumAgeMs` before `now`; undefined when that is not known. The limits
+	 * count from the earliest possible announcement. Returns whether the version is newer than all previous ones.
+	 */
+	addVersion(model: string, version: number, maximumAgeMs: number | undefined, now: MonotonicMs): boolean {
 		let weights = this.weightsByModel.get(model);
 		if (weights === undefined) {
 			weights = new WeightsVersionHistory();
 			this.weightsByModel.set(model, weights);
 		}
 
-		const isStarting = now - this.startedAt < startupGraceMs;
-		return weights.addVersion(version, isStarting ? startupGraceMs : this.readOldWeightsLimitMs() * graceShare, now);
+		return weights.addVersion({version, announcedAt: now, ...this.calculateLimits(maximumAgeMs, now)});
 	}
 
 	find(model: string): WeightsVersionHistory | undefined {
@@ -42,4 +46,18 @@
 	dump(): Record<string, number> {
 		return Object.fromEntries([...this.weightsByModel].map(([model, {version}]) => [model, version]));
 	}
+
+	private calculateLimits(maximumAgeMs: number | undefined, now: MonotonicMs): VersionLimits {
+		if (maximumAgeMs === undefined) {
+			const end = Math.max(now, this.startedAt + startupGraceMs) as MonotonicMs;
+			return {exclusiveFrom: end, withdrawFrom: end};
+		}
+
+		const limitMs = this.readOldWeightsLimitMs();
+		const earliestAnnouncement = now - maximumAgeMs;
+		return {
+			exclusiveFrom: earliestAnnouncement + (limitMs * graceShare) as MonotonicMs,
+			withdrawFrom: earliestAnnouncement + limitMs - withdrawalMarginMs as MonotonicMs,
+		};
+	}
 }
--- a/src/rollout/weights-version-history/index.ts
+++ b/src/rollout/weights-version-history/index.ts
@@ -5,7 +5,16 @@
 
 import type {MonotonicMs} from '../../identity/ids/index.js';
 
-type AnnouncedVersion = {readonly version: number; readonly announcedAt: MonotonicMs; readonly exclusiveFrom: MonotonicMs};
+/** Limits of calls on versions older than an announced one. */
+export type VersionLimits = {
+	/** Time from which no call is sent to an older version. */
+	readonly exclusiveFrom: MonotonicMs;
+	/** Time from which calls that wait in the queue of an engine with an older version are withdrawn. */
+	readonly withdrawFrom: MonotonicMs;
+};
+
+/** A version with the time at which this instance heard of it, and the limits of older ones. */
+export type AnnouncedVersion = VersionLimits & {readonly version: number; readonly announcedAt: MonotonicMs};
 
 /** Time after the announcement of a version for which answers of older versions don't count as stale. */
 const staleGraceMs = 1200;
@@ -26,16 +35,13 @@
 		return this.versions.at(-1)?.exclusiveFrom;
 	}
 
-	/**
-	 * Adds a version announced at `now`. Calls may start on older versions for another `graceMs`.
-	 * Returns false, without a change, unless the version is the newest.
-	 */
-	addVersion(version: number, graceMs: number, now: MonotonicMs): boolean {
-		if (version <= this.version) {
+	/** Adds a version. Returns false, without a change, unless it is the newest. */
+	addVersion(announced: AnnouncedVersion): boolean {
+		if (announced.version <= this.version) {
 			return false;
 		}
 
-		this.versions = [...this.versions, {version, announcedAt: now, exclusiveFrom: now + graceMs as MonotonicMs}].slice(-maximumAnnouncedVersions);
+		this.versions = [...this.versions, announced].slice(-maximumAnnouncedVersions);
 		return true;
 	}
 
@@ -44,6 +50,11 @@
 		return !this.versions.some(announced => announced.version > version && now >= announced.exclusiveFrom);
 	}
 
+	/** Whether a call that was sent to `version` must not begin there any more. */
+	mustNotBegin(version: number, now: MonotonicMs): boolean {
+		return this.versions.some(announced => announced.version > version && now >= announced.withdrawFrom);
+	}
+
 	/** Whether answers of `version` are stale because a newer version has replaced it. */
 	isStale(version: number, now: MonotonicMs): boolean {
 		return this.versions.some(announced => announced.version > version && now - announced.announcedAt > staleGraceMs);
--- a/src/store/collection-mirror/index.ts
+++ b/src/store/collection-mirror/index.ts
@@ -33,6 +33,8 @@
 	readonly onChange: () => void;
 	/** Called after each list and each watch event, including bookmarks. */
 	readonly onHeard?: (now: MonotonicMs) => void;
+	/** Called after each list and each bookmark with a version that the object API had `ageMs` milliseconds ago or later. */
+	readonly onConfirmed?: (version: ResourceVersion, ageMs: number) => void;
 	/** Called with the collection when its watch is replaced, for metrics. */
 	readonly onWatchReplaced?: (collection: string) => void;
 	/** Time without events after which a watch counts as dead, in milliseconds. Defaults to `watchSilenceMs`. */
@@ -183,6 +185,7 @@
 			this.shouldList = false;
 			this.isSynced = true;
 			this.markHeard();
+			this.options.onConfirmed?.(list.resourceVersion, list.ageMs ?? 0);
 			this.options.onChange();
 			for (const waiter of refreshWaiters) {
 				waiter.resolve();
@@ -250,6 +253,7 @@
 		this.consecutiveFailures = 0;
 		if (event.type === 'bookmark') {
 			this.setVersion(event.resourceVersion);
+			this.options.onConfirmed?.(event.resourceVersion, event.ageMs ?? 0);
 			return;
 		}
 
--- a/src/store/object-api/index.ts
+++ b/src/store/object-api/index.ts
@@ -14,15 +14,20 @@
 	readonly value: Value;
 };
 
-/** An event of a watch. A `bookmark` carries no change. It only shows that the watch is alive and which version it has reached. */
+/**
+ * An event of a watch. A `bookmark` carries no change. It only shows that the watch is
+ * alive and which version it has reached. `ageMs` is the maximum time since the object API was at that version; 0 by default.
+ */
 export type WatchEvent<Value = unknown>
 	= | {readonly type: 'added' | 'modified' | 'deleted'; readonly object: StoredObject<Value>}
-		| {readonly type: 'bookmark'; readonly resourceVersion: ResourceVersion};
+		| {readonly type: 'bookmark'; readonly resourceVersion: ResourceVersion; readonly ageMs?: number};
 
 /** The objects of a collection and the version from which a watch can continue. */
 export type ObjectList<Value = unknown> = {
 	readonly items: ReadonlyArray<StoredObject<Value>>;
 	readonly resourceVersion: ResourceVersion;
+	/** Maximum time since the object API was at this version, in milliseconds; 0 by default. */
+	readonly ageMs?: number;
 };
 
 /** Why a call failed. After `unknownOutcome`, a write may or may not have taken effect. */
