Drop datagrams that are sent after their channel was closed

Found when the tests of load-exchange failed once beside other tests: 'asynchronous activity after the test ended', ERR_SOCKET_DGRAM_NOT_RUNNING. The task of the load exchange wakes once more at its end and sends; the closed socket throws, and the rejection has no handler. In a stopping gateway it is only a log line of an unhandled rejection.

The new test fails before the change with that error and passes now.

--- a/src/peers/datagram-channel/index.ts
+++ b/src/peers/datagram-channel/index.ts
@@ -22,6 +22,7 @@
 export class DatagramChannel implements DatagramTransport {
 	private readonly socket: Socket;
 	private readonly handlers = new Map<string, DatagramHandler>();
+	private isClosed = false;
 
 	constructor(private readonly logger: EventLogger) {
 		this.socket = createSocket('udp4');
@@ -39,6 +40,7 @@
 		this.socket.bind(port, host);
 		await once(this.socket, 'listening');
 		signal.addEventListener('abort', () => {
+			this.isClosed = true;
 			this.socket.close();
 		}, {once: true});
 	}
@@ -47,7 +49,12 @@
 		this.handlers.set(type, handler);
 	}
 
+	/** Sends a message. Drops it once the channel is closed, since tasks may end a little later. */
 	send(addresses: readonly string[], type: string, body: unknown): void {
+		if (this.isClosed) {
+			return;
+		}
+
 		const message: Message = {type, body};
 		const data = Buffer.from(JSON.stringify(message));
 		for (const address of addresses) {
--- a/src/peers/datagram-channel/test.ts
+++ b/src/peers/datagram-channel/test.ts
@@ -26,3 +26,11 @@
 	rawSocket.close();
 	controller.abort();
 });
+
+test('guards against an error in a task that still sends when the channel is closed', async () => {
+	const controller = new AbortController();
+	const channel = new DatagramChannel(quietLogger);
+	await channel.listen('127.0.0.1:0', controller.signal);
+	controller.abort();
+	channel.send(['127.0.0.1:9'], 'type', {});
+});
