--- a/src/soak/soak-recorder/index.ts
+++ b/src/soak/soak-recorder/index.ts
@@ -1,5 +1,8 @@
 /** Records what callers sent and received and what targets ran, and checks invariants on these records. */
 
+/** Whether the prompt of a request has the part that can crash engines. */
+export type PromptKind = 'sound' | 'crashing';
+
 /** A request as sent by its caller. */
 export type SentRequest = {
 	readonly id: string;
@@ -11,6 +14,8 @@
 	readonly mayRepeat: boolean;
 	readonly instance: string;
 	readonly at: number;
+	/** Undefined if the request has no prompt. */
+	readonly promptKind?: PromptKind;
 };
 
 /** A request as received by a target. */
@@ -113,6 +118,11 @@
 		return [...this.runs.values()].flat();
 	}
 
+	/** Lists the sent requests with a kind of prompt. */
+	listRequests(promptKind: PromptKind): SentRequest[] {
+		return [...this.requests.values()].filter(request => request.promptKind === promptKind);
+	}
+
 	findRequest(id: string): SentRequest | undefined {
 		return this.requests.get(id);
 	}
