Reset the caller's connection where a broken answer has neither length nor chunks

Destroying the response closed that connection in order, which completes the body. Such a connection is now reset.

Over real connections (call-listener test), failed before, pass now: a plain stream reset inside an event and after one, a resumable stream that no target finished, a non-idempotent call, an idempotent call above the buffered size, a chunked stream to a caller of HTTP/1.0. Passed before: resumption after a reset, error answers without length on streaming routes, whole answers without length.

--- a/src/forwarding/call-types/index.ts
+++ b/src/forwarding/call-types/index.ts
@@ -82,7 +82,7 @@
 	/** Sends a chunk; returns false if the source should pause until `onDrain`. */
 	write(chunk: Buffer): boolean;
 	end(): void;
-	/** Closes the connection, so that an incomplete response cannot look complete. */
+	/** Breaks the connection off, so that an incomplete response cannot look complete. */
 	destroy(): void;
 	onDrain(listener: () => void): void;
 };
--- a/src/gateway/call-listener/index.ts
+++ b/src/gateway/call-listener/index.ts
@@ -5,6 +5,7 @@
 } from 'node:http';
 import {once} from 'node:events';
 import type {AddressInfo} from 'node:net';
+import {abortResponse} from '../../http/abort-response/index.js';
 import {parseAddress} from '../../http/parse-address/index.js';
 import {readBody} from '../../http/read-body/index.js';
 import type {MonotonicMs} from '../../identity/ids/index.js';
@@ -173,7 +174,7 @@
 		}
 
 		if (response.headersSent || response.destroyed) {
-			response.destroy();
+			abortResponse(response);
 			return;
 		}
 
@@ -225,7 +226,7 @@
 			response.end();
 		},
 		destroy() {
-			response.destroy();
+			abortResponse(response);
 		},
 		onDrain(listener) {
 			response.once('drain', listener);
--- a/src/gateway/call-listener/test.ts
+++ b/src/gateway/call-listener/test.ts
@@ -5,6 +5,7 @@
 import {createDescription} from '../../fixtures/create-fleet-target/index.js';
 import {findClosedAddress, startTestGateway} from '../../fixtures/start-test-gateway/index.js';
 import {createOrganisation, createRoute, createRoutingConfiguration} from '../../fixtures/create-routing-configuration/index.js';
+import {sendRawRequest, type RawResponse} from '../../fixtures/send-raw-request/index.js';
 import {startRawServer} from '../../fixtures/start-raw-server/index.js';
 import {hashKey} from '../../keys/hash-key/index.js';
 import type {Route} from '../../routing/routing-types/index.js';
@@ -156,3 +157,115 @@
 	expect(await send('/a/', {'x-id': '1', 'x-key': 'good'})).toEqual(503);
 	parts.close();
 });
+
+/** Writes the head of an answer that ends with its connection, then `body`, and closes the connection with `close`. */
+function answerUnframed(body: string, close: 'end' | 'resetAndDestroy'): Script {
+	return (socket, id) => {
+		socket.write(`HTTP/1.1 200 OK\r\nx-id: ${id}\r\n\r\n${body}`);
+		setTimeout(() => {
+			socket[close]();
+		}, 20);
+	};
+}
+
+/** Sends one call over a plain connection; the targets follow `scripts` in the order of their attempts. */
+async function sendRawCall(route: Partial<Route>, scripts: readonly Script[], httpVersion = '1.1'): Promise<RawResponse & {readonly runs: number}> {
+	let runs = 0;
+	const servers = await Promise.all(scripts.map(async () => startRawServer((socket, head) => {
+		const script = scripts[runs];
+		runs += 1;
+		script?.(socket, /x-id: (\S+)/u.exec(head)?.[1] ?? '', head);
+	})));
+	const descriptions = servers.map(({address}, index) => createDescription(`t${index}`, {address, weightsVersions: new Map()}));
+	const parts = await startTestGateway(createRoutingConfiguration({routes: [createRoute('r', {host: 'h', ...route})]}), descriptions);
+	try {
+		const response = await sendRawRequest(parts.address, `POST /x HTTP/${httpVersion}\r\nHost: h\r\nx-id: call-1\r\nContent-Length: 4\r\n\r\nbody`);
+		return {...response, runs};
+	} finally {
+		parts.close();
+		for (const server of servers) {
+			server.close();
+		}
+	}
+}
+
+const resumableStream: Partial<Route> = {kind: 'streaming', isResumable: true};
+const plainStream: Partial<Route> = {kind: 'streaming'};
+const firstEvent = 'id: 1\ndata: a\n\n';
+const secondEvent = 'id: 2\ndata: b\n\n';
+
+const continueAfterFirstEvent: Script = (socket, id, head) => {
+	const events = head.includes('last-event-id: 1') ? secondEvent : 'wrong event id';
+	answerUnframed(events, 'end')(socket, id, head);
+};
+
+for (const close of ['resetAndDestroy'] as const) {
+	test(`guards against an event that is lost or repeated when an answer without length stops inside an event (${close})`, async () => {
+		for (const incompleteEvent of ['id: 2\nda', 'id: 2\ndata: b', 'id: 2\ndata: b\n']) {
+			const {body, isComplete, runs} = await sendRawCall(resumableStream, [answerUnframed(firstEvent + incompleteEvent, close), continueAfterFirstEvent]);
+			expect({body, isComplete, runs}).toEqual({body: firstEvent + secondEvent, isComplete: true, runs: 2});
+		}
+	});
+
+	test(`guards against a broken stream without length that looks complete on a route that is not resumable (${close})`, async () => {
+		const {body, isComplete, runs} = await sendRawCall(plainStream, [answerUnframed(`${firstEvent}id: 2\nda`, close), continueAfterFirstEvent]);
+		expect({body: body.startsWith(firstEvent), isComplete, runs}).toEqual({body: true, isComplete: false, runs: 1});
+	});
+
+	test(`guards against a resumable stream without length that looks complete although no target finished it (${close})`, async () => {
+		const broken = answerUnframed(`${firstEvent}id: 2\nda`, close);
+		const {body, isComplete, runs} = await sendRawCall(resumableStream, [broken, answerUnframed('id: 2\ndata', close)]);
+		expect({body, isComplete, runs}).toEqual({body: firstEvent, isComplete: false, runs: 2});
+	});
+}
+
+test('takes a stream without length for complete when it ends after an event, with any line ends', async () => {
+	for (const events of [firstEvent + secondEvent, 'id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n', `${firstEvent}: comment\n\n`, `${firstEvent}\n`, '']) {
+		for (const route of [plainStream, resumableStream]) {
+			const {body, isComplete, runs} = await sendRawCall(route, [answerUnframed(events, 'end')]);
+			expect({body, isComplete, runs}).toEqual({body: events, isComplete: true, runs: 1});
+		}
+	}
+});
+
+test('guards against a stream without length that was reset after an event and looks complete', async () => {
+	const plain = await sendRawCall(plainStream, [answerUnframed(firstEvent, 'resetAndDestroy')]);
+	expect(plain.isComplete).toEqual(false);
+	const resumed = await sendRawCall(resumableStream, [answerUnframed(firstEvent, 'resetAndDestroy'), continueAfterFirstEvent]);
+	expect([resumed.body, resumed.isComplete]).toEqual([firstEvent + secondEvent, true]);
+});
+
+test('guards against an error answer without length on a streaming route that is taken for a broken stream', async () => {
+	const failed: Script = (socket, id) => {
+		socket.end(`HTTP/1.1 500 Failed\r\nx-id: ${id}\r\n\r\nfailed`);
+	};
+
+	for (const route of [plainStream, resumableStream]) {
+		const {head, body, isComplete} = await sendRawCall(route, [failed]);
+		expect([head.startsWith('HTTP/1.1 500'), body, isComplete]).toEqual([true, 'failed', true]);
+	}
+});
+
+test('guards against an answer without length to a call that looks complete after a reset', async () => {
+	const complete = await sendRawCall({kind: 'nonIdempotent'}, [answerUnframed('{"a":1}', 'end')]);
+	expect([complete.body, complete.isComplete]).toEqual(['{"a":1}', true]);
+	const reset = await sendRawCall({kind: 'nonIdempotent'}, [answerUnframed('{"a"', 'resetAndDestroy')]);
+	expect([reset.isComplete, reset.runs]).toEqual([false, 1]);
+});
+
+test('guards against an answer without length to an idempotent call that is returned in part after a reset', async () => {
+	const repeated = await sendRawCall({}, [answerUnframed('{"a"', 'resetAndDestroy'), answerUnframed('{"a":1}', 'end')]);
+	expect([repeated.body, repeated.isComplete, repeated.runs]).toEqual(['{"a":1}', true, 2]);
+	const large = await sendRawCall({}, [answerUnframed('x'.repeat(300 * 1024), 'resetAndDestroy')]);
+	expect(large.isComplete).toEqual(false);
+});
+
+test('guards against a broken stream that looks complete to a caller of HTTP/1.0, whose answers have no chunks', async () => {
+	const {isComplete, head} = await sendRawCall(plainStream, [(socket, id) => {
+		socket.write(`HTTP/1.1 200 OK\r\nx-id: ${id}\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nid: 1\nda\n\r\n`);
+		setTimeout(() => {
+			socket.destroy();
+		}, 20);
+	}], '1.0');
+	expect([isComplete, head.toLowerCase().includes('transfer-encoding')]).toEqual([false, false]);
+});
