Take a stream that ends with its connection inside an event for broken off

A stream without length and chunks that stopped inside an event was passed on with the torn event and ended as complete. Its end now counts only after a blank line; else the attempt has failed: a resumable stream goes on at another target after its last whole event, any other is reset towards the caller. Error answers are not streams and keep ending with their connection.

Over real connections (call-listener test, orderly end), failed before, pass now: a torn event on a resumable route, also one that lacks only its blank line; on a plain route; a resumable stream that no target finished. Streams that end after an event passed before and pass now.

--- a/src/forwarding/call-session/index.ts
+++ b/src/forwarding/call-session/index.ts
@@ -47,18 +47,10 @@
 	private readonly selection: TargetSelection;
 
 	private readonly attemptListener: AttemptListener = {
-		onHead: (attempt, head) => {
-			this.handleHead(attempt, head);
-		},
-		onChunk: (attempt, chunk) => {
-			this.handleChunk(attempt, chunk);
-		},
-		onEnd: attempt => {
-			this.handleEnd(attempt);
-		},
-		onFailure: (attempt, stage, error) => {
-			this.handleFailure(attempt, stage, error);
-		},
+		onHead: this.handleHead.bind(this),
+		onChunk: this.handleChunk.bind(this),
+		onEnd: this.handleEnd.bind(this),
+		onFailure: this.handleFailure.bind(this),
 	};
 
 	/** The attempt in flight. */
@@ -261,6 +253,11 @@
 
 	private handleEnd(attempt: Attempt): void {
 		const head = attempt.head!;
+		if (!this.relay.isComplete(head)) {
+			this.handleFailure(attempt, 'responding', new Error('the stream ended inside an event'));
+			return;
+		}
+
 		attempt.target.recordSuccess();
 		this.endAttempt(attempt);
 		this.relay.end(head);
--- a/src/forwarding/response-relay/index.ts
+++ b/src/forwarding/response-relay/index.ts
@@ -7,6 +7,7 @@
 import type {ResponseHead, CallerSink} from '../call-types/index.js';
 import {EventSplitter} from '../event-splitter/index.js';
 import type {Route} from '../../routing/routing-types/index.js';
+import {EventBoundary} from '../../streams/event-boundary/index.js';
 
 /** Outcome of a chunk: whether the target may send more at once, and whether the response came closer to its end. */
 export type ChunkOutcome = {readonly canContinue: boolean; readonly hasProgress: boolean};
@@ -23,6 +24,8 @@
 	private bufferedChunks: Buffer[] = [];
 	private bufferedBytes = 0;
 	private splitter: EventSplitter | undefined;
+	/** Follows the stream of the current target. */
+	private boundary = new EventBoundary();
 
 	constructor(private readonly sink: CallerSink, private readonly route: Route, private lastEventId: string | undefined) {}
 
@@ -43,12 +46,12 @@
 
 	/** Handles the head of a target's response. Only the first one is sent to the caller. */
 	begin(head: ResponseHead): void {
-		const {kind, isResumable} = this.route;
-		if (kind === 'streaming' && isResumable && head.status === okStatus) {
+		this.boundary = new EventBoundary();
+		if (this.isEventStream(head) && this.route.isResumable) {
 			this.splitter ??= new EventSplitter(this.lastEventId);
 		}
 
-		if (!this.hasBegun && kind !== 'idempotent') {
+		if (!this.hasBegun && this.route.kind !== 'idempotent') {
 			this.sendHead(head);
 		}
 	}
@@ -58,6 +61,7 @@
 	 * `RangeError` if an event of a resumable stream is too large.
 	 */
 	addChunk(head: ResponseHead, chunk: Buffer): ChunkOutcome {
+		this.boundary.add(chunk);
 		if (!this.hasBegun) {
 			this.buffer(head, chunk);
 			return {canContinue: true, hasProgress: true};
@@ -72,6 +76,11 @@
 		return {canContinue: this.write(bytes), hasProgress};
 	}
 
+	/** Whether the response of a target that has sent its last byte is complete. A stream that ends with its connection must not end inside an event. */
+	isComplete(head: ResponseHead): boolean {
+		return !head.isUnframed || !this.isEventStream(head) || this.boundary.isReached;
+	}
+
 	/** Ends a complete response. */
 	end(head: ResponseHead): void {
 		if (!this.hasBegun) {
@@ -98,6 +107,10 @@
 		this.sink.onDrain(listener);
 	}
 
+	private isEventStream(head: ResponseHead): boolean {
+		return this.route.kind === 'streaming' && head.status === okStatus;
+	}
+
 	private buffer(head: ResponseHead, chunk: Buffer): void {
 		this.bufferedChunks.push(chunk);
 		this.bufferedBytes += chunk.length;
--- a/src/gateway/call-listener/test.ts
+++ b/src/gateway/call-listener/test.ts
@@ -199,7 +199,7 @@
 	answerUnframed(events, 'end')(socket, id, head);
 };
 
-for (const close of ['resetAndDestroy'] as const) {
+for (const close of ['end', 'resetAndDestroy'] as const) {
 	test(`guards against an event that is lost or repeated when an answer without length stops inside an event (${close})`, async () => {
 		for (const incompleteEvent of ['id: 2\nda', 'id: 2\ndata: b', 'id: 2\ndata: b\n']) {
 			const {body, isComplete, runs} = await sendRawCall(resumableStream, [answerUnframed(firstEvent + incompleteEvent, close), continueAfterFirstEvent]);
