See a reset that arrives together with the last bytes of a target's answer

An answer without length that was reset on the way was passed on as complete. Connections to targets now ask for the remote address at their end: after a reset there is none.

Failed before, pass now: target-client test (new and pooled connections, outcome complete), call-listener test (non-idempotent and idempotent calls, plain and resumable streams). A reset after an answer with a length still counts as complete. The caller of the tests uses the same socket, as a plain one missed resets, too.

--- a/src/forwarding/target-client/index.ts
+++ b/src/forwarding/target-client/index.ts
@@ -9,8 +9,10 @@
 import {
 	Agent, request as openRequest, type ClientRequest, type IncomingMessage,
 } from 'node:http';
+import type {TcpNetConnectOpts} from 'node:net';
 import type {FleetTarget} from '../../fleet/fleet-target/index.js';
 import {parseAddress} from '../../http/parse-address/index.js';
+import {openTargetSocket, type TargetSocket} from '../../http/target-socket/index.js';
 
 /** Progress of an exchange when it failed. */
 export type ExchangeStage = 'notSent' | 'sent' | 'responding';
@@ -54,7 +56,7 @@
 /** Sends requests to targets and pools their connections. */
 export class TargetClient {
 	private readonly agents = new Map<FleetTarget, Agent>();
-	private readonly singleUseAgent = new Agent({keepAlive: false, maxSockets: Infinity});
+	private readonly singleUseAgent = new TargetAgent({keepAlive: false, maxSockets: Infinity});
 
 	/** Sends a request; the response goes to `listener`. */
 	start(target: FleetTarget, outbound: OutboundRequest, listener: ExchangeListener): Exchange {
@@ -80,7 +82,7 @@
 	private findOrCreateAgent(target: FleetTarget): Agent {
 		let agent = this.agents.get(target);
 		if (agent === undefined) {
-			agent = new Agent({
+			agent = new TargetAgent({
 				keepAlive: true, maxFreeSockets: maximumIdleConnectionsPerTarget, timeout: connectionIdleTimeoutMs, scheduling: 'lifo',
 			});
 			this.agents.set(target, agent);
@@ -90,6 +92,12 @@
 	}
 }
 
+class TargetAgent extends Agent {
+	override createConnection(options: unknown): TargetSocket {
+		return openTargetSocket(options as TcpNetConnectOpts);
+	}
+}
+
 class HttpExchange implements Exchange {
 	private stage: ExchangeStage = 'notSent';
 	private isDone = false;
--- a/src/forwarding/target-client/test.ts
+++ b/src/forwarding/target-client/test.ts
@@ -104,3 +104,24 @@
 	server.close();
 	client.prune(new Set());
 });
+
+test('guards against an answer without length that counts as complete although a reset arrived together with its last bytes', async () => {
+	for (const shouldUseNewConnection of [true, false]) {
+		const server = await startRawServer(socket => {
+			socket.write('HTTP/1.1 200 OK\r\n\r\nhalf');
+			socket.resetAndDestroy();
+		});
+		const {outcome} = await sendGet(new TargetClient(), server.address, shouldUseNewConnection);
+		server.close();
+		expect(outcome).toEqual('responding');
+	}
+});
+
+test('guards against an answer with a length that counts as broken although the reset came after its last byte', async () => {
+	const server = await startRawServer(socket => {
+		socket.write('HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole');
+		socket.resetAndDestroy();
+	});
+	expect(await sendGet(new TargetClient(), server.address, true)).toEqual({status: 200, body: 'whole', outcome: 'complete'});
+	server.close();
+});
--- a/src/gateway/call-listener/test.ts
+++ b/src/gateway/call-listener/test.ts
@@ -253,6 +253,23 @@
 	expect([reset.isComplete, reset.runs]).toEqual([false, 1]);
 });
 
+test('guards against an answer without length that looks complete although a reset arrived together with its last bytes', async () => {
+	const resetAtOnce: Script = (socket, id) => {
+		socket.write(`HTTP/1.1 200 OK\r\nx-id: ${id}\r\n\r\n${firstEvent}`);
+		socket.resetAndDestroy();
+	};
+
+	for (const kind of ['nonIdempotent', 'streaming'] as const) {
+		const {isComplete, runs} = await sendRawCall({kind}, [resetAtOnce]);
+		expect([isComplete, runs]).toEqual([false, 1]);
+	}
+
+	const repeated = await sendRawCall({}, [resetAtOnce, answerUnframed('whole', 'end')]);
+	expect([repeated.body, repeated.isComplete, repeated.runs]).toEqual(['whole', true, 2]);
+	const resumed = await sendRawCall(resumableStream, [resetAtOnce, continueAfterFirstEvent]);
+	expect([resumed.body, resumed.isComplete, resumed.runs]).toEqual([firstEvent + secondEvent, true, 2]);
+});
+
 test('guards against an answer without length to an idempotent call that is returned in part after a reset', async () => {
 	const repeated = await sendRawCall({}, [answerUnframed('{"a"', 'resetAndDestroy'), answerUnframed('{"a":1}', 'end')]);
 	expect([repeated.body, repeated.isComplete, repeated.runs]).toEqual(['{"a":1}', true, 2]);
