End an event also at a blank line with a carriage return

The splitter knew only line feeds. A resumable stream with carriage returns was held back until its end, and after a break no target could continue it.

Failed before, pass now: event-splitter test (events returned as they arrive) and call-listener test (a stream with carriage returns goes on at another target).

--- a/src/forwarding/event-splitter/index.ts
+++ b/src/forwarding/event-splitter/index.ts
@@ -1,5 +1,7 @@
 /** Splits a stream of server-sent events at event boundaries, so that another target can continue it. */
 
+import {EventBuffer} from '../../streams/event-buffer/index.js';
+
 /** Events completed by one chunk. */
 export type CompleteEvents = {
 	/** Complete events that the caller has not received yet. */
@@ -10,40 +12,28 @@
 	readonly hasProgress: boolean;
 };
 
-const eventTerminator = Buffer.from('\n\n');
 const idPattern = /^id: ?(.*)$/mu;
 const contentPattern = /^(?:data|id|event):/mu;
-/** Maximum size of one event, in bytes. A target that sends bytes without an end of an event would fill the memory. */
+/** Maximum size of one event, in bytes. */
 export const maximumEventBytes = 1_048_576;
-const emptyBuffer = Buffer.alloc(0);
 
-/** Buffers the bytes of an incomplete event. */
+/** Passes on complete events that the caller has not received yet. */
 export class EventSplitter {
-	private pendingBytes: Buffer = emptyBuffer;
+	private readonly buffer = new EventBuffer(maximumEventBytes);
 
 	/** `lastEventId` identifies the last event that the caller received. If ids are numeric, events up to it are dropped. */
 	constructor(private lastEventId: string | undefined) {}
 
 	/** Adds a chunk and returns the events that it completes. Throws a `RangeError` if an incomplete event exceeds `maximumEventBytes`. */
 	add(chunk: Buffer): CompleteEvents {
-		this.pendingBytes = this.pendingBytes.length === 0 ? chunk : Buffer.concat([this.pendingBytes, chunk]);
 		const accepted: Buffer[] = [];
 		let hasProgress = false;
-		let end = this.pendingBytes.indexOf(eventTerminator);
-		while (end !== -1) {
-			const event = this.pendingBytes.subarray(0, end + eventTerminator.length);
-			this.pendingBytes = this.pendingBytes.subarray(end + eventTerminator.length);
+		for (const event of this.buffer.add(chunk)) {
 			const text = event.toString('latin1');
 			hasProgress ||= contentPattern.test(text);
 			if (this.acceptEvent(text)) {
 				accepted.push(event);
 			}
-
-			end = this.pendingBytes.indexOf(eventTerminator);
-		}
-
-		if (this.pendingBytes.length > maximumEventBytes) {
-			throw new RangeError(`an event exceeds ${maximumEventBytes} bytes`);
 		}
 
 		return {bytes: accepted.length === 1 ? accepted[0]! : Buffer.concat(accepted), lastEventId: this.lastEventId, hasProgress};
@@ -51,14 +41,12 @@
 
 	/** Returns the bytes after the last complete event; call it once the response is complete. */
 	flush(): Buffer {
-		const {pendingBytes} = this;
-		this.pendingBytes = emptyBuffer;
-		return pendingBytes;
+		return this.buffer.flush();
 	}
 
 	/** Discards an interrupted event; the next target sends it again in full. */
 	discardPending(): void {
-		this.pendingBytes = emptyBuffer;
+		this.buffer.flush();
 	}
 
 	private acceptEvent(event: string): boolean {
--- a/src/forwarding/event-splitter/test.ts
+++ b/src/forwarding/event-splitter/test.ts
@@ -29,3 +29,10 @@
 	add(splitter, 'id: 1\ndata: a\n\n: end');
 	expect(splitter.flush().toString()).toEqual(': end');
 });
+
+test('guards against events with carriage returns that are held back until the stream ends', () => {
+	const splitter = new EventSplitter(undefined);
+	expect(add(splitter, 'id: 1\r\ndata: a\r\n\r')).toEqual('');
+	expect(add(splitter, '\nid: 2\r\nda')).toEqual('id: 1\r\ndata: a\r\n\r\n');
+	expect(splitter.add(Buffer.from('ta: b\n\r\n'))).toEqual({bytes: Buffer.from('id: 2\r\ndata: b\n\r\n'), lastEventId: '2', hasProgress: true});
+});
--- a/src/gateway/call-listener/test.ts
+++ b/src/gateway/call-listener/test.ts
@@ -219,6 +219,13 @@
 	});
 }
 
+test('guards against a stream with carriage returns that cannot be resumed', async () => {
+	const withCarriageReturns = (text: string) => text.replaceAll('\n', '\r\n');
+	const broken = answerUnframed(withCarriageReturns(`${firstEvent}id: 2\ndata: b\n`), 'end');
+	const {body, isComplete, runs} = await sendRawCall(resumableStream, [broken, continueAfterFirstEvent]);
+	expect({body, isComplete, runs}).toEqual({body: withCarriageReturns(firstEvent) + secondEvent, isComplete: true, runs: 2});
+});
+
 test('takes a stream without length for complete when it ends after an event, with any line ends', async () => {
 	for (const events of [firstEvent + secondEvent, 'id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n', `${firstEvent}: comment\n\n`, `${firstEvent}\n`, '']) {
 		for (const route of [plainStream, resumableStream]) {
