See resets of services in the daemon, too

undici takes ECONNRESET for the ordinary end of an answer without length, and a reset that arrives with the last bytes is reported as an end in any case.

Failed before, pass now (forward-call test): an answer without length that was reset, at once and after 20 ms, on POST and GET; the same under an idempotency key, where a part was stored as the whole answer.

--- a/src/requests/forward-call/index.ts
+++ b/src/requests/forward-call/index.ts
@@ -5,13 +5,12 @@
  */
 
 import type {Socket} from 'node:net';
-import {
-	Agent, buildConnector, Client, type Dispatcher,
-} from 'undici';
+import {Agent, Client, type Dispatcher} from 'undici';
 import VError from 'verror';
 import type {ResolvedRoute, ResolvedTarget} from '../../configuration/configuration/index.js';
 import {discardBody} from '../../http/discard-body/index.js';
 import {classifyCallError} from '../../http/classify-call-error/index.js';
+import {createTargetConnector} from '../../http/create-target-connector/index.js';
 import {createRouterError, convertToRouterError, RouterError} from '../../results/create-router-error/index.js';
 import type {ResultName} from '../../results/result-codes/index.js';
 import {calculateBackoff} from '../calculate-backoff/index.js';
@@ -149,7 +148,7 @@
 	private isOpened = false;
 
 	constructor(target: ResolvedTarget, timeoutMs: number) {
-		const open = buildConnector({timeout: connectTimeoutMs});
+		const open = createTargetConnector(connectTimeoutMs);
 		this.client = new Client(`http://${target.address}`, {
 			headersTimeout: timeoutMs, bodyTimeout: timeoutMs, pipelining: 1,
 			connect: (options, callback) => {
@@ -180,5 +179,5 @@
 
 /** Creates the connection pool for calls that may be repeated. */
 export function createServiceConnections(): Agent {
-	return new Agent({connect: {timeout: connectTimeoutMs}, connections: maximumConnectionsPerTarget, pipelining: 1});
+	return new Agent({connect: createTargetConnector(connectTimeoutMs), connections: maximumConnectionsPerTarget, pipelining: 1});
 }
