Pass answers of services that end with their connection on as such in the daemon

The daemon gave them chunks, whose end claims a completeness that an end of the connection does not prove, and let an event stream end inside an event. The gateway's handling now serves both programs: head and framing (begin-response), broken answers (abort-response), ends of events (event-boundary), waiting for slow callers (wait-for-drain). Answers with and without an idempotency key share one writer.

Failed before, pass now (write-service-response test): an answer without length that ends in order got a final chunk; an event stream torn inside an event looked complete, also from a stored answer; a broken chunked answer looked complete to a caller of HTTP/1.0; a large answer under an idempotency key looked complete after a reset. The test of a stop that cuts an answer passed before, as the answer had chunks; it fails without the aborts in CallerServer.closeAllConnections.

--- a/src/gateway/call-listener/index.ts
+++ b/src/gateway/call-listener/index.ts
@@ -6,6 +6,7 @@
 import {once} from 'node:events';
 import type {AddressInfo} from 'node:net';
 import {abortResponse} from '../../http/abort-response/index.js';
+import {beginResponse} from '../../http/begin-response/index.js';
 import {parseAddress} from '../../http/parse-address/index.js';
 import {readBody} from '../../http/read-body/index.js';
 import type {MonotonicMs} from '../../identity/ids/index.js';
@@ -212,14 +213,7 @@
 function createCallerSink(response: ServerResponse): CallerSink {
 	return {
 		begin(status, headers, isUnframed) {
-			if (isUnframed) {
-				// The target's answer has no length, so its end doesn't prove that it is complete; a final chunk would claim that it is.
-				response.useChunkedEncodingByDefault = false;
-				response.shouldKeepAlive = false;
-			}
-
-			response.writeHead(status, headers as string[]);
-			response.flushHeaders();
+			beginResponse(response, {status, headers, isUnframed});
 		},
 		write: chunk => response.write(chunk),
 		end() {
--- a/src/requests/caller-server/index.ts
+++ b/src/requests/caller-server/index.ts
@@ -6,6 +6,7 @@
 import {once} from 'node:events';
 import type {AddressInfo, Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
+import {abortResponse} from '../../http/abort-response/index.js';
 import {sendError, sendJson} from '../../http/send-json/index.js';
 import {parseAddress} from '../../http/parse-address/index.js';
 import {convertToRouterError, createRouterError} from '../../results/create-router-error/index.js';
@@ -92,6 +93,10 @@
 
 	/** Destroys all connections and aborts the requests on them. */
 	closeAllConnections(): void {
+		for (const response of this.responses) {
+			abortResponse(response);
+		}
+
 		this.server.closeAllConnections();
 	}
 
@@ -239,7 +244,7 @@
 		}
 
 		if (response.headersSent) {
-			response.destroy();
+			abortResponse(response);
 			return;
 		}
 
--- a/src/requests/forward-call/index.ts
+++ b/src/requests/forward-call/index.ts
@@ -11,6 +11,7 @@
 import {discardBody} from '../../http/discard-body/index.js';
 import {classifyCallError} from '../../http/classify-call-error/index.js';
 import {createTargetConnector} from '../../http/create-target-connector/index.js';
+import {isUnframed} from '../../http/is-unframed/index.js';
 import {createRouterError, convertToRouterError, RouterError} from '../../results/create-router-error/index.js';
 import type {ResultName} from '../../results/result-codes/index.js';
 import {calculateBackoff} from '../calculate-backoff/index.js';
@@ -33,7 +34,12 @@
 };
 
 /** A response whose headers have been received. `close` must be called once its body is no longer needed. */
-export type ServiceResponse = {readonly answer: Dispatcher.ResponseData; close(): Promise<void>};
+export type ServiceResponse = {
+	readonly answer: Dispatcher.ResponseData;
+	/** Whether only the end of the connection delimits the body. */
+	readonly isUnframed: boolean;
+	close(): Promise<void>;
+};
 
 const connectTimeoutMs = 1000;
 const maximumAttempts = 3;
@@ -119,7 +125,7 @@
 			throw createRouterError('targetRefused', target.id);
 		}
 
-		return {answer: response, close};
+		return {answer: response, isUnframed: isUnframed(call.method, response.statusCode, name => name in response.headers), close};
 	} catch (error) {
 		await close();
 		throw error instanceof RouterError ? error : convertCallFailure(error, call.signal, connection);
--- a/src/requests/serve-idempotent-call/index.ts
+++ b/src/requests/serve-idempotent-call/index.ts
@@ -1,7 +1,6 @@
 /** Serves calls of services with an idempotency key. */
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {pipeline} from 'node:stream/promises';
 import {discardBody} from '../../http/discard-body/index.js';
 import type {OrganisationId} from '../../identity/ids/index.js';
 import {createRouterError, convertToRouterError} from '../../results/create-router-error/index.js';
@@ -10,7 +9,9 @@
 import {
 	hashRecordName, hashRequest, maximumStoredBodyBytes, type Claim, type StoredResponse,
 } from '../idempotency-records/index.js';
+import {readServiceBody} from '../read-service-body/index.js';
 import type {RouterContext} from '../router-context/index.js';
+import {writeServiceResponse} from '../write-service-response/index.js';
 
 /** Header with the caller's idempotency key. */
 export const idempotencyHeader = 'idempotency-key';
@@ -61,7 +62,7 @@
 	}
 
 	if ('unreadChunks' in result) {
-		await streamLargeResponse(response, result);
+		await writeServiceResponse(response, result.answer, concatenateChunks(result.start, result.unreadChunks));
 		return;
 	}
 
@@ -100,10 +101,10 @@
 
 /** Reads the response into memory until it ends or is too large for a record. */
 async function bufferResponse(serviceResponse: ServiceResponse): Promise<StoredResponse | LargeResponse> {
-	const {body, statusCode, headers} = serviceResponse.answer;
+	const {statusCode, headers} = serviceResponse.answer;
 	const start: Buffer[] = [];
 	let sizeBytes = 0;
-	const unreadChunks = body[Symbol.asyncIterator]() as AsyncIterator<Buffer>;
+	const unreadChunks = readServiceBody(serviceResponse);
 	for (let step = await unreadChunks.next(); step.done !== true; step = await unreadChunks.next()) {
 		start.push(step.value);
 		sizeBytes += step.value.length;
@@ -120,17 +121,6 @@
 	response.end(Buffer.from(stored.bodyBase64, 'base64'));
 }
 
-async function streamLargeResponse(response: ServerResponse, {start, unreadChunks, answer: serviceResponse}: LargeResponse): Promise<void> {
-	response.writeHead(serviceResponse.answer.statusCode, filterResponseHeaders(serviceResponse.answer.headers));
-	try {
-		await pipeline(concatenateChunks(start, unreadChunks), response);
-	} finally {
-		// If the caller disconnects, unread chunks would keep the connection to the target open.
-		discardBody(serviceResponse.answer.body);
-		await serviceResponse.close();
-	}
-}
-
 async function * concatenateChunks(start: readonly Buffer[], unreadChunks: AsyncIterator<Buffer>): AsyncGenerator<Buffer> {
 	yield * start;
 	for (let step = await unreadChunks.next(); step.done !== true; step = await unreadChunks.next()) {
--- a/src/requests/serve-service/index.ts
+++ b/src/requests/serve-service/index.ts
@@ -1,20 +1,19 @@
 /** Serves calls of services, which are routed by path prefix. */
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {pipeline} from 'node:stream/promises';
 import {readBody} from '../../http/read-body/index.js';
-import {createRouterError, RouterError} from '../../results/create-router-error/index.js';
+import {createRouterError} from '../../results/create-router-error/index.js';
 import type {Configuration, ResolvedKey, ResolvedRoute} from '../../configuration/configuration/index.js';
 import {authenticateCaller, extractSecret} from '../authenticate-caller/index.js';
 import {
-	createSecretMatcher, filterResponseHeaders, filterHeaders, filterPath, refuseSecretBytes,
+	createSecretMatcher, filterHeaders, filterPath, refuseSecretBytes,
 } from '../filter-secrets/index.js';
-import {
-	forwardCall, isRepeatableCall, type ServiceResponse, type ServiceCall,
-} from '../forward-call/index.js';
+import {forwardCall, isRepeatableCall, type ServiceCall} from '../forward-call/index.js';
 import {openCallSignal} from '../open-call-signal/index.js';
+import {readServiceBody} from '../read-service-body/index.js';
 import {extractIdempotencyKey, serveIdempotentCall} from '../serve-idempotent-call/index.js';
 import type {RouterContext} from '../router-context/index.js';
+import {writeServiceResponse} from '../write-service-response/index.js';
 
 export async function serveService(context: RouterContext, message: IncomingMessage, response: ServerResponse): Promise<void> {
 	const signal = openCallSignal(message, response);
@@ -38,7 +37,7 @@
 	}
 
 	const serviceResponse = await forwardCall(context, call);
-	await streamResponse(response, serviceResponse);
+	await writeServiceResponse(response, serviceResponse, readServiceBody(serviceResponse));
 }
 
 type CallSource = {
@@ -91,15 +90,3 @@
 
 	return {route, key};
 }
-
-/** Streams the response. A failure after its headers closes the caller's connection, so that a truncated body never looks complete. */
-async function streamResponse(response: ServerResponse, {answer: targetResponse, close}: ServiceResponse): Promise<void> {
-	try {
-		response.writeHead(targetResponse.statusCode, filterResponseHeaders(targetResponse.headers));
-		await pipeline(targetResponse.body, response);
-	} catch (error) {
-		throw error instanceof RouterError ? error : createRouterError('streamBroken', (error as Error).message, {cause: error as Error});
-	} finally {
-		await close();
-	}
-}
--- a/src/requests/write-completion/index.ts
+++ b/src/requests/write-completion/index.ts
@@ -4,6 +4,7 @@
 import type {ServerResponse} from 'node:http';
 import {createRouterError} from '../../results/create-router-error/index.js';
 import {sendJson} from '../../http/send-json/index.js';
+import {waitForDrain} from '../../http/wait-for-drain/index.js';
 import type {CompletionSink} from '../completion-exchange/index.js';
 import type {CompletionRequest} from '../parse-completion-request/index.js';
 import type {ChunkChoice, CompletionUsage, WireChunk} from '../read-chunks/index.js';
@@ -161,28 +162,3 @@
 		choice.delta = {role: 'assistant', ...choice.delta};
 	}
 }
-
-/** Waits until the written data is drained to the caller. Disconnects a caller that does not drain it within `stallTimeoutMs`. */
-async function waitForDrain(response: ServerResponse, stallTimeoutMs: number): Promise<void> {
-	if (response.destroyed) {
-		throw createRouterError('streamBroken', 'the caller closed the connection');
-	}
-
-	await new Promise<void>(resolve => {
-		const timer = setTimeout(() => {
-			response.destroy();
-		}, stallTimeoutMs);
-		const finish = () => {
-			clearTimeout(timer);
-			response.off('drain', finish);
-			response.off('close', finish);
-			resolve();
-		};
-
-		response.on('drain', finish);
-		response.on('close', finish);
-	});
-	if (response.destroyed) {
-		throw createRouterError('streamBroken', 'the caller closed the connection');
-	}
-}
--- a/src/standin/local-fleet/index.ts
+++ b/src/standin/local-fleet/index.ts
@@ -130,6 +130,11 @@
 			.reduce((sum, sample) => sum + sample.value, 0);
 	}
 
+	/** Aborts the calls in progress, as a daemon does at the end of its stop. */
+	abortCalls(): void {
+		this.callerServer.closeAllConnections();
+	}
+
 	/** Closes all listeners and connections. */
 	async stop(): Promise<void> {
 		const servers = [...this.engines, ...this.services].map(target => target.server);
