--- a/src/forwarding/target-client/test.ts
+++ b/src/forwarding/target-client/test.ts
@@ -125,3 +125,37 @@
 	expect(await sendGet(new TargetClient(), server.address, true)).toEqual({status: 200, body: 'whole', outcome: 'complete'});
 	server.close();
 });
+
+test('guards against a whole answer that is lost to a reset while a slow caller still reads it', async () => {
+	const length = 50_000;
+	const server = await startRawServer(socket => {
+		socket.write(`HTTP/1.1 200 OK\r\nContent-Length: ${length}\r\n\r\n${'x'.repeat(length)}`);
+		setTimeout(() => {
+			socket.resetAndDestroy();
+		}, 20);
+	});
+	const target = createFleetTarget('slow', {address: server.address});
+	let receivedBytes = 0;
+	const outcome = await new Promise(resolve => {
+		const exchange = new TargetClient().start(target, {
+			method: 'GET', path: '/', headers: ['Host', 'example'], body: undefined, shouldUseNewConnection: true,
+		}, {
+			onHead() {
+				// Only the end matters.
+			},
+			onChunk(chunk) {
+				receivedBytes += chunk.length;
+				exchange.pause();
+				setTimeout(() => {
+					exchange.resume();
+				}, 60);
+			},
+			onEnd() {
+				resolve('complete');
+			},
+			onFailure: resolve,
+		});
+	});
+	server.close();
+	expect({outcome, receivedBytes}).toEqual({outcome: 'complete', receivedBytes: length});
+});
