Name the hop-by-hop headers once for both programs

filter-secrets and platform/names listed them, and both parsed the Connection header. What each of the two adds stays with it; no header is treated differently.

--- a/src/requests/filter-secrets/index.ts
+++ b/src/requests/filter-secrets/index.ts
@@ -5,12 +5,12 @@
 
 import type {IncomingHttpHeaders} from 'node:http';
 import type {Configuration} from '../../configuration/configuration/index.js';
+import {hopByHopHeaders, parseConnectionOptions} from '../../http/hop-by-hop-headers/index.js';
 import {hashKey} from '../../keys/hash-key/index.js';
 import {createRouterError} from '../../results/create-router-error/index.js';
 
-const hopByHopHeaders = new Set([
-	'connection', 'keep-alive', 'proxy-connection', 'transfer-encoding', 'upgrade', 'te', 'trailer', 'expect', 'host', 'content-length',
-]);
+/** Headers that the HTTP client and server of each connection set themselves. */
+const ownHeaders: ReadonlySet<string> = new Set([...hopByHopHeaders, 'host', 'content-length']);
 const secretHeaders = new Set(['authorization', 'x-api-key', 'cookie', 'proxy-authorization']);
 
 /** Maximum nesting depth of a JSON body. Serialising a deeper one would overflow the stack. */
@@ -75,9 +75,9 @@
 /** Returns the headers to forward to a target, except hop-by-hop headers and those that carry a key. */
 export function filterHeaders(headers: IncomingHttpHeaders, isSecret: (value: string) => boolean): Record<string, string | string[]> {
 	const forwarded: Record<string, string | string[]> = {};
-	const connectionOptions = new Set((headers.connection ?? '').toLowerCase().split(',').map(name => name.trim()));
+	const connectionOptions = parseConnectionOptions(headers.connection);
 	for (const [name, value] of Object.entries(headers)) {
-		const isDropped = hopByHopHeaders.has(name) || connectionOptions.has(name) || secretHeaders.has(name);
+		const isDropped = ownHeaders.has(name) || connectionOptions.has(name) || secretHeaders.has(name);
 		if (value !== undefined && !isDropped && ![value].flat().some(isSecret)) {
 			forwarded[name] = value;
 		}
@@ -89,7 +89,7 @@
 /** Returns the response headers to forward to the caller. `x-not-run` and `x-result-code` are removed, since only the router may set them. */
 export function filterResponseHeaders(headers: IncomingHttpHeaders): Record<string, string | string[]> {
 	const forwarded = Object.entries(headers)
-		.filter(([name, value]) => value !== undefined && !(hopByHopHeaders.has(name) && name !== 'content-length')
+		.filter(([name, value]) => value !== undefined && !(ownHeaders.has(name) && name !== 'content-length')
 			&& name !== 'x-not-run' && name !== 'x-result-code');
 	return Object.fromEntries(forwarded) as Record<string, string | string[]>;
 }
