Keep the parts of the head before for peers that still fetch them

The time of last use was set only when a head was applied, so that the parts of a head in force for more than 30 s were evicted as soon as the next one came; peers that were reading it got nothing. They now count as used until then. part-cache test, failed before.

--- a/src/configuration/part-cache/index.ts
+++ b/src/configuration/part-cache/index.ts
@@ -8,7 +8,7 @@
 	hashPart, joinParts, splitConfiguration, type PartContent,
 } from '../split-configuration/index.js';
 
-/** A part stays cached for this time after it was added or last referenced by a newly applied head, for peers that are still fetching it. */
+/** A part stays cached for this time after it was added or the last head in force referenced it, for peers that are still fetching it. */
 const minimumRetentionMs = 30_000;
 /** Up to this number of items the whole content is hashed again when it is applied. */
 const maximumRehashedItems = 1000;
@@ -18,6 +18,8 @@
 /** In-memory cache of parts by content hash. */
 export class PartCache {
 	private readonly parts = new Map<PartHash, CachedPart>();
+	/** Parts of the head that was applied last. */
+	private appliedHashes: ReadonlySet<PartHash> = new Set();
 
 	get size(): number {
 		return this.parts.size;
@@ -63,16 +65,21 @@
 		return new Configuration(head.revision, joinParts(contents));
 	}
 
-	/** Evicts parts that the newly applied `head` does not reference and whose last use is more than `minimumRetentionMs` ago. */
+	/**
+	 * Evicts parts that the newly applied `head` does not reference and whose last use is more than `minimumRetentionMs`
+	 * ago. The parts of the head before were in use until `now`.
+	 */
 	evictUnreferenced(head: ConfigurationHead, now: MonotonicMs): void {
 		const referenced = new Set(head.parts);
 		for (const [hash, part] of this.parts) {
-			if (referenced.has(hash)) {
+			if (referenced.has(hash) || this.appliedHashes.has(hash)) {
 				part.usedAt = now;
 			} else if (now - part.usedAt > minimumRetentionMs) {
 				this.parts.delete(hash);
 			}
 		}
+
+		this.appliedHashes = referenced;
 	}
 }
 
