End the wait of the benchmark for a daemon that answers with an error

startFleet gave up only on failed connections; a daemon that answered other than 200, or not at all, was polled for ever.

--- a/src/bench/start-fleet/index.ts
+++ b/src/bench/start-fleet/index.ts
@@ -3,8 +3,6 @@
 import {mkdtemp, rm, writeFile} from 'node:fs/promises';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
-import {setTimeout as delay} from 'node:timers/promises';
-import {request} from 'undici';
 import {hashKey} from '../../keys/hash-key/index.js';
 import {HttpObjectApi} from '../../store/http-object-api/index.js';
 import type {PlacementStrategy} from '../../placement/create-placement/index.js';
@@ -12,6 +10,7 @@
 import {startProcess, type StartedProcess} from '../../process/start-process/index.js';
 import {collectionByKind, formatObjectName, type Resource} from '../../resources/schemas/index.js';
 import {traceOrganisations} from '../generate-trace/index.js';
+import {waitUntilServing} from '../wait-until-serving/index.js';
 
 /** Size and speed of the fleet. */
 export type FleetOptions = {
@@ -41,7 +40,6 @@
 export const organisationBudget = {tokensPerSecond: 50_000_000, burstTokens: 100_000_000} as const;
 
 const readyTimeoutMs = 20_000;
-const pollIntervalMs = 100;
 const dataCentreCount = 3;
 
 /** Secret of an organisation's key. */
@@ -72,7 +70,8 @@
 		]);
 		const addresses = engines.map(engine => engine.address);
 		await writeResources(objectApi.address, addresses);
-		await Promise.all(entries.map(async entry => waitUntilReady(entry)));
+		const secret = formatSecret(traceOrganisations[0]!.name);
+		await Promise.all(entries.map(async address => waitUntilServing({address, secret, timeoutMs: readyTimeoutMs})));
 		return {entries, engines: addresses, stop};
 	} catch (error) {
 		await stop();
@@ -135,25 +134,3 @@
 
 	await api.close();
 }
-
-async function waitUntilReady(entry: string): Promise<void> {
-	const deadlineMs = Date.now() + readyTimeoutMs;
-	for (;;) {
-		try {
-			const answer = await request(`http://${entry}/v1/completions`, {
-				method: 'POST', headers: {authorization: `Bearer ${formatSecret(traceOrganisations[0]!.name)}`},
-				body: JSON.stringify({model: 'assistant', prompt: 'ready?', max_tokens: 1}),
-			});
-			await answer.body.text();
-			if (answer.statusCode === 200) {
-				return;
-			}
-		} catch (error) {
-			if (Date.now() > deadlineMs) {
-				throw error;
-			}
-		}
-
-		await delay(pollIntervalMs);
-	}
-}
