--- a/src/peers/fake-datagram-network/index.ts
+++ b/src/peers/fake-datagram-network/index.ts
@@ -1,4 +1,4 @@
-/** In-process datagram network without loss, for tests and simulations. */
+/** In-process datagram network, for tests and simulations. It loses only the datagrams that the test chooses. */
 
 import type {DatagramHandler, DatagramTransport} from '../datagram-channel/index.js';
 
@@ -17,6 +17,8 @@
 	readonly sent: DatagramCounts = {messages: 0, datagrams: 0, largestBytes: 0};
 	private readonly handlers = new Map<string, Map<string, DatagramHandler>>();
 
+	constructor(private readonly isLost: () => boolean = () => false) {}
+
 	/** Creates the endpoint of the instance at `address`. */
 	open(address: string): DatagramTransport {
 		const ownHandlers = new Map<string, DatagramHandler>();
@@ -28,7 +30,9 @@
 			send: (addresses, type, body) => {
 				this.recordMessage(addresses.length, body);
 				for (const receiver of addresses) {
-					this.handlers.get(receiver)?.get(type)?.(body);
+					if (!this.isLost()) {
+						this.handlers.get(receiver)?.get(type)?.(body);
+					}
 				}
 			},
 		};
