Reject calls with a quarantined prompt part, and withhold retries that may crash engines

Callers saw streams broken by a crash retried at up to three more engines, each of which crashed as well.

A call asks its guard before it is charged and before each attempt. A call whose own answer broke off is not sent again while a part of it is suspicious.

Evidence of a crash is only a connection that breaks within a successful answer: no parse error, stall, deadline or leaving caller. The end of an answer without length or chunks is no evidence of completeness.

--- /dev/null
+++ b/src/forwarding/call-guard/index.ts
@@ -0,0 +1,66 @@
+/** Applies the guard of prompts to one call: decides before each attempt whether the call may be sent, and reports its outcomes. */
+
+import type {MonotonicMs} from '../../identity/ids/index.js';
+import {createRouterError, type RouterError} from '../../results/create-router-error/index.js';
+import type {EngineWork, ResponseHead} from '../call-types/index.js';
+import type {PromptGuard} from '../prompt-guard/index.js';
+import type {Attempt} from '../session-types/index.js';
+import type {ExchangeStage} from '../target-client/index.js';
+
+const msPerSecond = 1000;
+const firstErrorStatus = 300;
+
+/** Failure of an exchange that the target's side caused. */
+export type ExchangeFailure = {readonly stage: ExchangeStage; readonly error: Error};
+
+/** Guard of one call. */
+export class CallGuard {
+	private hasBrokenAnswer = false;
+
+	constructor(private readonly guard: PromptGuard, private readonly work: EngineWork | undefined) {}
+
+	/** Returns the error with which the call ends if it may not be sent to a target; `mayHaveRun`: whether a target may have run it before. */
+	findError(mayHaveRun: boolean, now: MonotonicMs): RouterError | undefined {
+		const {guard, work} = this;
+		if (work === undefined) {
+			return undefined;
+		}
+
+		const rejection = guard.findRejection(work, now);
+		if (rejection !== undefined && !mayHaveRun) {
+			return createRouterError('promptQuarantined', undefined, {retryAfterSeconds: Math.ceil(rejection.remainingMs / msPerSecond)});
+		}
+
+		return rejection !== undefined || this.isSuspicious(now) ? createRouterError('outcomeUnknown', 'a part of the prompt may crash targets') : undefined;
+	}
+
+	/** Whether the call crashed a target and may crash the next one. */
+	isSuspicious(now: MonotonicMs): boolean {
+		return this.hasBrokenAnswer && this.work !== undefined && this.guard.isSuspicious(this.work, now);
+	}
+
+	/** Records that the exchange failed on the target's side. Only a successful answer whose connection broke is evidence of a crash. */
+	recordFailure({target, head, record}: Attempt, {stage, error}: ExchangeFailure, now: MonotonicMs): void {
+		const isBroken = stage === 'responding' && !isParseError(error) && head !== undefined && isSuccess(head);
+		if (this.work !== undefined && isBroken) {
+			this.hasBrokenAnswer = true;
+			this.guard.recordBrokenAnswer(this.work, target, record.sentAt, now);
+		}
+	}
+
+	/** Records the end of an answer. The end of an unframed one doesn't prove that it is complete. */
+	recordEnd(head: ResponseHead, now: MonotonicMs): void {
+		if (this.work !== undefined && isSuccess(head) && !head.isUnframed) {
+			this.guard.recordCompleteAnswer(this.work, now);
+		}
+	}
+}
+
+/** Whether the target sent bytes that are not HTTP. */
+function isParseError(error: NodeJS.ErrnoException): boolean {
+	return error.code?.startsWith('HPE_') ?? false;
+}
+
+function isSuccess({status}: ResponseHead): boolean {
+	return status < firstErrorStatus;
+}
--- a/src/forwarding/call-session/index.ts
+++ b/src/forwarding/call-session/index.ts
@@ -14,6 +14,7 @@
 import {addRetryAfterJitter, buildShortRetryAfter} from '../add-retry-after-jitter/index.js';
 import {ResponseRelay} from '../response-relay/index.js';
 import {CallCharge} from '../call-charge/index.js';
+import {CallGuard} from '../call-guard/index.js';
 import {CallTimes} from '../call-times/index.js';
 import type {ResponseHead} from '../call-types/index.js';
 import type {ForwardingContext} from '../forwarding-context/index.js';
@@ -22,6 +23,7 @@
 import {mustWithdrawAttempt} from '../must-withdraw-attempt/index.js';
 import {planNextStep, type AttemptFailure} from '../plan-next-step/index.js';
 import {PrefixHints} from '../prefix-hints/index.js';
+import {openPromptGuard} from '../prompt-guard/index.js';
 import {reportCall} from '../report-call/index.js';
 import {hasAlternativeTarget, selectTarget, type TargetSelection} from '../select-target/index.js';
 import type {Attempt, SessionOptions} from '../session-types/index.js';
@@ -40,6 +42,7 @@
 	private readonly hints: PrefixHints;
 	private readonly relay: ResponseRelay;
 	private readonly charge: CallCharge;
+	private readonly guard: CallGuard;
 	private readonly waiter: TargetWaiter;
 	private readonly times: CallTimes;
 	private readonly isRepeatable: boolean;
@@ -72,6 +75,7 @@
 		this.waiter = new TargetWaiter(context.fleet);
 		this.times = new CallTimes(arrivedAt);
 		this.charge = new CallCharge(context.quota, options.organisation, call.work);
+		this.guard = new CallGuard(context.promptGuard ?? openPromptGuard, call.work);
 		this.relay = new ResponseRelay(options.sink, route, call.lastEventId);
 	}
 
@@ -88,6 +92,10 @@
 		this.deadlineTimer = setTimeout(() => {
 			this.endEarly('noTarget', 'targetTimeout');
 		}, Math.max(0, this.deadline - this.readNow()));
+		if (this.isRejectedByGuard()) {
+			return done;
+		}
+
 		if (await this.charge.charge()) {
 			this.context.findRetryBudget(this.options.service).recordRequest();
 			this.tryNextTarget();
@@ -146,7 +154,7 @@
 	}
 
 	private tryNextTarget(): void {
-		if (this.isDone) {
+		if (this.isDone || this.isRejectedByGuard()) {
 			return;
 		}
 
@@ -159,6 +167,16 @@
 		}
 	}
 
+	/** Ends the call if its prompt may not be sent to a target; returns whether it does. */
+	private isRejectedByGuard(): boolean {
+		const error = this.guard.findError(this.mayHaveRun, this.readNow());
+		if (error !== undefined) {
+			this.fail(error);
+		}
+
+		return error !== undefined;
+	}
+
 	/** Waits for a usable target, up to a fraction of the latency goal. */
 	private waitForTarget(now: MonotonicMs): void {
 		const {route, arrivedAt} = this.options;
@@ -181,7 +199,7 @@
 		this.times.recordSent(now);
 		this.triedTargets.add(target);
 		this.attempt = startAttempt({
-			session: this.options, target, hints: this.hints, remainingMs: this.deadline - now,
+			session: this.options, target, hints: this.hints, guard: this.guard, remainingMs: this.deadline - now,
 			lastEventId: this.relay.readLastEventId(), isRepeatable: this.isRepeatable,
 		}, this.context, this.attemptListener, now);
 	}
@@ -254,11 +272,14 @@
 	private handleEnd(attempt: Attempt): void {
 		const head = attempt.head!;
 		if (!this.relay.isComplete(head)) {
-			this.handleFailure(attempt, 'responding', new Error('the stream ended inside an event'));
+			const error = new Error('the stream ended inside an event');
+			this.guard.recordFailure(attempt, {stage: 'responding', error}, this.readNow());
+			this.handleFailure(attempt, 'responding', error);
 			return;
 		}
 
 		attempt.target.recordSuccess();
+		this.guard.recordEnd(head, this.readNow());
 		this.endAttempt(attempt);
 		this.relay.end(head);
 		this.finish('answered', head.status, attempt);
@@ -286,7 +307,7 @@
 		const {route, service} = this.options;
 		return {
 			failure,
-			isRepeatable: this.isRepeatable && (!this.relay.hasBegun || this.relay.isResumable),
+			isRepeatable: this.isRepeatable && (!this.relay.hasBegun || this.relay.isResumable) && !this.guard.isSuspicious(this.readNow()),
 			runs: this.runs,
 			maximumRuns: route.maximumAttempts,
 			attempts: this.attempts,
--- a/src/forwarding/forwarding-context/index.ts
+++ b/src/forwarding/forwarding-context/index.ts
@@ -11,6 +11,7 @@
 	CacheStore, CallerOrganisation, Service, ServiceId,
 } from '../../routing/routing-types/index.js';
 import type {TargetProtocol} from '../call-types/index.js';
+import type {PromptGuard} from '../prompt-guard/index.js';
 import type {TargetClient} from '../target-client/index.js';
 
 /** Admits calls by charging them to the quota of their organisation. */
@@ -39,6 +40,8 @@
 	readonly targetClient: TargetClient;
 	readonly protocol: TargetProtocol;
 	readonly quota: QuotaGate;
+	/** Without a guard, every prompt is sent. */
+	readonly promptGuard?: PromptGuard;
 	readonly dataCentre: DataCentreId;
 	/** Returns a random number from 0 (inclusive) to 1 (exclusive). */
 	readonly draw: () => number;
--- a/src/forwarding/start-attempt/index.ts
+++ b/src/forwarding/start-attempt/index.ts
@@ -3,6 +3,7 @@
 import type {FleetTarget} from '../../fleet/fleet-target/index.js';
 import type {MonotonicMs} from '../../identity/ids/index.js';
 import {buildAttemptOptions} from '../build-attempt-options/index.js';
+import type {CallGuard} from '../call-guard/index.js';
 import type {ResponseHead} from '../call-types/index.js';
 import type {ForwardingContext} from '../forwarding-context/index.js';
 import type {PrefixHints} from '../prefix-hints/index.js';
@@ -14,6 +15,7 @@
 	readonly session: SessionOptions;
 	readonly target: FleetTarget;
 	readonly hints: PrefixHints;
+	readonly guard: CallGuard;
 	readonly remainingMs: number;
 	readonly lastEventId: string | undefined;
 	/** Whether the call may run again; otherwise it gets a new connection. */
@@ -30,7 +32,7 @@
 
 /** Starts an attempt at `now`. No listener is called before it returns. */
 export function startAttempt(attemptRequest: AttemptRequest, context: ForwardingContext, listener: AttemptListener, now: MonotonicMs): Attempt {
-	const {session, target, hints, remainingMs, lastEventId, isRepeatable} = attemptRequest;
+	const {session, target, hints, guard, remainingMs, lastEventId, isRepeatable} = attemptRequest;
 	const {call, route, organisation, body} = session;
 	const {protocol, listCacheStores, targetClient} = context;
 	const options = buildAttemptOptions({
@@ -53,6 +55,7 @@
 			listener.onEnd(attempt);
 		},
 		onFailure(stage, error) {
+			guard.recordFailure(attempt, {stage, error}, context.clock.readMonotonic());
 			listener.onFailure(attempt, stage, error);
 		},
 	});
