Quarantine prompt parts that crash engines on all instances

Ties ledger, datagrams and stored quarantines together. An instance judges 100 ms after a crash, when the reports of others have arrived. The one that saw the deciding crash announces and stores the quarantine at once, the others after a random pause and only if they have not heard of it. Instances also tell each other which parts of a crash were in complete answers before, so that a shared first part needs more evidence everywhere.

Ruled out: judging at once. The prompt of an innocent call is often reported before that of the culprit, and a simulation with ten calls with the culprit a second convicted the first part that all prompts share.

--- /dev/null
+++ b/src/quarantine/prompt-quarantine/index.ts
@@ -0,0 +1,364 @@
+/**
+ * Keeps prompts with a part that crashes engines away from them, on all instances.
+ *
+ * Each instance records the crashes that it sees and those that others report, and decides for itself. The one that
+ * saw the deciding crash announces and stores the quarantine at once. The others do so after a random pause, and only if
+ * they have not heard of it by then, so that a large fleet neither floods its network nor the object API.
+ */
+
+import {LRUCache} from 'lru-cache';
+import type {Clock} from '../../clock/clock/index.js';
+import type {FleetTarget} from '../../fleet/fleet-target/index.js';
+import type {EngineWork} from '../../forwarding/call-types/index.js';
+import type {PromptGuard, PromptRejection} from '../../forwarding/prompt-guard/index.js';
+import type {MonotonicMs} from '../../identity/ids/index.js';
+import type {EventLogger} from '../../logging/create-logger/index.js';
+import type {Member} from '../../membership/member/index.js';
+import type {DatagramTransport} from '../../peers/datagram-channel/index.js';
+import type {RandomSource} from '../../random/random-source/index.js';
+import type {ObjectApi, StoredObject} from '../../store/object-api/index.js';
+import {CrashLedger, type CrashReport} from '../crash-ledger/index.js';
+import {listSharedPartKeys, type PartKey} from '../part-key/index.js';
+import {QuarantineExchange} from '../quarantine-exchange/index.js';
+import {
+	maximumClearancesPerMessage, type Clearance, type QuarantineNews, type QuarantineNotice,
+} from '../quarantine-messages/index.js';
+import {QuarantineRecords} from '../quarantine-records/index.js';
+import {QuarantineRegister, type Quarantine} from '../quarantine-register/index.js';
+
+/** Time from a crash to the judgement of what caused it, in milliseconds. */
+const judgementDelayMs = 100;
+/** Longest pause before an instance announces a quarantine that the deciding crash of another one led to, in milliseconds. */
+const maximumAnnouncementDelayMs = 500;
+/** Shortest and longest pause before such an instance stores it, in milliseconds. */
+const storeDelayMs = {shortest: 2000, longest: 6000};
+/** Minimum interval between two clearances of a part, in milliseconds. */
+const clearanceIntervalMs = 200;
+/** Longest pause before an instance tells the others of earlier complete answers with parts of a crash, in milliseconds. */
+const maximumConfirmationDelayMs = 200;
+/** Time after which it is told again, in milliseconds. */
+const confirmationIntervalMs = 5000;
+const maximumRecentParts = 1000;
+/** Interval at which forgotten quarantines are removed, in milliseconds. */
+const cleaningIntervalMs = 60_000;
+const maximumLoggedParts = 6;
+const maximumDumpedParts = 50;
+const randomSteps = 1000;
+
+/** Options of `PromptQuarantine`. */
+export type PromptQuarantineOptions = {
+	readonly clock: Clock;
+	readonly logger: EventLogger;
+	readonly random: RandomSource;
+	readonly channel: DatagramTransport;
+	/** Live instances other than this one. */
+	readonly listPeers: () => readonly Member[];
+	/** Creates and reads stored quarantines, if necessary through a peer. */
+	readonly objectApi: Pick<ObjectApi, 'get' | 'create' | 'update'>;
+	readonly remover: Pick<ObjectApi, 'remove'>;
+	readonly collection: string;
+};
+
+/** Guard of prompts of one instance. */
+export class PromptQuarantine implements PromptGuard {
+	/** Gauges for the metrics of the instance. */
+	readonly gauges = {
+		quarantined_parts: {help: 'Prompt parts in quarantine.', read: () => this.register.countActive(this.options.clock.readMonotonic())},
+		quarantine_rejections: {help: 'Calls rejected for a quarantined prompt part since the start.', read: () => this.rejectedCalls},
+	};
+
+	private rejectedCalls = 0;
+	/** When this instance last saw a crash itself. */
+	private ownCrashAt = Number.NEGATIVE_INFINITY;
+	private readonly ledger = new CrashLedger();
+	private readonly register = new QuarantineRegister();
+	private readonly exchange: QuarantineExchange;
+	private readonly records: QuarantineRecords;
+	/** When other instances last heard of a quarantine, by part. */
+	private readonly announced = new LRUCache<PartKey, MonotonicMs>({max: maximumRecentParts});
+	/** When this instance last announced a clearance, by part. */
+	private readonly cleared = new LRUCache<PartKey, MonotonicMs>({max: maximumRecentParts});
+	/** When this or another instance last told all others of a complete answer, by part. */
+	private readonly confirmed = new LRUCache<PartKey, MonotonicMs>({max: maximumRecentParts});
+
+	constructor(private readonly options: PromptQuarantineOptions) {
+		this.exchange = new QuarantineExchange({
+			...options,
+			onNews: (news, now) => {
+				this.applyNews(news, now);
+			},
+		});
+		this.records = new QuarantineRecords({
+			...options,
+			read: part => this.register.read(part),
+			onStored: quarantine => {
+				this.adopt(quarantine, 'store');
+			},
+			onRemoved: part => {
+				this.applyRemoval(part);
+			},
+		});
+	}
+
+	/** Removes quarantines whose probation has ended, until `signal` aborts. */
+	async run(signal: AbortSignal): Promise<void> {
+		const {clock, random, listPeers} = this.options;
+		while (!signal.aborted) {
+			await clock.sleep(random.applyJitter(cleaningIntervalMs), signal);
+			// One instance a round, on average, does it for all.
+			if (random.pickIndex(listPeers().length + 1) === 0) {
+				for (const part of this.register.listForgettable(clock.readMonotonic())) {
+					this.register.lift(part);
+					void this.records.remove(part);
+				}
+			}
+		}
+	}
+
+	/** Takes over the stored quarantines. */
+	replaceStored(objects: readonly StoredObject[]): void {
+		this.records.replace(objects);
+	}
+
+	findRejection(work: EngineWork, now: MonotonicMs): PromptRejection | undefined {
+		const quarantine = this.register.findActive(listSharedPartKeys(work), now);
+		if (quarantine === undefined) {
+			return undefined;
+		}
+
+		this.rejectedCalls += 1;
+		return {part: quarantine.part, remainingMs: quarantine.endsAt - now};
+	}
+
+	isSuspicious(work: EngineWork, now: MonotonicMs): boolean {
+		return this.ledger.isSuspicious(listSharedPartKeys(work), part => this.isCulprit(part), now);
+	}
+
+	recordBrokenAnswer(work: EngineWork, {description}: FleetTarget, sentAt: MonotonicMs, now: MonotonicMs): void {
+		const parts = listSharedPartKeys(work);
+		if (parts.length > 0) {
+			const crash: CrashReport = {
+				target: description.id, startedAt: description.startedAt, crashedAt: now, prompts: [{parts, sentAt}],
+			};
+			this.exchange.announceCrash(crash);
+			this.addCrash(crash, 'own', now);
+		}
+	}
+
+	recordCompleteAnswer(work: EngineWork, now: MonotonicMs): void {
+		const parts = listSharedPartKeys(work);
+		const lifted = this.liftAll(parts, 'completed', now);
+		const cleared = [...new Set([...this.ledger.recordCompletion(parts, now), ...lifted])]
+			.filter(part => !this.isRecent(this.cleared, part, now, clearanceIntervalMs));
+		if (cleared.length > 0) {
+			this.options.logger.info('prompt parts cleared', {parts: formatParts(cleared), reason: 'completed'});
+			for (const part of cleared) {
+				this.cleared.set(part, now);
+			}
+
+			this.announceClearances(cleared.map(part => ({part, completedAt: now})), now);
+		}
+
+		for (const part of lifted) {
+			void this.records.remove(part);
+		}
+	}
+
+	dump() {
+		const now = this.options.clock.readMonotonic();
+		return {
+			quarantined: this.register.list().slice(0, maximumDumpedParts).map(({part, crashes, durationMs, endsAt}) => ({
+				part, crashes, durationMs, remainingMs: Math.max(0, Math.round(endsAt - now)),
+			})),
+			suspected: this.ledger.listEvidence(part => this.isCulprit(part), now).slice(0, maximumDumpedParts),
+			rejectedCalls: this.rejectedCalls,
+		};
+	}
+
+	/** Whether crashes with the part need no other explanation. */
+	private isCulprit(part: PartKey): boolean {
+		return this.register.read(part) !== undefined;
+	}
+
+	private applyNews(news: QuarantineNews, now: MonotonicMs): void {
+		switch (news.type) {
+			case 'crash': {
+				this.addCrash(news.crash, 'peer', now);
+				break;
+			}
+
+			case 'clearance': {
+				for (const clearance of news.clearances) {
+					this.applyClearance(clearance, now);
+				}
+
+				break;
+			}
+
+			case 'quarantine': {
+				this.applyNotice(news.notice, now);
+				break;
+			}
+		}
+	}
+
+	private applyClearance({part, completedAt}: Clearance, now: MonotonicMs): void {
+		this.confirmed.set(part, now);
+		this.ledger.recordCompletion([part], completedAt);
+		const quarantine = this.register.read(part);
+		const isRefuted = quarantine !== undefined && completedAt >= quarantine.endsAt - quarantine.durationMs;
+		if (isRefuted) {
+			this.liftAll([part], 'completed elsewhere', now);
+			void this.records.removeOwn(part);
+		}
+	}
+
+	private applyNotice({quarantine, decidedAt}: QuarantineNotice, now: MonotonicMs): void {
+		const {part} = quarantine;
+		if (!this.ledger.hasCompletedSince(part, decidedAt)) {
+			this.announced.set(part, now);
+			if (this.adopt(quarantine, 'peer')) {
+				void this.records.store(quarantine, this.drawDelay(storeDelayMs.shortest, storeDelayMs.longest));
+			}
+		}
+	}
+
+	private addCrash(crash: CrashReport, source: 'own' | 'peer', now: MonotonicMs): void {
+		this.ownCrashAt = source === 'own' ? now : this.ownCrashAt;
+		if (this.ledger.recordCrash(crash, now)) {
+			void this.judgeAfterDelay();
+			const parts = new Set(crash.prompts.flatMap(prompt => prompt.parts));
+			const suspects = this.ledger.listEvidence(part => this.isCulprit(part), now).filter(({part}) => parts.has(part));
+			this.options.logger.info('engine crash recorded', {
+				target: crash.target, startedAt: crash.startedAt, source, agoMs: Math.round(now - crash.crashedAt),
+				prompts: crash.prompts.length, parts: formatParts(suspects.map(({part, crashes, sequentialCrashes}) => `${part}:${crashes}:${sequentialCrashes}`)),
+			});
+		}
+
+		void this.confirmProvenParts(crash, now);
+		this.renewAfterProbation(crash, source, now);
+	}
+
+	/** Quarantines the culprits, after a time in which other instances report what they saw of the same crash. */
+	private async judgeAfterDelay(): Promise<void> {
+		const {clock} = this.options;
+		await clock.sleep(judgementDelayMs);
+		const now = clock.readMonotonic();
+		const source = now - this.ownCrashAt <= 2 * judgementDelayMs ? 'own' : 'peer';
+		for (const {part, crashes} of this.ledger.findCulprits(key => this.isCulprit(key), now)) {
+			this.quarantine(this.register.plan(part, crashes, now), source, now);
+		}
+	}
+
+	/**
+	 * Tells the others which parts of a crash were in calls that ended with a complete answer here before, since these
+	 * need more evidence. It does so after a random pause, and only if no other instance has done it by then.
+	 */
+	private async confirmProvenParts({prompts}: CrashReport, now: MonotonicMs): Promise<void> {
+		const {clock} = this.options;
+		const parts = [...new Set(prompts.flatMap(prompt => prompt.parts))];
+		const isProven = (part: PartKey) => this.ledger.readCompletedAt(part) !== undefined
+			&& !this.isRecent(this.confirmed, part, now, confirmationIntervalMs);
+		if (!parts.some(part => isProven(part))) {
+			return;
+		}
+
+		await clock.sleep(this.drawDelay(0, maximumConfirmationDelayMs));
+		const clearances = parts.filter(part => isProven(part)).slice(0, maximumClearancesPerMessage)
+			.map(part => ({part, completedAt: this.ledger.readCompletedAt(part)!}));
+		if (clearances.length > 0) {
+			this.announceClearances(clearances, clock.readMonotonic());
+		}
+	}
+
+	private announceClearances(clearances: readonly Clearance[], now: MonotonicMs): void {
+		for (const {part} of clearances) {
+			this.confirmed.set(part, now);
+		}
+
+		this.exchange.announce({type: 'clearance', clearances});
+	}
+
+	/** Quarantines the parts of a crash again that are on probation, the deepest of each prompt. */
+	private renewAfterProbation({prompts, crashedAt}: CrashReport, source: 'own' | 'peer', now: MonotonicMs): void {
+		for (const {parts, sentAt} of prompts) {
+			const part = parts.findLast(candidate => this.register.isOnProbation(candidate, now));
+			const isNew = part !== undefined && sentAt > this.register.read(part)!.endsAt && !this.ledger.hasCompletedSince(part, crashedAt);
+			if (isNew && this.register.findActive(parts, now) === undefined) {
+				this.quarantine(this.register.plan(part, 1, now), source, now);
+			}
+		}
+	}
+
+	private quarantine(quarantine: Quarantine, source: 'own' | 'peer', now: MonotonicMs): void {
+		this.register.add(quarantine);
+		this.logQuarantine(quarantine, source === 'own' ? 'crash' : 'crash reported by peer', now);
+		const isOwn = source === 'own';
+		void this.announceAfterDelay({quarantine, decidedAt: now}, isOwn ? 0 : this.drawDelay(0, maximumAnnouncementDelayMs));
+		void this.records.store(quarantine, isOwn ? 0 : this.drawDelay(storeDelayMs.shortest, storeDelayMs.longest));
+	}
+
+	private async announceAfterDelay(notice: QuarantineNotice, delayMs: number): Promise<void> {
+		const {part, endsAt} = notice.quarantine;
+		if (delayMs > 0) {
+			await this.options.clock.sleep(delayMs);
+		}
+
+		const isCurrent = this.register.read(part)?.endsAt === endsAt;
+		if (isCurrent && (this.announced.get(part) ?? Number.NEGATIVE_INFINITY) < notice.decidedAt) {
+			this.announced.set(part, notice.decidedAt);
+			this.exchange.announce({type: 'quarantine', notice});
+		}
+	}
+
+	/** Takes over a quarantine that another instance decided on. Returns whether it was new. */
+	private adopt(quarantine: Quarantine, source: string): boolean {
+		const now = this.options.clock.readMonotonic();
+		const isNew = this.register.add(quarantine);
+		if (isNew) {
+			this.logQuarantine(quarantine, source, now);
+		}
+
+		return isNew;
+	}
+
+	private logQuarantine({part, crashes, endsAt, durationMs}: Quarantine, source: string, now: MonotonicMs): void {
+		const until = new Date(this.options.clock.readWall() + (endsAt - now));
+		this.options.logger.warn('prompt part quarantined', {
+			part, crashes, durationMs, until: until.toISOString(), source,
+		});
+	}
+
+	/** Lifts the quarantines of parts with which a call ended with a complete answer. Returns the parts that had one. */
+	private liftAll(parts: readonly PartKey[], reason: string, now: MonotonicMs): PartKey[] {
+		const lifted = parts.filter(part => this.register.lift(part) !== undefined);
+		for (const part of lifted) {
+			this.options.logger.warn('quarantine lifted', {part, reason, at: Math.round(now)});
+		}
+
+		return lifted;
+	}
+
+	/** Lifts a quarantine whose object was deleted, and forgets the evidence, which would bring it back or speak against other parts. */
+	private applyRemoval(part: PartKey): void {
+		const now = this.options.clock.readMonotonic();
+		if (this.liftAll([part], 'object deleted', now).length > 0) {
+			this.ledger.forgetCrashes(part);
+		}
+	}
+
+	private isRecent(times: LRUCache<PartKey, MonotonicMs>, part: PartKey, now: MonotonicMs, intervalMs: number): boolean {
+		const time = times.get(part);
+		return time !== undefined && now - time < intervalMs;
+	}
+
+	private drawDelay(shortestMs: number, longestMs: number): number {
+		return shortestMs + ((longestMs - shortestMs) * this.options.random.pickIndex(randomSteps) / randomSteps);
+	}
+}
+
+/** Formats parts for a log line of bounded length. */
+function formatParts(parts: readonly string[]): string {
+	const omitted = parts.length - maximumLoggedParts;
+	return parts.slice(0, maximumLoggedParts).join(',') + (omitted > 0 ? `,+${omitted}` : '');
+}
