Follow stored quarantines, and guard the gateway's calls with them

The quarantines are a fifth collection, so that they reach each instance from the object API or a peer. A starting instance takes no calls for up to 400 ms after its configuration until it has read them; otherwise the first call with the part could reach an engine.

Gauges for quarantined parts and rejected calls, and an entry in the dump.

Evidence: src/gateway/gateway-feeds/test.ts.

--- a/src/gateway/gateway-feeds/index.ts
+++ b/src/gateway/gateway-feeds/index.ts
@@ -1,6 +1,6 @@
 /**
- * Follows the gateway's collections of the object API: configuration, targets, named weights and the
- * instance registry. The feed relay keeps a mirror of each collection up to date, from which changes are
+ * Follows the gateway's collections of the object API: configuration, targets, named weights, the
+ * instance registry and quarantined prompt parts. The feed relay keeps a mirror of each collection up to date, from which changes are
  * applied.
  */
 
@@ -43,6 +43,7 @@
 	/** `maximumAgeMs`: maximum time since the weights were announced; undefined when it is not known. */
 	readonly onWeights: (weights: WeightsNotice, maximumAgeMs: number | undefined) => void;
 	readonly onInstances: (instances: readonly StoredObject[]) => void;
+	readonly onQuarantines: (quarantines: readonly StoredObject[]) => void;
 };
 
 /** Mirrors the platform's collections and applies their changes. */
@@ -58,7 +59,7 @@
 	private readonly relay: FeedRelay;
 
 	constructor(private readonly options: GatewayFeedsOptions) {
-		const {configuration, targets, weights, instances} = options.adapter.collections;
+		const {configuration, targets, weights, instances, quarantines} = options.adapter.collections;
 		this.addMirror(configuration, () => {
 			this.applyConfiguration();
 		});
@@ -71,6 +72,9 @@
 		this.addMirror(instances, () => {
 			options.onInstances([...this.mirrors.get(instances)!.objects.values()]);
 		});
+		this.addMirror(quarantines, () => {
+			options.onQuarantines([...this.mirrors.get(quarantines)!.objects.values()]);
+		});
 		this.relay = new FeedRelay({
 			...options, mirrors: this.mirrors, timeline: this.timeline,
 			readRevision: () => this.revision,
@@ -87,6 +91,11 @@
 		return this.revision;
 	}
 
+	/** Whether the stored quarantines have been read. */
+	get hasReadQuarantines(): boolean {
+		return this.mirrors.get(this.options.adapter.collections.quarantines)!.isSynced;
+	}
+
 	/** Follows the collections until `signal` aborts. */
 	async run(signal: AbortSignal): Promise<void> {
 		await this.relay.run(signal);
--- a/src/gateway/gateway-feeds/test.ts
+++ b/src/gateway/gateway-feeds/test.ts
@@ -15,7 +15,7 @@
 import {GatewayFeeds} from './index.js';
 
 const collections = {
-	configuration: 'configuration', targets: 'targets', weights: 'weights', instances: 'instances',
+	configuration: 'configuration', targets: 'targets', weights: 'weights', instances: 'instances', quarantines: 'quarantines',
 };
 
 function createMember(id: InstanceId, revision: Revision): Member {
@@ -38,7 +38,7 @@
 		const endpoint = network.open(id);
 		const applied = {
 			revisions: [] as number[], targets: [] as readonly TargetDescription[],
-			weights: [] as WeightsNotice[], weightsAgesMs: [] as Array<number | undefined>, instances: 0,
+			weights: [] as WeightsNotice[], weightsAgesMs: [] as Array<number | undefined>, instances: 0, quarantines: [] as string[],
 		};
 		const adapter: Partial<PlatformAdapter> = {
 			objectApi: api, collections,
@@ -72,6 +72,9 @@
 			onInstances(registered) {
 				applied.instances = registered.length;
 			},
+			onQuarantines(objects) {
+				applied.quarantines = objects.map(({name}) => name);
+			},
 		});
 		const controller = new AbortController();
 		return {
@@ -310,3 +313,14 @@
 		stop();
 	}
 });
+
+test('guards against an instance that takes calls without the quarantines that others know: it reads them from the object API or from a peer', async () => {
+	const {clock, objectApi, instances} = startInstances(4);
+	expect(instances.every(({feeds}) => feeds.hasReadQuarantines)).toEqual(false);
+	await objectApi.create(collections.quarantines, 'q1', {});
+	await clock.advance(2000);
+	expect(instances.map(({feeds, applied}) => [feeds.hasReadQuarantines, applied.quarantines])).toEqual(instances.map(() => [true, ['q1']]));
+	await objectApi.remove(collections.quarantines, 'q1');
+	await clock.advance(3000);
+	expect(instances.map(({applied}) => applied.quarantines)).toEqual(instances.map(() => []));
+});
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -7,6 +7,7 @@
 import {PrefixDirectory} from '../../fleet/prefix-directory/index.js';
 import {TargetFleet} from '../../fleet/target-fleet/index.js';
 import type {ForwardingContext} from '../../forwarding/forwarding-context/index.js';
+import {pruneConnections} from '../../forwarding/prune-connections/index.js';
 import {TargetClient} from '../../forwarding/target-client/index.js';
 import {startJsonServer} from '../../http/start-json-server/index.js';
 import {parseAddress} from '../../http/parse-address/index.js';
@@ -15,7 +16,6 @@
 } from '../../identity/ids/index.js';
 import {Lease} from '../../leases/lease/index.js';
 import type {EventLogger} from '../../logging/create-logger/index.js';
-import {chooseAddresses} from '../../membership/choose-addresses/index.js';
 import {createIncarnation} from '../../membership/create-incarnation/index.js';
 import type {Membership} from '../../membership/membership/index.js';
 import type {Member} from '../../membership/member/index.js';
@@ -27,11 +27,13 @@
 import {QuotaLending} from '../../quota/quota-lending/index.js';
 import type {RandomSource} from '../../random/random-source/index.js';
 import {chooseContenders} from '../../rollout/choose-contenders/index.js';
+import {PromptQuarantine} from '../../quarantine/prompt-quarantine/index.js';
 import {RolloutController, rolloutLeaseMs, rolloutLeaseName} from '../../rollout/rollout-controller/index.js';
 import {RolloutNotices} from '../../rollout/rollout-notices/index.js';
 import {WeightsRegistry} from '../../rollout/weights-registry/index.js';
 import {RoutingTable} from '../../routing/routing-table/index.js';
 import type {RoutingConfiguration} from '../../routing/routing-types/index.js';
+import {addressValiditySeconds, answerAddressQuery} from '../answer-address-query/index.js';
 import {CallListener} from '../call-listener/index.js';
 import {createGatewayStop} from '../create-gateway-stop/index.js';
 import {createMembership} from '../create-membership/index.js';
@@ -53,12 +55,10 @@
 	readonly metrics: GatewayMetrics;
 };
 
-/** Validity of an address answer, in seconds. */
-const addressValiditySeconds = 1;
-/** Interval at which connections to removed targets are closed, in milliseconds. */
-const pruneIntervalMs = 2000;
 /** Minimum number of instances assumed until the registry has been read, so that quota shares are not too large. */
 const assumedInstanceCount = 12;
+/** Time after the first configuration for which calls are not taken unless the stored quarantines have been read, in milliseconds. */
+const quarantineWaitMs = 400;
 /** Number of distinct values that `draw` returns. */
 const drawResolution = 0x40_00_00_00;
 
@@ -78,12 +78,15 @@
 	private readonly datagramChannel: DatagramChannel;
 	private readonly loadExchange: LoadExchange;
 	private readonly rolloutNotices: RolloutNotices;
+	private readonly promptQuarantine: PromptQuarantine;
 	private readonly listener: CallListener;
 	private readonly retryBudgets: ServiceRetryBudgets;
 	private readonly weightsRegistry: WeightsRegistry;
 	private readonly instanceRegistry: InstanceRegistry;
 	private readonly startedAt: MonotonicMs;
 	private routingTable: RoutingTable | undefined;
+	/** When the first configuration was applied. */
+	private configuredAt = Number.POSITIVE_INFINITY;
 	private plannedStop: PlannedStop | undefined;
 	private isConfigurationMissed = false;
 
@@ -126,6 +129,9 @@
 			onWeights: (weights, maximumAgeMs) => {
 				this.applyWeights(weights, maximumAgeMs);
 			},
+			onQuarantines: objects => {
+				this.promptQuarantine.replaceStored(objects);
+			},
 		});
 		this.quotaLending = new QuotaLending({
 			clock, random, caller: this.peerClient, registry: this.peerServer,
@@ -141,6 +147,10 @@
 		this.rolloutNotices = new RolloutNotices({
 			clock, fleet: this.fleet, channel: this.datagramChannel, listPeers: () => this.listPeers(),
 		});
+		this.promptQuarantine = new PromptQuarantine({
+			clock, logger, random, channel: this.datagramChannel, listPeers: () => this.listPeers(),
+			objectApi: this.relayedObjectApi, remover: adapter.objectApi, collection: adapter.collections.quarantines,
+		});
 		this.rollout = this.createRollout(self);
 		this.loadExchange = new LoadExchange({
 			clock, random, fleet: this.fleet, prefixes: this.prefixDirectory, channel: this.datagramChannel, membership: this.membership,
@@ -163,15 +173,16 @@
 		await this.datagramChannel.listen(settings.listen.peer, signal);
 		void this.loadExchange.run(signal);
 		void this.quotaLending.run(signal);
+		void this.promptQuarantine.run(signal);
 		void this.instanceRegistry.register(signal);
-		void this.pruneConnections(signal);
+		void pruneConnections(this.targetClient, this.fleet, clock, signal);
 		void new StandstillMonitor(clock, logger).run(signal);
 		void this.options.settings.run(logger, signal);
 		await this.listener.listen(settings.listen.caller);
 		await startJsonServer(settings.listen.readiness, url => url.pathname === adapter.readinessPath
 			? {status: this.isReady() ? 200 : 503, body: {ready: this.isReady()}}
 			: {status: 404, body: {}});
-		await startJsonServer(settings.listen.directory, url => this.answerDirectory(url));
+		await startJsonServer(settings.listen.directory, url => answerAddressQuery(url, {...this.options, membership: this.membership}));
 		await new AdminServer({
 			metrics, dump: () => this.dump(), readObstacle: () => this.isReady() ? undefined : 'no configuration, or stopping',
 		}).listen(settings.listen.admin);
@@ -197,6 +208,7 @@
 			membership: this.membership.dump(),
 			rollout: this.rollout.dump(),
 			quota: this.quotaLending.dump(),
+			quarantine: this.promptQuarantine.dump(),
 			namedWeights: this.weightsRegistry.dump(),
 			callsInProgress: this.listener.callsInProgress,
 			targets: [...this.fleet.list()].map(target => describeTarget(target, now)),
@@ -207,10 +219,11 @@
 		return this.routingTable !== undefined && this.plannedStop === undefined;
 	}
 
-	/** Returns the routing table for a call, and notes when there is none yet. */
+	/** Returns the routing table for a call, and notes when there is none yet. A first call waits for the stored quarantines for a moment. */
 	private readRoutingTable(): RoutingTable | undefined {
 		this.isConfigurationMissed ||= this.routingTable === undefined;
-		return this.routingTable;
+		const isEarly = this.options.clock.readMonotonic() < this.configuredAt + quarantineWaitMs;
+		return isEarly && !this.feeds.hasReadQuarantines ? undefined : this.routingTable;
 	}
 
 	private listPeers(): readonly Member[] {
@@ -248,6 +261,7 @@
 	}
 
 	private applyConfiguration(configuration: RoutingConfiguration): void {
+		this.configuredAt = Math.min(this.configuredAt, this.options.clock.readMonotonic());
 		this.routingTable = new RoutingTable(configuration);
 		this.listener.applyLimits(configuration.limits);
 		this.quotaLending.apply(configuration.organisations);
@@ -267,7 +281,7 @@
 		const {settings, adapter, clock, logger, random, metrics} = this.options;
 		return {
 			clock, logger, fleet: this.fleet, prefixes: this.prefixDirectory, targetClient: this.targetClient,
-			protocol: adapter.targetProtocol, quota: this.quotaLending,
+			protocol: adapter.targetProtocol, quota: this.quotaLending, promptGuard: this.promptQuarantine,
 			dataCentre: settings.current.dataCentre as DataCentreId,
 			draw: () => random.pickIndex(drawResolution) / drawResolution,
 			findVersionHistory: model => this.weightsRegistry.find(model),
@@ -280,29 +294,10 @@
 		};
 	}
 
-	private answerDirectory(url: URL) {
-		const {adapter, random, clock} = this.options;
-		const query = adapter.parseAddressQuery(url);
-		if (query === undefined) {
-			return {status: 404, body: {}};
-		}
-
-		const live = this.membership.listLive(clock.readMonotonic());
-		const addresses = chooseAddresses({live, self: this.membership.readSelf(), dataCentre: query.dataCentre}, random);
-		return adapter.buildAddressAnswer(addresses.map(member => member.callerAddress), addressValiditySeconds);
-	}
-
-	private async pruneConnections(signal: AbortSignal): Promise<void> {
-		const {clock} = this.options;
-		while (!signal.aborted) {
-			await clock.sleep(pruneIntervalMs, signal);
-			this.targetClient.prune(new Set(this.fleet.list()));
-		}
-	}
-
 	private addGauges(): void {
 		this.options.metrics.addGauges({
 			calls_in_progress: {help: 'Calls being served.', read: () => this.listener.callsInProgress},
+			...this.promptQuarantine.gauges,
 			members: {help: 'Live instances, this one included.', read: () => this.listPeers().length + 1},
 			configuration_revision: {help: 'Revision of the configuration in force, -1 for none.', read: () => this.feeds.readRevision()},
 		});
--- a/src/gateway/platform-adapter/index.ts
+++ b/src/gateway/platform-adapter/index.ts
@@ -19,6 +19,8 @@
 	readonly weights: string;
 	/** The router's own collection, with one object for each instance. */
 	readonly instances: string;
+	/** The router's own collection, with one object for each quarantined prompt part. */
+	readonly quarantines: string;
 };
 
 /** A caller's request for addresses of instances. */
