--- a/src/quarantine/crash-ledger/index.ts
+++ b/src/quarantine/crash-ledger/index.ts
@@ -65,8 +65,8 @@
 const proofValidityMs = 60_000;
 /** Number of crashes with a part from which calls that crashed an engine are not sent again. */
 export const suspiciousCrashes = 2;
-const maximumCrashes = 128;
-const maximumPartsPerCrash = 512;
+const maximumCrashes = 64;
+const maximumPartsPerCrash = 256;
 const maximumCompletions = 4096;
 
 type PartOccurrence = {
@@ -212,9 +212,8 @@
 
 	/** Lists the other parts that may be the cause of a part's crashes. The parts before it are none, as more calls share them. */
 	private listRivals(evidence: Evidence, {evidenceByPart}: Evaluation): Evidence[] {
-		return [...evidenceByPart.values()].filter(rival => rival.part !== evidence.part && !this.isProven(rival)
-			&& countCommonCrashes(rival, evidence) >= evidence.crashList.length * (rival.depth > evidence.depth ? deeperRivalShare : 1)
-			&& !isPreceding(rival.part, evidence));
+		return [...evidenceByPart.values()].filter(rival => rival.part !== evidence.part && sharesCrashes(rival, evidence)
+			&& !this.isProven(rival) && !isPreceding(rival.part, evidence));
 	}
 
 	private dropOldCrashes(now: MonotonicMs): void {
@@ -257,8 +256,10 @@
 	return crashList.length >= dominantShare * sameTime.length;
 }
 
-function countCommonCrashes({crashList}: Evidence, other: Evidence): number {
-	return crashList.filter(crash => other.crashList.includes(crash)).length;
+/** Whether a rival occurs in so many crashes of a part that it may be their cause. */
+function sharesCrashes(rival: Evidence, {depth, crashList}: Evidence): boolean {
+	const neededCrashes = crashList.length * (rival.depth > depth ? deeperRivalShare : 1);
+	return rival.crashList.length >= neededCrashes && crashList.filter(crash => rival.crashList.includes(crash)).length >= neededCrashes;
 }
 
 /** Whether `part` comes before the part of `evidence` in all prompts of its crashes. */
