Add a crashing part of prompts to the random faults of the soak

Half of the plans have the part.

Denying a request with the part is no violation, since it crashes engines.

--- a/src/soak/plan-faults/index.ts
+++ b/src/soak/plan-faults/index.ts
@@ -8,6 +8,7 @@
 	fleet: ['killAll', 'storeDown', 'storeWritesLost', 'storeHistoryLost'],
 	target: ['crash', 'replace', 'hang', 'errors', 'lost', 'cut', 'pathReset', 'pathSilent', 'pathDelay'],
 	operator: ['configure', 'withdrawKey', 'publishWeights'],
+	prompt: ['crashingPart'],
 } as const;
 
 export type FaultKind = (typeof faultKinds)[keyof typeof faultKinds][number];
@@ -31,11 +32,17 @@
 const minimumDurationMs = 200;
 const durationRangeMs = 3500;
 const victimLimit = 1000;
+/** Half of the plans have a part of prompts that crashes engines. */
+const crashingPartPeriod = 2;
+/** Maximum duration of a crashing part, in milliseconds. Whether instances recover from it shows only after several seconds. */
+const maximumCrashingPartMs = 12_000;
+/** A crashing part starts within the first quarter of the plan. */
+const crashingPartStartRatio = 0.25;
 
 /** Plans the faults for a period of `durationMs`. The same seed yields the same plan. */
 export function planFaults(seed: number, durationMs: number): PlannedFault[] {
 	const random = new RandomSource(seed);
-	const groups = Object.values(faultKinds);
+	const groups = [faultKinds.instance, faultKinds.fleet, faultKinds.target, faultKinds.operator];
 	const faults: PlannedFault[] = [];
 	let seriesOffsetMs = 0;
 	while (seriesOffsetMs < durationMs) {
@@ -52,5 +59,17 @@
 		seriesOffsetMs += random.applyJitter(seriesIntervalMs);
 	}
 
-	return faults;
+	// Drawn last, so that the series of a seed do not depend on it.
+	return [...faults, ...planCrashingPart(random, durationMs)];
+}
+
+function planCrashingPart(random: RandomSource, durationMs: number): PlannedFault[] {
+	if (random.pickIndex(crashingPartPeriod) > 0) {
+		return [];
+	}
+
+	const offsetMs = random.pickIndex(Math.max(1, Math.floor(durationMs * crashingPartStartRatio)));
+	return [{
+		offsetMs, kind: 'crashingPart', victim: 0, durationMs: Math.min(durationMs - offsetMs, maximumCrashingPartMs),
+	}];
 }
--- a/src/soak/soak-recorder/index.ts
+++ b/src/soak/soak-recorder/index.ts
@@ -30,8 +30,18 @@
 	readonly at: number;
 };
 
-/** Result of a request as seen by its caller. `isValid`: whether the answer is complete and belongs to this request. */
-export type CallerOutcome = {readonly id: string; readonly status: number | undefined; readonly isValid: boolean; readonly detail: string; readonly at: number};
+/** Result of a request as seen by its caller. */
+export type CallerOutcome = {
+	readonly id: string;
+	/** Undefined if no complete answer was received. */
+	readonly status: number | undefined;
+	/** Status in the head of the answer, which may have been received without the whole body. */
+	readonly headStatus?: number;
+	/** Whether the answer is complete and belongs to this request. */
+	readonly isValid: boolean;
+	readonly detail: string;
+	readonly at: number;
+};
 
 /** A violated invariant. */
 export type Violation = {readonly invariant: string; readonly detail: string};
@@ -85,8 +95,11 @@
 			this.reportViolation('complete answer', `${id}: ${detail}`);
 		}
 
-		const hasOrganisation = this.requests.get(id)?.organisation !== undefined;
-		if (status !== undefined && permanentRefusalStatuses.has(status) && hasOrganisation) {
+		const request = this.requests.get(id);
+		const hasOrganisation = request?.organisation !== undefined;
+		// A request that crashes engines may be denied.
+		const mayBeDenied = !hasOrganisation || request.promptKind === 'crashing';
+		if (status !== undefined && permanentRefusalStatuses.has(status) && !mayBeDenied) {
 			this.reportViolation('wrongly denied', `${id} got ${status}: ${detail}`);
 		}
 
