Count denied requests with a crashing part as wrongly denied in the soak

The soak's new fault let 400 to 404 pass for such requests. The router rejects them with 503, and the users' rule against denials makes no exception for them, so the check is as strict as before.

--- a/src/soak/soak-recorder/index.ts
+++ b/src/soak/soak-recorder/index.ts
@@ -95,11 +95,8 @@
 			this.reportViolation('complete answer', `${id}: ${detail}`);
 		}
 
-		const request = this.requests.get(id);
-		const hasOrganisation = request?.organisation !== undefined;
-		// A request that crashes engines may be denied.
-		const mayBeDenied = !hasOrganisation || request.promptKind === 'crashing';
-		if (status !== undefined && permanentRefusalStatuses.has(status) && !mayBeDenied) {
+		const hasOrganisation = this.requests.get(id)?.organisation !== undefined;
+		if (status !== undefined && permanentRefusalStatuses.has(status) && hasOrganisation) {
 			this.reportViolation('wrongly denied', `${id} got ${status}: ${detail}`);
 		}
 
