--- /dev/null
+++ b/src/forwarding/build-step-query/index.ts
@@ -0,0 +1,35 @@
+/** Collects what the decision after a failed attempt depends on. */
+
+import type {CallGuard} from '../call-guard/index.js';
+import type {ForwardingContext} from '../forwarding-context/index.js';
+import type {MonotonicMs} from '../../identity/ids/index.js';
+import type {AttemptFailure, NextStepQuery} from '../plan-next-step/index.js';
+import type {ResponseRelay} from '../response-relay/index.js';
+import type {SessionOptions} from '../session-types/index.js';
+
+/** State of the call after the attempt. */
+export type FailedAttempt = {
+	readonly failure: AttemptFailure;
+	readonly session: SessionOptions;
+	/** Whether the route allows the call to run again. */
+	readonly isRepeatable: boolean;
+	readonly relay: ResponseRelay;
+	readonly guard: CallGuard;
+	readonly runs: number;
+	readonly attempts: number;
+	readonly deadline: MonotonicMs;
+};
+
+/** Builds the query. A call that may crash the next target isn't repeatable. */
+export function buildStepQuery(attempt: FailedAttempt, context: ForwardingContext, now: MonotonicMs): NextStepQuery {
+	const {failure, session, isRepeatable, relay, guard, runs, attempts, deadline} = attempt;
+	return {
+		failure,
+		isRepeatable: isRepeatable && (!relay.hasBegun || relay.isResumable) && !guard.isSuspicious(now),
+		runs,
+		maximumRuns: session.route.maximumAttempts,
+		attempts,
+		remainingMs: deadline - now,
+		takeRetry: () => context.findRetryBudget(session.service).take(),
+	};
+}
--- a/src/forwarding/call-session/index.ts
+++ b/src/forwarding/call-session/index.ts
@@ -12,29 +12,24 @@
 import type {ResultName} from '../../results/result-codes/index.js';
 import {isRepeatable} from '../../routing/is-repeatable/index.js';
 import {addRetryAfterJitter, buildShortRetryAfter} from '../add-retry-after-jitter/index.js';
+import {assessAttempt} from '../assess-attempt/index.js';
+import {buildStepQuery} from '../build-step-query/index.js';
 import {ResponseRelay} from '../response-relay/index.js';
 import {CallCharge} from '../call-charge/index.js';
 import {CallGuard} from '../call-guard/index.js';
 import {CallTimes} from '../call-times/index.js';
 import type {ResponseHead} from '../call-types/index.js';
 import type {ForwardingContext} from '../forwarding-context/index.js';
-import {isAttemptStalled} from '../is-attempt-stalled/index.js';
 import {passChunk} from '../pass-chunk/index.js';
-import {mustWithdrawAttempt} from '../must-withdraw-attempt/index.js';
-import {planNextStep, type AttemptFailure} from '../plan-next-step/index.js';
+import {planNextStep, type AttemptFailure, type NextStep} from '../plan-next-step/index.js';
 import {PrefixHints} from '../prefix-hints/index.js';
 import {openPromptGuard} from '../prompt-guard/index.js';
 import {reportCall} from '../report-call/index.js';
-import {hasAlternativeTarget, selectTarget, type TargetSelection} from '../select-target/index.js';
+import {selectTarget, type TargetSelection} from '../select-target/index.js';
 import type {Attempt, SessionOptions} from '../session-types/index.js';
 import {startAttempt, type AttemptListener} from '../start-attempt/index.js';
 import type {ExchangeStage} from '../target-client/index.js';
-import {TargetWaiter} from '../target-waiter/index.js';
-
-/** Longest wait for a usable target, as a fraction of the latency goal. */
-const targetWaitFraction = 0.6;
-/** Interval at which a waiting call checks again for a target with free capacity; shorter than the interval of load reports. */
-const targetRecheckMs = 60;
+import {calculateWaitEnd, createNoTargetError, TargetWaiter} from '../target-waiter/index.js';
 
 /** A call in progress. */
 export class CallSession {
@@ -48,7 +43,6 @@
 	private readonly isRepeatable: boolean;
 	private readonly triedTargets = new Set<FleetTarget>();
 	private readonly selection: TargetSelection;
-
 	private readonly attemptListener: AttemptListener = {
 		onHead: this.handleHead.bind(this),
 		onChunk: this.handleChunk.bind(this),
@@ -126,24 +120,21 @@
 			return;
 		}
 
-		if (mustWithdrawAttempt(attempt, this.options.call.work?.model, this.context, now)) {
-			this.withdraw(attempt);
-			return;
-		}
-
-		if (!this.isRepeatable) {
+		const assessment = assessAttempt({attempt, selection: this.selection, isRepeatable: this.isRepeatable}, this.context, now);
+		if (assessment === 'keep') {
 			return;
 		}
 
-		if (isAttemptStalled(attempt, now) && hasAlternativeTarget(this.selection, attempt.target, this.context, now)) {
-			attempt.exchange?.abort();
+		attempt.exchange?.abort();
+		if (assessment === 'withdraw') {
+			this.withdraw(attempt);
+		} else {
 			this.handleFailure(attempt, attempt.head === undefined ? 'sent' : 'responding', new Error('no data received from the target'));
 		}
 	}
 
 	/** Ends an attempt that must not begin any more. It may have begun just now, so it counts as one that may have run. */
 	private withdraw(attempt: Attempt): void {
-		attempt.exchange?.abort();
 		this.endAttempt(attempt);
 		this.runs += 1;
 		this.retryOrFail('unknown', 'the call had not begun within the time limit of the old weights', attempt);
@@ -179,16 +170,13 @@
 
 	/** Waits for a usable target, up to a fraction of the latency goal. */
 	private waitForTarget(now: MonotonicMs): void {
-		const {route, arrivedAt} = this.options;
-		const waitUntil = Math.min(arrivedAt + (route.latencyGoalMs * targetWaitFraction), this.deadline);
-		if (now >= waitUntil) {
-			this.refuse(this.mayHaveRun
-				? createRouterError('outcomeUnknown', 'no other target is usable')
-				: createRouterError('noTarget', undefined, buildShortRetryAfter(this.context.draw())));
+		const waitEnd = calculateWaitEnd(this.options, this.deadline);
+		if (now >= waitEnd) {
+			this.refuse(createNoTargetError(this.mayHaveRun, this.context.draw()));
 			return;
 		}
 
-		this.waiter.wait(Math.min(targetRecheckMs, waitUntil - now), () => {
+		this.waiter.wait(waitEnd - now, () => {
 			this.triedTargets.clear();
 			this.tryNextTarget();
 		});
@@ -245,7 +233,7 @@
 	/** Retries an idempotent call after a 5xx response; returns whether it does. */
 	private retryErrorResponse(attempt: Attempt): boolean {
 		const {kind} = this.options.route;
-		if (kind !== 'idempotent' || planNextStep({...this.buildStepQuery('unknown'), runs: this.runs + 1}).type !== 'retry') {
+		if (kind !== 'idempotent' || this.planNextStep('unknown', this.runs + 1).type !== 'retry') {
 			return false;
 		}
 
@@ -303,21 +291,15 @@
 		this.retryOrFail(this.relay.hasBegun ? 'broken' : 'unknown', error.message, attempt);
 	}
 
-	private buildStepQuery(failure: AttemptFailure) {
-		const {route, service} = this.options;
-		return {
-			failure,
-			isRepeatable: this.isRepeatable && (!this.relay.hasBegun || this.relay.isResumable) && !this.guard.isSuspicious(this.readNow()),
-			runs: this.runs,
-			maximumRuns: route.maximumAttempts,
-			attempts: this.attempts,
-			remainingMs: this.deadline - this.readNow(),
-			takeRetry: () => this.context.findRetryBudget(service).take(),
-		};
+	private planNextStep(failure: AttemptFailure, runs: number): NextStep {
+		const {options: session, isRepeatable, relay, guard, attempts, deadline} = this;
+		return planNextStep(buildStepQuery({
+			failure, session, isRepeatable, relay, guard, runs, attempts, deadline,
+		}, this.context, this.readNow()));
 	}
 
 	private retryOrFail(failure: AttemptFailure, reason: string, attempt: Attempt): void {
-		const step = planNextStep(this.buildStepQuery(failure));
+		const step = this.planNextStep(failure, this.runs);
 		this.context.logger.info('attempt failed', {
 			id: this.options.call.id, target: attempt.target.description.id, attempt: this.attempts, failure, reason, step: step.type,
 		});
