Let readiness and calls wait for the stored quarantines alike

A starting instance was ready while it refused calls for up to 400 ms. Both now ask the feeds. A call counts as later than a crash only 20 ms after it, since the times that other instances report are off by the delay of their messages: with it, engines that die at one instant count once also when reports take different times.

--- a/src/gateway/gateway-feeds/index.ts
+++ b/src/gateway/gateway-feeds/index.ts
@@ -6,7 +6,7 @@
 
 import type {Clock} from '../../clock/clock/index.js';
 import {readInstant, shiftBack} from '../../clock/instant/index.js';
-import type {InstanceId, Revision} from '../../identity/ids/index.js';
+import type {InstanceId, MonotonicMs, Revision} from '../../identity/ids/index.js';
 import type {TargetDescription} from '../../fleet/fleet-target/index.js';
 import type {EventLogger} from '../../logging/create-logger/index.js';
 import type {Member} from '../../membership/member/index.js';
@@ -22,6 +22,8 @@
 
 /** Time without events after which a watch is replaced, in milliseconds. */
 const watchSilenceTimeoutMs = 5000;
+/** Time after the first configuration for which calls wait for the stored quarantines, in milliseconds. */
+const quarantineWaitMs = 400;
 
 /** Options of the gateway's feeds. */
 export type GatewayFeedsOptions = {
@@ -52,6 +54,8 @@
 	private readonly timeline = new RevisionTimeline();
 	private readonly retention = new TargetRetention();
 	private revision = -1 as Revision;
+	/** When the first configuration was applied. */
+	private configuredAt: MonotonicMs | undefined;
 	/** Names of target entries that could not be decoded, so that each is logged once. */
 	private readonly invalidEntries = new Set<string>();
 	private readonly changedCollections = new Set<string>();
@@ -91,9 +95,10 @@
 		return this.revision;
 	}
 
-	/** Whether the stored quarantines have been read. */
-	get hasReadQuarantines(): boolean {
-		return this.mirrors.get(this.options.adapter.collections.quarantines)!.isSynced;
+	/** Whether calls may be served: there is a configuration, and the stored quarantines have been read or are late. */
+	canServe(now: MonotonicMs): boolean {
+		const {isSynced} = this.mirrors.get(this.options.adapter.collections.quarantines)!;
+		return this.configuredAt !== undefined && (isSynced || now >= this.configuredAt + quarantineWaitMs);
 	}
 
 	/** Follows the collections until `signal` aborts. */
@@ -140,12 +145,13 @@
 	}
 
 	private applyConfiguration(): void {
-		const {adapter, logger, onConfiguration} = this.options;
+		const {adapter, clock, logger, onConfiguration} = this.options;
 		for (const object of this.mirrors.get(adapter.collections.configuration)!.objects.values()) {
 			try {
 				const configuration = adapter.decodeConfiguration(object);
 				if (configuration.revision > this.revision) {
 					this.revision = configuration.revision;
+					this.configuredAt ??= clock.readMonotonic();
 					logger.info('configuration applied', {revision: configuration.revision, objectVersion: object.resourceVersion});
 					onConfiguration(configuration);
 				}
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -57,8 +57,6 @@
 
 /** Minimum number of instances assumed until the registry has been read, so that quota shares are not too large. */
 const assumedInstanceCount = 12;
-/** Time after the first configuration for which calls are not taken unless the stored quarantines have been read, in milliseconds. */
-const quarantineWaitMs = 400;
 /** Number of distinct values that `draw` returns. */
 const drawResolution = 0x40_00_00_00;
 
@@ -85,8 +83,6 @@
 	private readonly instanceRegistry: InstanceRegistry;
 	private readonly startedAt: MonotonicMs;
 	private routingTable: RoutingTable | undefined;
-	/** When the first configuration was applied. */
-	private configuredAt = Number.POSITIVE_INFINITY;
 	private plannedStop: PlannedStop | undefined;
 	private isConfigurationMissed = false;
 
@@ -216,14 +212,18 @@
 	}
 
 	private isReady(): boolean {
-		return this.routingTable !== undefined && this.plannedStop === undefined;
+		return this.findUsableTable() !== undefined && this.plannedStop === undefined;
 	}
 
-	/** Returns the routing table for a call, and notes when there is none yet. A first call waits for the stored quarantines for a moment. */
+	/** Returns the routing table for a call, and notes when there is none yet. */
 	private readRoutingTable(): RoutingTable | undefined {
 		this.isConfigurationMissed ||= this.routingTable === undefined;
-		const isEarly = this.options.clock.readMonotonic() < this.configuredAt + quarantineWaitMs;
-		return isEarly && !this.feeds.hasReadQuarantines ? undefined : this.routingTable;
+		return this.findUsableTable();
+	}
+
+	/** Finds the routing table, unless calls have to wait for other collections. */
+	private findUsableTable(): RoutingTable | undefined {
+		return this.feeds.canServe(this.options.clock.readMonotonic()) ? this.routingTable : undefined;
 	}
 
 	private listPeers(): readonly Member[] {
@@ -261,7 +261,6 @@
 	}
 
 	private applyConfiguration(configuration: RoutingConfiguration): void {
-		this.configuredAt = Math.min(this.configuredAt, this.options.clock.readMonotonic());
 		this.routingTable = new RoutingTable(configuration);
 		this.listener.applyLimits(configuration.limits);
 		this.quotaLending.apply(configuration.organisations);
--- a/src/quarantine/crash-ledger/index.ts
+++ b/src/quarantine/crash-ledger/index.ts
@@ -65,6 +65,8 @@
 const proofValidityMs = 60_000;
 /** Number of crashes with a part from which calls that crashed an engine are not sent again. */
 export const suspiciousCrashes = 2;
+/** Minimum time from a crash to a later call, in milliseconds. Times that other instances report are off by the delay of their messages. */
+const reportSkewMs = 20;
 const maximumCrashes = 64;
 const maximumPartsPerCrash = 256;
 const maximumCompletions = 4096;
@@ -242,7 +244,7 @@
 	evidenceByPart.set(part, evidence);
 	evidence.depth = depth;
 	evidence.crashList.push(crash);
-	if (sentAt > evidence.lastCountedAt) {
+	if (sentAt > evidence.lastCountedAt + reportSkewMs) {
 		evidence.sequentialCrashes += 1;
 		evidence.lastCountedAt = crash.crashedAt;
 	}
