Announce each clearance, and retry writes of quarantines more slowly

A complete answer less than 200 ms after another one was not announced, so that evidence which this instance had cleared stayed at the others; the new test failed before. It now waits for the interval instead. All instances retried a quarantine that the store did not take each second; pauses now grow to 5 s, as a quarantine also holds while it is not stored.

--- a/src/quarantine/prompt-quarantine/index.ts
+++ b/src/quarantine/prompt-quarantine/index.ts
@@ -32,7 +32,7 @@
 const maximumAnnouncementDelayMs = 500;
 /** Shortest and longest pause before such an instance stores it, in milliseconds. */
 const storeDelayMs = {shortest: 2000, longest: 6000};
-/** Minimum interval between two clearances of a part, in milliseconds. */
+/** Minimum interval between two announcements of clearances, in milliseconds. */
 const clearanceIntervalMs = 200;
 /** Longest pause before an instance tells the others of earlier complete answers with parts of a crash, in milliseconds. */
 const maximumConfirmationDelayMs = 200;
@@ -76,8 +76,10 @@
 	private readonly records: QuarantineRecords;
 	/** When other instances last heard of a quarantine, by part. */
 	private readonly announced = new LRUCache<PartKey, MonotonicMs>({max: maximumRecentParts});
-	/** When this instance last announced a clearance, by part. */
-	private readonly cleared = new LRUCache<PartKey, MonotonicMs>({max: maximumRecentParts});
+	/** Clearances that are to be announced. */
+	private readonly pendingClearances = new Map<PartKey, Clearance>();
+	/** When this instance last announced clearances. */
+	private clearedAt: MonotonicMs = Number.NEGATIVE_INFINITY as MonotonicMs;
 	/** When this or another instance last told all others of a complete answer, by part. */
 	private readonly confirmed = new LRUCache<PartKey, MonotonicMs>({max: maximumRecentParts});
 
@@ -147,16 +149,11 @@
 
 	recordCompleteAnswer(work: EngineWork, now: MonotonicMs): void {
 		const parts = listSharedPartKeys(work);
-		const lifted = this.liftAll(parts, 'completed', now);
-		const cleared = [...new Set([...this.ledger.recordCompletion(parts, now), ...lifted])]
-			.filter(part => !this.isRecent(this.cleared, part, now, clearanceIntervalMs));
+		const lifted = this.liftAll(parts, 'completed');
+		const cleared = [...new Set([...this.ledger.recordCompletion(parts, now), ...lifted])];
 		if (cleared.length > 0) {
 			this.options.logger.info('prompt parts cleared', {parts: formatParts(cleared), reason: 'completed'});
-			for (const part of cleared) {
-				this.cleared.set(part, now);
-			}
-
-			this.announceClearances(cleared.map(part => ({part, completedAt: now})), now);
+			this.scheduleClearances(cleared, now);
 		}
 
 		for (const part of lifted) {
@@ -208,7 +205,7 @@
 		const quarantine = this.register.read(part);
 		const isRefuted = quarantine !== undefined && completedAt >= quarantine.endsAt - quarantine.durationMs;
 		if (isRefuted) {
-			this.liftAll([part], 'completed elsewhere', now);
+			this.liftAll([part], 'completed elsewhere');
 			void this.records.removeOwn(part);
 		}
 	}
@@ -257,20 +254,42 @@
 	private async confirmProvenParts({prompts}: CrashReport, now: MonotonicMs): Promise<void> {
 		const {clock} = this.options;
 		const parts = [...new Set(prompts.flatMap(prompt => prompt.parts))];
-		const isProven = (part: PartKey) => this.ledger.readCompletedAt(part) !== undefined
-			&& !this.isRecent(this.confirmed, part, now, confirmationIntervalMs);
-		if (!parts.some(part => isProven(part))) {
+		const isUnconfirmed = (part: PartKey) => this.ledger.readCompletedAt(part) !== undefined && !this.isConfirmed(part, now);
+		if (!parts.some(part => isUnconfirmed(part))) {
 			return;
 		}
 
 		await clock.sleep(this.drawDelay(0, maximumConfirmationDelayMs));
-		const clearances = parts.filter(part => isProven(part)).slice(0, maximumClearancesPerMessage)
+		const clearances = parts.filter(part => isUnconfirmed(part)).slice(0, maximumClearancesPerMessage)
 			.map(part => ({part, completedAt: this.ledger.readCompletedAt(part)!}));
 		if (clearances.length > 0) {
 			this.announceClearances(clearances, clock.readMonotonic());
 		}
 	}
 
+	/** Announces clearances at once, or after the minimum interval together with those that follow until then. */
+	private scheduleClearances(parts: readonly PartKey[], now: MonotonicMs): void {
+		const isScheduled = this.pendingClearances.size > 0;
+		for (const part of parts) {
+			this.pendingClearances.set(part, {part, completedAt: now});
+		}
+
+		if (!isScheduled) {
+			void this.flushClearances(now);
+		}
+	}
+
+	private async flushClearances(now: MonotonicMs): Promise<void> {
+		const {clock} = this.options;
+		await clock.sleep(Math.max(0, this.clearedAt + clearanceIntervalMs - now));
+		const clearances = [...this.pendingClearances.values()];
+		this.pendingClearances.clear();
+		this.clearedAt = clock.readMonotonic();
+		for (let offset = 0; offset < clearances.length; offset += maximumClearancesPerMessage) {
+			this.announceClearances(clearances.slice(offset, offset + maximumClearancesPerMessage), this.clearedAt);
+		}
+	}
+
 	private announceClearances(clearances: readonly Clearance[], now: MonotonicMs): void {
 		for (const {part} of clearances) {
 			this.confirmed.set(part, now);
@@ -330,10 +349,10 @@
 	}
 
 	/** Lifts the quarantines of parts with which a call ended with a complete answer. Returns the parts that had one. */
-	private liftAll(parts: readonly PartKey[], reason: string, now: MonotonicMs): PartKey[] {
+	private liftAll(parts: readonly PartKey[], reason: string): PartKey[] {
 		const lifted = parts.filter(part => this.register.lift(part) !== undefined);
 		for (const part of lifted) {
-			this.options.logger.warn('quarantine lifted', {part, reason, at: Math.round(now)});
+			this.options.logger.warn('quarantine lifted', {part, reason});
 		}
 
 		return lifted;
@@ -341,15 +360,14 @@
 
 	/** Lifts a quarantine whose object was deleted, and forgets the evidence, which would bring it back or speak against other parts. */
 	private applyRemoval(part: PartKey): void {
-		const now = this.options.clock.readMonotonic();
-		if (this.liftAll([part], 'object deleted', now).length > 0) {
+		if (this.liftAll([part], 'object deleted').length > 0) {
 			this.ledger.forgetCrashes(part);
 		}
 	}
 
-	private isRecent(times: LRUCache<PartKey, MonotonicMs>, part: PartKey, now: MonotonicMs, intervalMs: number): boolean {
-		const time = times.get(part);
-		return time !== undefined && now - time < intervalMs;
+	private isConfirmed(part: PartKey, now: MonotonicMs): boolean {
+		const confirmedAt = this.confirmed.get(part);
+		return confirmedAt !== undefined && now - confirmedAt < confirmationIntervalMs;
 	}
 
 	private drawDelay(shortestMs: number, longestMs: number): number {
--- a/src/quarantine/prompt-quarantine/test.ts
+++ b/src/quarantine/prompt-quarantine/test.ts
@@ -165,6 +165,19 @@
 	expect([first, second].map(guard => isRejected(guard))).toEqual([false, false]);
 });
 
+test('guards against evidence that stays at other instances because two complete answers follow each other quickly', async () => {
+	const {clock, first, second, crashEngines} = createPair();
+	const work = createWork('root', 'other', 'own');
+	await crashEngines(first, 1);
+	first.recordCompleteAnswer(work, clock.readMonotonic());
+	await clock.advance(50);
+	first.recordBrokenAnswer(createWork('root', 'culprit', 'own'), createFleetTarget('e9'), clock.readMonotonic(), clock.readMonotonic());
+	await clock.advance(50);
+	first.recordCompleteAnswer(work, clock.readMonotonic());
+	await clock.advance(500);
+	expect(second.dump().suspected.map(({part}) => part as string)).toEqual([culpritKey]);
+});
+
 test('guards against a quarantine that returns at once after an operator has deleted its object', async () => {
 	const {clock, objectApi, first, second, crashEngines, isRejected, refresh} = createPair();
 	await crashEngines(first, 4);
--- a/src/quarantine/quarantine-records/index.ts
+++ b/src/quarantine/quarantine-records/index.ts
@@ -10,7 +10,6 @@
 import type {MonotonicMs, ResourceVersion} from '../../identity/ids/index.js';
 import type {EventLogger} from '../../logging/create-logger/index.js';
 import type {RandomSource} from '../../random/random-source/index.js';
-import {calculateBackoff} from '../../requests/calculate-backoff/index.js';
 import {ObjectApiError, type ObjectApi, type StoredObject} from '../../store/object-api/index.js';
 import {
 	createPartKey, maximumKeyLength, splitPartKey, type PartKey,
@@ -29,6 +28,8 @@
 
 /** Difference of ends below which two records are of the same quarantine, in milliseconds. */
 const sameEndToleranceMs = 2000;
+/** Bounds of the pause before a retry, in milliseconds; a quarantine also holds while it is not stored. */
+const retryDelayMs = {shortest: 250, longest: 5000};
 const maximumRemovalAttempts = 5;
 const maximumRememberedNames = 1000;
 const randomSteps = 1000;
@@ -88,7 +89,7 @@
 
 	/** Stores a quarantine after a delay, unless another instance has done so by then. Retries while the quarantine is current. */
 	async store(quarantine: Quarantine, delayMs: number): Promise<void> {
-		const {clock, random, logger} = this.options;
+		const {clock, logger} = this.options;
 		const name = formatObjectName(quarantine.part);
 		const until = Math.round(clock.readWall() + (quarantine.endsAt - clock.readMonotonic()));
 		await clock.sleep(delayMs);
@@ -100,7 +101,7 @@
 				break;
 			} catch (error) {
 				logger.warn('quarantine not stored', {part: quarantine.part, attempt, reason: (error as Error).message});
-				await clock.sleep(calculateBackoff(attempt + 1, (1 + random.pickIndex(randomSteps)) / randomSteps));
+				await this.backOff(attempt);
 			}
 		}
 
@@ -118,7 +119,7 @@
 
 	/** Removes the object of a part, if there is one. */
 	async remove(part: PartKey): Promise<void> {
-		const {remover, collection, clock, random, logger} = this.options;
+		const {remover, collection, logger} = this.options;
 		const name = formatObjectName(part);
 		for (let attempt = 1; attempt <= maximumRemovalAttempts; attempt += 1) {
 			try {
@@ -130,11 +131,17 @@
 				}
 
 				logger.warn('quarantine not removed from the store', {part, attempt, reason: (error as Error).message});
-				await clock.sleep(calculateBackoff(attempt + 1, (1 + random.pickIndex(randomSteps)) / randomSteps));
+				await this.backOff(attempt);
 			}
 		}
 	}
 
+	private async backOff(attempt: number): Promise<void> {
+		const {clock, random} = this.options;
+		const longestMs = Math.min(retryDelayMs.longest, retryDelayMs.shortest * (2 ** attempt));
+		await clock.sleep(longestMs * (randomSteps + random.pickIndex(randomSteps)) / (2 * randomSteps));
+	}
+
 	private isCurrent({part, endsAt}: Quarantine): boolean {
 		return this.options.read(part)?.endsAt === endsAt;
 	}
