--- a/src/budget/budget-tenure/index.ts
+++ b/src/budget/budget-tenure/index.ts
@@ -1,6 +1,6 @@
 /**
- * Maintains this instance's lease and its entry in the ledger: claims parts, gives parts up and frees
- * the parts of dead owners. A single task calls `step` about once a second; calls never overlap.
+ * Maintains this instance's lease and its entry in the ledger: claims parts and gives parts up. A single
+ * task calls `step` about once a second; calls never overlap.
  *
  * Two rules prevent a part from having two owners. Parts are used only under a tenure that was written
  * to the ledger after the lease was acquired, so that a ledger write of an earlier lease holder that is
@@ -16,15 +16,16 @@
 import type {MemberView} from '../../membership/member/index.js';
 import type {ObjectApi} from '../../store/object-api/index.js';
 import {
-	BudgetLedger, findSlotOfPart, freePartMark, newPartMark, removeOwner, selectHandovers, scoreCandidate, type LedgerOwner, type LedgerRecord,
-	type LedgerSnapshot, type PartHandover,
+	BudgetLedger, findSlotOfPart, freePartMark, removeOwner, selectHandovers, type LedgerOwner, type LedgerRecord, type LedgerSnapshot, type PartHandover,
 } from '../budget-ledger/index.js';
 import type {BudgetOwner} from '../budget-owner/index.js';
 import type {BudgetTimings} from '../budget-timings/index.js';
+import {collectInitialStates} from '../collect-initial-states/index.js';
+import {DeadOwnerWatcher} from '../dead-owner-watcher/index.js';
+import {formatInstanceLease} from '../format-instance-lease/index.js';
+import {PartHistory} from '../part-history/index.js';
 import {planLedger, type LedgerPlan} from '../plan-ledger/index.js';
 
-/** Number of instances that watch a dead owner's lease. It is fixed so that store calls do not grow with the fleet. */
-const watchersPerOwner = 2;
 const maximumHandOverAttempts = 5;
 
 /** Options of `BudgetTenure`. */
@@ -58,16 +59,26 @@
 	private hasPendingWrite = false;
 	/** States of parts that this tenure stopped using before a write that was not confirmed. */
 	private readonly unconfirmedHandovers = new Map<number, PartHandover>();
-	private readonly watchedLeases = new Map<string, Lease>();
-	private readonly freeSince = new Map<number, MonotonicMs>();
-	private readonly slotGivenUpAt = new Map<number, MonotonicMs>();
+	private readonly deadOwners: DeadOwnerWatcher;
+	private readonly partHistory: PartHistory;
 
 	constructor(private readonly options: BudgetTenureOptions) {
-		const {objectApi, clock, self, incarnation, timings} = options;
+		const {
+			objectApi, clock, self, incarnation, timings, members, logger,
+		} = options;
 		this.lease = new Lease({
-			objectApi, clock, name: formatLeaseName(self), holder: self, incarnation, durationMs: timings.leaseDurationMs, mayReplaceEarlierIncarnation: true,
+			objectApi, clock, name: formatInstanceLease(self), holder: self, incarnation, durationMs: timings.leaseDurationMs,
+			mayReplaceEarlierIncarnation: true,
 		});
 		this.ledger = new BudgetLedger(objectApi, incarnation);
+		this.partHistory = new PartHistory(timings);
+		this.deadOwners = new DeadOwnerWatcher({
+			self, incarnation, objectApi, clock, members, timings, logger, ledger: this.ledger,
+			onLeaseTaken: outcome => {
+				this.hasPendingWrite ||= outcome === 'unknown';
+				this.nextLedgerReadAt = 0;
+			},
+		});
 	}
 
 	/** Whether the owned parts may be used at `now`. Has to be checked immediately before each use. */
@@ -160,7 +171,7 @@
 		const expiry = this.lease.readExpiry();
 		return {
 			isOwner: this.isOwner(now), fencing: this.recordedFencing, leaseLeftMs: expiry === undefined ? 0 : expiry - now,
-			ledgerRevision: this.readRevision(), hasPendingWrite: this.hasPendingWrite, watchedLeases: [...this.watchedLeases.keys()],
+			ledgerRevision: this.readRevision(), hasPendingWrite: this.hasPendingWrite, watchedLeases: this.deadOwners.listWatched(),
 		};
 	}
 
@@ -203,7 +214,7 @@
 		}
 
 		this.applyLedger(snapshot.record, new Map());
-		await this.watchDeadOwners(snapshot.record);
+		await this.deadOwners.observe(snapshot.record);
 	}
 
 	private async writePlan(snapshot: LedgerSnapshot): Promise<LedgerSnapshot> {
@@ -219,7 +230,7 @@
 			handovers[part] = owner.createHandover(part, now);
 			this.unconfirmedHandovers.set(part, handovers[part]);
 			owner.removePart(part);
-			this.slotGivenUpAt.set(findSlotOfPart(part), now);
+			this.partHistory.recordGivenUp(part, now);
 		}
 
 		const fencing = this.lease.readFencing();
@@ -237,7 +248,7 @@
 			this.recordedFencing = fencing;
 		}
 
-		this.applyLedger(result.snapshot.record, this.collectInitialStates(snapshot.record));
+		this.applyLedger(result.snapshot.record, collectInitialStates(snapshot.record, self));
 		logger.info('budget ledger written', {
 			revision: result.snapshot.record.revision, claimed: plan.claimed.length, given_up: plan.givenUp.length,
 			parts: owner.listParts().length, wait_ms: timings.grantExpiryMs,
@@ -245,27 +256,8 @@
 		return result.snapshot;
 	}
 
-	/** Initial states of the parts whose earlier grants are known, from the ledger record before they were claimed. */
-	private collectInitialStates(previousRecord: LedgerRecord): Map<number, PartHandover> {
-		const initialStates = new Map<number, PartHandover>();
-		const isUnshared = previousRecord.owners[this.options.self]?.isShared === false;
-		for (const [part, owner] of previousRecord.parts.entries()) {
-			const handover = previousRecord.handovers[part];
-			if (owner === newPartMark) {
-				initialStates.set(part, {level: 1, outstanding: 0});
-			} else if (owner === freePartMark && handover !== undefined) {
-				initialStates.set(part, handover);
-			} else if (owner === this.options.self && isUnshared) {
-				// The previous incarnation granted tokens only to itself, and these grants ended with it.
-				initialStates.set(part, {level: 0, outstanding: 0});
-			}
-		}
-
-		return initialStates;
-	}
-
 	private createPlan(record: LedgerRecord): LedgerPlan | undefined {
-		const {self, incarnation, members, clock, timings} = this.options;
+		const {self, incarnation, members, clock} = this.options;
 		const now = clock.readMonotonic();
 		const liveIds = members.listLive(now).filter(member => member.state === 'live').map(member => member.id);
 		const candidates = liveIds.includes(self) ? liveIds : [...liveIds, self];
@@ -273,26 +265,16 @@
 		const isShared = this.hasPeerRequests || candidates.length > 1 || record.owners[self]?.isShared === true
 			|| Object.keys(record.owners).some(id => id !== self) || record.parts.includes(freePartMark);
 		const tenure: LedgerOwner = {incarnation, fencing: this.lease.readFencing() ?? 0 as FencingNumber, isShared};
-		this.trackFreeParts(record, now);
+		this.partHistory.observe(record, now);
 		const plan = planLedger(record, {
 			self, tenure, live: candidates,
-			canGiveUp: slot => now - (this.slotGivenUpAt.get(slot) ?? -timings.rebalanceIntervalMs) >= timings.rebalanceIntervalMs,
-			mayExceedShare: part => now - (this.freeSince.get(part) ?? now) > 2 * timings.ledgerIntervalMs,
+			canGiveUp: slot => this.partHistory.canGiveUp(slot, now),
+			mayExceedShare: part => this.partHistory.mayExceedShare(part, now),
 		});
 		const mustWrite = this.hasPendingWrite || (this.recordedFencing === undefined && record.parts.includes(self));
 		return plan ?? (mustWrite ? {record, claimed: [], givenUp: []} : undefined);
 	}
 
-	private trackFreeParts(record: LedgerRecord, now: MonotonicMs): void {
-		for (const [part, owner] of record.parts.entries()) {
-			if (owner !== freePartMark && owner !== newPartMark) {
-				this.freeSince.delete(part);
-			} else if (!this.freeSince.has(part)) {
-				this.freeSince.set(part, now);
-			}
-		}
-	}
-
 	/**
 	 * Updates the owned parts to match a ledger read from the store. A part without a known initial state
 	 * becomes usable when earlier grants have expired.
@@ -318,49 +300,6 @@
 		}
 	}
 
-	/** Watches the leases of owners that seem dead, and frees an owner's parts once its lease has been acquired. */
-	private async watchDeadOwners(record: LedgerRecord): Promise<void> {
-		const {members, clock, self} = this.options;
-		const liveIds = new Set(members.listLive(clock.readMonotonic()).map(member => member.id as string));
-		const deadOwners = Object.keys(record.owners).filter(id => id !== self && !liveIds.has(id) && this.isWatcher(id, liveIds));
-		for (const id of this.watchedLeases.keys()) {
-			if (!deadOwners.includes(id)) {
-				this.watchedLeases.delete(id);
-			}
-		}
-
-		for (const id of deadOwners) {
-			await this.watchOwner(id);
-		}
-	}
-
-	private isWatcher(ownerId: string, liveIds: ReadonlySet<string>): boolean {
-		const rankedIds = [...liveIds, this.options.self].toSorted((a, b) => scoreCandidate(ownerId, a) - scoreCandidate(ownerId, b));
-		return [...new Set(rankedIds)].slice(0, watchersPerOwner).includes(this.options.self);
-	}
-
-	private async watchOwner(id: string): Promise<void> {
-		const {objectApi, clock, self, incarnation, timings, logger} = this.options;
-		const lease = this.watchedLeases.get(id) ?? new Lease({
-			objectApi, clock, name: formatLeaseName(id), holder: self, incarnation, durationMs: timings.takeoverLeaseMs,
-		});
-		this.watchedLeases.set(id, lease);
-		if (!await lease.acquire()) {
-			return;
-		}
-
-		const snapshot = await this.ledger.read();
-		if (snapshot.record.owners[id] !== undefined && lease.isHeld(clock.readMonotonic())) {
-			const {outcome} = await this.ledger.write(snapshot, removeOwner(snapshot.record, id));
-			logger.warn('budget parts of a dead owner freed', {owner: id, outcome});
-			this.hasPendingWrite ||= outcome === 'unknown';
-		}
-
-		this.watchedLeases.delete(id);
-		this.nextLedgerReadAt = 0;
-		await lease.release();
-	}
-
 	private reportStoreState(isDown: boolean, reason?: string): void {
 		if (isDown !== this.isStoreDown) {
 			this.isStoreDown = isDown;
@@ -368,7 +307,3 @@
 		}
 	}
 }
-
-function formatLeaseName(instance: string): string {
-	return `instance.${instance}`;
-}
