Call held tokens grants and the time of ownership a term

BudgetTenure is PartOwnership. The metric lotOverspent and the keys lots and tenure of the dump keep their names.

--- a/src/budget/budget-exchanger/index.ts
+++ b/src/budget/budget-exchanger/index.ts
@@ -18,7 +18,7 @@
 } from '../budget-ledger/index.js';
 import type {BudgetMetrics} from '../budget-metrics/index.js';
 import type {BudgetOwner} from '../budget-owner/index.js';
-import type {BudgetTenure} from '../budget-tenure/index.js';
+import type {PartOwnership} from '../part-ownership/index.js';
 import type {BudgetTimings} from '../budget-timings/index.js';
 
 /** How long a peer is skipped after a call to it failed or timed out. */
@@ -35,11 +35,11 @@
 	readonly members: MemberView;
 	readonly owner: BudgetOwner;
 	readonly holder: BudgetHolder;
-	readonly tenure: BudgetTenure;
+	readonly ownership: PartOwnership;
 	readonly timings: BudgetTimings;
 	readonly metrics: BudgetMetrics;
-	/** Called after a lot of the organisation has been received. */
-	readonly onLotsReceived: (organisation: OrganisationId) => void;
+	/** Called after a grant of the organisation has been received. */
+	readonly onGrantsReceived: (organisation: OrganisationId) => void;
 	/** Called when the ledger has to be read immediately: a peer knows a newer revision, or waits until this instance may grant to peers. */
 	readonly onLedgerReadNeeded: () => void;
 };
@@ -57,7 +57,7 @@
 	/** Whether this instance may use a part of the organisation's slot. */
 	isCoordinator(organisation: OrganisationId, now: MonotonicMs): boolean {
 		const slot = chooseSlot(organisation);
-		return this.options.tenure.isOwner(now) && this.options.owner.listParts().some(part => findSlotOfPart(part) === slot);
+		return this.options.ownership.isOwner(now) && this.options.owner.listParts().some(part => findSlotOfPart(part) === slot);
 	}
 
 	/** Whether this instance may use a part of the organisation's slot, or a live peer owns one. */
@@ -70,21 +70,21 @@
 	 * respond or cannot use them yet.
 	 */
 	isInTransition(organisation: OrganisationId, now: MonotonicMs): boolean {
-		const {tenure, members, self} = this.options;
-		const ledger = tenure.readLedger();
+		const {ownership, members, self} = this.options;
+		const ledger = ownership.readLedger();
 		if (ledger === undefined) {
 			return true;
 		}
 
 		const usableMembers = members.listLive(now).filter(member => member.state === 'live' && !this.isSuspect(member.id, now));
 		const usableIds = new Set<string>(usableMembers.map(member => member.id));
-		return listSlotParts(ledger, chooseSlot(organisation)).some(owner => !usableIds.has(owner) || (owner === self && !tenure.isOwner(now)));
+		return listSlotParts(ledger, chooseSlot(organisation)).some(owner => !usableIds.has(owner) || (owner === self && !ownership.isOwner(now)));
 	}
 
 	/** Grants up to `tokens` from this instance's own parts to itself. */
 	acquireLocalTokens(organisation: OrganisationId, tokens: number, now: MonotonicMs): void {
-		const {tenure, owner, holder, self} = this.options;
-		if (tenure.isOwner(now)) {
+		const {ownership, owner, holder, self} = this.options;
+		if (ownership.isOwner(now)) {
 			for (const grant of owner.grant(organisation, tokens, now)) {
 				holder.addGrant(grant, self, now);
 			}
@@ -139,10 +139,10 @@
 
 	/** Calls one peer and applies its answer. Resolves to undefined if the call failed. */
 	private async callPeer(peer: InstanceId, role: ExchangeRequest['role'], wants: TokenWant[], timeoutMs: number): Promise<ExchangeAnswer | undefined> {
-		const {holder, tenure, clock, peers, metrics, onLotsReceived} = this.options;
+		const {holder, ownership, clock, peers, metrics, onGrantsReceived} = this.options;
 		const sentAt = clock.readMonotonic();
 		const request: ExchangeRequest = {
-			role, ledgerRevision: tenure.readRevision(), reports: holder.collectReports(peer), wants,
+			role, ledgerRevision: ownership.readRevision(), reports: holder.collectReports(peer), wants,
 		};
 		try {
 			const answer = await peers.call<ExchangeAnswer>(peer, exchangeMethod, request, timeoutMs);
@@ -151,7 +151,7 @@
 			this.applyAnswer(peer, answer);
 			for (const grant of answer.grants) {
 				holder.addGrant(grant, peer, sentAt);
-				onLotsReceived(grant.organisation);
+				onGrantsReceived(grant.organisation);
 			}
 
 			return answer;
@@ -168,36 +168,36 @@
 		}
 
 		if (answer.ledger !== undefined) {
-			this.options.tenure.observePeerLedger(answer.ledger as LedgerRecord);
+			this.options.ownership.observePeerLedger(answer.ledger as LedgerRecord);
 		}
 	}
 
 	private async serveExchange(request: ExchangeRequest): Promise<ExchangeAnswer> {
-		const {owner, holder, tenure, clock} = this.options;
+		const {owner, holder, ownership, clock} = this.options;
 		const now = clock.readMonotonic();
 		owner.applyReports(request.reports, now);
 		holder.applyReports(request.reports, now);
-		if (tenure.observePeerRevision(request.ledgerRevision)) {
+		if (ownership.observePeerRevision(request.ledgerRevision)) {
 			this.options.onLedgerReadNeeded();
 		}
 
 		const grants = await Promise.all(request.wants.map(async want => this.grantWant(want, request.role)));
 		const levels = request.wants.map(({organisation}) => ({organisation, tokens: this.readUsableLevel(organisation)}));
-		const ledger = tenure.readRevision() > request.ledgerRevision ? tenure.readLedger() : undefined;
+		const ledger = ownership.readRevision() > request.ledgerRevision ? ownership.readLedger() : undefined;
 		return {
-			ledgerRevision: tenure.readRevision(), grants: grants.flat(), levels, ledger,
+			ledgerRevision: ownership.readRevision(), grants: grants.flat(), levels, ledger,
 		};
 	}
 
 	private async grantWant(want: TokenWant, role: ExchangeRequest['role']): Promise<Grant[]> {
-		const {owner, holder, tenure, clock} = this.options;
+		const {owner, holder, ownership, clock} = this.options;
 		const now = clock.readMonotonic();
-		if (!tenure.isOwner(now)) {
+		if (!ownership.isOwner(now)) {
 			return [];
 		}
 
-		if (!tenure.canGrantToPeers()) {
-			tenure.requestSharing();
+		if (!ownership.canGrantToPeers()) {
+			ownership.requestSharing();
 			this.options.onLedgerReadNeeded();
 			return [];
 		}
@@ -214,13 +214,13 @@
 
 	private readUsableLevel(organisation: OrganisationId): number {
 		const now = this.options.clock.readMonotonic();
-		return this.options.tenure.isOwner(now) ? this.options.owner.readLevel(organisation, now) : 0;
+		return this.options.ownership.isOwner(now) ? this.options.owner.readLevel(organisation, now) : 0;
 	}
 
 	/** Live owners of the organisation's slot other than this instance, those in the same data centre first. */
 	private listOwners(organisation: OrganisationId, now: MonotonicMs): InstanceId[] {
-		const {tenure, members, self} = this.options;
-		const ledger = tenure.readLedger();
+		const {ownership, members, self} = this.options;
+		const ledger = ownership.readLedger();
 		if (ledger === undefined) {
 			return [];
 		}
--- a/src/budget/budget-holder/test.ts
+++ b/src/budget/budget-holder/test.ts
@@ -21,7 +21,7 @@
 	return holder;
 }
 
-test('guards against a paused holder that spends a lot whose validity, counted from the sending of the request, is over', () => {
+test('guards against a paused holder that spends a grant whose validity, counted from the sending of the request, is over', () => {
 	const holder = createHolder();
 	expect(holder.charge(organisation, 10, at(5999), 100) === undefined).toEqual(false);
 	expect(holder.charge(organisation, 10, at(6000), 100)).toEqual(undefined);
@@ -40,7 +40,7 @@
 	expect(holder.countAvailable(organisation, at(1100))).toEqual(25);
 });
 
-test('guards against a relayed grant that outlives its lot or is spent twice', () => {
+test('guards against a relayed grant that outlives its grant or is spent twice', () => {
 	const holder = createHolder();
 	const [relayedGrant] = holder.relay(organisation, 80, at(3000));
 	expect(relayedGrant!.validMs < 3000).toEqual(true);
--- a/src/budget/budget-ledger/index.ts
+++ b/src/budget/budget-ledger/index.ts
@@ -18,7 +18,7 @@
 /** Marks a part whose owner gave it up or died. */
 export const freePartMark = '';
 
-/** Tenure of an owner. It may use its parts only under the tenure that is recorded here. */
+/** Term of an owner. It may use its parts only under the term that is recorded here. */
 export type LedgerOwner = {
 	readonly incarnation: Incarnation;
 	/** Fencing number of the owner's instance lease. */
@@ -79,7 +79,7 @@
 	return [...new Set(owners)] as InstanceId[];
 }
 
-/** Frees the parts of `owner` and ends its tenure. `handovers` holds the states of its parts, as far as they are known. */
+/** Frees the parts of `owner` and ends its term. `handovers` holds the states of its parts, as far as they are known. */
 export function removeOwner(record: LedgerRecord, owner: string, handovers: Readonly<Record<string, PartHandover>> = {}): LedgerRecord {
 	const owners = Object.fromEntries(Object.entries(record.owners).filter(([id]) => id !== owner));
 	const parts = record.parts.map(part => part === owner ? freePartMark : part);
@@ -93,8 +93,8 @@
 
 /** Selects the states of those parts that `owner` owns in `record`. */
 export function selectHandovers(record: LedgerRecord, owner: OwnerIdentity, handovers: Readonly<Record<string, PartHandover>>): Record<string, PartHandover> {
-	const isCurrentTenure = record.owners[owner.self]?.incarnation === owner.incarnation;
-	return Object.fromEntries(Object.entries(handovers).filter(([part]) => isCurrentTenure && record.parts[Number(part)] === owner.self));
+	const isCurrentTerm = record.owners[owner.self]?.incarnation === owner.incarnation;
+	return Object.fromEntries(Object.entries(handovers).filter(([part]) => isCurrentTerm && record.parts[Number(part)] === owner.self));
 }
 
 /** Reads and writes the ledger object. */
--- a/src/budget/budget-timings/index.ts
+++ b/src/budget/budget-timings/index.ts
@@ -19,8 +19,8 @@
 	readonly grantValidityMs: number;
 	/** Time after which an owner counts a grant as spent: its validity plus a fifth to allow for differing clocks. */
 	readonly grantExpiryMs: number;
-	/** Unspent tokens of a lot are returned this long before it expires, so that they are not lost. A surplus is returned once the lot is this old. */
-	readonly lotReturnMs: number;
+	/** Unspent tokens of a grant are returned this long before it expires, so that they are not lost. A surplus is returned once the grant is this old. */
+	readonly grantReturnMs: number;
 	readonly tickIntervalMs: number;
 	/** Period of expected demand for which a holder prefetches tokens. */
 	readonly prefetchMs: number;
@@ -41,7 +41,7 @@
 	ledgerIntervalMs: 5000,
 	grantValidityMs: 5000,
 	grantExpiryMs: 6000,
-	lotReturnMs: 1000,
+	grantReturnMs: 1000,
 	tickIntervalMs: 100,
 	prefetchMs: 500,
 	refillPauseMs: 50,
--- a/src/budget/fleet-budget/index.ts
+++ b/src/budget/fleet-budget/index.ts
@@ -1,6 +1,6 @@
 /**
- * Admission against token budgets that apply to the whole fleet. Each instance holds lots, which are
- * tokens granted to it, and may own budget parts, which it grants from. `docs/budgets.md` describes
+ * Admission against token budgets that apply to the whole fleet. Each instance spends the grants that it
+ * holds, and may own budget parts, which it grants from. `docs/budgets.md` describes
  * how holders and owners together keep the limit of burst + rate x t for every interval of length t.
  */
 
@@ -20,7 +20,7 @@
 import {BudgetHolder} from '../budget-holder/index.js';
 import {createBudgetMetrics, type BudgetMetrics} from '../budget-metrics/index.js';
 import {BudgetOwner} from '../budget-owner/index.js';
-import {BudgetTenure} from '../budget-tenure/index.js';
+import {PartOwnership} from '../part-ownership/index.js';
 import {defaultBudgetTimings, type BudgetTimings} from '../budget-timings/index.js';
 import {TokenSupply} from '../token-supply/index.js';
 
@@ -50,13 +50,13 @@
 	private readonly timings: BudgetTimings;
 	private readonly owner: BudgetOwner;
 	private readonly holder: BudgetHolder;
-	private readonly tenure: BudgetTenure;
+	private readonly ownership: PartOwnership;
 	private readonly exchanger: BudgetExchanger;
 	private readonly queue: AdmissionQueue;
 	private readonly stopController = new AbortController();
 	private tasks: Array<Promise<void>> = [];
 	private lastReportAt = 0;
-	/** Aborted to run the next step of the tenure early. */
+	/** Aborted to run the next step of `ownership` early. */
 	private stepController = new AbortController();
 
 	constructor(private readonly options: FleetBudgetOptions) {
@@ -70,12 +70,12 @@
 		this.owner = new BudgetOwner({incarnation, timings, invariants});
 		this.holder = new BudgetHolder({incarnation, timings, invariants});
 		const {owner, holder} = this;
-		this.tenure = new BudgetTenure({
+		this.ownership = new PartOwnership({
 			self, incarnation, objectApi, clock, members, owner, timings, logger,
 		});
 		this.exchanger = new BudgetExchanger({
-			self, clock, peers, methods, members, owner, holder, tenure: this.tenure, timings, metrics,
-			onLotsReceived: id => {
+			self, clock, peers, methods, members, owner, holder, ownership: this.ownership, timings, metrics,
+			onGrantsReceived: id => {
 				this.queue.serveQueue(id);
 			},
 			onLedgerReadNeeded: () => {
@@ -96,7 +96,7 @@
 
 	/** Starts the tasks that keep the lease and ledger entry up to date and that return and fetch tokens. */
 	start(): void {
-		this.tasks = [this.maintainTenure(), this.maintainLots()];
+		this.tasks = [this.maintainOwnership(), this.maintainGrants()];
 	}
 
 	/** Applies the organisations of the current configuration. */
@@ -108,7 +108,7 @@
 		return this.queue.admit(organisation, tokens, waitMs);
 	}
 
-	/** Returns the lots and hands over the parts. To be called after the last request. */
+	/** Returns the grants and hands over the parts. To be called after the last request. */
 	async stop(): Promise<void> {
 		this.stopController.abort();
 		this.stepController.abort();
@@ -119,7 +119,7 @@
 		}
 
 		await this.exchanger.flushReports();
-		await this.tenure.handOver();
+		await this.ownership.handOver();
 		await this.exchanger.syncLedgerWithPeers(handoverPeerCount);
 	}
 
@@ -130,22 +130,22 @@
 			id: account.id, waiting: account.queue.length, demandPerSecond: account.demandPerSecond,
 		}));
 		return {
-			tenure: this.tenure.dump(now), owner: this.owner.dump(now), holder: this.holder.dump(now), accounts,
+			tenure: this.ownership.dump(now), owner: this.owner.dump(now), holder: this.holder.dump(now), accounts,
 		};
 	}
 
-	private async maintainTenure(): Promise<void> {
+	private async maintainOwnership(): Promise<void> {
 		const {clock} = this.options;
 		const {signal} = this.stopController;
 		while (!signal.aborted) {
-			await this.tenure.step();
-			this.metrics.ledgerRevision.set(this.tenure.readRevision());
-			this.metrics.ownedParts.set(this.tenure.isOwner(clock.readMonotonic()) ? this.owner.listParts().length : 0);
-			if (this.tenure.readLedger() === undefined) {
+			await this.ownership.step();
+			this.metrics.ledgerRevision.set(this.ownership.readRevision());
+			this.metrics.ownedParts.set(this.ownership.isOwner(clock.readMonotonic()) ? this.owner.listParts().length : 0);
+			if (this.ownership.readLedger() === undefined) {
 				await this.exchanger.syncLedgerWithPeers(2);
 			}
 
-			if (this.stepController.signal.aborted || this.tenure.shouldStepSoon()) {
+			if (this.stepController.signal.aborted || this.ownership.shouldStepSoon()) {
 				this.stepController = new AbortController();
 				await clock.sleep(earlyStepPauseMs, signal);
 			} else {
@@ -154,7 +154,7 @@
 		}
 	}
 
-	private async maintainLots(): Promise<void> {
+	private async maintainGrants(): Promise<void> {
 		const {clock} = this.options;
 		const {signal} = this.stopController;
 		while (!signal.aborted) {
--- a/src/budget/budget-tenure/index.ts
+++ b/src/budget/part-ownership/index.ts
@@ -2,7 +2,7 @@
  * Maintains this instance's lease and its entry in the ledger: claims parts and gives parts up. A single
  * task calls `step` about once a second; calls never overlap.
  *
- * Two rules prevent a part from having two owners. Parts are used only under a tenure that was written
+ * Two rules prevent a part from having two owners. Parts are used only under a term that was written
  * to the ledger after the lease was acquired, so that a ledger write of an earlier lease holder that is
  * still in flight fails with a conflict. Parts are freed only by their owner or by the holder of its lease.
  */
@@ -28,8 +28,8 @@
 
 const maximumHandOverAttempts = 5;
 
-/** Options of `BudgetTenure`. */
-export type BudgetTenureOptions = {
+/** Options of `PartOwnership`. */
+export type PartOwnershipOptions = {
 	readonly self: InstanceId;
 	readonly incarnation: Incarnation;
 	readonly objectApi: ObjectApi;
@@ -41,12 +41,12 @@
 };
 
 /** Maintains the lease and the ledger entry of one instance. */
-export class BudgetTenure {
+export class PartOwnership {
 	private readonly lease: Lease;
 	private readonly ledger: BudgetLedger;
 	/** Latest ledger known from the store or from a peer. It is used to find owners. */
 	private latestLedger: LedgerRecord | undefined;
-	/** Fencing number of the tenure that this instance wrote to the ledger; undefined when there is none. */
+	/** Fencing number of the term that this instance wrote to the ledger; undefined when there is none. */
 	private recordedFencing: FencingNumber | undefined;
 	private isShared = false;
 	/** Whether another instance has requested tokens. It may have to wait for them until `isShared` is set. */
@@ -57,12 +57,12 @@
 	private isStoreDown = false;
 	/** Set while a write of unknown outcome may still take effect. No part is added until the ledger's version has changed. */
 	private hasPendingWrite = false;
-	/** States of parts that this tenure stopped using before a write that was not confirmed. */
+	/** States of parts that this term stopped using before a write that was not confirmed. */
 	private readonly unconfirmedHandovers = new Map<number, PartHandover>();
 	private readonly deadOwners: DeadOwnerWatcher;
 	private readonly partHistory: PartHistory;
 
-	constructor(private readonly options: BudgetTenureOptions) {
+	constructor(private readonly options: PartOwnershipOptions) {
 		const {
 			objectApi, clock, self, incarnation, timings, members, logger,
 		} = options;
@@ -264,10 +264,10 @@
 		// Peers may still hold grants from the earlier owner of a part that was given up.
 		const isShared = this.hasPeerRequests || candidates.length > 1 || record.owners[self]?.isShared === true
 			|| Object.keys(record.owners).some(id => id !== self) || record.parts.includes(freePartMark);
-		const tenure: LedgerOwner = {incarnation, fencing: this.lease.readFencing() ?? 0 as FencingNumber, isShared};
+		const term: LedgerOwner = {incarnation, fencing: this.lease.readFencing() ?? 0 as FencingNumber, isShared};
 		this.partHistory.observe(record, now);
 		const plan = planLedger(record, {
-			self, tenure, live: candidates,
+			self, term, live: candidates,
 			canGiveUp: slot => this.partHistory.canGiveUp(slot, now),
 			mayExceedShare: part => this.partHistory.mayExceedShare(part, now),
 		});
@@ -286,10 +286,10 @@
 		}
 
 		const entry = record.owners[self];
-		const isOwnTenure = this.recordedFencing !== undefined && entry?.incarnation === incarnation && entry.fencing === this.recordedFencing;
+		const isOwnTerm = this.recordedFencing !== undefined && entry?.incarnation === incarnation && entry.fencing === this.recordedFencing;
 		const now = clock.readMonotonic();
 		for (const [part, id] of record.parts.entries()) {
-			if (!isOwnTenure || id !== self) {
+			if (!isOwnTerm || id !== self) {
 				owner.removePart(part);
 			} else if (!owner.hasPart(part) && !this.hasPendingWrite) {
 				const initialState = initialStates.get(part) ?? this.unconfirmedHandovers.get(part);
--- a/src/budget/plan-ledger/index.ts
+++ b/src/budget/plan-ledger/index.ts
@@ -9,7 +9,7 @@
 /** Inputs that a plan depends on besides the ledger record. */
 export type LedgerPlanInput = {
 	readonly self: InstanceId;
-	readonly tenure: LedgerOwner;
+	readonly term: LedgerOwner;
 	/** Live instances that are not leaving, including this one. */
 	readonly live: readonly InstanceId[];
 	/** Whether a part of this slot may be given up now. */
@@ -26,9 +26,9 @@
 
 /** Plans the next ledger record. Returns undefined if nothing has to change. */
 export function planLedger(record: LedgerRecord, input: LedgerPlanInput): LedgerPlan | undefined {
-	const {self, tenure, live} = input;
+	const {self, term, live} = input;
 	const currentEntry = record.owners[self];
-	const isRecorded = currentEntry?.incarnation === tenure.incarnation && currentEntry.fencing === tenure.fencing && currentEntry.isShared === tenure.isShared;
+	const isRecorded = currentEntry?.incarnation === term.incarnation && currentEntry.fencing === term.fencing && currentEntry.isShared === term.isShared;
 	const perSlot = Math.ceil(partsPerSlot / live.length);
 	const total = Math.ceil(partsPerSlot * slotCount / live.length);
 	const counts = countParts(record);
@@ -48,7 +48,7 @@
 	});
 	const handovers = Object.fromEntries(Object.entries(record.handovers).filter(([part]) => !claimed.includes(Number(part))));
 	const planned = {
-		...record, owners: {...record.owners, [self]: tenure}, parts, handovers,
+		...record, owners: {...record.owners, [self]: term}, parts, handovers,
 	};
 	return {record: planned, claimed, givenUp};
 }
--- a/src/budget/token-supply/index.ts
+++ b/src/budget/token-supply/index.ts
@@ -37,7 +37,7 @@
 		return holder.charge(account.id, tokens, now, holdMs);
 	}
 
-	/** Fetches tokens until the queue is served and enough lots are prefetched, pausing while the fleet is short of tokens. */
+	/** Fetches tokens until the queue is served and enough grants are prefetched, pausing while the fleet is short of tokens. */
 	async refill(account: BudgetAccount): Promise<void> {
 		const {
 			clock, exchanger, timings, signal, onTokensAvailable,
--- a/src/capacity/measure-budget-state/index.ts
+++ b/src/capacity/measure-budget-state/index.ts
@@ -1,4 +1,4 @@
-/** Memory of a budget owner's buckets and a budget holder's lots, and bytes of a budget exchange, per active organisation. */
+/** Memory of a budget owner's buckets and a budget holder's grants, and bytes of a budget exchange, per active organisation. */
 
 import type {ResolvedOrganisation} from '../../configuration/configuration/index.js';
 import type {
@@ -32,7 +32,7 @@
 	const exchangePoints = organisationsPerExchange.map(size => ({size, value: countExchangeBytes(size)}));
 	return [
 		createMeasurement('budget-owner-memory', 'budget owner with one bucket and one grant per organisation', 'bytes per organisation', ownerPoints),
-		createMeasurement('budget-holder-memory', 'budget holder with one lot per organisation', 'bytes per organisation', holderPoints),
+		createMeasurement('budget-holder-memory', 'budget holder with one grant per organisation', 'bytes per organisation', holderPoints),
 		createMeasurement('budget-exchange-bytes', 'bodies of one exchange, both ways', 'bytes per organisation', exchangePoints),
 	];
 }
