Limit old weights also by versions that were replaced before the instance saw them

Cause: each version limits the older ones, but a list or the update of a peer contains only the last one.

Change: where a version does not follow the known one, the ones between count from the last moment at which the instance's copy of the announced weights was known to be up to date. A change that is still to be applied does not confirm the copy before it.

--- a/src/forwarding/must-withdraw-attempt/test.ts
+++ b/src/forwarding/must-withdraw-attempt/test.ts
@@ -13,7 +13,7 @@
 
 function createContext() {
 	const registry = new WeightsRegistry(at(0), () => limitMs);
-	registry.addVersion('m', 2, 0, at(announcedAt));
+	registry.addVersion('m', 2, {maximumMs: 0, maximumUnseenMs: 0}, at(announcedAt));
 	return {findVersionHistory: (model: string) => registry.find(model)};
 }
 
--- a/src/gateway/gateway-feeds/index.ts
+++ b/src/gateway/gateway-feeds/index.ts
@@ -5,7 +5,7 @@
  */
 
 import type {Clock} from '../../clock/clock/index.js';
-import {readInstant, shiftBack} from '../../clock/instant/index.js';
+import {measureElapsedMs, readInstant, shiftBack, type Instant} from '../../clock/instant/index.js';
 import type {InstanceId, MonotonicMs, Revision} from '../../identity/ids/index.js';
 import type {TargetDescription} from '../../fleet/fleet-target/index.js';
 import type {EventLogger} from '../../logging/create-logger/index.js';
@@ -15,6 +15,7 @@
 import type {StoredObject} from '../../store/object-api/index.js';
 import {RevisionTimeline} from '../../store/revision-timeline/index.js';
 import type {RandomSource} from '../../random/random-source/index.js';
+import type {AnnouncementAge} from '../../rollout/weights-registry/index.js';
 import type {RoutingConfiguration} from '../../routing/routing-types/index.js';
 import type {WeightsNotice, PlatformAdapter} from '../platform-adapter/index.js';
 import {FeedRelay} from '../feed-relay/index.js';
@@ -42,8 +43,7 @@
 	readonly listPeers: () => readonly Member[];
 	readonly onConfiguration: (configuration: RoutingConfiguration) => void;
 	readonly onTargets: (targets: readonly TargetDescription[]) => void;
-	/** `maximumAgeMs`: maximum time since the weights were announced; undefined when it is not known. */
-	readonly onWeights: (weights: WeightsNotice, maximumAgeMs: number | undefined) => void;
+	readonly onWeights: (weights: WeightsNotice, age: AnnouncementAge) => void;
 	readonly onInstances: (instances: readonly StoredObject[]) => void;
 	readonly onQuarantines: (quarantines: readonly StoredObject[]) => void;
 };
@@ -52,6 +52,8 @@
 export class GatewayFeeds {
 	private readonly mirrors = new Map<string, CollectionMirror>();
 	private readonly timeline = new RevisionTimeline();
+	/** When the applied copy of the announced weights was last known to be up to date. */
+	private weightsConfirmedAt: Instant | undefined;
 	private readonly retention = new TargetRetention();
 	private revision = -1 as Revision;
 	/** When the first configuration was applied. */
@@ -119,7 +121,7 @@
 		this.mirrors.set(collection, new CollectionMirror({
 			objectApi: adapter.objectApi, collection, clock, logger, random, silenceMs: watchSilenceTimeoutMs, shouldRelistAfterFailure: true,
 			onConfirmed: (version, ageMs) => {
-				this.timeline.record(version, shiftBack(readInstant(clock), ageMs));
+				this.recordConfirmation(collection, version, shiftBack(readInstant(clock), ageMs));
 			},
 			onWatchReplaced: () => {
 				this.relay.answerWaitingRequests();
@@ -130,6 +132,14 @@
 		}));
 	}
 
+	/** Records that the object API had `version` at `at`, in an answer about `collection`. */
+	private recordConfirmation(collection: string, version: string, at: Instant): void {
+		this.timeline.record(version, at);
+		if (collection === this.options.adapter.collections.weights && !this.changedCollections.has(collection)) {
+			this.weightsConfirmedAt = at;
+		}
+	}
+
 	/** Schedules a collection to be applied, once for all changes that arrive together. */
 	private scheduleApply(collection: string, apply: () => void): void {
 		if (this.changedCollections.has(collection)) {
@@ -193,7 +203,11 @@
 			if (weights === undefined) {
 				logger.warn('named weights ignored', {object: object.name, reason: 'fields are missing or not valid'});
 			} else {
-				onWeights(weights, this.timeline.measureMaximumAgeMs(object.resourceVersion, readInstant(clock)));
+				const now = readInstant(clock);
+				onWeights(weights, {
+					maximumMs: this.timeline.measureMaximumAgeMs(object.resourceVersion, now),
+					maximumUnseenMs: this.weightsConfirmedAt && measureElapsedMs(this.weightsConfirmedAt, now),
+				});
 			}
 		}
 	}
--- a/src/gateway/gateway-feeds/test.ts
+++ b/src/gateway/gateway-feeds/test.ts
@@ -39,7 +39,7 @@
 		const endpoint = network.open(id);
 		const applied = {
 			revisions: [] as number[], targets: [] as readonly TargetDescription[],
-			weights: [] as WeightsNotice[], weightsAgesMs: [] as Array<number | undefined>, instances: 0, quarantines: [] as string[],
+			weights: [] as WeightsNotice[], weightsAgesMs: [] as Array<number | undefined>, unseenAgesMs: [] as Array<number | undefined>, instances: 0, quarantines: [] as string[],
 		};
 		const adapter: Partial<PlatformAdapter> = {
 			objectApi: api, collections,
@@ -66,9 +66,10 @@
 			onTargets(targets) {
 				applied.targets = targets;
 			},
-			onWeights(weights, maximumAgeMs) {
+			onWeights(weights, age) {
 				applied.weights.push(weights);
-				applied.weightsAgesMs.push(maximumAgeMs);
+				applied.weightsAgesMs.push(age.maximumMs);
+				applied.unseenAgesMs.push(age.maximumUnseenMs);
 			},
 			onInstances(registered) {
 				applied.instances = registered.length;
@@ -347,3 +348,26 @@
 	await clock.advance(400);
 	expect(feeds.canServe(clock.readMonotonic())).toEqual(true);
 });
+
+test('guards against weights that were replaced unseen and count as announced after the watch had been silent', async () => {
+	const {clock, objectApi, instances} = startInstances(1);
+	const first = await objectApi.create('weights', 'm', 1);
+	await clock.advance(3000);
+	objectApi.sendBookmarks();
+	const {api, applied, stop} = instances[0]!;
+	api.isCut = true;
+	api.silenceWatches();
+	const announcedAt = clock.readMonotonic();
+	const second = await objectApi.update('weights', 'm', 2, first.resourceVersion);
+	await clock.advance(3500);
+	await objectApi.update('weights', 'm', 3, second.resourceVersion);
+	await clock.advance(100);
+	api.isCut = false;
+	while (applied.weights.at(-1)?.version !== 3) {
+		await clock.advance(100);
+	}
+
+	expect(applied.unseenAgesMs.at(-1)! >= clock.readMonotonic() - announcedAt - 100).toEqual(true);
+	expect(applied.weights.map(({version}) => version)).toEqual([1, 3]);
+	stop();
+});
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -30,7 +30,7 @@
 import {PromptQuarantine} from '../../quarantine/prompt-quarantine/index.js';
 import {RolloutController, rolloutLeaseMs, rolloutLeaseName} from '../../rollout/rollout-controller/index.js';
 import {RolloutNotices} from '../../rollout/rollout-notices/index.js';
-import {WeightsRegistry} from '../../rollout/weights-registry/index.js';
+import {WeightsRegistry, type AnnouncementAge} from '../../rollout/weights-registry/index.js';
 import {RoutingTable} from '../../routing/routing-table/index.js';
 import type {RoutingConfiguration} from '../../routing/routing-types/index.js';
 import {addressValiditySeconds, answerAddressQuery} from '../answer-address-query/index.js';
@@ -122,8 +122,8 @@
 			onTargets: targets => {
 				this.fleet.replace(targets);
 			},
-			onWeights: (weights, maximumAgeMs) => {
-				this.applyWeights(weights, maximumAgeMs);
+			onWeights: (weights, age) => {
+				this.applyWeights(weights, age);
 			},
 			onQuarantines: objects => {
 				this.promptQuarantine.replaceStored(objects);
@@ -266,12 +266,12 @@
 		this.quotaLending.apply(configuration.organisations);
 	}
 
-	private applyWeights({model, version}: WeightsNotice, maximumAgeMs: number | undefined): void {
+	private applyWeights({model, version}: WeightsNotice, age: AnnouncementAge): void {
 		const now = this.options.clock.readMonotonic();
-		if (this.weightsRegistry.addVersion(model, version, maximumAgeMs, now)) {
+		if (this.weightsRegistry.addVersion(model, version, age, now)) {
 			const exclusiveFrom = this.weightsRegistry.find(model)?.readExclusiveFrom() ?? now;
 			this.options.logger.info('weights named', {
-				model, version, maximumAgeMs: maximumAgeMs && Math.round(maximumAgeMs), oldWeightsForMs: Math.round(exclusiveFrom - now),
+				model, version, maximumAgeMs: age.maximumMs && Math.round(age.maximumMs), oldWeightsForMs: Math.round(exclusiveFrom - now),
 			});
 		}
 	}
--- a/src/rollout/weights-registry/index.ts
+++ b/src/rollout/weights-registry/index.ts
@@ -13,6 +13,14 @@
 /** Time before the end of the limit from which calls that have not begun on old weights are withdrawn, in milliseconds. */
 const withdrawalMarginMs = 500;
 
+/** How long ago weights were announced, in milliseconds; undefined where it is not known. */
+export type AnnouncementAge = {
+	/** Maximum age of the announcement. */
+	readonly maximumMs: number | undefined;
+	/** Maximum age of announcements that this one has replaced before the instance saw them. */
+	readonly maximumUnseenMs: number | undefined;
+};
+
 /** Stores which weights versions were announced and when. */
 export class WeightsRegistry {
 	private readonly weightsByModel = new Map<string, WeightsVersionHistory>();
@@ -21,17 +29,22 @@
 	constructor(private readonly startedAt: MonotonicMs, private readonly readOldWeightsLimitMs: () => number) {}
 
 	/**
-	 * Adds a version that was announced at most `maximumAgeMs` before `now`; undefined when that is not known. The limits
-	 * count from the earliest possible announcement. Returns whether the version is newer than all previous ones.
+	 * Adds an announced version. The limits count from the earliest possible announcement, also those of versions that
+	 * the instance has not seen. Returns whether the version is newer than all previous ones.
 	 */
-	addVersion(model: string, version: number, maximumAgeMs: number | undefined, now: MonotonicMs): boolean {
+	addVersion(model: string, version: number, age: AnnouncementAge, now: MonotonicMs): boolean {
 		let weights = this.weightsByModel.get(model);
 		if (weights === undefined) {
 			weights = new WeightsVersionHistory();
 			this.weightsByModel.set(model, weights);
 		}
 
-		return weights.addVersion({version, announcedAt: now, ...this.calculateLimits(maximumAgeMs, now)});
+		const previousVersion = weights.version;
+		if (previousVersion > 0 && previousVersion + 1 < version) {
+			weights.addVersion({version: version - 1, announcedAt: now, ...this.calculateLimits(age.maximumUnseenMs, now)});
+		}
+
+		return weights.addVersion({version, announcedAt: now, ...this.calculateLimits(age.maximumMs, now)});
 	}
 
 	find(model: string): WeightsVersionHistory | undefined {
--- a/src/store/collection-mirror/index.ts
+++ b/src/store/collection-mirror/index.ts
@@ -185,8 +185,8 @@
 			this.shouldList = false;
 			this.isSynced = true;
 			this.markHeard();
-			this.options.onConfirmed?.(list.resourceVersion, list.ageMs ?? 0);
 			this.options.onChange();
+			this.options.onConfirmed?.(list.resourceVersion, list.ageMs ?? 0);
 			for (const waiter of refreshWaiters) {
 				waiter.resolve();
 			}
