Bring the limits of old weights forward after a suspension that the monotonic clock does not count

Found by the review of: the age of an announcement is measured on both clocks, but its limits were kept on the monotonic clock alone, so a suspension after the receipt extended them. The monitor of standstills now reports the difference between the clocks. A forward step of the wall clock has the same effect, to the safe side.

The tests of registry and monitor cover it; the platform's suspensions were not played on their own.

--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -172,7 +172,12 @@
 		void this.promptQuarantine.run(signal);
 		void this.instanceRegistry.register(signal);
 		void pruneConnections(this.targetClient, this.fleet, clock, signal);
-		void new StandstillMonitor(clock, logger).run(signal);
+		void new StandstillMonitor({
+			clock, logger,
+			onUncountedTime: ms => {
+				this.weightsRegistry.shiftLimits(ms);
+			},
+		}).run(signal);
 		void this.options.settings.run(logger, signal);
 		await this.listener.listen(settings.listen.caller);
 		await startJsonServer(settings.listen.readiness, url => url.pathname === adapter.readinessPath
--- a/src/process/standstill-monitor/index.ts
+++ b/src/process/standstill-monitor/index.ts
@@ -12,17 +12,26 @@
 /** Delay of a check above which the process counts as having stood still, in milliseconds. */
 const standstillMs = 700;
 
-/** Logs each standstill, with its duration on both clocks: a suspension may not count on the monotonic one. */
+/** Options of `StandstillMonitor`. */
+export type StandstillMonitorOptions = {
+	readonly clock: Clock;
+	readonly logger: EventLogger;
+	/** Called with the milliseconds that the wall clock counted and the monotonic one did not: a suspension, or a step of the wall clock. */
+	readonly onUncountedTime: (ms: number) => void;
+};
+
+/** Logs each standstill, with its duration on both clocks, and reports time that the monotonic clock did not count. */
 export class StandstillMonitor {
 	private checkedAt: {readonly monotonic: MonotonicMs; readonly wall: WallMs} | undefined;
 
-	constructor(private readonly clock: Clock, private readonly logger: EventLogger) {}
+	constructor(private readonly options: StandstillMonitorOptions) {}
 
 	/** Checks at intervals until `signal` aborts. */
 	async run(signal: AbortSignal): Promise<void> {
+		const {clock} = this.options;
 		while (!signal.aborted) {
-			this.check(this.clock.readMonotonic(), this.clock.readWall());
-			await this.clock.sleep(checkIntervalMs, signal);
+			this.check(clock.readMonotonic(), clock.readWall());
+			await clock.sleep(checkIntervalMs, signal);
 		}
 	}
 
@@ -37,7 +46,11 @@
 		const monotonicMs = Math.round(monotonic - previous.monotonic) - checkIntervalMs;
 		const wallMs = Math.round(wall - previous.wall) - checkIntervalMs;
 		if (Math.max(monotonicMs, wallMs) > standstillMs) {
-			this.logger.warn('process stood still', {monotonicMs, wallMs});
+			this.options.logger.warn('process stood still', {monotonicMs, wallMs});
+		}
+
+		if (wallMs - monotonicMs > standstillMs) {
+			this.options.onUncountedTime(wallMs - monotonicMs);
 		}
 	}
 }
--- a/src/process/standstill-monitor/test.ts
+++ b/src/process/standstill-monitor/test.ts
@@ -14,21 +14,28 @@
 			lines.push(fields);
 		},
 	};
-	const monitor = new StandstillMonitor(new ManualClock(), logger);
+	const uncounted: number[] = [];
+	const monitor = new StandstillMonitor({
+		clock: new ManualClock(), logger,
+		onUncountedTime(ms) {
+			uncounted.push(ms);
+		},
+	});
 	const check = (monotonic: number, wall: number) => {
 		monitor.check(monotonic as MonotonicMs, wall as WallMs);
 	};
 
-	return {check, lines};
+	return {check, lines, uncounted};
 }
 
 test('guards against a standstill that no log line shows, also if the monotonic clock does not count it', () => {
-	const {check, lines} = startMonitor();
+	const {check, lines, uncounted} = startMonitor();
 	check(0, 10_000);
 	check(500, 10_500);
 	check(5400, 15_400);
 	check(5900, 19_900);
 	expect(lines).toEqual([{monotonicMs: 4400, wallMs: 4400}, {monotonicMs: 0, wallMs: 4000}]);
+	expect(uncounted).toEqual([4000]);
 });
 
 test('guards against log lines for checks that are a little late', () => {
--- a/src/rollout/weights-registry/index.ts
+++ b/src/rollout/weights-registry/index.ts
@@ -55,6 +55,13 @@
 		return this.weightsByModel;
 	}
 
+	/** Brings all limits forward by the time that a suspension lasted and that the monotonic clock did not count. */
+	shiftLimits(uncountedMs: number): void {
+		for (const weights of this.weightsByModel.values()) {
+			weights.shiftLimits(uncountedMs);
+		}
+	}
+
 	/** Newest version by model. */
 	dump(): Record<string, number> {
 		return Object.fromEntries([...this.weightsByModel].map(([model, {version}]) => [model, version]));
--- a/src/rollout/weights-registry/test.ts
+++ b/src/rollout/weights-registry/test.ts
@@ -49,3 +49,12 @@
 	expect(registry.find('m')?.allowsNewCalls(2, at(31_500))).toEqual(false);
 	expect(registry.find('m')?.version).toEqual(3);
 });
+
+test('guards against limits that a suspension extends when the monotonic clock does not count it', () => {
+	const registry = new WeightsRegistry(at(0), () => 10_000);
+	registry.addVersion('m', 2, createAge(0), at(20_000));
+	registry.shiftLimits(4000);
+	expect(registry.find('m')?.allowsNewCalls(1, at(23_400))).toEqual(true);
+	expect(registry.find('m')?.allowsNewCalls(1, at(23_500))).toEqual(false);
+	expect(registry.find('m')?.mustNotBegin(1, at(25_500))).toEqual(true);
+});
--- a/src/rollout/weights-version-history/index.ts
+++ b/src/rollout/weights-version-history/index.ts
@@ -45,6 +45,15 @@
 		return true;
 	}
 
+	/** Brings all limits forward by `ms`. */
+	shiftLimits(ms: number): void {
+		this.versions = this.versions.map(announced => ({
+			...announced,
+			exclusiveFrom: announced.exclusiveFrom - ms as MonotonicMs,
+			withdrawFrom: announced.withdrawFrom - ms as MonotonicMs,
+		}));
+	}
+
 	/** Whether a new call may start on `version`. */
 	allowsNewCalls(version: number, now: MonotonicMs): boolean {
 		return !this.versions.some(announced => announced.version > version && now >= announced.exclusiveFrom);
