--- a/src/gateway/gateway-feeds/index.ts
+++ b/src/gateway/gateway-feeds/index.ts
@@ -5,7 +5,9 @@
  */
 
 import type {Clock} from '../../clock/clock/index.js';
-import {measureElapsedMs, readInstant, shiftBack, type Instant} from '../../clock/instant/index.js';
+import {
+	measureElapsedMs, readInstant, shiftBack, type Instant,
+} from '../../clock/instant/index.js';
 import type {InstanceId, MonotonicMs, Revision} from '../../identity/ids/index.js';
 import type {TargetDescription} from '../../fleet/fleet-target/index.js';
 import type {EventLogger} from '../../logging/create-logger/index.js';
--- a/src/gateway/gateway-feeds/test.ts
+++ b/src/gateway/gateway-feeds/test.ts
@@ -1,105 +1,15 @@
 import {test} from 'node:test';
 import {expect} from 'earl';
-import {ManualClock} from '../../clock/manual-clock/index.js';
-import {createDescription} from '../../fixtures/create-fleet-target/index.js';
-import {createRoutingConfiguration} from '../../fixtures/create-routing-configuration/index.js';
-import {FaultyObjectApi} from '../../fixtures/faulty-object-api/index.js';
 import type {TargetDescription} from '../../fleet/fleet-target/index.js';
-import type {InstanceId, ResourceVersion, Revision} from '../../identity/ids/index.js';
-import {quietLogger} from '../../logging/quiet-logger/index.js';
-import type {Member} from '../../membership/member/index.js';
-import {FakePeerNetwork} from '../../peers/fake-peer-network/index.js';
+import type {ResourceVersion} from '../../identity/ids/index.js';
 import {MemoryObjectApi} from '../../store/memory-object-api/index.js';
 import {ObjectApiError} from '../../store/object-api/index.js';
-import {RandomSource} from '../../random/random-source/index.js';
-import type {PlatformAdapter, WeightsNotice} from '../platform-adapter/index.js';
-import {GatewayFeeds} from './index.js';
-
-const collections = {
-	configuration: 'configuration', targets: 'targets', weights: 'weights', instances: 'instances', quarantines: 'quarantines',
-};
-
-function createMember(id: InstanceId, revision: Revision): Member {
-	const member: Partial<Member> = {id, revision, state: 'live'};
-	return member as Member;
-}
-
-const seedCount = 3;
-/** Time after which all instances know each other; until then each knows only the seeds. */
-const discoveryMs = 600;
-
-/** Starts instances that follow the same object API. */
-function startInstances(count: number, isConfigurationMissed = false) {
-	const clock = new ManualClock();
-	const objectApi = new MemoryObjectApi();
-	const network = new FakePeerNetwork(clock);
-	const ids = Array.from({length: count}, (_, index) => `i${index}` as InstanceId);
-	const instances = ids.map((id, index) => {
-		const api = new FaultyObjectApi(objectApi, clock);
-		const endpoint = network.open(id);
-		const applied = {
-			revisions: [] as number[], targets: [] as readonly TargetDescription[],
-			weights: [] as WeightsNotice[], weightsAgesMs: [] as Array<number | undefined>, unseenAgesMs: [] as Array<number | undefined>, instances: 0, quarantines: [] as string[],
-		};
-		const adapter: Partial<PlatformAdapter> = {
-			objectApi: api, collections,
-			decodeConfiguration(object) {
-				if (typeof object.value !== 'number') {
-					throw new TypeError('not a number');
-				}
-
-				return createRoutingConfiguration({revision: object.value as Revision});
-			},
-			decodeTarget: object => object.value === null ? undefined : createDescription(object.name, {isLeaving: object.value === 'leaving'}),
-			decodeWeights: object => ({model: object.name, version: Number(object.value)}),
-		};
-		const feeds: GatewayFeeds = new GatewayFeeds({
-			self: id, isSeed: index < seedCount, isConfigurationMissed: () => isConfigurationMissed,
-			adapter: adapter as PlatformAdapter, clock, logger: quietLogger, random: new RandomSource(index + 1),
-			caller: endpoint, registry: endpoint,
-			listPeers: () => instances
-				.filter((other, number) => other.id !== id && (number < seedCount || clock.readMonotonic() >= discoveryMs))
-				.map(other => createMember(other.id, other.feeds.readRevision())),
-			onConfiguration(configuration) {
-				applied.revisions.push(configuration.revision);
-			},
-			onTargets(targets) {
-				applied.targets = targets;
-			},
-			onWeights(weights, age) {
-				applied.weights.push(weights);
-				applied.weightsAgesMs.push(age.maximumMs);
-				applied.unseenAgesMs.push(age.maximumUnseenMs);
-			},
-			onInstances(registered) {
-				applied.instances = registered.length;
-			},
-			onQuarantines(objects) {
-				applied.quarantines = objects.map(({name}) => name);
-			},
-		});
-		const controller = new AbortController();
-		return {
-			id, api, feeds, applied,
-			start() {
-				void feeds.run(controller.signal);
-			},
-			stop() {
-				controller.abort();
-			},
-		};
-	});
-	for (const {start} of instances) {
-		start();
-	}
-
-	return {clock, objectApi, instances};
-}
+import {feedCollections, seedCount, startGatewayFeeds} from '../../fixtures/start-gateway-feeds/index.js';
 
 const listIds = (targets: readonly TargetDescription[]) => targets.map(({id}) => id as string).toSorted();
 
 test('guards against an outdated configuration at an instance that cannot reach the object API: it fetches the configuration from peers', async () => {
-	const {clock, objectApi, instances} = startInstances(3);
+	const {clock, objectApi, instances} = startGatewayFeeds(3);
 	const created = await objectApi.create('configuration', 'main', 1);
 	await clock.advance(500);
 	instances[0]!.api.isCut = true;
@@ -113,7 +23,7 @@
 });
 
 test('guards against reverting to an older configuration', async () => {
-	const {clock, objectApi, instances} = startInstances(1);
+	const {clock, objectApi, instances} = startGatewayFeeds(1);
 	const created = await objectApi.create('configuration', 'main', 5);
 	await clock.advance(500);
 	await objectApi.update('configuration', 'main', 4, created.resourceVersion);
@@ -123,7 +33,7 @@
 });
 
 test('keeps the last configuration in force when a newer one cannot be decoded', async () => {
-	const {clock, objectApi, instances} = startInstances(1);
+	const {clock, objectApi, instances} = startGatewayFeeds(1);
 	const created = await objectApi.create<unknown>('configuration', 'main', 1);
 	await clock.advance(500);
 	await objectApi.update<unknown>('configuration', 'main', 'broken', created.resourceVersion);
@@ -133,7 +43,7 @@
 });
 
 test('guards against dropping live targets whose entries expired during an outage of the object API, and drops stopped ones afterwards', async () => {
-	const {clock, objectApi, instances} = startInstances(1);
+	const {clock, objectApi, instances} = startGatewayFeeds(1);
 	const {applied, stop} = instances[0]!;
 	await objectApi.create('targets', 'a', 1);
 	await objectApi.create('targets', 'b', 1);
@@ -152,7 +62,7 @@
 });
 
 test('guards against calls to a target that was removed while the object API was available', async () => {
-	const {clock, objectApi, instances} = startInstances(1);
+	const {clock, objectApi, instances} = startGatewayFeeds(1);
 	const {applied, stop} = instances[0]!;
 	await objectApi.create('targets', 'a', 1);
 	await clock.advance(3000);
@@ -163,7 +73,7 @@
 });
 
 test('ignores entries that cannot be decoded and keeps the others', async () => {
-	const {clock, objectApi, instances} = startInstances(1);
+	const {clock, objectApi, instances} = startGatewayFeeds(1);
 	await objectApi.create('targets', 'bad', null);
 	await objectApi.create('targets', 'good', 1);
 	await clock.advance(500);
@@ -176,7 +86,7 @@
 
 /** Starts a large fleet, and advances the clock until only the watchers still watch. */
 async function startLargeFleet(size = largeFleetSize) {
-	const fleet = startInstances(size);
+	const fleet = startGatewayFeeds(size);
 	const {clock, objectApi, instances} = fleet;
 	const configuration = await objectApi.create('configuration', 'main', 1);
 	await objectApi.create('targets', 'a', 1);
@@ -271,7 +181,7 @@
 });
 
 test('guards against calls that wait for seeds after a restart of all instances: an instance that callers use reads the configuration itself', async () => {
-	const {clock, objectApi, instances} = startInstances(8, true);
+	const {clock, objectApi, instances} = startGatewayFeeds(8, true);
 	await objectApi.create('configuration', 'main', 1);
 	for (const {api} of instances.slice(0, seedCount)) {
 		api.isCut = true;
@@ -285,7 +195,7 @@
 });
 
 test('guards against weights that count as newly announced at an instance whose watch was silent, and at followers', async () => {
-	const {clock, objectApi, instances} = startInstances(14);
+	const {clock, objectApi, instances} = startGatewayFeeds(14);
 	const created = await objectApi.create('weights', 'm', 1);
 	await clock.advance(3000);
 	for (const {api} of instances) {
@@ -317,29 +227,29 @@
 });
 
 test('guards against an instance that takes calls without the quarantines that others know: it reads them from the object API or from a peer', async () => {
-	const {clock, objectApi, instances} = startInstances(4);
-	await objectApi.create(collections.configuration, 'main', 7);
-	await objectApi.create(collections.quarantines, 'q1', {});
+	const {clock, objectApi, instances} = startGatewayFeeds(4);
+	await objectApi.create(feedCollections.configuration, 'main', 7);
+	await objectApi.create(feedCollections.quarantines, 'q1', {});
 	expect(instances.some(({feeds}) => feeds.canServe(clock.readMonotonic()))).toEqual(false);
 	await clock.advance(2000);
 	expect(instances.map(({feeds, applied}) => [feeds.canServe(clock.readMonotonic()), applied.quarantines])).toEqual(instances.map(() => [true, ['q1']]));
-	await objectApi.remove(collections.quarantines, 'q1');
+	await objectApi.remove(feedCollections.quarantines, 'q1');
 	await clock.advance(3000);
 	expect(instances.map(({applied}) => applied.quarantines)).toEqual(instances.map(() => []));
 });
 
 test('guards against calls that are refused for long because the stored quarantines cannot be read', async () => {
-	const {clock, objectApi, instances} = startInstances(1);
+	const {clock, objectApi, instances} = startGatewayFeeds(1);
 	const {feeds, applied} = instances[0]!;
 	objectApi.list = async collection => {
-		if (collection === collections.quarantines) {
+		if (collection === feedCollections.quarantines) {
 			throw new ObjectApiError('unavailable', 'the collection cannot be listed');
 		}
 
 		return MemoryObjectApi.prototype.list.call(objectApi, collection) as never;
 	};
 
-	await objectApi.create(collections.configuration, 'main', 7);
+	await objectApi.create(feedCollections.configuration, 'main', 7);
 	while (applied.revisions.length === 0) {
 		await clock.advance(10);
 	}
@@ -350,7 +260,7 @@
 });
 
 test('guards against weights that were replaced unseen and count as announced after the watch had been silent', async () => {
-	const {clock, objectApi, instances} = startInstances(1);
+	const {clock, objectApi, instances} = startGatewayFeeds(1);
 	const first = await objectApi.create('weights', 'm', 1);
 	await clock.advance(3000);
 	objectApi.sendBookmarks();
