--- a/src/http/target-socket/index.ts
+++ b/src/http/target-socket/index.ts
@@ -39,7 +39,10 @@
 		});
 	}
 
-	/** A connection that the target has closed in order still has a remote address, one that was reset has none. */
+	/**
+	 * A connection that the target has closed in order still has a remote address, one that was reset has none. Node
+	 * remembers an address that was read, so nothing may read it before.
+	 */
 	private hasBeenReset(): boolean {
 		return !this.destroyed && this.remoteAddress === undefined;
 	}
