Serve waiting requests under a budget without passing any over

The queue lost served requests while it was walked, so that each second one was skipped, and a later request could be served before it. admission-queue test, failed before (second of three requests refused).

--- a/src/budget/admission-queue/index.ts
+++ b/src/budget/admission-queue/index.ts
@@ -65,10 +65,16 @@
 	 */
 	serveQueue(id: OrganisationId): void {
 		const account = this.accounts.get(id);
-		for (const waiter of account?.queue ?? []) {
-			const charge = account === undefined ? undefined : this.options.supply.charge(account, waiter.tokens, this.options.clock.readMonotonic());
+		if (account === undefined) {
+			return;
+		}
+
+		// A copy, since served requests leave the queue.
+		const waiters = [...account.queue];
+		for (const waiter of waiters) {
+			const charge = this.options.supply.charge(account, waiter.tokens, this.options.clock.readMonotonic());
 			if (charge !== undefined) {
-				account?.queue.splice(account.queue.indexOf(waiter), 1);
+				account.queue.splice(account.queue.indexOf(waiter), 1);
 				waiter.admission = this.createAdmission(charge, waiter.tokens);
 				waiter.controller.abort();
 			}
