--- a/src/forwarding/call-session/test.ts
+++ b/src/forwarding/call-session/test.ts
@@ -1,12 +1,17 @@
+import {spawn} from 'node:child_process';
+import {once} from 'node:events';
 import type {Socket} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
 import {test, type TestContext} from 'node:test';
 import {expect} from 'earl';
 import {request} from 'undici';
+import {createAnnouncedVersion} from '../../fixtures/create-announced-version/index.js';
 import {createDescription} from '../../fixtures/create-fleet-target/index.js';
 import {createRoute, createRoutingConfiguration} from '../../fixtures/create-routing-configuration/index.js';
 import {startRawServer} from '../../fixtures/start-raw-server/index.js';
 import {startTestGateway} from '../../fixtures/start-test-gateway/index.js';
+import type {DataCentreId} from '../../identity/ids/index.js';
+import {WeightsVersionHistory} from '../../rollout/weights-version-history/index.js';
 import type {Route} from '../../routing/routing-types/index.js';
 
 /** Answers one request; `requestNumber` counts the requests at all targets, from 1. */
@@ -148,3 +153,78 @@
 		});
 	}
 }
+
+/** Program of a target in a process of its own, which sends an event every 300 ms and prints its port. */
+const slowTargetProgram = String.raw`
+	const {createServer} = require('node:http');
+	const server = createServer((message, response) => {
+		response.writeHead(200, {'x-id': message.headers['x-id']});
+		let number = 0;
+		const timer = setInterval(() => {
+			number += 1;
+			response.write('id: ' + number + '\ndata: x\n\n');
+			if (number === 8) {
+				clearInterval(timer);
+				response.end();
+			}
+		}, 300);
+	});
+	server.listen(0, '127.0.0.1', () => console.log(server.address().port));
+`;
+
+test('guards against blaming a target for the time in which this process stood still', async t => {
+	const child = spawn(process.execPath, ['-e', slowTargetProgram], {stdio: ['ignore', 'pipe', 'inherit']});
+	t.after(() => {
+		child.kill();
+	});
+	const [port] = await once(child.stdout, 'data') as [Buffer];
+	let requestsElsewhere = 0;
+	const other = await startRawServer(() => {
+		requestsElsewhere += 1;
+	});
+	t.after(() => {
+		other.close();
+	});
+	const descriptions = [
+		createDescription('t0', {address: `127.0.0.1:${String(port).trim()}`, weightsVersions: new Map()}),
+		createDescription('t1', {address: other.address, weightsVersions: new Map(), dataCentre: 'dc-2' as DataCentreId}),
+	];
+	const route = createRoute('r', {
+		host: '127.0.0.1', kind: 'streaming', isResumable: true, timeoutMs: 8000,
+	});
+	const gateway = await startTestGateway(createRoutingConfiguration({routes: [route]}), descriptions);
+	t.after(() => {
+		gateway.close();
+	});
+	const answer = request(`http://${gateway.address}/x`, {headers: {'x-id': 'c1', 'x-wait': '6000'}, method: 'POST', body: 'body'});
+	await delay(500);
+	Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 1500);
+	const {body} = await answer;
+	const text = await body.text();
+	expect(text.match(/id: \d/gu)?.length).toEqual(8);
+	expect(requestsElsewhere).toEqual(0);
+});
+
+test('guards against a withdrawn call that may have run and is refused as not run', async t => {
+	let requests = 0;
+	const server = await startRawServer(() => {
+		requests += 1;
+	});
+	const versionHistory = new WeightsVersionHistory();
+	versionHistory.addVersion(createAnnouncedVersion(2, 200, performance.now()));
+	const route = createRoute('r', {
+		host: '127.0.0.1', kind: 'nonIdempotent', timeoutMs: 8000, latencyGoalMs: 8000,
+	});
+	const descriptions = [createDescription('t0', {address: server.address})];
+	const gateway = await startTestGateway(createRoutingConfiguration({routes: [route]}), descriptions, {findVersionHistory: () => versionHistory});
+	t.after(() => {
+		gateway.close();
+		server.close();
+	});
+	const startedAt = performance.now();
+	const headers = {'x-id': 'c1', 'x-wait': '8000', 'x-parts': 'a,b'};
+	const {statusCode} = await request(`http://${gateway.address}/x`, {headers, method: 'POST', body: 'body'});
+	const durationMs = performance.now() - startedAt;
+	expect([statusCode, requests]).toEqual([502, 1]);
+	expect(durationMs > 2000 && durationMs < 7000).toEqual(true);
+});
