Leave calls out of a crash that were sent after it

Found by the review of the quarantine: the reports of one incarnation are merged, and a later break of its connections raised the time at which calls with a part were sent, while the time of the crash stayed. Each merged engine then counted as a further crash in sequence: two resets of the connections to five engines, 2 s apart, convicted a sound part without any crash.

A call that was sent after a crash of the same incarnation shows that the engine lives, so it is no evidence for it. The test fails on the code before.

--- a/src/quarantine/crash-ledger/index.ts
+++ b/src/quarantine/crash-ledger/index.ts
@@ -90,14 +90,17 @@
 	/** When a call with the part last ended with a complete answer. */
 	private readonly completions = new LRUCache<PartKey, MonotonicMs>({max: maximumCompletions});
 
-	/** Records a crash, or adds the prompts of a further report of the same crash. Returns whether the crash is new. */
+	/**
+	 * Records a crash, or adds the prompts of a further report of the same crash. Calls that were sent after it broke for
+	 * another reason, such as a reset of their connection, and are left out. Returns whether the crash is new.
+	 */
 	recordCrash({target, startedAt, crashedAt, prompts}: CrashReport, now: MonotonicMs): boolean {
 		this.dropOldCrashes(now);
 		const id = `${target} ${startedAt}`;
 		const known = this.crashes.get(id);
 		const crash: Crash = known ?? {crashedAt, occurrences: new Map()};
 		this.crashes.set(id, crash);
-		for (const prompt of prompts) {
+		for (const prompt of prompts.filter(({sentAt}) => sentAt <= crash.crashedAt)) {
 			addPrompt(crash, prompt);
 		}
 
--- a/src/quarantine/crash-ledger/test.ts
+++ b/src/quarantine/crash-ledger/test.ts
@@ -172,3 +172,16 @@
 
 	expect(ledger.listEvidence(isUnknown, at(2000)).length <= 64 * 80).toEqual(true);
 });
+
+test('guards against a second reset of connections to the same engines that counts as further crashes in sequence', () => {
+	const ledger = new CrashLedger();
+	for (const resetAt of [10_000, 12_000]) {
+		for (const engine of ['e1', 'e2', 'e3', 'e4', 'e5']) {
+			ledger.recordCrash({
+				target: engine as TargetId, startedAt: 1, crashedAt: at(resetAt), prompts: [createPrompt(['root', 'sound'], resetAt - callMs)],
+			}, at(resetAt));
+		}
+	}
+
+	expect(ledger.findCulprits(isUnknown, at(12_000))).toEqual([]);
+});
