Accept a new quarantine of a part after a longer one was lifted

Found by the review of the quarantine: the end of the lifted quarantine was the limit, so after a lifted quarantine of 20 minutes a new one of 10 minutes was refused for as long, while the log told that the part was quarantined. Late copies of a lifted quarantine are now told by its beginning. The test fails on the code before.

--- a/src/quarantine/quarantine-register/index.ts
+++ b/src/quarantine/quarantine-register/index.ts
@@ -22,14 +22,17 @@
 /** Time after which a quarantine that ended is forgotten, in milliseconds. */
 export const probationMs = 86_400_000;
 const maximumQuarantines = 1000;
-/** Minimum difference of the ends of two quarantines of a part, in milliseconds. Copies of one quarantine differ by the time that messages take. */
+/**
+ * Minimum difference of the ends or beginnings of two quarantines of a part, in milliseconds. Copies of one quarantine
+ * differ by the time that messages take.
+ */
 const minimumExtensionMs = 2000;
 
 /** Quarantines by part. */
 export class QuarantineRegister {
 	private readonly quarantines = new LRUCache<PartKey, Quarantine>({max: maximumQuarantines});
-	/** Ends of the lifted quarantines, so that late copies don't bring them back. */
-	private readonly liftedEnds = new LRUCache<PartKey, MonotonicMs>({max: maximumQuarantines});
+	/** Beginnings of the lifted quarantines, so that late copies don't bring them back, and later ones are accepted. */
+	private readonly liftedBeginnings = new LRUCache<PartKey, MonotonicMs>({max: maximumQuarantines});
 
 	/** Number of parts in quarantine. */
 	countActive(now: MonotonicMs): number {
@@ -73,11 +76,12 @@
 		};
 	}
 
-	/** Adds a quarantine unless a known or lifted one ends as late. Returns whether it was added. */
+	/** Adds a quarantine unless a known one ends as late or a lifted one began as late. Returns whether it was added. */
 	add(quarantine: Quarantine): boolean {
 		const {part, endsAt} = quarantine;
-		const knownEnd = this.quarantines.get(part)?.endsAt ?? this.liftedEnds.get(part);
-		if (knownEnd !== undefined && endsAt < knownEnd + minimumExtensionMs) {
+		const knownEnd = this.quarantines.get(part)?.endsAt ?? Number.NEGATIVE_INFINITY;
+		const liftedBeginning = this.liftedBeginnings.get(part) ?? Number.NEGATIVE_INFINITY;
+		if (endsAt < knownEnd + minimumExtensionMs || readBeginning(quarantine) < liftedBeginning + minimumExtensionMs) {
 			return false;
 		}
 
@@ -90,7 +94,7 @@
 		const quarantine = this.quarantines.get(part);
 		if (quarantine !== undefined) {
 			this.quarantines.delete(part);
-			this.liftedEnds.set(part, quarantine.endsAt);
+			this.liftedBeginnings.set(part, readBeginning(quarantine));
 		}
 
 		return quarantine;
@@ -102,6 +106,11 @@
 	}
 }
 
+/** Returns when a quarantine began. */
+function readBeginning({endsAt, durationMs}: Quarantine): MonotonicMs {
+	return endsAt - durationMs as MonotonicMs;
+}
+
 /** Whether a quarantine is in force. */
 export function isActive({endsAt}: Quarantine, now: MonotonicMs): boolean {
 	return now < endsAt;
--- a/src/quarantine/quarantine-register/test.ts
+++ b/src/quarantine/quarantine-register/test.ts
@@ -43,3 +43,11 @@
 
 	expect(register.list().length).toEqual(1000);
 });
+
+test('guards against a lifted longer quarantine that keeps a new one from being added', () => {
+	const register = new QuarantineRegister();
+	register.add(register.plan(part, 4, at(0)));
+	register.add(register.plan(part, 1, at(601_000)));
+	register.lift(part);
+	expect(register.add(register.plan(part, 4, at(700_000)))).toEqual(true);
+});
