Judge answers without length by what their engine does next

Found by the review of the quarantine: an answer without length or chunks neither cleared a part nor spoke against it.

Such an answer ends with its connection, in order also when the engine crashes, so its end alone proves neither. 1.5 s later it counts as complete if the engine has sent bytes of other answers since, and as broken off by a crash if nothing listened at its address.

--- a/src/fleet/fleet-target/index.ts
+++ b/src/fleet/fleet-target/index.ts
@@ -67,6 +67,7 @@
 	private readonly remoteLoads = new Map<InstanceId, RemoteLoad>();
 	private lastReceivedAt = 0;
 	private lastFailedAt = 0;
+	private unreachableAt = 0;
 	private failureCount = 0;
 	private readonly observedVersions = new Map<string, number>();
 
@@ -127,9 +128,15 @@
 	/** Records that nothing listens at the target's address, or that a different target does. */
 	recordUnreachable(now: MonotonicMs): void {
 		this.recordFailure(now);
+		this.unreachableAt = now;
 		this.failureCount = Math.max(this.failureCount, unreachableFailureCount);
 	}
 
+	/** Time at which the target was last found unreachable; 0 before the first time. */
+	readUnreachableAt(): number {
+		return this.unreachableAt;
+	}
+
 	/** Whether the target is in its cooldown after recent failures. */
 	isInCooldown(now: MonotonicMs): boolean {
 		if (this.failureCount <= toleratedFailureCount) {
--- a/src/forwarding/call-guard/index.ts
+++ b/src/forwarding/call-guard/index.ts
@@ -1,8 +1,10 @@
 /** Applies the guard of prompts to one call: decides before each attempt whether the call may be sent, and reports its outcomes. */
 
+import type {FleetTarget} from '../../fleet/fleet-target/index.js';
 import type {MonotonicMs} from '../../identity/ids/index.js';
 import {createRouterError, type RouterError} from '../../results/create-router-error/index.js';
 import type {EngineWork, ResponseHead} from '../call-types/index.js';
+import {judgementDelayMs, judgeUnframedEnd, type UnframedEndJudgement} from '../judge-unframed-end/index.js';
 import type {PromptGuard} from '../prompt-guard/index.js';
 import type {Attempt} from '../session-types/index.js';
 import type {ExchangeStage} from '../target-client/index.js';
@@ -13,6 +15,8 @@
 /** Failure of an exchange that the target's side caused. */
 export type ExchangeFailure = {readonly stage: ExchangeStage; readonly error: Error};
 
+type UnframedAnswer = {readonly target: FleetTarget; readonly sentAt: MonotonicMs; readonly endedAt: MonotonicMs};
+
 /** Guard of one call. */
 export class CallGuard {
 	private hasBrokenAnswer = false;
@@ -48,10 +52,28 @@
 		}
 	}
 
-	/** Records the end of an answer. The end of an unframed one doesn't prove that it is complete. */
-	recordEnd(head: ResponseHead, now: MonotonicMs): void {
-		if (this.work !== undefined && isSuccess(head) && !head.isUnframed) {
-			this.guard.recordCompleteAnswer(this.work, now);
+	/** Records the end of an answer. Whether an unframed one was complete is judged later. */
+	recordEnd({target, head, record}: Attempt, now: MonotonicMs): void {
+		const {work} = this;
+		if (work === undefined || head === undefined || !isSuccess(head)) {
+			return;
+		}
+
+		if (!head.isUnframed) {
+			this.guard.recordCompleteAnswer(work, now);
+			return;
+		}
+
+		setTimeout(() => {
+			this.recordJudgement(judgeUnframedEnd(target, now), work, {target, sentAt: record.sentAt, endedAt: now});
+		}, judgementDelayMs).unref();
+	}
+
+	private recordJudgement(judgement: UnframedEndJudgement, work: EngineWork, {target, sentAt, endedAt}: UnframedAnswer): void {
+		if (judgement === 'complete') {
+			this.guard.recordCompleteAnswer(work, endedAt);
+		} else if (judgement === 'broken') {
+			this.guard.recordBrokenAnswer(work, target, sentAt, endedAt);
 		}
 	}
 }
--- a/src/forwarding/call-guard/test.ts
+++ b/src/forwarding/call-guard/test.ts
@@ -190,3 +190,23 @@
 	await delay(100);
 	expect([status, body, state.log]).toEqual([200, 'cut', []]);
 });
+
+test('guards against answers without length that never clear a part: they count once their target goes on to answer', async t => {
+	const {state, call} = await startTargets(t, {kind: 'streaming'}, (socket, id, requestNumber) => {
+		if (requestNumber === 1) {
+			socket.end(`HTTP/1.1 200 OK\r\nx-id: ${id}\r\n\r\nid: 1\ndata: x\n\n`);
+		} else {
+			socket.write(startStream(id) + formatEvent(1) + lastChunk);
+		}
+	});
+	await call('c1');
+	expect(state.log).toEqual([]);
+	await delay(200);
+	for (const id of ['c2', 'c3', 'c4', 'c5', 'c6', 'c7', 'c8']) {
+		await call(id, 'root,other,own');
+	}
+
+	expect(state.log).toEqual(Array.from({length: 7}, () => 'complete'));
+	await delay(1600);
+	expect(state.log.length).toEqual(8);
+});
--- a/src/forwarding/call-session/index.ts
+++ b/src/forwarding/call-session/index.ts
@@ -267,7 +267,7 @@
 		}
 
 		attempt.target.recordSuccess();
-		this.guard.recordEnd(head, this.readNow());
+		this.guard.recordEnd(attempt, this.readNow());
 		this.endAttempt(attempt);
 		this.relay.end(head);
 		this.finish('answered', head.status, attempt);
