--- a/src/forwarding/call-guard/index.ts
+++ b/src/forwarding/call-guard/index.ts
@@ -4,7 +4,7 @@
 import type {MonotonicMs} from '../../identity/ids/index.js';
 import {createRouterError, type RouterError} from '../../results/create-router-error/index.js';
 import type {EngineWork, ResponseHead} from '../call-types/index.js';
-import {judgementDelayMs, judgeUnframedEnd, type UnframedEndJudgement} from '../judge-unframed-end/index.js';
+import {classificationDelayMs, classifyUnframedEnd, type UnframedEndClass} from '../classify-unframed-end/index.js';
 import type {PromptGuard} from '../prompt-guard/index.js';
 import type {Attempt} from '../session-types/index.js';
 import type {ExchangeStage} from '../target-client/index.js';
@@ -52,7 +52,7 @@
 		}
 	}
 
-	/** Records the end of an answer. Whether an unframed one was complete is judged later. */
+	/** Records the end of an answer. Whether an unframed one was complete is found out later. */
 	recordEnd({target, head, record}: Attempt, now: MonotonicMs): void {
 		const {work} = this;
 		if (work === undefined || head === undefined || !isSuccess(head)) {
@@ -65,14 +65,14 @@
 		}
 
 		setTimeout(() => {
-			this.recordJudgement(judgeUnframedEnd(target, now), work, {target, sentAt: record.sentAt, endedAt: now});
-		}, judgementDelayMs).unref();
+			this.recordUnframedEnd(classifyUnframedEnd(target, now), work, {target, sentAt: record.sentAt, endedAt: now});
+		}, classificationDelayMs).unref();
 	}
 
-	private recordJudgement(judgement: UnframedEndJudgement, work: EngineWork, {target, sentAt, endedAt}: UnframedAnswer): void {
-		if (judgement === 'complete') {
+	private recordUnframedEnd(unframedEnd: UnframedEndClass, work: EngineWork, {target, sentAt, endedAt}: UnframedAnswer): void {
+		if (unframedEnd === 'complete') {
 			this.guard.recordCompleteAnswer(work, endedAt);
-		} else if (judgement === 'broken') {
+		} else if (unframedEnd === 'broken') {
 			this.guard.recordBrokenAnswer(work, target, sentAt, endedAt);
 		}
 	}
--- a/src/forwarding/judge-unframed-end/index.ts
+++ b/src/forwarding/classify-unframed-end/index.ts
@@ -1,5 +1,5 @@
 /**
- * Judges an answer without length and chunks some time after it ended with its connection.
+ * Classifies an answer without length and chunks some time after it ended with its connection.
  *
  * The connections of an engine that crashes can end in order, so such an end proves neither a complete answer nor a
  * crash. What the engine does next tells them apart: it goes on to answer, or nothing listens at its address any more.
@@ -8,16 +8,16 @@
 import type {FleetTarget} from '../../fleet/fleet-target/index.js';
 import type {MonotonicMs} from '../../identity/ids/index.js';
 
-/** Time from the end of the answer to its judgement, in milliseconds. */
-export const judgementDelayMs = 1500;
+/** Time from the end of the answer to its classification, in milliseconds. */
+export const classificationDelayMs = 1500;
 /** Time after the end within which bytes of other answers may still come from before it, in milliseconds. */
 const bufferedBytesMs = 50;
 
 /** `unknown`: the target has neither answered since nor been found unreachable. */
-export type UnframedEndJudgement = 'complete' | 'broken' | 'unknown';
+export type UnframedEndClass = 'complete' | 'broken' | 'unknown';
 
-/** Judges an answer of `target` that ended at `endedAt`, from what is known of the target by now. */
-export function judgeUnframedEnd(target: FleetTarget, endedAt: MonotonicMs): UnframedEndJudgement {
+/** Classifies an answer of `target` that ended at `endedAt`, from what is known of the target by now. */
+export function classifyUnframedEnd(target: FleetTarget, endedAt: MonotonicMs): UnframedEndClass {
 	if (target.readLastReceivedAt() > endedAt + bufferedBytesMs) {
 		return 'complete';
 	}
--- a/src/quarantine/crash-ledger/index.ts
+++ b/src/quarantine/crash-ledger/index.ts
@@ -45,21 +45,21 @@
 
 /** Time for which a crash is evidence, in milliseconds. */
 export const evidenceValidityMs = 60_000;
-/** Crashes in sequence that convict a part. */
-const convictingSequence = 4;
+/** Crashes in sequence that identify a part. */
+const requiredSequence = 4;
 /** The same if other crashes overlapped with these, so that `overlappingCrashes` were seen in all. */
 const overlappingSequence = 3;
 const overlappingCrashes = 5;
 /**
- * Crashes in sequence that convict a part although something else may be the cause: another part that no complete answer
+ * Crashes in sequence that identify a part although something else may be the cause: another part that no complete answer
  * has proven occurred in each of them, or the part is missing in many crashes of the same time.
  */
 const ambiguousSequence = 6;
 /** Share of the crashes of a time that contain a part if nothing else crashes engines. */
 const dominantShare = 0.6;
 /** Share of a part's crashes in which a deeper part occurs that may be their cause; reports of some may have been lost. */
-const deeperRivalShare = 0.7;
-/** Crashes in sequence that convict a part of which calls ended with a complete answer before; new weights may crash on it. */
+const deeperAlternativeShare = 0.7;
+/** Crashes in sequence that identify a part of which calls ended with a complete answer before; new weights may crash on it. */
 const provenSequence = 8;
 /** Time before the first crash for which a complete answer proves a part, in milliseconds. */
 const proofValidityMs = 60_000;
@@ -139,13 +139,13 @@
 	}
 
 	/**
-	 * Finds the parts whose evidence convicts them: the deepest ones, as fewer calls share these. In place of a part, a
+	 * Finds the parts whose evidence identifies them: the deepest ones, as fewer calls share these. In place of a part, a
 	 * deeper one is found that occurred in the same crashes. Parts for which `isCulprit` holds explain all crashes with them.
 	 */
 	findCulprits(isCulprit: CulpritLookup, now: MonotonicMs): PartEvidence[] {
 		const evaluation = this.evaluate(isCulprit, now);
-		const convicted = [...evaluation.evidenceByPart.values()].filter(evidence => this.isConvicting(evidence, evaluation));
-		const culprits = new Set(convicted.flatMap(evidence => [evidence, ...this.listRivals(evidence, evaluation)]));
+		const identified = [...evaluation.evidenceByPart.values()].filter(evidence => this.isSufficient(evidence, evaluation));
+		const culprits = new Set(identified.flatMap(evidence => [evidence, ...this.listAlternatives(evidence, evaluation)]));
 		const depth = Math.max(...[...culprits].map(evidence => evidence.depth));
 		return [...culprits].filter(evidence => evidence.depth === depth).map(evidence => summariseEvidence(evidence));
 	}
@@ -165,7 +165,7 @@
 		return parts.some(part => {
 			const evidence = evaluation.evidenceByPart.get(part);
 			return evidence !== undefined && evidence.crashList.length >= suspiciousCrashes
-				&& !this.listRivals(evidence, evaluation).some(rival => rival.depth > evidence.depth);
+				&& !this.listAlternatives(evidence, evaluation).some(alternative => alternative.depth > evidence.depth);
 		});
 	}
 
@@ -196,9 +196,9 @@
 		return {crashes, evidenceByPart};
 	}
 
-	private isConvicting(evidence: Evidence, evaluation: Evaluation): boolean {
+	private isSufficient(evidence: Evidence, evaluation: Evaluation): boolean {
 		const {sequentialCrashes, crashList} = evidence;
-		const isRepeated = sequentialCrashes >= convictingSequence || (sequentialCrashes >= overlappingSequence && crashList.length >= overlappingCrashes);
+		const isRepeated = sequentialCrashes >= requiredSequence || (sequentialCrashes >= overlappingSequence && crashList.length >= overlappingCrashes);
 		if (!isRepeated) {
 			return false;
 		}
@@ -207,7 +207,7 @@
 			return sequentialCrashes >= provenSequence;
 		}
 
-		return sequentialCrashes >= ambiguousSequence || (isDominant(evidence, evaluation) && this.listRivals(evidence, evaluation).length === 0);
+		return sequentialCrashes >= ambiguousSequence || (isDominant(evidence, evaluation) && this.listAlternatives(evidence, evaluation).length === 0);
 	}
 
 	/** Whether a call with the part ended with a complete answer not long before the first crash. */
@@ -216,9 +216,9 @@
 	}
 
 	/** Lists the other parts that may be the cause of a part's crashes. The parts before it are none, as more calls share them. */
-	private listRivals(evidence: Evidence, {evidenceByPart}: Evaluation): Evidence[] {
-		return [...evidenceByPart.values()].filter(rival => rival.part !== evidence.part && sharesCrashes(rival, evidence)
-			&& !this.isProven(rival) && !isPreceding(rival.part, evidence));
+	private listAlternatives(evidence: Evidence, {evidenceByPart}: Evaluation): Evidence[] {
+		return [...evidenceByPart.values()].filter(alternative => alternative.part !== evidence.part && sharesCrashes(alternative, evidence)
+			&& !this.isProven(alternative) && !isPreceding(alternative.part, evidence));
 	}
 
 	private dropOldCrashes(now: MonotonicMs): void {
@@ -261,10 +261,10 @@
 	return crashList.length >= dominantShare * sameTime.length;
 }
 
-/** Whether a rival occurs in so many crashes of a part that it may be their cause. */
-function sharesCrashes(rival: Evidence, {depth, crashList}: Evidence): boolean {
-	const neededCrashes = crashList.length * (rival.depth > depth ? deeperRivalShare : 1);
-	return rival.crashList.length >= neededCrashes && crashList.filter(crash => rival.crashList.includes(crash)).length >= neededCrashes;
+/** Whether a alternative occurs in so many crashes of a part that it may be their cause. */
+function sharesCrashes(alternative: Evidence, {depth, crashList}: Evidence): boolean {
+	const neededCrashes = crashList.length * (alternative.depth > depth ? deeperAlternativeShare : 1);
+	return alternative.crashList.length >= neededCrashes && crashList.filter(crash => alternative.crashList.includes(crash)).length >= neededCrashes;
 }
 
 /** Whether `part` comes before the part of `evidence` in all prompts of its crashes. */
--- a/src/quarantine/crash-ledger/test.ts
+++ b/src/quarantine/crash-ledger/test.ts
@@ -38,7 +38,7 @@
 	};
 }
 
-test('convicts a part after four crashes in sequence, and the deepest of a prompt rather than the parts that other calls share', () => {
+test('identifies a part after four crashes in sequence, and the deepest of a prompt rather than the parts that other calls share', () => {
 	const {ledger, crashInSequence, crash} = createLedger();
 	crashInSequence(3, ['root', 'culprit']);
 	expect(ledger.findCulprits(isUnknown, at(3000))).toEqual([]);
@@ -125,7 +125,7 @@
 	expect(ledger.findCulprits(isUnknown, at(20_000))[0]?.sequentialCrashes).toEqual(4);
 });
 
-test('convicts a part of overlapping crashes after five of them, since two calls may crash two engines at the same time', () => {
+test('identifies a part of overlapping crashes after five of them, since two calls may crash two engines at the same time', () => {
 	const {ledger, crash} = createLedger();
 	for (const [index, crashedAt] of [1000, 1010, 2000, 2010].entries()) {
 		crash(crashedAt, createPrompt(['root', 'culprit'], crashedAt - callMs + index));
@@ -136,7 +136,7 @@
 	expect(ledger.findCulprits(isUnknown, at(3000))[0]?.part).toEqual(createKey('culprit'));
 });
 
-test('guards against a first part that is convicted while two deeper ones occur in all crashes: it takes six to choose among parts that always occur together', () => {
+test('guards against a first part that is identified while two deeper ones occur in all crashes: it takes six to choose among parts that always occur together', () => {
 	const {ledger, crash} = createLedger();
 	for (let index = 1; index <= 6; index += 1) {
 		const sentAt = (index * 1000) - callMs;
--- a/src/quarantine/prompt-quarantine/index.ts
+++ b/src/quarantine/prompt-quarantine/index.ts
@@ -26,8 +26,8 @@
 import {QuarantineRecords} from '../quarantine-records/index.js';
 import {QuarantineRegister, type Quarantine} from '../quarantine-register/index.js';
 
-/** Time from a crash to the judgement of what caused it, in milliseconds. */
-const judgementDelayMs = 100;
+/** Time from a crash to the evaluation of its cause, in milliseconds. */
+const evaluationDelayMs = 100;
 /** Longest pause before an instance announces a quarantine that the deciding crash of another one led to, in milliseconds. */
 const maximumAnnouncementDelayMs = 500;
 /** Shortest and longest pause before such an instance stores it, in milliseconds. */
@@ -223,7 +223,7 @@
 	private addCrash(crash: CrashReport, source: 'own' | 'peer', now: MonotonicMs): void {
 		this.ownCrashAt = source === 'own' ? now : this.ownCrashAt;
 		if (this.ledger.recordCrash(crash, now)) {
-			void this.judgeAfterDelay();
+			void this.evaluateAfterDelay();
 			const parts = new Set(crash.prompts.flatMap(prompt => prompt.parts));
 			const suspects = this.ledger.listEvidence(part => this.isCulprit(part), now).filter(({part}) => parts.has(part));
 			this.options.logger.info('engine crash recorded', {
@@ -237,11 +237,11 @@
 	}
 
 	/** Quarantines the culprits, after a time in which other instances report what they saw of the same crash. */
-	private async judgeAfterDelay(): Promise<void> {
+	private async evaluateAfterDelay(): Promise<void> {
 		const {clock} = this.options;
-		await clock.sleep(judgementDelayMs);
+		await clock.sleep(evaluationDelayMs);
 		const now = clock.readMonotonic();
-		const source = now - this.ownCrashAt <= 2 * judgementDelayMs ? 'own' : 'peer';
+		const source = now - this.ownCrashAt <= 2 * evaluationDelayMs ? 'own' : 'peer';
 		for (const {part, crashes} of this.ledger.findCulprits(key => this.isCulprit(key), now)) {
 			this.quarantine(this.register.plan(part, crashes, now), source, now);
 		}
