Read the request limit that a target states, and log it

A target in need names in its answers how many requests a second it takes from all instances together. Placement is unchanged.

--- a/src/fleet/fleet-target/index.ts
+++ b/src/fleet/fleet-target/index.ts
@@ -6,6 +6,7 @@
 import type {
 	DataCentreId, InstanceId, MonotonicMs, TargetId,
 } from '../../identity/ids/index.js';
+import {TargetLimit} from '../../limits/target-limit/index.js';
 import type {ServiceId} from '../../routing/routing-types/index.js';
 
 /** Description of a target, as the target announces it. */
@@ -62,6 +63,7 @@
 /** A target with its calls, loads and recent failures. */
 export class FleetTarget {
 	readonly calls = new Set<TargetCall>();
+	readonly limit = new TargetLimit();
 	/** Time until which a rollout keeps new calls away, on this instance's monotonic clock. */
 	cordonedUntil = 0;
 	private readonly remoteLoads = new Map<InstanceId, RemoteLoad>();
--- a/src/forwarding/call-session/index.ts
+++ b/src/forwarding/call-session/index.ts
@@ -24,6 +24,7 @@
 import {planNextStep, type AttemptFailure, type NextStep} from '../plan-next-step/index.js';
 import {PrefixHints} from '../prefix-hints/index.js';
 import {openPromptGuard} from '../prompt-guard/index.js';
+import {recordHead} from '../record-head/index.js';
 import {reportCall} from '../report-call/index.js';
 import {selectTarget, type TargetSelection} from '../select-target/index.js';
 import type {Attempt, SessionOptions} from '../session-types/index.js';
@@ -194,10 +195,7 @@
 
 	private handleHead(attempt: Attempt, head: ResponseHead): void {
 		const now = this.readNow();
-		attempt.head = head;
-		attempt.lastReceivedAt = now;
-		attempt.lastProgressAt = now;
-		attempt.target.recordVersion(this.options.call.work?.model, head.weightsVersion);
+		recordHead(attempt, head, this.options.call.work?.model, this.context, now);
 		if (head.isNotRun) {
 			this.handleRejection(attempt, head, now);
 			return;
--- a/src/forwarding/call-types/index.ts
+++ b/src/forwarding/call-types/index.ts
@@ -2,6 +2,7 @@
 
 import type {OrganisationId, RequestId, TargetId} from '../../identity/ids/index.js';
 import type {FleetTarget} from '../../fleet/fleet-target/index.js';
+import type {RequestLimit} from '../../limits/request-limit/index.js';
 import type {Route} from '../../routing/routing-types/index.js';
 
 /** One part of a prompt; calls whose prompts begin with the same parts share cache entries. */
@@ -64,6 +65,7 @@
 	/** Whether a different target now listens at the address. */
 	readonly isOtherTarget: boolean;
 	readonly weightsVersion: number | undefined;
+	readonly requestLimit: RequestLimit;
 	/** Whether the body is delimited only by the end of the connection, so that truncation cannot be detected. */
 	readonly isUnframed: boolean;
 };
--- a/src/forwarding/is-attempt-stalled/test.ts
+++ b/src/forwarding/is-attempt-stalled/test.ts
@@ -9,7 +9,7 @@
 const at = (ms: number) => ms as MonotonicMs;
 
 const head: ResponseHead = {
-	status: 200, headers: [], isNotRun: false, isGenuine: true, isOtherTarget: false, weightsVersion: 1, isUnframed: false,
+	status: 200, headers: [], isNotRun: false, isGenuine: true, isOtherTarget: false, requestLimit: 'none', weightsVersion: 1, isUnframed: false,
 };
 
 function createAttempt(hasAnswered: boolean): Attempt {
--- /dev/null
+++ b/src/forwarding/record-head/index.ts
@@ -0,0 +1,16 @@
+/** Records the head of an answer: at the attempt, and what it says about its target. */
+
+import type {MonotonicMs} from '../../identity/ids/index.js';
+import type {ResponseHead} from '../call-types/index.js';
+import type {ForwardingContext} from '../forwarding-context/index.js';
+import {recordRequestLimit} from '../record-request-limit/index.js';
+import type {Attempt} from '../session-types/index.js';
+
+/** Records a head that was received at `now` for a call to `model`. */
+export function recordHead(attempt: Attempt, head: ResponseHead, model: string | undefined, {logger}: ForwardingContext, now: MonotonicMs): void {
+	attempt.head = head;
+	attempt.lastReceivedAt = now;
+	attempt.lastProgressAt = now;
+	attempt.target.recordVersion(model, head.weightsVersion);
+	recordRequestLimit(attempt, head, logger, now);
+}
--- a/src/forwarding/response-relay/test.ts
+++ b/src/forwarding/response-relay/test.ts
@@ -5,7 +5,7 @@
 import {ResponseRelay} from './index.js';
 
 const head: ResponseHead = {
-	status: 200, headers: [], isNotRun: false, isGenuine: true, isOtherTarget: false, weightsVersion: undefined, isUnframed: false,
+	status: 200, headers: [], isNotRun: false, isGenuine: true, isOtherTarget: false, requestLimit: 'none', weightsVersion: undefined, isUnframed: false,
 };
 
 /** Records what the caller receives. */
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -302,6 +302,7 @@
 		this.options.metrics.addGauges({
 			calls_in_progress: {help: 'Calls being served.', read: () => this.listener.callsInProgress},
 			...this.promptQuarantine.gauges,
+			limited_targets: {help: 'Targets that state a request limit.', read: () => [...this.fleet.list()].filter(target => target.limit.read() !== undefined).length},
 			members: {help: 'Live instances, this one included.', read: () => this.listPeers().length + 1},
 			configuration_revision: {help: 'Revision of the configuration in force, -1 for none.', read: () => this.feeds.readRevision()},
 		});
