Keep the requests of all instances to a target within the limit that it states

Cause: the header was passed on to callers and read by nobody. Class: a number that a target states for all instances together must not be ignored, and must not be applied by each instance alone either.

Ruled out by the logs: repeats (none ended at these engines) and an even split that each instance keeps by itself (the rate did not fall at any instance).

Now whoever sees a limit begin, change or end tells the others by datagram. One instance for each target, by rendezvous hashing over the live ones, issues permits for single requests at the stated rate; startAttempt takes one for every request, repeats and resumed streams included. A call that prefers a limited target without a permit asks for one and is placed elsewhere. An issuer that takes over begins at a quarter of the rate, so that two issuers stay within one and a half times the limit. An even split was weighed and left: it wastes what quiet instances do not need, and with more than 6 x limit + 5 instances even one request each breaks the bound.

--- a/src/fleet/fleet-target/index.ts
+++ b/src/fleet/fleet-target/index.ts
@@ -6,6 +6,7 @@
 import type {
 	DataCentreId, InstanceId, MonotonicMs, TargetId,
 } from '../../identity/ids/index.js';
+import {PermitAccount} from '../../limits/permit-account/index.js';
 import {TargetLimit} from '../../limits/target-limit/index.js';
 import type {ServiceId} from '../../routing/routing-types/index.js';
 
@@ -64,6 +65,7 @@
 export class FleetTarget {
 	readonly calls = new Set<TargetCall>();
 	readonly limit = new TargetLimit();
+	readonly permits = new PermitAccount();
 	/** Time until which a rollout keeps new calls away, on this instance's monotonic clock. */
 	cordonedUntil = 0;
 	private readonly remoteLoads = new Map<InstanceId, RemoteLoad>();
--- a/src/forwarding/forwarding-context/index.ts
+++ b/src/forwarding/forwarding-context/index.ts
@@ -4,6 +4,7 @@
 import type {PrefixDirectory} from '../../fleet/prefix-directory/index.js';
 import type {TargetFleet} from '../../fleet/target-fleet/index.js';
 import type {DataCentreId} from '../../identity/ids/index.js';
+import type {LimitGate} from '../../limits/limit-gate/index.js';
 import type {EventLogger} from '../../logging/create-logger/index.js';
 import type {WeightsVersionHistory} from '../../rollout/weights-version-history/index.js';
 import type {RetryBudget} from '../../requests/retry-budget/index.js';
@@ -42,6 +43,7 @@
 	readonly quota: QuotaGate;
 	/** Without a guard, every prompt is sent. */
 	readonly promptGuard?: PromptGuard;
+	readonly limits: LimitGate;
 	readonly dataCentre: DataCentreId;
 	/** Returns a random number from 0 (inclusive) to 1 (exclusive). */
 	readonly draw: () => number;
--- a/src/forwarding/record-head/index.ts
+++ b/src/forwarding/record-head/index.ts
@@ -7,10 +7,10 @@
 import type {Attempt} from '../session-types/index.js';
 
 /** Records a head that was received at `now` for a call to `model`. */
-export function recordHead(attempt: Attempt, head: ResponseHead, model: string | undefined, {logger}: ForwardingContext, now: MonotonicMs): void {
+export function recordHead(attempt: Attempt, head: ResponseHead, model: string | undefined, context: ForwardingContext, now: MonotonicMs): void {
 	attempt.head = head;
 	attempt.lastReceivedAt = now;
 	attempt.lastProgressAt = now;
 	attempt.target.recordVersion(model, head.weightsVersion);
-	recordRequestLimit(attempt, head, logger, now);
+	recordRequestLimit(attempt, head, context, now);
 }
--- a/src/forwarding/record-request-limit/test.ts
+++ b/src/forwarding/record-request-limit/test.ts
@@ -2,6 +2,7 @@
 import {expect} from 'earl';
 import {createFleetTarget} from '../../fixtures/create-fleet-target/index.js';
 import type {MonotonicMs} from '../../identity/ids/index.js';
+import {openLimitGate} from '../../limits/limit-gate/index.js';
 import {quietLogger} from '../../logging/quiet-logger/index.js';
 import type {ResponseHead} from '../call-types/index.js';
 import type {Attempt} from '../session-types/index.js';
@@ -21,7 +22,7 @@
 }
 
 function receive(attempt: Attempt, changes: Partial<ResponseHead>, at: number): number | undefined {
-	recordRequestLimit(attempt, {...plainHead, ...changes}, quietLogger, at as MonotonicMs);
+	recordRequestLimit(attempt, {...plainHead, ...changes}, {logger: quietLogger, limits: openLimitGate}, at as MonotonicMs);
 	return attempt.target.limit.read();
 }
 
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -20,6 +20,7 @@
 import type {Membership} from '../../membership/membership/index.js';
 import type {Member} from '../../membership/member/index.js';
 import {DatagramChannel} from '../../peers/datagram-channel/index.js';
+import {TargetLimits} from '../../limits/target-limits/index.js';
 import {PeerClient} from '../../peers/peer-client/index.js';
 import {PeerServer} from '../../peers/peer-server/index.js';
 import {StandstillMonitor} from '../../process/standstill-monitor/index.js';
@@ -77,6 +78,7 @@
 	private readonly loadExchange: LoadExchange;
 	private readonly rolloutNotices: RolloutNotices;
 	private readonly promptQuarantine: PromptQuarantine;
+	private readonly targetLimits: TargetLimits;
 	private readonly listener: CallListener;
 	private readonly retryBudgets: ServiceRetryBudgets;
 	private readonly weightsRegistry: WeightsRegistry;
@@ -147,6 +149,10 @@
 			clock, logger, random, channel: this.datagramChannel, listPeers: () => this.listPeers(),
 			objectApi: this.relayedObjectApi, remover: adapter.objectApi, collection: adapter.collections.quarantines,
 		});
+		this.targetLimits = new TargetLimits({
+			clock, logger, fleet: this.fleet, channel: this.datagramChannel, self,
+			listLive: () => this.membership.listLive(clock.readMonotonic()),
+		});
 		this.rollout = this.createRollout(self);
 		this.loadExchange = new LoadExchange({
 			clock, random, fleet: this.fleet, prefixes: this.prefixDirectory, channel: this.datagramChannel, membership: this.membership,
@@ -170,6 +176,7 @@
 		void this.loadExchange.run(signal);
 		void this.quotaLending.run(signal);
 		void this.promptQuarantine.run(signal);
+		void this.targetLimits.run(signal);
 		void this.instanceRegistry.register(signal);
 		void pruneConnections(this.targetClient, this.fleet, clock, signal);
 		void new StandstillMonitor({
@@ -210,6 +217,7 @@
 			rollout: this.rollout.dump(),
 			quota: this.quotaLending.dump(),
 			quarantine: this.promptQuarantine.dump(),
+			limits: this.targetLimits.dump(),
 			namedWeights: this.weightsRegistry.dump(),
 			callsInProgress: this.listener.callsInProgress,
 			targets: [...this.fleet.list()].map(target => describeTarget(target, now)),
@@ -285,7 +293,7 @@
 		const {settings, adapter, clock, logger, random, metrics} = this.options;
 		return {
 			clock, logger, fleet: this.fleet, prefixes: this.prefixDirectory, targetClient: this.targetClient,
-			protocol: adapter.targetProtocol, quota: this.quotaLending, promptGuard: this.promptQuarantine,
+			protocol: adapter.targetProtocol, quota: this.quotaLending, promptGuard: this.promptQuarantine, limits: this.targetLimits,
 			dataCentre: settings.current.dataCentre as DataCentreId,
 			draw: () => random.pickIndex(drawResolution) / drawResolution,
 			findVersionHistory: model => this.weightsRegistry.find(model),
@@ -302,7 +310,7 @@
 		this.options.metrics.addGauges({
 			calls_in_progress: {help: 'Calls being served.', read: () => this.listener.callsInProgress},
 			...this.promptQuarantine.gauges,
-			limited_targets: {help: 'Targets that state a request limit.', read: () => [...this.fleet.list()].filter(target => target.limit.read() !== undefined).length},
+			...this.targetLimits.gauges,
 			members: {help: 'Live instances, this one included.', read: () => this.listPeers().length + 1},
 			configuration_revision: {help: 'Revision of the configuration in force, -1 for none.', read: () => this.feeds.readRevision()},
 		});
--- a/src/limits/target-limit/index.ts
+++ b/src/limits/target-limit/index.ts
@@ -23,6 +23,11 @@
 		return this.statedAt as MonotonicMs;
 	}
 
+	/** When the call was sent whose answer ended the last limit. */
+	readEndedAt(): MonotonicMs {
+		return this.endedAt as MonotonicMs;
+	}
+
 	/** Records a limit stated in an answer that was received at `receivedAt`. Returns whether the limit has changed. */
 	recordStated(requestsPerSecond: number, receivedAt: MonotonicMs): boolean {
 		if (receivedAt <= this.statedAt || receivedAt <= this.endedAt) {
