--- a/src/forwarding/call-session/index.ts
+++ b/src/forwarding/call-session/index.ts
@@ -19,6 +19,7 @@
 import {CallGuard} from '../call-guard/index.js';
 import {CallTimes} from '../call-times/index.js';
 import type {ResponseHead} from '../call-types/index.js';
+import {estimatePermitWaitMs} from '../estimate-permit-wait/index.js';
 import type {ForwardingContext} from '../forwarding-context/index.js';
 import {passChunk} from '../pass-chunk/index.js';
 import {planNextStep, type AttemptFailure, type NextStep} from '../plan-next-step/index.js';
@@ -169,11 +170,12 @@
 		return error !== undefined;
 	}
 
-	/** Waits for a usable target, up to a fraction of the latency goal. */
+	/** Waits for a usable target, up to a fraction of the latency goal, unless the limits of all targets leave none until then. */
 	private waitForTarget(now: MonotonicMs): void {
 		const waitEnd = calculateWaitEnd(this.options, this.deadline);
-		if (now >= waitEnd) {
-			this.refuse(createNoTargetError(this.mayHaveRun, this.context.draw()));
+		const permitWaitMs = estimatePermitWaitMs(this.selection, this.context, now);
+		if (now + (permitWaitMs ?? 0) >= waitEnd) {
+			this.refuse(createNoTargetError(this.mayHaveRun, this.context.draw(), permitWaitMs));
 			return;
 		}
 
--- /dev/null
+++ b/src/forwarding/estimate-permit-wait/test.ts
@@ -0,0 +1,37 @@
+import {test} from 'node:test';
+import {expect} from 'earl';
+import {createDescription} from '../../fixtures/create-fleet-target/index.js';
+import {TargetFleet} from '../../fleet/target-fleet/index.js';
+import type {MonotonicMs} from '../../identity/ids/index.js';
+import {openLimitGate} from '../../limits/limit-gate/index.js';
+import {quietLogger} from '../../logging/quiet-logger/index.js';
+import type {ServiceId} from '../../routing/routing-types/index.js';
+import type {ForwardingContext} from '../forwarding-context/index.js';
+import type {TargetSelection} from '../select-target/index.js';
+import {estimatePermitWaitMs} from './index.js';
+
+const at = (ms: number) => ms as MonotonicMs;
+
+/** Builds a service whose targets have limits; `waits` are the waits that issuers estimated at 0, in milliseconds. */
+function estimate(waits: ReadonlyArray<number | undefined>, allowed: readonly string[] = []): number | undefined {
+	const fleet = new TargetFleet(quietLogger);
+	fleet.replace(waits.map((_, index) => createDescription(`t${index}`)));
+	for (const [index, target] of [...fleet.list()].entries()) {
+		target.permits.open(index, at(0));
+		if (waits[index] !== undefined) {
+			target.permits.recordWait(index, waits[index], at(0));
+		}
+	}
+
+	const context = {fleet, limits: {...openLimitGate, allows: (target: {description: {id: string}}) => allowed.includes(target.description.id)}};
+	return estimatePermitWaitMs({session: {service: 'service-1' as ServiceId}} as TargetSelection, context as unknown as ForwardingContext, at(100));
+}
+
+test('estimates the wait for the first permit of any target', () => {
+	expect(estimate([900, 500])).toEqual(400);
+	expect(estimate([50])).toEqual(0);
+});
+
+test('guards against rejecting calls that another target may take, or before the issuers have answered', () => {
+	expect([estimate([900, 500], ['t1']), estimate([900, undefined]), estimate([])]).toEqual([undefined, undefined, undefined]);
+});
--- a/src/soak/plan-faults/index.ts
+++ b/src/soak/plan-faults/index.ts
@@ -9,6 +9,7 @@
 	target: ['crash', 'replace', 'hang', 'errors', 'lost', 'cut', 'pathReset', 'pathSilent', 'pathDelay'],
 	operator: ['configure', 'withdrawKey', 'publishWeights'],
 	prompt: ['crashingPart'],
+	limit: ['targetLimit'],
 } as const;
 
 export type FaultKind = (typeof faultKinds)[keyof typeof faultKinds][number];
@@ -32,12 +33,12 @@
 const minimumDurationMs = 200;
 const durationRangeMs = 3500;
 const victimLimit = 1000;
-/** Half of the plans have a part of prompts that crashes engines. */
-const crashingPartPeriod = 2;
-/** Maximum duration of a crashing part, in milliseconds. Whether instances recover from it shows only after several seconds. */
-const maximumCrashingPartMs = 12_000;
-/** A crashing part starts within the first quarter of the plan. */
-const crashingPartStartRatio = 0.25;
+/** One in this number of plans has a part of prompts that crashes engines; as many have a target that states a limit. */
+const longFaultPeriod = 2;
+/** Maximum duration of these faults, in milliseconds. What they lead to shows only after several seconds. */
+const maximumLongFaultMs = 12_000;
+/** These faults start within the first quarter of the plan. */
+const longFaultStartRatio = 0.25;
 
 /** Plans the faults for a period of `durationMs`. The same seed yields the same plan. */
 export function planFaults(seed: number, durationMs: number): PlannedFault[] {
@@ -59,17 +60,17 @@
 		seriesOffsetMs += random.applyJitter(seriesIntervalMs);
 	}
 
-	// Drawn last, so that the series of a seed do not depend on it.
-	return [...faults, ...planCrashingPart(random, durationMs)];
+	// Drawn last, so that the series of a seed do not depend on them.
+	return [...faults, ...planLongFault(random, 'crashingPart', durationMs), ...planLongFault(random, 'targetLimit', durationMs)];
 }
 
-function planCrashingPart(random: RandomSource, durationMs: number): PlannedFault[] {
-	if (random.pickIndex(crashingPartPeriod) > 0) {
+function planLongFault(random: RandomSource, kind: FaultKind, durationMs: number): PlannedFault[] {
+	if (random.pickIndex(longFaultPeriod) > 0) {
 		return [];
 	}
 
-	const offsetMs = random.pickIndex(Math.max(1, Math.floor(durationMs * crashingPartStartRatio)));
+	const offsetMs = random.pickIndex(Math.max(1, Math.floor(durationMs * longFaultStartRatio)));
 	return [{
-		offsetMs, kind: 'crashingPart', victim: 0, durationMs: Math.min(durationMs - offsetMs, maximumCrashingPartMs),
+		offsetMs, kind, victim: kind === 'targetLimit' ? random.pickIndex(victimLimit) : 0, durationMs: Math.min(durationMs - offsetMs, maximumLongFaultMs),
 	}];
 }
