--- a/src/gateway/gateway-feeds/test.ts
+++ b/src/gateway/gateway-feeds/test.ts
@@ -281,3 +281,47 @@
 	expect(applied.weights.map(({version}) => version)).toEqual([1, 3]);
 	stop();
 });
+
+/**
+ * Configures revisions 1 and 2, lets the object API go back to a copy of before revision 2, writes revision 2 again, and
+ * then configures revision 3 and lets a target leave.
+ */
+async function restoreAndConfigure(count: number) {
+	const {clock, objectApi, instances} = startGatewayFeeds(count);
+	const configure = async (revision: number) => {
+		const {resourceVersion} = await objectApi.get('configuration', 'main');
+		await objectApi.update('configuration', 'main', revision, resourceVersion);
+	};
+
+	const writeTarget = async (value: unknown) => objectApi.update('targets', 'a', value, (await objectApi.get('targets', 'a')).resourceVersion);
+	await objectApi.create('configuration', 'main', 1);
+	await objectApi.create<unknown>('targets', 'a', 1);
+	await clock.advance(2500);
+	const copy = objectApi.copy();
+	for (let number = 0; number < 20; number += 1) {
+		await objectApi.create('instances', `later${number}`, 1);
+	}
+
+	await writeTarget(2);
+	await configure(2);
+	await clock.advance(1500);
+	objectApi.restore(copy);
+	await configure(2);
+	await clock.advance(500);
+	await writeTarget('leaving');
+	await configure(3);
+	await clock.advance(1500);
+	for (const {stop} of instances) {
+		stop();
+	}
+
+	return instances.map(({applied}) => applied);
+}
+
+test('guards against changes that are missed after the object API was restored from a copy and gives versions out again', async () => {
+	for (const count of [3, 20]) {
+		const applied = await restoreAndConfigure(count);
+		expect(applied.map(({revisions}) => revisions)).toEqual(applied.map(() => [1, 2, 3]));
+		expect(applied.map(({targets}) => targets.map(({isLeaving}) => isLeaving))).toEqual(applied.map(() => [true]));
+	}
+});
--- a/src/leases/lease/test.ts
+++ b/src/leases/lease/test.ts
@@ -175,3 +175,32 @@
 	const record = await objectApi.get<LeaseRecord>(leaseCollection, 'job');
 	expect(record.value.incarnation).toEqual('next' as Incarnation);
 });
+
+test('guards against two holders after the object API was restored from a copy that has an older record or none', async () => {
+	for (const heldInCopy of [false, true]) {
+		const objectApi = new MemoryObjectApi();
+		const [a, b] = [createContender(objectApi, 'a'), createContender(objectApi, 'b')];
+		const early = objectApi.copy();
+		await a.lease.acquire();
+		const copy = heldInCopy ? objectApi.copy() : early;
+		expect(await countSecondsToAcquire(b)).toEqual(11);
+		const fencing = b.lease.readFencing()!;
+		objectApi.restore(copy);
+		const waitSeconds = await countSecondsToAcquire(a);
+		expect(waitSeconds > durationMs / 1000 && waitSeconds < 15).toEqual(true);
+		expect(a.lease.readFencing()! > fencing).toEqual(true);
+	}
+});
+
+test('guards against a holder that can neither renew its lease nor acquire it again after a restore brought its older record back', async () => {
+	const objectApi = new MemoryObjectApi();
+	const contender = createContender(objectApi, 'a');
+	await contender.lease.acquire();
+	const copy = objectApi.copy();
+	await contender.lease.renew();
+	await contender.lease.renew();
+	objectApi.restore(copy);
+	const waitSeconds = await countSecondsToAcquire(contender);
+	expect(waitSeconds > durationMs / 1000 && waitSeconds < 15).toEqual(true);
+	expect(contender.isHeld()).toEqual(true);
+});
--- a/src/store/memory-object-api/index.ts
+++ b/src/store/memory-object-api/index.ts
@@ -22,6 +22,9 @@
 	delayMs: number;
 };
 
+/** A copy from which the API can be restored. */
+export type StoreCopy = {readonly version: number; readonly collections: ReadonlyMap<string, ReadonlyMap<string, StoredObject>>};
+
 type Change = {readonly version: number; readonly event: WatchEvent & {readonly object: StoredObject}};
 type Watcher = {readonly collection: string; readonly notify: (event: WatchEvent) => void; readonly fail: (error: Error) => void};
 
@@ -31,6 +34,8 @@
 	/** Calls served so far, by kind. */
 	readonly calls = {read: 0, write: 0, watch: 0};
 	private version = 0;
+	/** Number of times that the API was restored from a copy. */
+	private era = 0;
 	private readonly collections = new Map<string, Map<string, StoredObject>>();
 	private changes: Change[] = [];
 	private readonly watchers = new Set<Watcher>();
@@ -103,6 +108,24 @@
 		}
 	}
 
+	/** Copies all objects and the version. */
+	copy(): StoreCopy {
+		return {version: this.version, collections: new Map([...this.collections].map(([name, objects]) => [name, new Map(objects)]))};
+	}
+
+	/** Breaks all watches and goes on from a copy: later changes are gone, and their versions are given out again. */
+	restore({version, collections}: StoreCopy): void {
+		this.setDown(true);
+		this.faults.isDown = false;
+		this.version = version;
+		this.era += 1;
+		this.changes = [];
+		this.collections.clear();
+		for (const [name, objects] of collections) {
+			this.collections.set(name, new Map(objects));
+		}
+	}
+
 	/** Sends a bookmark to every watch, as the platform does each second. */
 	sendBookmarks(): void {
 		for (const watcher of this.watchers) {
