Order versions of the object API by era and revision

What happened in the test: after the store had come back from a copy, followers at a version of the old history took every later change for old; with 20 instances none of the 17 followers heard of a confirmed configuration and of a leaving target. Cause: revisions were compared as if the store had one history. Class: a counter that may start again, compared without what tells its runs apart.

Versions now carry the era that the store names in its answers, and compare by it first. In era 0 a version is its revision, as before, so peers of earlier releases understand it.

--- a/src/budget/simulated-node/index.ts
+++ b/src/budget/simulated-node/index.ts
@@ -106,6 +106,10 @@
 		private readonly random: Random,
 	) {}
 
+	readEra(): number {
+		return this.store.readEra();
+	}
+
 	async get<Value>(collection: string, name: string): Promise<StoredObject<Value>> {
 		return this.callStore(async () => this.store.get<Value>(collection, name));
 	}
--- a/src/gateway/gateway-feeds/test.ts
+++ b/src/gateway/gateway-feeds/test.ts
@@ -293,7 +293,11 @@
 		await objectApi.update('configuration', 'main', revision, resourceVersion);
 	};
 
-	const writeTarget = async (value: unknown) => objectApi.update('targets', 'a', value, (await objectApi.get('targets', 'a')).resourceVersion);
+	const writeTarget = async (value: unknown) => {
+		const {resourceVersion} = await objectApi.get('targets', 'a');
+		await objectApi.update('targets', 'a', value, resourceVersion);
+	};
+
 	await objectApi.create('configuration', 'main', 1);
 	await objectApi.create<unknown>('targets', 'a', 1);
 	await clock.advance(2500);
--- a/src/store/collection-mirror/index.ts
+++ b/src/store/collection-mirror/index.ts
@@ -10,7 +10,7 @@
 import {
 	ObjectApiError, type ObjectApi, type StoredObject, type WatchEvent,
 } from '../object-api/index.js';
-import {isLaterVersion} from '../is-later-version/index.js';
+import {isLaterVersion} from '../object-version/index.js';
 import {RemovalLog} from '../removal-log/index.js';
 
 /** Time without events after which a watch counts as dead, in milliseconds. The object API sends a bookmark at least every second. */
--- a/src/store/http-object-api/index.ts
+++ b/src/store/http-object-api/index.ts
@@ -8,6 +8,7 @@
 import type {ResourceVersion} from '../../identity/ids/index.js';
 import {createTaskStream} from '../../streams/create-task-stream/index.js';
 import {checkStatus, convertCallError} from '../convert-call-error/index.js';
+import {parseVersion} from '../object-version/index.js';
 import {
 	ObjectApiError, type ObjectApi, type ObjectList, type StoredObject, type WatchEvent,
 } from '../object-api/index.js';
@@ -40,6 +41,7 @@
 	onHeard: (() => void) | undefined;
 	private readonly agent: Agent;
 	private readonly watchAgent: Agent;
+	private era = 0;
 
 	constructor(private readonly options: HttpObjectApiOptions) {
 		const callTimeoutMs = options.callTimeoutMs ?? defaultCallTimeoutMs;
@@ -51,13 +53,18 @@
 		});
 	}
 
+	readEra(): number {
+		return this.era;
+	}
+
 	async get<Value>(collection: string, name: string): Promise<StoredObject<Value>> {
 		const wire = await this.call<WireObject<Value>>('GET', formatPath(collection, name));
-		return convertObject(collection, wire);
+		return this.convertAnswer(collection, wire);
 	}
 
 	async list<Value>(collection: string): Promise<ObjectList<Value>> {
 		const wire = await this.call<{metadata: {resourceVersion: ResourceVersion}; items: Array<WireObject<Value>>}>('GET', formatPath(collection));
+		this.recordVersion(wire.metadata.resourceVersion);
 		return {
 			items: wire.items.map(item => convertObject(collection, item)),
 			resourceVersion: wire.metadata.resourceVersion,
@@ -66,13 +73,13 @@
 
 	async create<Value>(collection: string, name: string, value: Value): Promise<StoredObject<Value>> {
 		const wire = await this.call<WireObject<Value>>('POST', formatPath(collection), {metadata: {name}, value});
-		return convertObject(collection, wire);
+		return this.convertAnswer(collection, wire);
 	}
 
 	async update<Value>(collection: string, name: string, value: Value, expected: ResourceVersion): Promise<StoredObject<Value>> {
 		const body = {metadata: {name, resourceVersion: expected}, value};
 		const wire = await this.call<WireObject<Value>>('PUT', formatPath(collection, name), body);
-		return convertObject(collection, wire);
+		return this.convertAnswer(collection, wire);
 	}
 
 	async remove(collection: string, name: string, expected?: ResourceVersion): Promise<void> {
@@ -93,6 +100,15 @@
 		await Promise.all([this.agent.destroy(), this.watchAgent.destroy()]);
 	}
 
+	private convertAnswer<Value>(collection: string, wire: WireObject<Value>): StoredObject<Value> {
+		this.recordVersion(wire.metadata.resourceVersion);
+		return convertObject(collection, wire);
+	}
+
+	private recordVersion(version: ResourceVersion): void {
+		this.era = Math.max(this.era, parseVersion(version).era);
+	}
+
 	private async call<Result>(method: 'GET' | 'POST' | 'PUT' | 'DELETE', path: string, body?: unknown): Promise<Result> {
 		this.options.onCall?.(method === 'GET' ? 'read' : 'write');
 		try {
--- a/src/store/memory-object-api/index.ts
+++ b/src/store/memory-object-api/index.ts
@@ -3,6 +3,7 @@
 import {type Stream} from 'most';
 import type {ResourceVersion} from '../../identity/ids/index.js';
 import {createStream} from '../../streams/create-stream/index.js';
+import {formatVersion, parseVersion, type VersionParts} from '../object-version/index.js';
 import {
 	ObjectApiError, type ObjectApi, type ObjectList, type StoredObject, type WatchEvent,
 } from '../object-api/index.js';
@@ -88,7 +89,7 @@
 				},
 			};
 			setImmediate(() => {
-				this.startWatch(watcher, Number(from));
+				this.startWatch(watcher, parseVersion(from));
 			});
 			return () => {
 				this.watchers.delete(watcher);
@@ -133,19 +134,23 @@
 		}
 	}
 
+	readEra(): number {
+		return this.era;
+	}
+
 	/** Formats the version of the latest change. */
 	formatVersion(): ResourceVersion {
-		return String(this.version) as ResourceVersion;
+		return formatVersion({era: this.era, revision: this.version});
 	}
 
-	private startWatch(watcher: Watcher, from: number): void {
+	private startWatch(watcher: Watcher, {era, revision: from}: VersionParts): void {
 		if (this.faults.isDown) {
 			watcher.fail(new ObjectApiError('unavailable', 'the object API is down'));
 			return;
 		}
 
 		const oldestVersion = this.changes[0]?.version ?? this.version + 1;
-		if (from + 1 < oldestVersion && from < this.version) {
+		if (era !== this.era || (from + 1 < oldestVersion && from < this.version)) {
 			watcher.fail(new ObjectApiError('expired', `version ${from} is too old`));
 			return;
 		}
--- a/src/store/object-api/index.ts
+++ b/src/store/object-api/index.ts
@@ -59,4 +59,6 @@
 	 * `unavailable` if the connection breaks or is silent for too long.
 	 */
 	watch<Value>(collection: string, from: ResourceVersion): Stream<WatchEvent<Value>>;
+	/** Returns the latest era seen in an answer, which rises with each restore from a copy; 0 before the first. */
+	readEra(): number;
 };
--- a/src/store/relayed-object-api/index.ts
+++ b/src/store/relayed-object-api/index.ts
@@ -21,7 +21,7 @@
 const relayedFailures: ReadonlySet<ObjectApiFailure> = new Set(['unavailable', 'rateLimited', 'unknownOutcome']);
 
 /** The calls that can be relayed. */
-export type RelayableObjectApi = Pick<ObjectApi, 'get' | 'create' | 'update'>;
+export type RelayableObjectApi = Pick<ObjectApi, 'get' | 'create' | 'update' | 'readEra'>;
 
 type RelayedCall
 	= | {readonly type: 'get'; readonly collection: string; readonly name: string}
@@ -52,6 +52,10 @@
 		return this.call<Value>({type: 'get', collection, name});
 	}
 
+	readEra(): number {
+		return this.options.objectApi.readEra();
+	}
+
 	async create<Value>(collection: string, name: string, value: Value): Promise<StoredObject<Value>> {
 		return this.call<Value>({
 			type: 'create', collection, name, value,
--- a/src/store/removal-log/index.ts
+++ b/src/store/removal-log/index.ts
@@ -1,6 +1,6 @@
 /** Log of the latest removals from a collection, from which older copies are updated. */
 
-import {isLaterVersion} from '../is-later-version/index.js';
+import {isLaterVersion} from '../object-version/index.js';
 
 /** Maximum number of retained removals. An older copy needs the whole collection. */
 const maximumRemovals = 256;
--- a/src/store/revision-timeline/index.ts
+++ b/src/store/revision-timeline/index.ts
@@ -7,7 +7,7 @@
  */
 
 import {measureElapsedMs, shiftBack, type Instant} from '../../clock/instant/index.js';
-import {isLaterVersion} from '../is-later-version/index.js';
+import {isLaterVersion} from '../object-version/index.js';
 
 /** A version that the object API had, and how long ago it was known to have it, in milliseconds. */
 export type ConfirmedVersion = readonly [version: string, ageMs: number];
