Keep one lease holder when the object API was restored from a copy

What the tests showed: after a restore a contender created the missing record at once, while the holder's validity ran, with a fencing number that had been used; and a holder whose older record came back could never renew or acquire its lease again, since it did not know that write any more (60 s without a lease, alone). Cause: a missing or older record was taken for the truth about the holder, and a contender's own old writes for its last one.

In an era above 0 a missing record is observed for the whole duration before it is created. Fencing numbers of an era begin above those of all eras before. Own writes are forgotten once another holder's record was seen, and count in a new era only while they are still valid: a holder writes its record back, a former one waits. In era 0 nothing changes.

The store proxy of the target controller's test passed on every property as a call; it now reads the era without one, as the real clients do. The new lease test advances the former holder's clock together with the other's.

--- a/src/leases/lease/index.ts
+++ b/src/leases/lease/index.ts
@@ -5,12 +5,16 @@
  * A contender may acquire the lease after it has seen the record unchanged for the record's duration on
  * its own monotonic clock, with every read in between answered. The holder measures the validity from the
  * time it sent the last confirmed write, which precedes any time at which a contender can have read it.
+ *
+ * If the object API was ever restored from a copy, a missing or older record says nothing about the present holder. A
+ * missing record is then observed for the duration as well, and fencing numbers begin anew above those of all eras before.
  */
 
 import type {Clock} from '../../clock/clock/index.js';
 import type {
 	FencingNumber, Incarnation, MonotonicMs, ResourceVersion,
 } from '../../identity/ids/index.js';
+import {parseVersion} from '../../store/object-version/index.js';
 import {ObjectApiError, type ObjectApi, type StoredObject} from '../../store/object-api/index.js';
 
 /** Collection of the object API that contains all leases. */
@@ -32,7 +36,7 @@
 
 /** Options of `Lease`. */
 export type LeaseOptions = {
-	readonly objectApi: Pick<ObjectApi, 'get' | 'create' | 'update'>;
+	readonly objectApi: Pick<ObjectApi, 'get' | 'create' | 'update' | 'readEra'>;
 	readonly clock: Clock;
 	/** Name of the object in `leaseCollection`. */
 	readonly name: string;
@@ -49,8 +53,11 @@
 	readonly maximumReadGapMs?: number;
 };
 
-/** Record seen by a contender without the lease; unchanged from `since` to `lastReadAt`. */
-type Observation = {readonly record: LeaseRecord; readonly since: MonotonicMs; lastReadAt: MonotonicMs};
+/** Range of fencing numbers of one era. */
+const fencingNumbersPerEra = 1_000_000;
+
+/** Record seen by a contender without the lease, or undefined for a missing one; unchanged from `since` to `lastReadAt`. */
+type Observation = {readonly record: LeaseRecord | undefined; readonly since: MonotonicMs; lastReadAt: MonotonicMs};
 type ConfirmedWrite = {readonly record: LeaseRecord; readonly version: ResourceVersion; readonly sentAt: MonotonicMs};
 
 /** One contender for a lease. A single task calls `acquire` and `renew` repeatedly. */
@@ -93,16 +100,17 @@
 
 		const object = await this.readRecord();
 		if (object === undefined) {
-			return this.writeRecord(undefined, this.buildRecord(1));
+			return this.canCreate() && this.writeRecord(undefined, this.buildRecord(this.chooseFencing(0)));
 		}
 
-		if (this.isOwn(object.value)) {
+		if (this.isLastWrite(object.value)) {
 			this.confirm(object);
 			return this.renew();
 		}
 
+		this.sentAtByRenewals.clear();
 		this.predecessor = object.value;
-		return this.canAcquire(object.value) && this.writeRecord(object.resourceVersion, this.buildRecord(object.value.fencing + 1));
+		return this.canAcquire(object.value) && this.writeRecord(object.resourceVersion, this.buildRecord(this.chooseFencing(object.value.fencing)));
 	}
 
 	/**
@@ -154,15 +162,30 @@
 			return true;
 		}
 
-		const now = clock.readMonotonic();
+		return this.hasStayed(record, record.durationMs, maximumReadGapMs ?? record.durationMs / 4, clock.readMonotonic());
+	}
+
+	/** Whether a missing record may be created: there was never one, or it has been missing for its duration. */
+	private canCreate(): boolean {
+		const {objectApi, durationMs, maximumReadGapMs, clock} = this.options;
+		return objectApi.readEra() === 0 || this.hasStayed(undefined, durationMs, maximumReadGapMs ?? durationMs / 4, clock.readMonotonic());
+	}
+
+	/** Whether the record has been seen unchanged for `durationMs`, without a gap between two reads of more than `maximumGapMs`. */
+	private hasStayed(record: LeaseRecord | undefined, durationMs: number, maximumGapMs: number, now: MonotonicMs): boolean {
 		const previous = this.observation;
-		if (previous === undefined || !isSameWrite(previous.record, record) || now - previous.lastReadAt > (maximumReadGapMs ?? record.durationMs / 4)) {
+		if (previous === undefined || !isSameWrite(previous.record, record) || now - previous.lastReadAt > maximumGapMs) {
 			this.observation = {record, since: now, lastReadAt: now};
 			return false;
 		}
 
 		previous.lastReadAt = now;
-		return now - previous.since > record.durationMs;
+		return now - previous.since > durationMs;
+	}
+
+	/** Chooses the fencing number of a new holder: above that of the last record and those of all earlier eras. */
+	private chooseFencing(previous: number): number {
+		return Math.max(previous, this.options.objectApi.readEra() * fencingNumbersPerEra) + 1;
 	}
 
 	private async writeRecord(version: ResourceVersion | undefined, record: LeaseRecord): Promise<boolean> {
@@ -192,7 +215,7 @@
 		}
 
 		const object = await this.readRecord();
-		if (object !== undefined && this.isOwn(object.value)) {
+		if (object !== undefined && this.isLastWrite(object.value) && !this.isVoid(object)) {
 			const isNew = object.value.renewals !== this.confirmed?.record.renewals;
 			this.confirm(object);
 			if (!isNew) {
@@ -203,6 +226,11 @@
 		}
 
 		this.confirmed = undefined;
+		if (object !== undefined) {
+			// The condition of no earlier write can hold any more, and a restore must not bring it back to life.
+			this.sentAtByRenewals.clear();
+		}
+
 		return false;
 	}
 
@@ -229,6 +257,18 @@
 		return record.holder === this.options.holder && record.incarnation === this.options.incarnation;
 	}
 
+	/** Whether the record is a write of this contender that no confirmed write has replaced; a restore may bring older ones back. */
+	private isLastWrite(record: LeaseRecord): boolean {
+		return this.isOwn(record) && this.sentAtByRenewals.has(record.renewals);
+	}
+
+	/** Whether the record is of a new era and the validity has ended: another holder's record may have been lost in between. */
+	private isVoid({resourceVersion}: StoredObject<LeaseRecord>): boolean {
+		const {confirmed} = this;
+		const isNewEra = confirmed !== undefined && parseVersion(resourceVersion).era > parseVersion(confirmed.version).era;
+		return isNewEra && !this.isHeld(this.options.clock.readMonotonic());
+	}
+
 	private buildRecord(fencing: number): LeaseRecord {
 		const {holder, incarnation, durationMs} = this.options;
 		this.writeCount += 1;
@@ -238,6 +278,10 @@
 	}
 }
 
-function isSameWrite(a: LeaseRecord, b: LeaseRecord): boolean {
+function isSameWrite(a: LeaseRecord | undefined, b: LeaseRecord | undefined): boolean {
+	if (a === undefined || b === undefined) {
+		return a === b;
+	}
+
 	return a.holder === b.holder && a.incarnation === b.incarnation && a.fencing === b.fencing && a.renewals === b.renewals;
 }
--- a/src/leases/lease/test.ts
+++ b/src/leases/lease/test.ts
@@ -185,6 +185,7 @@
 		const copy = heldInCopy ? objectApi.copy() : early;
 		expect(await countSecondsToAcquire(b)).toEqual(11);
 		const fencing = b.lease.readFencing()!;
+		await a.clock.advance(11_000);
 		objectApi.restore(copy);
 		const waitSeconds = await countSecondsToAcquire(a);
 		expect(waitSeconds > durationMs / 1000 && waitSeconds < 15).toEqual(true);
--- a/src/orders/target-controller/test.ts
+++ b/src/orders/target-controller/test.ts
@@ -70,10 +70,11 @@
 		const {clock} = fleet;
 		const callStore = async (call: () => Promise<unknown>) => this.callStore(call);
 		const objectApi = new Proxy(fleet.api, {
-			get: (api, name: keyof ObjectApi) => async (...parameters: unknown[]) => callStore(async () => {
+			get(api, name: keyof ObjectApi) {
 				const method = api[name] as (...all: unknown[]) => unknown;
-				return method.apply(api, parameters);
-			}),
+				// The era is known without a call.
+				return name === 'readEra' ? method.bind(api) : async (...parameters: unknown[]) => callStore(async () => method.apply(api, parameters));
+			},
 		});
 		this.controller = new TargetController({
 			clock, logger: createLogger({}, true), invariants: this.invariants,
--- a/src/store/memory-object-api/index.ts
+++ b/src/store/memory-object-api/index.ts
@@ -123,7 +123,8 @@
 		this.changes = [];
 		this.collections.clear();
 		for (const [name, objects] of collections) {
-			this.collections.set(name, new Map(objects));
+			const restored = [...objects].map(([key, object]) => [key, {...object, resourceVersion: this.moveToEra(object.resourceVersion)}] as const);
+			this.collections.set(name, new Map(restored));
 		}
 	}
 
@@ -143,6 +144,10 @@
 		return formatVersion({era: this.era, revision: this.version});
 	}
 
+	private moveToEra(version: ResourceVersion): ResourceVersion {
+		return formatVersion({...parseVersion(version), era: this.era});
+	}
+
 	private startWatch(watcher: Watcher, {era, revision: from}: VersionParts): void {
 		if (this.faults.isDown) {
 			watcher.fail(new ObjectApiError('unavailable', 'the object API is down'));
