Write back what a restore of the object API has removed

A stored quarantine that was missing after a restore was taken for one that an operator had deleted, and lifted on all instances; the entry of an instance that had registered since the copy stayed away, so that its peers counted one less and could not find it without a seed. Both have a test that fails on the code before (the methods are new for the second).

A quarantine that is missing in a later era than the one in which it was seen is stored again within 2 s by one instance, and an instance whose entry is missing registers again. The gauge object_api_era shows the era.

--- a/src/gateway/gateway-feeds/index.ts
+++ b/src/gateway/gateway-feeds/index.ts
@@ -47,7 +47,7 @@
 	readonly onTargets: (targets: readonly TargetDescription[]) => void;
 	readonly onWeights: (weights: WeightsNotice, age: AnnouncementAge) => void;
 	readonly onInstances: (instances: readonly StoredObject[]) => void;
-	readonly onQuarantines: (quarantines: readonly StoredObject[]) => void;
+	readonly onQuarantines: (quarantines: readonly StoredObject[], version: string | undefined) => void;
 };
 
 /** Mirrors the platform's collections and applies their changes. */
@@ -81,7 +81,8 @@
 			options.onInstances([...this.mirrors.get(instances)!.objects.values()]);
 		});
 		this.addMirror(quarantines, () => {
-			options.onQuarantines([...this.mirrors.get(quarantines)!.objects.values()]);
+			const mirror = this.mirrors.get(quarantines)!;
+			options.onQuarantines([...mirror.objects.values()], mirror.readVersion());
 		});
 		this.relay = new FeedRelay({
 			...options, mirrors: this.mirrors, timeline: this.timeline,
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -127,8 +127,8 @@
 			onWeights: (weights, age) => {
 				this.applyWeights(weights, age);
 			},
-			onQuarantines: objects => {
-				this.promptQuarantine.replaceStored(objects);
+			onQuarantines: (objects, version) => {
+				this.promptQuarantine.replaceStored(objects, version);
 			},
 		});
 		this.quotaLending = new QuotaLending({
@@ -177,7 +177,7 @@
 		void this.quotaLending.run(signal);
 		void this.promptQuarantine.run(signal);
 		void this.targetLimits.run(signal);
-		void this.instanceRegistry.register(signal);
+		void this.instanceRegistry.keepRegistered(signal);
 		void pruneConnections(this.targetClient, this.fleet, clock, signal);
 		void new StandstillMonitor({
 			clock, logger,
@@ -311,6 +311,7 @@
 			calls_in_progress: {help: 'Calls being served.', read: () => this.listener.callsInProgress},
 			...this.promptQuarantine.gauges,
 			...this.targetLimits.gauges,
+			object_api_era: {help: 'Era of the object API, which rises with each restore from a copy.', read: () => this.options.adapter.objectApi.readEra()},
 			members: {help: 'Live instances, this one included.', read: () => this.listPeers().length + 1},
 			configuration_revision: {help: 'Revision of the configuration in force, -1 for none.', read: () => this.feeds.readRevision()},
 		});
--- a/src/gateway/instance-registry/index.ts
+++ b/src/gateway/instance-registry/index.ts
@@ -1,6 +1,7 @@
 /** Collection in which instances register, so that they find each other when no seed answers. */
 
 import type {Clock} from '../../clock/clock/index.js';
+import {Wakeup} from '../../clock/wakeup/index.js';
 import type {InstanceId} from '../../identity/ids/index.js';
 import type {EventLogger} from '../../logging/create-logger/index.js';
 import type {InstanceList, ListedInstance} from '../../store/instance-list/index.js';
@@ -19,10 +20,14 @@
 type RegistryEntry = {readonly peerAddress: string};
 
 const retryIntervalMs = 1000;
+/** Interval at which an instance registers again in any case, in milliseconds. */
+const lossCheckIntervalMs = 3_600_000;
 
 /** Registers this instance and lists the registered ones. */
 export class InstanceRegistry implements InstanceList {
 	private entries: readonly ListedInstance[] = [];
+	private isListed = false;
+	private readonly lost = new Wakeup();
 
 	constructor(private readonly options: InstanceRegistryOptions) {}
 
@@ -37,12 +42,28 @@
 		this.entries = entries.map(({name, value}) => ({
 			id: name, role: 'entry', address: value.peerAddress, state: 'live',
 		}));
+		const wasListed = this.isListed;
+		this.isListed = this.entries.some(({id}) => id === this.options.self);
+		if (wasListed && !this.isListed) {
+			this.lost.notify();
+		}
 	}
 
 	async read(): Promise<readonly ListedInstance[]> {
 		return this.entries;
 	}
 
+	/** Registers this instance, and again whenever its entry was lost, until `signal` aborts. */
+	async keepRegistered(signal: AbortSignal): Promise<void> {
+		const {clock, logger, self} = this.options;
+		while (!signal.aborted) {
+			await this.register(signal);
+			if (await this.lost.wait(clock, lossCheckIntervalMs, signal)) {
+				logger.warn('entry of this instance lost by the object API', {entry: self});
+			}
+		}
+	}
+
 	/** Registers this instance; retries until it succeeds or `signal` aborts. An entry left by an earlier process counts as success. */
 	async register(signal: AbortSignal): Promise<void> {
 		const {objectApi, collection, self, peerAddress, clock, logger} = this.options;
--- a/src/gateway/instance-registry/test.ts
+++ b/src/gateway/instance-registry/test.ts
@@ -41,3 +41,24 @@
 	registry.replace(items);
 	expect(registry.registeredInstanceCount).toEqual(2);
 });
+
+test('guards against an instance that peers never find because a restore of the object API removed its entry', async () => {
+	const clock = new ManualClock();
+	const objectApi = new MemoryObjectApi();
+	const copy = objectApi.copy();
+	const registry = createRegistry(objectApi, clock, 'a');
+	const controller = new AbortController();
+	void registry.keepRegistered(controller.signal);
+	const refresh = async () => {
+		await clock.advance(100);
+		const {items} = await objectApi.list('instances');
+		registry.replace(items);
+		return items.map(({name}) => name);
+	};
+
+	expect(await refresh()).toEqual(['a']);
+	objectApi.restore(copy);
+	expect(await refresh()).toEqual([]);
+	expect(await refresh()).toEqual(['a']);
+	controller.abort();
+});
--- a/src/quarantine/prompt-quarantine/index.ts
+++ b/src/quarantine/prompt-quarantine/index.ts
@@ -118,8 +118,8 @@
 	}
 
 	/** Takes over the stored quarantines. */
-	replaceStored(objects: readonly StoredObject[]): void {
-		this.records.replace(objects);
+	replaceStored(objects: readonly StoredObject[], version: string | undefined): void {
+		this.records.replace(objects, version);
 	}
 
 	findRejection(work: EngineWork, now: MonotonicMs): PromptRejection | undefined {
--- a/src/quarantine/prompt-quarantine/test.ts
+++ b/src/quarantine/prompt-quarantine/test.ts
@@ -61,9 +61,9 @@
 		},
 		isRejected: (guard: PromptQuarantine) => guard.findRejection(createWork('root', 'culprit', 'own'), clock.readMonotonic()) !== undefined,
 		async refresh() {
-			const {items} = await objectApi.list(collection);
+			const {items, resourceVersion} = await objectApi.list(collection);
 			for (const guard of guards) {
-				guard.replaceStored(items);
+				guard.replaceStored(items, resourceVersion);
 			}
 
 			return items.map(({name}) => name);
--- a/src/quarantine/quarantine-records/index.ts
+++ b/src/quarantine/quarantine-records/index.ts
@@ -11,6 +11,7 @@
 import type {EventLogger} from '../../logging/create-logger/index.js';
 import type {RandomSource} from '../../random/random-source/index.js';
 import {ObjectApiError, type ObjectApi, type StoredObject} from '../../store/object-api/index.js';
+import {parseVersion} from '../../store/object-version/index.js';
 import {
 	createPartKey, maximumKeyLength, splitPartKey, type PartKey,
 } from '../part-key/index.js';
@@ -30,6 +31,8 @@
 const sameEndToleranceMs = 2000;
 /** Bounds of the pause before a retry, in milliseconds; a quarantine also holds while it is not stored. */
 const retryDelayMs = {shortest: 250, longest: 5000};
+/** Longest pause before a lost object is written again, in milliseconds; one of the instances does so first. */
+const maximumRewriteDelayMs = 2000;
 const maximumRemovalAttempts = 5;
 const maximumRememberedNames = 1000;
 const randomSteps = 1000;
@@ -63,8 +66,8 @@
 
 	constructor(private readonly options: QuarantineRecordsOptions) {}
 
-	/** Takes over the present objects of the collection. */
-	replace(objects: readonly StoredObject[]): void {
+	/** Takes over the objects of the collection at `version`. */
+	replace(objects: readonly StoredObject[], version: string | undefined): void {
 		const previous = this.known;
 		this.known = new Map();
 		for (const object of objects) {
@@ -80,9 +83,15 @@
 			}
 		}
 
-		for (const [name, {part}] of previous) {
+		const era = version === undefined ? 0 : parseVersion(version).era;
+		for (const [name, {part, resourceVersion}] of previous) {
 			if (!this.known.has(name)) {
-				this.options.onRemoved(part);
+				const isLost = parseVersion(resourceVersion).era < era;
+				if (isLost) {
+					this.storeAgain(part);
+				} else {
+					this.options.onRemoved(part);
+				}
 			}
 		}
 	}
@@ -136,6 +145,16 @@
 		}
 	}
 
+	/** Stores a quarantine that a restore of the object API has removed, unless another instance does so first. */
+	private storeAgain(part: PartKey): void {
+		const {read, logger, random} = this.options;
+		const quarantine = read(part);
+		if (quarantine !== undefined) {
+			logger.info('quarantine lost by the store', {part});
+			void this.store(quarantine, maximumRewriteDelayMs * random.pickIndex(randomSteps) / randomSteps);
+		}
+	}
+
 	private async backOff(attempt: number): Promise<void> {
 		const {clock, random} = this.options;
 		const longestMs = Math.min(retryDelayMs.longest, retryDelayMs.shortest * (2 ** attempt));
--- a/src/quarantine/quarantine-records/test.ts
+++ b/src/quarantine/quarantine-records/test.ts
@@ -38,8 +38,8 @@
 			void records.store(quarantine, 0);
 		},
 		async refresh() {
-			const {items} = await memory.list(collection);
-			records.replace(items);
+			const {items, resourceVersion} = await memory.list(collection);
+			records.replace(items, resourceVersion);
 		},
 	};
 }
@@ -148,3 +148,17 @@
 	await first!.refresh();
 	expect(first!.register.read(part)?.endsAt).toEqual(clock.readMonotonic() + 600_000 as MonotonicMs);
 });
+
+test('guards against a quarantine that ends because the object API was restored from a copy without it', async () => {
+	const {clock, memory, instances: [first]} = createInstances(1);
+	const copy = memory.copy();
+	first!.quarantine();
+	await clock.advance(100);
+	await first!.refresh();
+	memory.restore(copy);
+	await first!.refresh();
+	expect(first!.removed).toEqual([]);
+	await clock.advance(2500);
+	const {items} = await memory.list(collection);
+	expect(items.map(object => object.name)).toEqual([name]);
+});
