--- a/src/soak/plan-faults/index.ts
+++ b/src/soak/plan-faults/index.ts
@@ -10,6 +10,7 @@
 	operator: ['configure', 'withdrawKey', 'publishWeights'],
 	prompt: ['crashingPart'],
 	limit: ['targetLimit'],
+	history: ['storeRestored'],
 } as const;
 
 export type FaultKind = (typeof faultKinds)[keyof typeof faultKinds][number];
@@ -33,7 +34,7 @@
 const minimumDurationMs = 200;
 const durationRangeMs = 3500;
 const victimLimit = 1000;
-/** One in this number of plans has a part of prompts that crashes engines; as many have a target that states a limit. */
+/** One in this number of plans has a part of prompts that crashes engines; as many have a limited target, or a store restored from a copy. */
 const longFaultPeriod = 2;
 /** Maximum duration of these faults, in milliseconds. What they lead to shows only after several seconds. */
 const maximumLongFaultMs = 12_000;
@@ -61,7 +62,8 @@
 	}
 
 	// Drawn last, so that the series of a seed do not depend on them.
-	return [...faults, ...planLongFault(random, 'crashingPart', durationMs), ...planLongFault(random, 'targetLimit', durationMs)];
+	const longKinds = [...faultKinds.prompt, ...faultKinds.limit, ...faultKinds.history];
+	return [...faults, ...longKinds.flatMap(kind => planLongFault(random, kind, durationMs))];
 }
 
 function planLongFault(random: RandomSource, kind: FaultKind, durationMs: number): PlannedFault[] {
