Set the listener limits of signals to the number of tasks that wait on them

Node.js warned of a possible leak at the start of each gateway and whenever all watches broke at once: five mirrors wait for the end of their watches and for a pause after a failure, on one signal with the relay. The number is bounded.

--- a/src/gateway/feed-relay/index.ts
+++ b/src/gateway/feed-relay/index.ts
@@ -5,6 +5,7 @@
  * until the next watcher is polled.
  */
 
+import {setMaxListeners} from 'node:events';
 import type {Clock} from '../../clock/clock/index.js';
 import {readInstant} from '../../clock/instant/index.js';
 import type {InstanceId, MonotonicMs, Revision} from '../../identity/ids/index.js';
@@ -42,6 +43,9 @@
  */
 const watcherSilenceLimitMs = 4500;
 
+/** Listeners that a mirror adds to the signal of its watch: one for its run, and one for its pause after a failure. */
+const listenersPerMirror = 2;
+
 /** Options of the feed relay. */
 export type FeedRelayOptions = {
 	readonly self: InstanceId;
@@ -165,6 +169,7 @@
 		}
 
 		const controller = new AbortController();
+		setMaxListeners((this.options.mirrors.size * listenersPerMirror) + 1, controller.signal);
 		signal.addEventListener('abort', () => {
 			controller.abort();
 		}, {once: true, signal: controller.signal});
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -1,5 +1,6 @@
 /** The gateway process: connects the components that serve callers on a platform, and stops them in order. */
 
+import {setMaxListeners} from 'node:events';
 import type {Clock} from '../../clock/clock/index.js';
 import {AdminServer} from '../../daemon/admin-server/index.js';
 import type {PlannedStop} from '../../daemon/planned-stop/index.js';
@@ -58,6 +59,8 @@
 
 /** Minimum number of instances assumed until the registry has been read, so that quota shares are not too large. */
 const assumedInstanceCount = 12;
+/** Upper limit of the tasks that wait on the signal of the gateway at the same time; more would be a leak. */
+const maximumTasks = 24;
 /** Number of distinct values that `draw` returns. */
 const drawResolution = 0x40_00_00_00;
 
@@ -94,6 +97,7 @@
 		const self = settings.instance as InstanceId;
 		const listPeerIds = () => this.listPeers().map(peer => peer.id);
 		this.startedAt = clock.readMonotonic();
+		setMaxListeners(maximumTasks, this.controller.signal);
 		this.fleet = new TargetFleet(logger);
 		this.datagramChannel = new DatagramChannel(logger);
 		this.weightsRegistry = new WeightsRegistry(this.startedAt, () => store.current.weightsLimitMs);
