Wait for the duration of a lease whose record a restore brought back as free

A released record, or one of an earlier incarnation of the same holder, may be taken without waiting. After a restore such a record can be older than that of a holder that still acts: the test took the lease at once while the other holder's validity ran. Records now name the era in which they were written; one of an earlier era than the object API's is observed for its duration like any other. An observation ends with the era, too.

--- a/src/leases/lease/index.ts
+++ b/src/leases/lease/index.ts
@@ -32,6 +32,8 @@
 	readonly durationMs: number;
 	/** Time since the last holder used the lease; only in a released record. */
 	readonly unusedMs?: number;
+	/** Era in which the record was written, if it is above 0. A record of an earlier era than the object API's comes from a copy. */
+	readonly era?: number;
 };
 
 /** Options of `Lease`. */
@@ -57,7 +59,7 @@
 const fencingNumbersPerEra = 1_000_000;
 
 /** Record seen by a contender without the lease, or undefined for a missing one; unchanged from `since` to `lastReadAt`. */
-type Observation = {readonly record: LeaseRecord | undefined; readonly since: MonotonicMs; lastReadAt: MonotonicMs};
+type Observation = {readonly record: LeaseRecord | undefined; readonly era: number; readonly since: MonotonicMs; lastReadAt: MonotonicMs};
 type ConfirmedWrite = {readonly record: LeaseRecord; readonly version: ResourceVersion; readonly sentAt: MonotonicMs};
 
 /** One contender for a lease. A single task calls `acquire` and `renew` repeatedly. */
@@ -158,7 +160,8 @@
 	/** Whether the lease may be acquired: the record has been unchanged for its duration, or no wait is needed. */
 	private canAcquire(record: LeaseRecord): boolean {
 		const {clock, holder, mayReplaceEarlierIncarnation, maximumReadGapMs} = this.options;
-		if (record.holder === '' || (record.holder === holder && mayReplaceEarlierIncarnation === true && !this.hasEverHeld)) {
+		const isFree = record.holder === '' || (record.holder === holder && mayReplaceEarlierIncarnation === true && !this.hasEverHeld);
+		if (isFree && (record.era ?? 0) === this.options.objectApi.readEra()) {
 			return true;
 		}
 
@@ -173,9 +176,12 @@
 
 	/** Whether the record has been seen unchanged for `durationMs`, without a gap between two reads of more than `maximumGapMs`. */
 	private hasStayed(record: LeaseRecord | undefined, durationMs: number, maximumGapMs: number, now: MonotonicMs): boolean {
+		const era = this.options.objectApi.readEra();
 		const previous = this.observation;
-		if (previous === undefined || !isSameWrite(previous.record, record) || now - previous.lastReadAt > maximumGapMs) {
-			this.observation = {record, since: now, lastReadAt: now};
+		if (previous?.era !== era || !isSameWrite(previous.record, record) || now - previous.lastReadAt > maximumGapMs) {
+			this.observation = {
+				record, era, since: now, lastReadAt: now,
+			};
 			return false;
 		}
 
@@ -270,10 +276,11 @@
 	}
 
 	private buildRecord(fencing: number): LeaseRecord {
-		const {holder, incarnation, durationMs} = this.options;
+		const {holder, incarnation, durationMs, objectApi} = this.options;
+		const era = objectApi.readEra();
 		this.writeCount += 1;
 		return {
-			holder, incarnation, fencing: fencing as FencingNumber, renewals: this.writeCount, durationMs,
+			holder, incarnation, fencing: fencing as FencingNumber, renewals: this.writeCount, durationMs, ...(era > 0 && {era}),
 		};
 	}
 }
--- a/src/leases/lease/test.ts
+++ b/src/leases/lease/test.ts
@@ -205,3 +205,22 @@
 	expect(waitSeconds > durationMs / 1000 && waitSeconds < 15).toEqual(true);
 	expect(contender.isHeld()).toEqual(true);
 });
+
+test('guards against a released record, or one of an earlier incarnation, that a restore brings back while another holder acts', async () => {
+	for (const isReleased of [true, false]) {
+		const objectApi = new MemoryObjectApi();
+		const [a, b] = [createContender(objectApi, 'a'), createContender(objectApi, 'b')];
+		await a.lease.acquire();
+		if (isReleased) {
+			await a.lease.release();
+		}
+
+		const copy = objectApi.copy();
+		await countSecondsToAcquire(b);
+		objectApi.restore(copy);
+		const restarted = createContender(objectApi, 'a', {incarnation: 'a-2' as Incarnation, mayReplaceEarlierIncarnation: true});
+		const waitSeconds = await countSecondsToAcquire(restarted);
+		expect(waitSeconds > durationMs / 1000 && waitSeconds < 15).toEqual(true);
+		expect(restarted.lease.readFencing()! > b.lease.readFencing()!).toEqual(true);
+	}
+});
