Ask for permits of all limited targets that a call would rather have

If all targets of a service state limits, a call asked for a permit of the first one only and waited for it, and it was never rejected early, since the issuers of the others were not asked. It now asks in order of preference until a target needs no permit. Found by reading; the test fails on the code before.

--- a/src/forwarding/select-target/index.ts
+++ b/src/forwarding/select-target/index.ts
@@ -17,15 +17,16 @@
 /**
  * Selects a target; returns undefined when none can take the call now.
  *
- * A target whose limit leaves no room counts as full: a permit is asked for, and the call goes elsewhere meanwhile.
+ * A target whose limit leaves no room counts as full: a permit is asked for, and the next best target is tried.
  */
 export function selectTarget({session, triedTargets, hints}: TargetSelection, context: ForwardingContext, now: MonotonicMs): FleetTarget | undefined {
 	const {work} = session.call;
 	const engineTokens = context.findService(session.service)?.engine?.memoryTokens;
 	const targets = context.fleet.listServing(session.service, now);
+	const excluded = new Set(triedTargets);
 	const query: TargetQuery = {
 		targets,
-		excluded: triedTargets,
+		excluded,
 		model: work?.model,
 		versionHistory: work === undefined ? undefined : context.findVersionHistory(work.model),
 		memory: work === undefined || engineTokens === undefined
@@ -36,13 +37,14 @@
 		dataCentre: context.dataCentre,
 		draw: context.draw(),
 	};
-	const preferred = chooseTarget(query, now);
-	if (preferred === undefined || context.limits.allows(preferred, now)) {
-		return preferred;
+	let target = chooseTarget(query, now);
+	while (target !== undefined && !context.limits.allows(target, now)) {
+		context.limits.ask(target, now);
+		excluded.add(target);
+		target = chooseTarget(query, now);
 	}
 
-	context.limits.ask(preferred, now);
-	return chooseTarget({...query, targets: targets.filter(target => context.limits.allows(target, now))}, now);
+	return target;
 }
 
 /** Whether a target other than `current` could take over the call. */
