Count the loads of the weight store's stand-in by a given clock in its rate limit test

With a pause of 0.5 s in front of its second loads it fails on as well. The rate limit now counts by a clock that the test sets: refused 999 ms after the first loads, accepted after 1000 ms, which is stricter than before.

--- a/src/standin/weight-store-server/index.ts
+++ b/src/standin/weight-store-server/index.ts
@@ -10,6 +10,8 @@
 	readonly loadMs: number;
 	/** Maximum number of loads that may start within one second; more are refused with 429. */
 	readonly loadsPerSecond: number;
+	/** Time by which loads are counted, in milliseconds; the monotonic clock by default. */
+	readonly readMonotonic?: () => number;
 };
 
 const maximumFullSpeedLoads = 2;
@@ -54,7 +56,7 @@
 	}
 
 	private startLoad(response: ServerResponse): void {
-		const now = performance.now();
+		const now = this.options.readMonotonic?.() ?? performance.now();
 		this.recentStartTimes = this.recentStartTimes.filter(startedAt => now - startedAt < msPerSecond);
 		if (this.recentStartTimes.length >= this.options.loadsPerSecond) {
 			this.refusedLoads += 1;
--- a/src/standin/weight-store-server/test.ts
+++ b/src/standin/weight-store-server/test.ts
@@ -51,14 +51,18 @@
 
 describe('WeightStoreServer', () => {
 	test('guards against concurrent loads that do not share bandwidth and against a missing rate limit', async () => {
-		const store = new WeightStoreServer({loadMs, loadsPerSecond: 6});
+		let now = 0;
+		const store = new WeightStoreServer({loadMs, loadsPerSecond: 6, readMonotonic: () => now});
 		const origin = `http://${await listen(store.server)}`;
 		await load(origin, 2);
 		const startedAt = performance.now();
 		await load(origin, 4);
 		// Delays of a busy machine only lengthen the loads; SharedBandwidth has the exact durations on a simulated clock.
 		expect({isSlower: performance.now() - startedAt > 1.5 * loadMs, maximumLoads: store.maximumLoads}).toEqual({isSlower: true, maximumLoads: 4});
+		now = 999;
 		await expect(load(origin, 1)).toBeRejected();
+		now = 1000;
+		await load(origin, 1);
 	});
 
 	test('guards against a controller and engines that fail to reach the declared models and roles', async () => {
