--- a/src/soak/plan-faults/index.ts
+++ b/src/soak/plan-faults/index.ts
@@ -11,6 +11,7 @@
 	prompt: ['crashingPart'],
 	limit: ['targetLimit'],
 	history: ['storeRestored'],
+	request: ['crashingRequest'],
 } as const;
 
 export type FaultKind = (typeof faultKinds)[keyof typeof faultKinds][number];
@@ -34,7 +35,7 @@
 const minimumDurationMs = 200;
 const durationRangeMs = 3500;
 const victimLimit = 1000;
-/** One in this number of plans has a part of prompts that crashes engines; as many have a limited target, or a store restored from a copy. */
+/** One in this number of plans has a part of prompts that crashes engines; as many have each of the other long faults. */
 const longFaultPeriod = 2;
 /** Maximum duration of these faults, in milliseconds. What they lead to shows only after several seconds. */
 const maximumLongFaultMs = 12_000;
@@ -62,7 +63,7 @@
 	}
 
 	// Drawn last, so that the series of a seed do not depend on them.
-	const longKinds = [...faultKinds.prompt, ...faultKinds.limit, ...faultKinds.history];
+	const longKinds = [...faultKinds.prompt, ...faultKinds.limit, ...faultKinds.history, ...faultKinds.request];
 	return [...faults, ...longKinds.flatMap(kind => planLongFault(random, kind, durationMs))];
 }
 
--- a/src/soak/soak-recorder/index.ts
+++ b/src/soak/soak-recorder/index.ts
@@ -1,7 +1,10 @@
 /** Records what callers sent and received and what targets ran, and checks invariants on these records. */
 
-/** Whether the prompt of a request has the part that can crash engines. */
-export type PromptKind = 'sound' | 'crashing';
+/** What can crash targets: a part of prompts, or one whole request that is sent again and again. */
+export type Culprit = 'part' | 'request';
+
+/** Whether a request can crash targets, and by what. */
+export type RequestKind = 'sound' | 'crashingPart' | 'crashingRequest';
 
 /** A request as sent by its caller. */
 export type SentRequest = {
@@ -14,8 +17,8 @@
 	readonly mayRepeat: boolean;
 	readonly instance: string;
 	readonly at: number;
-	/** Undefined if the request has no prompt. */
-	readonly promptKind?: PromptKind;
+	/** Undefined if the request is not compared with others. */
+	readonly kind?: RequestKind;
 };
 
 /** A request as received by a target. */
@@ -128,9 +131,9 @@
 		return [...this.runs.values()].flat();
 	}
 
-	/** Lists the sent requests with a kind of prompt. */
-	listRequests(promptKind: PromptKind): SentRequest[] {
-		return [...this.requests.values()].filter(request => request.promptKind === promptKind);
+	/** Lists the sent requests of a kind. */
+	listRequests(kind: RequestKind): SentRequest[] {
+		return [...this.requests.values()].filter(request => request.kind === kind);
 	}
 
 	findRequest(id: string): SentRequest | undefined {
