Name the whole request in the log lines of attempts that may have run

The lines of the incident could not tell whether one request or many crash the targets: neither path nor caller nor body is logged. 'attempt failed' now has the hash of these where a target may have run the call.

--- a/src/forwarding/call-guard/index.ts
+++ b/src/forwarding/call-guard/index.ts
@@ -6,7 +6,8 @@
 import type {EngineWork, ResponseHead} from '../call-types/index.js';
 import {classificationDelayMs, classifyUnframedEnd, type UnframedEndClass} from '../classify-unframed-end/index.js';
 import type {PromptGuard} from '../prompt-guard/index.js';
-import type {Attempt} from '../session-types/index.js';
+import {hashRequest, type RequestKey} from '../../quarantine/request-key/index.js';
+import type {Attempt, SessionOptions} from '../session-types/index.js';
 import type {ExchangeStage} from '../target-client/index.js';
 
 const msPerSecond = 1000;
@@ -21,7 +22,21 @@
 export class CallGuard {
 	private hasBrokenAnswer = false;
 
-	constructor(private readonly guard: PromptGuard, private readonly work: EngineWork | undefined) {}
+	private requestKey: RequestKey | undefined;
+	private readonly work: EngineWork | undefined;
+
+	constructor(private readonly guard: PromptGuard, private readonly session: Pick<SessionOptions, 'call' | 'body' | 'organisation'>) {
+		this.work = session.call.work;
+	}
+
+	/** Returns the key of the whole request. It is calculated only when it is needed. */
+	readRequestKey(): RequestKey {
+		const {call: {method, host, path}, body, organisation} = this.session;
+		this.requestKey ??= hashRequest({
+			method, host, path, organisation: organisation?.id, body,
+		});
+		return this.requestKey;
+	}
 
 	/** Returns the error with which the call ends if it may not be sent to a target; `mayHaveRun`: whether a target may have run it before. */
 	findError(mayHaveRun: boolean, now: MonotonicMs): RouterError | undefined {
--- a/src/forwarding/call-session/index.ts
+++ b/src/forwarding/call-session/index.ts
@@ -19,22 +19,23 @@
 import {CallGuard} from '../call-guard/index.js';
 import {CallTimes} from '../call-times/index.js';
 import type {ResponseHead} from '../call-types/index.js';
-import {estimatePermitWaitMs} from '../estimate-permit-wait/index.js';
 import type {ForwardingContext} from '../forwarding-context/index.js';
 import {passChunk} from '../pass-chunk/index.js';
 import {planNextStep, type AttemptFailure, type NextStep} from '../plan-next-step/index.js';
+import {planWait} from '../plan-wait/index.js';
 import {PrefixHints} from '../prefix-hints/index.js';
 import {openPromptGuard} from '../prompt-guard/index.js';
 import {recordHead} from '../record-head/index.js';
 import {reportCall} from '../report-call/index.js';
+import {reportFailedAttempt} from '../report-failed-attempt/index.js';
 import {selectTarget, type TargetSelection} from '../select-target/index.js';
 import type {Attempt, SessionOptions} from '../session-types/index.js';
 import {startAttempt, type AttemptListener} from '../start-attempt/index.js';
 import type {ExchangeStage} from '../target-client/index.js';
-import {calculateWaitEnd, createNoTargetError, TargetWaiter} from '../target-waiter/index.js';
+import {TargetWaiter} from '../target-waiter/index.js';
 
 /** A call in progress. */
-export class CallSession {
+export class CallSession implements AttemptListener {
 	readonly deadline: MonotonicMs;
 	private readonly hints: PrefixHints;
 	private readonly relay: ResponseRelay;
@@ -45,12 +46,6 @@
 	private readonly isRepeatable: boolean;
 	private readonly triedTargets = new Set<FleetTarget>();
 	private readonly selection: TargetSelection;
-	private readonly attemptListener: AttemptListener = {
-		onHead: this.handleHead.bind(this),
-		onChunk: this.handleChunk.bind(this),
-		onEnd: this.handleEnd.bind(this),
-		onFailure: this.handleFailure.bind(this),
-	};
 
 	/** The attempt in flight. */
 	private attempt: Attempt | undefined;
@@ -71,7 +66,7 @@
 		this.waiter = new TargetWaiter(context.fleet);
 		this.times = new CallTimes(arrivedAt);
 		this.charge = new CallCharge(context.quota, options.organisation, call.work);
-		this.guard = new CallGuard(context.promptGuard ?? openPromptGuard, call.work);
+		this.guard = new CallGuard(context.promptGuard ?? openPromptGuard, options);
 		this.relay = new ResponseRelay(options.sink, route, call.lastEventId);
 	}
 
@@ -131,10 +126,85 @@
 		if (assessment === 'withdraw') {
 			this.withdraw(attempt);
 		} else {
-			this.handleFailure(attempt, attempt.head === undefined ? 'sent' : 'responding', new Error('no data received from the target'));
+			this.onFailure(attempt, attempt.head === undefined ? 'sent' : 'responding', new Error('no data received from the target'));
 		}
 	}
 
+	/** Handles the head of an answer. */
+	onHead(attempt: Attempt, head: ResponseHead): void {
+		const now = this.readNow();
+		recordHead(attempt, head, this.options.call.work?.model, this.context, now);
+		if (head.isNotRun) {
+			this.handleRejection(attempt, head, now);
+			return;
+		}
+
+		if (!head.isGenuine || !this.relay.canForward(head)) {
+			attempt.exchange?.abort();
+			attempt.head = undefined;
+			this.onFailure(attempt, 'sent', new Error(`response with status ${head.status} is not from the expected target or does not continue the stream`));
+			return;
+		}
+
+		attempt.target.recordAnswer(attempt.record, now);
+		this.hints.recordUse(attempt.target, now);
+		if (head.status >= 500 && this.retryErrorResponse(attempt)) {
+			return;
+		}
+
+		this.relay.begin(head);
+	}
+
+	/** Handles bytes of an answer. */
+	onChunk(attempt: Attempt, chunk: Buffer): void {
+		const now = this.readNow();
+		attempt.lastReceivedAt = now;
+		this.times.recordChunk(now);
+		attempt.target.recordReceivedBytes(now);
+		try {
+			passChunk(attempt, this.relay, chunk, now);
+		} catch (error) {
+			attempt.exchange?.abort();
+			this.onFailure(attempt, 'responding', error as Error);
+		}
+	}
+
+	/** Handles the end of an answer. */
+	onEnd(attempt: Attempt): void {
+		const head = attempt.head!;
+		if (!this.relay.isComplete(head)) {
+			const error = new Error('the stream ended inside an event');
+			this.guard.recordFailure(attempt, {stage: 'responding', error}, this.readNow());
+			this.onFailure(attempt, 'responding', error);
+			return;
+		}
+
+		attempt.target.recordSuccess();
+		this.guard.recordEnd(attempt, this.readNow());
+		this.endAttempt(attempt);
+		this.relay.end(head);
+		this.finish('answered', head.status, attempt);
+	}
+
+	/** Handles an exchange that failed, or that is given up. */
+	onFailure(attempt: Attempt, stage: ExchangeStage, error: Error): void {
+		if (this.attempt !== attempt || this.isDone) {
+			return;
+		}
+
+		this.endAttempt(attempt);
+		if (stage === 'notSent') {
+			attempt.target.recordUnreachable(this.readNow());
+			this.retryOrFail('notSent', error.message, attempt);
+			return;
+		}
+
+		attempt.target.recordFailure(this.readNow());
+		this.runs += 1;
+		this.relay.discardIncomplete();
+		this.retryOrFail(this.relay.hasBegun ? 'broken' : 'unknown', error.message, attempt);
+	}
+
 	/** Ends an attempt that must not begin any more. It may have begun just now, so it counts as one that may have run. */
 	private withdraw(attempt: Attempt): void {
 		this.endAttempt(attempt);
@@ -170,16 +240,17 @@
 		return error !== undefined;
 	}
 
-	/** Waits for a usable target, up to a fraction of the latency goal, unless the limits of all targets leave none until then. */
 	private waitForTarget(now: MonotonicMs): void {
-		const waitEnd = calculateWaitEnd(this.options, this.deadline);
-		const permitWaitMs = estimatePermitWaitMs(this.selection, this.context, now);
-		if (now + (permitWaitMs ?? 0) >= waitEnd) {
-			this.refuse(createNoTargetError(this.mayHaveRun, this.context.draw(), permitWaitMs));
+		const {options: session, selection, deadline, mayHaveRun, context} = this;
+		const plan = planWait({
+			session, selection, deadline, mayHaveRun,
+		}, context, now);
+		if (plan.type === 'reject') {
+			this.refuse(plan.error);
 			return;
 		}
 
-		this.waiter.wait(waitEnd - now, () => {
+		this.waiter.wait(plan.longestMs, () => {
 			this.triedTargets.clear();
 			this.tryNextTarget();
 		});
@@ -192,31 +263,7 @@
 		this.attempt = startAttempt({
 			session: this.options, target, hints: this.hints, guard: this.guard, remainingMs: this.deadline - now,
 			lastEventId: this.relay.readLastEventId(), isRepeatable: this.isRepeatable,
-		}, this.context, this.attemptListener, now);
-	}
-
-	private handleHead(attempt: Attempt, head: ResponseHead): void {
-		const now = this.readNow();
-		recordHead(attempt, head, this.options.call.work?.model, this.context, now);
-		if (head.isNotRun) {
-			this.handleRejection(attempt, head, now);
-			return;
-		}
-
-		if (!head.isGenuine || !this.relay.canForward(head)) {
-			attempt.exchange?.abort();
-			attempt.head = undefined;
-			this.handleFailure(attempt, 'sent', new Error(`response with status ${head.status} is not from the expected target or does not continue the stream`));
-			return;
-		}
-
-		attempt.target.recordAnswer(attempt.record, now);
-		this.hints.recordUse(attempt.target, now);
-		if (head.status >= 500 && this.retryErrorResponse(attempt)) {
-			return;
-		}
-
-		this.relay.begin(head);
+		}, this.context, this, now);
 	}
 
 	/** Handles a response in which the target states that it did not run the call. */
@@ -244,53 +291,6 @@
 		return true;
 	}
 
-	private handleChunk(attempt: Attempt, chunk: Buffer): void {
-		const now = this.readNow();
-		attempt.lastReceivedAt = now;
-		this.times.recordChunk(now);
-		attempt.target.recordReceivedBytes(now);
-		try {
-			passChunk(attempt, this.relay, chunk, now);
-		} catch (error) {
-			attempt.exchange?.abort();
-			this.handleFailure(attempt, 'responding', error as Error);
-		}
-	}
-
-	private handleEnd(attempt: Attempt): void {
-		const head = attempt.head!;
-		if (!this.relay.isComplete(head)) {
-			const error = new Error('the stream ended inside an event');
-			this.guard.recordFailure(attempt, {stage: 'responding', error}, this.readNow());
-			this.handleFailure(attempt, 'responding', error);
-			return;
-		}
-
-		attempt.target.recordSuccess();
-		this.guard.recordEnd(attempt, this.readNow());
-		this.endAttempt(attempt);
-		this.relay.end(head);
-		this.finish('answered', head.status, attempt);
-	}
-
-	private handleFailure(attempt: Attempt, stage: ExchangeStage, error: Error): void {
-		if (this.attempt !== attempt || this.isDone) {
-			return;
-		}
-
-		this.endAttempt(attempt);
-		if (stage === 'notSent') {
-			attempt.target.recordUnreachable(this.readNow());
-			this.retryOrFail('notSent', error.message, attempt);
-			return;
-		}
-
-		attempt.target.recordFailure(this.readNow());
-		this.runs += 1;
-		this.relay.discardIncomplete();
-		this.retryOrFail(this.relay.hasBegun ? 'broken' : 'unknown', error.message, attempt);
-	}
-
 	private planNextStep(failure: AttemptFailure, runs: number): NextStep {
 		const {options: session, isRepeatable, relay, guard, attempts, deadline} = this;
 		return planNextStep(buildStepQuery({
@@ -300,8 +300,9 @@
 
 	private retryOrFail(failure: AttemptFailure, reason: string, attempt: Attempt): void {
 		const step = this.planNextStep(failure, this.runs);
-		this.context.logger.info('attempt failed', {
-			id: this.options.call.id, target: attempt.target.description.id, attempt: this.attempts, failure, reason, step: step.type,
+		const {guard, attempts, context, options: {call: {id}}} = this;
+		reportFailedAttempt(context.logger, {
+			id, attempt, attempts, failure, reason, step, guard,
 		});
 		if (step.type === 'retry') {
 			this.tryNextTarget();
--- a/src/forwarding/plan-next-step/index.ts
+++ b/src/forwarding/plan-next-step/index.ts
@@ -56,6 +56,7 @@
 	return isNotRun(failure) && runs === 0 ? 'targetRefused' : 'outcomeUnknown';
 }
 
-function isNotRun(failure: AttemptFailure): boolean {
+/** Whether no target ran the call in an attempt that failed in this way. */
+export function isNotRun(failure: AttemptFailure): boolean {
 	return failure === 'notSent' || failure === 'notRun';
 }
--- a/src/limits/target-limits/index.ts
+++ b/src/limits/target-limits/index.ts
@@ -15,6 +15,7 @@
 import type {EventLogger} from '../../logging/create-logger/index.js';
 import type {Member} from '../../membership/member/index.js';
 import type {DatagramTransport} from '../../peers/datagram-channel/index.js';
+import {sendRepeatedly} from '../../peers/send-repeatedly/index.js';
 import {rankByHash} from '../../random/rank-by-hash/index.js';
 import type {LimitGate} from '../limit-gate/index.js';
 import {limitMessageType, parseLimitMessage, type LimitMessage} from '../limit-messages/index.js';
@@ -116,11 +117,9 @@
 		this.announcements.set(target, state);
 		do {
 			state.isChanged = false;
-			this.sendToAll(this.describeLimit(target));
-			for (const delayMs of repeatDelaysMs) {
-				await this.options.clock.sleep(delayMs);
+			await sendRepeatedly(() => {
 				this.sendToAll(this.describeLimit(target));
-			}
+			}, repeatDelaysMs, this.options.clock);
 		} while (state.isChanged);
 
 		this.announcements.delete(target);
--- a/src/quarantine/quarantine-exchange/index.ts
+++ b/src/quarantine/quarantine-exchange/index.ts
@@ -8,6 +8,7 @@
 import type {EventLogger} from '../../logging/create-logger/index.js';
 import type {Member} from '../../membership/member/index.js';
 import type {DatagramTransport} from '../../peers/datagram-channel/index.js';
+import {sendRepeatedly} from '../../peers/send-repeatedly/index.js';
 import type {CrashReport} from '../crash-ledger/index.js';
 import {
 	formatNews, maximumPromptsPerMessage, parseNews, type QuarantineNews,
@@ -54,7 +55,7 @@
 
 	/** Announces a clearance or a quarantine. */
 	announce(news: QuarantineNews): void {
-		void this.sendRepeatedly(news);
+		void this.sendAndRepeat(news);
 	}
 
 	private async sendCrashAfterDelay(id: string): Promise<void> {
@@ -66,12 +67,10 @@
 		}
 	}
 
-	private async sendRepeatedly(news: QuarantineNews): Promise<void> {
-		this.send(news);
-		for (const delayMs of repeatDelaysMs[news.type]) {
-			await this.options.clock.sleep(delayMs);
+	private async sendAndRepeat(news: QuarantineNews): Promise<void> {
+		await sendRepeatedly(() => {
 			this.send(news);
-		}
+		}, repeatDelaysMs[news.type], this.options.clock);
 	}
 
 	private send(news: QuarantineNews): void {
