Let the register and the records of quarantines hold keys of any kind

Behaviour, wire format and stored objects stay as they are; log lines of the store name the key instead of the part.

--- a/src/quarantine/prompt-quarantine/index.ts
+++ b/src/quarantine/prompt-quarantine/index.ts
@@ -18,6 +18,7 @@
 import type {RandomSource} from '../../random/random-source/index.js';
 import type {ObjectApi, StoredObject} from '../../store/object-api/index.js';
 import {CrashLedger, type CrashReport} from '../crash-ledger/index.js';
+import {partCodec} from '../part-codec/index.js';
 import {listSharedPartKeys, type PartKey} from '../part-key/index.js';
 import {QuarantineExchange} from '../quarantine-exchange/index.js';
 import {
@@ -91,7 +92,7 @@
 			},
 		});
 		this.records = new QuarantineRecords({
-			...options,
+			...options, codec: partCodec,
 			read: part => this.register.read(part),
 			onStored: quarantine => {
 				this.adopt(quarantine, 'store');
@@ -129,7 +130,7 @@
 		}
 
 		this.rejectedCalls += 1;
-		return {part: quarantine.part, remainingMs: quarantine.endsAt - now};
+		return {part: quarantine.key, remainingMs: quarantine.endsAt - now};
 	}
 
 	isSuspicious(work: EngineWork, now: MonotonicMs): boolean {
@@ -164,7 +165,7 @@
 	dump() {
 		const now = this.options.clock.readMonotonic();
 		return {
-			quarantined: this.register.list().slice(0, maximumDumpedParts).map(({part, crashes, durationMs, endsAt}) => ({
+			quarantined: this.register.list().slice(0, maximumDumpedParts).map(({key: part, crashes, durationMs, endsAt}) => ({
 				part, crashes, durationMs, remainingMs: Math.max(0, Math.round(endsAt - now)),
 			})),
 			suspected: this.ledger.listEvidence(part => this.isCulprit(part), now).slice(0, maximumDumpedParts),
@@ -211,7 +212,7 @@
 	}
 
 	private applyNotice({quarantine, decidedAt}: QuarantineNotice, now: MonotonicMs): void {
-		const {part} = quarantine;
+		const {key: part} = quarantine;
 		if (!this.ledger.hasCompletedSince(part, decidedAt)) {
 			this.announced.set(part, now);
 			if (this.adopt(quarantine, 'peer')) {
@@ -318,7 +319,7 @@
 	}
 
 	private async announceAfterDelay(notice: QuarantineNotice, delayMs: number): Promise<void> {
-		const {part, endsAt} = notice.quarantine;
+		const {key: part, endsAt} = notice.quarantine;
 		if (delayMs > 0) {
 			await this.options.clock.sleep(delayMs);
 		}
@@ -341,7 +342,7 @@
 		return isNew;
 	}
 
-	private logQuarantine({part, crashes, endsAt, durationMs}: Quarantine, source: string, now: MonotonicMs): void {
+	private logQuarantine({key: part, crashes, endsAt, durationMs}: Quarantine, source: string, now: MonotonicMs): void {
 		const until = new Date(this.options.clock.readWall() + (endsAt - now));
 		this.options.logger.warn('prompt part quarantined', {
 			part, crashes, durationMs, until: until.toISOString(), source,
--- a/src/quarantine/quarantine-exchange/test.ts
+++ b/src/quarantine/quarantine-exchange/test.ts
@@ -66,7 +66,7 @@
 		return datagrams < 3;
 	});
 	const quarantine = {
-		part, crashes: 4, durationMs: 600_000, endsAt: 601_000 as MonotonicMs,
+		key: part, crashes: 4, durationMs: 600_000, endsAt: 601_000 as MonotonicMs,
 	};
 	sender.announce({type: 'quarantine', notice: {quarantine, decidedAt: 1000 as MonotonicMs}});
 	await clock.advance(1100);
--- a/src/quarantine/quarantine-messages/index.ts
+++ b/src/quarantine/quarantine-messages/index.ts
@@ -49,7 +49,7 @@
 		}
 
 		case 'quarantine': {
-			const {quarantine: {part, crashes, durationMs, endsAt}, decidedAt} = news.notice;
+			const {quarantine: {key: part, crashes, durationMs, endsAt}, decidedAt} = news.notice;
 			return {
 				type: 'quarantine', part, crashes, durationMs, remainingMs: endsAt - now, ageMs: now - decidedAt,
 			};
@@ -80,7 +80,7 @@
 		case 'quarantine': {
 			const endsAt = now + demandNumber(message.remainingMs) as MonotonicMs;
 			const quarantine: Quarantine = {
-				part: demandText(message.part) as PartKey, crashes: demandNumber(message.crashes), durationMs: demandNumber(message.durationMs), endsAt,
+				key: demandText(message.part) as PartKey, crashes: demandNumber(message.crashes), durationMs: demandNumber(message.durationMs), endsAt,
 			};
 			return {type: 'quarantine', notice: {quarantine, decidedAt: parseAge(message.ageMs, now)}};
 		}
--- a/src/quarantine/quarantine-messages/test.ts
+++ b/src/quarantine/quarantine-messages/test.ts
@@ -22,7 +22,7 @@
 		{
 			type: 'quarantine', notice: {
 				quarantine: {
-					part, crashes: 4, durationMs: 600_000, endsAt: at(601_000),
+					key: part, crashes: 4, durationMs: 600_000, endsAt: at(601_000),
 				}, decidedAt: at(1000),
 			},
 		},
--- a/src/quarantine/quarantine-records/index.ts
+++ b/src/quarantine/quarantine-records/index.ts
@@ -12,15 +12,11 @@
 import type {RandomSource} from '../../random/random-source/index.js';
 import {ObjectApiError, type ObjectApi, type StoredObject} from '../../store/object-api/index.js';
 import {parseVersion} from '../../store/object-version/index.js';
-import {
-	createPartKey, maximumKeyLength, splitPartKey, type PartKey,
-} from '../part-key/index.js';
+import type {PartKey} from '../part-key/index.js';
 import type {Quarantine} from '../quarantine-register/index.js';
 
-/** Value of a stored quarantine. */
+/** Value of a stored quarantine, beside the fields that name its key. */
 export type QuarantineRecord = {
-	readonly model: string;
-	readonly part: string;
 	readonly crashes: number;
 	/** End in Unix time, in milliseconds. */
 	readonly until: number;
@@ -37,8 +33,19 @@
 const maximumRememberedNames = 1000;
 const randomSteps = 1000;
 
+/** Translates between keys and what is stored for them. */
+export type KeyCodec<Key extends string> = {
+	/** Formats the name of a key's object: letters, digits, dots and hyphens, so that it needs no escaping in a path. */
+	formatName(key: Key): string;
+	/** Returns the fields that name the key. */
+	describe(key: Key): Readonly<Record<string, string>>;
+	/** Reads the key from a stored value; undefined if it is not valid. */
+	parse(fields: Readonly<Partial<Record<string, unknown>>>): Key | undefined;
+};
+
 /** Options of `QuarantineRecords`. */
-export type QuarantineRecordsOptions = {
+export type QuarantineRecordsOptions<Key extends string = PartKey> = {
+	readonly codec: KeyCodec<Key>;
 	/** Creates and reads objects, if necessary through a peer. */
 	readonly objectApi: Pick<ObjectApi, 'get' | 'create' | 'update'>;
 	readonly remover: Pick<ObjectApi, 'remove'>;
@@ -46,25 +53,25 @@
 	readonly clock: Clock;
 	readonly logger: EventLogger;
 	readonly random: RandomSource;
-	/** Returns the quarantine of a part that is known at this instance. */
-	readonly read: (part: PartKey) => Quarantine | undefined;
+	/** Returns the quarantine of a key that is known at this instance. */
+	readonly read: (key: Key) => Quarantine<Key> | undefined;
 	/** Called for each stored quarantine that is new or changed. */
-	readonly onStored: (quarantine: Quarantine) => void;
-	/** Called for each part whose object has been removed. */
-	readonly onRemoved: (part: PartKey) => void;
+	readonly onStored: (quarantine: Quarantine<Key>) => void;
+	/** Called for each key whose object has been removed. */
+	readonly onRemoved: (key: Key) => void;
 };
 
-type KnownRecord = {readonly resourceVersion: ResourceVersion; readonly part: PartKey; readonly until: number};
+type KnownRecord<Key> = {readonly resourceVersion: ResourceVersion; readonly key: Key; readonly until: number};
 
 /** Reads and writes the stored quarantines. */
-export class QuarantineRecords {
+export class QuarantineRecords<Key extends string = PartKey> {
 	/** Objects in the last copy of the collection, by name. */
-	private known = new Map<string, KnownRecord>();
+	private known = new Map<string, KnownRecord<Key>>();
 	/** Names of the objects that this instance wrote, or may have written. */
 	private readonly ownNames = new LRUCache<string, true>({max: maximumRememberedNames});
 	private readonly refusedNames = new LRUCache<string, true>({max: maximumRememberedNames});
 
-	constructor(private readonly options: QuarantineRecordsOptions) {}
+	constructor(private readonly options: QuarantineRecordsOptions<Key>) {}
 
 	/** Takes over the objects of the collection at `version`. */
 	replace(objects: readonly StoredObject[], version: string | undefined): void {
@@ -77,59 +84,60 @@
 			}
 
 			const {until} = object.value as QuarantineRecord;
-			this.known.set(object.name, {resourceVersion: object.resourceVersion, part: quarantine.part, until});
+			this.known.set(object.name, {resourceVersion: object.resourceVersion, key: quarantine.key, until});
 			if (previous.get(object.name)?.resourceVersion !== object.resourceVersion) {
 				this.options.onStored(quarantine);
 			}
 		}
 
 		const era = version === undefined ? 0 : parseVersion(version).era;
-		for (const [name, {part, resourceVersion}] of previous) {
+		for (const [name, {key, resourceVersion}] of previous) {
 			if (!this.known.has(name)) {
 				const isLost = parseVersion(resourceVersion).era < era;
 				if (isLost) {
-					this.storeAgain(part);
+					this.storeAgain(key);
 				} else {
-					this.options.onRemoved(part);
+					this.options.onRemoved(key);
 				}
 			}
 		}
 	}
 
 	/** Stores a quarantine after a delay, unless another instance has done so by then. Retries while the quarantine is current. */
-	async store(quarantine: Quarantine, delayMs: number): Promise<void> {
-		const {clock, logger} = this.options;
-		const name = formatObjectName(quarantine.part);
+	async store(quarantine: Quarantine<Key>, delayMs: number): Promise<void> {
+		const {clock, logger, codec, read} = this.options;
+		const {key} = quarantine;
+		const name = codec.formatName(key);
 		const until = Math.round(clock.readWall() + (quarantine.endsAt - clock.readMonotonic()));
 		await clock.sleep(delayMs);
 		for (let attempt = 1; this.isCurrent(quarantine) && !this.isStored(name, until); attempt += 1) {
 			this.ownNames.set(name, true);
 			try {
 				await this.write(name, quarantine, until);
-				logger.info('quarantine stored', {part: quarantine.part, object: name, attempt});
+				logger.info('quarantine stored', {key, object: name, attempt});
 				break;
 			} catch (error) {
-				logger.warn('quarantine not stored', {part: quarantine.part, attempt, reason: (error as Error).message});
+				logger.warn('quarantine not stored', {key, attempt, reason: (error as Error).message});
 				await this.backOff(attempt);
 			}
 		}
 
-		if (this.options.read(quarantine.part) === undefined) {
-			await this.removeOwn(quarantine.part);
+		if (read(key) === undefined) {
+			await this.removeOwn(key);
 		}
 	}
 
-	/** Removes the object of a part if this instance wrote it. */
-	async removeOwn(part: PartKey): Promise<void> {
-		if (this.ownNames.has(formatObjectName(part))) {
-			await this.remove(part);
+	/** Removes the object of a key if this instance wrote it. */
+	async removeOwn(key: Key): Promise<void> {
+		if (this.ownNames.has(this.options.codec.formatName(key))) {
+			await this.remove(key);
 		}
 	}
 
-	/** Removes the object of a part, if there is one. */
-	async remove(part: PartKey): Promise<void> {
-		const {remover, collection, logger} = this.options;
-		const name = formatObjectName(part);
+	/** Removes the object of a key, if there is one. */
+	async remove(key: Key): Promise<void> {
+		const {remover, collection, logger, codec} = this.options;
+		const name = codec.formatName(key);
 		for (let attempt = 1; attempt <= maximumRemovalAttempts; attempt += 1) {
 			try {
 				await remover.remove(collection, name, this.known.get(name)?.resourceVersion);
@@ -139,18 +147,18 @@
 					return;
 				}
 
-				logger.warn('quarantine not removed from the store', {part, attempt, reason: (error as Error).message});
+				logger.warn('quarantine not removed from the store', {key, attempt, reason: (error as Error).message});
 				await this.backOff(attempt);
 			}
 		}
 	}
 
 	/** Stores a quarantine that a restore of the object API has removed, unless another instance does so first. */
-	private storeAgain(part: PartKey): void {
+	private storeAgain(key: Key): void {
 		const {read, logger, random} = this.options;
-		const quarantine = read(part);
+		const quarantine = read(key);
 		if (quarantine !== undefined) {
-			logger.info('quarantine lost by the store', {part});
+			logger.info('quarantine lost by the store', {key});
 			void this.store(quarantine, maximumRewriteDelayMs * random.pickIndex(randomSteps) / randomSteps);
 		}
 	}
@@ -161,22 +169,21 @@
 		await clock.sleep(longestMs * (randomSteps + random.pickIndex(randomSteps)) / (2 * randomSteps));
 	}
 
-	private isCurrent({part, endsAt}: Quarantine): boolean {
-		return this.options.read(part)?.endsAt === endsAt;
+	private isCurrent({key, endsAt}: Quarantine<Key>): boolean {
+		return this.options.read(key)?.endsAt === endsAt;
 	}
 
-	/** Whether the last copy of the collection has a quarantine of the part that ends as late. */
+	/** Whether the last copy of the collection has a quarantine of the key that ends as late. */
 	private isStored(name: string, until: number): boolean {
 		const record = this.known.get(name);
 		return record !== undefined && record.until >= until - sameEndToleranceMs;
 	}
 
 	/** Creates the object, or replaces the stored one if that ends earlier. */
-	private async write(name: string, {part, crashes, durationMs}: Quarantine, until: number): Promise<void> {
-		const {objectApi, collection} = this.options;
-		const {model, partId} = splitPartKey(part);
+	private async write(name: string, {key, crashes, durationMs}: Quarantine<Key>, until: number): Promise<void> {
+		const {objectApi, collection, codec} = this.options;
 		const record: QuarantineRecord = {
-			model, part: partId, crashes, until, durationMs,
+			...codec.describe(key), crashes, until, durationMs,
 		};
 		try {
 			await objectApi.create(collection, name, record);
@@ -193,9 +200,9 @@
 		}
 	}
 
-	private decodeObject(object: StoredObject): Quarantine | undefined {
-		const {clock, logger} = this.options;
-		const quarantine = decodeRecord(object.value, clock);
+	private decodeObject(object: StoredObject): Quarantine<Key> | undefined {
+		const {clock, logger, codec} = this.options;
+		const quarantine = decodeRecord(object.value, codec, clock);
 		if (quarantine === undefined && !this.refusedNames.has(object.name)) {
 			this.refusedNames.set(object.name, true);
 			logger.warn('stored quarantine refused', {object: object.name, reason: 'fields are missing or not valid'});
@@ -205,43 +212,20 @@
 	}
 }
 
-/** Formats the name of a part's object: letters, digits and dots, so that it needs no escaping in a path. */
-export function formatObjectName(part: PartKey): string {
-	const {model, partId} = splitPartKey(part);
-	return `${escapeName(partId)}.${escapeName(model)}`;
-}
-
-function escapeName(text: string): string {
-	return text.replaceAll(/[^a-z\d]/giu, character => `-${character.codePointAt(0)!.toString(16)}-`);
-}
-
-function decodeRecord(value: unknown, clock: Clock): Quarantine | undefined {
-	const {model, part, crashes, until, durationMs} = (typeof value === 'object' && value !== null ? value : {}) as Partial<Record<string, unknown>>;
-	if (typeof model !== 'string' || typeof part !== 'string' || !isCount(crashes) || !isCount(until) || !isCount(durationMs)) {
+function decodeRecord<Key extends string>(value: unknown, codec: KeyCodec<Key>, clock: Clock): Quarantine<Key> | undefined {
+	const fields = (typeof value === 'object' && value !== null ? value : {}) as Partial<Record<string, unknown>>;
+	const {crashes, until, durationMs} = fields;
+	const key = codec.parse(fields);
+	if (key === undefined || !isCount(crashes) || !isCount(until) || !isCount(durationMs)) {
 		return undefined;
 	}
 
 	const remainingMs = Math.min(until - clock.readWall(), durationMs);
-	const key = createKey(model, part);
-	if (key === undefined) {
-		return undefined;
-	}
-
 	return {
-		part: key, crashes, durationMs, endsAt: clock.readMonotonic() + remainingMs as MonotonicMs,
+		key, crashes, durationMs, endsAt: clock.readMonotonic() + remainingMs as MonotonicMs,
 	};
 }
 
-/** Creates a part's key; undefined if it is too long or has characters without an encoding. */
-function createKey(model: string, part: string): PartKey | undefined {
-	try {
-		const key = createPartKey(model, part);
-		return key.length <= maximumKeyLength ? key : undefined;
-	} catch {
-		return undefined;
-	}
-}
-
 function isCount(value: unknown): value is number {
 	return typeof value === 'number' && Number.isFinite(value) && value >= 0;
 }
--- a/src/quarantine/quarantine-records/test.ts
+++ b/src/quarantine/quarantine-records/test.ts
@@ -7,12 +7,13 @@
 import {RandomSource} from '../../random/random-source/index.js';
 import {MemoryObjectApi} from '../../store/memory-object-api/index.js';
 import {createPartKey, type PartKey} from '../part-key/index.js';
+import {partCodec} from '../part-codec/index.js';
 import {QuarantineRegister} from '../quarantine-register/index.js';
-import {formatObjectName, QuarantineRecords, type QuarantineRecord} from './index.js';
+import {QuarantineRecords, type QuarantineRecord} from './index.js';
 
 const collection = 'quarantines';
 const part = createPartKey('model/1', 'a b');
-const name = formatObjectName(part);
+const name = partCodec.formatName(part);
 
 /** Creates an instance that keeps quarantines in the object API, with its register. */
 function createInstance(clock: ManualClock, memory: MemoryObjectApi) {
@@ -20,6 +21,7 @@
 	const api = new FaultyObjectApi(memory, clock);
 	const removed: PartKey[] = [];
 	const records = new QuarantineRecords({
+		codec: partCodec,
 		objectApi: api, remover: api, collection, clock, logger: quietLogger, random: new RandomSource(1),
 		read: key => register.read(key),
 		onStored(quarantine) {
@@ -53,15 +55,15 @@
 
 test('guards against names that are not valid in a path, or shared by two parts', () => {
 	expect(name).toEqual('a-20-b.model-2f-1');
-	expect(formatObjectName(createPartKey('model', '1.a'))).toEqual('1-2e-a.model');
-	expect(formatObjectName(createPartKey('model', '1-2e-a'))).toEqual('1-2d-2e-2d-a.model');
+	expect(partCodec.formatName(createPartKey('model', '1.a'))).toEqual('1-2e-a.model');
+	expect(partCodec.formatName(createPartKey('model', '1-2e-a'))).toEqual('1-2d-2e-2d-a.model');
 });
 
 test('guards against a quarantine that an instance which starts later does not know', async () => {
 	const {clock, memory, instances: [first, second]} = createInstances(2);
 	first!.quarantine();
 	await clock.advance(100);
-	const {value} = await memory.get<QuarantineRecord>(collection, name);
+	const {value} = await memory.get(collection, name);
 	expect(value).toEqual({
 		model: 'model/1', part: 'a b', crashes: 4, until: 1_600_000, durationMs: 600_000,
 	});
