Keep requests that crash the targets which run them away from all targets

Cause: a failure that belongs to the request was taken for one of its target. The guard against crashing prompt parts knows only parts, and only answers that had begun; a call without a prompt had no guard at all, and nothing was remembered from one call, or one instance, to the next.

A broken connection is now confirmed as a crash by a probe of the target's address, reported to all instances by the hash of the whole request, and cleared by complete answers.

--- a/src/forwarding/call-guard/index.ts
+++ b/src/forwarding/call-guard/index.ts
@@ -1,11 +1,13 @@
-/** Applies the guard of prompts to one call: decides before each attempt whether the call may be sent, and reports its outcomes. */
+/** Applies the guards of prompts and of whole requests to one call: decides before each attempt whether the call may be sent, and reports its outcomes. */
 
 import type {FleetTarget} from '../../fleet/fleet-target/index.js';
 import type {MonotonicMs} from '../../identity/ids/index.js';
 import {createRouterError, type RouterError} from '../../results/create-router-error/index.js';
 import type {EngineWork, ResponseHead} from '../call-types/index.js';
+import type {ForwardingContext} from '../forwarding-context/index.js';
+import {openRequestGuard, type RequestGuard, type RequestKeyReader} from '../request-guard/index.js';
 import {classificationDelayMs, classifyUnframedEnd, type UnframedEndClass} from '../classify-unframed-end/index.js';
-import type {PromptGuard} from '../prompt-guard/index.js';
+import {openPromptGuard, type PromptGuard} from '../prompt-guard/index.js';
 import {hashRequest, type RequestKey} from '../../quarantine/request-key/index.js';
 import type {Attempt, SessionOptions} from '../session-types/index.js';
 import type {ExchangeStage} from '../target-client/index.js';
@@ -20,13 +22,22 @@
 
 /** Guard of one call. */
 export class CallGuard {
+	private readonly prompts: PromptGuard;
+	private readonly requests: RequestGuard;
 	private hasBrokenAnswer = false;
+	private hasBrokenConnection = false;
+	/** Whether the call may be sent once although its request is on probation. */
+	private mayTry = false;
 
 	private requestKey: RequestKey | undefined;
 	private readonly work: EngineWork | undefined;
+	private readonly keyReader: RequestKeyReader;
 
-	constructor(private readonly guard: PromptGuard, private readonly session: Pick<SessionOptions, 'call' | 'body' | 'organisation'>) {
+	constructor({promptGuard, requestGuard}: Pick<ForwardingContext, 'promptGuard' | 'requestGuard'>, private readonly session: Pick<SessionOptions, 'call' | 'body' | 'organisation'>) {
+		this.prompts = promptGuard ?? openPromptGuard;
+		this.requests = requestGuard ?? openRequestGuard;
 		this.work = session.call.work;
+		this.keyReader = () => this.readRequestKey();
 	}
 
 	/** Returns the key of the whole request. It is calculated only when it is needed. */
@@ -38,57 +49,99 @@
 		return this.requestKey;
 	}
 
-	/** Returns the error with which the call ends if it may not be sent to a target; `mayHaveRun`: whether a target may have run it before. */
-	findError(mayHaveRun: boolean, now: MonotonicMs): RouterError | undefined {
-		const {guard, work} = this;
-		if (work === undefined) {
-			return undefined;
-		}
+	/** Asks for a trial of a request on probation. Resolves at once if it needs none. */
+	async requestTrial(): Promise<void> {
+		this.mayTry = await this.requests.beginTrial(this.keyReader);
+	}
 
-		const rejection = guard.findRejection(work, now);
-		if (rejection !== undefined && !mayHaveRun) {
-			return createRouterError('promptQuarantined', undefined, {retryAfterSeconds: Math.ceil(rejection.remainingMs / msPerSecond)});
-		}
+	/** Records that the call is sent to a target, which uses up its trial. */
+	recordSent(): void {
+		this.mayTry = false;
+	}
 
-		return rejection !== undefined || this.isSuspicious(now) ? createRouterError('outcomeUnknown', 'a part of the prompt may crash targets') : undefined;
+	/** Returns the error with which the call ends if it may not be sent to a target; `mayHaveRun`: whether a target may have run it before. */
+	findError(mayHaveRun: boolean, now: MonotonicMs): RouterError | undefined {
+		return this.findPromptError(mayHaveRun, now) ?? this.findRequestError(mayHaveRun, now);
 	}
 
 	/** Whether the call crashed a target and may crash the next one. */
 	isSuspicious(now: MonotonicMs): boolean {
-		return this.hasBrokenAnswer && this.work !== undefined && this.guard.isSuspicious(this.work, now);
+		return this.isPromptSuspicious(now) || (this.hasBrokenConnection && this.requests.isSuspicious(this.keyReader, now));
 	}
 
-	/** Records that the exchange failed on the target's side. Only a successful answer whose connection broke is evidence of a crash. */
+	/**
+	 * Records that the exchange failed on the target's side. A connection that broke is evidence against the request if the
+	 * target has ended. Only a successful answer that broke is evidence against the prompt.
+	 */
 	recordFailure({target, head, record}: Attempt, {stage, error}: ExchangeFailure, now: MonotonicMs): void {
-		const isBroken = stage === 'responding' && !isParseError(error) && head !== undefined && isSuccess(head);
-		if (this.work !== undefined && isBroken) {
+		if (stage === 'notSent' || isParseError(error)) {
+			return;
+		}
+
+		this.hasBrokenConnection = true;
+		this.requests.recordBrokenConnection(this.keyReader, target, record.sentAt, now);
+		if (this.work !== undefined && stage === 'responding' && head !== undefined && isSuccess(head)) {
 			this.hasBrokenAnswer = true;
-			this.guard.recordBrokenAnswer(this.work, target, record.sentAt, now);
+			this.prompts.recordBrokenAnswer(this.work, target, record.sentAt, now);
 		}
 	}
 
 	/** Records the end of an answer. Whether an unframed one was complete is found out later. */
 	recordEnd({target, head, record}: Attempt, now: MonotonicMs): void {
-		const {work} = this;
-		if (work === undefined || head === undefined || !isSuccess(head)) {
+		if (head === undefined) {
 			return;
 		}
 
 		if (!head.isUnframed) {
-			this.guard.recordCompleteAnswer(work, now);
+			this.recordComplete(head, now);
 			return;
 		}
 
 		setTimeout(() => {
-			this.recordUnframedEnd(classifyUnframedEnd(target, now), work, {target, sentAt: record.sentAt, endedAt: now});
+			this.recordUnframedEnd(classifyUnframedEnd(target, now), head, {target, sentAt: record.sentAt, endedAt: now});
 		}, classificationDelayMs).unref();
 	}
 
-	private recordUnframedEnd(unframedEnd: UnframedEndClass, work: EngineWork, {target, sentAt, endedAt}: UnframedAnswer): void {
+	private findPromptError(mayHaveRun: boolean, now: MonotonicMs): RouterError | undefined {
+		const rejection = this.work && this.prompts.findRejection(this.work, now);
+		if (rejection !== undefined && !mayHaveRun) {
+			return createRouterError('promptQuarantined', undefined, {retryAfterSeconds: Math.ceil(rejection.remainingMs / msPerSecond)});
+		}
+
+		return rejection !== undefined || this.isPromptSuspicious(now) ? createRouterError('outcomeUnknown', 'a part of the prompt may crash targets') : undefined;
+	}
+
+	private findRequestError(mayHaveRun: boolean, now: MonotonicMs): RouterError | undefined {
+		const rejection = this.mayTry ? undefined : this.requests.findRejection(this.keyReader, now);
+		if (rejection === undefined) {
+			return undefined;
+		}
+
+		return mayHaveRun
+			? createRouterError('outcomeUnknown', 'the request may crash targets')
+			: createRouterError('requestQuarantined', undefined, {retryAfterSeconds: Math.ceil(rejection.remainingMs / msPerSecond)});
+	}
+
+	private isPromptSuspicious(now: MonotonicMs): boolean {
+		return this.hasBrokenAnswer && this.work !== undefined && this.prompts.isSuspicious(this.work, now);
+	}
+
+	/** Records a complete answer. Any answer shows that its target did not crash, but only a successful one that the prompt was begun. */
+	private recordComplete(head: ResponseHead, endedAt: MonotonicMs): void {
+		this.requests.recordCompleteAnswer(this.keyReader, endedAt);
+		if (this.work !== undefined && isSuccess(head)) {
+			this.prompts.recordCompleteAnswer(this.work, endedAt);
+		}
+	}
+
+	private recordUnframedEnd(unframedEnd: UnframedEndClass, head: ResponseHead, {target, sentAt, endedAt}: UnframedAnswer): void {
 		if (unframedEnd === 'complete') {
-			this.guard.recordCompleteAnswer(work, endedAt);
+			this.recordComplete(head, endedAt);
 		} else if (unframedEnd === 'broken') {
-			this.guard.recordBrokenAnswer(work, target, sentAt, endedAt);
+			this.requests.recordBrokenConnection(this.keyReader, target, sentAt, endedAt);
+			if (this.work !== undefined && isSuccess(head)) {
+				this.prompts.recordBrokenAnswer(this.work, target, sentAt, endedAt);
+			}
 		}
 	}
 }
--- a/src/forwarding/call-session/index.ts
+++ b/src/forwarding/call-session/index.ts
@@ -24,7 +24,6 @@
 import {planNextStep, type AttemptFailure, type NextStep} from '../plan-next-step/index.js';
 import {planWait} from '../plan-wait/index.js';
 import {PrefixHints} from '../prefix-hints/index.js';
-import {openPromptGuard} from '../prompt-guard/index.js';
 import {recordHead} from '../record-head/index.js';
 import {reportCall} from '../report-call/index.js';
 import {reportFailedAttempt} from '../report-failed-attempt/index.js';
@@ -66,7 +65,7 @@
 		this.waiter = new TargetWaiter(context.fleet);
 		this.times = new CallTimes(arrivedAt);
 		this.charge = new CallCharge(context.quota, options.organisation, call.work);
-		this.guard = new CallGuard(context.promptGuard ?? openPromptGuard, options);
+		this.guard = new CallGuard(context, options);
 		this.relay = new ResponseRelay(options.sink, route, call.lastEventId);
 	}
 
@@ -83,7 +82,8 @@
 		this.deadlineTimer = setTimeout(() => {
 			this.endEarly('noTarget', 'targetTimeout');
 		}, Math.max(0, this.deadline - this.readNow()));
-		if (this.isRejectedByGuard()) {
+		await this.guard.requestTrial();
+		if (this.isDone || this.isRejectedByGuard()) {
 			return done;
 		}
 
--- a/src/forwarding/forwarding-context/index.ts
+++ b/src/forwarding/forwarding-context/index.ts
@@ -13,6 +13,7 @@
 } from '../../routing/routing-types/index.js';
 import type {TargetProtocol} from '../call-types/index.js';
 import type {PromptGuard} from '../prompt-guard/index.js';
+import type {RequestGuard} from '../request-guard/index.js';
 import type {TargetClient} from '../target-client/index.js';
 
 /** Admits calls by charging them to the quota of their organisation. */
@@ -43,6 +44,8 @@
 	readonly quota: QuotaGate;
 	/** Without a guard, every prompt is sent. */
 	readonly promptGuard?: PromptGuard;
+	/** Without a guard, every request is sent. */
+	readonly requestGuard?: RequestGuard;
 	readonly limits: LimitGate;
 	readonly dataCentre: DataCentreId;
 	/** Returns a random number from 0 (inclusive) to 1 (exclusive). */
--- a/src/forwarding/start-attempt/index.ts
+++ b/src/forwarding/start-attempt/index.ts
@@ -35,6 +35,7 @@
 	const {session, target, hints, guard, remainingMs, lastEventId, isRepeatable} = attemptRequest;
 	const {call, route, organisation, body} = session;
 	const {protocol, listCacheStores, targetClient} = context;
+	guard.recordSent();
 	context.limits.take(target, now);
 	const options = buildAttemptOptions({
 		call, route, organisation, target, hints, remainingMs, lastEventId, cacheStores: listCacheStores(),
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -5,6 +5,7 @@
 import {AdminServer} from '../../daemon/admin-server/index.js';
 import type {PlannedStop} from '../../daemon/planned-stop/index.js';
 import {LoadExchange} from '../../fleet/load-exchange/index.js';
+import {probeTarget} from '../../fleet/probe-target/index.js';
 import {PrefixDirectory} from '../../fleet/prefix-directory/index.js';
 import {TargetFleet} from '../../fleet/target-fleet/index.js';
 import type {ForwardingContext} from '../../forwarding/forwarding-context/index.js';
@@ -29,7 +30,7 @@
 import {QuotaLending} from '../../quota/quota-lending/index.js';
 import type {RandomSource} from '../../random/random-source/index.js';
 import {chooseContenders} from '../../rollout/choose-contenders/index.js';
-import {PromptQuarantine} from '../../quarantine/prompt-quarantine/index.js';
+import {FleetQuarantine} from '../../quarantine/fleet-quarantine/index.js';
 import {RolloutController, rolloutLeaseMs, rolloutLeaseName} from '../../rollout/rollout-controller/index.js';
 import {RolloutNotices} from '../../rollout/rollout-notices/index.js';
 import {WeightsRegistry, type AnnouncementAge} from '../../rollout/weights-registry/index.js';
@@ -80,7 +81,7 @@
 	private readonly datagramChannel: DatagramChannel;
 	private readonly loadExchange: LoadExchange;
 	private readonly rolloutNotices: RolloutNotices;
-	private readonly promptQuarantine: PromptQuarantine;
+	private readonly quarantine: FleetQuarantine;
 	private readonly targetLimits: TargetLimits;
 	private readonly listener: CallListener;
 	private readonly retryBudgets: ServiceRetryBudgets;
@@ -132,7 +133,7 @@
 				this.applyWeights(weights, age);
 			},
 			onQuarantines: (objects, version) => {
-				this.promptQuarantine.replaceStored(objects, version);
+				this.quarantine.replaceStored(objects, version);
 			},
 		});
 		this.quotaLending = new QuotaLending({
@@ -149,8 +150,8 @@
 		this.rolloutNotices = new RolloutNotices({
 			clock, fleet: this.fleet, channel: this.datagramChannel, listPeers: () => this.listPeers(),
 		});
-		this.promptQuarantine = new PromptQuarantine({
-			clock, logger, random, channel: this.datagramChannel, listPeers: () => this.listPeers(),
+		this.quarantine = new FleetQuarantine({
+			clock, logger, random, self, channel: this.datagramChannel, listPeers: () => this.listPeers(), probe: probeTarget,
 			objectApi: this.relayedObjectApi, remover: adapter.objectApi, collection: adapter.collections.quarantines,
 		});
 		this.targetLimits = new TargetLimits({
@@ -179,7 +180,7 @@
 		await this.datagramChannel.listen(settings.listen.peer, signal);
 		void this.loadExchange.run(signal);
 		void this.quotaLending.run(signal);
-		void this.promptQuarantine.run(signal);
+		void this.quarantine.run(signal);
 		void this.targetLimits.run(signal);
 		void this.instanceRegistry.keepRegistered(signal);
 		void pruneConnections(this.targetClient, this.fleet, clock, signal);
@@ -220,7 +221,7 @@
 			membership: this.membership.dump(),
 			rollout: this.rollout.dump(),
 			quota: this.quotaLending.dump(),
-			quarantine: this.promptQuarantine.dump(),
+			quarantine: this.quarantine.dump(),
 			limits: this.targetLimits.dump(),
 			namedWeights: this.weightsRegistry.dump(),
 			callsInProgress: this.listener.callsInProgress,
@@ -297,7 +298,8 @@
 		const {settings, adapter, clock, logger, random, metrics} = this.options;
 		return {
 			clock, logger, fleet: this.fleet, prefixes: this.prefixDirectory, targetClient: this.targetClient,
-			protocol: adapter.targetProtocol, quota: this.quotaLending, promptGuard: this.promptQuarantine, limits: this.targetLimits,
+			protocol: adapter.targetProtocol, quota: this.quotaLending, promptGuard: this.quarantine.prompts, requestGuard: this.quarantine.requests,
+			limits: this.targetLimits,
 			dataCentre: settings.current.dataCentre as DataCentreId,
 			draw: () => random.pickIndex(drawResolution) / drawResolution,
 			findVersionHistory: model => this.weightsRegistry.find(model),
@@ -313,7 +315,7 @@
 	private addGauges(): void {
 		this.options.metrics.addGauges({
 			calls_in_progress: {help: 'Calls being served.', read: () => this.listener.callsInProgress},
-			...this.promptQuarantine.gauges,
+			...this.quarantine.gauges,
 			...this.targetLimits.gauges,
 			object_api_era: {help: 'Era of the object API, which rises with each restore from a copy.', read: () => this.options.adapter.objectApi.readEra()},
 			members: {help: 'Live instances, this one included.', read: () => this.listPeers().length + 1},
--- a/src/quarantine/quarantine-register/index.ts
+++ b/src/quarantine/quarantine-register/index.ts
@@ -41,7 +41,11 @@
 
 	constructor(private readonly planDuration = doubleDuration) {}
 
-	/** Number of parts in quarantine. */
+	get isEmpty(): boolean {
+		return this.quarantines.size === 0;
+	}
+
+	/** Number of keys in quarantine. */
 	countActive(now: MonotonicMs): number {
 		return this.list().filter(quarantine => isActive(quarantine, now)).length;
 	}
