Believe a refusal only if it names no other request

What callers saw: a target that writes the refusal of an earlier request once more on a kept connection made the router take the waiting request for not run. A call that may run once was sent to a second target although the first one ran it, or its caller was told to try again.

Cause: the statement 'not run' was read before the request id of the answer was compared.

--- a/src/forwarding/call-session/test.ts
+++ b/src/forwarding/call-session/test.ts
@@ -228,3 +228,25 @@
 	expect([statusCode, requests]).toEqual([502, 1]);
 	expect(durationMs > 2000 && durationMs < 7000).toEqual(true);
 });
+
+test('guards against the refusal of another request, written once more: a call that may run once is not sent to a second target', async t => {
+	const {countRequests, call} = await startTargets(t, {kind: 'nonIdempotent'}, (socket, _id, requestNumber) => {
+		socket.write(requestNumber === 1
+			? 'HTTP/1.1 503 Busy\r\nx-id: earlier\r\nx-not-run: true\r\nContent-Length: 0\r\n\r\n'
+			: 'HTTP/1.1 500 Second\r\nContent-Length: 0\r\n\r\n');
+	});
+	const {status} = await call('c1');
+	expect([status, countRequests()]).toEqual([502, 1]);
+});
+
+test('takes the refusal of the own request, or one without an id, for "not run"', async t => {
+	for (const idLine of ['own', 'none']) {
+		const {countRequests, call} = await startTargets(t, {kind: 'nonIdempotent', maximumAttempts: 2}, (socket, id, requestNumber) => {
+			socket.write(requestNumber === 1
+				? `HTTP/1.1 503 Busy\r\n${idLine === 'own' ? `x-id: ${id}\r\n` : ''}x-not-run: true\r\nContent-Length: 0\r\n\r\n`
+				: `HTTP/1.1 200 OK\r\nx-id: ${id}\r\nContent-Length: 2\r\n\r\nok`);
+		});
+		const {status} = await call('c1');
+		expect([status, countRequests()]).toEqual([200, 2]);
+	}
+});
--- a/src/targets/http-engine-client/index.ts
+++ b/src/targets/http-engine-client/index.ts
@@ -9,6 +9,7 @@
 import {discardBody} from '../../http/discard-body/index.js';
 import {fetchJson} from '../../http/fetch-json/index.js';
 import type {Incarnation, RequestId} from '../../identity/ids/index.js';
+import {matchAnswerId} from '../../forwarding/match-answer-id/index.js';
 import {leavingHeader} from '../leaving-targets/index.js';
 import {parseEventStream} from '../parse-event-stream/index.js';
 import type {
@@ -127,7 +128,7 @@
 
 		this.reportLeaving(response.headers);
 		if (response.statusCode !== 200) {
-			throw await convertErrorResponse(response);
+			throw await convertErrorResponse(response, expected.requestId);
 		}
 
 		const {headers} = response;
@@ -219,9 +220,17 @@
 /** Length of the error text after which reading stops. */
 const maximumErrorTextLength = 4096;
 
-/** Only status 412 and the header `x-not-run` guarantee that the request did not run. */
-async function convertErrorResponse(response: Dispatcher.ResponseData): Promise<RouterError> {
+/**
+ * Only status 412 and the header `x-not-run` guarantee that the request did not run, and only in an answer that names no other
+ * request than `requestId`.
+ */
+async function convertErrorResponse(response: Dispatcher.ResponseData, requestId?: RequestId): Promise<RouterError> {
 	const detail = `status ${response.statusCode}: ${await readErrorText(response.body)}`;
+	const namedIds = [response.headers['x-request-id'] ?? []].flat();
+	if (requestId !== undefined && matchAnswerId(namedIds, requestId) === 'other') {
+		return createRouterError('answerMismatch', `an error response names another request than ${requestId}`);
+	}
+
 	if (response.statusCode === 412 || response.headers['x-not-run'] === 'true') {
 		return createRouterError('targetRefused', detail);
 	}
