Check that what continues a stream is its next events

What callers saw: a stream broke off, the next target answered with a status of 200 and something other than events, and the text, or a whole HTTP head, stood in the middle of the stream, which then ended as if it were complete.

Cause: only the status of the continuation was checked; a block without an id was passed on as an event, and what was left after the last event was flushed at the end. In a continuation each piece now has to be a comment or an event whose id goes on, and the end of an event has to come before the end of the answer. Anything else ends the attempt: it is retried within the limits of the call, or the caller's connection is closed, so that the stream is visibly incomplete. An empty, complete continuation ends the stream: its target has signed that nothing is left.

The test over real connections fails on the code before. Heads that are cut in their middle (5 forms, 3 kinds of call, orderly end and reset) gave 502 before as well; a test keeps it so.

--- a/src/forwarding/call-session/index.ts
+++ b/src/forwarding/call-session/index.ts
@@ -174,7 +174,10 @@
 		const head = attempt.head!;
 		if (!this.relay.isComplete(head)) {
 			const error = new Error('the stream ended inside an event');
-			this.guard.recordFailure(attempt, {stage: 'responding', error}, this.readNow());
+			if (head.isUnframed) {
+				this.guard.recordFailure(attempt, {stage: 'responding', error}, this.readNow());
+			}
+
 			this.onFailure(attempt, 'responding', error);
 			return;
 		}
--- a/src/forwarding/call-session/test.ts
+++ b/src/forwarding/call-session/test.ts
@@ -250,3 +250,66 @@
 		expect([status, countRequests()]).toEqual([200, 2]);
 	}
 });
+
+/** Sends two events of a resumable stream and breaks off, and lets the next target answer with `continuation`. Returns what the caller got. */
+async function continueBrokenStream(t: TestContext, continuation: (id: string) => string): Promise<{readonly body: string; readonly status: number}> {
+	const {call} = await startTargets(t, {kind: 'streaming', isResumable: true, maximumAttempts: 2}, (socket, id, requestNumber) => {
+		if (requestNumber > 1) {
+			socket.end(continuation(id));
+			return;
+		}
+
+		socket.write(`HTTP/1.1 200 OK\r\nx-id: ${id}\r\nTransfer-Encoding: chunked\r\n\r\n${formatEvent(1)}${formatEvent(2)}`);
+		setTimeout(() => {
+			socket.destroy();
+		}, 20);
+	});
+	return call('c1');
+}
+
+test('guards against an error text or a whole head in the middle of a stream that looks complete', async t => {
+	const chunked = (id: string) => `HTTP/1.1 200 OK\r\nx-id: ${id}\r\nTransfer-Encoding: chunked\r\n\r\n`;
+	const end = '0\r\n\r\n';
+	const faults = [
+		(id: string) => `${chunked(id)}${formatChunk('an error')}${end}`,
+		(id: string) => `${chunked(id)}${formatChunk('an error\n\nwith a blank line')}${end}`,
+		(id: string) => `${chunked(id)}${formatChunk('HTTP/1.1 500 Error\r\nContent-Length: 4\r\n\r\nfail')}${end}`,
+		(id: string) => `${chunked(id)}${formatEvent(3)}${formatChunk('id: 4\nda')}${end}`,
+		(id: string) => `HTTP/1.1 200 OK\r\nx-id: ${id}\r\nContent-Length: 8\r\n\r\nan error`,
+		(id: string) => `HTTP/1.1 500 Error\r\nx-id: ${id}\r\nContent-Length: 8\r\n\r\nan error`,
+	];
+	for (const fault of faults) {
+		const {body} = await continueBrokenStream(t, fault);
+		expect(body).toEqual('cut');
+	}
+});
+
+test('continues a stream that broke off with the next events, and ends one that has none left', async t => {
+	const chunked = (id: string) => `HTTP/1.1 200 OK\r\nx-id: ${id}\r\nTransfer-Encoding: chunked\r\n\r\n`;
+	const events = (ids: readonly number[]) => ids.map(id => `id: ${id}\ndata: x\n\n`).join('');
+	const continued = await continueBrokenStream(t, id => `${chunked(id)}${formatEvent(3)}0\r\n\r\n`);
+	expect(continued.body).toEqual(events([1, 2, 3]));
+	const ended = await continueBrokenStream(t, id => `${chunked(id)}0\r\n\r\n`);
+	expect(ended.body).toEqual(events([1, 2]));
+});
+
+test('guards against a head that is cut in its middle and looks like an answer', async t => {
+	const heads = ['HTTP/1.1 200 OK\r\n', 'HTTP/1.1 200 OK\r\nx-id: ID\r\nContent-Le', 'HTTP/1.1 200 OK\r\nx-id: ID\r\nContent-Length: 0\r\n', 'HTTP/1.1 200 OK\r\nx-id: ID\r\nTransfer-Encoding: chunked\r\n', 'HTTP/1.1 2'];
+	for (const kind of ['idempotent', 'nonIdempotent', 'streaming'] as const) {
+		for (const head of heads) {
+			for (const isReset of [false, true]) {
+				const {call} = await startTargets(t, {kind, maximumAttempts: 2}, (socket, id) => {
+					socket.write(head.replace('ID', id), () => {
+						if (isReset) {
+							socket.resetAndDestroy();
+						} else {
+							socket.end();
+						}
+					});
+				});
+				const {status} = await call('c1');
+				expect(status).toEqual(502);
+			}
+		}
+	}
+});
--- a/src/forwarding/event-splitter/index.ts
+++ b/src/forwarding/event-splitter/index.ts
@@ -17,19 +17,46 @@
 /** Maximum size of one event, in bytes. */
 export const maximumEventBytes = 1_048_576;
 
+/** What a target sends does not continue the stream of the target before. */
+export class ContinuationError extends Error {
+	constructor() {
+		super('the target sends something other than the next events of the stream');
+	}
+}
+
+const ignoredLinesPattern = /^(?::[^\n]*|\r?)$/u;
+
 /** Passes on complete events that the caller has not received yet. */
 export class EventSplitter {
 	private readonly buffer = new EventBuffer(maximumEventBytes);
+	private isContinuation = false;
 
 	/** `lastEventId` identifies the last event that the caller received. If ids are numeric, events up to it are dropped. */
 	constructor(private lastEventId: string | undefined) {}
 
-	/** Adds a chunk and returns the events that it completes. Throws a `RangeError` if an incomplete event exceeds `maximumEventBytes`. */
+	/** Whether bytes have come since the last complete event. */
+	get hasIncompleteEvent(): boolean {
+		return !this.buffer.isEmpty;
+	}
+
+	/** Begins with the stream of another target. From here on, each piece must be an event with an id, or a comment. */
+	beginContinuation(): void {
+		this.isContinuation = true;
+	}
+
+	/**
+	 * Adds a chunk and returns the events that it completes. Throws a `RangeError` if an incomplete event exceeds
+	 * `maximumEventBytes`, and a `ContinuationError` if the chunk does not continue the stream; no event of it counts then.
+	 */
 	add(chunk: Buffer): CompleteEvents {
 		const accepted: Buffer[] = [];
 		let hasProgress = false;
-		for (const event of this.buffer.add(chunk)) {
-			const text = event.toString('latin1');
+		const texts = this.buffer.add(chunk).map(event => ({event, text: event.toString('latin1')}));
+		if (this.isContinuation && !texts.every(({text}) => this.continuesStream(text))) {
+			throw new ContinuationError();
+		}
+
+		for (const {event, text} of texts) {
 			hasProgress ||= contentPattern.test(text);
 			if (this.acceptEvent(text)) {
 				accepted.push(event);
@@ -49,6 +76,16 @@
 		this.buffer.flush();
 	}
 
+	/** Where ids are numbers, the next ones are as well. Other ids have no order that could be checked. */
+	private continuesStream(event: string): boolean {
+		const id = idPattern.exec(event)?.[1]?.trim();
+		if (id === undefined) {
+			return event.split('\n').every(line => ignoredLinesPattern.test(line));
+		}
+
+		return id !== '' && (isNumeric(id) || !isNumeric(this.lastEventId ?? ''));
+	}
+
 	private acceptEvent(event: string): boolean {
 		const id = idPattern.exec(event)?.[1];
 		if (id === undefined) {
@@ -63,3 +100,7 @@
 		return true;
 	}
 }
+
+function isNumeric(id: string): boolean {
+	return /^\d+$/u.test(id);
+}
--- a/src/forwarding/event-splitter/test.ts
+++ b/src/forwarding/event-splitter/test.ts
@@ -1,6 +1,6 @@
 import {test} from 'node:test';
 import {expect} from 'earl';
-import {EventSplitter} from './index.js';
+import {ContinuationError, EventSplitter} from './index.js';
 
 const add = (splitter: EventSplitter, text: string) => splitter.add(Buffer.from(text)).bytes.toString();
 
@@ -36,3 +36,24 @@
 	expect(add(splitter, '\nid: 2\r\nda')).toEqual('id: 1\r\ndata: a\r\n\r\n');
 	expect(splitter.add(Buffer.from('ta: b\n\r\n'))).toEqual({bytes: Buffer.from('id: 2\r\ndata: b\n\r\n'), lastEventId: '2', hasProgress: true});
 });
+
+/** Creates a splitter that has passed on two events of a first target, and continues with a second one. */
+function continueStream(...chunks: readonly string[]): string {
+	const splitter = new EventSplitter(undefined);
+	splitter.add(Buffer.from('id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda'));
+	splitter.discardPending();
+	splitter.beginContinuation();
+	return chunks.map(chunk => splitter.add(Buffer.from(chunk)).bytes.toString()).join('');
+}
+
+test('guards against text, a whole HTTP head or events without an id in the middle of a stream that a second target continues', () => {
+	const pieces = ['an error text\n\n', 'HTTP/1.1 500 Error\r\nContent-Type: text/plain\r\n\r\n', 'data: c\n\n', 'id: x\ndata: c\n\n'];
+	for (const piece of pieces) {
+		expect(() => continueStream(piece)).toThrow(ContinuationError);
+		expect(() => continueStream(`id: 3\ndata: c\n\n${piece}`)).toThrow(ContinuationError);
+	}
+});
+
+test('passes on the events, comments and blank lines of a sound continuation, and drops events that the caller has', () => {
+	expect(continueStream('id: 2\ndata: b\n\n: comment\n\nid: 3\ndata: c\n\n', '\n\nid: 5\ndata: d\n\n')).toEqual(': comment\n\nid: 3\ndata: c\n\n\n\nid: 5\ndata: d\n\n');
+});
--- a/src/forwarding/response-relay/index.ts
+++ b/src/forwarding/response-relay/index.ts
@@ -24,6 +24,8 @@
 	private bufferedChunks: Buffer[] = [];
 	private bufferedBytes = 0;
 	private splitter: EventSplitter | undefined;
+	/** Whether the response is continued by another target than the one whose head the caller has. */
+	private isContinued = false;
 	/** Follows the stream of the current target. */
 	private boundary = new EventBoundary();
 
@@ -47,6 +49,11 @@
 	/** Handles the head of a target's response. Only the first one is sent to the caller. */
 	begin(head: ResponseHead): void {
 		this.boundary = new EventBoundary();
+		if (this.hasBegun) {
+			this.splitter?.beginContinuation();
+			this.isContinued = true;
+		}
+
 		if (this.isEventStream(head) && this.route.isResumable) {
 			this.splitter ??= new EventSplitter(this.lastEventId);
 		}
@@ -76,8 +83,15 @@
 		return {canContinue: this.write(bytes), hasProgress};
 	}
 
-	/** Whether the response of a target that has sent its last byte is complete. A stream that ends with its connection must not end inside an event. */
+	/**
+	 * Whether the response of a target that has sent its last byte is complete. A stream that ends with its connection must not
+	 * end inside an event, and neither must one that continues another stream.
+	 */
 	isComplete(head: ResponseHead): boolean {
+		if (this.isContinued && this.splitter?.hasIncompleteEvent === true) {
+			return false;
+		}
+
 		return !head.isUnframed || !this.isEventStream(head) || this.boundary.isReached;
 	}
 
--- a/src/streams/event-buffer/index.ts
+++ b/src/streams/event-buffer/index.ts
@@ -34,6 +34,11 @@
 		return events;
 	}
 
+	/** Whether no bytes have come since the last complete event. */
+	get isEmpty(): boolean {
+		return this.pendingBytes.length === 0;
+	}
+
 	/** Removes and returns the bytes after the last complete event. */
 	flush(): Buffer {
 		const {pendingBytes} = this;
