Count a trial of a request only once it is sent, and forget old quarantines

A caller that leaves while its trial waits for objections had the request quarantined again, and quarantines of requests were never removed from the object API.

--- a/src/forwarding/call-guard/index.ts
+++ b/src/forwarding/call-guard/index.ts
@@ -56,7 +56,10 @@
 
 	/** Records that the call is sent to a target, which uses up its trial. */
 	recordSent(): void {
-		this.mayTry = false;
+		if (this.mayTry) {
+			this.mayTry = false;
+			this.requests.recordTrialSent(this.keyReader);
+		}
 	}
 
 	/** Returns the error with which the call ends if it may not be sent to a target; `mayHaveRun`: whether a target may have run it before. */
--- a/src/forwarding/request-guard/index.ts
+++ b/src/forwarding/request-guard/index.ts
@@ -16,6 +16,8 @@
 	findRejection(readKey: RequestKeyReader, now: MonotonicMs): RequestRejection | undefined;
 	/** Asks to send a request on probation to one target; resolves to whether it may be. */
 	beginTrial(readKey: RequestKeyReader): Promise<boolean>;
+	/** Records that the trial is on its way to a target. */
+	recordTrialSent(readKey: RequestKeyReader): void;
 	/** Whether the request has crashed so many targets that it is not repeated without being asked. */
 	isSuspicious(readKey: RequestKeyReader, now: MonotonicMs): boolean;
 	/** Records that the connection broke before the answer to a request was complete. */
@@ -28,6 +30,9 @@
 export const openRequestGuard: RequestGuard = {
 	findRejection: () => undefined,
 	beginTrial: async () => false,
+	recordTrialSent() {
+		// There are no trials.
+	},
 	isSuspicious: () => false,
 	recordBrokenConnection() {
 		// Nothing is recorded.
--- a/src/quarantine/fleet-quarantine/index.ts
+++ b/src/quarantine/fleet-quarantine/index.ts
@@ -22,7 +22,7 @@
 
 	/** Removes quarantines that are no longer needed, until `signal` aborts. */
 	async run(signal: AbortSignal): Promise<void> {
-		await this.prompts.run(signal);
+		await Promise.all([this.prompts.run(signal), this.requests.run(signal)]);
 	}
 
 	/** Takes over the stored quarantines. */
--- a/src/quarantine/prompt-quarantine/index.ts
+++ b/src/quarantine/prompt-quarantine/index.ts
@@ -18,6 +18,7 @@
 import type {RandomSource} from '../../random/random-source/index.js';
 import type {ObjectApi, StoredObject} from '../../store/object-api/index.js';
 import {CrashLedger, type CrashReport} from '../crash-ledger/index.js';
+import {forgetQuarantines} from '../forget-quarantines/index.js';
 import {partCodec} from '../part-codec/index.js';
 import {listSharedPartKeys, type PartKey} from '../part-key/index.js';
 import {QuarantineExchange} from '../quarantine-exchange/index.js';
@@ -40,8 +41,6 @@
 /** Time after which it is told again, in milliseconds. */
 const confirmationIntervalMs = 5000;
 const maximumRecentParts = 1000;
-/** Interval at which forgotten quarantines are removed, in milliseconds. */
-const cleaningIntervalMs = 60_000;
 const maximumLoggedParts = 6;
 const maximumDumpedParts = 50;
 const randomSteps = 1000;
@@ -105,17 +104,7 @@
 
 	/** Removes quarantines whose probation has ended, until `signal` aborts. */
 	async run(signal: AbortSignal): Promise<void> {
-		const {clock, random, listPeers} = this.options;
-		while (!signal.aborted) {
-			await clock.sleep(random.applyJitter(cleaningIntervalMs), signal);
-			// One instance a round, on average, does it for all.
-			if (random.pickIndex(listPeers().length + 1) === 0) {
-				for (const part of this.register.listForgettable(clock.readMonotonic())) {
-					this.register.lift(part);
-					void this.records.remove(part);
-				}
-			}
-		}
+		await forgetQuarantines({...this.options, register: this.register, records: this.records}, signal);
 	}
 
 	/** Takes over the stored quarantines. */
--- a/src/quarantine/request-quarantine/index.ts
+++ b/src/quarantine/request-quarantine/index.ts
@@ -19,6 +19,7 @@
 import type {RandomSource} from '../../random/random-source/index.js';
 import type {ObjectApi, StoredObject} from '../../store/object-api/index.js';
 import {planRequestDuration} from '../plan-request-duration/index.js';
+import {forgetQuarantines} from '../forget-quarantines/index.js';
 import {QuarantineRecords} from '../quarantine-records/index.js';
 import {
 	isActive, QuarantineRegister, type Quarantine,
@@ -112,6 +113,11 @@
 		});
 	}
 
+	/** Removes quarantines whose probation has ended, until `signal` aborts. */
+	async run(signal: AbortSignal): Promise<void> {
+		await forgetQuarantines({...this.options, register: this.register, records: this.records}, signal);
+	}
+
 	/** Takes over the stored quarantines. */
 	replaceStored(objects: readonly StoredObject[], version: string | undefined): void {
 		this.records.replace(objects, version);
@@ -144,13 +150,14 @@
 		await clock.sleep(objectionMs);
 		const isGranted = this.trials.holds(key, trial) && this.register.isOnProbation(key, clock.readMonotonic());
 		logger.info('request trial', {request: key, outcome: isGranted ? 'granted' : 'left to another instance'});
-		if (isGranted) {
-			void this.judgeTrial(key);
-		}
-
 		return isGranted;
 	}
 
+	/** Quarantines the request again for longer if its trial has not led to a complete answer in time. */
+	recordTrialSent(readKey: RequestKeyReader): void {
+		void this.judgeTrial(readKey());
+	}
+
 	isSuspicious(readKey: RequestKeyReader, now: MonotonicMs): boolean {
 		if (this.ledger.isEmpty && this.register.isEmpty) {
 			return false;
@@ -198,7 +205,6 @@
 		return this.register.read(key) !== undefined;
 	}
 
-	/** Quarantines a request again for longer if its trial has not led to a complete answer. */
 	private async judgeTrial(key: RequestKey): Promise<void> {
 		const {clock} = this.options;
 		await clock.sleep(trialIntervalMs);
