--- a/src/quarantine/plan-request-duration/test.ts
+++ b/src/quarantine/plan-request-duration/test.ts
@@ -6,7 +6,7 @@
 	let durationMs: number | undefined;
 	let trials = 0;
 	for (let elapsedMs = 0; elapsedMs < 30 * 86_400_000; elapsedMs += durationMs) {
-		durationMs = planRequestDuration(durationMs);
+		durationMs = planRequestDuration(durationMs, 1);
 		trials += 1;
 	}
 
--- a/src/quarantine/quarantine-register/index.ts
+++ b/src/quarantine/quarantine-register/index.ts
@@ -28,8 +28,8 @@
  */
 const minimumExtensionMs = 2000;
 
-/** Returns the duration of a quarantine from that of the previous one, which is undefined for the first. */
-export type DurationPlan = (previousMs: number | undefined) => number;
+/** Returns the duration of a quarantine from that of the previous one, which is undefined for the first, and from the number of crashes in sequence. */
+export type DurationPlan = (previousMs: number | undefined, sequentialCrashes: number) => number;
 
 const doubleDuration: DurationPlan = previousMs => previousMs === undefined ? initialDurationMs : Math.min(maximumDurationMs, 2 * previousMs);
 
@@ -39,7 +39,7 @@
 	/** Beginnings of the lifted quarantines, so that late copies don't bring them back, and later ones are accepted. */
 	private readonly liftedBeginnings = new LRUCache<Key, MonotonicMs>({max: maximumQuarantines});
 
-	constructor(private readonly planDuration = doubleDuration) {}
+	constructor(private readonly planDuration: DurationPlan = doubleDuration) {}
 
 	get isEmpty(): boolean {
 		return this.quarantines.size === 0;
@@ -79,9 +79,9 @@
 	}
 
 	/** Builds the next quarantine of a key: the first one, or a longer one after probation. */
-	plan(key: Key, crashes: number, now: MonotonicMs): Quarantine<Key> {
+	plan(key: Key, crashes: number, now: MonotonicMs, sequentialCrashes = crashes): Quarantine<Key> {
 		const previous = this.quarantines.get(key);
-		const durationMs = this.planDuration(previous?.durationMs);
+		const durationMs = this.planDuration(previous?.durationMs, sequentialCrashes);
 		return {
 			key, crashes: crashes + (previous?.crashes ?? 0), durationMs, endsAt: now + durationMs as MonotonicMs,
 		};
--- a/src/quarantine/request-ledger/index.ts
+++ b/src/quarantine/request-ledger/index.ts
@@ -3,8 +3,8 @@
  *
  * A crash breaks all requests of its target, so a sound one that is repeated can be in several crashes. Three facts tell
  * them apart. A complete answer to a request clears it of all crashes before. A crash that a known culprit explains speaks
- * against no other request. And a request is sent again after one of its crashes: targets that end at one instant for another
- * reason break the same request only once each, so that three of these alone identify nothing.
+ * against no other request. And repeats that are sent after a crash and break again say more than requests that were all
+ * broken at one instant, as when all targets end for another reason.
  */
 
 import type {MonotonicMs, TargetId} from '../../identity/ids/index.js';
@@ -41,8 +41,6 @@
 export const evidenceValidityMs = 3_600_000;
 /** Crashes that identify a request. */
 const requiredCrashes = 3;
-/** How many of these have to be of repeats sent after an earlier one. */
-const requiredSequence = 2;
 /** Minimum time from a crash to a later repeat, in milliseconds. Times that other instances report are off by the delay of their messages. */
 const reportSkewMs = 20;
 const maximumCrashes = 256;
@@ -102,7 +100,7 @@
 	/** Finds the request with the most crashes of those that enough crashes identify, and all that have as many. */
 	findCulprits(isCulprit: RequestLookup, now: MonotonicMs): RequestEvidence[] {
 		const identified = this.listEvidence(isCulprit, now)
-			.filter(({crashes, sequentialCrashes}) => crashes >= requiredCrashes && sequentialCrashes >= requiredSequence);
+			.filter(({crashes}) => crashes >= requiredCrashes);
 		return identified.filter(({crashes}) => crashes === identified[0]!.crashes);
 	}
 
--- a/src/quarantine/request-quarantine/index.ts
+++ b/src/quarantine/request-quarantine/index.ts
@@ -28,7 +28,7 @@
 import {CrashConfirmation} from '../crash-confirmation/index.js';
 import {RequestExchange} from '../request-exchange/index.js';
 import type {RequestKey} from '../request-key/index.js';
-import {RequestLedger, type RequestCrash} from '../request-ledger/index.js';
+import {RequestLedger, type RequestCrash, type RequestEvidence} from '../request-ledger/index.js';
 import type {RequestNews} from '../request-messages/index.js';
 import {objectionMs, RequestTrials, trialIntervalMs} from '../request-trials/index.js';
 
@@ -210,7 +210,7 @@
 		await clock.sleep(trialIntervalMs);
 		const now = clock.readMonotonic();
 		if (this.register.isOnProbation(key, now)) {
-			this.quarantine(key, 0, 'own', now);
+			this.quarantine({key, crashes: 0, sequentialCrashes: 0}, 'own', now);
 		}
 	}
 
@@ -286,8 +286,8 @@
 				return;
 			}
 
-			for (const {key, crashes} of culprits) {
-				this.quarantine(key, crashes, source, now);
+			for (const culprit of culprits) {
+				this.quarantine(culprit, source, now);
 			}
 		}
 	}
@@ -296,13 +296,13 @@
 	private renewAfterProbation({requests}: RequestCrash, source: Source, now: MonotonicMs): void {
 		for (const {key, sentAt} of requests) {
 			if (this.register.isOnProbation(key, now) && sentAt > this.register.read(key)!.endsAt) {
-				this.quarantine(key, 1, source, now);
+				this.quarantine({key, crashes: 1, sequentialCrashes: 1}, source, now);
 			}
 		}
 	}
 
-	private quarantine(key: RequestKey, crashes: number, source: Source, now: MonotonicMs): void {
-		const quarantine = this.register.plan(key, crashes, now);
+	private quarantine({key, crashes, sequentialCrashes}: RequestEvidence, source: Source, now: MonotonicMs): void {
+		const quarantine = this.register.plan(key, crashes, now, sequentialCrashes);
 		if (!this.register.add(quarantine)) {
 			// A copy of the same decision is known. The crash needs no other explanation.
 			this.ledger.forget(key);
