--- a/src/forwarding/call-guard/test.ts
+++ b/src/forwarding/call-guard/test.ts
@@ -10,6 +10,7 @@
 import {hashKey} from '../../keys/hash-key/index.js';
 import type {Route} from '../../routing/routing-types/index.js';
 import type {PromptGuard} from '../prompt-guard/index.js';
+import type {RequestGuard} from '../request-guard/index.js';
 
 /** Answers one request; `requestNumber` counts the requests at all targets, from 1. */
 type Script = (socket: Socket, id: string, requestNumber: number) => void;
@@ -31,7 +32,7 @@
 }
 
 /** Starts a call listener with a guard and a quota before four targets that answer as scripted. They are closed after the test. */
-async function startTargets(t: TestContext, route: Partial<Route>, script: Script) {
+async function startTargets(t: TestContext, route: Partial<Route>, script: Script, requestGuard?: RequestGuard) {
 	let requests = 0;
 	const charges: number[] = [];
 	const servers = await Promise.all([0, 1, 2, 3].map(async () => startRawServer((socket, head) => {
@@ -47,7 +48,7 @@
 	});
 	const {state, guard} = createGuard();
 	const gateway = await startTestGateway(configuration, descriptions, {
-		promptGuard: guard,
+		promptGuard: guard, ...(requestGuard && {requestGuard}),
 		quota: {
 			async charge(_organisation, tokens) {
 				charges.push(tokens);
@@ -70,7 +71,7 @@
 		async call(id: string, parts = 'root,culprit,own', waitMs = 2000, signal?: AbortSignal) {
 			const answer = await request(`http://${gateway.address}/x`, {
 				headers: {
-					'x-id': id, 'x-key': 'key', 'x-parts': parts, 'x-wait': String(waitMs),
+					'x-id': id, 'x-key': 'key', ...(parts !== '' && {'x-parts': parts}), 'x-wait': String(waitMs),
 				}, method: 'POST', body: 'body', signal,
 			});
 			const body = await answer.body.text().catch(() => 'cut');
@@ -210,3 +211,64 @@
 	await delay(1600);
 	expect(state.log.length).toEqual(8);
 });
+
+/** Creates a guard of whole requests that records what calls report, and rejects and tries requests as it is told. */
+function createRequestGuard() {
+	const state = {
+		isQuarantined: false, isTrialGranted: false, isSuspicious: false, log: [] as string[],
+	};
+	const requestGuard: RequestGuard = {
+		findRejection: readKey => state.isQuarantined ? {request: readKey(), remainingMs: 9500} : undefined,
+		beginTrial: async () => state.isTrialGranted,
+		recordTrialSent() {
+			state.log.push('trial');
+		},
+		isSuspicious: () => state.isSuspicious,
+		recordBrokenConnection(_readKey, target) {
+			state.log.push(`broken ${target.description.id}`);
+		},
+		recordCompleteAnswer() {
+			state.log.push('complete');
+		},
+	};
+	return {state, requestGuard};
+}
+
+test('rejects a call without a prompt whose request is quarantined, as not run, before it is charged or sent', async t => {
+	const {state, requestGuard} = createRequestGuard();
+	const {charges, call, countRequests} = await startTargets(t, {kind: 'idempotent'}, (socket, id) => {
+		socket.write(formatAnswer(id));
+	}, requestGuard);
+	state.isQuarantined = true;
+	const {status, isNotRun, body} = await call('c1', '');
+	expect([status, isNotRun, body.includes('3010'), countRequests(), charges]).toEqual([503, true, true, 0, []]);
+});
+
+test('guards against a crash before the head that nobody learns of, and against a repeat of a suspicious request', async t => {
+	const {state, requestGuard} = createRequestGuard();
+	const {call, countRequests} = await startTargets(t, {kind: 'idempotent'}, socket => {
+		state.isSuspicious = true;
+		socket.destroy();
+	}, requestGuard);
+	const {status, isNotRun} = await call('c1', '');
+	expect([status, isNotRun, countRequests(), state.log.length, state.log[0]?.startsWith('broken')]).toEqual([502, false, 1, 1, true]);
+});
+
+test('sends a trial to one target, whatever becomes of it', async t => {
+	const {state, requestGuard} = createRequestGuard();
+	const {call, countRequests} = await startTargets(t, {kind: 'idempotent'}, (socket, id) => {
+		socket.write(formatAnswer(id, '503 Busy').replace('x-id', 'x-not-run: true\r\nx-id'));
+	}, requestGuard);
+	Object.assign(state, {isQuarantined: true, isTrialGranted: true});
+	const {status, isNotRun} = await call('c1', '');
+	expect([status, isNotRun, countRequests(), state.log]).toEqual([503, true, 1, ['trial']]);
+});
+
+test('any complete answer of a target shows that the request does not crash it, also an error', async t => {
+	const {state, requestGuard} = createRequestGuard();
+	const {call} = await startTargets(t, {kind: 'nonIdempotent'}, (socket, id) => {
+		socket.write(formatAnswer(id, '500 Failed'));
+	}, requestGuard);
+	await call('c1', '');
+	expect(state.log).toEqual(['complete']);
+});
