--- a/src/fleet/fleet-target/index.ts
+++ b/src/fleet/fleet-target/index.ts
@@ -4,7 +4,7 @@
  */
 
 import type {
-	DataCentreId, InstanceId, MonotonicMs, TargetId,
+	DataCentreId, InstanceId, MonotonicMs, SoftwareVersion, TargetId,
 } from '../../identity/ids/index.js';
 import {PermitAccount} from '../../limits/permit-account/index.js';
 import {TargetLimit} from '../../limits/target-limit/index.js';
@@ -21,6 +21,8 @@
 	readonly isLeaving: boolean;
 	/** Unix time of the start, in milliseconds. It distinguishes a restarted target with the same id. */
 	readonly startedAt: number;
+	/** Version of the target's software, not of its weights. */
+	readonly softwareVersion: SoftwareVersion;
 	/** Weights version of each served model, by model name. */
 	readonly weightsVersions: ReadonlyMap<string, number>;
 };
--- a/src/fleet/target-fleet/index.ts
+++ b/src/fleet/target-fleet/index.ts
@@ -91,6 +91,7 @@
 		this.targets.set(description.id, new FleetTarget(description));
 		this.logger.info('target known', {
 			target: description.id, service: description.service, address: description.address, started: description.startedAt,
+			software: description.softwareVersion,
 		});
 	}
 
--- a/src/forwarding/build-attempt-options/test.ts
+++ b/src/forwarding/build-attempt-options/test.ts
@@ -18,7 +18,7 @@
 function build(work: EngineWork | undefined, priority?: number) {
 	const organisation = createOrganisation('o', {priority});
 	const call: InboundCall = {
-		id: '1' as RequestId, method: 'POST', path: '/', host: 'h', headers: [], key: undefined, waitMs: undefined, work, lastEventId: undefined,
+		id: '1' as RequestId, method: 'POST', path: '/', host: 'h', headers: [], key: undefined, waitMs: undefined, work, lastEventId: undefined, resumes: undefined,
 	};
 	return buildAttemptOptions({
 		call, route: createRoute('r', {priority: 3}), organisation, target: createFleetTarget('t'), hints: new PrefixHints(work, organisation, new PrefixDirectory()),
--- a/src/forwarding/call-types/index.ts
+++ b/src/forwarding/call-types/index.ts
@@ -33,6 +33,8 @@
 	readonly work: EngineWork | undefined;
 	/** Id of the last stream event that the caller received; undefined at the beginning of a stream. */
 	readonly lastEventId: string | undefined;
+	/** Id of the request that brought the first event of the stream; undefined unless the caller continues one and names it. */
+	readonly resumes: RequestId | undefined;
 };
 
 /** What the router sends to the target of an attempt in addition to the call. */
--- a/src/forwarding/report-call/index.ts
+++ b/src/forwarding/report-call/index.ts
@@ -21,7 +21,8 @@
 	const {outcome, status, attempt, attempts, passedBytes, times} = summary;
 	context.logger.info('call finished', {
 		id: call.id, outcome, status, route: route.id, organisation: organisation?.id,
-		target: attempt?.target.description.id, weights: attempt?.weightsVersion, limit: attempt?.target.limit.read(), attempts, ...times, passedBytes,
+		resumes: call.resumes, afterEvent: call.lastEventId,
+		target: attempt?.target.description.id, software: attempt?.target.description.softwareVersion, weights: attempt?.weightsVersion, limit: attempt?.target.limit.read(), attempts, ...times, passedBytes,
 	});
 	context.report({
 		outcome, status, durationMs: times.durationMs, route: route.id, attempts,
--- a/src/forwarding/report-failed-attempt/index.ts
+++ b/src/forwarding/report-failed-attempt/index.ts
@@ -24,7 +24,7 @@
 		id, attempt, attempts, failure, reason, step, guard,
 	} = report;
 	logger.info('attempt failed', {
-		id, target: attempt.target.description.id, attempt: attempts, failure, reason, step: step.type,
+		id, target: attempt.target.description.id, software: attempt.target.description.softwareVersion, attempt: attempts, failure, reason, step: step.type,
 		request: isNotRun(failure) ? undefined : guard.readRequestKey(),
 	});
 }
--- a/src/identity/ids/index.ts
+++ b/src/identity/ids/index.ts
@@ -24,6 +24,8 @@
 export type RouteId = Branded<string, 'RouteId'>;
 /** SHA-256 hash of a caller's API key, in lower-case hex. */
 export type KeyHash = Branded<string, 'KeyHash'>;
+/** Version of the software that a target runs. What a target without a stated version runs has a version of its own. */
+export type SoftwareVersion = Branded<string, 'SoftwareVersion'>;
 /** Id of one request from a caller; also identifies the request at a target. */
 export type RequestId = Branded<string, 'RequestId'>;
 /** Chained hash of a prompt prefix; 16 hex digits. */
