--- a/src/forwarding/report-call/index.ts
+++ b/src/forwarding/report-call/index.ts
@@ -20,9 +20,9 @@
 export function reportCall(context: ForwardingContext, {call, route, organisation}: SessionOptions, summary: CallSummary): void {
 	const {outcome, status, attempt, attempts, passedBytes, times} = summary;
 	context.logger.info('call finished', {
-		id: call.id, outcome, status, route: route.id, organisation: organisation?.id,
-		resumes: call.resumes, afterEvent: call.lastEventId,
-		target: attempt?.target.description.id, software: attempt?.target.description.softwareVersion, weights: attempt?.weightsVersion, limit: attempt?.target.limit.read(), attempts, ...times, passedBytes,
+		id: call.id, outcome, status, route: route.id, organisation: organisation?.id, resumes: call.resumes, afterEvent: call.lastEventId,
+		target: attempt?.target.description.id, software: attempt?.target.description.softwareVersion, weights: attempt?.weightsVersion,
+		limit: attempt?.target.limit.read(), attempts, ...times, passedBytes,
 	});
 	context.report({
 		outcome, status, durationMs: times.durationMs, route: route.id, attempts,
