Continue a broken stream only at the software version that began it

Callers got answers whose first events were written by one version of a target's software and the rest by another. Cause: the target of a continuation is chosen among all of the service; an attribute that has to be equal, the software of the process, was in no key. An entry with another version is another process, even if its start time is unchanged.

Test 'a stream that goes on at a target of another software version' fails without the binding (text of v2 in a stream of v1).

--- a/src/fleet/target-fleet/index.ts
+++ b/src/fleet/target-fleet/index.ts
@@ -79,7 +79,7 @@
 
 	private update(description: TargetDescription): void {
 		const existing = this.targets.get(description.id);
-		if (existing?.description.startedAt === description.startedAt && existing.description.address === description.address) {
+		if (existing !== undefined && isSameIncarnation(existing.description, description)) {
 			if (existing.description.isLeaving !== description.isLeaving) {
 				this.logger.info('target state changed', {target: description.id, leaving: description.isLeaving});
 			}
@@ -106,3 +106,8 @@
 		this.targetsByService = targetsByService;
 	}
 }
+
+/** Whether two descriptions are of one process. Entries may lag behind a restart, and no process changes its software. */
+function isSameIncarnation(a: TargetDescription, b: TargetDescription): boolean {
+	return a.startedAt === b.startedAt && a.address === b.address && a.softwareVersion === b.softwareVersion;
+}
--- a/src/forwarding/call-session/index.ts
+++ b/src/forwarding/call-session/index.ts
@@ -15,6 +15,7 @@
 import {assessAttempt} from '../assess-attempt/index.js';
 import {buildStepQuery} from '../build-step-query/index.js';
 import {ResponseRelay} from '../response-relay/index.js';
+import {CallAttempts} from '../call-attempts/index.js';
 import {CallCharge} from '../call-charge/index.js';
 import {CallGuard} from '../call-guard/index.js';
 import {CallTimes} from '../call-times/index.js';
@@ -29,6 +30,7 @@
 import {reportFailedAttempt} from '../report-failed-attempt/index.js';
 import {selectTarget, type TargetSelection} from '../select-target/index.js';
 import type {Attempt, SessionOptions} from '../session-types/index.js';
+import {StreamOrigin} from '../stream-origin/index.js';
 import {startAttempt, type AttemptListener} from '../start-attempt/index.js';
 import type {ExchangeStage} from '../target-client/index.js';
 import {TargetWaiter} from '../target-waiter/index.js';
@@ -36,32 +38,31 @@
 /** A call in progress. */
 export class CallSession implements AttemptListener {
 	readonly deadline: MonotonicMs;
+	readonly relay: ResponseRelay;
+	readonly origin = new StreamOrigin();
 	private readonly hints: PrefixHints;
-	private readonly relay: ResponseRelay;
 	private readonly charge: CallCharge;
 	private readonly guard: CallGuard;
 	private readonly waiter: TargetWaiter;
 	private readonly times: CallTimes;
 	private readonly isRepeatable: boolean;
-	private readonly triedTargets = new Set<FleetTarget>();
+	private readonly attempts = new CallAttempts();
 	private readonly selection: TargetSelection;
-
-	/** The attempt in flight. */
-	private attempt: Attempt | undefined;
-	/** Attempts so far. */
-	private attempts = 0;
-	/** Ended attempts that may have run the call. */
-	private runs = 0;
+	/** When the call arrived or, once its stream has begun, when the stream last broke off. */
+	private waitingSince: MonotonicMs;
 	private isDone = false;
 	private deadlineTimer: NodeJS.Timeout | undefined;
 	private onDone: (() => void) | undefined;
 
 	constructor(private readonly options: SessionOptions, private readonly context: ForwardingContext) {
 		const {call, route, arrivedAt} = options;
+		this.waitingSince = arrivedAt;
 		this.deadline = arrivedAt + Math.min(call.waitMs ?? route.timeoutMs, route.timeoutMs) as MonotonicMs;
 		this.isRepeatable = isRepeatable(route);
 		this.hints = new PrefixHints(call.work, options.organisation, context.prefixes);
-		this.selection = {session: options, triedTargets: this.triedTargets, hints: this.hints};
+		this.selection = {
+			session: options, triedTargets: this.attempts.triedTargets, hints: this.hints, origin: this.origin,
+		};
 		this.waiter = new TargetWaiter(context.fleet);
 		this.times = new CallTimes(arrivedAt);
 		this.charge = new CallCharge(context.quota, options.organisation, call.work);
@@ -69,11 +70,6 @@
 		this.relay = new ResponseRelay(options.sink, route, call.lastEventId);
 	}
 
-	/** Whether any target may have run the call, even in part. */
-	private get mayHaveRun(): boolean {
-		return this.runs > 0 || this.attempt !== undefined;
-	}
-
 	/** Runs the call; resolves when it has ended, with or without a complete response. */
 	async run(): Promise<void> {
 		const done = new Promise<void>(resolve => {
@@ -100,7 +96,7 @@
 	/** Ends the call because its caller has disconnected. */
 	abandon(): void {
 		if (!this.isDone) {
-			this.attempt?.exchange?.abort();
+			this.attempts.abort();
 			this.finish('callerGone', 0);
 		}
 	}
@@ -112,7 +108,7 @@
 
 	/** Withdraws an attempt that must not begin any more, and moves a repeatable call to another target if its attempt has stalled. */
 	checkAttempt(now: MonotonicMs): void {
-		const {attempt} = this;
+		const attempt = this.attempts.current;
 		if (attempt === undefined || this.isDone) {
 			return;
 		}
@@ -162,7 +158,7 @@
 		this.times.recordChunk(now);
 		attempt.target.recordReceivedBytes(now);
 		try {
-			passChunk(attempt, this.relay, chunk, now);
+			passChunk(attempt, this, chunk, now);
 		} catch (error) {
 			attempt.exchange?.abort();
 			this.onFailure(attempt, 'responding', error as Error);
@@ -184,18 +180,18 @@
 
 		attempt.target.recordSuccess();
 		this.guard.recordEnd(attempt, this.readNow());
-		this.endAttempt(attempt);
+		this.attempts.end(attempt, true);
 		this.relay.end(head);
 		this.finish('answered', head.status, attempt);
 	}
 
 	/** Handles an exchange that failed, or that is given up. */
 	onFailure(attempt: Attempt, stage: ExchangeStage, error: Error): void {
-		if (this.attempt !== attempt || this.isDone) {
+		if (this.attempts.current !== attempt || this.isDone) {
 			return;
 		}
 
-		this.endAttempt(attempt);
+		this.attempts.end(attempt, stage !== 'notSent');
 		if (stage === 'notSent') {
 			attempt.target.recordUnreachable(this.readNow());
 			this.retryOrFail('notSent', error.message, attempt);
@@ -203,15 +199,17 @@
 		}
 
 		attempt.target.recordFailure(this.readNow());
-		this.runs += 1;
 		this.relay.discardIncomplete();
+		if (this.relay.hasBegun) {
+			this.waitingSince = this.readNow();
+		}
+
 		this.retryOrFail(this.relay.hasBegun ? 'broken' : 'unknown', error.message, attempt);
 	}
 
 	/** Ends an attempt that must not begin any more. It may have begun just now, so it counts as one that may have run. */
 	private withdraw(attempt: Attempt): void {
-		this.endAttempt(attempt);
-		this.runs += 1;
+		this.attempts.end(attempt, true);
 		this.retryOrFail('unknown', 'the call had not begun within the time limit of the old weights', attempt);
 	}
 
@@ -235,7 +233,7 @@
 
 	/** Ends the call if its prompt may not be sent to a target; returns whether it does. */
 	private isRejectedByGuard(): boolean {
-		const error = this.guard.findError(this.mayHaveRun, this.readNow());
+		const error = this.guard.findError(this.attempts.mayHaveRun, this.readNow());
 		if (error !== undefined) {
 			this.fail(error);
 		}
@@ -244,9 +242,9 @@
 	}
 
 	private waitForTarget(now: MonotonicMs): void {
-		const {options: session, selection, deadline, mayHaveRun, context} = this;
+		const {options: session, selection, deadline, attempts: {mayHaveRun}, waitingSince: since, context} = this;
 		const plan = planWait({
-			session, selection, deadline, mayHaveRun,
+			session, selection, deadline, mayHaveRun, since,
 		}, context, now);
 		if (plan.type === 'reject') {
 			this.refuse(plan.error);
@@ -254,16 +252,15 @@
 		}
 
 		this.waiter.wait(plan.longestMs, () => {
-			this.triedTargets.clear();
+			this.attempts.triedTargets.clear();
 			this.tryNextTarget();
 		});
 	}
 
 	private send(target: FleetTarget, now: MonotonicMs): void {
-		this.attempts += 1;
+		this.attempts.add(target);
 		this.times.recordSent(now);
-		this.triedTargets.add(target);
-		this.attempt = startAttempt({
+		this.attempts.current = startAttempt({
 			session: this.options, target, hints: this.hints, guard: this.guard, remainingMs: this.deadline - now,
 			lastEventId: this.relay.readLastEventId(), isRepeatable: this.isRepeatable,
 		}, this.context, this, now);
@@ -276,34 +273,33 @@
 		}
 
 		attempt.exchange?.abort();
-		this.endAttempt(attempt);
+		this.attempts.end(attempt, false);
 		this.retryOrFail('notRun', `rejected with status ${head.status}`, attempt);
 	}
 
 	/** Retries an idempotent call after a 5xx response; returns whether it does. */
 	private retryErrorResponse(attempt: Attempt): boolean {
 		const {kind} = this.options.route;
-		if (kind !== 'idempotent' || this.planNextStep('unknown', this.runs + 1).type !== 'retry') {
+		if (kind !== 'idempotent' || this.planNextStep('unknown', this.attempts.runs + 1).type !== 'retry') {
 			return false;
 		}
 
 		attempt.exchange?.abort();
-		this.endAttempt(attempt);
-		this.runs += 1;
+		this.attempts.end(attempt, true);
 		this.tryNextTarget();
 		return true;
 	}
 
 	private planNextStep(failure: AttemptFailure, runs: number): NextStep {
-		const {options: session, isRepeatable, relay, guard, attempts, deadline} = this;
+		const {options: session, isRepeatable, relay, guard, attempts: {count: attempts}, deadline} = this;
 		return planNextStep(buildStepQuery({
 			failure, session, isRepeatable, relay, guard, runs, attempts, deadline,
 		}, this.context, this.readNow()));
 	}
 
 	private retryOrFail(failure: AttemptFailure, reason: string, attempt: Attempt): void {
-		const step = this.planNextStep(failure, this.runs);
-		const {guard, attempts, context, options: {call: {id}}} = this;
+		const step = this.planNextStep(failure, this.attempts.runs);
+		const {guard, attempts: {count: attempts}, context, options: {call: {id}}} = this;
 		reportFailedAttempt(context.logger, {
 			id, attempt, attempts, failure, reason, step, guard,
 		});
@@ -318,8 +314,8 @@
 	/** Ends the call before its response is complete; the result depends on whether a target may have run it. */
 	private endEarly(resultIfNotRun: ResultName, resultIfMayHaveRun: ResultName): void {
 		if (!this.isDone) {
-			const result = this.mayHaveRun ? resultIfMayHaveRun : resultIfNotRun;
-			this.attempt?.exchange?.abort();
+			const result = this.attempts.mayHaveRun ? resultIfMayHaveRun : resultIfNotRun;
+			this.attempts.abort();
 			this.fail(createRouterError(result));
 		}
 	}
@@ -347,13 +343,6 @@
 		this.finish(error.entry.name, error.entry.httpStatus);
 	}
 
-	private endAttempt(attempt: Attempt): void {
-		attempt.target.endCall(attempt.record);
-		if (this.attempt === attempt) {
-			this.attempt = undefined;
-		}
-	}
-
 	private finish(outcome: string, status: number, lastAttempt?: Attempt): void {
 		if (this.isDone) {
 			return;
@@ -362,13 +351,13 @@
 		this.isDone = true;
 		clearTimeout(this.deadlineTimer);
 		this.waiter.stop();
-		const attempt = lastAttempt ?? this.attempt;
-		if (this.attempt !== undefined) {
-			this.endAttempt(this.attempt);
+		const attempt = lastAttempt ?? this.attempts.current;
+		if (this.attempts.current !== undefined) {
+			this.attempts.end(this.attempts.current, true);
 		}
 
 		reportCall(this.context, this.options, {
-			outcome, status, attempt, attempts: this.attempts, passedBytes: this.relay.passedBytes, times: this.times.summarise(this.readNow()),
+			outcome, status, attempt, attempts: this.attempts.count, passedBytes: this.relay.passedBytes, times: this.times.summarise(this.readNow()),
 		});
 		this.onDone?.();
 	}
--- a/src/forwarding/plan-wait/index.ts
+++ b/src/forwarding/plan-wait/index.ts
@@ -5,14 +5,18 @@
 import {addRetryAfterJitter, buildShortRetryAfter} from '../add-retry-after-jitter/index.js';
 import {estimatePermitWaitMs} from '../estimate-permit-wait/index.js';
 import type {ForwardingContext} from '../forwarding-context/index.js';
+import {listCandidates} from '../list-candidates/index.js';
 import type {TargetSelection} from '../select-target/index.js';
 import type {SessionOptions} from '../session-types/index.js';
+import type {StreamOrigin} from '../stream-origin/index.js';
 
 /** A call without a usable target. */
 export type WaitingCall = {
 	readonly session: SessionOptions;
 	readonly selection: TargetSelection;
 	readonly deadline: MonotonicMs;
+	/** When the call arrived or, once its stream has begun, when the stream broke off. */
+	readonly since: MonotonicMs;
 	/** Whether any target may have run the call. */
 	readonly mayHaveRun: boolean;
 };
@@ -22,13 +26,21 @@
 
 /** Longest wait for a usable target, as a fraction of the latency goal. */
 const targetWaitFraction = 0.6;
+/** Minimum wait of a stream for a target of its software version, in milliseconds; no other target can serve it. */
+const boundStreamWaitMs = 1000;
 const msPerSecond = 1000;
 
-/** Plans the wait, up to a fraction of the latency goal. A call that the limits of all targets keep back for longer is rejected. */
-export function planWait({
-	session, selection, deadline, mayHaveRun,
-}: WaitingCall, context: ForwardingContext, now: MonotonicMs): WaitPlan {
-	const waitEnd = calculateWaitEnd(session, deadline);
+/**
+ * Plans the wait, up to a fraction of the latency goal. A call that the limits of all targets keep back for longer is
+ * rejected, and at once a stream of a software version that no target serves any more.
+ */
+export function planWait(call: WaitingCall, context: ForwardingContext, now: MonotonicMs): WaitPlan {
+	const {selection, mayHaveRun} = call;
+	if (selection.origin.isBound && listCandidates(selection, context.fleet, now).length === 0) {
+		return {type: 'reject', error: createSoftwareGoneError(selection.origin, mayHaveRun)};
+	}
+
+	const waitEnd = calculateWaitEnd(call);
 	const permitWaitMs = estimatePermitWaitMs(selection, context, now);
 	return now + (permitWaitMs ?? 0) >= waitEnd
 		? {type: 'reject', error: createNoTargetError(mayHaveRun, context.draw(), permitWaitMs)}
@@ -36,8 +48,16 @@
 }
 
 /** Calculates until when a call waits for a usable target. */
-function calculateWaitEnd({route, arrivedAt}: Pick<SessionOptions, 'route' | 'arrivedAt'>, deadline: MonotonicMs): MonotonicMs {
-	return Math.min(arrivedAt + (route.latencyGoalMs * targetWaitFraction), deadline) as MonotonicMs;
+function calculateWaitEnd({session: {route}, selection, since, deadline}: WaitingCall): MonotonicMs {
+	const waitMs = route.latencyGoalMs * targetWaitFraction;
+	return Math.min(since + (selection.origin.isBound ? Math.max(waitMs, boundStreamWaitMs) : waitMs), deadline) as MonotonicMs;
+}
+
+function createSoftwareGoneError(origin: StreamOrigin, mayHaveRun: boolean): RouterError {
+	const detail = `version ${origin.read()}`;
+	return mayHaveRun
+		? createRouterError('outcomeUnknown', `no target serves the software that began the stream: ${detail}`)
+		: createRouterError('softwareGone', detail);
 }
 
 /**
--- a/src/forwarding/select-target/index.ts
+++ b/src/forwarding/select-target/index.ts
@@ -5,13 +5,16 @@
 import type {MonotonicMs} from '../../identity/ids/index.js';
 import type {ForwardingContext} from '../forwarding-context/index.js';
 import type {PrefixHints} from '../prefix-hints/index.js';
+import {listCandidates} from '../list-candidates/index.js';
 import type {SessionOptions} from '../session-types/index.js';
+import type {StreamOrigin} from '../stream-origin/index.js';
 
 /** A call, its placement hints and the targets already tried. */
 export type TargetSelection = {
 	readonly session: Pick<SessionOptions, 'call' | 'service'>;
 	readonly triedTargets: ReadonlySet<FleetTarget>;
 	readonly hints: PrefixHints;
+	readonly origin: StreamOrigin;
 };
 
 /**
@@ -19,10 +22,11 @@
  *
  * A target whose limit leaves no room counts as full: a permit is asked for, and the next best target is tried.
  */
-export function selectTarget({session, triedTargets, hints}: TargetSelection, context: ForwardingContext, now: MonotonicMs): FleetTarget | undefined {
+export function selectTarget(selection: TargetSelection, context: ForwardingContext, now: MonotonicMs): FleetTarget | undefined {
+	const {session, triedTargets, hints} = selection;
 	const {work} = session.call;
 	const engineTokens = context.findService(session.service)?.engine?.memoryTokens;
-	const targets = context.fleet.listServing(session.service, now);
+	const targets = listCandidates(selection, context.fleet, now);
 	const excluded = new Set(triedTargets);
 	const query: TargetQuery = {
 		targets,
@@ -48,7 +52,7 @@
 }
 
 /** Whether a target other than `current` could take over the call. */
-export function hasAlternativeTarget({session, triedTargets}: TargetSelection, current: FleetTarget, context: ForwardingContext, now: MonotonicMs): boolean {
-	return context.fleet.listServing(session.service, now)
-		.some(other => other !== current && !triedTargets.has(other) && !other.isSilent(now) && !other.isCordoned(now) && context.limits.allows(other, now));
+export function hasAlternativeTarget(selection: TargetSelection, current: FleetTarget, context: ForwardingContext, now: MonotonicMs): boolean {
+	const others = listCandidates(selection, context.fleet, now).filter(other => other !== current && !selection.triedTargets.has(other));
+	return others.some(other => !other.isSilent(now) && !other.isCordoned(now) && context.limits.allows(other, now));
 }
--- a/src/forwarding/select-target/test.ts
+++ b/src/forwarding/select-target/test.ts
@@ -11,6 +11,7 @@
 import type {InboundCall} from '../call-types/index.js';
 import type {ForwardingContext} from '../forwarding-context/index.js';
 import {PrefixHints} from '../prefix-hints/index.js';
+import {StreamOrigin} from '../stream-origin/index.js';
 import {hasAlternativeTarget, selectTarget, type TargetSelection} from './index.js';
 
 const now = 100 as MonotonicMs;
@@ -34,7 +35,7 @@
 	const session: Partial<TargetSelection['session']> = {call: callWithoutPrompt as InboundCall, service: 'service-1' as ServiceId};
 	const selection: TargetSelection = {
 		session: session as TargetSelection['session'],
-		triedTargets: new Set(), hints: new PrefixHints(undefined, undefined, new PrefixDirectory()),
+		triedTargets: new Set(), hints: new PrefixHints(undefined, undefined, new PrefixDirectory()), origin: new StreamOrigin(),
 	};
 	const target = selectTarget(selection, context as ForwardingContext, now);
 	const first = fleet.locate(createDescription(ids[0]!).id)!;
--- /dev/null
+++ b/src/forwarding/stream-origin/test.ts
@@ -0,0 +1,70 @@
+import {test} from 'node:test';
+import {expect} from 'earl';
+import {request} from 'undici';
+import {createDescription, createFleetTarget} from '../../fixtures/create-fleet-target/index.js';
+import {createRoute, createRoutingConfiguration} from '../../fixtures/create-routing-configuration/index.js';
+import {startRawServer} from '../../fixtures/start-raw-server/index.js';
+import {startTestGateway} from '../../fixtures/start-test-gateway/index.js';
+import type {SoftwareVersion} from '../../identity/ids/index.js';
+import {StreamOrigin} from './index.js';
+
+test('guards against a stream whose version changes with the target that continues it', () => {
+	const origin = new StreamOrigin();
+	const older = createFleetTarget('t1');
+	const newer = createFleetTarget('t2', {softwareVersion: 'v2' as SoftwareVersion});
+	expect([origin.isBound, origin.allows(older), origin.allows(newer)]).toEqual([false, true, true]);
+	expect([origin.bind(older.description.softwareVersion), origin.bind(newer.description.softwareVersion)]).toEqual([true, false]);
+	expect([origin.isBound, origin.allows(older), origin.allows(newer)]).toEqual([true, true, false]);
+});
+
+/** Formats the head of an answer and its first event; `isComplete`: also the end of its body. */
+function formatAnswer(id: string, event: string, isComplete: boolean): string {
+	return `HTTP/1.1 200 OK\r\nx-id: ${id}\r\nTransfer-Encoding: chunked\r\n\r\n${event.length.toString(16)}\r\n${event}\r\n${isComplete ? '0\r\n\r\n' : ''}`;
+}
+
+/** Versions of the software of three targets. The first two break each stream after one event, the third completes it. */
+const softwareVersions = ['v1', 'v2', 'v1'];
+
+test('guards against a stream that goes on at a target of another software version', async t => {
+	const servers = await Promise.all(softwareVersions.map(async (version, index) => startRawServer((socket, head) => {
+		const id = /x-id: (\S+)/u.exec(head)?.[1] ?? '';
+		const next = Number(/last-event-id: (\d+)/u.exec(head)?.[1] ?? 0) + 1;
+		socket.write(formatAnswer(id, `id: ${next}\ndata: ${version}\n\n`, index === 2));
+		if (index < 2) {
+			setTimeout(() => {
+				socket.resetAndDestroy();
+			}, 50);
+		}
+	})));
+	const descriptions = servers.map(({address}, index) => createDescription(`t${index}`, {
+		address, weightsVersions: new Map(), softwareVersion: softwareVersions[index]! as SoftwareVersion,
+	}));
+	t.after(() => {
+		for (const server of servers) {
+			server.close();
+		}
+	});
+	const route = createRoute('r', {
+		host: '127.0.0.1', kind: 'streaming', isResumable: true, maximumAttempts: 3,
+	});
+	const readStream = async (targets: typeof descriptions) => {
+		const gateway = await startTestGateway(createRoutingConfiguration({routes: [route]}), targets);
+		const answer = await request(`http://${gateway.address}/x`, {headers: {'x-id': 'c1'}, method: 'POST', body: 'body'});
+		const chunks: Buffer[] = [];
+		let isComplete = true;
+		try {
+			for await (const chunk of answer.body) {
+				chunks.push(chunk as Buffer);
+			}
+		} catch {
+			isComplete = false;
+		}
+
+		gateway.close();
+		return {isComplete, text: Buffer.concat(chunks).toString()};
+	};
+
+	const alone = await readStream(descriptions.slice(0, 2));
+	expect([alone.isComplete, alone.text.includes('v1'), alone.text.includes('v2')]).toEqual([false, true, false]);
+	expect(await readStream(descriptions)).toEqual({isComplete: true, text: 'id: 1\ndata: v1\n\nid: 2\ndata: v1\n\n'});
+});
