Let a stream that its caller takes up go on only at the software version that began it

Callers whose stream had broken off took it up at another instance, and got the rest from targets of another version: the instance knew nothing of the request that began the stream (Resumes was not read). In the incident's case the stream began as request at v1 and went on as at v1.2. Ruled out: targets that return with other software under their id; each start in the operators' log has a new one.

While the targets of a service have one version, and for as long as callers wait after that began, the answer is certain and nothing is stored or sent. While there are several, the instance that passes the first event records the version, and so do two of a few instances that hold records for the fleet. Who takes a stream up asks these. What is not certain is refused at once with 503 and code 3012, and a version that no target serves with 3011. Keys of records are hashes of organisation, service and request; an id that is used for streams of two versions counts as unknown.

--- a/src/forwarding/call-session/index.ts
+++ b/src/forwarding/call-session/index.ts
@@ -39,7 +39,7 @@
 export class CallSession implements AttemptListener {
 	readonly deadline: MonotonicMs;
 	readonly relay: ResponseRelay;
-	readonly origin = new StreamOrigin();
+	readonly origin: StreamOrigin;
 	private readonly hints: PrefixHints;
 	private readonly charge: CallCharge;
 	private readonly guard: CallGuard;
@@ -60,6 +60,7 @@
 		this.deadline = arrivedAt + Math.min(call.waitMs ?? route.timeoutMs, route.timeoutMs) as MonotonicMs;
 		this.isRepeatable = isRepeatable(route);
 		this.hints = new PrefixHints(call.work, options.organisation, context.prefixes);
+		this.origin = new StreamOrigin(options, context.streamOrigins);
 		this.selection = {
 			session: options, triedTargets: this.attempts.triedTargets, hints: this.hints, origin: this.origin,
 		};
@@ -83,6 +84,11 @@
 			return done;
 		}
 
+		if (!await this.origin.bindTakenUp()) {
+			this.refuse(createRouterError('softwareUnknown', undefined, buildShortRetryAfter(this.context.draw())));
+			return done;
+		}
+
 		if (await this.charge.charge()) {
 			this.context.findRetryBudget(this.options.service).recordRequest();
 			this.tryNextTarget();
--- a/src/forwarding/estimate-permit-wait/test.ts
+++ b/src/forwarding/estimate-permit-wait/test.ts
@@ -2,12 +2,12 @@
 import {expect} from 'earl';
 import {createDescription} from '../../fixtures/create-fleet-target/index.js';
 import {TargetFleet} from '../../fleet/target-fleet/index.js';
+import {createStreamOrigin} from '../../fixtures/create-stream-origin/index.js';
 import type {MonotonicMs} from '../../identity/ids/index.js';
 import {openLimitGate} from '../../limits/limit-gate/index.js';
 import {quietLogger} from '../../logging/quiet-logger/index.js';
 import type {ServiceId} from '../../routing/routing-types/index.js';
 import type {ForwardingContext} from '../forwarding-context/index.js';
-import {StreamOrigin} from '../stream-origin/index.js';
 import type {TargetSelection} from '../select-target/index.js';
 import {estimatePermitWaitMs} from './index.js';
 
@@ -25,7 +25,7 @@
 	}
 
 	const context = {fleet, limits: {...openLimitGate, allows: (target: {description: {id: string}}) => allowed.includes(target.description.id)}};
-	return estimatePermitWaitMs({session: {service: 'service-1' as ServiceId}, origin: new StreamOrigin()} as TargetSelection, context as unknown as ForwardingContext, at(100));
+	return estimatePermitWaitMs({session: {service: 'service-1' as ServiceId}, origin: createStreamOrigin()} as TargetSelection, context as unknown as ForwardingContext, at(100));
 }
 
 test('estimates the wait for the first permit of any target', () => {
--- a/src/forwarding/forwarding-context/index.ts
+++ b/src/forwarding/forwarding-context/index.ts
@@ -14,6 +14,7 @@
 import type {TargetProtocol} from '../call-types/index.js';
 import type {PromptGuard} from '../prompt-guard/index.js';
 import type {RequestGuard} from '../request-guard/index.js';
+import type {StreamOrigins} from '../stream-origins/index.js';
 import type {TargetClient} from '../target-client/index.js';
 
 /** Admits calls by charging them to the quota of their organisation. */
@@ -47,6 +48,7 @@
 	/** Without a guard, every request is sent. */
 	readonly requestGuard?: RequestGuard;
 	readonly limits: LimitGate;
+	readonly streamOrigins: StreamOrigins;
 	readonly dataCentre: DataCentreId;
 	/** Returns a random number from 0 (inclusive) to 1 (exclusive). */
 	readonly draw: () => number;
--- a/src/forwarding/pass-chunk/index.ts
+++ b/src/forwarding/pass-chunk/index.ts
@@ -19,7 +19,7 @@
 	}
 
 	if (relay.isResumable && relay.passedBytes > 0) {
-		origin.bind(attempt.target.description.softwareVersion);
+		origin.recordEvent(attempt.target);
 	}
 
 	if (!canContinue) {
--- a/src/forwarding/select-target/test.ts
+++ b/src/forwarding/select-target/test.ts
@@ -1,6 +1,7 @@
 import {test} from 'node:test';
 import {expect} from 'earl';
 import {createDescription} from '../../fixtures/create-fleet-target/index.js';
+import {createStreamOrigin} from '../../fixtures/create-stream-origin/index.js';
 import {PrefixDirectory} from '../../fleet/prefix-directory/index.js';
 import {TargetFleet} from '../../fleet/target-fleet/index.js';
 import type {FleetTarget} from '../../fleet/fleet-target/index.js';
@@ -11,7 +12,6 @@
 import type {InboundCall} from '../call-types/index.js';
 import type {ForwardingContext} from '../forwarding-context/index.js';
 import {PrefixHints} from '../prefix-hints/index.js';
-import {StreamOrigin} from '../stream-origin/index.js';
 import {hasAlternativeTarget, selectTarget, type TargetSelection} from './index.js';
 
 const now = 100 as MonotonicMs;
@@ -35,7 +35,7 @@
 	const session: Partial<TargetSelection['session']> = {call: callWithoutPrompt as InboundCall, service: 'service-1' as ServiceId};
 	const selection: TargetSelection = {
 		session: session as TargetSelection['session'],
-		triedTargets: new Set(), hints: new PrefixHints(undefined, undefined, new PrefixDirectory()), origin: new StreamOrigin(),
+		triedTargets: new Set(), hints: new PrefixHints(undefined, undefined, new PrefixDirectory()), origin: createStreamOrigin(),
 	};
 	const target = selectTarget(selection, context as ForwardingContext, now);
 	const first = fleet.locate(createDescription(ids[0]!).id)!;
--- a/src/forwarding/stream-origin/index.ts
+++ b/src/forwarding/stream-origin/index.ts
@@ -2,15 +2,29 @@
  * The software version that the stream of one call is bound to.
  *
  * What two versions write doesn't fit together, and targets don't check it. From the first event that a caller has, its
- * stream goes on only at targets of the version that wrote this event.
+ * stream goes on only at targets of the version that wrote this event, in this answer or in one that continues it.
  */
 
 import type {FleetTarget} from '../../fleet/fleet-target/index.js';
-import type {SoftwareVersion} from '../../identity/ids/index.js';
+import type {MonotonicMs, SoftwareVersion} from '../../identity/ids/index.js';
+import type {SessionOptions} from '../session-types/index.js';
+import type {StreamOrigins} from '../stream-origins/index.js';
 
-/** Binds a stream to a version. */
+/** The call as far as its stream is concerned. */
+type StreamCall = Pick<SessionOptions, 'call' | 'route' | 'service' | 'organisation' | 'arrivedAt'>;
+
+/** Binds the stream of a call to a version. */
 export class StreamOrigin {
 	private software: SoftwareVersion | undefined;
+	private isRecorded = false;
+
+	constructor(private readonly session: StreamCall, private readonly origins: StreamOrigins) {}
+
+	/** Whether the caller has the beginning of the stream already. */
+	get isTakenUp(): boolean {
+		const {call, route} = this.session;
+		return route.kind === 'streaming' && call.lastEventId !== undefined;
+	}
 
 	/** Whether the stream has events, so that it goes on only at one version. */
 	get isBound(): boolean {
@@ -22,14 +36,33 @@
 		return this.software;
 	}
 
-	/** Binds the stream to the version that wrote its first event. Returns whether it was not bound before. */
-	bind(software: SoftwareVersion): boolean {
-		if (this.software !== undefined) {
-			return false;
+	/** Binds a stream that the caller takes up to the version that began it. Resolves to whether that is certain; other streams need none. */
+	async bindTakenUp(): Promise<boolean> {
+		if (!this.isTakenUp) {
+			return true;
+		}
+
+		const {call, service, organisation} = this.session;
+		this.software = await this.origins.find({
+			request: call.id, service, organisation: organisation?.id, firstRequest: call.resumes,
+		});
+		return this.software !== undefined;
+	}
+
+	/** Records that the caller gets an event of `target`. The first one binds the stream; the record also keeps that of a stream taken up alive. */
+	recordEvent({description}: FleetTarget): void {
+		if (this.isRecorded) {
+			return;
 		}
 
-		this.software = software;
-		return true;
+		this.isRecorded = true;
+		this.software ??= description.softwareVersion;
+		const {call, route, service, organisation, arrivedAt} = this.session;
+		const firstRequest = this.isTakenUp ? call.resumes : call.id;
+		if (firstRequest !== undefined) {
+			const expiresAt = arrivedAt + (call.waitMs ?? route.timeoutMs) as MonotonicMs;
+			this.origins.record({service, organisation: organisation?.id, firstRequest}, this.software, expiresAt);
+		}
 	}
 
 	/** Whether the call may be sent to `target`. */
--- a/src/forwarding/stream-origin/test.ts
+++ b/src/forwarding/stream-origin/test.ts
@@ -3,18 +3,34 @@
 import {request} from 'undici';
 import {createDescription, createFleetTarget} from '../../fixtures/create-fleet-target/index.js';
 import {createRoute, createRoutingConfiguration} from '../../fixtures/create-routing-configuration/index.js';
+import {createStreamOrigin} from '../../fixtures/create-stream-origin/index.js';
 import {startRawServer} from '../../fixtures/start-raw-server/index.js';
 import {startTestGateway} from '../../fixtures/start-test-gateway/index.js';
-import type {SoftwareVersion} from '../../identity/ids/index.js';
-import {StreamOrigin} from './index.js';
+import type {RequestId, SoftwareVersion} from '../../identity/ids/index.js';
 
 test('guards against a stream whose version changes with the target that continues it', () => {
-	const origin = new StreamOrigin();
+	const records: unknown[] = [];
+	const origin = createStreamOrigin({}, undefined, records);
 	const older = createFleetTarget('t1');
 	const newer = createFleetTarget('t2', {softwareVersion: 'v2' as SoftwareVersion});
 	expect([origin.isBound, origin.allows(older), origin.allows(newer)]).toEqual([false, true, true]);
-	expect([origin.bind(older.description.softwareVersion), origin.bind(newer.description.softwareVersion)]).toEqual([true, false]);
+	origin.recordEvent(older);
+	origin.recordEvent(newer);
 	expect([origin.isBound, origin.allows(older), origin.allows(newer)]).toEqual([true, true, false]);
+	expect(records).toEqual([['c1', 'v1', 1000]]);
+});
+
+test('guards against a stream taken up that forgets under which request it began, or goes on although its version is not certain', async () => {
+	const records: unknown[] = [];
+	const takenUp = {lastEventId: '7', resumes: 'c0' as RequestId};
+	const origin = createStreamOrigin(takenUp, 'v2', records);
+	expect([origin.isBound, await origin.bindTakenUp(), origin.isBound]).toEqual([false, true, true]);
+	const target = createFleetTarget('t2', {softwareVersion: 'v2' as SoftwareVersion});
+	expect([origin.allows(target), origin.allows(createFleetTarget('t1'))]).toEqual([true, false]);
+	origin.recordEvent(target);
+	expect(records).toEqual([['c0', 'v2', 1000]]);
+	expect(await createStreamOrigin(takenUp).bindTakenUp()).toEqual(false);
+	expect(await createStreamOrigin({}).bindTakenUp()).toEqual(true);
 });
 
 /** Formats the head of an answer and its first event; `isComplete`: also the end of its body. */
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -16,9 +16,7 @@
 import type {
 	DataCentreId, InstanceId, MonotonicMs, Revision, TargetId,
 } from '../../identity/ids/index.js';
-import {Lease} from '../../leases/lease/index.js';
 import type {EventLogger} from '../../logging/create-logger/index.js';
-import {createIncarnation} from '../../membership/create-incarnation/index.js';
 import type {Membership} from '../../membership/membership/index.js';
 import type {Member} from '../../membership/member/index.js';
 import {DatagramChannel} from '../../peers/datagram-channel/index.js';
@@ -29,9 +27,10 @@
 import {RelayedObjectApi} from '../../store/relayed-object-api/index.js';
 import {QuotaLending} from '../../quota/quota-lending/index.js';
 import type {RandomSource} from '../../random/random-source/index.js';
-import {chooseContenders} from '../../rollout/choose-contenders/index.js';
 import {FleetQuarantine} from '../../quarantine/fleet-quarantine/index.js';
-import {RolloutController, rolloutLeaseMs, rolloutLeaseName} from '../../rollout/rollout-controller/index.js';
+import {calculateLongestWaitMs} from '../../resumption/calculate-longest-wait/index.js';
+import {StreamDirectory} from '../../resumption/stream-directory/index.js';
+import type {RolloutController} from '../../rollout/rollout-controller/index.js';
 import {RolloutNotices} from '../../rollout/rollout-notices/index.js';
 import {WeightsRegistry, type AnnouncementAge} from '../../rollout/weights-registry/index.js';
 import {RoutingTable} from '../../routing/routing-table/index.js';
@@ -40,6 +39,7 @@
 import {CallListener} from '../call-listener/index.js';
 import {createGatewayStop} from '../create-gateway-stop/index.js';
 import {createMembership} from '../create-membership/index.js';
+import {createRollout} from '../create-rollout/index.js';
 import {describeTarget} from '../describe-target/index.js';
 import {GatewayFeeds} from '../gateway-feeds/index.js';
 import type {GatewayMetrics} from '../gateway-metrics/index.js';
@@ -83,6 +83,7 @@
 	private readonly rolloutNotices: RolloutNotices;
 	private readonly quarantine: FleetQuarantine;
 	private readonly targetLimits: TargetLimits;
+	private readonly streams: StreamDirectory;
 	private readonly listener: CallListener;
 	private readonly retryBudgets: ServiceRetryBudgets;
 	private readonly weightsRegistry: WeightsRegistry;
@@ -128,6 +129,7 @@
 			},
 			onTargets: targets => {
 				this.fleet.replace(targets);
+				this.streams.observeTargets(targets);
 			},
 			onWeights: (weights, age) => {
 				this.applyWeights(weights, age);
@@ -158,7 +160,15 @@
 			clock, logger, fleet: this.fleet, channel: this.datagramChannel, self,
 			listLive: () => this.membership.listLive(clock.readMonotonic()),
 		});
-		this.rollout = this.createRollout(self);
+		this.streams = new StreamDirectory({
+			self, clock, logger, channel: this.datagramChannel, caller: this.peerClient, registry: this.peerServer,
+			listLive: () => this.membership.listLive(clock.readMonotonic()),
+			readLongestWaitMs: () => calculateLongestWaitMs(this.routingTable?.configuration.routes),
+		});
+		this.rollout = createRollout({
+			...options, self, objectApi: this.relayedObjectApi, fleet: this.fleet, weights: this.weightsRegistry, notices: this.rolloutNotices,
+			listLive: () => this.membership.listLive(clock.readMonotonic()),
+		});
 		this.loadExchange = new LoadExchange({
 			clock, random, fleet: this.fleet, prefixes: this.prefixDirectory, channel: this.datagramChannel, membership: this.membership,
 			readSelf: () => this.membership.readSelf(),
@@ -182,6 +192,7 @@
 		void this.quotaLending.run(signal);
 		void this.quarantine.run(signal);
 		void this.targetLimits.run(signal);
+		void this.streams.run(signal);
 		void this.instanceRegistry.keepRegistered(signal);
 		void pruneConnections(this.targetClient, this.fleet, clock, signal);
 		void new StandstillMonitor({
@@ -223,6 +234,7 @@
 			quota: this.quotaLending.dump(),
 			quarantine: this.quarantine.dump(),
 			limits: this.targetLimits.dump(),
+			streams: this.streams.dump(),
 			namedWeights: this.weightsRegistry.dump(),
 			callsInProgress: this.listener.callsInProgress,
 			targets: [...this.fleet.list()].map(target => describeTarget(target, now)),
@@ -255,29 +267,6 @@
 		return registeredInstanceCount === 0 ? Math.max(knownCount, assumedInstanceCount) : knownCount;
 	}
 
-	private createRollout(self: InstanceId): RolloutController {
-		const {settings, adapter, clock, logger} = this.options;
-		const {host} = parseAddress(settings.current.listen.peer);
-		return new RolloutController({
-			clock, logger, fleet: this.fleet,
-			lease: new Lease({
-				objectApi: this.relayedObjectApi, clock, name: rolloutLeaseName, holder: host, incarnation: createIncarnation(clock.readWall()),
-				durationMs: rolloutLeaseMs, mayReplaceEarlierIncarnation: true, maximumReadGapMs: rolloutLeaseMs,
-			}),
-			commander: adapter.createCommander(self),
-			listDesiredVersions: () => this.weightsRegistry.list(),
-			isContender: () => this.isContender(),
-			announce: notice => {
-				this.rolloutNotices.announce(notice);
-			},
-		});
-	}
-
-	private isContender(): boolean {
-		const live = this.membership.listLive(this.options.clock.readMonotonic());
-		return chooseContenders(live).some(member => member.id === this.options.settings.current.instance);
-	}
-
 	private applyConfiguration(configuration: RoutingConfiguration): void {
 		this.routingTable = new RoutingTable(configuration);
 		this.listener.applyLimits(configuration.limits);
@@ -299,7 +288,7 @@
 		return {
 			clock, logger, fleet: this.fleet, prefixes: this.prefixDirectory, targetClient: this.targetClient,
 			protocol: adapter.targetProtocol, quota: this.quotaLending, promptGuard: this.quarantine.prompts, requestGuard: this.quarantine.requests,
-			limits: this.targetLimits,
+			limits: this.targetLimits, streamOrigins: this.streams,
 			dataCentre: settings.current.dataCentre as DataCentreId,
 			draw: () => random.pickIndex(drawResolution) / drawResolution,
 			findVersionHistory: model => this.weightsRegistry.find(model),
@@ -317,6 +306,7 @@
 			calls_in_progress: {help: 'Calls being served.', read: () => this.listener.callsInProgress},
 			...this.quarantine.gauges,
 			...this.targetLimits.gauges,
+			...this.streams.gauges,
 			object_api_era: {help: 'Era of the object API, which rises with each restore from a copy.', read: () => this.options.adapter.objectApi.readEra()},
 			members: {help: 'Live instances, this one included.', read: () => this.listPeers().length + 1},
 			configuration_revision: {help: 'Revision of the configuration in force, -1 for none.', read: () => this.feeds.readRevision()},
--- a/src/results/result-codes/index.ts
+++ b/src/results/result-codes/index.ts
@@ -38,6 +38,7 @@
 	targetsLimited: defineCode(3009, 'targetsLimited', 503, 'all targets are at the request limits that they state'),
 	requestQuarantined: defineCode(3010, 'requestQuarantined', 503, 'the request is quarantined because it crashes the targets that run it'),
 	softwareGone: defineCode(3011, 'softwareGone', 503, 'no target serves the software version that began the stream'),
+	softwareUnknown: defineCode(3012, 'softwareUnknown', 503, 'it is not certain which software version began the stream'),
 	configurationInvalid: defineCode(4001, 'configurationInvalid', 422, 'the resources are not valid'),
 	nameCollision: defineCode(4002, 'nameCollision', 422, 'a name is used by both fleets and no policy covers it'),
 	resourceConflict: defineCode(4003, 'resourceConflict', 409, 'the resource was changed by another writer'),
--- /dev/null
+++ b/src/resumption/stream-directory/index.ts
@@ -0,0 +1,132 @@
+/**
+ * Tells which software version began a stream that its caller takes up.
+ *
+ * While the targets of a service had one version for as long as callers wait for streams, each of its streams has that
+ * version. While there were several, single streams are recorded: by the instance that passed their first event, and by the
+ * instances that hold records for the fleet. What is not certain is not guessed.
+ */
+
+import type {TargetDescription} from '../../fleet/fleet-target/index.js';
+import type {StreamOrigins, TakenUpStream} from '../../forwarding/stream-origins/index.js';
+import type {MonotonicMs, SoftwareVersion} from '../../identity/ids/index.js';
+import {SoftwareHistory} from '../software-history/index.js';
+import {StreamExchange, type StreamExchangeOptions} from '../stream-exchange/index.js';
+import {hashStream, type StreamIdentity, type StreamKey} from '../stream-key/index.js';
+import {StreamRegister, type StreamFinding} from '../stream-register/index.js';
+
+/** Interval at which expired records are forgotten, in milliseconds. */
+const pruneIntervalMs = 1000;
+
+/** Options of `StreamDirectory`. */
+export type StreamDirectoryOptions = StreamExchangeOptions & {
+	/** Returns for how long callers may wait for a stream, in milliseconds. */
+	readonly readLongestWaitMs: () => number;
+};
+
+/** How the version of a stream was found. */
+type Origin = {readonly software: SoftwareVersion | undefined; readonly source: 'own' | 'held' | 'history' | 'holder' | 'none'};
+
+/** Streams of one instance, and those whose records it holds. */
+export class StreamDirectory implements StreamOrigins {
+	/** Gauges of the metrics. */
+	readonly gauges = {
+		stream_records: {help: 'Streams that this instance has begun and whose callers may still take them up.', read: () => this.own.size},
+		stream_records_held: {help: 'Streams whose records this instance holds for the fleet.', read: () => this.exchange.held.size},
+		streams_taken_up: {help: 'Streams that callers took up here since the start.', read: () => this.takenUp},
+		streams_of_unknown_software: {help: 'Streams taken up since the start whose software version was not certain.', read: () => this.unknown},
+	};
+
+	private readonly own = new StreamRegister();
+	private readonly history: SoftwareHistory;
+	private readonly exchange: StreamExchange;
+	private hasSeveral = false;
+	private takenUp = 0;
+	private unknown = 0;
+
+	constructor(private readonly options: StreamDirectoryOptions) {
+		this.history = new SoftwareHistory(options.readLongestWaitMs);
+		this.exchange = new StreamExchange(options);
+	}
+
+	/** Takes over the list of targets. When a second version appears, the streams that are running are recorded elsewhere, too. */
+	observeTargets(targets: readonly TargetDescription[]): void {
+		const now = this.options.clock.readMonotonic();
+		this.history.observe(targets, now);
+		const hadSeveral = this.hasSeveral;
+		this.hasSeveral = this.history.hasSeveral(now);
+		if (this.hasSeveral !== hadSeveral) {
+			this.options.logger.info('software versions changed', {hasSeveral: this.hasSeveral, versions: JSON.stringify(this.history.read(now))});
+		}
+
+		if (this.hasSeveral && !hadSeveral) {
+			this.exchange.announce(this.own.list(now));
+		}
+	}
+
+	record(stream: StreamIdentity, software: SoftwareVersion, expiresAt: MonotonicMs): void {
+		const now = this.options.clock.readMonotonic();
+		const record = {key: hashStream(stream), software, expiresAt};
+		this.own.add(record, now);
+		if (this.history.list(stream.service, now).length > 1) {
+			this.exchange.announce([record]);
+		}
+	}
+
+	async find(stream: TakenUpStream): Promise<SoftwareVersion | undefined> {
+		const {software, source} = await this.findOrigin(stream);
+		this.takenUp += 1;
+		this.unknown += software === undefined ? 1 : 0;
+		this.options.logger.info('stream taken up', {
+			id: stream.request, resumes: stream.firstRequest, software, source,
+			versions: this.history.list(stream.service, this.options.clock.readMonotonic()).join(','),
+		});
+		return software;
+	}
+
+	/** Forgets expired records until `signal` aborts. */
+	async run(signal: AbortSignal): Promise<void> {
+		const {clock} = this.options;
+		while (!signal.aborted) {
+			await clock.sleep(pruneIntervalMs, signal);
+			const now = clock.readMonotonic();
+			this.own.prune(now);
+			this.exchange.held.prune(now);
+			this.hasSeveral = this.history.hasSeveral(now);
+		}
+	}
+
+	dump() {
+		const now = this.options.clock.readMonotonic();
+		return {
+			versions: this.history.read(now), records: this.own.size, held: this.exchange.held.size, takenUp: this.takenUp, unknown: this.unknown,
+		};
+	}
+
+	private async findOrigin({firstRequest, ...stream}: TakenUpStream): Promise<Origin> {
+		const key = firstRequest === undefined ? undefined : hashStream({...stream, firstRequest});
+		const origin = key && this.findHere(key);
+		if (origin !== undefined) {
+			return origin;
+		}
+
+		const versions = this.history.list(stream.service, this.options.clock.readMonotonic());
+		if (versions.length === 1) {
+			return {software: versions[0], source: 'history'};
+		}
+
+		const software = key && await this.exchange.ask(key);
+		return {software, source: software === undefined ? 'none' : 'holder'};
+	}
+
+	/** Finds a stream in the records of this instance. */
+	private findHere(key: StreamKey): Origin | undefined {
+		const now = this.options.clock.readMonotonic();
+		const findings: Array<[StreamFinding, Origin['source']]> = [[this.own.find(key, now), 'own'], [this.exchange.held.find(key, now), 'held']];
+		const [finding, source] = findings.find(([found]) => found !== undefined) ?? [];
+		if (finding === undefined || source === undefined) {
+			return undefined;
+		}
+
+		return finding === 'conflicting' ? {software: undefined, source: 'none'} : {software: finding, source};
+	}
+}
