Keep in the object API which software version began streams that callers may take up

After a kill of all instances nobody remembers which version began a stream. If the targets of the older version had left meanwhile, callers got streams joined from two versions, with nothing in the answers to show it; if they had not, every stream taken up was refused.

Now one object has the versions that serve or served in each service, until no caller waits for their streams any more. It is written when a version appears or is forgotten, by one instance, read once at the start, and written again after a restore. While there are several, the instances that hold records write them, each one object at most every 300 ms, under a condition, and only if there are new ones; who finds a stream neither here nor at its holders lists these objects. Ruled out: one object for each instance, since 195 of them would write 650 times a second; waiting for the write before the first event, since it delays each first event while two versions serve.

--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -161,7 +161,8 @@
 			listLive: () => this.membership.listLive(clock.readMonotonic()),
 		});
 		this.streams = new StreamDirectory({
-			self, clock, logger, channel: this.datagramChannel, caller: this.peerClient, registry: this.peerServer,
+			self, clock, logger, random, channel: this.datagramChannel, caller: this.peerClient, registry: this.peerServer,
+			objectApi: this.relayedObjectApi, directObjectApi: adapter.objectApi, collection: adapter.collections.streams,
 			listLive: () => this.membership.listLive(clock.readMonotonic()),
 			readLongestWaitMs: () => calculateLongestWaitMs(this.routingTable?.configuration.routes),
 		});
--- a/src/gateway/platform-adapter/index.ts
+++ b/src/gateway/platform-adapter/index.ts
@@ -21,6 +21,8 @@
 	readonly instances: string;
 	/** The router's own collection, with one object for each quarantined prompt part. */
 	readonly quarantines: string;
+	/** The router's own collection, with the software versions that may have begun streams, and records of streams. */
+	readonly streams: string;
 };
 
 /** A caller's request for addresses of instances. */
--- a/src/resumption/stream-directory/index.ts
+++ b/src/resumption/stream-directory/index.ts
@@ -3,12 +3,15 @@
  *
  * While the targets of a service had one version for as long as callers wait for streams, each of its streams has that
  * version. While there were several, single streams are recorded: by the instance that passed their first event, and by the
- * instances that hold records for the fleet. What is not certain is not guessed.
+ * instances that hold records for the fleet. The object API keeps both, for the case that all instances end at once. What is
+ * not certain is not guessed.
  */
 
 import type {TargetDescription} from '../../fleet/fleet-target/index.js';
 import type {StreamOrigins, TakenUpStream} from '../../forwarding/stream-origins/index.js';
 import type {MonotonicMs, SoftwareVersion} from '../../identity/ids/index.js';
+import {HistoryRecord, type HistoryRecordOptions} from '../history-record/index.js';
+import {HolderRecords, writeIntervalMs, type HolderRecordsOptions} from '../holder-records/index.js';
 import {SoftwareHistory} from '../software-history/index.js';
 import {StreamExchange, type StreamExchangeOptions} from '../stream-exchange/index.js';
 import {hashStream, type StreamIdentity, type StreamKey} from '../stream-key/index.js';
@@ -16,15 +19,17 @@
 
 /** Interval at which expired records are forgotten, in milliseconds. */
 const pruneIntervalMs = 1000;
+/** Maximum wait of a call until this instance knows the versions of the time before its start, in milliseconds. */
+const historyWaitMs = 500;
+const historyCheckMs = 20;
 
 /** Options of `StreamDirectory`. */
-export type StreamDirectoryOptions = StreamExchangeOptions & {
-	/** Returns for how long callers may wait for a stream, in milliseconds. */
-	readonly readLongestWaitMs: () => number;
-};
+export type StreamDirectoryOptions = StreamExchangeOptions & HistoryRecordOptions & HolderRecordsOptions;
 
 /** How the version of a stream was found. */
-type Origin = {readonly software: SoftwareVersion | undefined; readonly source: 'own' | 'held' | 'history' | 'holder' | 'none'};
+type Origin = {readonly software: SoftwareVersion | undefined; readonly source: 'own' | 'held' | 'history' | 'holder' | 'store' | 'none'};
+
+const unknownOrigin: Origin = {software: undefined, source: 'none'};
 
 /** Streams of one instance, and those whose records it holds. */
 export class StreamDirectory implements StreamOrigins {
@@ -39,6 +44,8 @@
 	private readonly own = new StreamRegister();
 	private readonly history: SoftwareHistory;
 	private readonly exchange: StreamExchange;
+	private readonly historyRecord: HistoryRecord;
+	private readonly holderRecords: HolderRecords;
 	private hasSeveral = false;
 	private takenUp = 0;
 	private unknown = 0;
@@ -46,21 +53,16 @@
 	constructor(private readonly options: StreamDirectoryOptions) {
 		this.history = new SoftwareHistory(options.readLongestWaitMs);
 		this.exchange = new StreamExchange(options);
+		this.historyRecord = new HistoryRecord(options, this.history);
+		this.holderRecords = new HolderRecords(options, this.exchange.held);
 	}
 
-	/** Takes over the list of targets. When a second version appears, the streams that are running are recorded elsewhere, too. */
+	/** Takes over the list of targets. */
 	observeTargets(targets: readonly TargetDescription[]): void {
 		const now = this.options.clock.readMonotonic();
 		this.history.observe(targets, now);
-		const hadSeveral = this.hasSeveral;
-		this.hasSeveral = this.history.hasSeveral(now);
-		if (this.hasSeveral !== hadSeveral) {
-			this.options.logger.info('software versions changed', {hasSeveral: this.hasSeveral, versions: JSON.stringify(this.history.read(now))});
-		}
-
-		if (this.hasSeveral && !hadSeveral) {
-			this.exchange.announce(this.own.list(now));
-		}
+		this.updateSeveral(now);
+		this.historyRecord.notify();
 	}
 
 	record(stream: StreamIdentity, software: SoftwareVersion, expiresAt: MonotonicMs): void {
@@ -83,23 +85,64 @@
 		return software;
 	}
 
-	/** Forgets expired records until `signal` aborts. */
+	/** Keeps the stored records up to date, and forgets expired ones, until `signal` aborts. */
 	async run(signal: AbortSignal): Promise<void> {
+		await Promise.all([this.historyRecord.run(signal), this.keepStored(signal), this.prune(signal)]);
+	}
+
+	dump() {
+		const now = this.options.clock.readMonotonic();
+		return {
+			versions: this.history.read(now), records: this.own.size, held: this.exchange.held.size, takenUp: this.takenUp, unknown: this.unknown,
+		};
+	}
+
+	/** When a second version appears, the streams that are running are recorded elsewhere, too; when one is left, nobody needs records. */
+	private updateSeveral(now: MonotonicMs): void {
+		const hadSeveral = this.hasSeveral;
+		this.hasSeveral = this.history.hasSeveral(now);
+		if (this.hasSeveral === hadSeveral) {
+			return;
+		}
+
+		this.options.logger.info('software versions changed', {hasSeveral: this.hasSeveral, versions: JSON.stringify(this.history.read(now))});
+		if (this.hasSeveral) {
+			this.exchange.announce(this.own.list(now));
+		} else if (this.historyRecord.isWriter) {
+			void this.holderRecords.removeAll();
+		}
+	}
+
+	private async keepStored(signal: AbortSignal): Promise<void> {
+		const {clock} = this.options;
+		while (!signal.aborted) {
+			await clock.sleep(writeIntervalMs, signal);
+			if (this.hasSeveral && !signal.aborted) {
+				await this.holderRecords.write(clock.readMonotonic());
+			}
+		}
+	}
+
+	private async prune(signal: AbortSignal): Promise<void> {
 		const {clock} = this.options;
 		while (!signal.aborted) {
 			await clock.sleep(pruneIntervalMs, signal);
 			const now = clock.readMonotonic();
 			this.own.prune(now);
 			this.exchange.held.prune(now);
-			this.hasSeveral = this.history.hasSeveral(now);
+			this.updateSeveral(now);
 		}
 	}
 
-	dump() {
-		const now = this.options.clock.readMonotonic();
-		return {
-			versions: this.history.read(now), records: this.own.size, held: this.exchange.held.size, takenUp: this.takenUp, unknown: this.unknown,
-		};
+	/** Waits until the versions of the time before the start are known; resolves to whether they are. */
+	private async waitForHistory(): Promise<boolean> {
+		const {clock} = this.options;
+		const end = clock.readMonotonic() + historyWaitMs;
+		while (!this.historyRecord.isComplete && clock.readMonotonic() < end) {
+			await clock.sleep(historyCheckMs);
+		}
+
+		return this.historyRecord.isComplete;
 	}
 
 	private async findOrigin({firstRequest, ...stream}: TakenUpStream): Promise<Origin> {
@@ -109,13 +152,13 @@
 			return origin;
 		}
 
+		const isComplete = await this.waitForHistory();
 		const versions = this.history.list(stream.service, this.options.clock.readMonotonic());
-		if (versions.length === 1) {
+		if (isComplete && versions.length === 1) {
 			return {software: versions[0], source: 'history'};
 		}
 
-		const software = key && await this.exchange.ask(key);
-		return {software, source: software === undefined ? 'none' : 'holder'};
+		return key === undefined ? unknownOrigin : this.findElsewhere(key);
 	}
 
 	/** Finds a stream in the records of this instance. */
@@ -127,6 +170,17 @@
 			return undefined;
 		}
 
-		return finding === 'conflicting' ? {software: undefined, source: 'none'} : {software: finding, source};
+		return finding === 'conflicting' ? unknownOrigin : {software: finding, source};
+	}
+
+	/** Finds a stream in the records of other instances, and in those that the object API has. */
+	private async findElsewhere(key: StreamKey): Promise<Origin> {
+		const held = await this.exchange.ask(key);
+		if (held !== undefined) {
+			return {software: held, source: 'holder'};
+		}
+
+		const stored = await this.holderRecords.find(key);
+		return stored === undefined ? unknownOrigin : {software: stored, source: 'store'};
 	}
 }
--- a/src/resumption/stream-messages/index.ts
+++ b/src/resumption/stream-messages/index.ts
@@ -23,6 +23,8 @@
 const versionsSchema = z.record(z.string(), z.array(versionSchema).max(maximumVersionsPerService))
 	.refine(services => Object.keys(services).length <= maximumServices);
 
+const historySchema = z.object({services: versionsSchema});
+
 /** Formats records as they are sent at `now`. */
 export function formatStreamRecords(records: readonly StreamRecord[], now: MonotonicMs): unknown {
 	return records.map(({key, software, expiresAt}) => [key, software, Math.max(0, Math.round(expiresAt - now))]);
@@ -49,3 +51,8 @@
 export function parseSoftwareVersions(value: unknown): SoftwareVersions {
 	return versionsSchema.parse(value) as unknown as SoftwareVersions;
 }
+
+/** Parses the stored versions of all services. Throws if they are malformed. */
+export function parseHistoryObject(value: unknown): SoftwareVersions {
+	return historySchema.parse(value).services as unknown as SoftwareVersions;
+}
