--- a/src/soak/plan-faults/index.ts
+++ b/src/soak/plan-faults/index.ts
@@ -12,6 +12,7 @@
 	limit: ['targetLimit'],
 	history: ['storeRestored'],
 	request: ['crashingRequest'],
+	software: ['releaseSoftware'],
 } as const;
 
 export type FaultKind = (typeof faultKinds)[keyof typeof faultKinds][number];
@@ -63,7 +64,7 @@
 	}
 
 	// Drawn last, so that the series of a seed do not depend on them.
-	const longKinds = [...faultKinds.prompt, ...faultKinds.limit, ...faultKinds.history, ...faultKinds.request];
+	const longKinds = [...faultKinds.prompt, ...faultKinds.limit, ...faultKinds.history, ...faultKinds.request, ...faultKinds.software];
 	return [...faults, ...longKinds.flatMap(kind => planLongFault(random, kind, durationMs))];
 }
 
