Keep a stream that its caller takes up at the service that it began at

A route may split its calls over several services by weight, and the service was drawn anew for each call: the rest of a stream could come from another service than its beginning, with nothing to show it. The service of a stream is now derived from the request that began it, so any instance gets the same one; other calls are drawn as before. Without that request, such a stream is refused.

--- a/src/forwarding/stream-origin/index.ts
+++ b/src/forwarding/stream-origin/index.ts
@@ -36,13 +36,20 @@
 		return this.software;
 	}
 
-	/** Binds a stream that the caller takes up to the version that began it. Resolves to whether that is certain; other streams need none. */
+	/**
+	 * Binds a stream that the caller takes up to the version that began it. Resolves to whether that is certain; other streams
+	 * need none. Without the request that began it, a route with several services doesn't even tell the service.
+	 */
 	async bindTakenUp(): Promise<boolean> {
 		if (!this.isTakenUp) {
 			return true;
 		}
 
-		const {call, service, organisation} = this.session;
+		const {call, route, service, organisation} = this.session;
+		if (call.resumes === undefined && route.shares.length > 1) {
+			return false;
+		}
+
 		this.software = await this.origins.find({
 			request: call.id, service, organisation: organisation?.id, firstRequest: call.resumes,
 		});
--- a/src/gateway/call-listener/index.ts
+++ b/src/gateway/call-listener/index.ts
@@ -12,12 +12,12 @@
 import type {MonotonicMs} from '../../identity/ids/index.js';
 import type {CallerSink, InboundCall} from '../../forwarding/call-types/index.js';
 import {CallSession} from '../../forwarding/call-session/index.js';
+import {drawService} from '../../forwarding/draw-service/index.js';
 import type {ForwardingContext} from '../../forwarding/forwarding-context/index.js';
 import {hashKey} from '../../keys/hash-key/index.js';
 import {
 	convertToRouterError, createRouterError, formatErrorBody, type RouterError,
 } from '../../results/create-router-error/index.js';
-import {chooseService} from '../../routing/choose-service/index.js';
 import type {RoutingTable} from '../../routing/routing-table/index.js';
 import type {CallerLimits, CallerOrganisation, Route} from '../../routing/routing-types/index.js';
 
@@ -141,7 +141,7 @@
 
 	private async forward({call, route, organisation}: ResolvedCall, body: Buffer, response: ServerResponse, arrivedAt: MonotonicMs): Promise<void> {
 		const {context} = this.options;
-		const service = chooseService(route, context.draw());
+		const service = drawService(route, call, context.draw);
 		if (service === undefined) {
 			throw createRouterError('noTarget', 'the route has no service with a positive weight');
 		}
