--- a/src/standin/faulty-proxy/index.ts
+++ b/src/standin/faulty-proxy/index.ts
@@ -1,5 +1,6 @@
 /** A TCP proxy that can delay, reset or stall connections, or drop the bytes of one direction. */
 
+import {once} from 'node:events';
 import {
 	connect, createServer, type Server, type Socket,
 } from 'node:net';
@@ -9,15 +10,18 @@
 
 /**
  * What the proxy does. `deaf` drops the bytes from the server to the client only. `silent` drops the bytes of both
- * directions and keeps connections open. `reset` resets all connections, including open ones.
+ * directions and keeps connections open. `reset` resets all connections, including open ones. `refuse` refuses new ones and
+ * leaves open ones alone.
  */
-export type ProxyMode = 'pass' | 'delay' | 'deaf' | 'silent' | 'reset';
+export type ProxyMode = 'pass' | 'delay' | 'deaf' | 'silent' | 'reset' | 'refuse';
 
 const forwardDelayMs = 150;
 
 /** Proxy to one address. */
 export class FaultyProxy {
 	private mode: ProxyMode = 'pass';
+	/** Address at which the proxy listens. */
+	private address = '';
 	private readonly sockets = new Set<Socket>();
 	/** Sockets of connections that never carry bytes again. */
 	private readonly stalledSockets = new WeakSet<Socket>();
@@ -34,13 +38,27 @@
 		return this.sockets.size / 2;
 	}
 
-	/** Starts listening; returns `host:port`. */
-	async listen(): Promise<string> {
-		return listenLocally(this.server);
+	/** Starts listening, at a free port unless an address is given; returns `host:port`. */
+	async listen(address?: string): Promise<string> {
+		if (address === undefined) {
+			this.address = await listenLocally(this.server);
+			return this.address;
+		}
+
+		this.address = address;
+		this.resumeListening();
+		await once(this.server, 'listening');
+		return address;
 	}
 
 	/** Sets the mode of all connections, including new ones. */
 	setMode(mode: ProxyMode): void {
+		if (mode === 'refuse') {
+			this.server.close();
+		} else if (this.mode === 'refuse') {
+			this.resumeListening();
+		}
+
 		this.mode = mode;
 		if (mode === 'reset') {
 			for (const socket of this.sockets) {
@@ -64,6 +82,11 @@
 		}
 	}
 
+	private resumeListening(): void {
+		const {host, port} = parseAddress(this.address);
+		this.server.listen(port, host);
+	}
+
 	private acceptConnection(client: Socket): void {
 		if (this.mode === 'reset') {
 			resetSocket(client);
