Pass calls on to another instance while this one reaches no target

Cause: an instance took each failed connection for one of its target; nothing noticed that no target at all was reached from here, and no call could go another way. Ruled out: targets that refuse; the other instances had no failed attempt.

An instance now finds out whether it is cut off. When new connections to two targets fail and none succeeds, it probes others, and is cut off if none accepts; when half of all targets leave requests unanswered and none answers, it is cut off for a while, and then repeatable requests try. Meanwhile it passes calls on, on the existing peer listener, to instances that are not cut off; these check keys, charge quotas and retries and choose the target as for calls of their own. A call that was refused here before the cut was noticed is passed on as well. One hop at most; bodies and streams pass with back pressure, and an answer that breaks off stays broken. Instances tell each other that they are cut off, leave the address answers while others are left, don't contend for the rollout lease, and are no witnesses of crashes.

--- a/src/forwarding/assess-attempt/index.ts
+++ b/src/forwarding/assess-attempt/index.ts
@@ -20,6 +20,10 @@
 
 /** Assesses an attempt at `now`. Only repeatable calls move. */
 export function assessAttempt({attempt, selection, isRepeatable}: AttemptInFlight, context: ForwardingContext, now: MonotonicMs): AttemptAssessment {
+	if (attempt.head === undefined && attempt.target.isSilent(now)) {
+		context.reachability.recordUnanswered(attempt.target, now);
+	}
+
 	if (mustWithdrawAttempt(attempt, selection.session.call.work?.model, context, now)) {
 		return 'withdraw';
 	}
--- a/src/forwarding/call-session/index.ts
+++ b/src/forwarding/call-session/index.ts
@@ -15,6 +15,7 @@
 import {assessAttempt} from '../assess-attempt/index.js';
 import {buildStepQuery} from '../build-step-query/index.js';
 import {ResponseRelay} from '../response-relay/index.js';
+import {calculateCallDeadline} from '../calculate-call-deadline/index.js';
 import {CallAttempts} from '../call-attempts/index.js';
 import {CallCharge} from '../call-charge/index.js';
 import {CallGuard} from '../call-guard/index.js';
@@ -57,7 +58,7 @@
 	constructor(private readonly options: SessionOptions, private readonly context: ForwardingContext) {
 		const {call, route, arrivedAt} = options;
 		this.waitingSince = arrivedAt;
-		this.deadline = arrivedAt + Math.min(call.waitMs ?? route.timeoutMs, route.timeoutMs) as MonotonicMs;
+		this.deadline = calculateCallDeadline(call, route, arrivedAt);
 		this.isRepeatable = isRepeatable(route);
 		this.hints = new PrefixHints(call.work, options.organisation, context.prefixes);
 		this.origin = new StreamOrigin(options, context.streamOrigins);
--- a/src/forwarding/forwarding-context/index.ts
+++ b/src/forwarding/forwarding-context/index.ts
@@ -13,6 +13,7 @@
 } from '../../routing/routing-types/index.js';
 import type {TargetProtocol} from '../call-types/index.js';
 import type {PromptGuard} from '../prompt-guard/index.js';
+import type {ReachabilityMonitor} from '../reachability-monitor/index.js';
 import type {RequestGuard} from '../request-guard/index.js';
 import type {StreamOrigins} from '../stream-origins/index.js';
 import type {TargetClient} from '../target-client/index.js';
@@ -49,6 +50,7 @@
 	readonly requestGuard?: RequestGuard;
 	readonly limits: LimitGate;
 	readonly streamOrigins: StreamOrigins;
+	readonly reachability: ReachabilityMonitor;
 	readonly dataCentre: DataCentreId;
 	/** Returns a random number from 0 (inclusive) to 1 (exclusive). */
 	readonly draw: () => number;
--- a/src/forwarding/start-attempt/index.ts
+++ b/src/forwarding/start-attempt/index.ts
@@ -3,7 +3,7 @@
 import type {FleetTarget} from '../../fleet/fleet-target/index.js';
 import type {MonotonicMs} from '../../identity/ids/index.js';
 import {buildAttemptOptions} from '../build-attempt-options/index.js';
-import type {CallGuard} from '../call-guard/index.js';
+import type {CallGuard, ExchangeFailure} from '../call-guard/index.js';
 import type {ResponseHead} from '../call-types/index.js';
 import type {ForwardingContext} from '../forwarding-context/index.js';
 import type {PrefixHints} from '../prefix-hints/index.js';
@@ -34,7 +34,7 @@
 export function startAttempt(attemptRequest: AttemptRequest, context: ForwardingContext, listener: AttemptListener, now: MonotonicMs): Attempt {
 	const {session, target, hints, guard, remainingMs, lastEventId, isRepeatable} = attemptRequest;
 	const {call, route, organisation, body} = session;
-	const {protocol, listCacheStores, targetClient} = context;
+	const {protocol, listCacheStores, targetClient, reachability} = context;
 	guard.recordSent();
 	context.limits.take(target, now);
 	const options = buildAttemptOptions({
@@ -47,7 +47,11 @@
 	attempt.exchange = targetClient.start(target, {
 		method: call.method, path: call.path, headers: protocol.buildHeaders(call, options), body, shouldUseNewConnection: !isRepeatable,
 	}, {
+		onConnected() {
+			reachability.recordConnected();
+		},
 		onHead(status, rawHeaders) {
+			reachability.recordAnswered();
 			listener.onHead(attempt, protocol.readHead(call, target.description.id, status, rawHeaders));
 		},
 		onChunk(chunk) {
@@ -57,9 +61,23 @@
 			listener.onEnd(attempt);
 		},
 		onFailure(stage, error) {
-			guard.recordFailure(attempt, {stage, error}, context.clock.readMonotonic());
+			recordFailure(attempt, {stage, error}, attemptRequest, context);
 			listener.onFailure(attempt, stage, error);
 		},
 	});
 	return attempt;
 }
+
+/** Records a failure for what it tells of the paths to targets, and of the call, unless the paths are to blame. */
+function recordFailure(attempt: Attempt, failure: ExchangeFailure, {guard, target}: AttemptRequest, {reachability, clock}: ForwardingContext): void {
+	const now = clock.readMonotonic();
+	if (failure.stage === 'notSent') {
+		reachability.recordConnectFailed(target);
+	} else if (failure.stage === 'sent') {
+		reachability.recordUnanswered(target, now);
+	}
+
+	if (reachability.isWitness) {
+		guard.recordFailure(attempt, failure, now);
+	}
+}
--- a/src/forwarding/target-client/index.ts
+++ b/src/forwarding/target-client/index.ts
@@ -10,7 +10,7 @@
 	Agent, request as openRequest, type ClientRequest, type IncomingMessage,
 } from 'node:http';
 import type {TcpNetConnectOpts} from 'node:net';
-import type {FleetTarget} from '../../fleet/fleet-target/index.js';
+import type {TargetDescription} from '../../fleet/fleet-target/index.js';
 import {parseAddress} from '../../http/parse-address/index.js';
 import {openTargetSocket, type TargetSocket} from '../../http/target-socket/index.js';
 
@@ -19,6 +19,8 @@
 
 /** Receives the response to one request. */
 export type ExchangeListener = {
+	/** A new connection was made for the request. */
+	onConnected?(): void;
 	onHead(status: number, rawHeaders: readonly string[]): void;
 	onChunk(chunk: Buffer): void;
 	onEnd(): void;
@@ -35,6 +37,9 @@
 	readonly shouldUseNewConnection: boolean;
 };
 
+/** What listens at the address; connections are pooled by it. */
+export type Destination = {readonly description: Pick<TargetDescription, 'address'>};
+
 /** Controls an exchange in progress. */
 export type Exchange = {
 	pause(): void;
@@ -55,11 +60,11 @@
 
 /** Sends requests to targets and pools their connections. */
 export class TargetClient {
-	private readonly agents = new Map<FleetTarget, Agent>();
+	private readonly agents = new Map<Destination, Agent>();
 	private readonly singleUseAgent = new TargetAgent({keepAlive: false, maxSockets: Infinity});
 
 	/** Sends a request; the response goes to `listener`. */
-	start(target: FleetTarget, outbound: OutboundRequest, listener: ExchangeListener): Exchange {
+	start(target: Destination, outbound: OutboundRequest, listener: ExchangeListener): Exchange {
 		const {host, port} = parseAddress(target.description.address);
 		const request = openRequest({
 			host, port, method: outbound.method, path: outbound.path, setHost: false, maxHeaderSize: maximumHeaderBytes,
@@ -70,7 +75,7 @@
 	}
 
 	/** Closes the pools of targets that are not in `targets` and have no request in flight. */
-	prune(targets: ReadonlySet<FleetTarget>): void {
+	prune(targets: ReadonlySet<Destination>): void {
 		for (const [target, agent] of this.agents) {
 			if (!targets.has(target) && Object.keys(agent.sockets).length === 0) {
 				agent.destroy();
@@ -79,7 +84,7 @@
 		}
 	}
 
-	private findOrCreateAgent(target: FleetTarget): Agent {
+	private findOrCreateAgent(target: Destination): Agent {
 		let agent = this.agents.get(target);
 		if (agent === undefined) {
 			agent = new TargetAgent({
@@ -117,6 +122,7 @@
 
 			socket.once('connect', () => {
 				this.markSent();
+				listener.onConnected?.();
 			});
 		});
 		request.on('information', () => {
--- a/src/gateway/call-listener/index.ts
+++ b/src/gateway/call-listener/index.ts
@@ -5,6 +5,8 @@
 } from 'node:http';
 import {once} from 'node:events';
 import type {AddressInfo} from 'node:net';
+import type {CallHandover} from '../../handover/call-handover/index.js';
+import {cutOffHeader, remainingHeader} from '../../handover/handover-headers/index.js';
 import {abortResponse} from '../../http/abort-response/index.js';
 import {beginResponse} from '../../http/begin-response/index.js';
 import {parseAddress} from '../../http/parse-address/index.js';
@@ -12,12 +14,16 @@
 import type {MonotonicMs} from '../../identity/ids/index.js';
 import type {CallerSink, InboundCall} from '../../forwarding/call-types/index.js';
 import {CallSession} from '../../forwarding/call-session/index.js';
+import {addRetryAfterJitter} from '../../forwarding/add-retry-after-jitter/index.js';
+import {calculateCallDeadline} from '../../forwarding/calculate-call-deadline/index.js';
 import {drawService} from '../../forwarding/draw-service/index.js';
 import type {ForwardingContext} from '../../forwarding/forwarding-context/index.js';
 import {hashKey} from '../../keys/hash-key/index.js';
 import {
 	convertToRouterError, createRouterError, formatErrorBody, type RouterError,
 } from '../../results/create-router-error/index.js';
+import {resultCodes, type ResultName} from '../../results/result-codes/index.js';
+import {isRepeatable} from '../../routing/is-repeatable/index.js';
 import type {RoutingTable} from '../../routing/routing-table/index.js';
 import type {CallerLimits, CallerOrganisation, Route} from '../../routing/routing-types/index.js';
 
@@ -35,8 +41,20 @@
 	readonly protocol: CallerProtocol;
 	/** Returns the routing table in force; undefined before the first configuration. */
 	readonly readTable: () => RoutingTable | undefined;
+	/** Without it, calls are never passed on to other instances. */
+	readonly handover?: CallHandover;
 };
 
+/** A call on its connection. `isPassedOn`: whether another instance has passed it on. */
+type Arrival = {
+	readonly message: IncomingMessage;
+	readonly response: ServerResponse;
+	readonly arrivedAt: MonotonicMs;
+	readonly isPassedOn: boolean;
+};
+
+type PassedOnCall = {readonly resolvedCall: ResolvedCall; readonly body: Buffer; readonly arrival: Arrival};
+
 type ResolvedCall = {readonly call: InboundCall; readonly route: Route; readonly organisation: CallerOrganisation | undefined};
 
 /** Interval between checks for calls whose target has gone silent, in milliseconds. */
@@ -52,6 +70,10 @@
 const defaultMaximumBodyBytes = 1_048_576;
 /** Time for which the remaining request body is read after an error answer, in milliseconds. */
 const discardTimeoutMs = 1000;
+/** Time after which callers may return when no instance reaches a target, in seconds. */
+const unreachableRetrySeconds = 1;
+/** Errors of calls that another instance may be able to serve. */
+const rescuedErrors: ReadonlySet<string> = new Set<ResultName>(['targetRefused', 'noTarget']);
 
 /** HTTP server for callers. */
 export class CallListener {
@@ -59,18 +81,20 @@
 	isLeaving = false;
 	private readonly server: Server;
 	private readonly sessions = new Set<CallSession>();
+	/** Calls that are being passed on to other instances. */
+	private readonly handovers = new Set<AbortController>();
 	private isSilenceCheckScheduled = false;
 
 	constructor(private readonly options: CallListenerOptions) {
 		this.server = createServer({
 			maxHeaderSize: maximumHeaderBytes, connectionsCheckingInterval: connectionCheckIntervalMs, requestTimeout: requestTimeoutMs, noDelay: true,
 		}, (message, response) => {
-			void this.serve(message, response);
+			void this.serve(message, response, false);
 		});
 	}
 
 	get callsInProgress(): number {
-		return this.sessions.size;
+		return this.sessions.size + this.handovers.size;
 	}
 
 	/** Starts listening; returns `host:port`. */
@@ -98,9 +122,23 @@
 		for (const session of this.sessions) {
 			session.terminate();
 		}
+
+		for (const controller of this.handovers) {
+			controller.abort();
+		}
 	}
 
-	private async serve(message: IncomingMessage, response: ServerResponse): Promise<void> {
+	/** Serves a call that another instance passes on. If this one reaches no target either, it says so and does nothing. */
+	serveHandedOver(message: IncomingMessage, response: ServerResponse): void {
+		if (this.options.handover?.isCutOff === true) {
+			response.writeHead(resultCodes.targetsUnreachable.httpStatus, {[cutOffHeader]: 'true'}).end();
+			return;
+		}
+
+		void this.serve(message, response, true);
+	}
+
+	private async serve(message: IncomingMessage, response: ServerResponse, isPassedOn: boolean): Promise<void> {
 		const arrivedAt = this.options.context.clock.readMonotonic();
 		if (this.isLeaving) {
 			response.shouldKeepAlive = false;
@@ -109,10 +147,16 @@
 		let call: InboundCall | undefined;
 		try {
 			call = this.options.protocol.readCall(message);
+			if (isPassedOn) {
+				call = {...call, waitMs: Number(message.headers[remainingHeader])};
+			}
+
 			const table = this.options.readTable();
 			const resolvedCall = this.resolveCall(call, table);
 			const body = await readBody(message, table?.configuration.limits.maximumBodyBytes ?? defaultMaximumBodyBytes);
-			await this.forward(resolvedCall, body, response, arrivedAt);
+			await this.forward(resolvedCall, body, {
+				message, response, arrivedAt, isPassedOn,
+			});
 		} catch (error) {
 			this.refuse(response, convertToRouterError(error), call);
 			discardRemainingBody(message);
@@ -139,19 +183,32 @@
 		return {call, route, organisation};
 	}
 
-	private async forward({call, route, organisation}: ResolvedCall, body: Buffer, response: ServerResponse, arrivedAt: MonotonicMs): Promise<void> {
-		const {context} = this.options;
+	private async forward(resolvedCall: ResolvedCall, body: Buffer, arrival: Arrival): Promise<void> {
+		const {call, route, organisation} = resolvedCall;
+		const {response, arrivedAt, isPassedOn} = arrival;
+		const {context, handover} = this.options;
 		const service = drawService(route, call, context.draw);
 		if (service === undefined) {
 			throw createRouterError('noTarget', 'the route has no service with a positive weight');
 		}
 
+		const passOn = {resolvedCall, body, arrival};
+		if (!isPassedOn && handover?.shouldHandOver(isRepeatable(route), arrivedAt) === true) {
+			const retryAfterSeconds = addRetryAfterJitter(unreachableRetrySeconds, context.draw());
+			await this.handOver(passOn, createRouterError('targetsUnreachable', undefined, {retryAfterSeconds}));
+			return;
+		}
+
 		const session = new CallSession({
 			call, route, service, organisation, arrivedAt,
 			body: body.length === 0 ? undefined : body,
 			sink: createCallerSink(response),
 			refuse: error => {
-				this.refuse(response, error, call);
+				if (!isPassedOn && canRescue(error, route)) {
+					void this.handOver(passOn, error);
+				} else {
+					this.refuse(response, error, call);
+				}
 			},
 		}, context);
 		response.once('close', () => {
@@ -165,6 +222,28 @@
 		this.sessions.delete(session);
 	}
 
+	/** Passes a call on to another instance if this one reaches no target; ends it with `error` if it does, or if no other takes it. */
+	private async handOver({resolvedCall: {call, route}, body, arrival: {message, response, arrivedAt}}: PassedOnCall, error: RouterError): Promise<void> {
+		const {handover} = this.options;
+		const controller = new AbortController();
+		this.handovers.add(controller);
+		response.once('close', () => {
+			controller.abort();
+		});
+		const outcome = await handover?.shouldRescue() === true
+			? await handover!.handOver({
+				call, rawHeaders: message.rawHeaders, body: body.length === 0 ? undefined : body, isRepeatable: isRepeatable(route),
+				deadline: calculateCallDeadline(call, route, arrivedAt), sink: createCallerSink(response), signal: controller.signal,
+			})
+			: 'notRun';
+		this.handovers.delete(controller);
+		if (outcome === 'notRun') {
+			this.refuse(response, error, call);
+		} else if (outcome === 'unknown') {
+			this.refuse(response, createRouterError('outcomeUnknown', 'the instance that took the call over sent no answer'), call);
+		}
+	}
+
 	private refuse(response: ServerResponse, error: RouterError, call: InboundCall | undefined): void {
 		const {logger} = this.options.context;
 		logger.info('call refused', {
@@ -210,6 +289,11 @@
 	}
 }
 
+/** Whether a call that ended with `error` may be passed on: no target ran it, or it may run again. */
+function canRescue(error: RouterError, route: Route): boolean {
+	return error.notRun ? rescuedErrors.has(error.entry.name) : isRepeatable(route) && error.entry.name === 'outcomeUnknown';
+}
+
 function createCallerSink(response: ServerResponse): CallerSink {
 	return {
 		begin(status, headers, isUnframed) {
--- a/src/gateway/create-rollout/index.ts
+++ b/src/gateway/create-rollout/index.ts
@@ -29,11 +29,13 @@
 	readonly notices: RolloutNotices;
 	/** Live instances, including this one. */
 	readonly listLive: () => readonly Member[];
+	/** Whether this instance reaches no target, so that it can't send orders. */
+	readonly isCutOff: () => boolean;
 };
 
 /** Creates the controller. */
 export function createRollout(setup: RolloutSetup): RolloutController {
-	const {self, settings, adapter, clock, logger, objectApi, fleet, weights, notices, listLive} = setup;
+	const {self, settings, adapter, clock, logger, objectApi, fleet, weights, notices, listLive, isCutOff} = setup;
 	const {host} = parseAddress(settings.current.listen.peer);
 	return new RolloutController({
 		clock, logger, fleet,
@@ -43,7 +45,7 @@
 		}),
 		commander: adapter.createCommander(self),
 		listDesiredVersions: () => weights.list(),
-		isContender: () => chooseContenders(listLive()).some(member => member.id === self),
+		isContender: () => !isCutOff() && chooseContenders(listLive()).some(member => member.id === self),
 		announce(notice) {
 			notices.announce(notice);
 		},
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -5,7 +5,6 @@
 import {AdminServer} from '../../daemon/admin-server/index.js';
 import type {PlannedStop} from '../../daemon/planned-stop/index.js';
 import {LoadExchange} from '../../fleet/load-exchange/index.js';
-import {probeTarget} from '../../fleet/probe-target/index.js';
 import {PrefixDirectory} from '../../fleet/prefix-directory/index.js';
 import {TargetFleet} from '../../fleet/target-fleet/index.js';
 import type {ForwardingContext} from '../../forwarding/forwarding-context/index.js';
@@ -13,6 +12,7 @@
 import {TargetClient} from '../../forwarding/target-client/index.js';
 import {startJsonServer} from '../../http/start-json-server/index.js';
 import {parseAddress} from '../../http/parse-address/index.js';
+import {remainingHeader} from '../../handover/handover-headers/index.js';
 import type {
 	DataCentreId, InstanceId, MonotonicMs, Revision, TargetId,
 } from '../../identity/ids/index.js';
@@ -38,12 +38,14 @@
 import {addressValiditySeconds, answerAddressQuery} from '../answer-address-query/index.js';
 import {CallListener} from '../call-listener/index.js';
 import {createGatewayStop} from '../create-gateway-stop/index.js';
+import {createHandover, type Handover} from '../create-handover/index.js';
 import {createMembership} from '../create-membership/index.js';
 import {createRollout} from '../create-rollout/index.js';
 import {describeTarget} from '../describe-target/index.js';
 import {GatewayFeeds} from '../gateway-feeds/index.js';
 import type {GatewayMetrics} from '../gateway-metrics/index.js';
 import {InstanceRegistry} from '../instance-registry/index.js';
+import {listGauges} from '../list-gauges/index.js';
 import type {PlatformAdapter, WeightsNotice} from '../platform-adapter/index.js';
 import {ServiceRetryBudgets} from '../service-retry-budgets/index.js';
 import type {SettingsStore} from '../settings-store/index.js';
@@ -83,6 +85,7 @@
 	private readonly rolloutNotices: RolloutNotices;
 	private readonly quarantine: FleetQuarantine;
 	private readonly targetLimits: TargetLimits;
+	private readonly handover: Handover;
 	private readonly streams: StreamDirectory;
 	private readonly listener: CallListener;
 	private readonly retryBudgets: ServiceRetryBudgets;
@@ -94,7 +97,7 @@
 	private isConfigurationMissed = false;
 
 	constructor(private readonly options: GatewayOptions) {
-		const {adapter, clock, logger, random, settings: store} = options;
+		const {adapter, clock, logger, random, metrics, settings: store} = options;
 		const settings = store.current;
 		const self = settings.instance as InstanceId;
 		const listPeerIds = () => this.listPeers().map(peer => peer.id);
@@ -152,8 +155,11 @@
 		this.rolloutNotices = new RolloutNotices({
 			clock, fleet: this.fleet, channel: this.datagramChannel, listPeers: () => this.listPeers(),
 		});
+		this.handover = createHandover({
+			self, clock, logger, random, fleet: this.fleet, channel: this.datagramChannel, listPeers: () => this.listPeers(),
+		});
 		this.quarantine = new FleetQuarantine({
-			clock, logger, random, self, channel: this.datagramChannel, listPeers: () => this.listPeers(), probe: probeTarget,
+			clock, logger, random, self, channel: this.datagramChannel, listPeers: () => this.listPeers(), probe: this.handover.probe,
 			objectApi: this.relayedObjectApi, remover: adapter.objectApi, collection: adapter.collections.quarantines,
 		});
 		this.targetLimits = new TargetLimits({
@@ -168,15 +174,26 @@
 		});
 		this.rollout = createRollout({
 			...options, self, objectApi: this.relayedObjectApi, fleet: this.fleet, weights: this.weightsRegistry, notices: this.rolloutNotices,
-			listLive: () => this.membership.listLive(clock.readMonotonic()),
+			listLive: () => this.membership.listLive(clock.readMonotonic()), isCutOff: () => this.handover.reachability.isCutOff,
 		});
 		this.loadExchange = new LoadExchange({
 			clock, random, fleet: this.fleet, prefixes: this.prefixDirectory, channel: this.datagramChannel, membership: this.membership,
 			readSelf: () => this.membership.readSelf(),
 			listPeers: () => this.listPeers(),
 		});
-		this.listener = new CallListener({context: this.createContext(), protocol: adapter.callerProtocol, readTable: () => this.readRoutingTable()});
-		this.addGauges();
+		this.listener = new CallListener({
+			context: this.createContext(), protocol: adapter.callerProtocol, readTable: () => this.readRoutingTable(), handover: this.handover.calls,
+		});
+		this.peerServer.setCallRoute({
+			marker: remainingHeader,
+			handle: (message, response) => {
+				this.listener.serveHandedOver(message, response);
+			},
+		});
+		metrics.addGauges(listGauges({
+			listener: this.listener, sources: [this.quarantine, this.targetLimits, this.streams, this.handover.calls], objectApi: adapter.objectApi,
+			countMembers: () => this.listPeers().length + 1, readRevision: () => this.feeds.readRevision(),
+		}));
 	}
 
 	/** Starts all listeners and tasks. */
@@ -194,6 +211,7 @@
 		void this.quarantine.run(signal);
 		void this.targetLimits.run(signal);
 		void this.streams.run(signal);
+		void this.handover.run(signal);
 		void this.instanceRegistry.keepRegistered(signal);
 		void pruneConnections(this.targetClient, this.fleet, clock, signal);
 		void new StandstillMonitor({
@@ -207,7 +225,9 @@
 		await startJsonServer(settings.listen.readiness, url => url.pathname === adapter.readinessPath
 			? {status: this.isReady() ? 200 : 503, body: {ready: this.isReady()}}
 			: {status: 404, body: {}});
-		await startJsonServer(settings.listen.directory, url => answerAddressQuery(url, {...this.options, membership: this.membership}));
+		await startJsonServer(settings.listen.directory, url => answerAddressQuery(url, {
+			...this.options, membership: this.membership, isAvoided: this.handover.isCutOff,
+		}));
 		await new AdminServer({
 			metrics, dump: () => this.dump(), readObstacle: () => this.isReady() ? undefined : 'no configuration, or stopping',
 		}).listen(settings.listen.admin);
@@ -236,6 +256,7 @@
 			quarantine: this.quarantine.dump(),
 			limits: this.targetLimits.dump(),
 			streams: this.streams.dump(),
+			handover: this.handover.dump(),
 			namedWeights: this.weightsRegistry.dump(),
 			callsInProgress: this.listener.callsInProgress,
 			targets: [...this.fleet.list()].map(target => describeTarget(target, now)),
@@ -289,7 +310,7 @@
 		return {
 			clock, logger, fleet: this.fleet, prefixes: this.prefixDirectory, targetClient: this.targetClient,
 			protocol: adapter.targetProtocol, quota: this.quotaLending, promptGuard: this.quarantine.prompts, requestGuard: this.quarantine.requests,
-			limits: this.targetLimits, streamOrigins: this.streams,
+			limits: this.targetLimits, streamOrigins: this.streams, reachability: this.handover.reachability,
 			dataCentre: settings.current.dataCentre as DataCentreId,
 			draw: () => random.pickIndex(drawResolution) / drawResolution,
 			findVersionHistory: model => this.weightsRegistry.find(model),
@@ -301,16 +322,4 @@
 			},
 		};
 	}
-
-	private addGauges(): void {
-		this.options.metrics.addGauges({
-			calls_in_progress: {help: 'Calls being served.', read: () => this.listener.callsInProgress},
-			...this.quarantine.gauges,
-			...this.targetLimits.gauges,
-			...this.streams.gauges,
-			object_api_era: {help: 'Era of the object API, which rises with each restore from a copy.', read: () => this.options.adapter.objectApi.readEra()},
-			members: {help: 'Live instances, this one included.', read: () => this.listPeers().length + 1},
-			configuration_revision: {help: 'Revision of the configuration in force, -1 for none.', read: () => this.feeds.readRevision()},
-		});
-	}
 }
--- a/src/membership/choose-addresses/index.ts
+++ b/src/membership/choose-addresses/index.ts
@@ -13,15 +13,20 @@
 	readonly self: Member;
 	/** The caller's data centre. Defaults to that of this instance. */
 	readonly dataCentre: string | undefined;
+	/** Whether a member should get no new callers, as long as there are others. */
+	readonly isAvoided?: (member: Member) => boolean;
 };
 
 /**
  * Chooses the instances that a caller may use, nearest data centre first. Instances at the same distance are
- * shuffled to spread callers. Leaving instances and instances without a configuration are excluded.
+ * shuffled to spread callers. Leaving instances and instances without a configuration are excluded, and so are avoided ones
+ * unless all are.
  */
 export function chooseAddresses(query: AddressQuery, random: RandomSource): Member[] {
 	const dataCentre = query.dataCentre ?? query.self.dataCentre;
-	const usableMembers = query.live.filter(member => member.state === 'live' && member.revision >= 0);
+	const configuredMembers = query.live.filter(member => member.state === 'live' && member.revision >= 0);
+	const preferredMembers = configuredMembers.filter(member => query.isAvoided?.(member) !== true);
+	const usableMembers = preferredMembers.length > 0 ? preferredMembers : configuredMembers;
 	const region = usableMembers.find(member => member.dataCentre === dataCentre)?.region ?? query.self.region;
 	const measureDistance = (member: Member) => member.dataCentre === dataCentre ? 0 : (member.region === region ? 1 : 2);
 	return random.pickSome(usableMembers, usableMembers.length)
--- a/src/peers/peer-server/index.ts
+++ b/src/peers/peer-server/index.ts
@@ -20,6 +20,9 @@
 
 type CallContext = {readonly from: InstanceId};
 
+/** Messages with the header `marker` are calls of callers that another instance passes on. */
+export type CallRoute = {readonly marker: string; readonly handle: (message: IncomingMessage, response: ServerResponse) => void};
+
 /** Serves the methods that the daemon's components register. */
 export class PeerServer implements PeerMethodRegistry {
 	private readonly rpc = new JSONRPCServer<CallContext>({
@@ -29,6 +32,7 @@
 	});
 
 	private readonly server: Server;
+	private callRoute: CallRoute | undefined;
 
 	constructor(private readonly self: InstanceId, private readonly onTraffic?: (sentBytes: number, receivedBytes: number) => void) {
 		this.server = createServer((message, response) => {
@@ -43,6 +47,11 @@
 		this.rpc.addMethod(method, async (parameters, context) => handler(parameters, context.from));
 	}
 
+	/** Sets who serves the calls of callers that other instances pass on. */
+	setCallRoute(route: CallRoute): void {
+		this.callRoute = route;
+	}
+
 	/** Starts listening; returns `host:port`. */
 	async listen(address: string): Promise<string> {
 		const {host, port} = parseAddress(address);
@@ -69,7 +78,8 @@
 
 	private async serve(message: IncomingMessage, response: ServerResponse): Promise<void> {
 		const callee = message.headers[calleeHeader];
-		if (message.method !== 'POST' || message.url !== rpcPath) {
+		const isPassedOn = this.callRoute !== undefined && message.headers[this.callRoute.marker] !== undefined;
+		if (!isPassedOn && (message.method !== 'POST' || message.url !== rpcPath)) {
 			throw createRouterError('notFound', message.url);
 		}
 
@@ -78,6 +88,11 @@
 			throw createRouterError('notFound', `this is instance ${this.self}, not ${String(callee)}`);
 		}
 
+		if (isPassedOn) {
+			this.callRoute!.handle(message, response);
+			return;
+		}
+
 		const request = await readJsonBody(message, maximumBodyBytes) as JSONRPCRequest;
 		const answer = await this.rpc.receive(request, {from: String(message.headers[callerHeader] ?? '') as InstanceId});
 		const sentBytes = sendJson(response, 200, answer);
