--- a/src/store/http-object-api/index.ts
+++ b/src/store/http-object-api/index.ts
@@ -12,6 +12,7 @@
 import {
 	ObjectApiError, type ObjectApi, type ObjectList, type StoredObject, type WatchEvent,
 } from '../object-api/index.js';
+import {limitDepth} from '../limit-depth/index.js';
 
 /** Options of `HttpObjectApi`. */
 export type HttpObjectApiOptions = {
@@ -160,7 +161,7 @@
 
 function convertObject<Value>(collection: string, wire: WireObject<Value>): StoredObject<Value> {
 	return {
-		collection, name: wire.metadata.name, resourceVersion: wire.metadata.resourceVersion, value: wire.value,
+		collection, name: wire.metadata.name, resourceVersion: wire.metadata.resourceVersion, value: limitDepth(wire.value) as Value,
 	};
 }
 
