Take no call late in the grace period that could outlast it, and write all answers before the end

Operators of a similar system saw calls that came late in a planned stop taken, passed on and cut off at its end, also calls that may not be repeated. Here the listener took all calls until it closed 3.3 s after SIGTERM, and kept connections later, whatever they could take; the remaining calls were aborted 0.6 s before the end of the grace, and the process ended in the same turn as their answers were written. Now, once callers have had time to learn of other addresses (3 s), a call whose deadline lies beyond the abort is refused as not run, to be sent elsewhere at once, and the process ends only when the answers are written, at most 0.3 s later.

--- a/src/gateway/call-listener/index.ts
+++ b/src/gateway/call-listener/index.ts
@@ -53,6 +53,9 @@
 	readonly isPassedOn: boolean;
 };
 
+/** When an instance that leaves stops taking all calls, and when it aborts those in progress. */
+export type Departure = {readonly acceptsAllUntil: MonotonicMs; readonly endsAt: MonotonicMs};
+
 type PassedOnCall = {readonly resolvedCall: ResolvedCall; readonly body: Buffer; readonly arrival: Arrival};
 
 type ResolvedCall = {readonly call: InboundCall; readonly route: Route; readonly organisation: CallerOrganisation | undefined};
@@ -70,6 +73,7 @@
 const defaultMaximumBodyBytes = 1_048_576;
 /** Time for which the remaining request body is read after an error answer, in milliseconds. */
 const discardTimeoutMs = 1000;
+const flushCheckMs = 10;
 /** Time after which callers may return when no instance reaches a target, in seconds. */
 const unreachableRetrySeconds = 1;
 /** Errors of calls that another instance may be able to serve. */
@@ -77,9 +81,10 @@
 
 /** HTTP server for callers. */
 export class CallListener {
-	/** Whether the instance is leaving; answers then close their connection so that callers reconnect elsewhere. */
-	isLeaving = false;
 	private readonly server: Server;
+	/** Undefined until the instance leaves. Answers then close their connection so that callers reconnect elsewhere. */
+	private departure: Departure | undefined;
+	private readonly openResponses = new Set<ServerResponse>();
 	private readonly sessions = new Set<CallSession>();
 	/** Calls that are being passed on to other instances. */
 	private readonly handovers = new Set<AbortController>();
@@ -111,12 +116,22 @@
 		this.server.headersTimeout = limits.headerTimeoutMs;
 	}
 
+	/** Asks callers to reconnect elsewhere, and from a time on takes no more calls than can be answered before the end. */
+	leave(departure: Departure): void {
+		this.departure = departure;
+	}
+
 	/** Closes the listener and the idle connections. */
 	close(): void {
 		this.server.close();
 		this.server.closeIdleConnections();
 	}
 
+	/** Destroys all connections at once, as the end of the process does. */
+	destroyConnections(): void {
+		this.server.closeAllConnections();
+	}
+
 	/** Aborts all calls in progress. */
 	abortCalls(): void {
 		for (const session of this.sessions) {
@@ -128,6 +143,15 @@
 		}
 	}
 
+	/** Resolves when all answers are written, at the latest after `timeoutMs`. */
+	async flushAnswers(timeoutMs: number): Promise<void> {
+		const {clock} = this.options.context;
+		const end = clock.readMonotonic() + timeoutMs;
+		while (this.openResponses.size > 0 && clock.readMonotonic() < end) {
+			await clock.sleep(flushCheckMs);
+		}
+	}
+
 	/** Serves a call that another instance passes on. If this one reaches no target either, it says so and does nothing. */
 	serveHandedOver(message: IncomingMessage, response: ServerResponse): void {
 		if (this.options.handover?.isCutOff === true) {
@@ -140,10 +164,15 @@
 
 	private async serve(message: IncomingMessage, response: ServerResponse, isPassedOn: boolean): Promise<void> {
 		const arrivedAt = this.options.context.clock.readMonotonic();
-		if (this.isLeaving) {
+		if (this.departure !== undefined) {
 			response.shouldKeepAlive = false;
 		}
 
+		this.openResponses.add(response);
+		response.once('close', () => {
+			this.openResponses.delete(response);
+		});
+
 		let call: InboundCall | undefined;
 		try {
 			call = this.options.protocol.readCall(message);
@@ -192,6 +221,10 @@
 			throw createRouterError('noTarget', 'the route has no service with a positive weight');
 		}
 
+		if (this.mustReject(calculateCallDeadline(call, route, arrivedAt), arrivedAt)) {
+			throw createRouterError('stopping', 'the call could outlast the instance', {retryAfterSeconds: 0});
+		}
+
 		const passOn = {resolvedCall, body, arrival};
 		if (!isPassedOn && handover?.shouldHandOver(isRepeatable(route), arrivedAt) === true) {
 			const retryAfterSeconds = addRetryAfterJitter(unreachableRetrySeconds, context.draw());
@@ -222,6 +255,11 @@
 		this.sessions.delete(session);
 	}
 
+	/** Whether a call that arrived at `arrivedAt` could outlast this instance, although its caller had time to learn of other ones. */
+	private mustReject(deadline: MonotonicMs, arrivedAt: MonotonicMs): boolean {
+		return this.departure !== undefined && arrivedAt > this.departure.acceptsAllUntil && deadline > this.departure.endsAt;
+	}
+
 	/** Passes a call on to another instance if this one reaches no target; ends it with `error` if it does, or if no other takes it. */
 	private async handOver({resolvedCall: {call, route}, body, arrival: {message, response, arrivedAt}}: PassedOnCall, error: RouterError): Promise<void> {
 		const {handover} = this.options;
--- a/src/gateway/create-gateway-stop/index.ts
+++ b/src/gateway/create-gateway-stop/index.ts
@@ -2,6 +2,7 @@
 
 import type {Clock} from '../../clock/clock/index.js';
 import {PlannedStop} from '../../daemon/planned-stop/index.js';
+import type {MonotonicMs} from '../../identity/ids/index.js';
 import type {EventLogger} from '../../logging/create-logger/index.js';
 import type {Membership} from '../../membership/membership/index.js';
 import type {RolloutController} from '../../rollout/rollout-controller/index.js';
@@ -13,6 +14,8 @@
 const addressExpiryMarginMs = 300;
 /** Time before the end of the grace period at which the remaining calls are aborted, in milliseconds. */
 const abortMarginMs = 600;
+/** Longest wait until the last answers are written before the process ends, in milliseconds. */
+const flushTimeoutMs = 300;
 const drainCheckIntervalMs = 50;
 const msPerSecond = 1000;
 
@@ -24,7 +27,7 @@
 	readonly graceMs: number;
 	readonly addressValiditySeconds: number;
 	readonly membership: Pick<Membership, 'markLeaving' | 'stop'>;
-	readonly listener: Pick<CallListener, 'isLeaving' | 'callsInProgress' | 'close' | 'abortCalls'>;
+	readonly listener: Pick<CallListener, 'leave' | 'callsInProgress' | 'close' | 'abortCalls' | 'flushAnswers'>;
 	readonly rollout: Pick<RolloutController, 'stop'>;
 	/** Its signal ends all tasks of the gateway. */
 	readonly controller: AbortController;
@@ -33,14 +36,15 @@
 /** Creates the planned stop; call its `run` to carry it out. */
 export function createGatewayStop(options: GatewayStopOptions): PlannedStop {
 	const {clock, logger, graceMs, addressValiditySeconds, membership, listener, rollout, controller} = options;
+	const addressValidityMs = addressValiditySeconds * addressCacheFactor * msPerSecond;
+	const maximumMs = graceMs - abortMarginMs;
 	return new PlannedStop({
-		clock, logger,
-		addressValidityMs: addressValiditySeconds * addressCacheFactor * msPerSecond,
+		clock, logger, addressValidityMs, maximumMs,
 		marginMs: addressExpiryMarginMs,
-		maximumMs: graceMs - abortMarginMs,
 		leave() {
 			membership.markLeaving();
-			listener.isLeaving = true;
+			const now = clock.readMonotonic();
+			listener.leave({acceptsAllUntil: now + addressValidityMs as MonotonicMs, endsAt: now + maximumMs as MonotonicMs});
 			rollout.stop().catch((error: unknown) => {
 				logger.warn('rollout lease not released', {reason: (error as Error).message});
 			});
@@ -55,6 +59,7 @@
 			listener.abortCalls();
 		},
 		async release() {
+			await listener.flushAnswers(flushTimeoutMs);
 			membership.stop();
 			controller.abort();
 		},
--- a/src/gateway/create-gateway-stop/test.ts
+++ b/src/gateway/create-gateway-stop/test.ts
@@ -1,6 +1,13 @@
+import {Agent, request as sendHttp} from 'node:http';
+import {setTimeout as delay} from 'node:timers/promises';
 import {test} from 'node:test';
 import {expect} from 'earl';
+import {SystemClock} from '../../clock/clock/index.js';
 import {ManualClock} from '../../clock/manual-clock/index.js';
+import {createDescription} from '../../fixtures/create-fleet-target/index.js';
+import {createRoute, createRoutingConfiguration} from '../../fixtures/create-routing-configuration/index.js';
+import {startRawServer} from '../../fixtures/start-raw-server/index.js';
+import {startTestGateway} from '../../fixtures/start-test-gateway/index.js';
 import {quietLogger} from '../../logging/quiet-logger/index.js';
 import {createGatewayStop} from './index.js';
 
@@ -15,7 +22,10 @@
 	const controller = new AbortController();
 	controller.signal.addEventListener('abort', recordStep('tasks ended'));
 	const listener = {
-		isLeaving: false, callsInProgress, close: recordStep('listener closed'), abortCalls: recordStep('calls aborted'),
+		callsInProgress, leave: recordStep('listener leaving'), close: recordStep('listener closed'), abortCalls: recordStep('calls aborted'),
+		async flushAnswers() {
+			recordStep('answers flushed')();
+		},
 	};
 	const stop = createGatewayStop({
 		clock, logger: quietLogger, graceMs: 8000, addressValiditySeconds: 1, controller, listener,
@@ -27,16 +37,17 @@
 		},
 	});
 	return {
-		clock, steps, listener, stop,
+		clock, steps, stop,
 	};
 }
 
 test('guards against refused connections of callers with a cached address: the listener stays open until the address expires', async () => {
-	const {clock, steps, listener, stop} = createRecordedStop(0);
+	const {clock, steps, stop} = createRecordedStop(0);
 	void stop.run();
-	expect(listener.isLeaving).toEqual(true);
 	await clock.advance(10_000);
-	expect(steps).toEqual(['leaving at 0', 'rollout released at 0', 'listener closed at 3300', 'membership stopped at 3300', 'tasks ended at 3300']);
+	expect(steps).toEqual([
+		'leaving at 0', 'listener leaving at 0', 'rollout released at 0', 'listener closed at 3300', 'answers flushed at 3300', 'membership stopped at 3300', 'tasks ended at 3300',
+	]);
 });
 
 test('guards against a process killed with calls in progress: they are aborted before the grace period ends', async () => {
@@ -46,3 +57,85 @@
 	expect(steps).toInclude('calls aborted at 7400');
 	expect(steps.at(-1)).toEqual('tasks ended at 7400');
 });
+
+const graceMs = 5500;
+/** Times that calls take at the target, in milliseconds. */
+const workMs = [100, 900, 1800];
+/** Time that callers wait, in milliseconds. */
+const callerWaitMs = 2500;
+const sendIntervalMs = 20;
+
+/** Sends a call; resolves to its status, to `unread` if the connection was refused, or to `cut` if it ended without a whole answer. */
+async function sendCall(address: string, id: string, agent: Agent | false): Promise<number | 'unread' | 'cut'> {
+	const [host, port] = address.split(':');
+	return new Promise(resolve => {
+		const message = sendHttp({
+			host, port, method: 'POST', path: '/x', agent, headers: {'x-id': id, 'x-wait': String(callerWaitMs), 'content-length': 4},
+		}, response => {
+			response.resume();
+			response.on('close', () => {
+				resolve(response.complete ? response.statusCode! : 'cut');
+			});
+			response.on('error', () => {
+				// The `close` event follows.
+			});
+		});
+		message.on('error', (error: NodeJS.ErrnoException) => {
+			resolve(error.code === 'ECONNREFUSED' ? 'unread' : 'cut');
+		});
+		message.end('body');
+	});
+}
+
+test('guards against calls that come late in the grace period, are taken, and are cut off without an answer at its end', async t => {
+	const server = await startRawServer((socket, head, requestNumber) => {
+		const id = /x-id: (\S+)/u.exec(head)?.[1] ?? '';
+		setTimeout(() => {
+			socket.write(`HTTP/1.1 200 OK\r\nx-id: ${id}\r\nContent-Length: 2\r\n\r\nok`);
+		}, workMs[requestNumber % workMs.length]);
+	});
+	const route = createRoute('r', {
+		host: '127.0.0.1', kind: 'nonIdempotent', timeoutMs: 4000, latencyGoalMs: 4000,
+	});
+	const descriptions = [createDescription('t0', {address: server.address, weightsVersions: new Map()})];
+	const {address, listener, close} = await startTestGateway(createRoutingConfiguration({routes: [route]}), descriptions);
+	const agent = new Agent({keepAlive: true});
+	t.after(() => {
+		agent.destroy();
+		close();
+		server.close();
+	});
+	const clock = new SystemClock();
+	const stop = createGatewayStop({
+		clock, logger: quietLogger, graceMs, addressValiditySeconds: 1, controller: new AbortController(), listener,
+		membership: {
+			markLeaving() {
+				// Callers of this test know no other instance.
+			},
+			stop() {
+				// There is no membership.
+			},
+		},
+		rollout: {
+			async stop() {
+				// There is no rollout.
+			},
+		},
+	});
+	const calls: Array<Promise<number | 'unread' | 'cut'>> = [];
+	const startedAt = performance.now();
+	const stopped = stop.run().then(() => {
+		// As at the end of the process, nothing is written any more.
+		listener.destroyConnections();
+	});
+	while (performance.now() - startedAt < graceMs) {
+		calls.push(sendCall(address, `new${calls.length}`, false), sendCall(address, `kept${calls.length}`, agent));
+		await delay(sendIntervalMs);
+	}
+
+	await stopped;
+	const results = await Promise.all(calls);
+	const count = (result: number | 'unread' | 'cut') => results.filter(other => other === result).length;
+	expect(count('cut')).toEqual(0);
+	expect([count(200) > 100, count(503) > 0, count(502), count(504)]).toEqual([true, true, 0, 0]);
+});
