--- a/src/gateway/call-listener/index.ts
+++ b/src/gateway/call-listener/index.ts
@@ -42,7 +42,7 @@
 	/** Returns the routing table in force; undefined before the first configuration. */
 	readonly readTable: () => RoutingTable | undefined;
 	/** Without it, calls are never passed on to other instances. */
-	readonly handover?: CallHandover;
+	readonly handover?: CallHandover | undefined;
 };
 
 /** A call on its connection. `isPassedOn`: whether another instance has passed it on. */
--- /dev/null
+++ b/src/handover/call-handover/test.ts
@@ -0,0 +1,170 @@
+import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
+import {test, type TestContext} from 'node:test';
+import {expect} from 'earl';
+import {request} from 'undici';
+import {SystemClock} from '../../clock/clock/index.js';
+import {createDescription} from '../../fixtures/create-fleet-target/index.js';
+import {createMember} from '../../fixtures/create-member/index.js';
+import {createRoute, createRoutingConfiguration} from '../../fixtures/create-routing-configuration/index.js';
+import {findClosedAddress, startTestGateway} from '../../fixtures/start-test-gateway/index.js';
+import {listenLocally} from '../../http/listen-locally/index.js';
+import type {InstanceId} from '../../identity/ids/index.js';
+import {quietLogger} from '../../logging/quiet-logger/index.js';
+import type {Member} from '../../membership/member/index.js';
+import {RandomSource} from '../../random/random-source/index.js';
+import type {CallKind} from '../../routing/routing-types/index.js';
+import {cutOffHeader, remainingHeader} from '../handover-headers/index.js';
+import {CallHandover} from './index.js';
+
+type Handler = (message: IncomingMessage, response: ServerResponse) => void;
+
+/** Starts an instance that reaches no target, and others that serve the calls it passes on as the handlers say. */
+async function startCutOffInstance(t: TestContext, handlers: readonly Handler[], kind: CallKind = 'nonIdempotent', isCutOff = true) {
+	const servers = handlers.map(handle => createServer(handle));
+	const peers: Member[] = [];
+	for (const [index, server] of servers.entries()) {
+		peers.push(createMember(`i${index}`, {peerAddress: await listenLocally(server)}));
+	}
+
+	const refusing: string[] = [];
+	const clock = new SystemClock();
+	const handover = new CallHandover({
+		self: 'self' as InstanceId, clock, logger: quietLogger, random: new RandomSource(1),
+		reachability: {
+			isCutOff, canConnect: !isCutOff, shouldHandOver: () => isCutOff, settle: async () => undefined,
+		},
+		peers: {
+			list: () => peers,
+			recordCutOff(id) {
+				refusing.push(id);
+			},
+		},
+	});
+	const route = createRoute('r', {host: '127.0.0.1', kind, timeoutMs: 3000});
+	const targets = [createDescription('t0', {address: await findClosedAddress(), weightsVersions: new Map()})];
+	const gateway = await startTestGateway(createRoutingConfiguration({routes: [route]}), targets, {}, handover);
+	t.after(() => {
+		gateway.close();
+		for (const server of servers) {
+			server.closeAllConnections();
+			server.close();
+		}
+	});
+	return {
+		gateway, refusing, handover,
+		async call(body = 'body') {
+			const answer = await request(`http://${gateway.address}/x?y=1`, {method: 'POST', headers: {'x-id': 'c1', 'x-wait': '2000'}, body});
+			const text = await answer.body.text().then(read => read, () => 'cut');
+			return {status: answer.statusCode, text, headers: answer.headers};
+		},
+	};
+}
+
+test('guards against a call that is changed on the way, or told another time than its caller waits', async t => {
+	const received: unknown[] = [];
+	const {call} = await startCutOffInstance(t, [(message, response) => {
+		const chunks: Buffer[] = [];
+		message.on('data', (chunk: Buffer) => {
+			chunks.push(chunk);
+		});
+		message.on('end', () => {
+			const remainingMs = Number(message.headers[remainingHeader]);
+			received.push([message.method, message.url, message.headers['x-id'], message.headers['x-laburnumturn-to'], remainingMs > 1500 && remainingMs <= 2000, Buffer.concat(chunks).toString()]);
+			response.writeHead(418, {'x-own': 'a'}).end('answer');
+		});
+	}]);
+	const {status, text, headers} = await call();
+	expect([status, text, headers['x-own']]).toEqual([418, 'answer', 'a']);
+	expect(received).toEqual([['POST', '/x?y=1', 'c1', 'i0', true, 'body']]);
+});
+
+test('guards against asking only one instance when it is cut off as well, and against asking for ever', async t => {
+	let asked = 0;
+	const refuse: Handler = (_message, response) => {
+		asked += 1;
+		response.writeHead(503, {[cutOffHeader]: 'true'}).end();
+	};
+
+	const {call, refusing, handover} = await startCutOffInstance(t, [refuse, refuse, (_message, response) => {
+		response.end('served');
+	}]);
+	const served = await call();
+	expect(served.text).toEqual('served');
+	const others = await startCutOffInstance(t, [refuse, refuse, refuse, refuse, refuse]);
+	asked = 0;
+	const {status, text, headers} = await others.call();
+	expect([status, asked, text.includes('"not_run":true'), headers['x-not-run']]).toEqual([503, 3, true, 'true']);
+	expect([others.refusing.length, refusing.length <= 2, handover.gauges.calls_handed_over.read()]).toEqual([3, true, 1]);
+});
+
+test('guards against running a call twice when the instance that took it over sends no answer', async t => {
+	let runs = 0;
+	const lose: Handler = message => {
+		runs += 1;
+		message.socket.destroy();
+	};
+
+	const {call} = await startCutOffInstance(t, [lose, lose, lose]);
+	const {status} = await call();
+	expect([status, runs]).toEqual([502, 1]);
+});
+
+test('guards against an answer that broke off on the way and looks complete', async t => {
+	const {call} = await startCutOffInstance(t, [(_message, response) => {
+		response.write('part');
+		setTimeout(() => {
+			response.destroy();
+		}, 50);
+	}]);
+	const {text} = await call();
+	expect(text).toEqual('cut');
+});
+
+test('guards against a call that goes on at another instance after its caller has left', async t => {
+	let closed = 0;
+	const {gateway} = await startCutOffInstance(t, [(_message, response) => {
+		response.once('close', () => {
+			closed += 1;
+		});
+	}]);
+	const controller = new AbortController();
+	const left = request(`http://${gateway.address}/x`, {
+		method: 'POST', headers: {'x-id': 'c1'}, body: 'b', signal: controller.signal,
+	}).then(() => 'answered', () => 'left');
+	await new Promise(resolve => {
+		setTimeout(resolve, 100);
+	});
+	controller.abort();
+	expect(await left).toEqual('left');
+	await new Promise(resolve => {
+		setTimeout(resolve, 100);
+	});
+	expect([closed, gateway.listener.callsInProgress]).toEqual([1, 0]);
+});
+
+test('guards against a call that was passed on and is passed on again', async t => {
+	const {gateway} = await startCutOffInstance(t, [(_message, response) => {
+		response.end('served');
+	}]);
+	const server = createServer((message, response) => {
+		gateway.listener.serveHandedOver(message, response);
+	});
+	const address = await listenLocally(server);
+	t.after(() => {
+		server.closeAllConnections();
+		server.close();
+	});
+	const answer = await request(`http://${address}/x`, {method: 'POST', headers: {'x-id': 'c1', [remainingHeader]: '500'}, body: 'b'});
+	await answer.body.dump();
+	expect([answer.statusCode, answer.headers[cutOffHeader]]).toEqual([503, 'true']);
+});
+
+test('guards against a handover while only one target is down', async t => {
+	let asked = 0;
+	const {call} = await startCutOffInstance(t, [(_message, response) => {
+		asked += 1;
+		response.end('served');
+	}], 'nonIdempotent', false);
+	const {status} = await call();
+	expect([status, asked]).toEqual([503, 0]);
+});
