Ask the next instance when one of an earlier release can't take a call over

During a rolling update, an instance of the release before answers a call that is passed on with 400, since it knows no such calls; its answer went to the caller, who may not come back after it. Answers to calls that are passed on are marked now, and only marked ones are passed back. The new test fails without the mark (400 instead of 503, not run).

--- a/src/gateway/call-listener/index.ts
+++ b/src/gateway/call-listener/index.ts
@@ -6,7 +6,7 @@
 import {once} from 'node:events';
 import type {AddressInfo} from 'node:net';
 import type {CallHandover} from '../../handover/call-handover/index.js';
-import {cutOffHeader, remainingHeader} from '../../handover/handover-headers/index.js';
+import {cutOffHeader, remainingHeader, servedHeader} from '../../handover/handover-headers/index.js';
 import {abortResponse} from '../../http/abort-response/index.js';
 import {beginResponse} from '../../http/begin-response/index.js';
 import {parseAddress} from '../../http/parse-address/index.js';
@@ -159,6 +159,7 @@
 			return;
 		}
 
+		response.setHeader(servedHeader, 'true');
 		void this.serve(message, response, true);
 	}
 
@@ -177,7 +178,7 @@
 		try {
 			call = this.options.protocol.readCall(message);
 			if (isPassedOn) {
-				call = {...call, waitMs: Number(message.headers[remainingHeader])};
+				call = {...call, waitMs: readRemainingMs(message) ?? call.waitMs};
 			}
 
 			const table = this.options.readTable();
@@ -327,6 +328,12 @@
 	}
 }
 
+/** Reads how long the caller of a call that was passed on still waits, in milliseconds; undefined if that is not stated. */
+function readRemainingMs(message: IncomingMessage): number | undefined {
+	const value = Number(message.headers[remainingHeader]);
+	return value >= 0 ? value : undefined;
+}
+
 /** Whether a call that ended with `error` may be passed on: no target ran it, or it may run again. */
 function canRescue(error: RouterError, route: Route): boolean {
 	return error.notRun ? rescuedErrors.has(error.entry.name) : isRepeatable(route) && error.entry.name === 'outcomeUnknown';
--- a/src/handover/call-handover/index.ts
+++ b/src/handover/call-handover/index.ts
@@ -14,7 +14,9 @@
 import type {Member} from '../../membership/member/index.js';
 import {calleeHeader, callerHeader} from '../../peers/peer-link/index.js';
 import type {RandomSource} from '../../random/random-source/index.js';
-import {cutOffHeader, handoverHeaders, remainingHeader} from '../handover-headers/index.js';
+import {
+	cutOffHeader, handoverHeaders, remainingHeader, servedHeader,
+} from '../handover-headers/index.js';
 import type {PeerAvailability} from '../peer-availability/index.js';
 import type {TargetReachability} from '../target-reachability/index.js';
 
@@ -125,9 +127,9 @@
 			}, {
 				onHead(status, rawHeaders) {
 					const head = parseHead(rawHeaders);
-					if (head.isCutOff) {
+					if (!head.isServed) {
 						exchange.abort();
-						finish('cutOff');
+						finish(head.isCutOff ? 'cutOff' : 'notRun');
 						return;
 					}
 
@@ -202,10 +204,12 @@
 	for (let index = 0; index < rawHeaders.length; index += 2) {
 		const name = rawHeaders[index]!.toLowerCase();
 		names.add(name);
-		if (!hopByHopHeaders.has(name)) {
+		if (!hopByHopHeaders.has(name) && !handoverHeaders.includes(name)) {
 			forwarded.push(rawHeaders[index]!, rawHeaders[index + 1]!);
 		}
 	}
 
-	return {names, forwarded, isCutOff: names.has(cutOffHeader)};
+	return {
+		names, forwarded, isCutOff: names.has(cutOffHeader), isServed: names.has(servedHeader),
+	};
 }
--- a/src/handover/call-handover/test.ts
+++ b/src/handover/call-handover/test.ts
@@ -13,7 +13,7 @@
 import type {Member} from '../../membership/member/index.js';
 import {RandomSource} from '../../random/random-source/index.js';
 import type {CallKind} from '../../routing/routing-types/index.js';
-import {cutOffHeader, remainingHeader} from '../handover-headers/index.js';
+import {cutOffHeader, remainingHeader, servedHeader} from '../handover-headers/index.js';
 import {CallHandover} from './index.js';
 
 type Handler = (message: IncomingMessage, response: ServerResponse) => void;
@@ -70,11 +70,11 @@
 		message.on('end', () => {
 			const remainingMs = Number(message.headers[remainingHeader]);
 			received.push([message.method, message.url, message.headers['x-id'], message.headers['x-laburnumturn-to'], remainingMs > 1500 && remainingMs <= 2000, Buffer.concat(chunks).toString()]);
-			response.writeHead(418, {'x-own': 'a'}).end('answer');
+			response.writeHead(418, {'x-own': 'a', [servedHeader]: 'true'}).end('answer');
 		});
 	}]);
 	const {status, text, headers} = await call();
-	expect([status, text, headers['x-own']]).toEqual([418, 'answer', 'a']);
+	expect([status, text, headers['x-own'], headers[servedHeader]]).toEqual([418, 'answer', 'a', undefined]);
 	expect(received).toEqual([['POST', '/x?y=1', 'c1', 'i0', true, 'body']]);
 });
 
@@ -86,7 +86,7 @@
 	};
 
 	const {call, refusing, handover} = await startCutOffInstance(t, [refuse, refuse, (_message, response) => {
-		response.end('served');
+		response.writeHead(200, {[servedHeader]: 'true'}).end('served');
 	}]);
 	const served = await call();
 	expect(served.text).toEqual('served');
@@ -111,6 +111,7 @@
 
 test('guards against an answer that broke off on the way and looks complete', async t => {
 	const {call} = await startCutOffInstance(t, [(_message, response) => {
+		response.writeHead(200, {[servedHeader]: 'true'});
 		response.write('part');
 		setTimeout(() => {
 			response.destroy();
@@ -120,6 +121,16 @@
 	expect(text).toEqual('cut');
 });
 
+test('guards against callers who get the answer of an instance of an earlier release, which knows no calls that are passed on', async t => {
+	const refuse: Handler = (_message, response) => {
+		response.writeHead(400).end('no such method');
+	};
+
+	const {call} = await startCutOffInstance(t, [refuse, refuse]);
+	const {status, headers} = await call();
+	expect([status, headers['x-not-run']]).toEqual([503, 'true']);
+});
+
 test('guards against a call that goes on at another instance after its caller has left', async t => {
 	let closed = 0;
 	const {gateway} = await startCutOffInstance(t, [(_message, response) => {
@@ -144,7 +155,7 @@
 
 test('guards against a call that was passed on and is passed on again', async t => {
 	const {gateway} = await startCutOffInstance(t, [(_message, response) => {
-		response.end('served');
+		response.writeHead(200, {[servedHeader]: 'true'}).end('served');
 	}]);
 	const server = createServer((message, response) => {
 		gateway.listener.serveHandedOver(message, response);
@@ -156,14 +167,14 @@
 	});
 	const answer = await request(`http://${address}/x`, {method: 'POST', headers: {'x-id': 'c1', [remainingHeader]: '500'}, body: 'b'});
 	await answer.body.dump();
-	expect([answer.statusCode, answer.headers[cutOffHeader]]).toEqual([503, 'true']);
+	expect([answer.statusCode, answer.headers[cutOffHeader], answer.headers[servedHeader]]).toEqual([503, 'true', undefined]);
 });
 
 test('guards against a handover while only one target is down', async t => {
 	let asked = 0;
 	const {call} = await startCutOffInstance(t, [(_message, response) => {
 		asked += 1;
-		response.end('served');
+		response.writeHead(200, {[servedHeader]: 'true'}).end('served');
 	}], 'nonIdempotent', false);
 	const {status} = await call();
 	expect([status, asked]).toEqual([503, 0]);
