--- a/src/gateway/call-listener/index.ts
+++ b/src/gateway/call-listener/index.ts
@@ -5,14 +5,15 @@
 } from 'node:http';
 import {once} from 'node:events';
 import type {AddressInfo} from 'node:net';
+import {canRescue} from '../../handover/can-rescue/index.js';
 import type {CallHandover} from '../../handover/call-handover/index.js';
 import {cutOffHeader, remainingHeader, servedHeader} from '../../handover/handover-headers/index.js';
 import {abortResponse} from '../../http/abort-response/index.js';
-import {beginResponse} from '../../http/begin-response/index.js';
+import {discardRemainingBody} from '../../http/discard-remaining-body/index.js';
 import {parseAddress} from '../../http/parse-address/index.js';
 import {readBody} from '../../http/read-body/index.js';
 import type {MonotonicMs} from '../../identity/ids/index.js';
-import type {CallerSink, InboundCall} from '../../forwarding/call-types/index.js';
+import type {InboundCall} from '../../forwarding/call-types/index.js';
 import {CallSession} from '../../forwarding/call-session/index.js';
 import {addRetryAfterJitter} from '../../forwarding/add-retry-after-jitter/index.js';
 import {calculateCallDeadline} from '../../forwarding/calculate-call-deadline/index.js';
@@ -22,10 +23,11 @@
 import {
 	convertToRouterError, createRouterError, formatErrorBody, type RouterError,
 } from '../../results/create-router-error/index.js';
-import {resultCodes, type ResultName} from '../../results/result-codes/index.js';
+import {resultCodes} from '../../results/result-codes/index.js';
 import {isRepeatable} from '../../routing/is-repeatable/index.js';
 import type {RoutingTable} from '../../routing/routing-table/index.js';
 import type {CallerLimits, CallerOrganisation, Route} from '../../routing/routing-types/index.js';
+import {createCallerSink} from '../create-caller-sink/index.js';
 
 /** Converts between the HTTP messages of callers and the types of the forwarding core. */
 export type CallerProtocol = {
@@ -71,13 +73,9 @@
 const requestTimeoutMs = 30_000;
 /** Maximum size of a request body until a configuration sets a limit, in bytes. */
 const defaultMaximumBodyBytes = 1_048_576;
-/** Time for which the remaining request body is read after an error answer, in milliseconds. */
-const discardTimeoutMs = 1000;
 const flushCheckMs = 10;
 /** Time after which callers may return when no instance reaches a target, in seconds. */
 const unreachableRetrySeconds = 1;
-/** Errors of calls that another instance may be able to serve. */
-const rescuedErrors: ReadonlySet<string> = new Set<ResultName>(['targetRefused', 'noTarget']);
 
 /** HTTP server for callers. */
 export class CallListener {
@@ -333,41 +331,3 @@
 	const value = Number(message.headers[remainingHeader]);
 	return value >= 0 ? value : undefined;
 }
-
-/** Whether a call that ended with `error` may be passed on: no target ran it, or it may run again. */
-function canRescue(error: RouterError, route: Route): boolean {
-	return error.notRun ? rescuedErrors.has(error.entry.name) : isRepeatable(route) && error.entry.name === 'outcomeUnknown';
-}
-
-function createCallerSink(response: ServerResponse): CallerSink {
-	return {
-		begin(status, headers, isUnframed) {
-			beginResponse(response, {status, headers, isUnframed});
-		},
-		write: chunk => response.write(chunk),
-		end() {
-			response.end();
-		},
-		destroy() {
-			abortResponse(response);
-		},
-		onDrain(listener) {
-			response.once('drain', listener);
-		},
-	};
-}
-
-/** Reads the remaining request body for a limited time, because closing a connection with unread bytes resets it and loses the answer. */
-function discardRemainingBody(message: IncomingMessage): void {
-	if (message.complete || message.destroyed) {
-		return;
-	}
-
-	message.resume();
-	const timer = setTimeout(() => {
-		message.destroy();
-	}, discardTimeoutMs);
-	message.once('close', () => {
-		clearTimeout(timer);
-	});
-}
