--- a/src/bench/wait-until-serving/test.ts
+++ b/src/bench/wait-until-serving/test.ts
@@ -6,9 +6,11 @@
 import {waitUntilServing} from './index.js';
 
 const timeoutMs = 300;
+/** Time in which a daemon that serves is noticed even on a busy machine, in milliseconds. */
+const startTimeoutMs = 5000;
 
 /** Waits for a server that answers with the given statuses in turn, the last one for ever. */
-async function waitForStatuses(statuses: readonly number[]): Promise<void> {
+async function waitForStatuses(statuses: readonly number[], limitMs = timeoutMs): Promise<void> {
 	let requests = 0;
 	const server = createServer((_message, response) => {
 		response.statusCode = statuses[Math.min(requests, statuses.length - 1)]!;
@@ -17,7 +19,7 @@
 	});
 	const address = await listenLocally(server);
 	try {
-		await waitUntilServing({address, secret: 'secret', timeoutMs});
+		await waitUntilServing({address, secret: 'secret', timeoutMs: limitMs});
 	} finally {
 		server.closeAllConnections();
 		server.close();
@@ -40,5 +42,5 @@
 });
 
 test('waits until the daemon serves', async () => {
-	await waitForStatuses([503, 200]);
+	await waitForStatuses([503, 200], startTimeoutMs);
 });
--- a/src/soak/soak-instance/index.ts
+++ b/src/soak/soak-instance/index.ts
@@ -17,6 +17,21 @@
 	caller: 8606, readiness: 8605, directory: 8603, peer: 7600, admin: 7601,
 } as const;
 
+/** Processes that run now. */
+const runningProcesses = new Set<ChildProcess>();
+
+// A process that outlived a failed test could find the store of a later one at its store's address, and join its fleet.
+process.on('exit', () => {
+	for (const child of runningProcesses) {
+		child.kill('SIGKILL');
+	}
+});
+for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+	process.once(signal, () => {
+		process.exit(1);
+	});
+}
+
 /** Options of an instance. */
 export type SoakInstanceOptions = {
 	readonly name: string;
@@ -129,7 +144,9 @@
 		});
 		child.stdout.pipe(this.log!, {end: false});
 		child.stderr.pipe(this.log!, {end: false});
+		runningProcesses.add(child);
 		child.once('exit', (code, signal) => {
+			runningProcesses.delete(child);
 			if (!this.isExitExpected && !this.isClosed) {
 				this.options.onCrash(`${this.options.name} exited unexpectedly: code ${code}, signal ${signal}`);
 			}
