Store records of streams sooner, and read them before other instances are asked

Traced with the logs of all instances. Streams that began in the last 0.35 s before a kill were in no record, and they are most of those that still come back once instances count as in touch; their callers were told to return after 0.3 s to 0.6 s, to no avail. And an instance that alone survived a kill got all callers: each stream taken up there asked two holders that had just started, timed out after 0.25 s and opened new connections, while calls waited over a second to be read. Now records are gathered for 10 ms and written every 100 ms, at most 100 times a second in the fleet; a stream is looked for in the store first, where one call serves all of that moment; a holder that did not answer is not asked for 1 s; and callers of a stream that nobody knows are told to return after 2 s to 4 s.

--- a/src/forwarding/add-retry-after-jitter/index.ts
+++ b/src/forwarding/add-retry-after-jitter/index.ts
@@ -15,3 +15,11 @@
 export function buildShortRetryAfter(draw: number): {readonly retryAfterSeconds: number} {
 	return {retryAfterSeconds: addRetryAfterJitter(minimumRetryAfterSeconds, draw)};
 }
+
+/** Retry-After of a call that fails until another instance or the object API is back; jitter is added. */
+const longRetryAfterSeconds = 2;
+
+/** Builds the Retry-After of a call that can't succeed at once; `draw` is a random number in [0, 1). */
+export function buildLongRetryAfter(draw: number): {readonly retryAfterSeconds: number} {
+	return {retryAfterSeconds: addRetryAfterJitter(longRetryAfterSeconds, draw)};
+}
--- a/src/forwarding/call-session/index.ts
+++ b/src/forwarding/call-session/index.ts
@@ -11,7 +11,7 @@
 import {createRouterError, type RouterError} from '../../results/create-router-error/index.js';
 import type {ResultName} from '../../results/result-codes/index.js';
 import {isRepeatable} from '../../routing/is-repeatable/index.js';
-import {addRetryAfterJitter, buildShortRetryAfter} from '../add-retry-after-jitter/index.js';
+import {addRetryAfterJitter, buildLongRetryAfter, buildShortRetryAfter} from '../add-retry-after-jitter/index.js';
 import {assessAttempt} from '../assess-attempt/index.js';
 import {buildStepQuery} from '../build-step-query/index.js';
 import {ResponseRelay} from '../response-relay/index.js';
@@ -86,7 +86,7 @@
 		}
 
 		if (!await this.origin.bindTakenUp()) {
-			this.refuse(createRouterError('softwareUnknown', undefined, buildShortRetryAfter(this.context.draw())));
+			this.refuse(createRouterError('softwareUnknown', undefined, buildLongRetryAfter(this.context.draw())));
 			return done;
 		}
 
--- a/src/resumption/holder-records/index.ts
+++ b/src/resumption/holder-records/index.ts
@@ -1,6 +1,6 @@
 /**
  * Keeps the records that this instance holds in the object API, and finds those of all holders there, so that they outlive a
- * kill of all instances. Only while there are several versions is anything written, at most every `writeIntervalMs`.
+ * kill of all instances. Only while there are several versions is anything written.
  */
 
 import type {Clock} from '../../clock/clock/index.js';
@@ -14,10 +14,15 @@
 
 /** Prefix of the names of the holders' objects. */
 export const holderPrefix = 'holder-';
-/** Streams that begin within this time before a kill of all instances may not be recorded. */
-export const writeIntervalMs = 300;
+/** Minimum time between two writes of a holder, in milliseconds. Streams that begin within it before a kill of all instances may not be recorded. */
+const shortestWriteIntervalMs = 100;
+/** Limit of the writes of all holders together. */
+const maximumWritesPerSecond = 100;
+const msPerSecond = 1000;
 /** Minimum time between two readings of all holders' objects, in milliseconds. */
 const readIntervalMs = 400;
+/** Longest wait for a reading, in milliseconds; while the object API is slow, other holders are asked. */
+const readWaitMs = 300;
 
 /** Options of `HolderRecords`. */
 export type HolderRecordsOptions = {
@@ -33,6 +38,11 @@
 	readonly readLongestWaitMs: () => number;
 };
 
+/** Calculates the time between two writes of each of `holders` instances, in milliseconds. */
+export function calculateWriteIntervalMs(holders: number): number {
+	return Math.max(shortestWriteIntervalMs, holders * msPerSecond / maximumWritesPerSecond);
+}
+
 /** Writes the records of one holder and reads those of all. */
 export class HolderRecords {
 	private readonly object: ConditionalObject;
@@ -50,7 +60,7 @@
 	async find(key: StreamKey): Promise<SoftwareVersion | undefined> {
 		if (!this.stored.has(key) && (this.reading !== undefined || this.options.clock.readMonotonic() - this.readAt >= readIntervalMs)) {
 			this.reading ??= this.readAll();
-			await this.reading;
+			await Promise.race([this.reading, this.options.clock.sleep(readWaitMs)]);
 		}
 
 		const finding = this.stored.get(key);
--- a/src/resumption/holder-records/test.ts
+++ b/src/resumption/holder-records/test.ts
@@ -1,10 +1,10 @@
 import {test} from 'node:test';
 import {expect} from 'earl';
 import {longestWaitMs, startStreamDirectories} from '../../fixtures/start-stream-directories/index.js';
-import {holderPrefix, writeIntervalMs} from './index.js';
+import {calculateWriteIntervalMs, holderPrefix} from './index.js';
 
 /** Time in which a record reaches its holders and these write it, in milliseconds. */
-const storedMs = 200 + (2 * writeIntervalMs);
+const storedMs = 200 + (2 * calculateWriteIntervalMs(13));
 const collection = 'streams';
 
 type Fleet = ReturnType<typeof startStreamDirectories>;
@@ -26,7 +26,8 @@
 
 		const callsBefore = fleet.objectApi.calls.write;
 		await fleet.clock.advance(storedMs);
-		expect(fleet.objectApi.calls.write - callsBefore <= 2 * Math.max(3, Math.ceil(count / 16))).toEqual(true);
+		const holders = Math.max(3, Math.ceil(count / 16));
+		expect(fleet.objectApi.calls.write - callsBefore <= Math.ceil(storedMs / calculateWriteIntervalMs(holders)) * holders).toEqual(true);
 		fleet.restartAll();
 		fleet.list('v2');
 		const found: Array<string | undefined> = [];
@@ -93,3 +94,9 @@
 	await fleet.clock.advance(storedMs);
 	expect([await fleet.instances[1]!.takeUp('r1'), await fleet.instances[1]!.takeUp('r2')]).toEqual(['v1', undefined]);
 });
+
+test('guards against a fleet whose holders write more often the more there are', () => {
+	const countWrites = (holders: number) => holders * 1000 / calculateWriteIntervalMs(holders);
+	expect([3, 5, 13, 22, 100].map(holders => countWrites(holders) <= 100)).toEqual([true, true, true, true, true]);
+	expect([calculateWriteIntervalMs(3), calculateWriteIntervalMs(13)]).toEqual([100, 130]);
+});
--- a/src/resumption/stream-directory/index.ts
+++ b/src/resumption/stream-directory/index.ts
@@ -7,11 +7,13 @@
  * not certain is not guessed.
  */
 
+import {Wakeup} from '../../clock/wakeup/index.js';
 import type {TargetDescription} from '../../fleet/fleet-target/index.js';
 import type {StreamOrigins, TakenUpStream} from '../../forwarding/stream-origins/index.js';
 import type {MonotonicMs, SoftwareVersion} from '../../identity/ids/index.js';
+import {listRecordHolders} from '../choose-record-holders/index.js';
 import {HistoryRecord, type HistoryRecordOptions} from '../history-record/index.js';
-import {HolderRecords, writeIntervalMs, type HolderRecordsOptions} from '../holder-records/index.js';
+import {calculateWriteIntervalMs, HolderRecords, type HolderRecordsOptions} from '../holder-records/index.js';
 import {SoftwareHistory} from '../software-history/index.js';
 import {StreamExchange, type StreamExchangeOptions} from '../stream-exchange/index.js';
 import {hashStream, type StreamIdentity, type StreamKey} from '../stream-key/index.js';
@@ -22,6 +24,8 @@
 /** Maximum wait of a call until this instance knows the versions of the time before its start, in milliseconds. */
 const historyWaitMs = 500;
 const historyCheckMs = 20;
+/** Longest sleep while there is one version, in milliseconds; a second one ends it. */
+const idleSleepMs = 60_000;
 
 /** Options of `StreamDirectory`. */
 export type StreamDirectoryOptions = StreamExchangeOptions & HistoryRecordOptions & HolderRecordsOptions;
@@ -47,6 +51,7 @@
 	private readonly historyRecord: HistoryRecord;
 	private readonly holderRecords: HolderRecords;
 	private hasSeveral = false;
+	private readonly severalAppeared = new Wakeup();
 	private takenUp = 0;
 	private unknown = 0;
 
@@ -108,17 +113,20 @@
 		this.options.logger.info('software versions changed', {hasSeveral: this.hasSeveral, versions: JSON.stringify(this.history.read(now))});
 		if (this.hasSeveral) {
 			this.exchange.announce(this.own.list(now));
+			this.severalAppeared.notify();
 		} else if (this.historyRecord.isWriter) {
 			void this.holderRecords.removeAll();
 		}
 	}
 
 	private async keepStored(signal: AbortSignal): Promise<void> {
-		const {clock} = this.options;
+		const {clock, listLive} = this.options;
 		while (!signal.aborted) {
-			await clock.sleep(writeIntervalMs, signal);
-			if (this.hasSeveral && !signal.aborted) {
+			if (this.hasSeveral) {
+				await clock.sleep(calculateWriteIntervalMs(listRecordHolders(listLive()).length), signal);
 				await this.holderRecords.write(clock.readMonotonic());
+			} else {
+				await this.severalAppeared.wait(clock, idleSleepMs, signal);
 			}
 		}
 	}
@@ -173,14 +181,17 @@
 		return finding === 'conflicting' ? unknownOrigin : {software: finding, source};
 	}
 
-	/** Finds a stream in the records of other instances, and in those that the object API has. */
+	/**
+	 * Finds a stream in the records that the object API has, where one call serves all streams that are taken up after a kill,
+	 * and then among those of other instances, which have the newest ones.
+	 */
 	private async findElsewhere(key: StreamKey): Promise<Origin> {
-		const held = await this.exchange.ask(key);
-		if (held !== undefined) {
-			return {software: held, source: 'holder'};
+		const stored = await this.holderRecords.find(key);
+		if (stored !== undefined) {
+			return {software: stored, source: 'store'};
 		}
 
-		const stored = await this.holderRecords.find(key);
-		return stored === undefined ? unknownOrigin : {software: stored, source: 'store'};
+		const held = await this.exchange.ask(key);
+		return held === undefined ? unknownOrigin : {software: held, source: 'holder'};
 	}
 }
--- a/src/resumption/stream-exchange/index.ts
+++ b/src/resumption/stream-exchange/index.ts
@@ -22,9 +22,11 @@
 /** JSON-RPC method that tells which version began a stream. */
 export const findStreamMethod = 'streams.find';
 /** Time for which records are gathered before they are sent, in milliseconds. */
-const gatheringMs = 30;
+const gatheringMs = 10;
 const repeatDelaysMs = [120];
 const lookupTimeoutMs = 250;
+/** Time for which a holder that did not answer is not asked again, in milliseconds. Each failed call costs new connections. */
+const silencePauseMs = 1000;
 
 /** Options of `StreamExchange`. */
 export type StreamExchangeOptions = {
@@ -43,6 +45,7 @@
 	/** Records that this instance holds for the fleet. */
 	readonly held = new StreamRegister();
 	private pending: StreamRecord[] = [];
+	private readonly silentUntil = new Map<InstanceId, number>();
 
 	constructor(private readonly options: StreamExchangeOptions) {
 		options.channel.register(streamMessageType, body => {
@@ -73,9 +76,15 @@
 	}
 
 	private async askHolder(holder: InstanceId, key: StreamKey): Promise<SoftwareVersion | undefined> {
+		const {clock} = this.options;
+		if (clock.readMonotonic() < (this.silentUntil.get(holder) ?? 0)) {
+			return undefined;
+		}
+
 		try {
 			return parseStreamFinding(await this.options.caller.call(holder, findStreamMethod, {key}, lookupTimeoutMs));
 		} catch (error) {
+			this.silentUntil.set(holder, clock.readMonotonic() + silencePauseMs);
 			this.options.logger.warn('stream record not asked for', {holder, reason: (error as Error).message});
 			return undefined;
 		}
