Record a stream when it is sent to a target, so that its record precedes its first event

The software is known when the call is sent, and a target takes time for its first event: streams are recorded then, and a later attempt replaces an earlier one. No first event waits.

--- a/src/forwarding/call-session/index.ts
+++ b/src/forwarding/call-session/index.ts
@@ -269,7 +269,7 @@
 		this.times.recordSent(now);
 		this.attempts.current = startAttempt({
 			session: this.options, target, hints: this.hints, guard: this.guard, remainingMs: this.deadline - now,
-			lastEventId: this.relay.readLastEventId(), isRepeatable: this.isRepeatable,
+			lastEventId: this.relay.readLastEventId(), isRepeatable: this.isRepeatable, origin: this.origin, number: this.attempts.count,
 		}, this.context, this, now);
 	}
 
--- a/src/forwarding/start-attempt/index.ts
+++ b/src/forwarding/start-attempt/index.ts
@@ -8,6 +8,7 @@
 import type {ForwardingContext} from '../forwarding-context/index.js';
 import type {PrefixHints} from '../prefix-hints/index.js';
 import type {Attempt, SessionOptions} from '../session-types/index.js';
+import type {StreamOrigin} from '../stream-origin/index.js';
 import type {ExchangeStage} from '../target-client/index.js';
 
 /** What is sent, and where. */
@@ -20,6 +21,9 @@
 	readonly lastEventId: string | undefined;
 	/** Whether the call may run again; otherwise it gets a new connection. */
 	readonly isRepeatable: boolean;
+	/** Version that the call's stream is bound to, and the number of the attempt, from 1. */
+	readonly origin: StreamOrigin;
+	readonly number: number;
 };
 
 /** Receives what comes back for an attempt. */
@@ -36,6 +40,7 @@
 	const {call, route, organisation, body} = session;
 	const {protocol, listCacheStores, targetClient, reachability} = context;
 	guard.recordSent();
+	attemptRequest.origin.recordSent(target, attemptRequest.number);
 	context.limits.take(target, now);
 	const options = buildAttemptOptions({
 		call, route, organisation, target, hints, remainingMs, lastEventId, cacheStores: listCacheStores(),
--- a/src/forwarding/stream-origin/index.ts
+++ b/src/forwarding/stream-origin/index.ts
@@ -16,7 +16,8 @@
 /** Binds the stream of a call to a version. */
 export class StreamOrigin {
 	private software: SoftwareVersion | undefined;
-	private isRecorded = false;
+	/** Whether the caller has an event of this answer. */
+	private hasEvent = false;
 
 	constructor(private readonly session: StreamCall, private readonly origins: StreamOrigins) {}
 
@@ -56,22 +57,25 @@
 		return this.software !== undefined;
 	}
 
-	/** Records that the caller gets an event of `target`. The first one binds the stream; the record also keeps that of a stream taken up alive. */
-	recordEvent({description}: FleetTarget): void {
-		if (this.isRecorded) {
-			return;
-		}
-
-		this.isRecorded = true;
-		this.software ??= description.softwareVersion;
+	/**
+	 * Records that the call is sent to `target`, in its attempt with this number. Until the first event comes, the record can
+	 * reach the instances and the object API that keep it.
+	 */
+	recordSent({description}: FleetTarget, attempt: number): void {
 		const {call, route, service, organisation, arrivedAt} = this.session;
 		const firstRequest = this.isTakenUp ? call.resumes : call.id;
-		if (firstRequest !== undefined) {
+		if (firstRequest !== undefined && route.kind === 'streaming' && route.isResumable && !this.hasEvent) {
 			const expiresAt = arrivedAt + (call.waitMs ?? route.timeoutMs) as MonotonicMs;
-			this.origins.record({service, organisation: organisation?.id, firstRequest}, this.software, expiresAt);
+			this.origins.record({service, organisation: organisation?.id, firstRequest}, {software: description.softwareVersion, attempt, expiresAt});
 		}
 	}
 
+	/** Binds the stream: the caller gets an event of `target`. */
+	recordEvent({description}: FleetTarget): void {
+		this.hasEvent = true;
+		this.software ??= description.softwareVersion;
+	}
+
 	/** Whether the call may be sent to `target`. */
 	allows({description}: FleetTarget): boolean {
 		return this.software === undefined || description.softwareVersion === this.software;
--- a/src/forwarding/stream-origins/index.ts
+++ b/src/forwarding/stream-origins/index.ts
@@ -16,10 +16,19 @@
 	readonly firstRequest: RequestId | undefined;
 };
 
+/** What an attempt will have begun if the caller gets an event of it. */
+export type StreamBeginning = {
+	readonly software: SoftwareVersion;
+	/** Number of the attempt; from 1. */
+	readonly attempt: number;
+	/** When the caller no longer waits. */
+	readonly expiresAt: MonotonicMs;
+};
+
 /** Remembers the versions that began streams. */
 export type StreamOrigins = {
-	/** Records the version that wrote the first event of a stream. `expiresAt`: when its caller no longer waits. */
-	record(stream: StreamIdentity, software: SoftwareVersion, expiresAt: MonotonicMs): void;
+	/** Records the version that is to write the first event of a stream; a later attempt replaces an earlier one. */
+	record(stream: StreamIdentity, beginning: StreamBeginning): void;
 	/** Finds the version that began a stream; undefined if it is not certain. */
 	find(stream: TakenUpStream): Promise<SoftwareVersion | undefined>;
 };
--- a/src/resumption/holder-records/index.ts
+++ b/src/resumption/holder-records/index.ts
@@ -105,7 +105,9 @@
 	private takeOver(value: unknown, now: MonotonicMs): void {
 		const expiresAt = now + this.options.readLongestWaitMs() as MonotonicMs;
 		for (const {key, software} of this.parse(holderPrefix + this.options.self, value)) {
-			this.held.add({key, software, expiresAt}, now);
+			this.held.add({
+				key, software, attempt: 1, expiresAt,
+			}, now);
 		}
 	}
 
--- a/src/resumption/stream-directory/index.ts
+++ b/src/resumption/stream-directory/index.ts
@@ -9,7 +9,7 @@
 
 import {Wakeup} from '../../clock/wakeup/index.js';
 import type {TargetDescription} from '../../fleet/fleet-target/index.js';
-import type {StreamOrigins, TakenUpStream} from '../../forwarding/stream-origins/index.js';
+import type {StreamBeginning, StreamOrigins, TakenUpStream} from '../../forwarding/stream-origins/index.js';
 import type {MonotonicMs, SoftwareVersion} from '../../identity/ids/index.js';
 import {listRecordHolders} from '../choose-record-holders/index.js';
 import {HistoryRecord, type HistoryRecordOptions} from '../history-record/index.js';
@@ -70,9 +70,11 @@
 		this.historyRecord.notify();
 	}
 
-	record(stream: StreamIdentity, software: SoftwareVersion, expiresAt: MonotonicMs): void {
+	record(stream: StreamIdentity, {software, attempt, expiresAt}: StreamBeginning): void {
 		const now = this.options.clock.readMonotonic();
-		const record = {key: hashStream(stream), software, expiresAt};
+		const record = {
+			key: hashStream(stream), software, attempt, expiresAt,
+		};
 		this.own.add(record, now);
 		if (this.history.list(stream.service, now).length > 1) {
 			this.exchange.announce([record]);
--- a/src/resumption/stream-messages/index.ts
+++ b/src/resumption/stream-messages/index.ts
@@ -17,7 +17,7 @@
 
 const keySchema = z.string().length(streamKeyLength).refine(isStreamKey);
 const versionSchema = z.string().min(1).max(maximumVersionLength);
-const recordsSchema = z.array(z.tuple([keySchema, versionSchema, z.number().nonnegative()])).max(maximumRecordsPerMessage);
+const recordsSchema = z.array(z.tuple([keySchema, versionSchema, z.number().nonnegative(), z.number().int().positive()])).max(maximumRecordsPerMessage);
 const lookupSchema = z.object({key: keySchema});
 const findingSchema = z.object({software: versionSchema.nullable()});
 const versionsSchema = z.record(z.string(), z.array(versionSchema).max(maximumVersionsPerService))
@@ -27,13 +27,13 @@
 
 /** Formats records as they are sent at `now`. */
 export function formatStreamRecords(records: readonly StreamRecord[], now: MonotonicMs): unknown {
-	return records.map(({key, software, expiresAt}) => [key, software, Math.max(0, Math.round(expiresAt - now))]);
+	return records.map(({key, software, attempt, expiresAt}) => [key, software, Math.max(0, Math.round(expiresAt - now)), attempt]);
 }
 
 /** Parses records received at `now`. Throws if they are malformed. */
 export function parseStreamRecords(body: unknown, now: MonotonicMs): StreamRecord[] {
-	return recordsSchema.parse(body).map(([key, software, remainingMs]) => ({
-		key, software: software as SoftwareVersion, expiresAt: now + remainingMs as MonotonicMs,
+	return recordsSchema.parse(body).map(([key, software, remainingMs, attempt]) => ({
+		key, software: software as SoftwareVersion, attempt, expiresAt: now + remainingMs as MonotonicMs,
 	}));
 }
 
--- a/src/resumption/stream-register/index.ts
+++ b/src/resumption/stream-register/index.ts
@@ -8,6 +8,8 @@
 export type StreamRecord = {
 	readonly key: StreamKey;
 	readonly software: SoftwareVersion;
+	/** Number of the call's attempt. A later attempt replaces an earlier one, which brought no event. */
+	readonly attempt: number;
 	/** When the caller no longer waits for the stream. */
 	readonly expiresAt: MonotonicMs;
 };
@@ -15,6 +17,7 @@
 type Entry = {
 	/** Undefined if two streams with the same key began at different versions, so that nothing is known of either. */
 	readonly software: SoftwareVersion | undefined;
+	readonly attempt: number;
 	readonly expiresAt: MonotonicMs;
 };
 
@@ -34,17 +37,18 @@
 		return this.entries.size;
 	}
 
-	/** Records a stream; a later expiry replaces an earlier one. */
-	add({key, software, expiresAt}: StreamRecord, now: MonotonicMs): void {
+	/** Records a stream; a later expiry replaces an earlier one, and a later attempt all before it. */
+	add({key, software, attempt, expiresAt}: StreamRecord, now: MonotonicMs): void {
 		const existing = this.findEntry(key, now);
-		if (existing?.software === software && existing.expiresAt >= expiresAt) {
+		const isKnown = existing?.attempt === attempt && existing.software === software && existing.expiresAt >= expiresAt;
+		if (isKnown || (existing !== undefined && attempt < existing.attempt)) {
 			return;
 		}
 
-		const hasConflict = existing !== undefined && existing.software !== software;
+		const hasConflict = existing?.attempt === attempt && existing.software !== software;
 		this.changeCount += 1;
 		this.entries.set(key, {
-			software: hasConflict ? undefined : software, expiresAt: Math.max(expiresAt, existing?.expiresAt ?? 0) as MonotonicMs,
+			software: hasConflict ? undefined : software, attempt, expiresAt: Math.max(expiresAt, existing?.expiresAt ?? 0) as MonotonicMs,
 		});
 	}
 
@@ -57,9 +61,11 @@
 	/** Lists the streams whose version is known. */
 	list(now: MonotonicMs): StreamRecord[] {
 		const records: StreamRecord[] = [];
-		for (const [key, {software, expiresAt}] of this.entries.entries()) {
+		for (const [key, {software, attempt, expiresAt}] of this.entries.entries()) {
 			if (software !== undefined && expiresAt > now) {
-				records.push({key, software, expiresAt});
+				records.push({
+					key, software, attempt, expiresAt,
+				});
 			}
 		}
 
--- a/src/resumption/stream-register/test.ts
+++ b/src/resumption/stream-register/test.ts
@@ -6,8 +6,10 @@
 
 const at = (ms: number) => ms as MonotonicMs;
 
-function createRecord(key: string, software: string, expiresAt: number): StreamRecord {
-	return {key: key as StreamKey, software: software as SoftwareVersion, expiresAt: at(expiresAt)};
+function createRecord(key: string, software: string, expiresAt: number, attempt = 1): StreamRecord {
+	return {
+		key: key as StreamKey, software: software as SoftwareVersion, attempt, expiresAt: at(expiresAt),
+	};
 }
 
 test('guards against a record that outlives its caller or ends before it', () => {
@@ -31,3 +33,11 @@
 	register.add(createRecord('a', 'v2', 500), at(300));
 	expect(String(register.find('a' as StreamKey, at(301)))).toEqual('v2');
 });
+
+test('guards against the version of an attempt that brought no event, which counts after the next one', () => {
+	const register = new StreamRegister();
+	register.add(createRecord('a', 'v1', 100), at(0));
+	register.add(createRecord('a', 'v2', 100, 2), at(1));
+	register.add(createRecord('a', 'v1', 300), at(2));
+	expect(register.list(at(3))).toEqual([createRecord('a', 'v2', 100, 2)]);
+});
