--- a/src/forwarding/draw-service/index.ts
+++ b/src/forwarding/draw-service/index.ts
@@ -10,5 +10,7 @@
  * began at, at any instance, as long as the weights are the same.
  */
 export function drawService(route: Route, {id, resumes}: Pick<InboundCall, 'id' | 'resumes'>, draw: () => number): ServiceId | undefined {
-	return chooseService(route, route.kind === 'streaming' ? deriveFraction(resumes ?? id) : draw());
+	// With one service, any number chooses it.
+	const mustDerive = route.kind === 'streaming' && route.shares.length > 1;
+	return chooseService(route, mustDerive ? deriveFraction(resumes ?? id) : draw());
 }
