Accept the connections that wait before a listener closes

Node.js accepts one connection a turn of the event loop, and the operating system resets those that still wait in the accept queue when the socket closes. A caller whose connection waits at that moment gets ECONNRESET and can't tell that its request was not read.

Ruled out: a call that was taken and cut. Also ruled out: idle kept connections, since all answers of an instance that leaves close theirs.

--- a/src/gateway/call-listener/index.ts
+++ b/src/gateway/call-listener/index.ts
@@ -12,6 +12,7 @@
 import {discardRemainingBody} from '../../http/discard-remaining-body/index.js';
 import {parseAddress} from '../../http/parse-address/index.js';
 import {readBody} from '../../http/read-body/index.js';
+import {stopListening} from '../../http/stop-listening/index.js';
 import type {MonotonicMs} from '../../identity/ids/index.js';
 import type {InboundCall} from '../../forwarding/call-types/index.js';
 import {CallSession} from '../../forwarding/call-session/index.js';
@@ -119,9 +120,9 @@
 		this.departure = departure;
 	}
 
-	/** Closes the listener and the idle connections. */
-	close(): void {
-		this.server.close();
+	/** Accepts the connections that wait, then closes the listener and the idle connections. */
+	async close(): Promise<void> {
+		await stopListening(this.server);
 		this.server.closeIdleConnections();
 	}
 
--- a/src/gateway/create-gateway-stop/index.ts
+++ b/src/gateway/create-gateway-stop/index.ts
@@ -50,7 +50,7 @@
 			});
 		},
 		async drain() {
-			listener.close();
+			await listener.close();
 			while (listener.callsInProgress > 0) {
 				await clock.sleep(drainCheckIntervalMs);
 			}
--- a/src/gateway/create-gateway-stop/test.ts
+++ b/src/gateway/create-gateway-stop/test.ts
@@ -1,5 +1,5 @@
 import {Agent, request as sendHttp} from 'node:http';
-import {setTimeout as delay} from 'node:timers/promises';
+import {setImmediate as nextTurn, setTimeout as delay} from 'node:timers/promises';
 import {test} from 'node:test';
 import {expect} from 'earl';
 import {SystemClock} from '../../clock/clock/index.js';
@@ -22,7 +22,9 @@
 	const controller = new AbortController();
 	controller.signal.addEventListener('abort', recordStep('tasks ended'));
 	const listener = {
-		callsInProgress, leave: recordStep('listener leaving'), close: recordStep('listener closed'), abortCalls: recordStep('calls aborted'),
+		callsInProgress, leave: recordStep('listener leaving'), async close() {
+			recordStep('listener closed')();
+		}, abortCalls: recordStep('calls aborted'),
 		async flushAnswers() {
 			recordStep('answers flushed')();
 		},
@@ -139,3 +141,20 @@
 	expect(count('cut')).toEqual(0);
 	expect([count(200) > 100, count(503) > 0, count(502), count(504)]).toEqual([true, true, 0, 0]);
 });
+
+test('guards against calls that are reset because their connections wait to be accepted when the listener closes', async t => {
+	const server = await startRawServer(socket => {
+		socket.write('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok');
+	});
+	const descriptions = [createDescription('t0', {address: server.address, weightsVersions: new Map()})];
+	const {address, listener, close} = await startTestGateway(createRoutingConfiguration({routes: [createRoute('r', {host: '127.0.0.1'})]}), descriptions);
+	t.after(() => {
+		close();
+		server.close();
+	});
+	const calls = Array.from({length: 30}, async (_, index) => sendCall(address, `c${index}`, false));
+	await nextTurn();
+	await listener.close();
+	const results = await Promise.all(calls);
+	expect(results.filter(result => result === 'cut')).toEqual([]);
+});
--- a/src/peers/peer-server/index.ts
+++ b/src/peers/peer-server/index.ts
@@ -9,6 +9,7 @@
 import {parseAddress} from '../../http/parse-address/index.js';
 import {readJsonBody} from '../../http/read-body/index.js';
 import {sendJson} from '../../http/send-json/index.js';
+import {stopListening} from '../../http/stop-listening/index.js';
 import type {InstanceId} from '../../identity/ids/index.js';
 import {createRouterError} from '../../results/create-router-error/index.js';
 import type {PeerMethodHandler, PeerMethodRegistry} from '../peer-caller/index.js';
@@ -67,7 +68,7 @@
 		}
 
 		const closed = once(this.server, 'close');
-		this.server.close();
+		await stopListening(this.server);
 		this.server.closeIdleConnections();
 		const timer = setTimeout(() => {
 			this.server.closeAllConnections();
--- a/src/requests/caller-server/index.ts
+++ b/src/requests/caller-server/index.ts
@@ -9,6 +9,7 @@
 import {abortResponse} from '../../http/abort-response/index.js';
 import {sendError, sendJson} from '../../http/send-json/index.js';
 import {parseAddress} from '../../http/parse-address/index.js';
+import {stopListening} from '../../http/stop-listening/index.js';
 import {convertToRouterError, createRouterError} from '../../results/create-router-error/index.js';
 import type {Configuration, ResolvedModel} from '../../configuration/configuration/index.js';
 import {
@@ -83,7 +84,7 @@
 			response.shouldKeepAlive = false;
 		}
 
-		this.server.close();
+		await stopListening(this.server);
 		const timer = setInterval(() => {
 			this.server.closeIdleConnections();
 		}, idleCheckIntervalMs);
