Read all that targets say of themselves in one place

Cause: each statement of a target had a reader of its own, so that headers which no reader had were passed on and dropped (Server-Leaving, Retry-After).

Nothing else changes: the tests of the request limit check what they did before.

--- a/src/forwarding/call-types/index.ts
+++ b/src/forwarding/call-types/index.ts
@@ -2,8 +2,8 @@
 
 import type {OrganisationId, RequestId, TargetId} from '../../identity/ids/index.js';
 import type {FleetTarget} from '../../fleet/fleet-target/index.js';
-import type {RequestLimit} from '../../limits/request-limit/index.js';
 import type {Route} from '../../routing/routing-types/index.js';
+import type {TargetStatements} from '../../statements/target-statements/index.js';
 
 /** One part of a prompt; calls whose prompts begin with the same parts share cache entries. */
 export type PromptPart = {readonly id: string; readonly tokens: number};
@@ -67,7 +67,7 @@
 	/** Whether a different target now listens at the address. */
 	readonly isOtherTarget: boolean;
 	readonly weightsVersion: number | undefined;
-	readonly requestLimit: RequestLimit;
+	readonly statements: TargetStatements;
 	/** Whether the body is delimited only by the end of the connection, so that truncation cannot be detected. */
 	readonly isUnframed: boolean;
 };
--- a/src/forwarding/is-attempt-stalled/test.ts
+++ b/src/forwarding/is-attempt-stalled/test.ts
@@ -2,6 +2,7 @@
 import {expect} from 'earl';
 import {createFleetTarget} from '../../fixtures/create-fleet-target/index.js';
 import type {MonotonicMs} from '../../identity/ids/index.js';
+import {noStatements} from '../../statements/target-statements/index.js';
 import type {ResponseHead} from '../call-types/index.js';
 import type {Attempt} from '../session-types/index.js';
 import {isAttemptStalled} from './index.js';
@@ -9,7 +10,7 @@
 const at = (ms: number) => ms as MonotonicMs;
 
 const head: ResponseHead = {
-	status: 200, headers: [], isNotRun: false, isGenuine: true, isOtherTarget: false, requestLimit: 'none', weightsVersion: 1, isUnframed: false,
+	status: 200, headers: [], isNotRun: false, isGenuine: true, isOtherTarget: false, statements: noStatements, weightsVersion: 1, isUnframed: false,
 };
 
 function createAttempt(hasAnswered: boolean): Attempt {
--- a/src/forwarding/record-head/index.ts
+++ b/src/forwarding/record-head/index.ts
@@ -3,7 +3,7 @@
 import type {MonotonicMs} from '../../identity/ids/index.js';
 import type {ResponseHead} from '../call-types/index.js';
 import type {ForwardingContext} from '../forwarding-context/index.js';
-import {recordRequestLimit} from '../record-request-limit/index.js';
+import {recordStatements} from '../../statements/record-statements/index.js';
 import type {Attempt} from '../session-types/index.js';
 
 /** Records a head that was received at `now` for a call to `model`. */
@@ -12,5 +12,5 @@
 	attempt.lastReceivedAt = now;
 	attempt.lastProgressAt = now;
 	attempt.target.recordVersion(model, head.weightsVersion);
-	recordRequestLimit(attempt, head, context, now);
+	recordStatements(attempt, head, context, now);
 }
--- a/src/forwarding/response-relay/test.ts
+++ b/src/forwarding/response-relay/test.ts
@@ -1,11 +1,12 @@
 import {test} from 'node:test';
 import {expect} from 'earl';
 import {createRoute} from '../../fixtures/create-routing-configuration/index.js';
+import {noStatements} from '../../statements/target-statements/index.js';
 import type {ResponseHead, CallerSink} from '../call-types/index.js';
 import {ResponseRelay} from './index.js';
 
 const head: ResponseHead = {
-	status: 200, headers: [], isNotRun: false, isGenuine: true, isOtherTarget: false, requestLimit: 'none', weightsVersion: undefined, isUnframed: false,
+	status: 200, headers: [], isNotRun: false, isGenuine: true, isOtherTarget: false, statements: noStatements, weightsVersion: undefined, isUnframed: false,
 };
 
 /** Records what the caller receives. */
--- a/src/forwarding/record-request-limit/test.ts
+++ b/src/statements/record-statements/test.ts
@@ -1,15 +1,17 @@
 import {test} from 'node:test';
 import {expect} from 'earl';
 import {createFleetTarget} from '../../fixtures/create-fleet-target/index.js';
+import type {ResponseHead} from '../../forwarding/call-types/index.js';
+import type {Attempt} from '../../forwarding/session-types/index.js';
 import type {MonotonicMs} from '../../identity/ids/index.js';
 import {openLimitGate} from '../../limits/limit-gate/index.js';
 import {quietLogger} from '../../logging/quiet-logger/index.js';
-import type {ResponseHead} from '../call-types/index.js';
-import type {Attempt} from '../session-types/index.js';
-import {recordRequestLimit} from './index.js';
+import type {RequestLimit} from '../../limits/request-limit/index.js';
+import {noStatements} from '../target-statements/index.js';
+import {recordStatements} from './index.js';
 
 const plainHead: ResponseHead = {
-	status: 200, headers: [], isNotRun: false, isGenuine: true, isOtherTarget: false, requestLimit: 'none', weightsVersion: 1, isUnframed: false,
+	status: 200, headers: [], isNotRun: false, isGenuine: true, isOtherTarget: false, statements: noStatements, weightsVersion: 1, isUnframed: false,
 };
 const refusal: Partial<ResponseHead> = {status: 503, isNotRun: true, isGenuine: false};
 
@@ -21,8 +23,11 @@
 	};
 }
 
-function receive(attempt: Attempt, changes: Partial<ResponseHead>, at: number): number | undefined {
-	recordRequestLimit(attempt, {...plainHead, ...changes}, {logger: quietLogger, limits: openLimitGate}, at as MonotonicMs);
+type HeadChanges = Partial<ResponseHead> & {readonly requestLimit?: RequestLimit};
+
+function receive(attempt: Attempt, {requestLimit = 'none', ...changes}: HeadChanges, at: number): number | undefined {
+	const head: ResponseHead = {...plainHead, statements: {...noStatements, requestLimit}, ...changes};
+	recordStatements(attempt, head, {logger: quietLogger, limits: openLimitGate}, at as MonotonicMs);
 	return attempt.target.limit.read();
 }
 
