Send nothing new to a target that says it is leaving

Change: the statement counts on answers and refusals, holds until the target ends whatever the object API shows, and is told to all other instances by datagram (src/statements/leaving-notices). TargetFleet had a notice of this kind which nothing used and which lapsed after 5 s; it is gone, and its test now checks that the statement outlives a list that shows the target serving.

--- a/src/fleet/fleet-target/index.ts
+++ b/src/fleet/fleet-target/index.ts
@@ -76,6 +76,7 @@
 	private unreachableAt = 0;
 	private failureCount = 0;
 	private readonly observedVersions = new Map<string, number>();
+	private isLeavingStated = false;
 
 	constructor(public description: TargetDescription) {}
 
@@ -86,6 +87,23 @@
 		return observed === undefined || (announced !== undefined && announced >= observed) ? announced : observed;
 	}
 
+	/** Whether the target has said in an answer that it is leaving. */
+	get hasStatedLeaving(): boolean {
+		return this.isLeavingStated;
+	}
+
+	/** Whether the target is leaving, as it has said in an answer or as the list shows. */
+	get isLeaving(): boolean {
+		return this.isLeavingStated || this.description.isLeaving;
+	}
+
+	/** Records that the target has said in an answer that it is leaving. Returns whether that is new. */
+	recordLeaving(): boolean {
+		const isNew = !this.isLeavingStated;
+		this.isLeavingStated = true;
+		return isNew;
+	}
+
 	/** Records the weights version that an answer or a report contained, if any. */
 	recordVersion(model: string | undefined, version: number | undefined): void {
 		if (model !== undefined && version !== undefined) {
--- a/src/fleet/target-fleet/index.ts
+++ b/src/fleet/target-fleet/index.ts
@@ -1,17 +1,13 @@
 /** Registry of all targets, synchronised with the announced list. */
 
-import type {MonotonicMs, TargetId} from '../../identity/ids/index.js';
+import type {TargetId} from '../../identity/ids/index.js';
 import type {EventLogger} from '../../logging/create-logger/index.js';
 import type {ServiceId} from '../../routing/routing-types/index.js';
 import {FleetTarget, type TargetDescription} from '../fleet-target/index.js';
 
-/** Time for which a target that announced in an answer that it is leaving gets no calls although the list still shows it as serving. */
-const leavingNoticeValidityMs = 5000;
-
 /** All listed targets, indexed by id and by service. */
 export class TargetFleet {
 	private readonly targets = new Map<TargetId, FleetTarget>();
-	private readonly leavingAnnouncedAt = new Map<FleetTarget, MonotonicMs>();
 	private targetsByService = new Map<ServiceId, FleetTarget[]>();
 	private readonly listeners = new Set<() => void>();
 
@@ -23,7 +19,6 @@
 		for (const [id, target] of this.targets) {
 			if (!ids.has(id)) {
 				this.targets.delete(id);
-				this.leavingAnnouncedAt.delete(target);
 				this.logger.info('target gone', {target: id, service: target.description.service, address: target.description.address});
 			}
 		}
@@ -45,14 +40,9 @@
 	}
 
 	/** Lists the targets of a service that accept new calls. */
-	listServing(service: ServiceId, now: MonotonicMs): FleetTarget[] {
+	listServing(service: ServiceId): FleetTarget[] {
 		const targets = this.targetsByService.get(service) ?? [];
-		return targets.filter(target => !target.description.isLeaving && !this.hasAnnouncedLeaving(target, now));
-	}
-
-	/** Records that the target announced in an answer that it is leaving. */
-	recordLeaving(target: FleetTarget, now: MonotonicMs): void {
-		this.leavingAnnouncedAt.set(target, now);
+		return targets.filter(target => !target.isLeaving);
 	}
 
 	/** Calls `listener` after each change that may let a waiting call continue. Returns a function that unsubscribes. */
@@ -72,11 +62,6 @@
 		}
 	}
 
-	private hasAnnouncedLeaving(target: FleetTarget, now: MonotonicMs): boolean {
-		const announcedAt = this.leavingAnnouncedAt.get(target);
-		return announcedAt !== undefined && now - announcedAt < leavingNoticeValidityMs;
-	}
-
 	private update(description: TargetDescription): void {
 		const existing = this.targets.get(description.id);
 		if (existing !== undefined && isSameIncarnation(existing.description, description)) {
--- a/src/fleet/target-fleet/test.ts
+++ b/src/fleet/target-fleet/test.ts
@@ -1,20 +1,19 @@
 import {test} from 'node:test';
 import {expect} from 'earl';
 import {createDescription} from '../../fixtures/create-fleet-target/index.js';
-import type {MonotonicMs, TargetId} from '../../identity/ids/index.js';
+import type {TargetId} from '../../identity/ids/index.js';
 import {quietLogger} from '../../logging/quiet-logger/index.js';
 import type {ServiceId} from '../../routing/routing-types/index.js';
 import {TargetFleet} from './index.js';
 
 const service = 'service-1' as ServiceId;
-const now = 0 as MonotonicMs;
 
 test('guards against calls to targets that are leaving or no longer listed', () => {
 	const fleet = new TargetFleet(quietLogger);
 	fleet.replace([createDescription('a'), createDescription('b')]);
-	expect(fleet.listServing(service, now).length).toEqual(2);
+	expect(fleet.listServing(service).length).toEqual(2);
 	fleet.replace([createDescription('a', {isLeaving: true})]);
-	expect(fleet.listServing(service, now)).toEqual([]);
+	expect(fleet.listServing(service)).toEqual([]);
 	expect(fleet.locate('b' as TargetId)).toEqual(undefined);
 });
 
@@ -28,11 +27,16 @@
 	expect(fleet.locate('a' as TargetId) === before).toEqual(false);
 });
 
-test('guards against calls to a target that has announced that it is leaving, before the list shows it', () => {
+test('guards against calls to a target that has said that it is leaving, while the list lags or is an older copy', () => {
 	const fleet = new TargetFleet(quietLogger);
 	fleet.replace([createDescription('a')]);
-	fleet.recordLeaving(fleet.locate('a' as TargetId)!, now);
-	expect(fleet.listServing(service, 100 as MonotonicMs)).toEqual([]);
+	expect(fleet.locate('a' as TargetId)!.recordLeaving()).toEqual(true);
+	expect(fleet.listServing(service)).toEqual([]);
+	fleet.replace([createDescription('a', {isLeaving: true})]);
+	fleet.replace([createDescription('a')]);
+	expect(fleet.listServing(service)).toEqual([]);
+	fleet.replace([createDescription('a', {startedAt: 2})]);
+	expect(fleet.listServing(service).length).toEqual(1);
 });
 
 test('guards against a busy loop when a listener subscribes again while it is called: it is called once per change', () => {
--- a/src/forwarding/estimate-permit-wait/index.ts
+++ b/src/forwarding/estimate-permit-wait/index.ts
@@ -10,7 +10,7 @@
  * if something else does, or if no issuer has answered yet.
  */
 export function estimatePermitWaitMs(selection: TargetSelection, {fleet, limits}: ForwardingContext, now: MonotonicMs): number | undefined {
-	const targets = listCandidates(selection, fleet, now);
+	const targets = listCandidates(selection, fleet);
 	const expectedTimes = targets.map(target => limits.allows(target, now) ? undefined : target.permits.readExpectedAt());
 	return targets.length === 0 || expectedTimes.includes(undefined)
 		? undefined
--- a/src/forwarding/forwarding-context/index.ts
+++ b/src/forwarding/forwarding-context/index.ts
@@ -11,6 +11,7 @@
 import type {
 	CacheStore, CallerOrganisation, Service, ServiceId,
 } from '../../routing/routing-types/index.js';
+import type {LeavingAnnouncer} from '../../statements/leaving-notices/index.js';
 import type {TargetProtocol} from '../call-types/index.js';
 import type {PromptGuard} from '../prompt-guard/index.js';
 import type {ReachabilityMonitor} from '../reachability-monitor/index.js';
@@ -49,6 +50,7 @@
 	/** Without a guard, every request is sent. */
 	readonly requestGuard?: RequestGuard;
 	readonly limits: LimitGate;
+	readonly leavingNotices: LeavingAnnouncer;
 	readonly streamOrigins: StreamOrigins;
 	readonly reachability: ReachabilityMonitor;
 	readonly dataCentre: DataCentreId;
--- a/src/forwarding/list-candidates/index.ts
+++ b/src/forwarding/list-candidates/index.ts
@@ -2,7 +2,6 @@
 
 import type {FleetTarget} from '../../fleet/fleet-target/index.js';
 import type {TargetFleet} from '../../fleet/target-fleet/index.js';
-import type {MonotonicMs} from '../../identity/ids/index.js';
 import type {SessionOptions} from '../session-types/index.js';
 import type {StreamOrigin} from '../stream-origin/index.js';
 
@@ -10,6 +9,6 @@
 export type BoundCall = {readonly session: Pick<SessionOptions, 'service'>; readonly origin: StreamOrigin};
 
 /** Lists the serving targets of the call's service whose software its stream may go on at. */
-export function listCandidates({session, origin}: BoundCall, fleet: TargetFleet, now: MonotonicMs): FleetTarget[] {
-	return fleet.listServing(session.service, now).filter(target => origin.allows(target));
+export function listCandidates({session, origin}: BoundCall, fleet: TargetFleet): FleetTarget[] {
+	return fleet.listServing(session.service).filter(target => origin.allows(target));
 }
--- a/src/forwarding/plan-wait/index.ts
+++ b/src/forwarding/plan-wait/index.ts
@@ -36,7 +36,7 @@
  */
 export function planWait(call: WaitingCall, context: ForwardingContext, now: MonotonicMs): WaitPlan {
 	const {selection, mayHaveRun} = call;
-	if (selection.origin.isBound && listCandidates(selection, context.fleet, now).length === 0) {
+	if (selection.origin.isBound && listCandidates(selection, context.fleet).length === 0) {
 		return {type: 'reject', error: createSoftwareGoneError(selection.origin, mayHaveRun)};
 	}
 
--- a/src/forwarding/select-target/index.ts
+++ b/src/forwarding/select-target/index.ts
@@ -26,7 +26,7 @@
 	const {session, triedTargets, hints} = selection;
 	const {work} = session.call;
 	const engineTokens = context.findService(session.service)?.engine?.memoryTokens;
-	const targets = listCandidates(selection, context.fleet, now);
+	const targets = listCandidates(selection, context.fleet);
 	const excluded = new Set(triedTargets);
 	const query: TargetQuery = {
 		targets,
@@ -53,6 +53,6 @@
 
 /** Whether a target other than `current` could take over the call. */
 export function hasAlternativeTarget(selection: TargetSelection, current: FleetTarget, context: ForwardingContext, now: MonotonicMs): boolean {
-	const others = listCandidates(selection, context.fleet, now).filter(other => other !== current && !selection.triedTargets.has(other));
+	const others = listCandidates(selection, context.fleet).filter(other => other !== current && !selection.triedTargets.has(other));
 	return others.some(other => !other.isSilent(now) && !other.isCordoned(now) && context.limits.allows(other, now));
 }
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -20,7 +20,6 @@
 import type {Membership} from '../../membership/membership/index.js';
 import type {Member} from '../../membership/member/index.js';
 import {DatagramChannel} from '../../peers/datagram-channel/index.js';
-import {TargetLimits} from '../../limits/target-limits/index.js';
 import {PeerClient} from '../../peers/peer-client/index.js';
 import {PeerServer} from '../../peers/peer-server/index.js';
 import {StandstillMonitor} from '../../process/standstill-monitor/index.js';
@@ -41,6 +40,7 @@
 import {createHandover, type Handover} from '../create-handover/index.js';
 import {createMembership} from '../create-membership/index.js';
 import {createRollout} from '../create-rollout/index.js';
+import {createStatements, type StatementExchange} from '../create-statements/index.js';
 import {describeTarget} from '../describe-target/index.js';
 import {GatewayFeeds} from '../gateway-feeds/index.js';
 import type {GatewayMetrics} from '../gateway-metrics/index.js';
@@ -84,7 +84,7 @@
 	private readonly loadExchange: LoadExchange;
 	private readonly rolloutNotices: RolloutNotices;
 	private readonly quarantine: FleetQuarantine;
-	private readonly targetLimits: TargetLimits;
+	private readonly statements: StatementExchange;
 	private readonly handover: Handover;
 	private readonly streams: StreamDirectory;
 	private readonly listener: CallListener;
@@ -162,9 +162,8 @@
 			clock, logger, random, self, channel: this.datagramChannel, listPeers: () => this.listPeers(), probe: this.handover.probe,
 			objectApi: this.relayedObjectApi, remover: adapter.objectApi, collection: adapter.collections.quarantines,
 		});
-		this.targetLimits = new TargetLimits({
-			clock, logger, fleet: this.fleet, channel: this.datagramChannel, self,
-			listLive: () => this.membership.listLive(clock.readMonotonic()),
+		this.statements = createStatements({
+			self, clock, logger, fleet: this.fleet, channel: this.datagramChannel, listLive: () => this.membership.listLive(clock.readMonotonic()),
 		});
 		this.streams = new StreamDirectory({
 			self, clock, logger, random, channel: this.datagramChannel, caller: this.peerClient, registry: this.peerServer,
@@ -191,7 +190,8 @@
 			},
 		});
 		metrics.addGauges(listGauges({
-			listener: this.listener, sources: [this.quarantine, this.targetLimits, this.streams, this.handover.calls], objectApi: adapter.objectApi,
+			listener: this.listener, sources: [this.quarantine, this.statements.limits, this.statements.leavingNotices, this.streams, this.handover.calls],
+			objectApi: adapter.objectApi,
 			countMembers: () => this.listPeers().length + 1, readRevision: () => this.feeds.readRevision(),
 		}));
 	}
@@ -209,7 +209,7 @@
 		void this.loadExchange.run(signal);
 		void this.quotaLending.run(signal);
 		void this.quarantine.run(signal);
-		void this.targetLimits.run(signal);
+		void this.statements.limits.run(signal);
 		void this.streams.run(signal);
 		void this.handover.run(signal);
 		void this.instanceRegistry.keepRegistered(signal);
@@ -254,7 +254,7 @@
 			rollout: this.rollout.dump(),
 			quota: this.quotaLending.dump(),
 			quarantine: this.quarantine.dump(),
-			limits: this.targetLimits.dump(),
+			limits: this.statements.limits.dump(),
 			streams: this.streams.dump(),
 			handover: this.handover.dump(),
 			namedWeights: this.weightsRegistry.dump(),
@@ -310,7 +310,7 @@
 		return {
 			clock, logger, fleet: this.fleet, prefixes: this.prefixDirectory, targetClient: this.targetClient,
 			protocol: adapter.targetProtocol, quota: this.quotaLending, promptGuard: this.quarantine.prompts, requestGuard: this.quarantine.requests,
-			limits: this.targetLimits, streamOrigins: this.streams, reachability: this.handover.reachability,
+			...this.statements, streamOrigins: this.streams, reachability: this.handover.reachability,
 			dataCentre: settings.current.dataCentre as DataCentreId,
 			draw: () => random.pickIndex(drawResolution) / drawResolution,
 			findVersionHistory: model => this.weightsRegistry.find(model),
--- a/src/rollout/rollout-controller/index.ts
+++ b/src/rollout/rollout-controller/index.ts
@@ -200,7 +200,7 @@
 	}
 
 	private listEngines(model: string): FleetTarget[] {
-		return [...this.options.fleet.list()].filter(target => !target.description.isLeaving && target.readVersion(model) !== undefined);
+		return [...this.options.fleet.list()].filter(target => !target.isLeaving && target.readVersion(model) !== undefined);
 	}
 
 	private performStep(step: RolloutStep, target: FleetTarget, model: string, desiredVersion: number): void {
--- a/src/statements/record-statements/test.ts
+++ b/src/statements/record-statements/test.ts
@@ -7,6 +7,7 @@
 import {openLimitGate} from '../../limits/limit-gate/index.js';
 import {quietLogger} from '../../logging/quiet-logger/index.js';
 import type {RequestLimit} from '../../limits/request-limit/index.js';
+import {silentAnnouncer} from '../leaving-notices/index.js';
 import {noStatements} from '../target-statements/index.js';
 import {recordStatements} from './index.js';
 
@@ -27,7 +28,7 @@
 
 function receive(attempt: Attempt, {requestLimit = 'none', ...changes}: HeadChanges, at: number): number | undefined {
 	const head: ResponseHead = {...plainHead, statements: {...noStatements, requestLimit}, ...changes};
-	recordStatements(attempt, head, {logger: quietLogger, limits: openLimitGate}, at as MonotonicMs);
+	recordStatements(attempt, head, {logger: quietLogger, limits: openLimitGate, leavingNotices: silentAnnouncer}, at as MonotonicMs);
 	return attempt.target.limit.read();
 }
 
