Send nothing to a target for the time for which it wants none

Change: a 503 with Retry-After keeps the calls of this instance away until its end (src/statements/target-pause), and other targets are chosen as if this one were full. After the end one call at a time goes there until one is served. If all targets of a service are paused for longer than a call may wait, it is refused at once with code 3014 and the end of the first pause.

Ruled out: telling other instances, since the target tells each by itself; pausing in the limits, whose permits are shared by all instances.

--- a/src/fleet/choose-target/index.ts
+++ b/src/fleet/choose-target/index.ts
@@ -133,7 +133,7 @@
 /** Lists the targets that may and can run the call now. */
 function listUsable({targets, excluded, model, versionHistory, memory}: TargetQuery, now: MonotonicMs): FleetTarget[] {
 	return targets.filter(target => {
-		if (excluded.has(target) || target.isCordoned(now) || !hasFreeMemory(target, memory, now)) {
+		if (excluded.has(target) || target.isCordoned(now) || target.isPaused(now) || !hasFreeMemory(target, memory, now)) {
 			return false;
 		}
 
--- a/src/fleet/fleet-target/index.ts
+++ b/src/fleet/fleet-target/index.ts
@@ -9,6 +9,7 @@
 import {PermitAccount} from '../../limits/permit-account/index.js';
 import {TargetLimit} from '../../limits/target-limit/index.js';
 import type {ServiceId} from '../../routing/routing-types/index.js';
+import {TargetPause} from '../../statements/target-pause/index.js';
 
 /** Description of a target, as the target announces it. */
 export type TargetDescription = {
@@ -68,6 +69,7 @@
 	readonly calls = new Set<TargetCall>();
 	readonly limit = new TargetLimit();
 	readonly permits = new PermitAccount();
+	readonly pause = new TargetPause();
 	/** Time until which a rollout keeps new calls away, on this instance's monotonic clock. */
 	cordonedUntil = 0;
 	private readonly remoteLoads = new Map<InstanceId, RemoteLoad>();
@@ -182,6 +184,11 @@
 		return false;
 	}
 
+	/** Whether the target wants no request of this instance now, or no further one until one after its pause is served. */
+	isPaused(now: MonotonicMs): boolean {
+		return !this.pause.allows(this.calls, now);
+	}
+
 	isCordoned(now: MonotonicMs): boolean {
 		return now < this.cordonedUntil;
 	}
--- a/src/forwarding/plan-wait/index.ts
+++ b/src/forwarding/plan-wait/index.ts
@@ -3,7 +3,7 @@
 import type {MonotonicMs} from '../../identity/ids/index.js';
 import {createRouterError, type RouterError} from '../../results/create-router-error/index.js';
 import {addRetryAfterJitter, buildShortRetryAfter} from '../add-retry-after-jitter/index.js';
-import {estimatePermitWaitMs} from '../estimate-permit-wait/index.js';
+import {estimateTargetWait, type TargetWait} from '../estimate-target-wait/index.js';
 import type {ForwardingContext} from '../forwarding-context/index.js';
 import {listCandidates} from '../list-candidates/index.js';
 import type {TargetSelection} from '../select-target/index.js';
@@ -28,11 +28,13 @@
 const targetWaitFraction = 0.6;
 /** Minimum wait of a stream for a target of its software version, in milliseconds; no other target can serve it. */
 const boundStreamWaitMs = 1000;
+/** Time after the end of a pause over which callers return, in seconds. */
+const returnSpreadSeconds = 1;
 const msPerSecond = 1000;
 
 /**
- * Plans the wait, up to a fraction of the latency goal. A call that the limits of all targets keep back for longer is
- * rejected, and at once a stream of a software version that no target serves any more.
+ * Plans the wait, up to a fraction of the latency goal. A call that the limits or pauses of all targets keep back
+ * for longer is rejected, and at once a stream of a software version that no target serves any more.
  */
 export function planWait(call: WaitingCall, context: ForwardingContext, now: MonotonicMs): WaitPlan {
 	const {selection, mayHaveRun} = call;
@@ -41,9 +43,9 @@
 	}
 
 	const waitEnd = calculateWaitEnd(call);
-	const permitWaitMs = estimatePermitWaitMs(selection, context, now);
-	return now + (permitWaitMs ?? 0) >= waitEnd
-		? {type: 'reject', error: createNoTargetError(mayHaveRun, context.draw(), permitWaitMs)}
+	const wait = estimateTargetWait(selection, context, now);
+	return now + (wait?.ms ?? 0) >= waitEnd
+		? {type: 'reject', error: createNoTargetError(mayHaveRun, context.draw(), wait)}
 		: {type: 'wait', longestMs: waitEnd - now};
 }
 
@@ -61,15 +63,21 @@
 }
 
 /**
- * Creates the error of a call that no target can take in time; `draw` is a random number in [0, 1). `permitWaitMs` is the
- * estimated wait if all targets are at the limits that they state.
+ * Creates the error of a call that no target can take in time; `draw` is a random number in [0, 1). `wait` is the estimated
+ * wait if all targets want no requests, or are at the limits that they state.
  */
-function createNoTargetError(mayHaveRun: boolean, draw: number, permitWaitMs?: number): RouterError {
+function createNoTargetError(mayHaveRun: boolean, draw: number, wait?: TargetWait): RouterError {
 	if (mayHaveRun) {
 		return createRouterError('outcomeUnknown', 'no other target is usable');
 	}
 
-	return permitWaitMs === undefined
-		? createRouterError('noTarget', undefined, buildShortRetryAfter(draw))
-		: createRouterError('targetsLimited', undefined, {retryAfterSeconds: addRetryAfterJitter(permitWaitMs / msPerSecond, draw)});
+	if (wait === undefined) {
+		return createRouterError('noTarget', undefined, buildShortRetryAfter(draw));
+	}
+
+	const seconds = wait.ms / msPerSecond;
+	// The end of a pause is known, so callers are only spread over the time after it.
+	return wait.reason === 'paused'
+		? createRouterError('targetsPaused', undefined, {retryAfterSeconds: seconds + (draw * returnSpreadSeconds)})
+		: createRouterError('targetsLimited', undefined, {retryAfterSeconds: addRetryAfterJitter(seconds, draw)});
 }
--- a/src/forwarding/select-target/index.ts
+++ b/src/forwarding/select-target/index.ts
@@ -54,5 +54,5 @@
 /** Whether a target other than `current` could take over the call. */
 export function hasAlternativeTarget(selection: TargetSelection, current: FleetTarget, context: ForwardingContext, now: MonotonicMs): boolean {
 	const others = listCandidates(selection, context.fleet).filter(other => other !== current && !selection.triedTargets.has(other));
-	return others.some(other => !other.isSilent(now) && !other.isCordoned(now) && context.limits.allows(other, now));
+	return others.some(other => !other.isSilent(now) && !other.isCordoned(now) && !other.isPaused(now) && context.limits.allows(other, now));
 }
--- a/src/gateway/create-statements/index.ts
+++ b/src/gateway/create-statements/index.ts
@@ -8,9 +8,10 @@
 import type {Member} from '../../membership/member/index.js';
 import type {DatagramTransport} from '../../peers/datagram-channel/index.js';
 import {LeavingNotices} from '../../statements/leaving-notices/index.js';
+import type {GatewayGauges} from '../gateway-metrics/index.js';
 
 /** Components that exchange statements with other instances. */
-export type StatementExchange = {readonly limits: TargetLimits; readonly leavingNotices: LeavingNotices};
+export type StatementExchange = {readonly limits: TargetLimits; readonly leavingNotices: LeavingNotices; readonly pauses: {readonly gauges: GatewayGauges}};
 
 /** Options of the components. */
 export type StatementOptions = {
@@ -29,5 +30,11 @@
 	return {
 		limits: new TargetLimits(options),
 		leavingNotices: new LeavingNotices({...options, listPeers}),
+		pauses: {gauges: {paused_targets: {help: 'Targets that want no requests of this instance now.', read: () => countPaused(options)}}},
 	};
 }
+
+function countPaused({fleet, clock}: StatementOptions): number {
+	const now = clock.readMonotonic();
+	return [...fleet.list()].filter(target => target.isPaused(now)).length;
+}
--- a/src/gateway/describe-target/index.ts
+++ b/src/gateway/describe-target/index.ts
@@ -8,6 +8,6 @@
 	return {
 		...target.description, weightsVersions: Object.fromEntries(target.description.weightsVersions),
 		calls: target.calls.size, avoided: target.isInCooldown(now), silent: target.isSilent(now), cordoned: target.isCordoned(now),
-		leaving: target.isLeaving, requestsPerSecond: target.limit.read(),
+		leaving: target.isLeaving, pausedMs: Math.max(0, target.pause.readUntil() - now), requestsPerSecond: target.limit.read(),
 	};
 }
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -190,7 +190,7 @@
 			},
 		});
 		metrics.addGauges(listGauges({
-			listener: this.listener, sources: [this.quarantine, this.statements.limits, this.statements.leavingNotices, this.streams, this.handover.calls],
+			listener: this.listener, sources: [this.quarantine, ...Object.values(this.statements), this.streams, this.handover.calls],
 			objectApi: adapter.objectApi,
 			countMembers: () => this.listPeers().length + 1, readRevision: () => this.feeds.readRevision(),
 		}));
@@ -310,7 +310,8 @@
 		return {
 			clock, logger, fleet: this.fleet, prefixes: this.prefixDirectory, targetClient: this.targetClient,
 			protocol: adapter.targetProtocol, quota: this.quotaLending, promptGuard: this.quarantine.prompts, requestGuard: this.quarantine.requests,
-			...this.statements, streamOrigins: this.streams, reachability: this.handover.reachability,
+			limits: this.statements.limits, leavingNotices: this.statements.leavingNotices, streamOrigins: this.streams,
+			reachability: this.handover.reachability,
 			dataCentre: settings.current.dataCentre as DataCentreId,
 			draw: () => random.pickIndex(drawResolution) / drawResolution,
 			findVersionHistory: model => this.weightsRegistry.find(model),
--- a/src/results/result-codes/index.ts
+++ b/src/results/result-codes/index.ts
@@ -40,6 +40,7 @@
 	softwareGone: defineCode(3011, 'softwareGone', 503, 'no target serves the software version that began the stream'),
 	softwareUnknown: defineCode(3012, 'softwareUnknown', 503, 'it is not certain which software version began the stream'),
 	targetsUnreachable: defineCode(3013, 'targetsUnreachable', 503, 'this instance reaches no target, and no other instance can take the call over'),
+	targetsPaused: defineCode(3014, 'targetsPaused', 503, 'all targets want no requests for a time'),
 	configurationInvalid: defineCode(4001, 'configurationInvalid', 422, 'the resources are not valid'),
 	nameCollision: defineCode(4002, 'nameCollision', 422, 'a name is used by both fleets and no policy covers it'),
 	resourceConflict: defineCode(4003, 'resourceConflict', 409, 'the resource was changed by another writer'),
--- a/src/statements/statement-rule/index.ts
+++ b/src/statements/statement-rule/index.ts
@@ -15,7 +15,7 @@
 };
 
 /** What rules change, besides the target. */
-export type StatementContext = Pick<ForwardingContext, 'logger' | 'limits' | 'leavingNotices'>;
+export type StatementContext = Pick<ForwardingContext, 'clock' | 'logger' | 'fleet' | 'limits' | 'leavingNotices'>;
 
 /** Applies its kind of statement, present or absent, and logs what changes. */
 export type StatementRule = (answer: StatingAnswer, context: StatementContext) => void;
--- a/src/statements/target-statements/index.ts
+++ b/src/statements/target-statements/index.ts
@@ -2,13 +2,16 @@
 
 import type {RequestLimit} from '../../limits/request-limit/index.js';
 import type {LeavingStatement} from '../parse-leaving/index.js';
+import type {PauseStatement} from '../parse-pause/index.js';
 
 /** The statements in one answer. */
 export type TargetStatements = {
 	/** Requests per second that the target takes from all instances together. */
 	readonly requestLimit: RequestLimit;
 	readonly isLeaving: LeavingStatement;
+	/** Time for which the target wants no request of this instance. */
+	readonly pause: PauseStatement;
 };
 
 /** Statements of an answer that says nothing of its target. */
-export const noStatements: TargetStatements = {requestLimit: 'none', isLeaving: false};
+export const noStatements: TargetStatements = {requestLimit: 'none', isLeaving: false, pause: 'none'};
