Let targets of the soak pause and leave by their answers alone

The soak had no target that says something of itself but a limit. In about half of its plans one target now refuses everything for up to 12 s with Retry-After, and one leaves while its entry in the store shows it serving.

--- a/src/soak/plan-faults/index.ts
+++ b/src/soak/plan-faults/index.ts
@@ -13,6 +13,7 @@
 	history: ['storeRestored'],
 	request: ['crashingRequest'],
 	software: ['releaseSoftware'],
+	statement: ['targetPause', 'leaveUnlisted'],
 } as const;
 
 export type FaultKind = (typeof faultKinds)[keyof typeof faultKinds][number];
@@ -42,6 +43,10 @@
 const maximumLongFaultMs = 12_000;
 /** These faults start within the first quarter of the plan. */
 const longFaultStartRatio = 0.25;
+/** Faults of which a plan has at most one each, in the order in which they are drawn. */
+const longKinds = (['prompt', 'limit', 'history', 'request', 'software', 'statement'] as const).flatMap(group => [...faultKinds[group]] as FaultKind[]);
+/** Long faults of one target. */
+const targetFaults: ReadonlySet<FaultKind> = new Set(['targetLimit', 'targetPause', 'leaveUnlisted']);
 
 /** Plans the faults for a period of `durationMs`. The same seed yields the same plan. */
 export function planFaults(seed: number, durationMs: number): PlannedFault[] {
@@ -64,7 +69,6 @@
 	}
 
 	// Drawn last, so that the series of a seed do not depend on them.
-	const longKinds = [...faultKinds.prompt, ...faultKinds.limit, ...faultKinds.history, ...faultKinds.request, ...faultKinds.software];
 	return [...faults, ...longKinds.flatMap(kind => planLongFault(random, kind, durationMs))];
 }
 
@@ -75,6 +79,7 @@
 
 	const offsetMs = random.pickIndex(Math.max(1, Math.floor(durationMs * longFaultStartRatio)));
 	return [{
-		offsetMs, kind, victim: kind === 'targetLimit' ? random.pickIndex(victimLimit) : 0, durationMs: Math.min(durationMs - offsetMs, maximumLongFaultMs),
+		offsetMs, kind,
+		victim: targetFaults.has(kind) ? random.pickIndex(victimLimit) : 0, durationMs: Math.min(durationMs - offsetMs, maximumLongFaultMs),
 	}];
 }
