Call one piece of code where this work had written another

Found by reading the change once more; behaviour stays as it is.

- Notices of leaving targets repeated themselves by a loop of their own; sendRepeatedly takes the condition that ends it.
- A target of a certain start was looked up in two places (TargetFleet.locateIncarnation).
- The live instances were ranked for a task in three places (rankLiveMembers), a text hashed to a number in two (hashToNumber), and decimal numbers in headers matched by one pattern in two (parseDecimal).
- The handover filtered headers in two loops.

--- a/src/fleet/target-fleet/index.ts
+++ b/src/fleet/target-fleet/index.ts
@@ -35,6 +35,12 @@
 		return this.targets.get(id);
 	}
 
+	/** Finds a target by its id and start; undefined if another process has the id now. */
+	locateIncarnation(id: TargetId, startedAt: number): FleetTarget | undefined {
+		const target = this.targets.get(id);
+		return target?.description.startedAt === startedAt ? target : undefined;
+	}
+
 	list(): Iterable<FleetTarget> {
 		return this.targets.values();
 	}
--- a/src/handover/call-handover/index.ts
+++ b/src/handover/call-handover/index.ts
@@ -172,16 +172,9 @@
 	/** Builds the headers: those of the caller, who the call is for, and how long its caller still waits. */
 	private buildHeaders(peer: Member, {rawHeaders, deadline}: HandedOverCall): string[] {
 		const {self, clock} = this.options;
-		const built: string[] = [];
-		for (let index = 0; index < rawHeaders.length; index += 2) {
-			const name = rawHeaders[index]!.toLowerCase();
-			if (!hopByHopHeaders.has(name) && !handoverHeaders.includes(name) && name !== 'content-length') {
-				built.push(rawHeaders[index]!, rawHeaders[index + 1]!);
-			}
-		}
-
+		const forwarded = filterHeaders(rawHeaders, name => isForwarded(name) && name !== 'content-length');
 		const remainingMs = Math.max(1, Math.floor(deadline - clock.readMonotonic()));
-		return [...built, callerHeader, self, calleeHeader, peer.id, remainingHeader, String(remainingMs)];
+		return [...forwarded, callerHeader, self, calleeHeader, peer.id, remainingHeader, String(remainingMs)];
 	}
 
 	private findDestination({id, peerAddress}: Member): Destination {
@@ -199,17 +192,18 @@
 
 /** The head of another instance's answer: what of it goes to the caller, and the names of all headers in lower case. */
 function parseHead(rawHeaders: readonly string[]) {
-	const names = new Set<string>();
-	const forwarded: string[] = [];
-	for (let index = 0; index < rawHeaders.length; index += 2) {
-		const name = rawHeaders[index]!.toLowerCase();
-		names.add(name);
-		if (!hopByHopHeaders.has(name) && !handoverHeaders.includes(name)) {
-			forwarded.push(rawHeaders[index]!, rawHeaders[index + 1]!);
-		}
-	}
-
+	const names = new Set(rawHeaders.filter((_, index) => index % 2 === 0).map(name => name.toLowerCase()));
 	return {
-		names, forwarded, isCutOff: names.has(cutOffHeader), isServed: names.has(servedHeader),
+		names, forwarded: filterHeaders(rawHeaders, isForwarded), isCutOff: names.has(cutOffHeader), isServed: names.has(servedHeader),
 	};
 }
+
+/** Whether a header passes from caller to target or back, and does not concern one connection or the handover; its name is in lower case. */
+function isForwarded(name: string): boolean {
+	return !hopByHopHeaders.has(name) && !handoverHeaders.includes(name);
+}
+
+/** Keeps the headers whose names in lower case pass; `rawHeaders` alternates names and values. */
+function filterHeaders(rawHeaders: readonly string[], passes: (name: string) => boolean): string[] {
+	return rawHeaders.filter((_, index) => passes(rawHeaders[index - (index % 2)]!.toLowerCase()));
+}
--- a/src/limits/target-limits/index.ts
+++ b/src/limits/target-limits/index.ts
@@ -14,9 +14,9 @@
 import type {InstanceId, MonotonicMs} from '../../identity/ids/index.js';
 import type {EventLogger} from '../../logging/create-logger/index.js';
 import type {Member} from '../../membership/member/index.js';
+import {rankLiveMembers} from '../../membership/rank-live-members/index.js';
 import type {DatagramTransport} from '../../peers/datagram-channel/index.js';
 import {sendRepeatedly} from '../../peers/send-repeatedly/index.js';
-import {rankByHash} from '../../random/rank-by-hash/index.js';
 import type {LimitGate} from '../limit-gate/index.js';
 import {limitMessageType, parseLimitMessage, type LimitMessage} from '../limit-messages/index.js';
 import {askTimeoutMs} from '../permit-account/index.js';
@@ -144,8 +144,7 @@
 
 	/** Chooses the instance that issues the permits for a target. All instances with the same view choose the same one. */
 	private chooseIssuer(target: string): Member | undefined {
-		const candidates = this.options.listLive().filter(({state}) => state === 'live');
-		return rankByHash(`limit ${target}`, candidates, ({id}) => id)[0];
+		return rankLiveMembers(`limit ${target}`, this.options.listLive())[0];
 	}
 
 	private isIssuer(target: FleetTarget): boolean {
@@ -198,8 +197,8 @@
 	}
 
 	private handle(message: LimitMessage, now: MonotonicMs): void {
-		const target = this.options.fleet.locate(message.target);
-		if (target?.description.startedAt !== message.startedAt) {
+		const target = this.options.fleet.locateIncarnation(message.target, message.startedAt);
+		if (target === undefined) {
 			return;
 		}
 
--- a/src/random/rank-by-hash/index.ts
+++ b/src/random/rank-by-hash/index.ts
@@ -1,7 +1,7 @@
 /** Rendezvous hashing: ranks items for a key. All instances compute the same ranking, and rankings of different keys are independent. */
 
-import {createHash} from 'node:crypto';
 import {LRUCache} from 'lru-cache';
+import {hashToNumber} from '../hash-to-number/index.js';
 
 /** Limit of the hash cache; above the number of keys and items in use. */
 const maximumCachedHashes = 8000;
@@ -18,7 +18,7 @@
 function hashText(text: string): number {
 	let hash = hashCache.get(text);
 	if (hash === undefined) {
-		const value = createHash('md5').update(text).digest().readUInt32BE(0);
+		const value = hashToNumber(text);
 		hash = value - (value % 2) + 1;
 		hashCache.set(text, hash);
 	}
--- a/src/resumption/choose-record-holders/index.ts
+++ b/src/resumption/choose-record-holders/index.ts
@@ -1,7 +1,7 @@
 /** Chooses the instances that hold the record of a stream. */
 
 import type {Member} from '../../membership/member/index.js';
-import {rankByHash} from '../../random/rank-by-hash/index.js';
+import {rankLiveMembers} from '../../membership/rank-live-members/index.js';
 import type {StreamKey} from '../stream-key/index.js';
 
 /** Minimum number of instances that hold records, so that they outlive two of them. */
@@ -15,9 +15,9 @@
 
 /** Lists the instances that hold records. All instances with the same view choose the same ones. */
 export function listRecordHolders(live: readonly Member[]): Member[] {
-	const candidates = live.filter(({state}) => state === 'live');
+	const candidates = rankLiveMembers('stream records', live);
 	const count = Math.max(minimumHolders, Math.ceil(candidates.length / instancesPerHolder));
-	return rankByHash('stream records', candidates, ({id}) => id).slice(0, count);
+	return candidates.slice(0, count);
 }
 
 /** Chooses those of `holders` that hold the record of one stream. */
--- a/src/resumption/history-record/index.ts
+++ b/src/resumption/history-record/index.ts
@@ -8,8 +8,8 @@
 import type {InstanceId, MonotonicMs} from '../../identity/ids/index.js';
 import type {EventLogger} from '../../logging/create-logger/index.js';
 import type {Member} from '../../membership/member/index.js';
+import {rankLiveMembers} from '../../membership/rank-live-members/index.js';
 import type {PeerCaller, PeerMethodRegistry} from '../../peers/peer-caller/index.js';
-import {rankByHash} from '../../random/rank-by-hash/index.js';
 import type {RandomSource} from '../../random/random-source/index.js';
 import {ConditionalObject} from '../../store/conditional-object/index.js';
 import type {ObjectApi} from '../../store/object-api/index.js';
@@ -69,8 +69,7 @@
 
 	/** Whether this instance is the first choice to write for the fleet. */
 	get isWriter(): boolean {
-		const candidates = this.options.listLive().filter(({state}) => state === 'live');
-		return rankByHash('stream history', candidates, ({id}) => id)[0]?.id === this.options.self;
+		return rankLiveMembers('stream history', this.options.listLive())[0]?.id === this.options.self;
 	}
 
 	/** Notes that versions may have changed. */
--- a/src/statements/leaving-notices/index.ts
+++ b/src/statements/leaving-notices/index.ts
@@ -13,6 +13,7 @@
 import type {EventLogger} from '../../logging/create-logger/index.js';
 import type {Member} from '../../membership/member/index.js';
 import type {DatagramTransport} from '../../peers/datagram-channel/index.js';
+import {sendRepeatedly} from '../../peers/send-repeatedly/index.js';
 
 /** Message type of the datagrams. */
 export const leavingMessageType = 'targetLeaving';
@@ -63,19 +64,9 @@
 	}
 
 	announce(target: FleetTarget): void {
-		void this.announceRepeatedly(target);
-	}
-
-	private async announceRepeatedly(target: FleetTarget): Promise<void> {
-		this.send(target);
-		for (const delayMs of repeatDelaysMs) {
-			await this.options.clock.sleep(delayMs);
-			if (this.confirmed.has(target)) {
-				return;
-			}
-
+		void sendRepeatedly(() => {
 			this.send(target);
-		}
+		}, repeatDelaysMs, this.options.clock, () => this.confirmed.has(target));
 	}
 
 	private send({description: {id, startedAt}}: FleetTarget): void {
@@ -92,8 +83,8 @@
 			return;
 		}
 
-		const target = fleet.locate(parsed.data.target as TargetId);
-		if (target?.description.startedAt !== parsed.data.startedAt) {
+		const target = fleet.locateIncarnation(parsed.data.target as TargetId, parsed.data.startedAt);
+		if (target === undefined) {
 			return;
 		}
 
--- a/src/statements/parse-pause/index.ts
+++ b/src/statements/parse-pause/index.ts
@@ -1,6 +1,7 @@
 /** The statement of a target that it wants no request of this instance for a time. */
 
 import type {WallMs} from '../../identity/ids/index.js';
+import {parseDecimal} from '../../http/parse-decimal/index.js';
 
 /** How long the target wants none: from the answer on, in milliseconds, or until a time. */
 export type Pause = {readonly type: 'delay'; readonly ms: number} | {readonly type: 'until'; readonly at: WallMs};
@@ -8,7 +9,6 @@
 /** What an answer says about a pause. */
 export type PauseStatement = Pause | 'none' | 'invalid';
 
-const decimalPattern = /^\d{1,15}(\.\d{1,15})?$/;
 const datePattern = /^(Mon|Tue|Wed|Thu|Fri|Sat|Sun), \d{2} [A-Z][a-z]{2} \d{4} \d{2}:\d{2}:\d{2} GMT$/;
 const msPerSecond = 1000;
 
@@ -19,8 +19,9 @@
 	}
 
 	const trimmed = text.trim();
-	if (decimalPattern.test(trimmed)) {
-		return {type: 'delay', ms: Number(trimmed) * msPerSecond};
+	const seconds = parseDecimal(trimmed);
+	if (seconds !== undefined) {
+		return {type: 'delay', ms: seconds * msPerSecond};
 	}
 
 	const at = datePattern.test(trimmed) ? Date.parse(trimmed) : Number.NaN;
