--- a/review/1/scenario.ts
+++ b/review/1/scenario.ts
@@ -6,6 +6,8 @@
 import type {SoakInstance} from '../../src/soak/soak-instance/index.js';
 
 const gatewayCount = 3;
+/** The disruptions come up to so many times, until the rule is broken. */
+const maximumRounds = 4;
 const model = 'model-1';
 const darkMs = 3500;
 const outageMs = 800;
@@ -39,48 +41,59 @@
 	const storeAddress = await path.listen();
 	await deployment.startGateways(gatewayCount, async () => storeAddress);
 	await delay(3000);
-	const first = await findHolder(context);
-	const copy = deployment.store.copy();
-	record.note('copy of the store made', {holder: first.options.name});
-	await delay(300);
-	if (isTroubled) {
-		record.note('power lost', {gateway: first.options.name});
-		void first.pause(darkMs + 100);
-		await delay(darkMs);
-		first.kill();
-		record.note('power back', {gateway: first.options.name});
-	} else {
-		await delay(darkMs);
-	}
+	let breaches: string[] = [];
+	for (let round = 1; round <= maximumRounds && breaches.length === 0; round += 1) {
+		const versions = {first: 2 * round, second: (2 * round) + 1};
+		const first = await findHolder(context);
+		const copy = deployment.store.copy();
+		record.note('copy of the store made', {round, holder: first.options.name});
+		await delay(300);
+		if (isTroubled) {
+			record.note('power lost', {gateway: first.options.name});
+			void first.pause(darkMs + 100);
+			await delay(darkMs);
+			first.kill();
+			record.note('power back', {gateway: first.options.name});
+		} else {
+			await delay(darkMs);
+		}
 
-	nameWeights(2);
-	await waitForVersion(context, 2);
-	await delay(500);
-	if (isTroubled) {
-		record.note('store away');
-		path.leave();
-		await delay(outageMs);
-		deployment.store.restore(copy);
-		path.return();
-		record.note('store back from the copy');
-		await delay(rewriteMs);
-		deployment.configure(configuration);
-		nameWeights(2);
-		for (const target of deployment.targets) {
-			deployment.announce(target);
+		nameWeights(versions.first);
+		await waitForVersion(context, versions.first);
+		await delay(500);
+		if (isTroubled) {
+			record.note('store away');
+			path.leave();
+			await delay(outageMs);
+			deployment.store.restore(copy);
+			path.return();
+			record.note('store back from the copy');
+			await delay(rewriteMs);
+			deployment.configure(configuration);
+			nameWeights(versions.first);
+			for (const target of deployment.targets) {
+				deployment.announce(target);
+			}
 		}
+
+		nameWeights(versions.second);
+		await waitForVersion(context, versions.second);
+		breaches = findSharedTokens(context);
 	}
 
-	nameWeights(3);
-	await waitForVersion(context, 3);
 	path.close();
-	return deployment.targets.flatMap(({options: {id}, orders}) => {
-		const holdersByFence = new Map(orders.map(({fence}) => [fence, orders.filter(order => order.fence === fence)]));
-		return [...holdersByFence].filter(([, same]) => new Set(same.map(({holder}) => holder)).size > 1)
-			.map(([fence, same]) => `ONE: ${id} got orders of ${[...new Set(same.map(({holder}) => holder))].join(' and ')} with the fencing token ${fence}`);
-	});
+	return breaches;
 });
 
+/** Finds fencing tokens with which a worker got orders of two machines. */
+function findSharedTokens({deployment: {targets}}: CaseContext): string[] {
+	return targets.flatMap(({options: {id}, orders}) => {
+		const holdersByFence = new Map(orders.map(({fence}) => [fence, [...new Set(orders.filter(order => order.fence === fence).map(({holder}) => holder))]]));
+		return [...holdersByFence].filter(([, holders]) => holders.length > 1)
+			.map(([fence, holders]) => `ONE: ${id} got orders of ${holders.join(' and ')} with the fencing token ${fence}`);
+	});
+}
+
 /** Waits until a gateway holds the rollout lease. */
 async function findHolder({deployment: {store, gateways}, record}: CaseContext): Promise<SoakInstance> {
 	for (;;) {
