Judge a lease record by the era of its own answer

Cause: the era that tells a restored record from a present one was that of the instance's own client of the store. While a call of its own has failed, calls go through a peer for 3 s, and the answer comes from an era that the own client has not heard of. The lease was taken without a wait, and its fencing number was built from the old era.

Change: the lease takes the era from the version of the object that it judges. Relayed answers tell their era, failures included; a missing object without an era, as peers of earlier releases report it, counts as a failed call. A record that was stored in another era than it was written for gives no lease, which also covers a creation around a restore.

--- a/src/leases/lease/index.ts
+++ b/src/leases/lease/index.ts
@@ -8,6 +8,8 @@
  *
  * If the object API was ever restored from a copy, a missing or older record says nothing about the present holder. A
  * missing record is then observed for the duration as well, and fencing numbers begin anew above those of all eras before.
+ * A record is judged by the era that its own answer names. A peer may have relayed that answer, and this instance may not have
+ * heard from the object API since the restore.
  */
 
 import type {Clock} from '../../clock/clock/index.js';
@@ -60,6 +62,8 @@
 
 /** Record seen by a contender without the lease, or undefined for a missing one; unchanged from `since` to `lastReadAt`. */
 type Observation = {readonly record: LeaseRecord | undefined; readonly era: number; readonly since: MonotonicMs; lastReadAt: MonotonicMs};
+/** For how long a record has to be observed, and the longest time between two reads, in milliseconds. */
+type ObservationTerms = {readonly durationMs: number; readonly maximumGapMs: number};
 type ConfirmedWrite = {readonly record: LeaseRecord; readonly version: ResourceVersion; readonly sentAt: MonotonicMs};
 
 /** One contender for a lease. A single task calls `acquire` and `renew` repeatedly. */
@@ -102,17 +106,19 @@
 
 		const object = await this.readRecord();
 		if (object === undefined) {
-			return this.canCreate() && this.writeRecord(undefined, this.buildRecord(this.chooseFencing(0)));
+			const era = this.options.objectApi.readEra();
+			return this.canCreate(era) && this.writeRecord(undefined, this.buildRecord(chooseFencing(0, era), era));
 		}
 
-		if (this.isLastWrite(object.value)) {
+		if (this.isLastWrite(object.value) && !this.isVoid(object)) {
 			this.confirm(object);
 			return this.renew();
 		}
 
 		this.sentAtByRenewals.clear();
 		this.predecessor = object.value;
-		return this.canAcquire(object.value) && this.writeRecord(object.resourceVersion, this.buildRecord(this.chooseFencing(object.value.fencing)));
+		const era = readObjectEra(object);
+		return this.canAcquire(object.value, era) && this.writeRecord(object.resourceVersion, this.buildRecord(chooseFencing(object.value.fencing, era), era));
 	}
 
 	/**
@@ -120,11 +126,13 @@
 	 * with `ObjectApiError` when it can't confirm the renewal; the validity then stays as it was.
 	 */
 	async renew(): Promise<boolean> {
-		if (this.confirmed === undefined) {
+		const {confirmed} = this;
+		if (confirmed === undefined) {
 			return false;
 		}
 
-		return this.writeRecord(this.confirmed.version, this.buildRecord(this.confirmed.record.fencing));
+		const {era} = parseVersion(confirmed.version);
+		return this.writeRecord(confirmed.version, this.buildRecord(confirmed.record.fencing, era));
 	}
 
 	/**
@@ -157,26 +165,25 @@
 		}
 	}
 
-	/** Whether the lease may be acquired: the record has been unchanged for its duration, or no wait is needed. */
-	private canAcquire(record: LeaseRecord): boolean {
+	/** Whether the lease may be acquired: the record, read in `era`, has been unchanged for its duration, or no wait is needed. */
+	private canAcquire(record: LeaseRecord, era: number): boolean {
 		const {clock, holder, mayReplaceEarlierIncarnation, maximumReadGapMs} = this.options;
 		const isFree = record.holder === '' || (record.holder === holder && mayReplaceEarlierIncarnation === true && !this.hasEverHeld);
-		if (isFree && (record.era ?? 0) === this.options.objectApi.readEra()) {
+		if (isFree && (record.era ?? 0) === era) {
 			return true;
 		}
 
-		return this.hasStayed(record, record.durationMs, maximumReadGapMs ?? record.durationMs / 4, clock.readMonotonic());
+		return this.hasStayed(record, era, {durationMs: record.durationMs, maximumGapMs: maximumReadGapMs ?? record.durationMs / 4}, clock.readMonotonic());
 	}
 
-	/** Whether a missing record may be created: there was never one, or it has been missing for its duration. */
-	private canCreate(): boolean {
-		const {objectApi, durationMs, maximumReadGapMs, clock} = this.options;
-		return objectApi.readEra() === 0 || this.hasStayed(undefined, durationMs, maximumReadGapMs ?? durationMs / 4, clock.readMonotonic());
+	/** Whether a record that is missing in `era` may be created: there was never one, or it has been missing for its duration. */
+	private canCreate(era: number): boolean {
+		const {durationMs, maximumReadGapMs, clock} = this.options;
+		return era === 0 || this.hasStayed(undefined, era, {durationMs, maximumGapMs: maximumReadGapMs ?? durationMs / 4}, clock.readMonotonic());
 	}
 
-	/** Whether the record has been seen unchanged for `durationMs`, without a gap between two reads of more than `maximumGapMs`. */
-	private hasStayed(record: LeaseRecord | undefined, durationMs: number, maximumGapMs: number, now: MonotonicMs): boolean {
-		const era = this.options.objectApi.readEra();
+	/** Whether the record has been seen unchanged in one era for `durationMs`, without a gap between two reads of more than `maximumGapMs`. */
+	private hasStayed(record: LeaseRecord | undefined, era: number, {durationMs, maximumGapMs}: ObservationTerms, now: MonotonicMs): boolean {
 		const previous = this.observation;
 		if (previous?.era !== era || !isSameWrite(previous.record, record) || now - previous.lastReadAt > maximumGapMs) {
 			this.observation = {
@@ -189,11 +196,6 @@
 		return now - previous.since > durationMs;
 	}
 
-	/** Chooses the fencing number of a new holder: above that of the last record and those of all earlier eras. */
-	private chooseFencing(previous: number): number {
-		return Math.max(previous, this.options.objectApi.readEra() * fencingNumbersPerEra) + 1;
-	}
-
 	private async writeRecord(version: ResourceVersion | undefined, record: LeaseRecord): Promise<boolean> {
 		const {objectApi, name, clock} = this.options;
 		this.sentAtByRenewals.set(record.renewals, clock.readMonotonic());
@@ -201,6 +203,11 @@
 			const object = version === undefined
 				? await objectApi.create(leaseCollection, name, record)
 				: await objectApi.update(leaseCollection, name, record, version);
+			if (this.isVoid(object)) {
+				this.sentAtByRenewals.clear();
+				return false;
+			}
+
 			return this.confirm(object);
 		} catch (error) {
 			if (!(error instanceof ObjectApiError)) {
@@ -268,16 +275,17 @@
 		return this.isOwn(record) && this.sentAtByRenewals.has(record.renewals);
 	}
 
-	/** Whether the record is of a new era and the validity has ended: another holder's record may have been lost in between. */
-	private isVoid({resourceVersion}: StoredObject<LeaseRecord>): boolean {
-		const {confirmed} = this;
-		const isNewEra = confirmed !== undefined && parseVersion(resourceVersion).era > parseVersion(confirmed.version).era;
-		return isNewEra && !this.isHeld(this.options.clock.readMonotonic());
+	/**
+	 * Whether the record of this contender was stored in another era than it was written for, and the lease isn't held: another
+	 * holder's record may have been lost in between.
+	 */
+	private isVoid(object: StoredObject<LeaseRecord>): boolean {
+		const isOfOtherEra = (object.value.era ?? 0) !== readObjectEra(object);
+		return isOfOtherEra && !this.isHeld(this.options.clock.readMonotonic());
 	}
 
-	private buildRecord(fencing: number): LeaseRecord {
-		const {holder, incarnation, durationMs, objectApi} = this.options;
-		const era = objectApi.readEra();
+	private buildRecord(fencing: number, era: number): LeaseRecord {
+		const {holder, incarnation, durationMs} = this.options;
 		this.writeCount += 1;
 		return {
 			holder, incarnation, fencing: fencing as FencingNumber, renewals: this.writeCount, durationMs, ...(era > 0 && {era}),
@@ -285,6 +293,16 @@
 	}
 }
 
+/** Returns the era of the answer that an object came in. */
+function readObjectEra({resourceVersion}: StoredObject): number {
+	return parseVersion(resourceVersion).era;
+}
+
+/** Chooses the fencing number of a new holder: above that of the last record and those of all eras before `era`. */
+function chooseFencing(previous: number, era: number): number {
+	return Math.max(previous, era * fencingNumbersPerEra) + 1;
+}
+
 function isSameWrite(a: LeaseRecord | undefined, b: LeaseRecord | undefined): boolean {
 	if (a === undefined || b === undefined) {
 		return a === b;
--- a/src/leases/lease/test.ts
+++ b/src/leases/lease/test.ts
@@ -224,3 +224,20 @@
 		expect(restarted.lease.readFencing()! > b.lease.readFencing()!).toEqual(true);
 	}
 });
+
+test('guards against a lease that is created in another era than the one in which its record was missing', async () => {
+	const objectApi = new MemoryObjectApi();
+	const a = createContender(objectApi, 'a');
+	const copy = objectApi.copy();
+	const create = objectApi.create.bind(objectApi);
+	objectApi.create = async (...parameters) => {
+		objectApi.restore(copy);
+		objectApi.create = create;
+		return create(...parameters);
+	};
+
+	expect(await a.lease.acquire()).toEqual(false);
+	const waitSeconds = await countSecondsToAcquire(a);
+	expect(waitSeconds > durationMs / 1000 && waitSeconds < 15).toEqual(true);
+	expect(a.lease.readFencing()! > 1_000_000).toEqual(true);
+});
--- a/src/store/relayed-object-api/index.ts
+++ b/src/store/relayed-object-api/index.ts
@@ -11,6 +11,7 @@
 import type {InstanceId, ResourceVersion} from '../../identity/ids/index.js';
 import type {PeerCaller, PeerMethodRegistry} from '../../peers/peer-caller/index.js';
 import type {RandomSource} from '../../random/random-source/index.js';
+import {parseVersion} from '../object-version/index.js';
 
 /** JSON-RPC method of relayed calls. */
 export const relayMethod = 'objectApi.relay';
@@ -28,7 +29,10 @@
 		| {readonly type: 'create'; readonly collection: string; readonly name: string; readonly value: unknown}
 		| {readonly type: 'update'; readonly collection: string; readonly name: string; readonly value: unknown; readonly expected: ResourceVersion};
 
-type RelayedResult = {readonly object: StoredObject} | {readonly failure: ObjectApiFailure; readonly message: string};
+/** Answer of a peer. `era` is the latest that the peer has heard of; peers of earlier releases don't state it. */
+type RelayedResult
+	= | {readonly object: StoredObject}
+		| {readonly failure: ObjectApiFailure; readonly message: string; readonly era?: number};
 
 /** Options of `RelayedObjectApi`. */
 export type RelayedObjectApiOptions = {
@@ -43,6 +47,8 @@
 /** Object API client that falls back to relaying calls through a peer. */
 export class RelayedObjectApi implements RelayableObjectApi {
 	private relayUntil = 0;
+	/** Latest era in an answer that a peer has relayed. */
+	private relayedEra = 0;
 
 	constructor(private readonly options: RelayedObjectApiOptions) {
 		options.registry.register(relayMethod, async parameters => this.handleRelayedCall(parameters as RelayedCall));
@@ -52,8 +58,9 @@
 		return this.call<Value>({type: 'get', collection, name});
 	}
 
+	/** Returns the latest era seen in an answer, whether it came directly or through a peer. */
 	readEra(): number {
-		return this.options.objectApi.readEra();
+		return Math.max(this.options.objectApi.readEra(), this.relayedEra);
 	}
 
 	async create<Value>(collection: string, name: string, value: Value): Promise<StoredObject<Value>> {
@@ -96,18 +103,33 @@
 		}
 
 		if ('failure' in result) {
+			this.recordFailureEra(peer, result);
 			throw new ObjectApiError(result.failure, `${result.message} (relayed by ${peer})`);
 		}
 
+		this.recordEra(parseVersion(result.object.resourceVersion).era);
 		return result.object as StoredObject<Value>;
 	}
 
+	/** Records the era of a failure. That an object is missing means nothing without the era in which it is. */
+	private recordFailureEra(peer: InstanceId, {failure, era}: {readonly failure: ObjectApiFailure; readonly era?: number}): void {
+		if (era !== undefined) {
+			this.recordEra(era);
+		} else if (failure === 'notFound') {
+			throw new ObjectApiError('unavailable', `${peer} doesn't state the era in which the object is missing`);
+		}
+	}
+
+	private recordEra(era: number): void {
+		this.relayedEra = Math.max(this.relayedEra, era);
+	}
+
 	private async handleRelayedCall(call: RelayedCall): Promise<RelayedResult> {
 		try {
 			return {object: await this.callDirectly(call)};
 		} catch (error) {
 			if (error instanceof ObjectApiError) {
-				return {failure: error.failure, message: error.message};
+				return {failure: error.failure, message: error.message, era: this.readEra()};
 			}
 
 			throw error;
--- a/src/store/relayed-object-api/test.ts
+++ b/src/store/relayed-object-api/test.ts
@@ -7,7 +7,10 @@
 import {FakePeerNetwork} from '../../peers/fake-peer-network/index.js';
 import {RandomSource} from '../../random/random-source/index.js';
 import {MemoryObjectApi} from '../memory-object-api/index.js';
-import {RelayedObjectApi} from './index.js';
+import {RelayedObjectApi, relayMethod} from './index.js';
+
+const durationMs = 3000;
+const acquireIntervalMs = 500;
 
 /** Creates two instances that share an object API. Each can be cut off from it. */
 function createInstances() {
@@ -24,10 +27,21 @@
 		});
 	});
 	return {
-		clock, memory, direct, relayed,
+		clock, memory, network, direct, relayed,
 	};
 }
 
+/** Calls `acquire` repeatedly until it succeeds; resolves to the time that took, in milliseconds. */
+async function acquireInTime(lease: Lease, clock: ManualClock): Promise<number> {
+	const startedAt = clock.readMonotonic();
+	while (!await lease.acquire().catch(() => false)) {
+		expect(clock.readMonotonic() - startedAt < 5 * durationMs).toEqual(true);
+		await clock.advance(acquireIntervalMs);
+	}
+
+	return clock.readMonotonic() - startedAt;
+}
+
 test('guards against a lost lease of an instance that cannot reach the object API but can reach a peer', async () => {
 	const {clock, direct, relayed} = createInstances();
 	const lease = new Lease({
@@ -55,3 +69,55 @@
 	await expect(relayed[0]!.get('c', 'missing')).toBeRejectedWith('does not exist');
 	expect(direct[1]!.readCount).toEqual(0);
 });
+
+test('guards against a lease that is taken on a restored record because the peer that relays it heard of the restore first', async () => {
+	for (const isReleased of [true, false]) {
+		const {
+			clock, memory, direct, relayed,
+		} = createInstances();
+		const open = (index: number, holder: string, incarnation: string) => new Lease({
+			objectApi: relayed[index]!, clock, name: 'job', holder, incarnation: incarnation as Incarnation, durationMs, mayReplaceEarlierIncarnation: true,
+		});
+		const first = open(0, 'a', 'a-1');
+		await first.acquire();
+		if (isReleased) {
+			await first.release();
+		}
+
+		const copy = memory.copy();
+		const successor = open(1, 'b', 'b-1');
+		await acquireInTime(successor, clock);
+		const fencing = successor.readFencing()!;
+		direct[0]!.isCut = true;
+		memory.restore(copy);
+		const restarted = open(0, 'a', 'a-2');
+		expect(await restarted.acquire()).toEqual(false);
+		expect(await acquireInTime(restarted, clock) > durationMs).toEqual(true);
+		expect(successor.isHeld(clock.readMonotonic())).toEqual(false);
+		expect(restarted.readFencing()! > fencing + 1).toEqual(true);
+	}
+});
+
+test('guards against a lease that is created at once after a restore of which only the relaying peer has heard', async () => {
+	const {
+		clock, memory, direct, relayed,
+	} = createInstances();
+	const copy = memory.copy();
+	const [a, b] = [0, 1].map(index => new Lease({
+		objectApi: relayed[index]!, clock, name: 'job', holder: String(index), incarnation: `${index}-1` as Incarnation, durationMs,
+	}));
+	await b!.acquire();
+	const fencing = b!.readFencing()!;
+	direct[0]!.isCut = true;
+	memory.restore(copy);
+	expect(await a!.acquire()).toEqual(false);
+	await acquireInTime(a!, clock);
+	expect(a!.readFencing()! > fencing).toEqual(true);
+});
+
+test('guards against a missing object that a peer of an earlier release reports without its era', async () => {
+	const {network, relayed, direct} = createInstances();
+	network.open('b' as InstanceId).register(relayMethod, async () => ({failure: 'notFound', message: 'missing'}));
+	direct[0]!.isCut = true;
+	await expect(relayed[0]!.get('c', 'n')).toBeRejectedWith('era');
+});
