Send answers without length in chunks, so that a kill can't complete them

Cause: an answer that its target delimits by the end of the connection was passed on in that form. The kernel closes the connections of a killed process in order, which is what completes such an answer.

Change: the head goes out without a length, so Node.js sends chunks, and the last one follows only when the answer was taken for complete. Callers of HTTP/1.0 get the whole answer with its length. An answer without length from another instance, as earlier releases pass it on, is broken off at its end.

Completeness of what arrives whole, torn or reset is checked as before.

--- a/src/forwarding/call-types/index.ts
+++ b/src/forwarding/call-types/index.ts
@@ -81,8 +81,8 @@
 
 /** Sends a response to the caller. */
 export type CallerSink = {
-	/** Sends the head. An unframed body is delimited by the end of the connection, as at the target. */
-	begin(status: number, headers: readonly string[], isUnframed: boolean): void;
+	/** Sends the head. Without a length, only `end` completes the body that follows. */
+	begin(status: number, headers: readonly string[]): void;
 	/** Sends a chunk; returns false if the source should pause until `onDrain`. */
 	write(chunk: Buffer): boolean;
 	end(): void;
--- a/src/forwarding/response-relay/index.ts
+++ b/src/forwarding/response-relay/index.ts
@@ -144,7 +144,7 @@
 
 	private sendHead(head: ResponseHead): void {
 		this.hasBegun = true;
-		this.sink.begin(head.status, head.headers, head.isUnframed);
+		this.sink.begin(head.status, head.headers);
 	}
 
 	private write(bytes: Buffer): boolean {
--- a/src/gateway/call-listener/test.ts
+++ b/src/gateway/call-listener/test.ts
@@ -168,8 +168,22 @@
 	};
 }
 
+/** Writes the head of an answer that ends with its connection and part of its body, and nothing more. */
+function beginUnframed(body: string): Script {
+	return (socket, id) => {
+		socket.write(`HTTP/1.1 200 OK\r\nx-id: ${id}\r\n\r\n${body}`);
+	};
+}
+
+/** How a call over a plain connection differs from others. */
+type RawCallOptions = {
+	readonly httpVersion?: string;
+	/** Time after which the connections to callers close in order, as the kernel closes those of a killed process. */
+	readonly killAfterMs?: number;
+};
+
 /** Sends one call over a plain connection; the targets follow `scripts` in the order of their attempts. */
-async function sendRawCall(route: Partial<Route>, scripts: readonly Script[], httpVersion = '1.1'): Promise<RawResponse & {readonly runs: number}> {
+async function sendRawCall(route: Partial<Route>, scripts: readonly Script[], {httpVersion = '1.1', killAfterMs}: RawCallOptions = {}): Promise<RawResponse & {readonly runs: number}> {
 	let runs = 0;
 	const servers = await Promise.all(scripts.map(async () => startRawServer((socket, head) => {
 		const script = scripts[runs];
@@ -178,6 +192,12 @@
 	})));
 	const descriptions = servers.map(({address}, index) => createDescription(`t${index}`, {address, weightsVersions: new Map()}));
 	const parts = await startTestGateway(createRoutingConfiguration({routes: [createRoute('r', {host: 'h', ...route})]}), descriptions);
+	if (killAfterMs !== undefined) {
+		setTimeout(() => {
+			parts.listener.destroyConnections();
+		}, killAfterMs);
+	}
+
 	try {
 		const response = await sendRawRequest(parts.address, `POST /x HTTP/${httpVersion}\r\nHost: h\r\nx-id: call-1\r\nContent-Length: 4\r\n\r\nbody`);
 		return {...response, runs};
@@ -290,6 +310,17 @@
 		setTimeout(() => {
 			socket.destroy();
 		}, 20);
-	}], '1.0');
+	}], {httpVersion: '1.0'});
 	expect([isComplete, head.toLowerCase().includes('transfer-encoding')]).toEqual([false, false]);
 });
+
+for (const httpVersion of ['1.0', '1.1']) {
+	test(`guards against an answer without length that looks complete when its instance is killed (HTTP/${httpVersion})`, async () => {
+		for (const route of [{kind: 'nonIdempotent'}, plainStream, resumableStream] as const) {
+			const {isComplete} = await sendRawCall(route, [beginUnframed(firstEvent)], {httpVersion, killAfterMs: 100});
+			expect(isComplete).toEqual(false);
+			const whole = await sendRawCall(route, [answerUnframed(firstEvent + secondEvent, 'end')], {httpVersion});
+			expect([whole.body, whole.isComplete]).toEqual([firstEvent + secondEvent, true]);
+		}
+	});
+}
--- /dev/null
+++ b/src/gateway/collecting-sink/index.ts
@@ -0,0 +1,70 @@
+/**
+ * Response to a caller of HTTP/1.0. Its protocol has no chunks, and a body that ends with its connection looks complete when
+ * the process is killed, so an answer without a length is collected and sent with its length once it is complete.
+ */
+
+import type {ServerResponse} from 'node:http';
+import type {CallerSink} from '../../forwarding/call-types/index.js';
+import {abortResponse} from '../../http/abort-response/index.js';
+import {beginResponse} from '../../http/begin-response/index.js';
+
+/** Larger answers are broken off, in bytes. */
+const maximumCollectedBytes = 4 * 1024 * 1024;
+
+type Head = {readonly status: number; readonly headers: readonly string[]};
+
+/** Sink that sends an answer without length only as a whole. */
+export class CollectingSink implements CallerSink {
+	/** Head of the answer that is being collected; undefined if it is sent as it arrives. */
+	private head: Head | undefined;
+	private readonly chunks: Buffer[] = [];
+	private collectedBytes = 0;
+
+	constructor(private readonly response: ServerResponse) {}
+
+	begin(status: number, headers: readonly string[]): void {
+		if (hasLength(headers)) {
+			beginResponse(this.response, {status, headers});
+		} else {
+			this.head = {status, headers};
+		}
+	}
+
+	write(chunk: Buffer): boolean {
+		if (this.head === undefined) {
+			return this.response.write(chunk);
+		}
+
+		this.collectedBytes += chunk.length;
+		if (this.collectedBytes > maximumCollectedBytes) {
+			this.destroy();
+		} else {
+			this.chunks.push(chunk);
+		}
+
+		return true;
+	}
+
+	end(): void {
+		if (this.head !== undefined) {
+			const {status, headers} = this.head;
+			this.response.writeHead(status, [...headers, 'content-length', String(this.collectedBytes)]);
+		}
+
+		this.response.end(Buffer.concat(this.chunks));
+	}
+
+	destroy(): void {
+		this.chunks.length = 0;
+		abortResponse(this.response);
+	}
+
+	onDrain(listener: () => void): void {
+		this.response.once('drain', listener);
+	}
+}
+
+/** Whether headers, as alternating names and values, state the length of the body. */
+function hasLength(headers: readonly string[]): boolean {
+	return headers.some((name, index) => index % 2 === 0 && name.toLowerCase() === 'content-length');
+}
--- a/src/handover/call-handover/index.ts
+++ b/src/handover/call-handover/index.ts
@@ -117,6 +117,7 @@
 		const {call: {method, path}, body, isRepeatable, sink, signal} = handedOver;
 		return new Promise(resolve => {
 			let hasBegun = false;
+			let endsWithConnection = false;
 			const finish = (outcome: PeerOutcome) => {
 				signal.removeEventListener('abort', abort);
 				resolve(outcome);
@@ -134,7 +135,8 @@
 					}
 
 					hasBegun = true;
-					sink.begin(status, head.forwarded, isUnframed(method, status, name => head.names.has(name)));
+					endsWithConnection = isUnframed(method, status, name => head.names.has(name));
+					sink.begin(status, head.forwarded);
 				},
 				onChunk(chunk) {
 					if (!sink.write(chunk)) {
@@ -145,7 +147,13 @@
 					}
 				},
 				onEnd() {
-					sink.end();
+					// Instances of earlier releases pass such answers on, and the kernel closes the connections of a killed process in order.
+					if (endsWithConnection) {
+						sink.destroy();
+					} else {
+						sink.end();
+					}
+
 					finish('answered');
 				},
 				onFailure(stage) {
--- a/src/handover/call-handover/test.ts
+++ b/src/handover/call-handover/test.ts
@@ -179,3 +179,13 @@
 	const {status} = await call();
 	expect([status, asked]).toEqual([503, 0]);
 });
+
+test('guards against an answer that looks complete when an instance of an earlier release, which passes it on without length, is killed', async t => {
+	const {call} = await startCutOffInstance(t, [(_message, response) => {
+		response.useChunkedEncodingByDefault = false;
+		response.shouldKeepAlive = false;
+		response.writeHead(200, {[servedHeader]: 'true'}).end('part');
+	}]);
+	const {text} = await call();
+	expect(text).toEqual('cut');
+});
--- a/src/http/begin-response/index.ts
+++ b/src/http/begin-response/index.ts
@@ -1,4 +1,9 @@
-/** Sends the head of a response that is passed on from a target. */
+/**
+ * Sends the head of a response that is passed on from a target.
+ *
+ * A body without length goes to the caller in chunks, also if the target delimits it by the end of its connection. The
+ * kernel closes the connections of a killed process in order, so only a missing last chunk shows that a body is incomplete.
+ */
 
 import type {OutgoingHttpHeaders, ServerResponse} from 'node:http';
 
@@ -7,17 +12,10 @@
 	readonly status: number;
 	/** As an object, or as alternating names and values. */
 	readonly headers: OutgoingHttpHeaders | readonly string[];
-	/** Whether the end of the connection delimits the body, as it did at the target. */
-	readonly isUnframed: boolean;
 };
 
-/** Sends the head. The end of an unframed body doesn't prove that it is complete, so it gets no final chunk, which would claim that it is. */
-export function beginResponse(response: ServerResponse, {status, headers, isUnframed}: OutgoingHead): void {
-	if (isUnframed) {
-		response.useChunkedEncodingByDefault = false;
-		response.shouldKeepAlive = false;
-	}
-
+/** Sends the head at once, before any part of the body is known. */
+export function beginResponse(response: ServerResponse, {status, headers}: OutgoingHead): void {
 	response.writeHead(status, headers as OutgoingHttpHeaders);
 	response.flushHeaders();
 }
--- a/src/requests/write-service-response/index.ts
+++ b/src/requests/write-service-response/index.ts
@@ -12,9 +12,9 @@
 
 /** Sends the head of a response and its body `chunks`. A failure breaks the caller's connection off, so that a truncated body never looks complete. */
 export async function writeServiceResponse(response: ServerResponse, serviceResponse: ServiceResponse, chunks: AsyncIterable<Buffer>): Promise<void> {
-	const {answer, isUnframed} = serviceResponse;
+	const {answer} = serviceResponse;
 	try {
-		beginResponse(response, {status: answer.statusCode, headers: filterResponseHeaders(answer.headers), isUnframed});
+		beginResponse(response, {status: answer.statusCode, headers: filterResponseHeaders(answer.headers)});
 		for await (const chunk of chunks) {
 			if (!response.write(chunk)) {
 				await waitForDrain(response);
