End calls that are passed on at their deadline, and leave silent instances

Cause: a handover had no timer once its connection was made, and the kernel of a process that stands still makes connections.

Change: each exchange with another instance is assessed every 100 ms. It ends at the call's deadline. An answer that has begun breaks off when its instance has left the fleet and stays silent. The exchange is a class of its own, the decision a pure function.

--- a/src/gateway/call-listener/index.ts
+++ b/src/gateway/call-listener/index.ts
@@ -291,10 +291,25 @@
 			})
 			: 'notRun';
 		this.handovers.delete(controller);
-		if (outcome === 'notRun') {
-			this.refuse(response, error, call);
-		} else if (outcome === 'unknown') {
-			this.refuse(response, createRouterError('outcomeUnknown', 'the instance that took the call over sent no answer'), call);
+		switch (outcome) {
+			case 'answered': {
+				break;
+			}
+
+			case 'notRun': {
+				this.refuse(response, error, call);
+				break;
+			}
+
+			case 'unknown': {
+				this.refuse(response, createRouterError('outcomeUnknown', 'the instance that took the call over sent no answer'), call);
+				break;
+			}
+
+			case 'expired': {
+				this.refuse(response, createRouterError('targetTimeout', 'the instance that took the call over sent no answer in time'), call);
+				break;
+			}
 		}
 	}
 
--- a/src/handover/call-handover/index.ts
+++ b/src/handover/call-handover/index.ts
@@ -6,18 +6,18 @@
 
 import type {Clock} from '../../clock/clock/index.js';
 import type {CallerSink, InboundCall} from '../../forwarding/call-types/index.js';
-import {TargetClient, type Destination, type Exchange} from '../../forwarding/target-client/index.js';
-import {hopByHopHeaders} from '../../http/hop-by-hop-headers/index.js';
-import {isUnframed} from '../../http/is-unframed/index.js';
+import {TargetClient, type Destination} from '../../forwarding/target-client/index.js';
 import type {InstanceId, MonotonicMs} from '../../identity/ids/index.js';
 import type {EventLogger} from '../../logging/create-logger/index.js';
 import type {Member} from '../../membership/member/index.js';
 import {calleeHeader, callerHeader} from '../../peers/peer-link/index.js';
 import type {RandomSource} from '../../random/random-source/index.js';
-import {
-	cutOffHeader, handoverHeaders, remainingHeader, servedHeader,
-} from '../handover-headers/index.js';
+import {remainingHeader} from '../handover-headers/index.js';
 import type {PeerAvailability} from '../peer-availability/index.js';
+import {
+	filterHeaders, isForwarded, PeerExchange, type PeerOutcome,
+} from '../peer-exchange/index.js';
+import {PeerProbe} from '../peer-probe/index.js';
 import type {TargetReachability} from '../target-reachability/index.js';
 
 /** Instances that are asked to take one call over. */
@@ -38,9 +38,10 @@
 
 /**
  * What became of a call. `answered`: the caller has the other instance's answer, or its connection was broken off within it.
- * `notRun`: no instance took it. `unknown`: an instance may have run it, and its answer was lost before it began.
+ * `notRun`: no instance took it. `unknown`: an instance may have run it, and its answer was lost before it began. `expired`: the same,
+ * and the deadline passed.
  */
-export type HandoverOutcome = 'answered' | 'notRun' | 'unknown';
+export type HandoverOutcome = 'answered' | 'notRun' | 'unknown' | 'expired';
 
 /** Options of `CallHandover`. */
 export type CallHandoverOptions = {
@@ -49,11 +50,9 @@
 	readonly logger: EventLogger;
 	readonly random: RandomSource;
 	readonly reachability: Pick<TargetReachability, 'shouldHandOver' | 'canConnect' | 'isCutOff' | 'settle'>;
-	readonly peers: Pick<PeerAvailability, 'list' | 'recordCutOff'>;
+	readonly peers: Pick<PeerAvailability, 'list' | 'recordCutOff' | 'recordSilent' | 'isMember'>;
 };
 
-type PeerOutcome = HandoverOutcome | 'cutOff';
-
 /** Passes calls on, and counts them. */
 export class CallHandover {
 	/** Gauges of the metrics. */
@@ -64,11 +63,14 @@
 	};
 
 	private readonly client = new TargetClient();
+	private readonly probe: PeerProbe;
 	private readonly destinations = new Map<InstanceId, Destination>();
 	private handedOver = 0;
 	private notTaken = 0;
 
-	constructor(private readonly options: CallHandoverOptions) {}
+	constructor(private readonly options: CallHandoverOptions) {
+		this.probe = new PeerProbe(options.clock, this.client);
+	}
 
 	/** Whether this instance is cut off, so that it can't serve calls by itself. */
 	get isCutOff(): boolean {
@@ -87,21 +89,24 @@
 		return this.options.reachability.isCutOff;
 	}
 
-	/** Passes a call on; asks another instance if one refuses because it is cut off itself, or can't be reached. */
+	/** Passes a call on; asks another instance if one refuses because it is cut off itself, can't be reached, or answers nothing. */
 	async handOver(call: HandedOverCall): Promise<HandoverOutcome> {
 		const {random, peers, clock, logger} = this.options;
 		const startedAt = clock.readMonotonic();
+		let mayHaveRun = false;
 		for (const peer of random.pickSome(peers.list(), maximumPeers)) {
 			if (call.signal.aborted || clock.readMonotonic() >= call.deadline) {
 				break;
 			}
 
-			const outcome = await this.passTo(peer, call);
+			const outcome = await this.passTo(peer, call, call.isRepeatable && !mayHaveRun);
 			logger.info('call handed over', {
 				id: call.call.id, peer: peer.id, outcome, durationMs: Math.round(clock.readMonotonic() - startedAt),
 			});
 			if (outcome === 'cutOff') {
 				peers.recordCutOff(peer.id);
+			} else if (outcome === 'silent') {
+				mayHaveRun = true;
 			} else if (outcome !== 'notRun') {
 				this.handedOver += 1;
 				return outcome;
@@ -109,72 +114,22 @@
 		}
 
 		this.notTaken += 1;
-		return 'notRun';
+		return mayHaveRun ? 'unknown' : 'notRun';
 	}
 
 	/** Passes a call to one instance. */
-	private async passTo(peer: Member, handedOver: HandedOverCall): Promise<PeerOutcome> {
-		const {call: {method, path}, body, isRepeatable, sink, signal} = handedOver;
-		return new Promise(resolve => {
-			let hasBegun = false;
-			let endsWithConnection = false;
-			const finish = (outcome: PeerOutcome) => {
-				signal.removeEventListener('abort', abort);
-				resolve(outcome);
-			};
-
-			const exchange = this.client.start(this.findDestination(peer), {
+	private async passTo(peer: Member, handedOver: HandedOverCall, canMove: boolean): Promise<PeerOutcome> {
+		const {call: {method, path}, body, isRepeatable, deadline, sink, signal} = handedOver;
+		const {client, probe, options: {clock, peers}} = this;
+		return new PeerExchange({
+			peer: {id: peer.id, destination: this.findDestination(peer)},
+			request: {
 				method, path, headers: this.buildHeaders(peer, handedOver), body, shouldUseNewConnection: !isRepeatable,
-			}, {
-				onHead(status, rawHeaders) {
-					const head = parseHead(rawHeaders);
-					if (!head.isServed) {
-						exchange.abort();
-						finish(head.isCutOff ? 'cutOff' : 'notRun');
-						return;
-					}
-
-					hasBegun = true;
-					endsWithConnection = isUnframed(method, status, name => head.names.has(name));
-					sink.begin(status, head.forwarded);
-				},
-				onChunk(chunk) {
-					if (!sink.write(chunk)) {
-						exchange.pause();
-						sink.onDrain(() => {
-							exchange.resume();
-						});
-					}
-				},
-				onEnd() {
-					// Instances of earlier releases pass such answers on, and the kernel closes the connections of a killed process in order.
-					if (endsWithConnection) {
-						sink.destroy();
-					} else {
-						sink.end();
-					}
-
-					finish('answered');
-				},
-				onFailure(stage) {
-					if (hasBegun) {
-						sink.destroy();
-					}
-
-					finish(hasBegun ? 'answered' : (stage === 'notSent' ? 'notRun' : 'unknown'));
-				},
-			});
-			const abort = () => {
-				exchange.abort();
-				if (hasBegun) {
-					sink.destroy();
-				}
-
-				resolve(hasBegun ? 'answered' : 'unknown');
-			};
-
-			signal.addEventListener('abort', abort, {once: true});
-		});
+			},
+			deadline, canMove, sink, signal,
+		}, {
+			clock, client, probe, peers,
+		}).run();
 	}
 
 	/** Builds the headers: those of the caller, who the call is for, and how long its caller still waits. */
@@ -197,21 +152,3 @@
 		return destination;
 	}
 }
-
-/** The head of another instance's answer: what of it goes to the caller, and the names of all headers in lower case. */
-function parseHead(rawHeaders: readonly string[]) {
-	const names = new Set(rawHeaders.filter((_, index) => index % 2 === 0).map(name => name.toLowerCase()));
-	return {
-		names, forwarded: filterHeaders(rawHeaders, isForwarded), isCutOff: names.has(cutOffHeader), isServed: names.has(servedHeader),
-	};
-}
-
-/** Whether a header passes from caller to target or back, and does not concern one connection or the handover; its name is in lower case. */
-function isForwarded(name: string): boolean {
-	return !hopByHopHeaders.has(name) && !handoverHeaders.includes(name);
-}
-
-/** Keeps the headers whose names in lower case pass; `rawHeaders` alternates names and values. */
-function filterHeaders(rawHeaders: readonly string[], passes: (name: string) => boolean): string[] {
-	return rawHeaders.filter((_, index) => passes(rawHeaders[index - (index % 2)]!.toLowerCase()));
-}
--- a/src/handover/call-handover/test.ts
+++ b/src/handover/call-handover/test.ts
@@ -19,7 +19,7 @@
 type Handler = (message: IncomingMessage, response: ServerResponse) => void;
 
 /** Starts an instance that reaches no target, and others that serve the calls it passes on as the handlers say. */
-async function startCutOffInstance(t: TestContext, handlers: readonly Handler[], kind: CallKind = 'nonIdempotent', isCutOff = true) {
+async function startCutOffInstance(t: TestContext, handlers: readonly Handler[], kind: CallKind = 'nonIdempotent', isCutOff = true, timeoutMs = 3000) {
 	const servers = handlers.map(handle => createServer(handle));
 	const peers: Member[] = [];
 	for (const [index, server] of servers.entries()) {
@@ -27,6 +27,7 @@
 	}
 
 	const refusing: string[] = [];
+	const silent: string[] = [];
 	const clock = new SystemClock();
 	const handover = new CallHandover({
 		self: 'self' as InstanceId, clock, logger: quietLogger, random: new RandomSource(1),
@@ -34,13 +35,17 @@
 			isCutOff, canConnect: !isCutOff, shouldHandOver: () => isCutOff, settle: async () => undefined,
 		},
 		peers: {
-			list: () => peers,
+			list: () => peers.filter(({id}) => !silent.includes(id)),
+			isMember: () => true,
 			recordCutOff(id) {
 				refusing.push(id);
 			},
+			recordSilent(id) {
+				silent.push(id);
+			},
 		},
 	});
-	const route = createRoute('r', {host: '127.0.0.1', kind, timeoutMs: 3000});
+	const route = createRoute('r', {host: '127.0.0.1', kind, timeoutMs});
 	const targets = [createDescription('t0', {address: await findClosedAddress(), weightsVersions: new Map()})];
 	const gateway = await startTestGateway(createRoutingConfiguration({routes: [route]}), targets, {}, handover);
 	t.after(() => {
@@ -189,3 +194,72 @@
 	const {text} = await call();
 	expect(text).toEqual('cut');
 });
+
+/** An instance that stands still: its kernel accepts connections, and nothing is answered. */
+const standStill: Handler = () => {
+	// No answer follows.
+};
+
+const serve: Handler = (_message, response) => {
+	response.writeHead(200, {[servedHeader]: 'true'}).end('served');
+};
+
+async function measureMs<Result>(run: () => Promise<Result>): Promise<{readonly result: Result; readonly ms: number}> {
+	const startedAt = performance.now();
+	const result = await run();
+	return {result, ms: performance.now() - startedAt};
+}
+
+test('guards against a call that is never answered because the instance that took it over stands still', async t => {
+	const {call, gateway} = await startCutOffInstance(t, [standStill], 'nonIdempotent', true, 800);
+	const {result, ms} = await measureMs(async () => call());
+	expect([result.status, ms >= 750, ms < 1250, gateway.listener.callsInProgress]).toEqual([504, true, true, 0]);
+});
+
+test('guards against a repeatable call that waits for an instance that stands still while another one could serve it', async t => {
+	const {call} = await startCutOffInstance(t, [standStill, serve], 'idempotent');
+	const first = await measureMs(async () => call());
+	const second = await measureMs(async () => call());
+	expect([first.result.text, second.result.text, Math.max(first.ms, second.ms) < 1500]).toEqual(['served', 'served', true]);
+});
+
+test('guards against calls that go to an instance that has answered nothing a moment before', async t => {
+	let received = 0;
+	const count: Handler = ({method}) => {
+		received += method === 'POST' ? 1 : 0;
+	};
+
+	const {call} = await startCutOffInstance(t, [count, serve], 'idempotent');
+	await Promise.all(Array.from({length: 4}, async () => call()));
+	const receivedBefore = received;
+	await Promise.all(Array.from({length: 8}, async () => call()));
+	expect([receivedBefore > 0, received]).toEqual([true, receivedBefore]);
+});
+
+test('guards against leaving an instance that is slow with a call but answers others', async t => {
+	let runs = 0;
+	const slow: Handler = (message, response) => {
+		if (message.method === 'GET') {
+			response.writeHead(400).end();
+			return;
+		}
+
+		runs += 1;
+		setTimeout(() => {
+			serve(message, response);
+		}, 1000);
+	};
+
+	const {call} = await startCutOffInstance(t, [slow, slow], 'idempotent');
+	const {text} = await call();
+	expect([text, runs]).toEqual(['served', 1]);
+});
+
+test('guards against an answer that stays open for ever when its instance goes silent within it', async t => {
+	const {call, gateway} = await startCutOffInstance(t, [(_message, response) => {
+		response.writeHead(200, {[servedHeader]: 'true'});
+		response.write('part');
+	}], 'nonIdempotent', true, 800);
+	const {result, ms} = await measureMs(async () => call());
+	expect([result.text, ms < 1250, gateway.listener.callsInProgress]).toEqual(['cut', true, 0]);
+});
--- a/src/handover/peer-availability/index.ts
+++ b/src/handover/peer-availability/index.ts
@@ -20,6 +20,8 @@
 const validityMs = 4000;
 /** Time for which an instance that refused a call because it is cut off gets no further ones, in milliseconds. */
 const refusalMs = 1000;
+/** Time for which an instance that answered nothing gets no further calls, in milliseconds. */
+const silenceMs = 1000;
 
 const messageSchema = z.object({instance: z.string().min(1).max(100), isCutOff: z.boolean()});
 
@@ -65,6 +67,16 @@
 		this.extend(id, refusalMs);
 	}
 
+	/** Records that an instance answers nothing, as one that stands still. */
+	recordSilent(id: InstanceId): void {
+		this.extend(id, silenceMs);
+	}
+
+	/** Whether an instance counts as a member of the fleet, also while it leaves. */
+	isMember(id: InstanceId): boolean {
+		return this.options.listPeers().some(peer => peer.id === id);
+	}
+
 	/** Tells the others about this instance. */
 	announce(): void {
 		void sendRepeatedly(() => {
--- /dev/null
+++ b/src/handover/peer-exchange/index.ts
@@ -0,0 +1,177 @@
+/**
+ * One call at the instance that it was passed on to. It ends at its deadline at the latest, and earlier if the instance
+ * answers nothing at all.
+ */
+
+import type {Clock} from '../../clock/clock/index.js';
+import type {CallerSink} from '../../forwarding/call-types/index.js';
+import type {
+	Exchange, ExchangeListener, ExchangeStage, OutboundRequest, TargetClient,
+} from '../../forwarding/target-client/index.js';
+import {hopByHopHeaders} from '../../http/hop-by-hop-headers/index.js';
+import {isUnframed} from '../../http/is-unframed/index.js';
+import type {InstanceId, MonotonicMs} from '../../identity/ids/index.js';
+import {assessHandover} from '../assess-handover/index.js';
+import {cutOffHeader, handoverHeaders, servedHeader} from '../handover-headers/index.js';
+import type {PeerProbe, ProbedPeer} from '../peer-probe/index.js';
+
+/**
+ * What became of a call at an instance. `answered`: the caller has its answer, or the connection to the caller was broken off
+ * within it. `notRun`: it didn't take the call. `cutOff`: it reaches no target either. `unknown`: it may have run the call, and the
+ * answer was lost before it began. `silent`: the same, and it answers nothing at all. `expired`: the deadline passed.
+ */
+export type PeerOutcome = 'answered' | 'notRun' | 'cutOff' | 'unknown' | 'silent' | 'expired';
+
+/** Interval between checks of a call, in milliseconds. */
+const checkIntervalMs = 100;
+
+/** A call as it is sent to an instance. */
+export type PeerCall = {
+	readonly peer: ProbedPeer;
+	readonly request: OutboundRequest;
+	readonly deadline: MonotonicMs;
+	/** Whether another instance may be asked if this one answers nothing. */
+	readonly canMove: boolean;
+	readonly sink: CallerSink;
+	/** Aborts when the caller has disconnected or the instance stops. */
+	readonly signal: AbortSignal;
+};
+
+/** Dependencies of an exchange. */
+export type PeerExchangeOptions = {
+	readonly clock: Clock;
+	readonly client: TargetClient;
+	readonly probe: PeerProbe;
+	readonly peers: {
+		/** Whether an instance counts as a member of the fleet. */
+		isMember(id: InstanceId): boolean;
+		/** Records that an instance answers nothing. */
+		recordSilent(id: InstanceId): void;
+	};
+};
+
+/** Passes one call to one instance. */
+export class PeerExchange implements ExchangeListener {
+	private readonly sentAt: MonotonicMs;
+	private hasBegun = false;
+	/** Whether only the end of the connection delimits the answer. */
+	private endsWithConnection = false;
+	private exchange: Exchange | undefined;
+	private timer: NodeJS.Timeout | undefined;
+	private onDone: ((outcome: PeerOutcome) => void) | undefined;
+
+	constructor(private readonly call: PeerCall, private readonly options: PeerExchangeOptions) {
+		this.sentAt = options.clock.readMonotonic();
+	}
+
+	/** Sends the call; resolves when its outcome is known. */
+	async run(): Promise<PeerOutcome> {
+		const {call, options: {client}} = this;
+		return new Promise(resolve => {
+			this.onDone = resolve;
+			this.exchange = client.start(call.peer.destination, call.request, this);
+			this.timer = setInterval(() => {
+				this.check();
+			}, checkIntervalMs);
+			call.signal.addEventListener('abort', this.abort, {once: true});
+		});
+	}
+
+	onHead(status: number, rawHeaders: readonly string[]): void {
+		const {call, options: {probe}} = this;
+		probe.recordHeard(call.peer.id);
+		const head = parseHead(rawHeaders);
+		if (!head.isServed) {
+			this.exchange?.abort();
+			this.finish(head.isCutOff ? 'cutOff' : 'notRun');
+			return;
+		}
+
+		this.hasBegun = true;
+		this.endsWithConnection = isUnframed(call.request.method, status, name => head.names.has(name));
+		call.sink.begin(status, head.forwarded);
+	}
+
+	onChunk(chunk: Buffer): void {
+		const {call: {peer, sink}, options: {probe}} = this;
+		probe.recordHeard(peer.id);
+		if (!sink.write(chunk)) {
+			this.exchange?.pause();
+			sink.onDrain(() => {
+				this.exchange?.resume();
+			});
+		}
+	}
+
+	onEnd(): void {
+		// Instances of earlier releases pass such answers on, and the kernel closes the connections of a killed process in order.
+		if (this.endsWithConnection) {
+			this.call.sink.destroy();
+		} else {
+			this.call.sink.end();
+		}
+
+		this.finish('answered');
+	}
+
+	onFailure(stage: ExchangeStage): void {
+		this.breakOff(stage === 'notSent' ? 'notRun' : 'unknown');
+	}
+
+	private readonly abort = (): void => {
+		this.exchange?.abort();
+		this.breakOff('unknown');
+	};
+
+	/** Ends the call if it can't go on. */
+	private check(): void {
+		const {call: {peer, deadline, canMove}, options: {clock, probe, peers}, sentAt, hasBegun} = this;
+		const now = clock.readMonotonic();
+		const assessment = assessHandover({
+			deadline, hasBegun, lastHeardAt: probe.check(peer, sentAt, now), isMember: peers.isMember(peer.id),
+		}, now);
+		if (assessment === 'silent') {
+			peers.recordSilent(peer.id);
+		}
+
+		if (assessment === 'keep' || (assessment === 'silent' && !canMove)) {
+			return;
+		}
+
+		this.exchange?.abort();
+		this.breakOff(assessment === 'broken' ? 'unknown' : assessment);
+	}
+
+	/** Ends the call without a complete answer; `outcome` holds if the answer has not begun. */
+	private breakOff(outcome: PeerOutcome): void {
+		if (this.hasBegun) {
+			this.call.sink.destroy();
+		}
+
+		this.finish(this.hasBegun ? 'answered' : outcome);
+	}
+
+	private finish(outcome: PeerOutcome): void {
+		clearInterval(this.timer);
+		this.call.signal.removeEventListener('abort', this.abort);
+		this.onDone?.(outcome);
+	}
+}
+
+/** The head of another instance's answer: what of it goes to the caller, and the names of all headers in lower case. */
+function parseHead(rawHeaders: readonly string[]) {
+	const names = new Set(rawHeaders.filter((_, index) => index % 2 === 0).map(name => name.toLowerCase()));
+	return {
+		names, forwarded: filterHeaders(rawHeaders, isForwarded), isCutOff: names.has(cutOffHeader), isServed: names.has(servedHeader),
+	};
+}
+
+/** Whether a header passes from caller to target or back, and does not concern one connection or the handover; its name is in lower case. */
+export function isForwarded(name: string): boolean {
+	return !hopByHopHeaders.has(name) && !handoverHeaders.includes(name);
+}
+
+/** Keeps the headers whose names in lower case pass; `rawHeaders` alternates names and values. */
+export function filterHeaders(rawHeaders: readonly string[], passes: (name: string) => boolean): string[] {
+	return rawHeaders.filter((_, index) => passes(rawHeaders[index - (index % 2)]!.toLowerCase()));
+}
