Keep a stalled call at its target unless it can go on elsewhere

Cause: after 1 s without an event the attempt was aborted, and only then the next step planned. Without a retry, a run or a free target the answer was broken off, although a sound target may be silent that long and go on.

Change: plan-move decides first; the call moves only with a target that can take it at once and a retry that has been taken.

Evidence: the new test of call-listener failed before, with an empty retry budget and with one run allowed: the answer was incomplete.

--- a/src/forwarding/build-step-query/index.ts
+++ b/src/forwarding/build-step-query/index.ts
@@ -5,14 +5,13 @@
 import type {MonotonicMs} from '../../identity/ids/index.js';
 import type {AttemptFailure, NextStepQuery} from '../plan-next-step/index.js';
 import type {ResponseRelay} from '../response-relay/index.js';
+import {isRepeatable} from '../../routing/is-repeatable/index.js';
 import type {SessionOptions} from '../session-types/index.js';
 
 /** State of the call after the attempt. */
 export type FailedAttempt = {
 	readonly failure: AttemptFailure;
 	readonly session: SessionOptions;
-	/** Whether the route allows the call to run again. */
-	readonly isRepeatable: boolean;
 	readonly relay: ResponseRelay;
 	readonly guard: CallGuard;
 	readonly runs: number;
@@ -22,10 +21,10 @@
 
 /** Builds the query. A call that may crash the next target isn't repeatable. */
 export function buildStepQuery(attempt: FailedAttempt, context: ForwardingContext, now: MonotonicMs): NextStepQuery {
-	const {failure, session, isRepeatable, relay, guard, runs, attempts, deadline} = attempt;
+	const {failure, session, relay, guard, runs, attempts, deadline} = attempt;
 	return {
 		failure,
-		isRepeatable: isRepeatable && (!relay.hasBegun || relay.isResumable) && !guard.isSuspicious(now),
+		isRepeatable: isRepeatable(session.route) && (!relay.hasBegun || relay.isResumable) && !guard.isSuspicious(now),
 		runs,
 		maximumRuns: session.route.maximumAttempts,
 		attempts,
--- a/src/forwarding/call-session/index.ts
+++ b/src/forwarding/call-session/index.ts
@@ -11,7 +11,8 @@
 import {createRouterError, type RouterError} from '../../results/create-router-error/index.js';
 import type {ResultName} from '../../results/result-codes/index.js';
 import {isRepeatable} from '../../routing/is-repeatable/index.js';
-import {addRetryAfterJitter, buildLongRetryAfter, buildShortRetryAfter} from '../add-retry-after-jitter/index.js';
+import {buildShortRetryAfter} from '../add-retry-after-jitter/index.js';
+import {admitCall} from '../admit-call/index.js';
 import {assessAttempt} from '../assess-attempt/index.js';
 import {buildStepQuery} from '../build-step-query/index.js';
 import {ResponseRelay} from '../response-relay/index.js';
@@ -24,6 +25,7 @@
 import type {ForwardingContext} from '../forwarding-context/index.js';
 import {passChunk} from '../pass-chunk/index.js';
 import {planNextStep, type AttemptFailure, type NextStep} from '../plan-next-step/index.js';
+import {planMove} from '../plan-move/index.js';
 import {planWait} from '../plan-wait/index.js';
 import {PrefixHints} from '../prefix-hints/index.js';
 import {recordHead} from '../record-head/index.js';
@@ -46,7 +48,6 @@
 	private readonly guard: CallGuard;
 	private readonly waiter: TargetWaiter;
 	private readonly times: CallTimes;
-	private readonly isRepeatable: boolean;
 	private readonly attempts = new CallAttempts();
 	private readonly selection: TargetSelection;
 	/** When the call arrived or, once its stream has begun, when the stream last broke off. */
@@ -59,7 +60,6 @@
 		const {call, route, arrivedAt} = options;
 		this.waitingSince = arrivedAt;
 		this.deadline = calculateCallDeadline(call, route, arrivedAt);
-		this.isRepeatable = isRepeatable(route);
 		this.hints = new PrefixHints(call.work, options.organisation, context.prefixes);
 		this.origin = new StreamOrigin(options, context.streamOrigins);
 		this.selection = {
@@ -79,22 +79,18 @@
 		});
 		this.deadlineTimer = setTimeout(() => {
 			this.endEarly('noTarget', 'targetTimeout');
-		}, Math.max(0, this.deadline - this.readNow()));
+		}, Math.max(0, this.deadline - this.context.clock.readMonotonic()));
 		await this.guard.requestTrial();
 		if (this.isDone || this.isRejectedByGuard()) {
 			return done;
 		}
 
-		if (!await this.origin.bindTakenUp()) {
-			this.refuse(createRouterError('softwareUnknown', undefined, buildLongRetryAfter(this.context.draw())));
-			return done;
-		}
-
-		if (await this.charge.charge()) {
+		const error = await admitCall({origin: this.origin, charge: this.charge, draw: this.context.draw});
+		if (error === undefined) {
 			this.context.findRetryBudget(this.options.service).recordRequest();
 			this.tryNextTarget();
 		} else {
-			this.refuse(createRouterError('budgetExceeded', undefined, {retryAfterSeconds: addRetryAfterJitter(1, this.context.draw())}));
+			this.refuse(error);
 		}
 
 		await done;
@@ -113,29 +109,27 @@
 		this.endEarly('stopping', 'outcomeUnknown');
 	}
 
-	/** Withdraws an attempt that must not begin any more, and moves a repeatable call to another target if its attempt has stalled. */
+	/** Withdraws an attempt that must not begin any more, and moves a repeatable call whose attempt has stalled if that is possible. */
 	checkAttempt(now: MonotonicMs): void {
-		const attempt = this.attempts.current;
+		const {current: attempt} = this.attempts;
 		if (attempt === undefined || this.isDone) {
 			return;
 		}
 
-		const assessment = assessAttempt({attempt, selection: this.selection, isRepeatable: this.isRepeatable}, this.context, now);
-		if (assessment === 'keep') {
-			return;
-		}
-
-		attempt.exchange?.abort();
+		const assessment = assessAttempt({attempt, selection: this.selection, isRepeatable: isRepeatable(this.options.route)}, this.context, now);
 		if (assessment === 'withdraw') {
-			this.withdraw(attempt);
-		} else {
-			this.onFailure(attempt, attempt.head === undefined ? 'sent' : 'responding', new Error('no data received from the target'));
+			attempt.exchange?.abort();
+			// It may have begun just now, so it counts as one that may have run.
+			this.attempts.end(attempt, true);
+			this.retryOrFail('unknown', 'the call had not begun within the time limit of the old weights', attempt);
+		} else if (assessment === 'move') {
+			this.moveStalled(attempt, now);
 		}
 	}
 
 	/** Handles the head of an answer. */
 	onHead(attempt: Attempt, head: ResponseHead): void {
-		const now = this.readNow();
+		const now = this.context.clock.readMonotonic();
 		recordHead(attempt, head, this.options.call.work?.model, this.context, now);
 		if (head.isNotRun) {
 			this.handleRejection(attempt, head, now);
@@ -160,7 +154,7 @@
 
 	/** Handles bytes of an answer. */
 	onChunk(attempt: Attempt, chunk: Buffer): void {
-		const now = this.readNow();
+		const now = this.context.clock.readMonotonic();
 		attempt.lastReceivedAt = now;
 		this.times.recordChunk(now);
 		attempt.target.recordReceivedBytes(now);
@@ -178,7 +172,7 @@
 		if (!this.relay.isComplete(head)) {
 			const error = new Error('the stream ended inside an event');
 			if (head.isUnframed) {
-				this.guard.recordFailure(attempt, {stage: 'responding', error}, this.readNow());
+				this.guard.recordFailure(attempt, {stage: 'responding', error}, this.context.clock.readMonotonic());
 			}
 
 			this.onFailure(attempt, 'responding', error);
@@ -186,7 +180,7 @@
 		}
 
 		attempt.target.recordSuccess();
-		this.guard.recordEnd(attempt, this.readNow());
+		this.guard.recordEnd(attempt, this.context.clock.readMonotonic());
 		this.attempts.end(attempt, true);
 		this.relay.end(head);
 		this.finish('answered', head.status, attempt);
@@ -198,30 +192,36 @@
 			return;
 		}
 
-		this.attempts.end(attempt, stage !== 'notSent');
+		const now = this.context.clock.readMonotonic();
 		if (stage === 'notSent') {
-			attempt.target.recordUnreachable(this.readNow());
+			this.attempts.end(attempt, false);
+			attempt.target.recordUnreachable(now);
 			this.retryOrFail('notSent', error.message, attempt);
 			return;
 		}
 
-		attempt.target.recordFailure(this.readNow());
-		this.relay.discardIncomplete();
-		if (this.relay.hasBegun) {
-			this.waitingSince = this.readNow();
-		}
-
+		this.recordBreak(attempt, now);
 		this.retryOrFail(this.relay.hasBegun ? 'broken' : 'unknown', error.message, attempt);
 	}
 
-	/** Ends an attempt that must not begin any more. It may have begun just now, so it counts as one that may have run. */
-	private withdraw(attempt: Attempt): void {
-		this.attempts.end(attempt, true);
-		this.retryOrFail('unknown', 'the call had not begun within the time limit of the old weights', attempt);
+	/** Moves the call to another target, if one can take over from the stalled one. */
+	private moveStalled(attempt: Attempt, now: MonotonicMs): void {
+		const {selection, guard, context, relay, attempts: {runs}} = this;
+		const failure = relay.hasBegun ? 'broken' : 'unknown';
+		const step = planMove({selection, guard, planStep: () => this.planNextStep(failure, runs + 1)}, context, now);
+		if (step.type === 'retry') {
+			attempt.exchange?.abort();
+			this.recordBreak(attempt, now);
+			this.retryOrFail(failure, 'no data received from the target', attempt, step);
+		}
 	}
 
-	private readNow(): MonotonicMs {
-		return this.context.clock.readMonotonic();
+	/** Records that an attempt which may have run the call has ended before its answer was complete. */
+	private recordBreak(attempt: Attempt, now: MonotonicMs): void {
+		this.attempts.end(attempt, true);
+		attempt.target.recordFailure(now);
+		this.relay.discardIncomplete();
+		this.waitingSince = this.relay.hasBegun ? now : this.waitingSince;
 	}
 
 	private tryNextTarget(): void {
@@ -229,7 +229,7 @@
 			return;
 		}
 
-		const now = this.readNow();
+		const now = this.context.clock.readMonotonic();
 		const target = selectTarget(this.selection, this.context, now);
 		if (target === undefined) {
 			this.waitForTarget(now);
@@ -240,12 +240,13 @@
 
 	/** Ends the call if its prompt may not be sent to a target; returns whether it does. */
 	private isRejectedByGuard(): boolean {
-		const error = this.guard.findError(this.attempts.mayHaveRun, this.readNow());
-		if (error !== undefined) {
-			this.fail(error);
+		const error = this.guard.findError(this.attempts.mayHaveRun, this.context.clock.readMonotonic());
+		if (error === undefined) {
+			return false;
 		}
 
-		return error !== undefined;
+		this.fail(error);
+		return true;
 	}
 
 	private waitForTarget(now: MonotonicMs): void {
@@ -269,7 +270,7 @@
 		this.times.recordSent(now);
 		this.attempts.current = startAttempt({
 			session: this.options, target, hints: this.hints, guard: this.guard, remainingMs: this.deadline - now,
-			lastEventId: this.relay.readLastEventId(), isRepeatable: this.isRepeatable, origin: this.origin, number: this.attempts.count,
+			lastEventId: this.relay.readLastEventId(), isRepeatable: isRepeatable(this.options.route), origin: this.origin, number: this.attempts.count,
 		}, this.context, this, now);
 	}
 
@@ -286,8 +287,7 @@
 
 	/** Retries an idempotent call after a 5xx response; returns whether it does. */
 	private retryErrorResponse(attempt: Attempt): boolean {
-		const {kind} = this.options.route;
-		if (kind !== 'idempotent' || this.planNextStep('unknown', this.attempts.runs + 1).type !== 'retry') {
+		if (this.options.route.kind !== 'idempotent' || this.planNextStep('unknown', this.attempts.runs + 1).type !== 'retry') {
 			return false;
 		}
 
@@ -298,14 +298,13 @@
 	}
 
 	private planNextStep(failure: AttemptFailure, runs: number): NextStep {
-		const {options: session, isRepeatable, relay, guard, attempts: {count: attempts}, deadline} = this;
+		const {options: session, relay, guard, attempts: {count: attempts}, deadline} = this;
 		return planNextStep(buildStepQuery({
-			failure, session, isRepeatable, relay, guard, runs, attempts, deadline,
-		}, this.context, this.readNow()));
+			failure, session, relay, guard, runs, attempts, deadline,
+		}, this.context, this.context.clock.readMonotonic()));
 	}
 
-	private retryOrFail(failure: AttemptFailure, reason: string, attempt: Attempt): void {
-		const step = this.planNextStep(failure, this.attempts.runs);
+	private retryOrFail(failure: AttemptFailure, reason: string, attempt: Attempt, step = this.planNextStep(failure, this.attempts.runs)): void {
 		const {guard, attempts: {count: attempts}, context, options: {call: {id}}} = this;
 		reportFailedAttempt(context.logger, {
 			id, attempt, attempts, failure, reason, step, guard,
@@ -321,9 +320,8 @@
 	/** Ends the call before its response is complete; the result depends on whether a target may have run it. */
 	private endEarly(resultIfNotRun: ResultName, resultIfMayHaveRun: ResultName): void {
 		if (!this.isDone) {
-			const result = this.attempts.mayHaveRun ? resultIfMayHaveRun : resultIfNotRun;
 			this.attempts.abort();
-			this.fail(createRouterError(result));
+			this.fail(createRouterError(this.attempts.mayHaveRun ? resultIfMayHaveRun : resultIfNotRun));
 		}
 	}
 
@@ -363,8 +361,9 @@
 			this.attempts.end(this.attempts.current, true);
 		}
 
+		const times = this.times.summarise(this.context.clock.readMonotonic());
 		reportCall(this.context, this.options, {
-			outcome, status, attempt, attempts: this.attempts.count, passedBytes: this.relay.passedBytes, times: this.times.summarise(this.readNow()),
+			outcome, status, attempt, attempts: this.attempts.count, passedBytes: this.relay.passedBytes, times,
 		});
 		this.onDone?.();
 	}
--- a/src/gateway/call-listener/test.ts
+++ b/src/gateway/call-listener/test.ts
@@ -8,7 +8,9 @@
 import {sendRawRequest, type RawResponse} from '../../fixtures/send-raw-request/index.js';
 import {startRawServer} from '../../fixtures/start-raw-server/index.js';
 import {hashKey} from '../../keys/hash-key/index.js';
+import type {ForwardingContext} from '../../forwarding/forwarding-context/index.js';
 import type {Route} from '../../routing/routing-types/index.js';
+import {RetryBudget} from '../../requests/retry-budget/index.js';
 
 type Script = (socket: Socket, id: string, head: string) => void;
 type CallResult = {status: number; body: string; runs: number; outcome: string | undefined};
@@ -180,10 +182,12 @@
 	readonly httpVersion?: string;
 	/** Time after which the connections to callers close in order, as the kernel closes those of a killed process. */
 	readonly killAfterMs?: number;
+	/** Dependencies of the calls that are replaced. */
+	readonly changes?: Partial<ForwardingContext>;
 };
 
 /** Sends one call over a plain connection; the targets follow `scripts` in the order of their attempts. */
-async function sendRawCall(route: Partial<Route>, scripts: readonly Script[], {httpVersion = '1.1', killAfterMs}: RawCallOptions = {}): Promise<RawResponse & {readonly runs: number}> {
+async function sendRawCall(route: Partial<Route>, scripts: readonly Script[], {httpVersion = '1.1', killAfterMs, changes}: RawCallOptions = {}): Promise<RawResponse & {readonly runs: number}> {
 	let runs = 0;
 	const servers = await Promise.all(scripts.map(async () => startRawServer((socket, head) => {
 		const script = scripts[runs];
@@ -191,7 +195,7 @@
 		script?.(socket, /x-id: (\S+)/u.exec(head)?.[1] ?? '', head);
 	})));
 	const descriptions = servers.map(({address}, index) => createDescription(`t${index}`, {address, weightsVersions: new Map()}));
-	const parts = await startTestGateway(createRoutingConfiguration({routes: [createRoute('r', {host: 'h', ...route})]}), descriptions);
+	const parts = await startTestGateway(createRoutingConfiguration({routes: [createRoute('r', {host: 'h', ...route})]}), descriptions, changes);
 	if (killAfterMs !== undefined) {
 		setTimeout(() => {
 			parts.listener.destroyConnections();
@@ -324,3 +328,22 @@
 		}
 	});
 }
+
+/** Sends one event, is silent for longer than a stream may stall, and goes on to the end. */
+const pauseWithinStream: Script = (socket, id) => {
+	socket.write(`HTTP/1.1 200 OK\r\nx-id: ${id}\r\nTransfer-Encoding: chunked\r\n\r\n${firstEvent.length.toString(16)}\r\n${firstEvent}\r\n`);
+	setTimeout(() => {
+		socket.write(`${secondEvent.length.toString(16)}\r\n${secondEvent}\r\n0\r\n\r\n`);
+	}, 1600);
+};
+
+test('guards against breaking a silent stream off when no retry is left that could continue it elsewhere', async () => {
+	const emptyBudget = new RetryBudget({retriesPerRequest: 0, initialRetries: 0, maximumLevel: 0});
+	for (const [route, changes] of [
+		[resumableStream, {findRetryBudget: () => emptyBudget}],
+		[{...resumableStream, maximumAttempts: 1}, {}],
+	] as const) {
+		const {body, isComplete, runs} = await sendRawCall({...route, timeoutMs: 5000}, [pauseWithinStream, continueAfterFirstEvent], {changes});
+		expect({body, isComplete, runs}).toEqual({body: firstEvent + secondEvent, isComplete: true, runs: 1});
+	}
+});
