Count calls until their answers are written, and take none at the end of a stop

Cause: the drain didn't count calls whose bodies were being read, nor answers that were not yet written.

Change: a call counts from its head until its answer is written. When none is left, and before the rest is aborted, the listener refuses further calls.

Evidence: the new test of create-gateway-stop failed before: of a call being read and a call on a kept connection both were cut; both are answered now.

--- a/src/gateway/call-listener/index.ts
+++ b/src/gateway/call-listener/index.ts
@@ -84,12 +84,11 @@
 	private readonly server: Server;
 	/** Undefined until the instance leaves. Answers then close their connection so that callers reconnect elsewhere. */
 	private departure: Departure | undefined;
+	/** Calls from the arrival of their head until their answer is written or their connection has ended. */
 	private readonly openResponses = new Set<ServerResponse>();
 	private readonly sessions = new Set<CallSession>();
 	/** Calls that are being passed on to other instances. */
 	private readonly handovers = new Set<AbortController>();
-	/** Calls of which it is not yet known whether their callers are still there. */
-	private unconfirmedCalls = 0;
 	private isSilenceCheckScheduled = false;
 
 	constructor(private readonly options: CallListenerOptions) {
@@ -100,8 +99,9 @@
 		});
 	}
 
+	/** Calls that are read, served or passed on, or whose answers are not yet written as a whole. */
 	get callsInProgress(): number {
-		return this.sessions.size + this.handovers.size + this.unconfirmedCalls;
+		return this.openResponses.size;
 	}
 
 	/** Starts listening; returns `host:port`. */
@@ -123,6 +123,11 @@
 		this.departure = departure;
 	}
 
+	/** Refuses all calls from now on, because the process ends before any of them could be answered. */
+	refuseCalls(): void {
+		this.departure = {acceptsAllUntil: -Infinity as MonotonicMs, endsAt: -Infinity as MonotonicMs};
+	}
+
 	/** Accepts the connections that wait, then closes the listener and the idle connections. */
 	async close(): Promise<void> {
 		await stopListening(this.server);
@@ -228,7 +233,7 @@
 			throw createRouterError('stopping', 'the call could outlast the instance', {retryAfterSeconds: 0});
 		}
 
-		const isConnected = await this.confirmCaller(arrival.message);
+		const isConnected = await isCallerConnected(arrival.message);
 		const passOn = {resolvedCall, body, arrival};
 		if (isConnected && !isPassedOn && handover?.shouldHandOver(isRepeatable(route), arrivedAt) === true) {
 			const retryAfterSeconds = addRetryAfterJitter(unreachableRetrySeconds, context.draw());
@@ -264,13 +269,6 @@
 		this.sessions.delete(session);
 	}
 
-	private async confirmCaller(message: IncomingMessage): Promise<boolean> {
-		this.unconfirmedCalls += 1;
-		const isConnected = await isCallerConnected(message);
-		this.unconfirmedCalls -= 1;
-		return isConnected;
-	}
-
 	/** Whether a call that arrived at `arrivedAt` could outlast this instance, although its caller had time to learn of other ones. */
 	private mustReject(deadline: MonotonicMs, arrivedAt: MonotonicMs): boolean {
 		return this.departure !== undefined && arrivedAt > this.departure.acceptsAllUntil && deadline > this.departure.endsAt;
--- a/src/gateway/create-gateway-stop/index.ts
+++ b/src/gateway/create-gateway-stop/index.ts
@@ -27,7 +27,7 @@
 	readonly graceMs: number;
 	readonly addressValiditySeconds: number;
 	readonly membership: Pick<Membership, 'markLeaving' | 'stop'>;
-	readonly listener: Pick<CallListener, 'leave' | 'callsInProgress' | 'close' | 'abortCalls' | 'flushAnswers'>;
+	readonly listener: Pick<CallListener, 'leave' | 'callsInProgress' | 'refuseCalls' | 'close' | 'abortCalls' | 'flushAnswers'>;
 	readonly rollout: Pick<RolloutController, 'stop'>;
 	/** Its signal ends all tasks of the gateway. */
 	readonly controller: AbortController;
@@ -54,8 +54,12 @@
 			while (listener.callsInProgress > 0) {
 				await clock.sleep(drainCheckIntervalMs);
 			}
+
+			// Callers may go on to use connections that are still open, and a call that is taken now would end with the process.
+			listener.refuseCalls();
 		},
 		abortRequests() {
+			listener.refuseCalls();
 			listener.abortCalls();
 		},
 		async release() {
--- a/src/gateway/create-gateway-stop/test.ts
+++ b/src/gateway/create-gateway-stop/test.ts
@@ -1,6 +1,6 @@
 import {Agent, request as sendHttp} from 'node:http';
 import {setImmediate as nextTurn, setTimeout as delay} from 'node:timers/promises';
-import {test} from 'node:test';
+import {test, type TestContext} from 'node:test';
 import {expect} from 'earl';
 import {SystemClock} from '../../clock/clock/index.js';
 import {ManualClock} from '../../clock/manual-clock/index.js';
@@ -8,6 +8,7 @@
 import {createRoute, createRoutingConfiguration} from '../../fixtures/create-routing-configuration/index.js';
 import {startRawServer} from '../../fixtures/start-raw-server/index.js';
 import {startTestGateway} from '../../fixtures/start-test-gateway/index.js';
+import {parseAddress} from '../../http/parse-address/index.js';
 import {quietLogger} from '../../logging/quiet-logger/index.js';
 import {createGatewayStop} from './index.js';
 
@@ -24,7 +25,7 @@
 	const listener = {
 		callsInProgress, leave: recordStep('listener leaving'), async close() {
 			recordStep('listener closed')();
-		}, abortCalls: recordStep('calls aborted'),
+		}, refuseCalls: recordStep('calls refused'), abortCalls: recordStep('calls aborted'),
 		async flushAnswers() {
 			recordStep('answers flushed')();
 		},
@@ -48,7 +49,7 @@
 	void stop.run();
 	await clock.advance(10_000);
 	expect(steps).toEqual([
-		'leaving at 0', 'listener leaving at 0', 'rollout released at 0', 'listener closed at 3300', 'answers flushed at 3300', 'membership stopped at 3300', 'tasks ended at 3300',
+		'leaving at 0', 'listener leaving at 0', 'rollout released at 0', 'listener closed at 3300', 'calls refused at 3300', 'answers flushed at 3300', 'membership stopped at 3300', 'tasks ended at 3300',
 	]);
 });
 
@@ -142,6 +143,78 @@
 	expect([count(200) > 100, count(503) > 0, count(502), count(504)]).toEqual([true, true, 0, 0]);
 });
 
+/** Starts a gateway before one target, and its planned stop. */
+async function startStoppableGateway(t: TestContext, target: Parameters<typeof startRawServer>[0]) {
+	const server = await startRawServer(target);
+	const route = createRoute('r', {host: '127.0.0.1', kind: 'nonIdempotent', timeoutMs: 5000});
+	const descriptions = [createDescription('t0', {address: server.address, weightsVersions: new Map()})];
+	const {address, listener, close} = await startTestGateway(createRoutingConfiguration({routes: [route]}), descriptions);
+	t.after(() => {
+		close();
+		server.close();
+	});
+	const stop = createGatewayStop({
+		clock: new SystemClock(), logger: quietLogger, graceMs, addressValiditySeconds: 0.2, controller: new AbortController(), listener,
+		membership: {
+			markLeaving() {
+				// Callers of this test know no other instance.
+			},
+			stop() {
+				// There is no membership.
+			},
+		},
+		rollout: {
+			async stop() {
+				// There is no rollout.
+			},
+		},
+	});
+	return {
+		address, listener,
+		/** Stops the gateway; as at the end of the process, nothing is written afterwards. */
+		async stop() {
+			await stop.run();
+			listener.destroyConnections();
+		},
+	};
+}
+
+test('guards against calls that are read, or taken on kept connections, when the last call in progress has ended, and cut by the end of the process', async t => {
+	const {address, stop} = await startStoppableGateway(t, (socket, head) => {
+		const id = /x-id: (\S+)/u.exec(head)?.[1] ?? '';
+		setTimeout(() => {
+			socket.end(`HTTP/1.1 200 OK\r\nx-id: ${id}\r\nContent-Length: 2\r\n\r\nok`);
+		}, id === 'first' ? 1000 : 500);
+	});
+	const agent = new Agent({keepAlive: true});
+	const {host, port} = parseAddress(address);
+	const slow = new Promise<number | 'cut'>(resolve => {
+		const message = sendHttp({
+			host, port, method: 'POST', path: '/x', agent: false, headers: {'x-id': 'slow', 'x-wait': '4000', 'content-length': 8},
+		}, response => {
+			response.resume();
+			resolve(response.statusCode!);
+		});
+		message.on('error', () => {
+			resolve('cut');
+		});
+		message.write('body');
+		setTimeout(() => {
+			message.end('body');
+		}, 2000);
+	});
+	const first = sendCall(address, 'first', agent);
+	await delay(100);
+	const stopped = stop();
+	expect(await first).toEqual(200);
+	// The connection is kept, since the answer began before its caller could learn of the stop. All calls have ended, one is still being read.
+	await delay(100);
+	const late = await sendCall(address, 'late', agent);
+	expect([late, await slow]).toEqual([200, 200]);
+	agent.destroy();
+	await stopped;
+});
+
 test('guards against calls that are reset because their connections wait to be accepted when the listener closes', async t => {
 	const server = await startRawServer(socket => {
 		socket.write('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok');
