Bound every answer that is read into memory as a whole

Change: read-text bounds bodies, line-splitter bounds lines; both readers of lines use the latter. It also decodes characters that are split after the first chunk, which undici may deliver undecoded.

--- a/src/http/fetch-json/index.ts
+++ b/src/http/fetch-json/index.ts
@@ -3,6 +3,7 @@
 import type {IncomingHttpHeaders} from 'node:http';
 import {request, type Dispatcher} from 'undici';
 import VError from 'verror';
+import {maximumAnswerBytes, readText} from '../read-text/index.js';
 
 /** Options of `fetchJson`. */
 export type FetchJsonOptions = {
@@ -26,7 +27,7 @@
 		dispatcher: options.dispatcher,
 	});
 	options.onHeaders?.(response.headers);
-	const text = await response.body.text();
+	const text = await readText(response.body, maximumAnswerBytes);
 	if (response.statusCode < 200 || response.statusCode >= 300) {
 		throw new VError({name: 'HttpStatusError', info: {status: response.statusCode}}, 'status %d from %s: %s', response.statusCode, url, text.slice(0, 200));
 	}
--- a/src/store/http-object-api/index.ts
+++ b/src/store/http-object-api/index.ts
@@ -6,7 +6,9 @@
 import {type Stream} from 'most';
 import {Agent, request} from 'undici';
 import type {ResourceVersion} from '../../identity/ids/index.js';
+import {maximumAnswerBytes, readText} from '../../http/read-text/index.js';
 import {createTaskStream} from '../../streams/create-task-stream/index.js';
+import {LineSplitter} from '../../streams/line-splitter/index.js';
 import {checkStatus, convertCallError} from '../convert-call-error/index.js';
 import {parseVersion} from '../object-version/index.js';
 import {
@@ -120,7 +122,7 @@
 				body: body === undefined ? undefined : JSON.stringify(body),
 				signal: AbortSignal.timeout(this.options.callTimeoutMs ?? defaultCallTimeoutMs),
 			});
-			const text = await response.body.text();
+			const text = await readText(response.body, maximumAnswerBytes);
 			checkStatus(response.statusCode, text);
 			this.onHeard?.();
 			return (text === '' ? undefined : JSON.parse(text)) as Result;
@@ -133,16 +135,13 @@
 		try {
 			const response = await request(this.options.origin + path, {dispatcher: this.watchAgent, signal});
 			if (response.statusCode !== 200) {
-				checkStatus(response.statusCode, await response.body.text());
+				checkStatus(response.statusCode, await readText(response.body, maximumAnswerBytes));
 			}
 
-			let incompleteLine = '';
-			response.body.setEncoding('utf8');
+			const splitter = new LineSplitter();
 			for await (const chunk of response.body) {
 				this.onHeard?.();
-				const lines = (incompleteLine + (chunk as string)).split('\n');
-				incompleteLine = lines.pop() ?? '';
-				for (const line of lines) {
+				for (const line of splitter.add(chunk as Buffer)) {
 					emit(convertEvent(collection, JSON.parse(line) as WireWatchEvent<Value>));
 				}
 			}
--- a/src/targets/http-engine-client/index.ts
+++ b/src/targets/http-engine-client/index.ts
@@ -4,6 +4,7 @@
 import type {Stream} from 'most';
 import {Pool, type Dispatcher} from 'undici';
 import {createTaskStream} from '../../streams/create-task-stream/index.js';
+import {LineSplitter} from '../../streams/line-splitter/index.js';
 import {createRouterError, RouterError} from '../../results/create-router-error/index.js';
 import {classifyCallError} from '../../http/classify-call-error/index.js';
 import {discardBody} from '../../http/discard-body/index.js';
@@ -158,12 +159,9 @@
 			throw await convertErrorResponse(response);
 		}
 
-		let incompleteLine = '';
-		response.body.setEncoding('utf8');
+		const splitter = new LineSplitter();
 		for await (const chunk of response.body) {
-			const lines = (incompleteLine + (chunk as string)).split('\n');
-			incompleteLine = lines.pop() ?? '';
-			for (const line of lines) {
+			for (const line of splitter.add(chunk as Buffer)) {
 				emit(JSON.parse(line) as CacheEvent);
 			}
 		}
