Confirm that a service has one software version before a stream follows from it

Cause: the version of a stream was derived from this instance's list of targets, without asking whether the list is current.

Change: another instance, or the stored versions, confirm the list first. One answer serves all streams within 0.1 s; without any answer the stream is refused as of unknown software.

Evidence: the new test of stream-directory failed before: a stream of v2 went on at v1. The second new test passes with and without the change; it guards against refusing streams when all other instances are gone.

--- a/src/resumption/history-record/index.ts
+++ b/src/resumption/history-record/index.ts
@@ -24,6 +24,8 @@
 const readRetryMs = 250;
 const peerTimeoutMs = 250;
 /** Bounds of the pause after which an instance that is not the first choice writes, in milliseconds. */
+/** Time for which an answer of a peer or of the object API confirms the versions, in milliseconds. */
+const confirmationMs = 100;
 const otherWriterDelayMs = {shortest: 1500, longest: 4500};
 
 /** Options of `HistoryRecord`. */
@@ -52,6 +54,8 @@
 	/** JSON of the versions that the object API has, as far as it is known. */
 	private stored: string | undefined;
 	private era = 0;
+	private confirmedAt: MonotonicMs | undefined;
+	private confirmation: Promise<boolean> | undefined;
 
 	constructor(private readonly options: HistoryRecordOptions, private readonly history: SoftwareHistory) {
 		this.object = new ConditionalObject({...options, name: historyName});
@@ -77,6 +81,20 @@
 		this.changed.notify();
 	}
 
+	/**
+	 * Finds out whether there are versions that this instance has not heard of, because it was cut off or stood still. Resolves to
+	 * whether a peer or the object API has answered; what they know then counts here, too.
+	 */
+	async confirm(): Promise<boolean> {
+		const now = this.options.clock.readMonotonic();
+		if (this.confirmedAt !== undefined && now - this.confirmedAt < confirmationMs) {
+			return true;
+		}
+
+		this.confirmation ??= this.requestConfirmation();
+		return this.confirmation;
+	}
+
 	/** Keeps the object up to date until `signal` aborts. */
 	async run(signal: AbortSignal): Promise<void> {
 		const {clock} = this.options;
@@ -109,6 +127,26 @@
 		}
 	}
 
+	private async requestConfirmation(): Promise<boolean> {
+		const {clock, logger} = this.options;
+		const now = clock.readMonotonic();
+		try {
+			const versions = await this.askPeer();
+			if (versions !== undefined) {
+				this.history.addEarlier(versions, clock.readMonotonic());
+			}
+
+			const isConfirmed = versions !== undefined || await this.readObject();
+			this.confirmedAt = isConfirmed ? now : undefined;
+			return isConfirmed;
+		} catch (error) {
+			logger.warn('software versions not confirmed', {reason: (error as Error).message});
+			return false;
+		} finally {
+			this.confirmation = undefined;
+		}
+	}
+
 	private async askPeer(): Promise<SoftwareVersions | undefined> {
 		const {self, random, caller, logger, listLive} = this.options;
 		const peer = random.pickSome(listLive().filter(({id}) => id !== self), 1)[0];
--- a/src/resumption/stream-directory/index.ts
+++ b/src/resumption/stream-directory/index.ts
@@ -163,14 +163,20 @@
 		}
 
 		const isComplete = await this.waitForHistory();
-		const versions = this.history.list(stream.service, this.options.clock.readMonotonic());
-		if (isComplete && versions.length === 1) {
-			return {software: versions[0], source: 'history'};
+		if (isComplete && this.listVersions(stream).length === 1 && await this.historyRecord.confirm()) {
+			const versions = this.listVersions(stream);
+			if (versions.length === 1) {
+				return {software: versions[0], source: 'history'};
+			}
 		}
 
 		return key === undefined ? unknownOrigin : this.findElsewhere(key);
 	}
 
+	private listVersions({service}: Pick<TakenUpStream, 'service'>): readonly SoftwareVersion[] {
+		return this.history.list(service, this.options.clock.readMonotonic());
+	}
+
 	/** Finds a stream in the records of this instance. */
 	private findHere(key: StreamKey): Origin | undefined {
 		const now = this.options.clock.readMonotonic();
--- a/src/resumption/stream-directory/test.ts
+++ b/src/resumption/stream-directory/test.ts
@@ -55,6 +55,41 @@
 	expect(await instances[4]!.takeUp('r1')).toEqual('v1');
 });
 
+test('guards against the version of a stream that follows from a list without the version that joined while the instance was out of step', async () => {
+	for (const isCutOff of [false, true]) {
+		const {
+			clock, instances, list, listExcept, peers, objectApi,
+		} = startStreamDirectories(9);
+		list('v1');
+		await clock.advance(longestWaitMs);
+		const outOfStep = instances[8]!;
+		listExcept(outOfStep, 'v1', 'v2');
+		instances[0]!.begin('r1', 'v2');
+		await clock.advance(spreadMs);
+		if (isCutOff) {
+			objectApi.setDown(true);
+			for (const {id} of instances.slice(0, 8)) {
+				peers.setPartitioned('i8', id, true);
+			}
+		}
+
+		expect(await outOfStep.takeUp('r1')).toEqual(isCutOff ? undefined : 'v2');
+		objectApi.setDown(false);
+	}
+});
+
+test('guards against refusing the streams of an instance whose peers are all gone, while the object API answers', async () => {
+	const {clock, instances, list} = startStreamDirectories(3);
+	list('v1');
+	await clock.advance(longestWaitMs);
+	instances[0]!.begin('r1', 'v1');
+	for (const {stop} of instances.slice(0, 2)) {
+		stop();
+	}
+
+	expect(await instances[2]!.takeUp('r1')).toEqual('v1');
+});
+
 test('guards against guessing the version of a stream that nobody knows', async () => {
 	const {clock, instances, list} = startStreamDirectories(9);
 	list('v1', 'v2');
