Log who ended an answer that was not completed, and under which configuration

The line of a finished call tells its outcome, but not whether its caller, a failure of the connection or this instance closed it, nor which configuration ruled it at arrival and at its end, so the hypotheses could not be told apart. Each answer that ends before it is complete now has a line with these.

--- a/src/gateway/call-listener/index.ts
+++ b/src/gateway/call-listener/index.ts
@@ -30,6 +30,7 @@
 import type {RoutingTable} from '../../routing/routing-table/index.js';
 import type {CallerLimits, CallerOrganisation, Route} from '../../routing/routing-types/index.js';
 import {createCallerSink} from '../create-caller-sink/index.js';
+import {logIncompleteAnswer, type CallMoment} from '../log-incomplete-answer/index.js';
 
 /** Converts between the HTTP messages of callers and the types of the forwarding core. */
 export type CallerProtocol = {
@@ -171,17 +172,23 @@
 	}
 
 	private async serve(message: IncomingMessage, response: ServerResponse, isPassedOn: boolean): Promise<void> {
-		const arrivedAt = this.options.context.clock.readMonotonic();
+		const arrival = this.readMoment();
+		const {at: arrivedAt} = arrival;
 		if (this.departure !== undefined) {
 			response.shouldKeepAlive = false;
 		}
 
+		let call: InboundCall | undefined;
 		this.openResponses.add(response);
 		response.once('close', () => {
 			this.openResponses.delete(response);
+			if (!response.writableFinished) {
+				logIncompleteAnswer({
+					id: call?.id, response, arrival, end: this.readMoment(),
+				}, this.options.context.logger);
+			}
 		});
 
-		let call: InboundCall | undefined;
 		try {
 			call = this.options.protocol.readCall(message);
 			if (isPassedOn) {
@@ -200,6 +207,11 @@
 		}
 	}
 
+	private readMoment(): CallMoment {
+		const {context: {clock}, readTable} = this.options;
+		return {at: clock.readMonotonic(), revision: readTable()?.configuration.revision};
+	}
+
 	/** Finds the route and organisation of a call; throws a `RouterError` if the call may not be served. */
 	private resolveCall(call: InboundCall, table: RoutingTable | undefined): ResolvedCall {
 		if (table === undefined) {
