Let the deadline of a call in progress follow a raised timeout of its route

What callers saw: a stream that had begun was closed without its end at the timeout that its route had had at arrival, though the configuration in force allowed more and the caller waited longer.

Cause: the deadline was calculated once, when the call arrived, and nothing of a later configuration reached it. The class is a value copied from a configuration into something that outlives it.

Change: a CallDeadline for each call, which a new configuration can extend but never shorten; targets and other instances are told the caller's own time for streams, so that the work doesn't end at the old timeout either. The calls in progress have a module of their own, apart from the listener.

--- a/src/forwarding/build-step-query/index.ts
+++ b/src/forwarding/build-step-query/index.ts
@@ -16,19 +16,18 @@
 	readonly guard: CallGuard;
 	readonly runs: number;
 	readonly attempts: number;
-	readonly deadline: MonotonicMs;
 };
 
 /** Builds the query. A call that may crash the next target isn't repeatable. */
 export function buildStepQuery(attempt: FailedAttempt, context: ForwardingContext, now: MonotonicMs): NextStepQuery {
-	const {failure, session, relay, guard, runs, attempts, deadline} = attempt;
+	const {failure, session, relay, guard, runs, attempts} = attempt;
 	return {
 		failure,
 		isRepeatable: isRepeatable(session.route) && (!relay.hasBegun || relay.isResumable) && !guard.isSuspicious(now),
 		runs,
 		maximumRuns: session.route.maximumAttempts,
 		attempts,
-		remainingMs: deadline - now,
+		remainingMs: session.deadline.read() - now,
 		takeRetry: () => context.findRetryBudget(session.service).take(),
 	};
 }
--- a/src/forwarding/call-session/index.ts
+++ b/src/forwarding/call-session/index.ts
@@ -16,7 +16,6 @@
 import {assessAttempt} from '../assess-attempt/index.js';
 import {buildStepQuery} from '../build-step-query/index.js';
 import {ResponseRelay} from '../response-relay/index.js';
-import {calculateCallDeadline} from '../calculate-call-deadline/index.js';
 import {CallAttempts} from '../call-attempts/index.js';
 import {CallCharge} from '../call-charge/index.js';
 import {CallGuard} from '../call-guard/index.js';
@@ -40,7 +39,6 @@
 
 /** A call in progress. */
 export class CallSession implements AttemptListener {
-	readonly deadline: MonotonicMs;
 	readonly relay: ResponseRelay;
 	readonly origin: StreamOrigin;
 	private readonly hints: PrefixHints;
@@ -53,13 +51,11 @@
 	/** When the call arrived or, once its stream has begun, when the stream last broke off. */
 	private waitingSince: MonotonicMs;
 	private isDone = false;
-	private deadlineTimer: NodeJS.Timeout | undefined;
 	private onDone: (() => void) | undefined;
 
 	constructor(private readonly options: SessionOptions, private readonly context: ForwardingContext) {
 		const {call, route, arrivedAt} = options;
 		this.waitingSince = arrivedAt;
-		this.deadline = calculateCallDeadline(call, route, arrivedAt);
 		this.hints = new PrefixHints(call.work, options.organisation, context.prefixes);
 		this.origin = new StreamOrigin(options, context.streamOrigins);
 		this.selection = {
@@ -77,9 +73,9 @@
 		const done = new Promise<void>(resolve => {
 			this.onDone = resolve;
 		});
-		this.deadlineTimer = setTimeout(() => {
+		this.options.deadline.start(() => {
 			this.endEarly('noTarget', 'targetTimeout');
-		}, Math.max(0, this.deadline - this.context.clock.readMonotonic()));
+		});
 		await this.guard.requestTrial();
 		if (this.isDone || this.isRejectedByGuard()) {
 			return done;
@@ -250,9 +246,9 @@
 	}
 
 	private waitForTarget(now: MonotonicMs): void {
-		const {options: session, selection, deadline, attempts: {mayHaveRun}, waitingSince: since, context} = this;
+		const {options: session, selection, attempts: {mayHaveRun}, waitingSince: since, context} = this;
 		const plan = planWait({
-			session, selection, deadline, mayHaveRun, since,
+			session, selection, deadline: session.deadline.read(), mayHaveRun, since,
 		}, context, now);
 		if (plan.type === 'reject') {
 			this.refuse(plan.error);
@@ -269,7 +265,7 @@
 		this.attempts.add(target);
 		this.times.recordSent(now);
 		this.attempts.current = startAttempt({
-			session: this.options, target, hints: this.hints, guard: this.guard, remainingMs: this.deadline - now,
+			session: this.options, target, hints: this.hints, guard: this.guard, remainingMs: this.options.deadline.measureWorkMs(now),
 			lastEventId: this.relay.readLastEventId(), isRepeatable: isRepeatable(this.options.route), origin: this.origin, number: this.attempts.count,
 		}, this.context, this, now);
 	}
@@ -298,9 +294,9 @@
 	}
 
 	private planNextStep(failure: AttemptFailure, runs: number): NextStep {
-		const {options: session, relay, guard, attempts: {count: attempts}, deadline} = this;
+		const {options: session, relay, guard, attempts: {count: attempts}} = this;
 		return planNextStep(buildStepQuery({
-			failure, session, relay, guard, runs, attempts, deadline,
+			failure, session, relay, guard, runs, attempts,
 		}, this.context, this.context.clock.readMonotonic()));
 	}
 
@@ -354,7 +350,7 @@
 		}
 
 		this.isDone = true;
-		clearTimeout(this.deadlineTimer);
+		this.options.deadline.stop();
 		this.waiter.stop();
 		const attempt = lastAttempt ?? this.attempts.current;
 		if (this.attempts.current !== undefined) {
--- a/src/forwarding/session-types/index.ts
+++ b/src/forwarding/session-types/index.ts
@@ -4,6 +4,7 @@
 import type {MonotonicMs} from '../../identity/ids/index.js';
 import type {RouterError} from '../../results/create-router-error/index.js';
 import type {CallerOrganisation, Route, ServiceId} from '../../routing/routing-types/index.js';
+import type {CallDeadline} from '../call-deadline/index.js';
 import type {ResponseHead, CallerSink, InboundCall} from '../call-types/index.js';
 import type {Exchange} from '../target-client/index.js';
 
@@ -15,6 +16,7 @@
 	readonly service: ServiceId;
 	readonly organisation: CallerOrganisation | undefined;
 	readonly arrivedAt: MonotonicMs;
+	readonly deadline: CallDeadline;
 	readonly sink: CallerSink;
 	/** Responds with an error; only for a call whose response has not begun. */
 	readonly refuse: (error: RouterError) => void;
--- a/src/gateway/call-listener/index.ts
+++ b/src/gateway/call-listener/index.ts
@@ -15,10 +15,10 @@
 import {readBody} from '../../http/read-body/index.js';
 import {stopListening} from '../../http/stop-listening/index.js';
 import type {MonotonicMs} from '../../identity/ids/index.js';
+import {CallDeadline} from '../../forwarding/call-deadline/index.js';
 import type {InboundCall} from '../../forwarding/call-types/index.js';
 import {CallSession} from '../../forwarding/call-session/index.js';
 import {addRetryAfterJitter} from '../../forwarding/add-retry-after-jitter/index.js';
-import {calculateCallDeadline} from '../../forwarding/calculate-call-deadline/index.js';
 import {drawService} from '../../forwarding/draw-service/index.js';
 import type {ForwardingContext} from '../../forwarding/forwarding-context/index.js';
 import {hashKey} from '../../keys/hash-key/index.js';
@@ -28,7 +28,8 @@
 import {resultCodes} from '../../results/result-codes/index.js';
 import {isRepeatable} from '../../routing/is-repeatable/index.js';
 import type {RoutingTable} from '../../routing/routing-table/index.js';
-import type {CallerLimits, CallerOrganisation, Route} from '../../routing/routing-types/index.js';
+import type {CallerOrganisation, Route} from '../../routing/routing-types/index.js';
+import {CallsInProgress} from '../calls-in-progress/index.js';
 import {createCallerSink} from '../create-caller-sink/index.js';
 import {logIncompleteAnswer, type CallMoment} from '../log-incomplete-answer/index.js';
 
@@ -63,10 +64,13 @@
 
 type PassedOnCall = {readonly resolvedCall: ResolvedCall; readonly body: Buffer; readonly arrival: Arrival};
 
-type ResolvedCall = {readonly call: InboundCall; readonly route: Route; readonly organisation: CallerOrganisation | undefined};
+type ResolvedCall = {
+	readonly call: InboundCall;
+	readonly route: Route;
+	readonly organisation: CallerOrganisation | undefined;
+	readonly deadline: CallDeadline;
+};
 
-/** Interval between checks for calls whose target has gone silent, in milliseconds. */
-const silenceCheckIntervalMs = 150;
 /** Maximum number of connections that wait to be accepted; a burst above it is delayed by seconds. */
 const connectionBacklog = 4096;
 const maximumHeaderBytes = 16_384;
@@ -76,7 +80,6 @@
 const requestTimeoutMs = 30_000;
 /** Maximum size of a request body until a configuration sets a limit, in bytes. */
 const defaultMaximumBodyBytes = 1_048_576;
-const flushCheckMs = 10;
 /** Time after which callers may return when no instance reaches a target, in seconds. */
 const unreachableRetrySeconds = 1;
 
@@ -85,14 +88,10 @@
 	private readonly server: Server;
 	/** Undefined until the instance leaves. Answers then close their connection so that callers reconnect elsewhere. */
 	private departure: Departure | undefined;
-	/** Calls from the arrival of their head until their answer is written or their connection has ended. */
-	private readonly openResponses = new Set<ServerResponse>();
-	private readonly sessions = new Set<CallSession>();
-	/** Calls that are being passed on to other instances. */
-	private readonly handovers = new Set<AbortController>();
-	private isSilenceCheckScheduled = false;
+	private readonly calls: CallsInProgress;
 
 	constructor(private readonly options: CallListenerOptions) {
+		this.calls = new CallsInProgress(options.context.clock);
 		this.server = createServer({
 			maxHeaderSize: maximumHeaderBytes, connectionsCheckingInterval: connectionCheckIntervalMs, requestTimeout: requestTimeoutMs, noDelay: true,
 		}, (message, response) => {
@@ -102,7 +101,7 @@
 
 	/** Calls that are read, served or passed on, or whose answers are not yet written as a whole. */
 	get callsInProgress(): number {
-		return this.openResponses.size;
+		return this.calls.count;
 	}
 
 	/** Starts listening; returns `host:port`. */
@@ -113,10 +112,15 @@
 		return `${host}:${(this.server.address() as AddressInfo).port}`;
 	}
 
-	/** Applies the timeouts of a new configuration. */
-	applyLimits(limits: CallerLimits): void {
+	/** Applies a new configuration to connections and to the calls in progress. */
+	applyConfiguration(table: RoutingTable): void {
+		const {limits, revision} = table.configuration;
 		this.server.keepAliveTimeout = limits.idleTimeoutMs;
 		this.server.headersTimeout = limits.headerTimeoutMs;
+		const extended = this.calls.applyRoutes(id => table.findRouteById(id));
+		if (extended > 0) {
+			this.options.context.logger.info('deadlines of calls in progress extended', {revision, calls: extended});
+		}
 	}
 
 	/** Asks callers to reconnect elsewhere, and from a time on takes no more calls than can be answered before the end. */
@@ -142,22 +146,12 @@
 
 	/** Aborts all calls in progress. */
 	abortCalls(): void {
-		for (const session of this.sessions) {
-			session.terminate();
-		}
-
-		for (const controller of this.handovers) {
-			controller.abort();
-		}
+		this.calls.abort();
 	}
 
 	/** Resolves when all answers are written, at the latest after `timeoutMs`. */
 	async flushAnswers(timeoutMs: number): Promise<void> {
-		const {clock} = this.options.context;
-		const end = clock.readMonotonic() + timeoutMs;
-		while (this.openResponses.size > 0 && clock.readMonotonic() < end) {
-			await clock.sleep(flushCheckMs);
-		}
+		await this.calls.flush(timeoutMs);
 	}
 
 	/** Serves a call that another instance passes on. If this one reaches no target either, it says so and does nothing. */
@@ -179,9 +173,8 @@
 		}
 
 		let call: InboundCall | undefined;
-		this.openResponses.add(response);
+		this.calls.add(response);
 		response.once('close', () => {
-			this.openResponses.delete(response);
 			if (!response.writableFinished) {
 				logIncompleteAnswer({
 					id: call?.id, response, arrival, end: this.readMoment(),
@@ -196,7 +189,8 @@
 			}
 
 			const table = this.options.readTable();
-			const resolvedCall = this.resolveCall(call, table);
+			const resolvedCall = this.resolveCall(call, table, arrivedAt);
+			this.calls.followRoute(resolvedCall.deadline, response);
 			const body = await readBody(message, table?.configuration.limits.maximumBodyBytes ?? defaultMaximumBodyBytes);
 			await this.forward(resolvedCall, body, {
 				message, response, arrivedAt, isPassedOn,
@@ -213,7 +207,7 @@
 	}
 
 	/** Finds the route and organisation of a call; throws a `RouterError` if the call may not be served. */
-	private resolveCall(call: InboundCall, table: RoutingTable | undefined): ResolvedCall {
+	private resolveCall(call: InboundCall, table: RoutingTable | undefined, arrivedAt: MonotonicMs): ResolvedCall {
 		if (table === undefined) {
 			throw createRouterError('notReady', undefined, {retryAfterSeconds: 0.2});
 		}
@@ -229,11 +223,13 @@
 			throw createRouterError('unauthenticated');
 		}
 
-		return {call, route, organisation};
+		return {
+			call, route, organisation, deadline: new CallDeadline({call, route, arrivedAt}, this.options.context.clock),
+		};
 	}
 
 	private async forward(resolvedCall: ResolvedCall, body: Buffer, arrival: Arrival): Promise<void> {
-		const {call, route, organisation} = resolvedCall;
+		const {call, route, organisation, deadline} = resolvedCall;
 		const {response, arrivedAt, isPassedOn} = arrival;
 		const {context, handover} = this.options;
 		const service = drawService(route, call, context.draw);
@@ -241,7 +237,7 @@
 			throw createRouterError('noTarget', 'the route has no service with a positive weight');
 		}
 
-		if (this.mustReject(calculateCallDeadline(call, route, arrivedAt), arrivedAt)) {
+		if (this.mustReject(deadline.read(), arrivedAt)) {
 			throw createRouterError('stopping', 'the call could outlast the instance', {retryAfterSeconds: 0});
 		}
 
@@ -254,7 +250,7 @@
 		}
 
 		const session = new CallSession({
-			call, route, service, organisation, arrivedAt,
+			call, route, service, organisation, arrivedAt, deadline,
 			body: body.length === 0 ? undefined : body,
 			sink: createCallerSink(response),
 			refuse: error => {
@@ -275,10 +271,7 @@
 			return;
 		}
 
-		this.sessions.add(session);
-		this.scheduleSilenceCheck();
-		await session.run();
-		this.sessions.delete(session);
+		await this.calls.run(session);
 	}
 
 	/** Whether a call that arrived at `arrivedAt` could outlast this instance, although its caller had time to learn of other ones. */
@@ -287,20 +280,16 @@
 	}
 
 	/** Passes a call on to another instance if this one reaches no target; ends it with `error` if it does, or if no other takes it. */
-	private async handOver({resolvedCall: {call, route}, body, arrival: {message, response, arrivedAt}}: PassedOnCall, error: RouterError): Promise<void> {
+	private async handOver({resolvedCall: {call, route, deadline}, body, arrival: {message, response}}: PassedOnCall, error: RouterError): Promise<void> {
 		const {handover} = this.options;
-		const controller = new AbortController();
-		this.handovers.add(controller);
-		response.once('close', () => {
-			controller.abort();
-		});
+		const controller = this.calls.beginHandover(response);
 		const outcome = await handover?.shouldRescue() === true
 			? await handover!.handOver({
 				call, rawHeaders: message.rawHeaders, body: body.length === 0 ? undefined : body, isRepeatable: isRepeatable(route),
-				deadline: calculateCallDeadline(call, route, arrivedAt), sink: createCallerSink(response), signal: controller.signal,
+				deadline, sink: createCallerSink(response), signal: controller.signal,
 			})
 			: 'notRun';
-		this.handovers.delete(controller);
+		this.calls.endHandover(controller);
 		switch (outcome) {
 			case 'answered': {
 				break;
@@ -347,25 +336,6 @@
 		]);
 		response.end(body);
 	}
-
-	private scheduleSilenceCheck(): void {
-		if (this.isSilenceCheckScheduled) {
-			return;
-		}
-
-		this.isSilenceCheckScheduled = true;
-		setTimeout(() => {
-			this.isSilenceCheckScheduled = false;
-			const now = this.options.context.clock.readMonotonic();
-			for (const session of this.sessions) {
-				session.checkAttempt(now);
-			}
-
-			if (this.sessions.size > 0) {
-				this.scheduleSilenceCheck();
-			}
-		}, silenceCheckIntervalMs);
-	}
 }
 
 /** Reads how long the caller of a call that was passed on still waits, in milliseconds; undefined if that is not stated. */
--- /dev/null
+++ b/src/gateway/calls-in-progress/index.ts
@@ -0,0 +1,119 @@
+/**
+ * The calls of a listener that are in progress: read, served, passed on to another instance, or with an answer that is not
+ * yet written. It does what concerns all of them: looks for silent targets, applies changed routes, and ends them.
+ */
+
+import type {ServerResponse} from 'node:http';
+import type {Clock} from '../../clock/clock/index.js';
+import type {CallDeadline} from '../../forwarding/call-deadline/index.js';
+import type {CallSession} from '../../forwarding/call-session/index.js';
+import type {RouteId} from '../../identity/ids/index.js';
+import type {Route} from '../../routing/routing-types/index.js';
+
+/** Interval between checks for calls whose target has gone silent, in milliseconds. */
+const silenceCheckIntervalMs = 150;
+const flushCheckMs = 10;
+
+/** Calls from the arrival of their head until their answer is written or their connection has ended. */
+export class CallsInProgress {
+	private readonly responses = new Set<ServerResponse>();
+	private readonly deadlines = new Set<CallDeadline>();
+	private readonly sessions = new Set<CallSession>();
+	/** Calls that are being passed on to other instances. */
+	private readonly handovers = new Set<AbortController>();
+	private isSilenceCheckScheduled = false;
+
+	constructor(private readonly clock: Clock) {}
+
+	get count(): number {
+		return this.responses.size;
+	}
+
+	/** Counts a call until its answer is written or its connection has ended. */
+	add(response: ServerResponse): void {
+		this.responses.add(response);
+		response.once('close', () => {
+			this.responses.delete(response);
+		});
+	}
+
+	/** Keeps the deadline of a call up to date with its route. */
+	followRoute(deadline: CallDeadline, response: ServerResponse): void {
+		this.deadlines.add(deadline);
+		response.once('close', () => {
+			this.deadlines.delete(deadline);
+		});
+	}
+
+	/** Serves a call; resolves when it has ended. */
+	async run(session: CallSession): Promise<void> {
+		this.sessions.add(session);
+		this.scheduleSilenceCheck();
+		await session.run();
+		this.sessions.delete(session);
+	}
+
+	/** Returns the signal of a call that is passed on; it aborts when the caller has disconnected or all calls are aborted. Call `endHandover` with it. */
+	beginHandover(response: ServerResponse): AbortController {
+		const controller = new AbortController();
+		this.handovers.add(controller);
+		response.once('close', () => {
+			controller.abort();
+		});
+		return controller;
+	}
+
+	/** Records that a call is no longer being passed on. */
+	endHandover(controller: AbortController): void {
+		this.handovers.delete(controller);
+	}
+
+	/** Applies changed routes to the calls. Returns how many of them have more time by it. */
+	applyRoutes(findRoute: (id: RouteId) => Route | undefined): number {
+		let extended = 0;
+		for (const deadline of this.deadlines) {
+			const route = findRoute(deadline.routeId);
+			extended += route !== undefined && deadline.extend(route) ? 1 : 0;
+		}
+
+		return extended;
+	}
+
+	/** Aborts the calls that are served or passed on. */
+	abort(): void {
+		for (const session of this.sessions) {
+			session.terminate();
+		}
+
+		for (const controller of this.handovers) {
+			controller.abort();
+		}
+	}
+
+	/** Resolves when all answers are written, at the latest after `timeoutMs`. */
+	async flush(timeoutMs: number): Promise<void> {
+		const end = this.clock.readMonotonic() + timeoutMs;
+		while (this.count > 0 && this.clock.readMonotonic() < end) {
+			await this.clock.sleep(flushCheckMs);
+		}
+	}
+
+	private scheduleSilenceCheck(): void {
+		if (this.isSilenceCheckScheduled) {
+			return;
+		}
+
+		this.isSilenceCheckScheduled = true;
+		setTimeout(() => {
+			this.isSilenceCheckScheduled = false;
+			const now = this.clock.readMonotonic();
+			for (const session of this.sessions) {
+				session.checkAttempt(now);
+			}
+
+			if (this.sessions.size > 0) {
+				this.scheduleSilenceCheck();
+			}
+		}, silenceCheckIntervalMs);
+	}
+}
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -291,7 +291,7 @@
 
 	private applyConfiguration(configuration: RoutingConfiguration): void {
 		this.routingTable = new RoutingTable(configuration);
-		this.listener.applyLimits(configuration.limits);
+		this.listener.applyConfiguration(this.routingTable);
 		this.quotaLending.apply(configuration.organisations);
 	}
 
--- a/src/handover/call-handover/index.ts
+++ b/src/handover/call-handover/index.ts
@@ -5,6 +5,7 @@
  */
 
 import type {Clock} from '../../clock/clock/index.js';
+import type {CallDeadline} from '../../forwarding/call-deadline/index.js';
 import type {CallerSink, InboundCall} from '../../forwarding/call-types/index.js';
 import {TargetClient, type Destination} from '../../forwarding/target-client/index.js';
 import type {InstanceId, MonotonicMs} from '../../identity/ids/index.js';
@@ -30,7 +31,7 @@
 	readonly rawHeaders: readonly string[];
 	readonly body: Buffer | undefined;
 	readonly isRepeatable: boolean;
-	readonly deadline: MonotonicMs;
+	readonly deadline: CallDeadline;
 	readonly sink: CallerSink;
 	/** Aborts when the caller has disconnected or the instance stops. */
 	readonly signal: AbortSignal;
@@ -95,7 +96,7 @@
 		const startedAt = clock.readMonotonic();
 		let mayHaveRun = false;
 		for (const peer of random.pickSome(peers.list(), maximumPeers)) {
-			if (call.signal.aborted || clock.readMonotonic() >= call.deadline) {
+			if (call.signal.aborted || clock.readMonotonic() >= call.deadline.read()) {
 				break;
 			}
 
@@ -136,7 +137,7 @@
 	private buildHeaders(peer: Member, {rawHeaders, deadline}: HandedOverCall): string[] {
 		const {self, clock} = this.options;
 		const forwarded = filterHeaders(rawHeaders, name => isForwarded(name) && name !== 'content-length');
-		const remainingMs = Math.max(1, Math.floor(deadline - clock.readMonotonic()));
+		const remainingMs = Math.max(1, Math.floor(deadline.measureWorkMs(clock.readMonotonic())));
 		return [...forwarded, callerHeader, self, calleeHeader, peer.id, remainingHeader, String(remainingMs)];
 	}
 
--- a/src/handover/peer-exchange/index.ts
+++ b/src/handover/peer-exchange/index.ts
@@ -4,6 +4,7 @@
  */
 
 import type {Clock} from '../../clock/clock/index.js';
+import type {CallDeadline} from '../../forwarding/call-deadline/index.js';
 import type {CallerSink} from '../../forwarding/call-types/index.js';
 import type {
 	Exchange, ExchangeListener, ExchangeStage, OutboundRequest, TargetClient,
@@ -29,7 +30,7 @@
 export type PeerCall = {
 	readonly peer: ProbedPeer;
 	readonly request: OutboundRequest;
-	readonly deadline: MonotonicMs;
+	readonly deadline: Pick<CallDeadline, 'read'>;
 	/** Whether another instance may be asked if this one answers nothing. */
 	readonly canMove: boolean;
 	readonly sink: CallerSink;
@@ -128,7 +129,7 @@
 		const {call: {peer, deadline, canMove}, options: {clock, probe, peers}, sentAt, hasBegun} = this;
 		const now = clock.readMonotonic();
 		const assessment = assessHandover({
-			deadline, hasBegun, lastHeardAt: probe.check(peer, sentAt, now), isMember: peers.isMember(peer.id),
+			deadline: deadline.read(), hasBegun, lastHeardAt: probe.check(peer, sentAt, now), isMember: peers.isMember(peer.id),
 		}, now);
 		if (assessment === 'silent') {
 			peers.recordSilent(peer.id);
--- a/src/routing/routing-table/index.ts
+++ b/src/routing/routing-table/index.ts
@@ -1,12 +1,13 @@
 /** Lookups in an accepted routing configuration. */
 
-import type {KeyHash} from '../../identity/ids/index.js';
+import type {KeyHash, RouteId} from '../../identity/ids/index.js';
 import type {
 	CallerOrganisation, Route, RoutingConfiguration, Service, ServiceId,
 } from '../routing-types/index.js';
 
 /** Immutable index of a routing configuration. */
 export class RoutingTable {
+	private readonly routes = new Map<RouteId, Route>();
 	private readonly routesByHost = new Map<string, Route[]>();
 	private readonly organisationsByKey = new Map<KeyHash, CallerOrganisation>();
 	private readonly services = new Map<ServiceId, Service>();
@@ -14,6 +15,7 @@
 	constructor(readonly configuration: RoutingConfiguration) {
 		for (const route of configuration.routes) {
 			const host = route.host.toLowerCase();
+			this.routes.set(route.id, route);
 			this.routesByHost.set(host, [...this.routesByHost.get(host) ?? [], route]);
 		}
 
@@ -39,6 +41,10 @@
 		return routes?.find(route => path.startsWith(route.pathPrefix));
 	}
 
+	findRouteById(id: RouteId): Route | undefined {
+		return this.routes.get(id);
+	}
+
 	findOrganisationByKey(hash: KeyHash): CallerOrganisation | undefined {
 		return this.organisationsByKey.get(hash);
 	}
