Let a test of the planned stop not depend on the order of two timers

Failed in 3 of 6 runs beside other tests ('unread' instead of 200) and in 0 of 8 alone. The test wants a connection that is in use when the stop closes idle ones, but its first answer came at the same moment, 1000 ms, so under load the connection was idle, was closed, and the next call found it gone, which a caller may see. The first answer now comes 300 ms after that moment; the assertion is the same.

--- a/src/gateway/create-gateway-stop/test.ts
+++ b/src/gateway/create-gateway-stop/test.ts
@@ -179,12 +179,15 @@
 	};
 }
 
+/** When the first call is answered, in milliseconds; later than the stop closes idle connections, so that its connection is in use then. */
+const firstAnswerMs = 1300;
+
 test('guards against calls that are read, or taken on kept connections, when the last call in progress has ended, and cut by the end of the process', async t => {
 	const {address, stop} = await startStoppableGateway(t, (socket, head) => {
 		const id = /x-id: (\S+)/u.exec(head)?.[1] ?? '';
 		setTimeout(() => {
 			socket.end(`HTTP/1.1 200 OK\r\nx-id: ${id}\r\nContent-Length: 2\r\n\r\nok`);
-		}, id === 'first' ? 1000 : 500);
+		}, id === 'first' ? firstAnswerMs : 500);
 	});
 	const agent = new Agent({keepAlive: true});
 	const {host, port} = parseAddress(address);
