Resolve a call again once its body has been read

A call with a slow body went to the service of an earlier configuration, or was served with a key that had been withdrawn meanwhile. Route and key are now looked up again when the body is complete; what resolves a call is a module of its own.

--- a/src/gateway/call-listener/index.ts
+++ b/src/gateway/call-listener/index.ts
@@ -21,16 +21,15 @@
 import {addRetryAfterJitter} from '../../forwarding/add-retry-after-jitter/index.js';
 import {drawService} from '../../forwarding/draw-service/index.js';
 import type {ForwardingContext} from '../../forwarding/forwarding-context/index.js';
-import {hashKey} from '../../keys/hash-key/index.js';
 import {
 	convertToRouterError, createRouterError, formatErrorBody, type RouterError,
 } from '../../results/create-router-error/index.js';
 import {resultCodes} from '../../results/result-codes/index.js';
 import {isRepeatable} from '../../routing/is-repeatable/index.js';
 import type {RoutingTable} from '../../routing/routing-table/index.js';
-import type {CallerOrganisation, Route} from '../../routing/routing-types/index.js';
 import {CallsInProgress} from '../calls-in-progress/index.js';
 import {createCallerSink} from '../create-caller-sink/index.js';
+import {resolveCall, type ResolvedCall} from '../resolve-call/index.js';
 import {logIncompleteAnswer, type CallMoment} from '../log-incomplete-answer/index.js';
 
 /** Converts between the HTTP messages of callers and the types of the forwarding core. */
@@ -62,14 +61,7 @@
 /** When an instance that leaves stops taking all calls, and when it aborts those in progress. */
 export type Departure = {readonly acceptsAllUntil: MonotonicMs; readonly endsAt: MonotonicMs};
 
-type PassedOnCall = {readonly resolvedCall: ResolvedCall; readonly body: Buffer; readonly arrival: Arrival};
-
-type ResolvedCall = {
-	readonly call: InboundCall;
-	readonly route: Route;
-	readonly organisation: CallerOrganisation | undefined;
-	readonly deadline: CallDeadline;
-};
+type PassedOnCall = {readonly resolvedCall: ResolvedCall; readonly deadline: CallDeadline; readonly body: Buffer; readonly arrival: Arrival};
 
 /** Maximum number of connections that wait to be accepted; a burst above it is delayed by seconds. */
 const connectionBacklog = 4096;
@@ -78,8 +70,6 @@
 const connectionCheckIntervalMs = 1000;
 /** Maximum time for a complete request to arrive, in milliseconds. */
 const requestTimeoutMs = 30_000;
-/** Maximum size of a request body until a configuration sets a limit, in bytes. */
-const defaultMaximumBodyBytes = 1_048_576;
 /** Time after which callers may return when no instance reaches a target, in seconds. */
 const unreachableRetrySeconds = 1;
 
@@ -188,11 +178,10 @@
 				call = {...call, waitMs: readRemainingMs(message) ?? call.waitMs};
 			}
 
-			const table = this.options.readTable();
-			const resolvedCall = this.resolveCall(call, table, arrivedAt);
-			this.calls.followRoute(resolvedCall.deadline, response);
-			const body = await readBody(message, table?.configuration.limits.maximumBodyBytes ?? defaultMaximumBodyBytes);
-			await this.forward(resolvedCall, body, {
+			const {table} = resolveCall(call, this.options.readTable());
+			const body = await readBody(message, table.configuration.limits.maximumBodyBytes);
+			// The configuration can have changed while the body arrived.
+			await this.forward(resolveCall(call, this.options.readTable()), body, {
 				message, response, arrivedAt, isPassedOn,
 			});
 		} catch (error) {
@@ -206,32 +195,12 @@
 		return {at: clock.readMonotonic(), revision: readTable()?.configuration.revision};
 	}
 
-	/** Finds the route and organisation of a call; throws a `RouterError` if the call may not be served. */
-	private resolveCall(call: InboundCall, table: RoutingTable | undefined, arrivedAt: MonotonicMs): ResolvedCall {
-		if (table === undefined) {
-			throw createRouterError('notReady', undefined, {retryAfterSeconds: 0.2});
-		}
-
-		const route = table.findRoute(call.host, call.path);
-		if (route === undefined) {
-			throw createRouterError('notFound');
-		}
-
-		const organisation = call.key === undefined ? undefined : table.findOrganisationByKey(hashKey(call.key));
-		const needsKey = !route.isOpen && table.configuration.organisations.length > 0;
-		if (organisation === undefined && needsKey) {
-			throw createRouterError('unauthenticated');
-		}
-
-		return {
-			call, route, organisation, deadline: new CallDeadline({call, route, arrivedAt}, this.options.context.clock),
-		};
-	}
-
 	private async forward(resolvedCall: ResolvedCall, body: Buffer, arrival: Arrival): Promise<void> {
-		const {call, route, organisation, deadline} = resolvedCall;
+		const {call, route, organisation} = resolvedCall;
 		const {response, arrivedAt, isPassedOn} = arrival;
 		const {context, handover} = this.options;
+		const deadline = new CallDeadline({call, route, arrivedAt}, context.clock);
+		this.calls.followRoute(deadline, response);
 		const service = drawService(route, call, context.draw);
 		if (service === undefined) {
 			throw createRouterError('noTarget', 'the route has no service with a positive weight');
@@ -242,7 +211,9 @@
 		}
 
 		const isConnected = await isCallerConnected(arrival.message);
-		const passOn = {resolvedCall, body, arrival};
+		const passOn = {
+			resolvedCall, deadline, body, arrival,
+		};
 		if (isConnected && !isPassedOn && handover?.shouldHandOver(isRepeatable(route), arrivedAt) === true) {
 			const retryAfterSeconds = addRetryAfterJitter(unreachableRetrySeconds, context.draw());
 			await this.handOver(passOn, createRouterError('targetsUnreachable', undefined, {retryAfterSeconds}));
@@ -280,7 +251,7 @@
 	}
 
 	/** Passes a call on to another instance if this one reaches no target; ends it with `error` if it does, or if no other takes it. */
-	private async handOver({resolvedCall: {call, route, deadline}, body, arrival: {message, response}}: PassedOnCall, error: RouterError): Promise<void> {
+	private async handOver({resolvedCall: {call, route}, deadline, body, arrival: {message, response}}: PassedOnCall, error: RouterError): Promise<void> {
 		const {handover} = this.options;
 		const controller = this.calls.beginHandover(response);
 		const outcome = await handover?.shouldRescue() === true
