Judge idle connections by the limit in force, after what had arrived is read

What callers saw: a request on a kept connection got no answer, for the connection was closed at an idle limit that a configuration had raised; and after a late turn of the event loop a connection was closed though its next request had arrived and waited unread.

Cause: Node.js sets the timer of a connection when an answer ends, and timers can run between a late turn and the next read of sockets.

Change: the listener handles these timers itself: it reads first, and keeps a connection for the limit in force. A lowered limit holds from the next answer on, because callers were told the earlier one.

--- a/src/gateway/call-listener/index.ts
+++ b/src/gateway/call-listener/index.ts
@@ -10,6 +10,7 @@
 import {cutOffHeader, remainingHeader, servedHeader} from '../../handover/handover-headers/index.js';
 import {abortResponse} from '../../http/abort-response/index.js';
 import {discardRemainingBody} from '../../http/discard-remaining-body/index.js';
+import {IdleConnections} from '../../http/idle-connections/index.js';
 import {isCallerConnected} from '../../http/is-caller-connected/index.js';
 import {parseAddress} from '../../http/parse-address/index.js';
 import {readBody} from '../../http/read-body/index.js';
@@ -79,14 +80,17 @@
 	/** Undefined until the instance leaves. Answers then close their connection so that callers reconnect elsewhere. */
 	private departure: Departure | undefined;
 	private readonly calls: CallsInProgress;
+	private readonly idleConnections: IdleConnections;
 
 	constructor(private readonly options: CallListenerOptions) {
 		this.calls = new CallsInProgress(options.context.clock);
 		this.server = createServer({
 			maxHeaderSize: maximumHeaderBytes, connectionsCheckingInterval: connectionCheckIntervalMs, requestTimeout: requestTimeoutMs, noDelay: true,
 		}, (message, response) => {
+			this.idleConnections.follow(response);
 			void this.serve(message, response, false);
 		});
+		this.idleConnections = new IdleConnections(this.server, options.context.clock);
 	}
 
 	/** Calls that are read, served or passed on, or whose answers are not yet written as a whole. */
@@ -105,7 +109,7 @@
 	/** Applies a new configuration to connections and to the calls in progress. */
 	applyConfiguration(table: RoutingTable): void {
 		const {limits, revision} = table.configuration;
-		this.server.keepAliveTimeout = limits.idleTimeoutMs;
+		this.idleConnections.setLimit(limits.idleTimeoutMs);
 		this.server.headersTimeout = limits.headerTimeoutMs;
 		const extended = this.calls.applyRoutes(id => table.findRouteById(id));
 		if (extended > 0) {
