Answer callers that end their sending side after a whole request

What callers saw: one that shut its sending side after its request got no byte of an answer, at any time.

Cause: the end of what a caller sends was taken for its leaving, which looks the same until something is written.

Change: before its answer has begun, such a caller gets interim responses, which fail if it has left; the call ends 0.1 s after a caller has gone, as the probe takes. A request that comes together with the end of its connection is sent to a target only after that. Node.js's server keeps its side open, as in the daemon.

--- a/src/gateway/call-listener/index.ts
+++ b/src/gateway/call-listener/index.ts
@@ -11,10 +11,10 @@
 import {abortResponse} from '../../http/abort-response/index.js';
 import {discardRemainingBody} from '../../http/discard-remaining-body/index.js';
 import {IdleConnections} from '../../http/idle-connections/index.js';
-import {isCallerConnected} from '../../http/is-caller-connected/index.js';
 import {parseAddress} from '../../http/parse-address/index.js';
 import {readBody} from '../../http/read-body/index.js';
 import {stopListening} from '../../http/stop-listening/index.js';
+import {CallerWatch} from '../../http/watch-caller/index.js';
 import type {MonotonicMs} from '../../identity/ids/index.js';
 import {CallDeadline} from '../../forwarding/call-deadline/index.js';
 import type {InboundCall} from '../../forwarding/call-types/index.js';
@@ -55,6 +55,7 @@
 type Arrival = {
 	readonly message: IncomingMessage;
 	readonly response: ServerResponse;
+	readonly caller: CallerWatch;
 	readonly arrivedAt: MonotonicMs;
 	readonly isPassedOn: boolean;
 };
@@ -90,6 +91,8 @@
 			this.idleConnections.follow(response);
 			void this.serve(message, response, false);
 		});
+		// A caller that ends its sending side still gets its answer; see `CallerWatch`.
+		Object.assign(this.server, {httpAllowHalfOpen: true});
 		this.idleConnections = new IdleConnections(this.server, options.context.clock);
 	}
 
@@ -166,6 +169,7 @@
 			response.shouldKeepAlive = false;
 		}
 
+		const caller = new CallerWatch(response);
 		let call: InboundCall | undefined;
 		this.calls.add(response);
 		response.once('close', () => {
@@ -186,7 +190,7 @@
 			const body = await readBody(message, table.configuration.limits.maximumBodyBytes);
 			// The configuration can have changed while the body arrived.
 			await this.forward(resolveCall(call, this.options.readTable()), body, {
-				message, response, arrivedAt, isPassedOn,
+				message, response, caller, arrivedAt, isPassedOn,
 			});
 		} catch (error) {
 			this.refuse(response, convertToRouterError(error), call);
@@ -214,7 +218,7 @@
 			throw createRouterError('stopping', 'the call could outlast the instance', {retryAfterSeconds: 0});
 		}
 
-		const isConnected = await isCallerConnected(arrival.message);
+		const isConnected = await arrival.caller.confirm();
 		const passOn = {
 			resolvedCall, deadline, body, arrival,
 		};
--- /dev/null
+++ b/src/http/watch-caller/index.ts
@@ -0,0 +1,81 @@
+/**
+ * Finds out whether the caller of a request is still there.
+ *
+ * A caller may end its sending side after a whole request and still read the answer. That looks the same as a caller that has
+ * closed its connection, until something is written to it: the system of a caller that has left answers with a reset, and the
+ * write after that fails. So a caller that ends its side before its answer has begun gets interim responses, which it may
+ * discard. Nothing may be written between the parts of an answer that has begun; a caller that ends its side then counts as
+ * gone, because one that only has nothing more to send would have done so after its request.
+ */
+
+import type {ServerResponse} from 'node:http';
+import {setImmediate as nextTurn, setTimeout as delay} from 'node:timers/promises';
+import {abortResponse} from '../abort-response/index.js';
+
+/** Time between the first two interim responses, in milliseconds; each pause after it is twice as long. */
+const probePauseMs = 100;
+const pauseFactor = 2;
+/** Turns of the event loop after which an end or a failure of the connection is read that had arrived before: the end follows the data, a turn later. */
+const turnsUntilEnd = 2;
+
+/** Watches one caller until its response has ended. */
+export class CallerWatch {
+	private timer: NodeJS.Timeout | undefined;
+	constructor(private readonly response: ServerResponse) {
+		const {req: {socket}} = response;
+		const handleEnd = () => {
+			this.handleEnd();
+		};
+
+		socket.once('end', handleEnd);
+		response.once('close', () => {
+			clearTimeout(this.timer);
+			socket.off('end', handleEnd);
+		});
+		if (socket.readableEnded) {
+			this.handleEnd();
+		}
+	}
+
+	/**
+	 * Resolves to whether the caller is still there, once everything that had arrived from it is read. While the event loop is
+	 * late, a request can be read long after its caller has given up; without this it would be sent on nevertheless.
+	 */
+	async confirm(): Promise<boolean> {
+		const {req: {socket}} = this.response;
+		await passTurns();
+		if (socket.readableEnded && !socket.destroyed) {
+			await delay(probePauseMs);
+			await passTurns();
+		}
+
+		return !socket.destroyed;
+	}
+
+	private handleEnd(): void {
+		if (this.response.headersSent) {
+			abortResponse(this.response);
+		} else {
+			this.probe(probePauseMs);
+		}
+	}
+
+	/** Sends interim responses until the answer begins. Callers of HTTP/1.0 know none; a write of the answer shows whether they are there. */
+	private probe(pauseMs: number): void {
+		const {response} = this;
+		if (response.headersSent || response.destroyed || response.req.httpVersion === '1.0') {
+			return;
+		}
+
+		response.writeContinue();
+		this.timer = setTimeout(() => {
+			this.probe(pauseMs * pauseFactor);
+		}, pauseMs);
+	}
+}
+
+async function passTurns(): Promise<void> {
+	for (let turn = 0; turn < turnsUntilEnd; turn += 1) {
+		await nextTurn();
+	}
+}
