Judge no watch as silent by a check that came late

After a standstill of the process, the timers run before the answers that came meanwhile are read. The check for silence then took a sound watch for dead.

--- a/src/store/collection-mirror/index.ts
+++ b/src/store/collection-mirror/index.ts
@@ -238,13 +238,19 @@
 
 	private async checkSilence(signal: AbortSignal): Promise<void> {
 		const {clock, silenceMs = watchSilenceMs} = this.options;
+		const intervalMs = Math.max(minimumCheckIntervalMs, silenceMs / checksPerSilenceTimeout);
+		let dueAt: number = clock.readMonotonic();
 		while (!signal.aborted) {
-			const silentMs = clock.readMonotonic() - this.lastHeardAt;
-			if (silentMs > silenceMs) {
+			const now = clock.readMonotonic();
+			const silentMs = now - this.lastHeardAt;
+			// A late check shows that the process stood still; events that came meanwhile may not have been read yet.
+			const isLate = now - dueAt > intervalMs;
+			if (silentMs > silenceMs && !isLate) {
 				throw new ObjectApiError('unavailable', `the watch has been silent for ${Math.round(silentMs)} ms`);
 			}
 
-			await clock.sleep(Math.max(minimumCheckIntervalMs, silenceMs / checksPerSilenceTimeout), signal);
+			dueAt = now + intervalMs;
+			await clock.sleep(intervalMs, signal);
 		}
 	}
 
