--- a/src/peers/peer-client/test.ts
+++ b/src/peers/peer-client/test.ts
@@ -7,6 +7,9 @@
 
 const callee = 'b' as InstanceId;
 const longTimeoutMs = 2000;
+const shortTimeoutMs = 150;
+/** Timeout of calls whose end shows a silence. */
+const silenceTimeoutMs = 400;
 
 async function createClientAndProxy() {
 	const server = new PeerServer(callee);
@@ -25,6 +28,32 @@
 	return {client, proxy};
 }
 
+/** Starts `count` instances behind proxies, and a client that has an idle connection to each. */
+async function createClientOfSeveral(count: number) {
+	const peers = await Promise.all(Array.from({length: count}, async (_, index) => {
+		const id = `peer${index}` as InstanceId;
+		const server = new PeerServer(id);
+		server.register('echo', async parameters => parameters);
+		const proxy = new FaultyProxy(await server.listen('127.0.0.1:0'));
+		return {
+			id, server, proxy, address: await proxy.listen(),
+		};
+	}));
+	const client = new PeerClient({self: 'a' as InstanceId, findPeerAddress: id => peers.find(peer => peer.id === id)?.address});
+	after(async () => {
+		await client.close();
+		for (const {proxy, server} of peers) {
+			proxy.close();
+			await server.close();
+		}
+	});
+	for (const {id} of peers) {
+		await client.call(id, 'echo', {}, longTimeoutMs);
+	}
+
+	return {peers, client};
+}
+
 describe('PeerClient', () => {
 	test('calls a method and passes the caller\'s id to it', async () => {
 		const {client} = await createClientAndProxy();
@@ -45,10 +74,47 @@
 		proxy.stallOpenConnections();
 		const outcomes: string[] = [];
 		for (let call = 0; call < 6; call += 1) {
-			outcomes.push(await client.call(callee, 'echo', {}, 150).then(() => 'answered', () => 'timedOut'));
+			outcomes.push(await client.call(callee, 'echo', {}, shortTimeoutMs).then(() => 'answered', () => 'timedOut'));
 		}
 
 		const timedOut = outcomes.filter(outcome => outcome === 'timedOut').length;
 		expect({openConnections, timedOut}).toEqual({openConnections: 4, timedOut: 1});
 	});
+
+	test('guards against a timeout at each peer in turn after the connections to all have gone silent, as a follower that polls its watchers had', async () => {
+		const {peers, client} = await createClientOfSeveral(7);
+		for (const {proxy} of peers) {
+			proxy.stallOpenConnections();
+		}
+
+		const outcomes: string[] = [];
+		for (const {id} of peers) {
+			outcomes.push(await client.call(id, 'echo', {}, silenceTimeoutMs).then(() => 'answered', () => 'timedOut'));
+		}
+
+		expect(outcomes.filter(outcome => outcome === 'timedOut').length).toEqual(1);
+	});
+
+	test('guards against new connections to peers that answer while one peer does not', async () => {
+		const {peers, client} = await createClientOfSeveral(3);
+		peers[0]!.proxy.stallOpenConnections();
+		const silentCall = client.call(peers[0]!.id, 'echo', {}, silenceTimeoutMs).then(() => 'answered', () => 'timedOut');
+		await client.call(peers[1]!.id, 'echo', {}, longTimeoutMs);
+		expect(await silentCall).toEqual('timedOut');
+		// A call on a kept connection times out from here on, one on a new connection does not.
+		for (const {proxy} of peers) {
+			proxy.stallOpenConnections();
+		}
+
+		const outcomes = await Promise.all(peers.map(async ({id}) => client.call(id, 'echo', {}, silenceTimeoutMs).then(() => 'new', () => 'kept')));
+		expect(outcomes).toEqual(['new', 'kept', 'new']);
+	});
+
+	test('guards against new connections to all peers because a call with a short timeout was too slow', async () => {
+		const {peers, client} = await createClientOfSeveral(2);
+		peers[0]!.proxy.stallOpenConnections();
+		await expect(client.call(peers[0]!.id, 'echo', {}, shortTimeoutMs)).toBeRejected();
+		peers[1]!.proxy.stallOpenConnections();
+		await expect(client.call(peers[1]!.id, 'echo', {}, shortTimeoutMs)).toBeRejected();
+	});
 });
--- a/src/peers/peer-link/index.ts
+++ b/src/peers/peer-link/index.ts
@@ -63,7 +63,9 @@
 		} catch (error) {
 			if (callState.signal.aborted) {
 				outcome = 'deadline';
-				this.replacePool(pool);
+				if (this.pool === pool) {
+					this.replaceConnections();
+				}
 			}
 
 			throw new VError({name: 'PeerCallError', cause: error as Error, info: {outcome}}, 'call to method %s at %s failed', method, this.address);
@@ -74,6 +76,13 @@
 		}
 	}
 
+	/** Lets later calls use new connections, because the idle ones may be dead. Calls in flight on them keep their own timeouts. */
+	replaceConnections(): void {
+		const {pool} = this;
+		this.pool = this.createPool();
+		void pool.close();
+	}
+
 	/** Destroys all connections. */
 	async close(): Promise<void> {
 		await this.pool.destroy();
@@ -99,14 +108,6 @@
 		this.client.receive(JSON.parse(text) as JSONRPCResponse);
 	}
 
-	/** Replaces the pool after a timeout, because its idle connections may be dead too. Calls in flight on them keep their own timeouts. */
-	private replacePool(pool: Pool): void {
-		if (this.pool === pool) {
-			this.pool = this.createPool();
-			void pool.close();
-		}
-	}
-
 	private createPool(): Pool {
 		return new Pool(`http://${this.address}`, {
 			connections: maximumConnections, pipelining: 1, keepAliveTimeout: keepAliveTimeoutMs, maxResponseSize: maximumResponseBytes,
