--- a/src/forwarding/call-attempts/index.ts
+++ b/src/forwarding/call-attempts/index.ts
@@ -1,12 +1,19 @@
-/** The attempts of one call: the one in flight, and what those before it came to. */
+/**
+ * The attempts of one call: those in flight, and what those before them came to.
+ *
+ * Only the current attempt passes its answer on. A second one is in flight while the current one is silent: the successor,
+ * which takes the call over when its answer begins.
+ */
 
 import type {FleetTarget} from '../../fleet/fleet-target/index.js';
 import type {Attempt} from '../session-types/index.js';
 
 /** Keeps count of the attempts of a call. */
 export class CallAttempts {
-	/** The attempt in flight. */
+	/** The attempt whose answer is passed on. */
 	current: Attempt | undefined;
+	/** The attempt that takes the call over if it answers before the current one goes on. */
+	successor: Attempt | undefined;
 	/** Attempts so far. */
 	count = 0;
 	/** Ended attempts that may have run the call. */
@@ -14,9 +21,19 @@
 	/** Targets that are not chosen again until the call has waited. */
 	readonly triedTargets = new Set<FleetTarget>();
 
+	/** The attempts that may still get an answer. */
+	get inFlight(): readonly Attempt[] {
+		return [this.current, this.successor].filter(attempt => attempt !== undefined);
+	}
+
+	/** Attempts that may have run the call, or may yet do so. */
+	get possibleRuns(): number {
+		return this.runs + this.inFlight.length;
+	}
+
 	/** Whether any target may have run the call, even in part. */
 	get mayHaveRun(): boolean {
-		return this.runs > 0 || this.current !== undefined;
+		return this.possibleRuns > 0;
 	}
 
 	/** Records that an attempt at `target` is about to start. */
@@ -25,17 +42,30 @@
 		this.triedTargets.add(target);
 	}
 
-	/** Records that an attempt has ended; `mayHaveRun`: whether it may have run the call. */
+	/** Records that an attempt has ended; `mayHaveRun`: whether it may have run the call. When the current one ends, its successor becomes the current one. */
 	end(attempt: Attempt, mayHaveRun: boolean): void {
 		attempt.target.endCall(attempt.record);
 		this.runs += mayHaveRun ? 1 : 0;
 		if (this.current === attempt) {
-			this.current = undefined;
+			this.current = this.successor;
+			this.successor = undefined;
+		} else if (this.successor === attempt) {
+			this.successor = undefined;
 		}
 	}
 
-	/** Aborts the attempt in flight; it gets no further callbacks. */
+	/** Aborts the attempts in flight; they get no further callbacks. */
 	abort(): void {
-		this.current?.exchange?.abort();
+		for (const attempt of this.inFlight) {
+			attempt.exchange?.abort();
+		}
+	}
+
+	/** Aborts the attempts in flight and records that they have ended and may have run the call. */
+	endAll(): void {
+		for (const attempt of this.inFlight) {
+			attempt.exchange?.abort();
+			this.end(attempt, true);
+		}
 	}
 }
--- /dev/null
+++ b/src/forwarding/call-move/test.ts
@@ -0,0 +1,298 @@
+import type {Socket} from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
+import {test, type TestContext} from 'node:test';
+import {expect} from 'earl';
+import {createDescription} from '../../fixtures/create-fleet-target/index.js';
+import {createRoute, createRoutingConfiguration} from '../../fixtures/create-routing-configuration/index.js';
+import {sendRawRequest, type RawResponse} from '../../fixtures/send-raw-request/index.js';
+import {startRawServer} from '../../fixtures/start-raw-server/index.js';
+import {startTestGateway} from '../../fixtures/start-test-gateway/index.js';
+import {TargetFleet} from '../../fleet/target-fleet/index.js';
+import type {SoftwareVersion} from '../../identity/ids/index.js';
+import {quietLogger} from '../../logging/quiet-logger/index.js';
+import {RetryBudget} from '../../requests/retry-budget/index.js';
+import type {Route} from '../../routing/routing-types/index.js';
+
+/** Answers one attempt. */
+type Script = (socket: Socket, id: string, head: string) => void;
+
+/** What happened at the targets, and in which order. */
+type TargetEvent = {readonly attempt: number; readonly type: 'received' | 'closed'; readonly atMs: number; readonly lastEventId: string | undefined};
+
+type PlayOptions = {
+	readonly route: Partial<Route>;
+	/** One for each attempt, in their order; each is made at another target. */
+	readonly scripts: readonly Script[];
+	/** How long the caller waits, in milliseconds. */
+	readonly waitMs?: number;
+	readonly budget?: RetryBudget;
+	/** Software of the targets, in the order in which the test's attempts choose them; all have the same if it is missing. */
+	readonly softwareVersions?: readonly string[];
+};
+
+type PlayedCall = RawResponse & {
+	readonly events: readonly TargetEvent[];
+	readonly durationMs: number;
+	/** Calls that still count at the targets after the answer. */
+	readonly unfinishedCalls: number;
+	readonly attempts: number | undefined;
+};
+
+/** Starts a gateway before one target for each script. */
+async function startTargets(t: TestContext, {route, scripts, budget = new RetryBudget(), softwareVersions}: PlayOptions) {
+	const startedAt = performance.now();
+	const events: TargetEvent[] = [];
+	let attempts = 0;
+	const servers = await Promise.all(scripts.map(async () => startRawServer((socket, head) => {
+		const script = scripts[attempts];
+		attempts += 1;
+		const attempt = attempts;
+		const record = (type: TargetEvent['type']) => {
+			events.push({
+				attempt, type, atMs: performance.now() - startedAt, lastEventId: /last-event-id: (\S+)/u.exec(head)?.[1],
+			});
+		};
+
+		record('received');
+		socket.once('close', () => {
+			record('closed');
+		});
+		script?.(socket, /x-id: (\S+)/u.exec(head)?.[1] ?? '', head);
+	})));
+	const descriptions = servers.map(({address}, index) => createDescription(`t${index}`, {
+		address, weightsVersions: new Map(), ...(softwareVersions === undefined ? {} : {softwareVersion: softwareVersions[index] as SoftwareVersion}),
+	}));
+	const fleet = new TargetFleet(quietLogger);
+	fleet.replace(descriptions);
+	const configuration = createRoutingConfiguration({routes: [createRoute('r', {host: 'h', timeoutMs: 6000, ...route})]});
+	const gateway = await startTestGateway(configuration, descriptions, {fleet, findRetryBudget: () => budget});
+	t.after(() => {
+		gateway.close();
+		for (const server of servers) {
+			server.close();
+		}
+	});
+	const countCalls = () => fleet.listServing(descriptions[0]!.service).reduce((count, target) => count + target.calls.size, 0);
+	return {gateway, events, countCalls};
+}
+
+const formatRequest = (waitMs: number) => `POST /x HTTP/1.1\r\nHost: h\r\nx-id: call-1\r\nx-wait: ${waitMs}\r\nContent-Length: 4\r\n\r\nbody`;
+
+/** Sends one call and returns what its caller got, and what the targets saw until shortly after. */
+async function playCall(t: TestContext, options: PlayOptions): Promise<PlayedCall> {
+	const {gateway, events, countCalls} = await startTargets(t, options);
+	const startedAt = performance.now();
+	const response = await sendRawRequest(gateway.address, formatRequest(options.waitMs ?? 5000));
+	const durationMs = performance.now() - startedAt;
+	await delay(50);
+	return {
+		...response, events, durationMs, unfinishedCalls: countCalls(), attempts: gateway.reports.at(-1)?.attempts,
+	};
+}
+
+const resumableStream: Partial<Route> = {kind: 'streaming', isResumable: true, maximumAttempts: 4};
+const idempotent: Partial<Route> = {kind: 'idempotent', maximumAttempts: 4};
+/** A pause of a sound target; longer than the time after which a call moves. */
+const pauseMs = 1600;
+const formatChunk = (text: string) => `${text.length.toString(16)}\r\n${text}\r\n`;
+const formatEvent = (id: number) => `id: ${id}\ndata: x\n\n`;
+const formatEvents = (...ids: number[]) => ids.map(id => formatEvent(id)).join('');
+const streamHead = (id: string) => `HTTP/1.1 200 OK\r\nx-id: ${id}\r\nTransfer-Encoding: chunked\r\n\r\n`;
+const formatAnswer = (id: string, status: string, body: string) => `HTTP/1.1 ${status}\r\nx-id: ${id}\r\nContent-Length: ${body.length}\r\n\r\n${body}`;
+const lastChunk = '0\r\n\r\n';
+
+/** Writes after `afterMs` unless the connection is closed by then. */
+function writeLater(socket: Socket, text: string, afterMs: number): void {
+	const timer = setTimeout(() => {
+		socket.write(text);
+	}, afterMs);
+	socket.once('close', () => {
+		clearTimeout(timer);
+	});
+}
+
+/** Sends the first event, and the second and the end of the stream after a pause. */
+const pauseWithinStream: Script = (socket, id) => {
+	socket.write(streamHead(id) + formatChunk(formatEvent(1)));
+	writeLater(socket, formatChunk(formatEvent(2)) + lastChunk, pauseMs);
+};
+
+/** Sends the first event and nothing more. */
+const freezeWithinStream: Script = (socket, id) => {
+	socket.write(streamHead(id) + formatChunk(formatEvent(1)));
+};
+
+const answerAfterPause: Script = (socket, id) => {
+	writeLater(socket, formatAnswer(id, '200 OK', 'first'), pauseMs);
+};
+
+const continueStream: Script = (socket, id, head) => {
+	const lastEventId = Number(/last-event-id: (\d+)/u.exec(head)?.[1] ?? 0);
+	socket.write(streamHead(id) + formatChunk(formatEvent(lastEventId + 1)) + lastChunk);
+};
+
+const refuse: Script = (socket, id) => {
+	socket.write(`HTTP/1.1 503 Full\r\nx-id: ${id}\r\nx-not-run: true\r\nContent-Length: 0\r\n\r\n`);
+};
+
+const breakOff: Script = socket => {
+	socket.destroy();
+};
+
+const answerAnotherCall: Script = socket => {
+	socket.write(formatAnswer('another', '200 OK', 'no'));
+};
+
+const answerError: Script = (socket, id) => {
+	socket.write(formatAnswer(id, '500 Error', 'error'));
+};
+
+const staySilent: Script = () => {
+	// The attempt gets no answer.
+};
+
+const failures: ReadonlyArray<readonly [string, Script]> = [
+	['refuses', refuse], ['breaks off', breakOff], ['answers another call', answerAnotherCall], ['answers with an error', answerError], ['is silent, too', staySilent],
+];
+
+for (const [name, fail] of failures) {
+	test(`guards against cutting the stream of a silent but sound target when the next one ${name}`, async t => {
+		const {body, isComplete, unfinishedCalls, events} = await playCall(t, {route: resumableStream, scripts: [pauseWithinStream, fail]});
+		expect({body, isComplete, unfinishedCalls}).toEqual({body: formatEvents(1, 2), isComplete: true, unfinishedCalls: 0});
+		expect(events.filter(({type}) => type === 'received').map(({lastEventId}) => lastEventId)).toEqual([undefined, '1']);
+	});
+
+	test(`guards against losing the answer of a silent but sound target when the next one ${name}`, async t => {
+		const {body, isComplete, unfinishedCalls} = await playCall(t, {route: idempotent, scripts: [answerAfterPause, fail]});
+		expect({body, isComplete, unfinishedCalls}).toEqual({body: 'first', isComplete: true, unfinishedCalls: 0});
+	});
+}
+
+test('guards against two targets that both go on with a stream: the attempt at the second ends when the first goes on', async t => {
+	const goOnSlowly: Script = (socket, id) => {
+		socket.write(streamHead(id) + formatChunk(formatEvent(1)));
+		writeLater(socket, formatChunk(formatEvent(2)), 1400);
+		writeLater(socket, formatChunk(formatEvent(3)) + lastChunk, 2000);
+	};
+
+	const answerLate: Script = (socket, id) => {
+		writeLater(socket, streamHead(id) + formatChunk(formatEvent(2)) + formatChunk(formatEvent(3)) + lastChunk, 700);
+	};
+
+	const {body, isComplete, events, unfinishedCalls} = await playCall(t, {route: resumableStream, scripts: [goOnSlowly, answerLate]});
+	expect({body, isComplete, unfinishedCalls}).toEqual({body: formatEvents(1, 2, 3), isComplete: true, unfinishedCalls: 0});
+	const closed = events.find(({attempt, type}) => attempt === 2 && type === 'closed');
+	expect(closed !== undefined && closed.atMs < 1700).toEqual(true);
+});
+
+test('guards against two targets that both go on with a stream: the attempt at the first ends when the second begins', async t => {
+	const beginSlowly: Script = (socket, id) => {
+		socket.write(streamHead(id));
+		writeLater(socket, formatChunk(formatEvent(2)) + lastChunk, 800);
+	};
+
+	const {body, isComplete, events, unfinishedCalls} = await playCall(t, {route: resumableStream, scripts: [pauseWithinStream, beginSlowly]});
+	expect({body, isComplete, unfinishedCalls}).toEqual({body: formatEvents(1, 2), isComplete: true, unfinishedCalls: 0});
+	const begun = events.find(({attempt, type}) => attempt === 2 && type === 'received')!.atMs;
+	const closed = events.find(({attempt, type}) => attempt === 1 && type === 'closed')!.atMs;
+	expect(closed - begun < 300).toEqual(true);
+});
+
+test('guards against staying at a frozen target: its streams and calls go on elsewhere as soon as they are taken for stalled', async t => {
+	const stream = await playCall(t, {route: resumableStream, scripts: [freezeWithinStream, continueStream]});
+	expect([stream.body, stream.isComplete, stream.durationMs < 1500]).toEqual([formatEvents(1, 2), true, true]);
+	const call = await playCall(t, {
+		route: idempotent, scripts: [staySilent, (socket, id) => {
+			socket.write(formatAnswer(id, '200 OK', 'second'));
+		}],
+	});
+	expect([call.body, call.isComplete, call.durationMs < 1700]).toEqual(['second', true, true]);
+});
+
+test('guards against staying at two frozen targets when a third can take the call', async t => {
+	const {body, isComplete, durationMs, attempts, unfinishedCalls} = await playCall(t, {
+		route: resumableStream, scripts: [freezeWithinStream, staySilent, continueStream],
+	});
+	expect({
+		body, isComplete, attempts, unfinishedCalls,
+	}).toEqual({
+		body: formatEvents(1, 2), isComplete: true, attempts: 3, unfinishedCalls: 0,
+	});
+	expect(durationMs < 3000).toEqual(true);
+});
+
+test('moves again to a third target after the second has refused the call', async t => {
+	const {body, isComplete, attempts, durationMs} = await playCall(t, {route: resumableStream, scripts: [freezeWithinStream, refuse, continueStream]});
+	expect([body, isComplete, attempts, durationMs < 1700]).toEqual([formatEvents(1, 2), true, 3, true]);
+});
+
+test('guards against more runs of a call than its route allows when its moves fail', async t => {
+	const {isComplete, attempts} = await playCall(t, {
+		route: {...resumableStream, maximumAttempts: 2}, scripts: [freezeWithinStream, breakOff, continueStream], waitMs: 2500,
+	});
+	expect([isComplete, attempts]).toEqual([false, 2]);
+});
+
+test('guards against a second retry for a call whose first target breaks off while the second prepares its answer', async t => {
+	const budget = new RetryBudget({retriesPerRequest: 0, initialRetries: 1, maximumLevel: 1});
+	const breakLate: Script = (socket, id) => {
+		socket.write(streamHead(id) + formatChunk(formatEvent(1)) + formatChunk('id: 2\nda'));
+		setTimeout(() => {
+			socket.destroy();
+		}, 1400);
+	};
+
+	const continueLate: Script = (socket, id, head) => {
+		setTimeout(() => {
+			continueStream(socket, id, head);
+		}, 800);
+	};
+
+	const {body, isComplete, attempts, unfinishedCalls} = await playCall(t, {route: resumableStream, scripts: [breakLate, continueLate], budget});
+	expect({
+		body, isComplete, attempts, unfinishedCalls,
+	}).toEqual({
+		body: formatEvents(1, 2), isComplete: true, attempts: 2, unfinishedCalls: 0,
+	});
+	expect(budget.readLevel()).toEqual(0);
+});
+
+test('guards against a torn event of the first target in front of the events of the second', async t => {
+	const tearEvent: Script = (socket, id) => {
+		socket.write(streamHead(id) + formatChunk(formatEvent(1)) + formatChunk('id: 2\nda'));
+	};
+
+	const {body, isComplete} = await playCall(t, {route: resumableStream, scripts: [tearEvent, continueStream]});
+	expect([body, isComplete]).toEqual([formatEvents(1, 2), true]);
+});
+
+test('guards against attempts that stay open at either target when the caller leaves or the deadline passes', async t => {
+	const options: PlayOptions = {route: resumableStream, scripts: [freezeWithinStream, staySilent]};
+	const expired = await playCall(t, {...options, waitMs: 1600});
+	const closedAttempts = (events: readonly TargetEvent[]) => events.filter(({type}) => type === 'closed').map(({attempt}) => attempt).toSorted((a, b) => a - b);
+	expect([expired.isComplete, closedAttempts(expired.events), expired.unfinishedCalls]).toEqual([false, [1, 2], 0]);
+
+	const {gateway, events, countCalls} = await startTargets(t, options);
+	void sendRawRequest(gateway.address, formatRequest(5000));
+	await delay(1400);
+	expect(countCalls()).toEqual(2);
+	gateway.listener.destroyConnections();
+	await delay(50);
+	expect([closedAttempts(events), countCalls()]).toEqual([[1, 2], 0]);
+});
+
+test('guards against a stream that begins at one software version while its record names the other', async t => {
+	const beginLate: Script = (socket, id) => {
+		writeLater(socket, streamHead(id) + formatChunk(formatEvent(1)) + lastChunk, 1500);
+	};
+
+	const answerLate: Script = (socket, id) => {
+		writeLater(socket, streamHead(id) + formatChunk(formatEvent(1)) + formatChunk(formatEvent(2)) + lastChunk, 500);
+	};
+
+	const {body, isComplete, events} = await playCall(t, {route: resumableStream, scripts: [beginLate, answerLate], softwareVersions: ['v1', 'v2']});
+	expect([body, isComplete]).toEqual([formatEvents(1, 2), true]);
+	const moved = events.find(({attempt, type}) => attempt === 2 && type === 'received')!.atMs;
+	const closed = events.find(({attempt, type}) => attempt === 1 && type === 'closed')!.atMs;
+	expect(Math.abs(closed - moved) < 100).toEqual(true);
+});
--- a/src/forwarding/call-session/index.ts
+++ b/src/forwarding/call-session/index.ts
@@ -6,7 +6,6 @@
  * the caller received.
  */
 
-import type {FleetTarget} from '../../fleet/fleet-target/index.js';
 import type {MonotonicMs} from '../../identity/ids/index.js';
 import {createRouterError, type RouterError} from '../../results/create-router-error/index.js';
 import type {ResultName} from '../../results/result-codes/index.js';
@@ -14,29 +13,29 @@
 import {buildShortRetryAfter} from '../add-retry-after-jitter/index.js';
 import {admitCall} from '../admit-call/index.js';
 import {assessAttempt} from '../assess-attempt/index.js';
-import {buildStepQuery} from '../build-step-query/index.js';
+import {AttemptStarter} from '../attempt-starter/index.js';
 import {ResponseRelay} from '../response-relay/index.js';
 import {calculateCallDeadline} from '../calculate-call-deadline/index.js';
 import {CallAttempts} from '../call-attempts/index.js';
 import {CallCharge} from '../call-charge/index.js';
 import {CallGuard} from '../call-guard/index.js';
+import {CallMove} from '../call-move/index.js';
 import {CallTimes} from '../call-times/index.js';
 import type {ResponseHead} from '../call-types/index.js';
 import type {ForwardingContext} from '../forwarding-context/index.js';
 import {passChunk} from '../pass-chunk/index.js';
-import {planNextStep, type AttemptFailure, type NextStep} from '../plan-next-step/index.js';
-import {planMove} from '../plan-move/index.js';
-import {planWait} from '../plan-wait/index.js';
+import type {AttemptFailure} from '../plan-next-step/index.js';
 import {PrefixHints} from '../prefix-hints/index.js';
 import {recordHead} from '../record-head/index.js';
 import {reportCall} from '../report-call/index.js';
-import {reportFailedAttempt} from '../report-failed-attempt/index.js';
-import {selectTarget, type TargetSelection} from '../select-target/index.js';
+import type {TargetSelection} from '../select-target/index.js';
 import type {Attempt, SessionOptions} from '../session-types/index.js';
 import {StreamOrigin} from '../stream-origin/index.js';
-import {startAttempt, type AttemptListener} from '../start-attempt/index.js';
+import type {AttemptListener} from '../start-attempt/index.js';
+import {StepPlanner} from '../step-planner/index.js';
 import type {ExchangeStage} from '../target-client/index.js';
-import {TargetWaiter} from '../target-waiter/index.js';
+
+const firstServerErrorStatus = 500;
 
 /** A call in progress. */
 export class CallSession implements AttemptListener {
@@ -46,30 +45,45 @@
 	private readonly hints: PrefixHints;
 	private readonly charge: CallCharge;
 	private readonly guard: CallGuard;
-	private readonly waiter: TargetWaiter;
 	private readonly times: CallTimes;
 	private readonly attempts = new CallAttempts();
 	private readonly selection: TargetSelection;
-	/** When the call arrived or, once its stream has begun, when the stream last broke off. */
-	private waitingSince: MonotonicMs;
+	private readonly steps: StepPlanner;
+	private readonly starter: AttemptStarter;
+	private readonly move: CallMove;
 	private isDone = false;
 	private deadlineTimer: NodeJS.Timeout | undefined;
 	private onDone: (() => void) | undefined;
 
 	constructor(private readonly options: SessionOptions, private readonly context: ForwardingContext) {
 		const {call, route, arrivedAt} = options;
-		this.waitingSince = arrivedAt;
 		this.deadline = calculateCallDeadline(call, route, arrivedAt);
 		this.hints = new PrefixHints(call.work, options.organisation, context.prefixes);
 		this.origin = new StreamOrigin(options, context.streamOrigins);
 		this.selection = {
 			session: options, triedTargets: this.attempts.triedTargets, hints: this.hints, origin: this.origin,
 		};
-		this.waiter = new TargetWaiter(context.fleet);
 		this.times = new CallTimes(arrivedAt);
 		this.charge = new CallCharge(context.quota, options.organisation, call.work);
 		this.guard = new CallGuard(context, options);
 		this.relay = new ResponseRelay(options.sink, route, call.lastEventId);
+		const parts = {
+			session: options, selection: this.selection, attempts: this.attempts, relay: this.relay, guard: this.guard, times: this.times,
+			readDeadline: () => this.deadline,
+		};
+		this.steps = new StepPlanner(parts, context);
+		this.starter = new AttemptStarter({
+			...parts, listener: this,
+			tryAgain: () => {
+				this.tryNextTarget();
+			},
+			refuse: error => {
+				this.refuse(error);
+			},
+		}, context, arrivedAt);
+		this.move = new CallMove({
+			...parts, id: call.id, steps: this.steps, starter: this.starter,
+		}, context);
 	}
 
 	/** Runs the call; resolves when it has ended, with or without a complete response. */
@@ -109,21 +123,12 @@
 		this.endEarly('stopping', 'outcomeUnknown');
 	}
 
-	/** Withdraws an attempt that must not begin any more, and moves a repeatable call whose attempt has stalled if that is possible. */
+	/** Withdraws attempts that must not begin any more, and moves a repeatable call whose attempt has stalled if that is possible. */
 	checkAttempt(now: MonotonicMs): void {
-		const {current: attempt} = this.attempts;
-		if (attempt === undefined || this.isDone) {
-			return;
-		}
-
-		const assessment = assessAttempt({attempt, selection: this.selection, isRepeatable: isRepeatable(this.options.route)}, this.context, now);
-		if (assessment === 'withdraw') {
-			attempt.exchange?.abort();
-			// It may have begun just now, so it counts as one that may have run.
-			this.attempts.end(attempt, true);
-			this.retryOrFail('unknown', 'the call had not begun within the time limit of the old weights', attempt);
-		} else if (assessment === 'move') {
-			this.moveStalled(attempt, now);
+		for (const attempt of this.attempts.inFlight) {
+			if (this.isInFlight(attempt)) {
+				this.handleAssessment(attempt, now);
+			}
 		}
 	}
 
@@ -145,10 +150,11 @@
 
 		attempt.target.recordAnswer(attempt.record, now);
 		this.hints.recordUse(attempt.target, now);
-		if (head.status >= 500 && this.retryErrorResponse(attempt)) {
+		if (head.status >= firstServerErrorStatus && this.retryErrorResponse(attempt, head)) {
 			return;
 		}
 
+		this.move.prefer(attempt, now);
 		this.relay.begin(head);
 	}
 
@@ -159,7 +165,9 @@
 		this.times.recordChunk(now);
 		attempt.target.recordReceivedBytes(now);
 		try {
-			passChunk(attempt, this, chunk, now);
+			if (passChunk(attempt, this, chunk, now)) {
+				this.move.prefer(attempt, now);
+			}
 		} catch (error) {
 			attempt.exchange?.abort();
 			this.onFailure(attempt, 'responding', error as Error);
@@ -188,7 +196,7 @@
 
 	/** Handles an exchange that failed, or that is given up. */
 	onFailure(attempt: Attempt, stage: ExchangeStage, error: Error): void {
-		if (this.attempts.current !== attempt || this.isDone) {
+		if (!this.isInFlight(attempt)) {
 			return;
 		}
 
@@ -196,45 +204,44 @@
 		if (stage === 'notSent') {
 			this.attempts.end(attempt, false);
 			attempt.target.recordUnreachable(now);
-			this.retryOrFail('notSent', error.message, attempt);
+			this.continueOrFail('notSent', error.message, attempt);
 			return;
 		}
 
 		this.recordBreak(attempt, now);
-		this.retryOrFail(this.relay.hasBegun ? 'broken' : 'unknown', error.message, attempt);
+		this.continueOrFail(this.relay.hasBegun ? 'broken' : 'unknown', error.message, attempt);
 	}
 
-	/** Moves the call to another target, if one can take over from the stalled one. */
-	private moveStalled(attempt: Attempt, now: MonotonicMs): void {
-		const {selection, guard, context, relay, attempts: {runs}} = this;
-		const failure = relay.hasBegun ? 'broken' : 'unknown';
-		const step = planMove({selection, guard, planStep: () => this.planNextStep(failure, runs + 1)}, context, now);
-		if (step.type === 'retry') {
+	private isInFlight(attempt: Attempt): boolean {
+		return !this.isDone && this.attempts.inFlight.includes(attempt);
+	}
+
+	private handleAssessment(attempt: Attempt, now: MonotonicMs): void {
+		const assessment = assessAttempt({attempt, selection: this.selection, isRepeatable: isRepeatable(this.options.route)}, this.context, now);
+		if (assessment === 'withdraw') {
 			attempt.exchange?.abort();
-			this.recordBreak(attempt, now);
-			this.retryOrFail(failure, 'no data received from the target', attempt, step);
+			// It may have begun just now, so it counts as one that may have run.
+			this.attempts.end(attempt, true);
+			this.continueOrFail('unknown', 'the call had not begun within the time limit of the old weights', attempt);
+		} else if (assessment === 'move') {
+			this.move.tryMove(attempt, now);
 		}
 	}
 
 	/** Records that an attempt which may have run the call has ended before its answer was complete. */
 	private recordBreak(attempt: Attempt, now: MonotonicMs): void {
+		if (this.attempts.current === attempt) {
+			this.relay.discardIncomplete();
+			this.starter.recordBreak(now);
+		}
+
 		this.attempts.end(attempt, true);
 		attempt.target.recordFailure(now);
-		this.relay.discardIncomplete();
-		this.waitingSince = this.relay.hasBegun ? now : this.waitingSince;
 	}
 
 	private tryNextTarget(): void {
-		if (this.isDone || this.isRejectedByGuard()) {
-			return;
-		}
-
-		const now = this.context.clock.readMonotonic();
-		const target = selectTarget(this.selection, this.context, now);
-		if (target === undefined) {
-			this.waitForTarget(now);
-		} else {
-			this.send(target, now);
+		if (!this.isDone && !this.isRejectedByGuard()) {
+			this.starter.startNext(this.context.clock.readMonotonic());
 		}
 	}
 
@@ -249,31 +256,6 @@
 		return true;
 	}
 
-	private waitForTarget(now: MonotonicMs): void {
-		const {options: session, selection, deadline, attempts: {mayHaveRun}, waitingSince: since, context} = this;
-		const plan = planWait({
-			session, selection, deadline, mayHaveRun, since,
-		}, context, now);
-		if (plan.type === 'reject') {
-			this.refuse(plan.error);
-			return;
-		}
-
-		this.waiter.wait(plan.longestMs, () => {
-			this.attempts.triedTargets.clear();
-			this.tryNextTarget();
-		});
-	}
-
-	private send(target: FleetTarget, now: MonotonicMs): void {
-		this.attempts.add(target);
-		this.times.recordSent(now);
-		this.attempts.current = startAttempt({
-			session: this.options, target, hints: this.hints, guard: this.guard, remainingMs: this.deadline - now,
-			lastEventId: this.relay.readLastEventId(), isRepeatable: isRepeatable(this.options.route), origin: this.origin, number: this.attempts.count,
-		}, this.context, this, now);
-	}
-
 	/** Handles a response in which the target states that it did not run the call. */
 	private handleRejection(attempt: Attempt, head: ResponseHead, now: MonotonicMs): void {
 		if (head.isOtherTarget) {
@@ -282,12 +264,19 @@
 
 		attempt.exchange?.abort();
 		this.attempts.end(attempt, false);
-		this.retryOrFail('notRun', `rejected with status ${head.status}`, attempt);
+		this.continueOrFail('notRun', `rejected with status ${head.status}`, attempt);
 	}
 
-	/** Retries an idempotent call after a 5xx response; returns whether it does. */
-	private retryErrorResponse(attempt: Attempt): boolean {
-		if (this.options.route.kind !== 'idempotent' || this.planNextStep('unknown', this.attempts.runs + 1).type !== 'retry') {
+	/** Retries an idempotent call after a 5xx response, or goes on with the other attempt if one is in flight; returns whether it does. */
+	private retryErrorResponse(attempt: Attempt, head: ResponseHead): boolean {
+		if (this.attempts.successor !== undefined) {
+			attempt.exchange?.abort();
+			this.attempts.end(attempt, true);
+			this.continueOrFail('unknown', `response with status ${head.status}`, attempt);
+			return true;
+		}
+
+		if (this.options.route.kind !== 'idempotent' || this.steps.plan('unknown', this.attempts.runs + 1).type !== 'retry') {
 			return false;
 		}
 
@@ -297,24 +286,14 @@
 		return true;
 	}
 
-	private planNextStep(failure: AttemptFailure, runs: number): NextStep {
-		const {options: session, relay, guard, attempts: {count: attempts}, deadline} = this;
-		return planNextStep(buildStepQuery({
-			failure, session, relay, guard, runs, attempts, deadline,
-		}, this.context, this.context.clock.readMonotonic()));
-	}
-
-	private retryOrFail(failure: AttemptFailure, reason: string, attempt: Attempt, step = this.planNextStep(failure, this.attempts.runs)): void {
-		const {guard, attempts: {count: attempts}, context, options: {call: {id}}} = this;
-		reportFailedAttempt(context.logger, {
-			id, attempt, attempts, failure, reason, step, guard,
-		});
+	/** Goes on after a failed attempt: with the other one if one is in flight, else with a retry; ends the call if there is none. */
+	private continueOrFail(failure: AttemptFailure, reason: string, attempt: Attempt): void {
+		const step = this.steps.planAfter(attempt, failure, reason);
 		if (step.type === 'retry') {
 			this.tryNextTarget();
-			return;
+		} else if (step.type === 'give up') {
+			this.fail(createRouterError(step.result, reason, step.result === 'targetRefused' ? buildShortRetryAfter(this.context.draw()) : {}));
 		}
-
-		this.fail(createRouterError(step.result, reason, step.result === 'targetRefused' ? buildShortRetryAfter(this.context.draw()) : {}));
 	}
 
 	/** Ends the call before its response is complete; the result depends on whether a target may have run it. */
@@ -355,12 +334,9 @@
 
 		this.isDone = true;
 		clearTimeout(this.deadlineTimer);
-		this.waiter.stop();
+		this.starter.stop();
 		const attempt = lastAttempt ?? this.attempts.current;
-		if (this.attempts.current !== undefined) {
-			this.attempts.end(this.attempts.current, true);
-		}
-
+		this.attempts.endAll();
 		const times = this.times.summarise(this.context.clock.readMonotonic());
 		reportCall(this.context, this.options, {
 			outcome, status, attempt, attempts: this.attempts.count, passedBytes: this.relay.passedBytes, times,
--- a/src/forwarding/pass-chunk/index.ts
+++ b/src/forwarding/pass-chunk/index.ts
@@ -9,10 +9,11 @@
 export type PassedStream = {readonly relay: ResponseRelay; readonly origin: StreamOrigin};
 
 /**
- * Passes `chunk` on and records progress. The first event that the caller gets binds its stream to the target's software. The
- * target is paused while the caller does not read. Throws a `RangeError` if an event is too large.
+ * Passes `chunk` on and records progress; returns whether the answer has come closer to its end. The first event that the caller
+ * gets binds its stream to the target's software. The target is paused while the caller does not read. Throws a `RangeError` if
+ * an event is too large.
  */
-export function passChunk(attempt: Attempt, {relay, origin}: PassedStream, chunk: Buffer, now: MonotonicMs): void {
+export function passChunk(attempt: Attempt, {relay, origin}: PassedStream, chunk: Buffer, now: MonotonicMs): boolean {
 	const {canContinue, hasProgress} = relay.addChunk(attempt.head!, chunk);
 	if (hasProgress) {
 		attempt.lastProgressAt = now;
@@ -28,4 +29,6 @@
 			attempt.exchange?.resume();
 		});
 	}
+
+	return hasProgress;
 }
--- a/src/forwarding/plan-move/index.ts
+++ b/src/forwarding/plan-move/index.ts
@@ -3,6 +3,7 @@
  * where it is unless another target can take it at once and a retry is left.
  */
 
+import type {FleetTarget} from '../../fleet/fleet-target/index.js';
 import type {MonotonicMs} from '../../identity/ids/index.js';
 import type {CallGuard} from '../call-guard/index.js';
 import type {ForwardingContext} from '../forwarding-context/index.js';
@@ -13,12 +14,15 @@
 export type StalledCall = {
 	readonly selection: TargetSelection;
 	readonly guard: Pick<CallGuard, 'findError'>;
-	/** Plans the step after the attempt; takes a retry if there is to be another one. */
+	/** Plans the step that would follow if the attempt failed; takes a retry if there is to be another attempt. */
 	readonly planStep: () => NextStep;
 };
 
-/** Plans the step at `now`: a retry, or to stay with the target. */
-export function planMove({selection, guard, planStep}: StalledCall, context: ForwardingContext, now: MonotonicMs): NextStep | {readonly type: 'stay'} {
-	const canMove = guard.findError(true, now) === undefined && selectTarget(selection, context, now) !== undefined;
-	return canMove ? planStep() : {type: 'stay'};
+/** Sends the call to `target` as well, or stays with the attempts in flight. */
+export type MovePlan = {readonly type: 'move'; readonly target: FleetTarget} | {readonly type: 'stay'};
+
+/** Plans at `now` whether a stalled call is sent to another target. */
+export function planMove({selection, guard, planStep}: StalledCall, context: ForwardingContext, now: MonotonicMs): MovePlan {
+	const target = guard.findError(true, now) === undefined ? selectTarget(selection, context, now) : undefined;
+	return target !== undefined && planStep().type === 'retry' ? {type: 'move', target} : {type: 'stay'};
 }
--- a/src/forwarding/report-failed-attempt/index.ts
+++ b/src/forwarding/report-failed-attempt/index.ts
@@ -6,6 +6,9 @@
 import {isNotRun, type AttemptFailure, type NextStep} from '../plan-next-step/index.js';
 import type {Attempt} from '../session-types/index.js';
 
+/** The step after a failed attempt; `other attempt`: the call goes on with the other one that is in flight. */
+export type FollowingStep = NextStep | {readonly type: 'other attempt'};
+
 /** A failed attempt and what follows. */
 export type FailedAttemptReport = {
 	readonly id: RequestId;
@@ -14,7 +17,7 @@
 	readonly attempts: number;
 	readonly failure: AttemptFailure;
 	readonly reason: string;
-	readonly step: NextStep;
+	readonly step: FollowingStep;
 	readonly guard: CallGuard;
 };
 
--- /dev/null
+++ b/src/forwarding/step-planner/index.ts
@@ -0,0 +1,49 @@
+/** Plans what follows the attempts of one call, and reports those that fail. */
+
+import type {MonotonicMs} from '../../identity/ids/index.js';
+import {buildStepQuery} from '../build-step-query/index.js';
+import type {CallAttempts} from '../call-attempts/index.js';
+import type {CallGuard} from '../call-guard/index.js';
+import type {ForwardingContext} from '../forwarding-context/index.js';
+import {planNextStep, type AttemptFailure, type NextStep} from '../plan-next-step/index.js';
+import {reportFailedAttempt, type FollowingStep} from '../report-failed-attempt/index.js';
+import type {ResponseRelay} from '../response-relay/index.js';
+import type {Attempt, SessionOptions} from '../session-types/index.js';
+
+/** The call whose steps are planned. */
+export type PlannedCall = {
+	readonly session: SessionOptions;
+	readonly attempts: CallAttempts;
+	readonly relay: ResponseRelay;
+	readonly guard: CallGuard;
+	readonly readDeadline: () => MonotonicMs;
+};
+
+/** Plans the steps of one call. */
+export class StepPlanner {
+	constructor(private readonly call: PlannedCall, private readonly context: ForwardingContext) {}
+
+	/** Plans the step after an attempt that fails, with which `runs` attempts may have run the call. Takes a retry if there is to be another attempt. */
+	plan(failure: AttemptFailure, runs: number): NextStep {
+		const {session, attempts: {count: attempts}, relay, guard, readDeadline} = this.call;
+		return planNextStep(buildStepQuery({
+			failure, session, relay, guard, runs, attempts, deadline: readDeadline(),
+		}, this.context, this.context.clock.readMonotonic()));
+	}
+
+	/** Plans the step after an attempt that has ended, and reports both. A call with another attempt in flight goes on with that one. */
+	planAfter(attempt: Attempt, failure: AttemptFailure, reason: string): FollowingStep {
+		const {current, runs} = this.call.attempts;
+		const step: FollowingStep = current === undefined ? this.plan(failure, runs) : {type: 'other attempt'};
+		this.report(attempt, {failure, reason, step});
+		return step;
+	}
+
+	/** Reports an attempt that has ended, and the step after it. */
+	report(attempt: Attempt, {failure, reason, step}: {readonly failure: AttemptFailure; readonly reason: string; readonly step: FollowingStep}): void {
+		const {session: {call: {id}}, attempts: {count: attempts}, guard} = this.call;
+		reportFailedAttempt(this.context.logger, {
+			id, attempt, attempts, failure, reason, step, guard,
+		});
+	}
+}
--- a/src/forwarding/stream-origin/index.ts
+++ b/src/forwarding/stream-origin/index.ts
@@ -70,6 +70,14 @@
 		}
 	}
 
+	/**
+	 * Whether attempts at both targets may be in flight at the same time. Until the first event comes, either may write it, and
+	 * the record names one version only.
+	 */
+	allowsBoth({description: first}: FleetTarget, {description: second}: FleetTarget): boolean {
+		return this.session.route.kind !== 'streaming' || this.hasEvent || first.softwareVersion === second.softwareVersion;
+	}
+
 	/** Binds the stream: the caller gets an event of `target`. */
 	recordEvent({description}: FleetTarget): void {
 		this.hasEvent = true;
