Do not take a target for stalled that is paused until its caller reads

A target is paused while its caller does not read what was passed on. After 1 s without an event it counted as stalled, and the call was sent to a second target, which then wrote to a connection that was already full.

An attempt now knows that it is paused, and that time does not count as silence of its target.

--- a/src/forwarding/assess-attempt/index.ts
+++ b/src/forwarding/assess-attempt/index.ts
@@ -18,7 +18,7 @@
 	readonly isRepeatable: boolean;
 };
 
-/** Assesses an attempt at `now`. Only repeatable calls move. */
+/** Assesses an attempt at `now`. Only repeatable calls move. The time in which the caller does not read is not its target's. */
 export function assessAttempt({attempt, selection, isRepeatable}: AttemptInFlight, context: ForwardingContext, now: MonotonicMs): AttemptAssessment {
 	if (attempt.head === undefined && attempt.target.isSilent(now)) {
 		context.reachability.recordUnanswered(attempt.target, now);
@@ -28,5 +28,10 @@
 		return 'withdraw';
 	}
 
+	if (attempt.isPaused) {
+		attempt.lastProgressAt = now;
+		return 'keep';
+	}
+
 	return isRepeatable && isAttemptStalled(attempt, now) && hasAlternativeTarget(selection, attempt.target, context, now) ? 'move' : 'keep';
 }
--- a/src/forwarding/is-attempt-stalled/test.ts
+++ b/src/forwarding/is-attempt-stalled/test.ts
@@ -18,7 +18,8 @@
 	const record = target.beginCall(1000, at(0));
 	record.hasAnswered = hasAnswered;
 	return {
-		target, record, weightsVersion: 1, exchange: undefined, lastReceivedAt: at(0), lastProgressAt: at(0), head: hasAnswered ? head : undefined,
+		target, record, weightsVersion: 1, exchange: undefined, head: hasAnswered ? head : undefined,
+		lastReceivedAt: at(0), lastProgressAt: at(0), isPaused: false,
 	};
 }
 
--- a/src/forwarding/pass-chunk/index.ts
+++ b/src/forwarding/pass-chunk/index.ts
@@ -24,8 +24,10 @@
 	}
 
 	if (!canContinue) {
+		attempt.isPaused = true;
 		attempt.exchange?.pause();
 		relay.onDrain(() => {
+			attempt.isPaused = false;
 			attempt.exchange?.resume();
 		});
 	}
--- a/src/forwarding/session-types/index.ts
+++ b/src/forwarding/session-types/index.ts
@@ -31,4 +31,6 @@
 	lastReceivedAt: MonotonicMs;
 	/** When response data last brought the response closer to its end. In a resumable stream, only complete events do. */
 	lastProgressAt: MonotonicMs;
+	/** Whether the target is paused until the caller has read what was passed on. */
+	isPaused: boolean;
 };
