--- a/src/gateway/calls-in-progress/index.ts
+++ b/src/gateway/calls-in-progress/index.ts
@@ -7,6 +7,7 @@
 import type {Clock} from '../../clock/clock/index.js';
 import type {CallDeadline} from '../../forwarding/call-deadline/index.js';
 import type {CallSession} from '../../forwarding/call-session/index.js';
+import {waitForArrivedData} from '../../http/wait-for-arrived-data/index.js';
 import type {RouteId} from '../../identity/ids/index.js';
 import type {Route} from '../../routing/routing-types/index.js';
 
@@ -106,14 +107,20 @@
 		this.isSilenceCheckScheduled = true;
 		setTimeout(() => {
 			this.isSilenceCheckScheduled = false;
-			const now = this.clock.readMonotonic();
-			for (const session of this.sessions) {
-				session.checkAttempt(now);
-			}
-
-			if (this.sessions.size > 0) {
-				this.scheduleSilenceCheck();
-			}
+			void this.checkAttempts();
 		}, silenceCheckIntervalMs);
 	}
+
+	/** Checks the attempts of all calls by what their targets have sent until now, although this process may have read nothing for a while. */
+	private async checkAttempts(): Promise<void> {
+		await waitForArrivedData();
+		const now = this.clock.readMonotonic();
+		for (const session of this.sessions) {
+			session.checkAttempt(now);
+		}
+
+		if (this.sessions.size > 0) {
+			this.scheduleSilenceCheck();
+		}
+	}
 }
--- a/src/http/idle-connections/index.ts
+++ b/src/http/idle-connections/index.ts
@@ -8,14 +8,12 @@
 
 import type {Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
-import {setImmediate as nextTurn} from 'node:timers/promises';
 import type {Clock} from '../../clock/clock/index.js';
 import type {MonotonicMs} from '../../identity/ids/index.js';
+import {waitForArrivedData} from '../wait-for-arrived-data/index.js';
 
 /** Time beyond the limit for which a connection stays open, in milliseconds; a request can be under way when the limit passes. */
 const closingMarginMs = 1000;
-/** Turns of the event loop after which everything that had arrived before a timer fired has been read. */
-const turnsUntilRead = 2;
 
 /** A connection since its last answer. */
 type IdleConnection = {
@@ -48,10 +46,7 @@
 	}
 
 	private async handleTimeout(socket: Socket): Promise<void> {
-		for (let turn = 0; turn < turnsUntilRead; turn += 1) {
-			await nextTurn();
-		}
-
+		await waitForArrivedData();
 		const connection = this.connections.get(socket);
 		if (connection === undefined || socket.bytesRead > connection.readBytes || socket.destroyed) {
 			return;
--- a/src/http/watch-caller/index.ts
+++ b/src/http/watch-caller/index.ts
@@ -9,14 +9,15 @@
  */
 
 import type {ServerResponse} from 'node:http';
-import {setImmediate as nextTurn, setTimeout as delay} from 'node:timers/promises';
+import {setTimeout as delay} from 'node:timers/promises';
 import {abortResponse} from '../abort-response/index.js';
+import {waitForArrivedData} from '../wait-for-arrived-data/index.js';
 
 /** Time between the first two interim responses, in milliseconds; each pause after it is twice as long. */
-const probePauseMs = 100;
+const probePauseMs = 25;
 const pauseFactor = 2;
-/** Turns of the event loop after which an end or a failure of the connection is read that had arrived before: the end follows the data, a turn later. */
-const turnsUntilEnd = 2;
+/** Time for which a request waits whose caller has ended its side before it was read, in milliseconds; long enough for three interim responses. */
+const confirmationMs = 90;
 
 /** Watches one caller until its response has ended. */
 export class CallerWatch {
@@ -43,10 +44,10 @@
 	 */
 	async confirm(): Promise<boolean> {
 		const {req: {socket}} = this.response;
-		await passTurns();
+		await waitForArrivedData();
 		if (socket.readableEnded && !socket.destroyed) {
-			await delay(probePauseMs);
-			await passTurns();
+			await delay(confirmationMs);
+			await waitForArrivedData();
 		}
 
 		return !socket.destroyed;
@@ -73,9 +74,3 @@
 		}, pauseMs);
 	}
 }
-
-async function passTurns(): Promise<void> {
-	for (let turn = 0; turn < turnsUntilEnd; turn += 1) {
-		await nextTurn();
-	}
-}
