Keep what a target stated when its entry goes and comes back

A target says in an answer that it is leaving and removes its entry. When the object API comes back from a copy that has the entry, gateways sent to the target again, because the statement was kept in the FleetTarget, which went with the entry. Pauses, limits and observed weights versions went with it, too.

--- a/src/fleet/fleet-target/index.ts
+++ b/src/fleet/fleet-target/index.ts
@@ -1,15 +1,17 @@
 /**
- * State of one target: the description that it announced, and what this instance has observed on calls
- * sent to it. A target that restarts under the same id is a new `FleetTarget`.
+ * State of one listed target: the description that it announced, what it has stated in answers, and what this instance has
+ * observed on calls sent to it. A target that restarts under the same id is a new `FleetTarget`, and so is one that is
+ * listed again after its entry was missing; the statements of its incarnation are then the same object.
  */
 
 import type {
 	DataCentreId, InstanceId, MonotonicMs, SoftwareVersion, TargetId,
 } from '../../identity/ids/index.js';
 import {PermitAccount} from '../../limits/permit-account/index.js';
-import {TargetLimit} from '../../limits/target-limit/index.js';
+import type {TargetLimit} from '../../limits/target-limit/index.js';
 import type {ServiceId} from '../../routing/routing-types/index.js';
-import {TargetPause} from '../../statements/target-pause/index.js';
+import {IncarnationStatements} from '../../statements/incarnation-statements/index.js';
+import type {TargetPause} from '../../statements/target-pause/index.js';
 
 /** Description of a target, as the target announces it. */
 export type TargetDescription = {
@@ -67,9 +69,7 @@
 /** A target with its calls, loads and recent failures. */
 export class FleetTarget {
 	readonly calls = new Set<TargetCall>();
-	readonly limit = new TargetLimit();
 	readonly permits = new PermitAccount();
-	readonly pause = new TargetPause();
 	/** Time until which a rollout keeps new calls away, on this instance's monotonic clock. */
 	cordonedUntil = 0;
 	private readonly remoteLoads = new Map<InstanceId, RemoteLoad>();
@@ -77,39 +77,43 @@
 	private lastFailedAt = 0;
 	private unreachableAt = 0;
 	private failureCount = 0;
-	private readonly observedVersions = new Map<string, number>();
-	private isLeavingStated = false;
 
-	constructor(public description: TargetDescription) {}
+	constructor(public description: TargetDescription, readonly statements = new IncarnationStatements()) {}
+
+	get limit(): TargetLimit {
+		return this.statements.limit;
+	}
+
+	get pause(): TargetPause {
+		return this.statements.pause;
+	}
 
 	/** Newer of the announced and the last observed weights version of `model`; undefined when the model isn't served. */
 	readVersion(model: string): number | undefined {
 		const announced = this.description.weightsVersions.get(model);
-		const observed = this.observedVersions.get(model);
+		const observed = this.statements.weightsVersions.get(model);
 		return observed === undefined || (announced !== undefined && announced >= observed) ? announced : observed;
 	}
 
 	/** Whether the target has said in an answer that it is leaving. */
 	get hasStatedLeaving(): boolean {
-		return this.isLeavingStated;
+		return this.statements.isLeaving;
 	}
 
 	/** Whether the target is leaving, as it has said in an answer or as the list shows. */
 	get isLeaving(): boolean {
-		return this.isLeavingStated || this.description.isLeaving;
+		return this.statements.isLeaving || this.description.isLeaving;
 	}
 
 	/** Records that the target has said in an answer that it is leaving. Returns whether that is new. */
 	recordLeaving(): boolean {
-		const isNew = !this.isLeavingStated;
-		this.isLeavingStated = true;
-		return isNew;
+		return this.statements.recordLeaving();
 	}
 
 	/** Records the weights version that an answer or a report contained, if any. */
 	recordVersion(model: string | undefined, version: number | undefined): void {
 		if (model !== undefined && version !== undefined) {
-			this.observedVersions.set(model, version);
+			this.statements.weightsVersions.set(model, version);
 		}
 	}
 
--- a/src/fleet/load-aggregator/test.ts
+++ b/src/fleet/load-aggregator/test.ts
@@ -31,7 +31,7 @@
 		const controller = new AbortController();
 		setMaxListeners(0, controller.signal);
 		const fleet = new TargetFleet(quietLogger);
-		fleet.replace([createDescription('t1'), createDescription('t2')]);
+		fleet.replace([createDescription('t1'), createDescription('t2')], clock.readMonotonic());
 		const prefixes = new PrefixDirectory();
 		const {state, revision, incarnation, ...identity} = member;
 		const random = new RandomSource(index + 1);
--- a/src/fleet/load-exchange/test.ts
+++ b/src/fleet/load-exchange/test.ts
@@ -23,7 +23,7 @@
 	const members = ports.map((port, index) => createMember(`i${index}`, {peerAddress: `127.0.0.1:${port}`}));
 	const instances = members.map((member, index) => {
 		const fleet = new TargetFleet(quietLogger);
-		fleet.replace([createDescription('t')]);
+		fleet.replace([createDescription('t')], clock.readMonotonic());
 		const prefixes = new PrefixDirectory();
 		const channel = new DatagramChannel(quietLogger);
 		const exchange = new LoadExchange({
@@ -63,7 +63,7 @@
 	const network = new FakeDatagramNetwork();
 	const instances = members.map((member, index) => {
 		const fleet = new TargetFleet(quietLogger);
-		fleet.replace(Array.from({length: 98}, (_item, number) => createDescription(`i-${number}c37c357a`)));
+		fleet.replace(Array.from({length: 98}, (_item, number) => createDescription(`i-${number}c37c357a`)), clock.readMonotonic());
 		const prefixes = new PrefixDirectory();
 		const membership = createMembershipHeartbeats(member.id);
 		const exchange = new LoadExchange({
--- a/src/fleet/target-fleet/index.ts
+++ b/src/fleet/target-fleet/index.ts
@@ -1,32 +1,33 @@
 /** Registry of all targets, synchronised with the announced list. */
 
-import type {TargetId} from '../../identity/ids/index.js';
+import type {MonotonicMs, TargetId} from '../../identity/ids/index.js';
 import type {EventLogger} from '../../logging/create-logger/index.js';
 import type {ServiceId} from '../../routing/routing-types/index.js';
+import {isSameProcess, StatementRegister} from '../../statements/statement-register/index.js';
 import {FleetTarget, type TargetDescription} from '../fleet-target/index.js';
 
 /** All listed targets, indexed by id and by service. */
 export class TargetFleet {
+	/** Statements of all incarnations, listed or not. */
+	readonly statements = new StatementRegister();
 	private readonly targets = new Map<TargetId, FleetTarget>();
 	private targetsByService = new Map<ServiceId, FleetTarget[]>();
 	private readonly listeners = new Set<() => void>();
 
 	constructor(private readonly logger: EventLogger) {}
 
-	/** Replaces the list of targets. Targets that are not on the new list get no further calls. */
-	replace(descriptions: readonly TargetDescription[]): void {
-		const ids = new Set(descriptions.map(description => description.id));
+	/** Replaces the list of targets at `now`. Targets that are not on the new list get no further calls. */
+	replace(descriptions: readonly TargetDescription[], now: MonotonicMs): void {
+		const listed = new Map(descriptions.map(description => [description.id, description]));
 		for (const [id, target] of this.targets) {
-			if (!ids.has(id)) {
-				this.targets.delete(id);
-				this.logger.info('target gone', {target: id, service: target.description.service, address: target.description.address});
-			}
+			this.removeUnlessListed(target, listed.get(id), now);
 		}
 
-		for (const description of descriptions) {
+		for (const description of listed.values()) {
 			this.update(description);
 		}
 
+		this.statements.prune(now);
 		this.rebuildServiceIndex();
 		this.notify();
 	}
@@ -68,9 +69,22 @@
 		}
 	}
 
+	/** Removes a target, unless `description`, which the list has under its id, is of the same process. */
+	private removeUnlessListed({description: removed}: FleetTarget, description: TargetDescription | undefined, now: MonotonicMs): void {
+		if (description !== undefined && isSameProcess(removed, description)) {
+			return;
+		}
+
+		this.targets.delete(removed.id);
+		this.statements.markUnlisted(removed, now);
+		if (description === undefined) {
+			this.logger.info('target gone', {target: removed.id, service: removed.service, address: removed.address});
+		}
+	}
+
 	private update(description: TargetDescription): void {
 		const existing = this.targets.get(description.id);
-		if (existing !== undefined && isSameIncarnation(existing.description, description)) {
+		if (existing !== undefined) {
 			if (existing.description.isLeaving !== description.isLeaving) {
 				this.logger.info('target state changed', {target: description.id, leaving: description.isLeaving});
 			}
@@ -79,7 +93,7 @@
 			return;
 		}
 
-		this.targets.set(description.id, new FleetTarget(description));
+		this.targets.set(description.id, new FleetTarget(description, this.statements.getListed(description)));
 		this.logger.info('target known', {
 			target: description.id, service: description.service, address: description.address, started: description.startedAt,
 			software: description.softwareVersion,
@@ -97,8 +111,3 @@
 		this.targetsByService = targetsByService;
 	}
 }
-
-/** Whether two descriptions are of one process. Entries may lag behind a restart, and no process changes its software. */
-function isSameIncarnation(a: TargetDescription, b: TargetDescription): boolean {
-	return a.startedAt === b.startedAt && a.address === b.address && a.softwareVersion === b.softwareVersion;
-}
--- a/src/forwarding/estimate-target-wait/test.ts
+++ b/src/forwarding/estimate-target-wait/test.ts
@@ -16,7 +16,7 @@
 /** Builds a service whose targets have limits; `waits` are the waits that issuers estimated at 0, `pauses` the ends of pauses, in milliseconds. */
 function estimate(waits: ReadonlyArray<number | undefined>, allowed: readonly string[] = [], pauses: readonly number[] = []): TargetWait | undefined {
 	const fleet = new TargetFleet(quietLogger);
-	fleet.replace(waits.map((_, index) => createDescription(`t${index}`)));
+	fleet.replace(waits.map((_, index) => createDescription(`t${index}`)), at(0));
 	for (const [index, target] of [...fleet.list()].entries()) {
 		target.permits.open(index, at(0));
 		target.pause.recordStated(at(pauses[index] ?? 0), at(0));
--- a/src/forwarding/select-target/test.ts
+++ b/src/forwarding/select-target/test.ts
@@ -20,7 +20,7 @@
 /** Selects among `ids`, of which only `allowed` have a permit or no limit; returns the choice and the targets for which permits were asked. */
 function select(ids: readonly string[], allowed: readonly string[]) {
 	const fleet = new TargetFleet(quietLogger);
-	fleet.replace(ids.map(id => createDescription(id)));
+	fleet.replace(ids.map(id => createDescription(id)), 0 as MonotonicMs);
 	const asked: string[] = [];
 	const context: Partial<ForwardingContext> = {
 		fleet, findService: () => undefined, draw: () => 0,
--- /dev/null
+++ b/src/gateway/create-statements/test.ts
@@ -0,0 +1,65 @@
+import {test} from 'node:test';
+import {expect} from 'earl';
+import {createMember} from '../../fixtures/create-member/index.js';
+import {startGatewayFeeds} from '../../fixtures/start-gateway-feeds/index.js';
+import type {MonotonicMs, TargetId} from '../../identity/ids/index.js';
+import {quietLogger} from '../../logging/quiet-logger/index.js';
+import {FakeDatagramNetwork} from '../../peers/fake-datagram-network/index.js';
+import {createStatements} from './index.js';
+
+const targetId = 'a' as TargetId;
+
+/** Starts gateways that have read the entry of one target and exchange statements of targets. */
+async function startGateways(count: number) {
+	const {clock, objectApi, instances} = startGatewayFeeds(count);
+	const network = new FakeDatagramNetwork();
+	const members = instances.map(({id}) => createMember(id));
+	const gateways = instances.map(({id, fleet, stop}) => ({
+		fleet, stop, ...createStatements({
+			self: id, clock, logger: quietLogger, fleet, channel: network.open(id), listLive: () => members,
+		}),
+	}));
+	await objectApi.create('targets', targetId, 1);
+	await clock.advance(2500);
+	return {clock, objectApi, gateways};
+}
+
+test('guards against calls to a target that said that it leaves and removed its entry, when the object API comes back with the entry', async () => {
+	for (const count of [3, 20]) {
+		const {clock, objectApi, gateways} = await startGateways(count);
+		const copy = objectApi.copy();
+		const target = gateways[0]!.fleet.locate(targetId)!;
+		target.recordLeaving();
+		gateways[0]!.leavingNotices.announce(target);
+		await clock.advance(1000);
+		await objectApi.remove('targets', targetId);
+		await clock.advance(1500);
+		expect(gateways.map(({fleet}) => fleet.locate(targetId))).toEqual(gateways.map(() => undefined));
+		objectApi.restore(copy);
+		await clock.advance(1500);
+		expect(gateways.map(({fleet}) => fleet.locate(targetId)?.isLeaving)).toEqual(gateways.map(() => true));
+		for (const {stop} of gateways) {
+			stop();
+		}
+	}
+});
+
+test('guards against a limit and a pause that end when the entry of their target goes and comes back with an older copy', async () => {
+	const {clock, objectApi, gateways} = await startGateways(3);
+	const copy = objectApi.copy();
+	const target = gateways[0]!.fleet.locate(targetId)!;
+	const now = clock.readMonotonic();
+	target.limit.recordStated(2, now);
+	gateways[0]!.limits.announce(target);
+	target.pause.recordStated(now + 60_000 as MonotonicMs, now);
+	await clock.advance(1000);
+	await objectApi.remove('targets', targetId);
+	await clock.advance(1500);
+	objectApi.restore(copy);
+	await clock.advance(1500);
+	expect(gateways.map(({fleet}) => fleet.locate(targetId)?.limit.read())).toEqual([2, 2, 2]);
+	expect(gateways.map(({fleet}) => fleet.locate(targetId)?.isPaused(clock.readMonotonic()))).toEqual([true, false, false]);
+	for (const {stop} of gateways) {
+		stop();
+	}
+});
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -131,7 +131,7 @@
 				this.applyConfiguration(configuration);
 			},
 			onTargets: targets => {
-				this.fleet.replace(targets);
+				this.fleet.replace(targets, clock.readMonotonic());
 				this.streams.observeTargets(targets);
 			},
 			onWeights: (weights, age) => {
--- a/src/handover/target-reachability/test.ts
+++ b/src/handover/target-reachability/test.ts
@@ -11,7 +11,7 @@
 function createReachability(count: number, connectable = new Set<string>()) {
 	const clock = new ManualClock();
 	const fleet = new TargetFleet(quietLogger);
-	fleet.replace(Array.from({length: count}, (_, index) => createDescription(`t${index}`)));
+	fleet.replace(Array.from({length: count}, (_, index) => createDescription(`t${index}`)), clock.readMonotonic());
 	const targets = [...fleet.list()];
 	const changes: boolean[] = [];
 	let probes = 0;
--- a/src/rollout/rollout-controller/test.ts
+++ b/src/rollout/rollout-controller/test.ts
@@ -63,7 +63,7 @@
 	const start = (holder: string) => {
 		const controller = new AbortController();
 		const fleet = new TargetFleet(quietLogger);
-		fleet.replace(Array.from({length: engineCount}, (_, index) => createDescription(`e${index}`)));
+		fleet.replace(Array.from({length: engineCount}, (_, index) => createDescription(`e${index}`)), clock.readMonotonic());
 		const rollout = new RolloutController({
 			clock, logger: quietLogger, fleet, commander: engines.createCommander(holder), listDesiredVersions: () => desiredVersions, isContender: () => true,
 			lease: new Lease({
@@ -165,7 +165,7 @@
 	await clock.advance(2000);
 	desiredVersions.set(testModel, {version: 2});
 	await clock.advance(1000);
-	fleet.replace([createDescription('e0', {startedAt: 2}), createDescription('e1', {startedAt: 2})]);
+	fleet.replace([createDescription('e0', {startedAt: 2}), createDescription('e1', {startedAt: 2})], clock.readMonotonic());
 	await clock.advance(1800);
 	expect([...fleet.list()].some(target => target.readVersion(testModel) === 2)).toEqual(true);
 	kill();
--- a/src/rollout/rollout-notices/test.ts
+++ b/src/rollout/rollout-notices/test.ts
@@ -19,7 +19,7 @@
 	const network = new FakeDatagramNetwork();
 	const createNotices = (address: string) => {
 		const fleet = new TargetFleet(quietLogger);
-		fleet.replace(Array.from({length: engineCount}, (_, index) => createDescription(createId(index))));
+		fleet.replace(Array.from({length: engineCount}, (_, index) => createDescription(createId(index))), clock.readMonotonic());
 		const notices = new RolloutNotices({
 			clock, fleet, channel: network.open(address), listPeers: () => peers,
 		});
--- a/src/statements/leaving-notices/test.ts
+++ b/src/statements/leaving-notices/test.ts
@@ -22,7 +22,7 @@
 	const members = Array.from({length: count}, (_, index) => createMember(`i${index}`));
 	const instances = members.map(({id, peerAddress}) => {
 		const fleet = new TargetFleet(quietLogger);
-		fleet.replace([createDescription(targetId)]);
+		fleet.replace([createDescription(targetId)], clock.readMonotonic());
 		const channel = network.open(peerAddress);
 		const notices = new LeavingNotices({
 			clock, logger: quietLogger, fleet, channel, listPeers: () => members.filter(member => member.id !== id),
