Keep notices of targets that have no entry when they arrive

A notice that a target leaves, or news of its limit, was dropped at an instance whose list had no entry of the target at that moment. When an older copy of the object API showed the entry again, that instance sent to the target. The news now counts for the incarnation, listed or not.

--- a/src/gateway/create-statements/test.ts
+++ b/src/gateway/create-statements/test.ts
@@ -1,5 +1,6 @@
 import {test} from 'node:test';
 import {expect} from 'earl';
+import {createDescription} from '../../fixtures/create-fleet-target/index.js';
 import {createMember} from '../../fixtures/create-member/index.js';
 import {startGatewayFeeds} from '../../fixtures/start-gateway-feeds/index.js';
 import type {MonotonicMs, TargetId} from '../../identity/ids/index.js';
@@ -63,3 +64,20 @@
 		stop();
 	}
 });
+
+test('guards against a notice or a limit that is lost at an instance whose list has no entry of the target at that moment', async () => {
+	const {clock, gateways: [first, second, third]} = await startGateways(3);
+	const target = first!.fleet.locate(targetId)!;
+	second!.fleet.replace([], clock.readMonotonic());
+	target.recordLeaving();
+	first!.leavingNotices.announce(target);
+	target.limit.recordStated(2, clock.readMonotonic());
+	first!.limits.announce(target);
+	await clock.advance(1000);
+	second!.fleet.replace([createDescription(targetId)], clock.readMonotonic());
+	const found = second!.fleet.locate(targetId)!;
+	expect([found.isLeaving, found.limit.read()]).toEqual([true, 2]);
+	for (const {stop} of [first!, second!, third!]) {
+		stop();
+	}
+});
--- a/src/limits/target-limits/index.ts
+++ b/src/limits/target-limits/index.ts
@@ -197,24 +197,19 @@
 	}
 
 	private handle(message: LimitMessage, now: MonotonicMs): void {
+		this.applyNews(message, now);
 		const target = this.options.fleet.locateIncarnation(message.target, message.startedAt);
 		if (target === undefined) {
 			return;
 		}
 
 		switch (message.type) {
-			case 'limit': {
-				this.applyLimit(target, message, now);
-				break;
-			}
-
+			case 'limit':
 			case 'ended': {
-				this.applyEnd(target, message, now);
 				break;
 			}
 
 			case 'ask': {
-				this.applyLimit(target, message, now);
 				this.handleAsk(target, message, now);
 				break;
 			}
@@ -234,16 +229,18 @@
 		}
 	}
 
-	private applyLimit(target: FleetTarget, {requestsPerSecond, ageMs}: MessageOf<'limit' | 'ask'>, now: MonotonicMs): void {
-		if (target.limit.recordStated(requestsPerSecond, now - ageMs as MonotonicMs)) {
-			this.options.logger.info('target limit changed', {target: target.description.id, requestsPerSecond, source: 'instance'});
-		}
-	}
-
-	private applyEnd(target: FleetTarget, {ageMs}: MessageOf<'ended'>, now: MonotonicMs): void {
-		if (target.limit.recordAbsent(now - ageMs as MonotonicMs)) {
-			this.options.logger.info('target limit ended', {target: target.description.id, source: 'instance'});
-			this.options.fleet.notify();
+	/** Applies what a message says of a limit. Its target may not be listed here now. */
+	private applyNews(message: LimitMessage, now: MonotonicMs): void {
+		const {fleet, logger} = this.options;
+		const {limit} = fleet.statements.get({id: message.target, startedAt: message.startedAt}, now);
+		if (message.type === 'limit' || message.type === 'ask') {
+			const {requestsPerSecond, ageMs} = message;
+			if (limit.recordStated(requestsPerSecond, now - ageMs as MonotonicMs)) {
+				logger.info('target limit changed', {target: message.target, requestsPerSecond, source: 'instance'});
+			}
+		} else if (message.type === 'ended' && limit.recordAbsent(now - message.ageMs as MonotonicMs)) {
+			logger.info('target limit ended', {target: message.target, source: 'instance'});
+			fleet.notify();
 		}
 	}
 
--- a/src/statements/leaving-notices/index.ts
+++ b/src/statements/leaving-notices/index.ts
@@ -14,6 +14,8 @@
 import type {Member} from '../../membership/member/index.js';
 import type {DatagramTransport} from '../../peers/datagram-channel/index.js';
 import {sendRepeatedly} from '../../peers/send-repeatedly/index.js';
+import type {IncarnationStatements} from '../incarnation-statements/index.js';
+import type {TargetIncarnation} from '../statement-register/index.js';
 
 /** Message type of the datagrams. */
 export const leavingMessageType = 'targetLeaving';
@@ -54,7 +56,7 @@
 		leaving_notices_sent: {help: 'Notices of leaving targets sent to other instances since the start.', read: () => this.sentNotices},
 	};
 
-	private readonly confirmed = new WeakSet<FleetTarget>();
+	private readonly confirmed = new WeakSet<IncarnationStatements>();
 	private sentNotices = 0;
 
 	constructor(private readonly options: LeavingNoticesOptions) {
@@ -66,7 +68,16 @@
 	announce(target: FleetTarget): void {
 		void sendRepeatedly(() => {
 			this.send(target);
-		}, repeatDelaysMs, this.options.clock, () => this.confirmed.has(target));
+		}, repeatDelaysMs, this.options.clock, () => this.confirmed.has(target.statements));
+	}
+
+	/** Applies what another instance says of a target, which may not be listed here now. */
+	apply(incarnation: TargetIncarnation): void {
+		const {logger, fleet, clock} = this.options;
+		if (fleet.statements.get(incarnation, clock.readMonotonic()).recordLeaving()) {
+			logger.info('target leaving', {target: incarnation.id, source: 'instance'});
+			fleet.notify();
+		}
 	}
 
 	private send({description: {id, startedAt}}: FleetTarget): void {
@@ -76,23 +87,16 @@
 	}
 
 	private receive(body: unknown): void {
-		const {logger, fleet} = this.options;
+		const {logger, fleet, clock} = this.options;
 		const parsed = messageSchema.safeParse(body);
 		if (!parsed.success) {
 			logger.warn('leaving notice refused', {reason: parsed.error.message});
 			return;
 		}
 
-		const target = fleet.locateIncarnation(parsed.data.target as TargetId, parsed.data.startedAt);
-		if (target === undefined) {
-			return;
-		}
-
-		this.confirmed.add(target);
-		if (target.recordLeaving()) {
-			logger.info('target leaving', {target: target.description.id, source: 'instance'});
-			fleet.notify();
-		}
+		const incarnation = {id: parsed.data.target as TargetId, startedAt: parsed.data.startedAt};
+		this.confirmed.add(fleet.statements.get(incarnation, clock.readMonotonic()));
+		this.apply(incarnation);
 	}
 
 	private listLeaving(): FleetTarget[] {
--- a/src/statements/statement-register/index.ts
+++ b/src/statements/statement-register/index.ts
@@ -53,6 +53,19 @@
 		return entry.statements;
 	}
 
+	/** Gets or creates the statements of an incarnation that another instance has told of; it may not be listed here. */
+	get({id, startedAt}: TargetIncarnation, now: MonotonicMs): IncarnationStatements {
+		const existing = this.find(id, startedAt);
+		if (existing !== undefined) {
+			return existing.statements;
+		}
+
+		const entry = {...createEntry(startedAt), unlistedSince: now};
+		this.entriesById.set(id, [...this.entriesById.get(id) ?? [], entry]);
+		this.prune(now);
+		return entry.statements;
+	}
+
 	/** Notes that an incarnation is not listed any more. */
 	markUnlisted({id, startedAt}: TargetIncarnation, now: MonotonicMs): void {
 		const entry = this.find(id, startedAt);
@@ -69,7 +82,7 @@
 		const expired = unlisted.filter(({since}) => now - since > unlistedRetentionMs);
 		const retained = unlisted.filter(({since}) => now - since <= unlistedRetentionMs);
 		const excess = retained
-			.toSorted((a, b) => Number(a.entry.statements.hasAny) - Number(b.entry.statements.hasAny) || a.since - b.since)
+			.toSorted((a, b) => (Number(a.entry.statements.hasAny) - Number(b.entry.statements.hasAny)) || (a.since - b.since))
 			.slice(0, Math.max(0, retained.length - maximumUnlisted));
 		for (const {id, entry} of [...expired, ...excess]) {
 			this.drop(id, entry);
