Tell instances that start what targets have stated before

Notices go to the instances that are live at that moment. One that started later knew nothing of a leaving target or a limit, and sent there when an older copy of the list showed the target.

Failed before (with nothing asked): src/gateway/create-statements, "guards against an instance that starts after a target has stated that it leaves, or a limit, and knows nothing of it".

--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -40,7 +40,7 @@
 import {createHandover, type Handover} from '../create-handover/index.js';
 import {createMembership} from '../create-membership/index.js';
 import {createRollout} from '../create-rollout/index.js';
-import {createStatements, type StatementExchange} from '../create-statements/index.js';
+import {createStatements, runStatements, type StatementExchange} from '../create-statements/index.js';
 import {describeTarget} from '../describe-target/index.js';
 import {GatewayFeeds} from '../gateway-feeds/index.js';
 import type {GatewayMetrics} from '../gateway-metrics/index.js';
@@ -100,6 +100,7 @@
 		const {adapter, clock, logger, random, metrics, settings: store} = options;
 		const settings = store.current;
 		const self = settings.instance as InstanceId;
+		const listLive = () => this.membership.listLive(clock.readMonotonic());
 		const listPeerIds = () => this.listPeers().map(peer => peer.id);
 		this.startedAt = clock.readMonotonic();
 		setMaxListeners(maximumTasks, this.controller.signal);
@@ -163,17 +164,16 @@
 			objectApi: this.relayedObjectApi, remover: adapter.objectApi, collection: adapter.collections.quarantines,
 		});
 		this.statements = createStatements({
-			self, clock, logger, fleet: this.fleet, channel: this.datagramChannel, listLive: () => this.membership.listLive(clock.readMonotonic()),
+			...options, self, fleet: this.fleet, channel: this.datagramChannel, caller: this.peerClient, registry: this.peerServer, listLive,
 		});
 		this.streams = new StreamDirectory({
 			self, clock, logger, random, channel: this.datagramChannel, caller: this.peerClient, registry: this.peerServer,
-			objectApi: this.relayedObjectApi, directObjectApi: adapter.objectApi, collection: adapter.collections.streams,
-			listLive: () => this.membership.listLive(clock.readMonotonic()),
+			objectApi: this.relayedObjectApi, directObjectApi: adapter.objectApi, collection: adapter.collections.streams, listLive,
 			readLongestWaitMs: () => calculateLongestWaitMs(this.routingTable?.configuration.routes),
 		});
 		this.rollout = createRollout({
 			...options, self, objectApi: this.relayedObjectApi, fleet: this.fleet, weights: this.weightsRegistry, notices: this.rolloutNotices,
-			listLive: () => this.membership.listLive(clock.readMonotonic()), isCutOff: () => this.handover.reachability.isCutOff,
+			listLive, isCutOff: () => this.handover.reachability.isCutOff,
 		});
 		this.loadExchange = new LoadExchange({
 			clock, random, fleet: this.fleet, prefixes: this.prefixDirectory, channel: this.datagramChannel, membership: this.membership,
@@ -209,7 +209,7 @@
 		void this.loadExchange.run(signal);
 		void this.quotaLending.run(signal);
 		void this.quarantine.run(signal);
-		void this.statements.limits.run(signal);
+		runStatements(this.statements, signal);
 		void this.streams.run(signal);
 		void this.handover.run(signal);
 		void this.instanceRegistry.keepRegistered(signal);
--- a/src/statements/statement-register/index.ts
+++ b/src/statements/statement-register/index.ts
@@ -89,6 +89,14 @@
 		}
 	}
 
+	/** Lists the statements of all incarnations, those that are not listed first: no entry of theirs shows that they leave. */
+	list(): Array<{readonly incarnation: TargetIncarnation; readonly statements: IncarnationStatements}> {
+		return [...this.entriesById]
+			.flatMap(([id, entries]) => entries.map(entry => ({id, entry})))
+			.toSorted((a, b) => Number(a.entry.unlistedSince === undefined) - Number(b.entry.unlistedSince === undefined))
+			.map(({id, entry: {startedAt, statements}}) => ({incarnation: {id, startedAt}, statements}));
+	}
+
 	/** Number of incarnations that are not listed. */
 	countUnlisted(): number {
 		return [...this.entriesById.values()].flat().filter(({unlistedSince}) => unlistedSince !== undefined).length;
