--- a/src/gateway/create-statements/test.ts
+++ b/src/gateway/create-statements/test.ts
@@ -133,3 +133,25 @@
 		stop();
 	}
 });
+
+test('guards against a leaving target that is served again because its entry was retained in an interruption of the object API', async () => {
+	const {clock, objectApi, gateways} = await startGateways(3);
+	const copy = objectApi.copy();
+	objectApi.setDown(true);
+	await clock.advance(3000);
+	const target = gateways[0]!.fleet.locate(targetId)!;
+	target.recordLeaving();
+	gateways[0]!.leavingNotices.announce(target);
+	objectApi.faults.isDown = false;
+	await objectApi.remove('targets', targetId);
+	await clock.advance(1500);
+	expect(gateways.map(({fleet}) => fleet.locate(targetId)?.isLeaving)).toEqual([true, true, true]);
+	await clock.advance(4000);
+	expect(gateways.map(({fleet}) => fleet.locate(targetId))).toEqual([undefined, undefined, undefined]);
+	objectApi.restore(copy);
+	await clock.advance(1500);
+	expect(gateways.map(({fleet}) => fleet.locate(targetId)?.isLeaving)).toEqual([true, true, true]);
+	for (const {stop} of gateways) {
+		stop();
+	}
+});
