Let statements of a target without a known start end with its entry

Entries that tell no start all have the same one. A statement kept after its entry was removed would have held for a later process under the same id.

Failed before: src/fleet/target-fleet, "guards against statements that hold for another process because its entry, like the one before, tells no start".

--- a/src/fleet/target-fleet/test.ts
+++ b/src/fleet/target-fleet/test.ts
@@ -4,6 +4,7 @@
 import type {MonotonicMs, TargetId} from '../../identity/ids/index.js';
 import {quietLogger} from '../../logging/quiet-logger/index.js';
 import type {ServiceId} from '../../routing/routing-types/index.js';
+import {unknownStart} from '../../statements/statement-register/index.js';
 import {TargetFleet} from './index.js';
 
 const service = 'service-1' as ServiceId;
@@ -88,6 +89,16 @@
 	}
 });
 
+test('guards against statements that hold for another process because its entry, like the one before, tells no start', () => {
+	const fleet = new TargetFleet(quietLogger);
+	fleet.replace([createDescription('a', {startedAt: unknownStart})], at(0));
+	fleet.locate(targetId)!.recordLeaving();
+	fleet.replace([], at(1000));
+	fleet.statements.get({id: targetId, startedAt: unknownStart}, at(1500)).recordLeaving();
+	fleet.replace([createDescription('a', {startedAt: unknownStart})], at(2000));
+	expect(fleet.listServing(service).length).toEqual(1);
+});
+
 test('guards against a busy loop when a listener subscribes again while it is called: it is called once per change', () => {
 	const fleet = new TargetFleet(quietLogger);
 	let notificationCount = 0;
--- a/src/statements/statement-register/index.ts
+++ b/src/statements/statement-register/index.ts
@@ -14,10 +14,13 @@
 /** Maximum number of incarnations that are not listed. */
 export const maximumUnlisted = 4096;
 
+/** Start of a process whose entry does not tell it. Without its entry, nothing tells such a process from a later one. */
+export const unknownStart = 0;
+
 /** One process of a target. */
 export type TargetIncarnation = {
 	readonly id: TargetId;
-	/** Unix time of the start, in milliseconds. */
+	/** Unix time of the start, in milliseconds; `unknownStart` if the target does not tell it. */
 	readonly startedAt: number;
 };
 
@@ -53,7 +56,10 @@
 		return entry.statements;
 	}
 
-	/** Gets or creates the statements of an incarnation that another instance has told of; it may not be listed here. */
+	/**
+	 * Gets or creates the statements of an incarnation that another instance has told of; it may not be listed here. Without a
+	 * known start those of an unlisted one are not kept.
+	 */
 	get({id, startedAt}: TargetIncarnation, now: MonotonicMs): IncarnationStatements {
 		const existing = this.find(id, startedAt);
 		if (existing !== undefined) {
@@ -61,16 +67,25 @@
 		}
 
 		const entry = {...createEntry(startedAt), unlistedSince: now};
+		if (startedAt === unknownStart) {
+			return entry.statements;
+		}
+
 		this.entriesById.set(id, [...this.entriesById.get(id) ?? [], entry]);
 		this.prune(now);
 		return entry.statements;
 	}
 
-	/** Notes that an incarnation is not listed any more. */
+	/** Notes that an incarnation is not listed any more. Its statements are kept if its start is known. */
 	markUnlisted({id, startedAt}: TargetIncarnation, now: MonotonicMs): void {
 		const entry = this.find(id, startedAt);
-		if (entry !== undefined) {
-			entry.unlistedSince = now;
+		if (entry === undefined) {
+			return;
+		}
+
+		entry.unlistedSince = now;
+		if (startedAt === unknownStart) {
+			this.drop(id, entry);
 		}
 	}
 
