Remember that an entry showed its target leaving

A leaving target ends, so an entry of the same incarnation without the mark is an older copy. The mark was read from the last entry alone: after a restore of the object API, calls went to the target again.

--- a/src/fleet/fleet-target/index.ts
+++ b/src/fleet/fleet-target/index.ts
@@ -100,9 +100,9 @@
 		return this.statements.isLeaving;
 	}
 
-	/** Whether the target is leaving, as it has said in an answer or as the list shows. */
+	/** Whether the target is leaving, as it has said in an answer or as its entry shows or has shown. */
 	get isLeaving(): boolean {
-		return this.statements.isLeaving || this.description.isLeaving;
+		return this.statements.isLeaving || this.statements.isLeavingListed || this.description.isLeaving;
 	}
 
 	/** Records that the target has said in an answer that it is leaving. Returns whether that is new. */
--- a/src/fleet/target-fleet/index.ts
+++ b/src/fleet/target-fleet/index.ts
@@ -83,6 +83,7 @@
 	}
 
 	private update(description: TargetDescription): void {
+		const statements = this.statements.getListed(description);
 		const existing = this.targets.get(description.id);
 		if (existing !== undefined) {
 			if (existing.description.isLeaving !== description.isLeaving) {
@@ -93,7 +94,7 @@
 			return;
 		}
 
-		this.targets.set(description.id, new FleetTarget(description, this.statements.getListed(description)));
+		this.targets.set(description.id, new FleetTarget(description, statements));
 		this.logger.info('target known', {
 			target: description.id, service: description.service, address: description.address, started: description.startedAt,
 			software: description.softwareVersion,
--- a/src/fleet/target-fleet/test.ts
+++ b/src/fleet/target-fleet/test.ts
@@ -99,6 +99,17 @@
 	expect(fleet.listServing(service).length).toEqual(1);
 });
 
+test('guards against calls to a target whose entry showed that it leaves, when an older copy shows it without', () => {
+	const fleet = new TargetFleet(quietLogger);
+	fleet.replace([createDescription('a', {isLeaving: true})], at(0));
+	fleet.replace([createDescription('a')], at(1000));
+	expect(fleet.listServing(service)).toEqual([]);
+	fleet.replace([], at(2000));
+	fleet.replace([createDescription('a')], at(3000));
+	expect(fleet.listServing(service)).toEqual([]);
+	expect(fleet.locate(targetId)!.recordLeaving()).toEqual(true);
+});
+
 test('guards against a busy loop when a listener subscribes again while it is called: it is called once per change', () => {
 	const fleet = new TargetFleet(quietLogger);
 	let notificationCount = 0;
--- a/src/statements/incarnation-statements/index.ts
+++ b/src/statements/incarnation-statements/index.ts
@@ -1,5 +1,5 @@
 /**
- * What one incarnation of a target has said of itself in its answers. It belongs to the process of the target, not to its
+ * What one incarnation of a target has said of itself, in its answers and by its entry. It belongs to the process of the target, not to its
  * entry in the list: a process goes on after its entry is removed, and an older copy of the list may show the entry again.
  */
 
@@ -12,6 +12,8 @@
 	readonly pause = new TargetPause();
 	/** Weights version of each model, as the target's last answer or report named it. */
 	readonly weightsVersions = new Map<string, number>();
+	/** Whether an entry has shown that the target is leaving. Targets that leave end; an entry without it is an older copy. */
+	isLeavingListed = false;
 	private isLeavingStated = false;
 
 	/** Whether the target has said that it is leaving. */
@@ -21,7 +23,7 @@
 
 	/** Whether anything is known that a new object for the same incarnation would lack. */
 	get hasAny(): boolean {
-		return this.isLeavingStated || this.weightsVersions.size > 0 || this.pause.readUntil() > Number.NEGATIVE_INFINITY
+		return this.isLeavingStated || this.isLeavingListed || this.weightsVersions.size > 0 || this.pause.readUntil() > Number.NEGATIVE_INFINITY
 			|| this.limit.readStatedAt() > Number.NEGATIVE_INFINITY;
 	}
 
--- a/src/statements/statement-register/index.ts
+++ b/src/statements/statement-register/index.ts
@@ -25,7 +25,11 @@
 };
 
 /** A listed process. Its entry may show the start of the process before it, so address and software count, too. */
-export type ListedIncarnation = TargetIncarnation & {readonly address: string; readonly softwareVersion: SoftwareVersion};
+export type ListedIncarnation = TargetIncarnation & {
+	readonly address: string;
+	readonly softwareVersion: SoftwareVersion;
+	readonly isLeaving: boolean;
+};
 
 type Entry = {
 	readonly startedAt: number;
@@ -51,6 +55,7 @@
 		}
 
 		entry.listed = incarnation;
+		entry.statements.isLeavingListed ||= incarnation.isLeaving && incarnation.startedAt !== unknownStart;
 		entry.unlistedSince = undefined;
 		this.entriesById.set(incarnation.id, entries);
 		return entry.statements;
