--- a/src/forwarding/call-move/test.ts
+++ b/src/forwarding/call-move/test.ts
@@ -8,7 +8,7 @@
 import {startRawServer} from '../../fixtures/start-raw-server/index.js';
 import {startTestGateway} from '../../fixtures/start-test-gateway/index.js';
 import {TargetFleet} from '../../fleet/target-fleet/index.js';
-import type {SoftwareVersion} from '../../identity/ids/index.js';
+import type {MonotonicMs, SoftwareVersion} from '../../identity/ids/index.js';
 import {quietLogger} from '../../logging/quiet-logger/index.js';
 import {RetryBudget} from '../../requests/retry-budget/index.js';
 import type {Route} from '../../routing/routing-types/index.js';
@@ -63,7 +63,7 @@
 		address, weightsVersions: new Map(), ...(softwareVersions === undefined ? {} : {softwareVersion: softwareVersions[index] as SoftwareVersion}),
 	}));
 	const fleet = new TargetFleet(quietLogger);
-	fleet.replace(descriptions);
+	fleet.replace(descriptions, 0 as MonotonicMs);
 	const configuration = createRoutingConfiguration({routes: [createRoute('r', {host: 'h', timeoutMs: 6000, ...route})]});
 	const gateway = await startTestGateway(configuration, descriptions, {fleet, findRetryBudget: () => budget});
 	t.after(() => {
