End a call at once, with an answer, when a step of it fails unexpectedly

What callers saw: when a target answered with a head that can't be passed on, such as one with the status 099, the caller waited for its whole deadline, and then its connection was closed without an answer.

Cause: the error was thrown in a callback that nobody awaits, was logged by the process, and left the call open; the relay had already noted that the answer had begun, so that no error answer was possible at the deadline. The class is a step of a call that runs from a timer, a socket or a promise that nobody awaits.

Change: every such step is carried out by CallSession.protect, which ends the call with an error answer; a call that is to be passed on is answered whatever comes of that; an answer has begun only once its head is written; a head with a status below 200 is an unusable answer. A test of the log of incomplete answers waits for the head of the answer in place of 100 ms, which failed once under load.

--- a/src/forwarding/attempt-starter/index.ts
+++ b/src/forwarding/attempt-starter/index.ts
@@ -74,7 +74,7 @@
 	}
 
 	private waitForTarget(now: MonotonicMs): void {
-		const {session, selection, attempts: {mayHaveRun, triedTargets}, tryAgain, refuse} = this.call;
+		const {session, selection, attempts: {mayHaveRun, triedTargets}, listener, tryAgain, refuse} = this.call;
 		const plan = planWait({
 			session, selection, deadline: session.deadline.read(), mayHaveRun, since: this.waitingSince,
 		}, this.context, now);
@@ -85,7 +85,7 @@
 
 		this.waiter.wait(plan.longestMs, () => {
 			triedTargets.clear();
-			tryAgain();
+			listener.protect(tryAgain);
 		});
 	}
 }
--- a/src/forwarding/call-session/index.ts
+++ b/src/forwarding/call-session/index.ts
@@ -7,7 +7,7 @@
  */
 
 import type {MonotonicMs} from '../../identity/ids/index.js';
-import {createRouterError, type RouterError} from '../../results/create-router-error/index.js';
+import {convertUnexpectedError, createRouterError, type RouterError} from '../../results/create-router-error/index.js';
 import type {ResultName} from '../../results/result-codes/index.js';
 import {isRepeatable} from '../../routing/is-repeatable/index.js';
 import {buildShortRetryAfter} from '../add-retry-after-jitter/index.js';
@@ -89,22 +89,24 @@
 		this.options.deadline.start(() => {
 			this.endEarly('noTarget', 'targetTimeout');
 		});
-		await this.guard.requestTrial();
-		if (this.isDone || this.isRejectedByGuard()) {
-			return done;
-		}
-
-		const error = await admitCall({origin: this.origin, charge: this.charge, draw: this.context.draw});
-		if (error === undefined) {
-			this.context.findRetryBudget(this.options.service).recordRequest();
-			this.tryNextTarget();
-		} else {
-			this.refuse(error);
+		try {
+			await this.admit();
+		} catch (error) {
+			this.failUnexpectedly(error as Error);
 		}
 
 		await done;
 	}
 
+	/** Carries out a step of the call. An error that nothing expects ends the call at once, not at its deadline and without an answer. */
+	protect(step: () => void): void {
+		try {
+			step();
+		} catch (error) {
+			this.failUnexpectedly(error as Error);
+		}
+	}
+
 	/** Ends the call because its caller has disconnected. */
 	abandon(): void {
 		if (!this.isDone) {
@@ -121,9 +123,9 @@
 	/** Withdraws attempts that must not begin any more, and moves a repeatable call whose attempt has stalled if that is possible. */
 	checkAttempt(now: MonotonicMs): void {
 		for (const attempt of this.attempts.inFlight) {
-			if (this.isInFlight(attempt)) {
+			this.protect(() => {
 				this.handleAssessment(attempt, now);
-			}
+			});
 		}
 	}
 
@@ -207,11 +209,31 @@
 		this.continueOrFail(this.relay.hasBegun ? 'broken' : 'unknown', error.message, attempt);
 	}
 
+	/** Sends the call to its first target if it is admitted. */
+	private async admit(): Promise<void> {
+		await this.guard.requestTrial();
+		if (this.isDone || this.isRejectedByGuard()) {
+			return;
+		}
+
+		const error = await admitCall({origin: this.origin, charge: this.charge, draw: this.context.draw});
+		if (error === undefined) {
+			this.context.findRetryBudget(this.options.service).recordRequest();
+			this.tryNextTarget();
+		} else {
+			this.refuse(error);
+		}
+	}
+
 	private isInFlight(attempt: Attempt): boolean {
 		return !this.isDone && this.attempts.inFlight.includes(attempt);
 	}
 
 	private handleAssessment(attempt: Attempt, now: MonotonicMs): void {
+		if (!this.isInFlight(attempt)) {
+			return;
+		}
+
 		const assessment = assessAttempt({attempt, selection: this.selection, isRepeatable: isRepeatable(this.options.route)}, this.context, now);
 		if (assessment === 'withdraw') {
 			attempt.exchange?.abort();
@@ -299,6 +321,16 @@
 		}
 	}
 
+	/** Ends the call because of an error in this program. */
+	private failUnexpectedly(cause: Error): void {
+		if (this.isDone) {
+			return;
+		}
+
+		this.attempts.abort();
+		this.fail(convertUnexpectedError(cause, this.attempts.mayHaveRun));
+	}
+
 	/** Responds with an error, or closes the connection if the response has already begun. */
 	private fail(error: RouterError): void {
 		if (this.relay.hasBegun) {
--- a/src/forwarding/response-relay/index.ts
+++ b/src/forwarding/response-relay/index.ts
@@ -41,9 +41,9 @@
 		return this.lastEventId;
 	}
 
-	/** Whether a response with this head can be forwarded. Only a status of 200 continues a stream that has begun. */
-	canForward(head: ResponseHead): boolean {
-		return !this.hasBegun || head.status === okStatus;
+	/** Whether a response with this head can be forwarded. Only a status of 200 continues a stream that has begun, and none below it ends a call. */
+	canForward({status}: ResponseHead): boolean {
+		return this.hasBegun ? status === okStatus : status >= okStatus;
 	}
 
 	/** Handles the head of a target's response. Only the first one is sent to the caller. */
@@ -143,8 +143,8 @@
 	}
 
 	private sendHead(head: ResponseHead): void {
-		this.hasBegun = true;
 		this.sink.begin(head.status, head.headers);
+		this.hasBegun = true;
 	}
 
 	private write(bytes: Buffer): boolean {
--- a/src/forwarding/start-attempt/index.ts
+++ b/src/forwarding/start-attempt/index.ts
@@ -28,6 +28,8 @@
 
 /** Receives what comes back for an attempt. */
 export type AttemptListener = {
+	/** Carries out `step`, and ends the call if it throws. */
+	protect(step: () => void): void;
 	onHead(attempt: Attempt, head: ResponseHead): void;
 	onChunk(attempt: Attempt, chunk: Buffer): void;
 	onEnd(attempt: Attempt): void;
@@ -56,18 +58,26 @@
 			reachability.recordConnected();
 		},
 		onHead(status, rawHeaders) {
-			reachability.recordAnswered();
-			listener.onHead(attempt, protocol.readHead(call, target.description.id, status, rawHeaders));
+			listener.protect(() => {
+				reachability.recordAnswered();
+				listener.onHead(attempt, protocol.readHead(call, target.description.id, status, rawHeaders));
+			});
 		},
 		onChunk(chunk) {
-			listener.onChunk(attempt, chunk);
+			listener.protect(() => {
+				listener.onChunk(attempt, chunk);
+			});
 		},
 		onEnd() {
-			listener.onEnd(attempt);
+			listener.protect(() => {
+				listener.onEnd(attempt);
+			});
 		},
 		onFailure(stage, error) {
-			recordFailure(attempt, {stage, error}, attemptRequest, context);
-			listener.onFailure(attempt, stage, error);
+			listener.protect(() => {
+				recordFailure(attempt, {stage, error}, attemptRequest, context);
+				listener.onFailure(attempt, stage, error);
+			});
 		},
 	});
 	return attempt;
--- a/src/gateway/call-listener/index.ts
+++ b/src/gateway/call-listener/index.ts
@@ -6,7 +6,7 @@
 import {once} from 'node:events';
 import type {AddressInfo} from 'node:net';
 import {canRescue} from '../../handover/can-rescue/index.js';
-import type {CallHandover} from '../../handover/call-handover/index.js';
+import type {CallHandover, HandoverOutcome} from '../../handover/call-handover/index.js';
 import {cutOffHeader, remainingHeader, servedHeader} from '../../handover/handover-headers/index.js';
 import {abortResponse} from '../../http/abort-response/index.js';
 import {discardRemainingBody} from '../../http/discard-remaining-body/index.js';
@@ -234,7 +234,7 @@
 			sink: createCallerSink(response),
 			refuse: error => {
 				if (!isPassedOn && canRescue(error, route)) {
-					void this.handOver(passOn, error);
+					this.rescue(passOn, error);
 				} else {
 					this.refuse(response, error, call);
 				}
@@ -258,17 +258,29 @@
 		return this.departure !== undefined && arrivedAt > this.departure.acceptsAllUntil && deadline > this.departure.endsAt;
 	}
 
+	/** Passes a call that ended with `error` on to another instance; the call is answered whatever comes of it. */
+	private rescue(passOn: PassedOnCall, error: RouterError): void {
+		this.handOver(passOn, error).catch((error_: unknown) => {
+			this.refuse(passOn.arrival.response, convertToRouterError(error_), passOn.resolvedCall.call);
+		});
+	}
+
 	/** Passes a call on to another instance if this one reaches no target; ends it with `error` if it does, or if no other takes it. */
 	private async handOver({resolvedCall: {call, route}, deadline, body, arrival: {message, response}}: PassedOnCall, error: RouterError): Promise<void> {
 		const {handover} = this.options;
 		const controller = this.calls.beginHandover(response);
-		const outcome = await handover?.shouldRescue() === true
-			? await handover!.handOver({
-				call, rawHeaders: message.rawHeaders, body: body.length === 0 ? undefined : body, isRepeatable: isRepeatable(route),
-				deadline, sink: createCallerSink(response), signal: controller.signal,
-			})
-			: 'notRun';
-		this.calls.endHandover(controller);
+		let outcome: HandoverOutcome = 'notRun';
+		try {
+			if (await handover?.shouldRescue() === true) {
+				outcome = await handover!.handOver({
+					call, rawHeaders: message.rawHeaders, body: body.length === 0 ? undefined : body, isRepeatable: isRepeatable(route),
+					deadline, sink: createCallerSink(response), signal: controller.signal,
+				});
+			}
+		} finally {
+			this.calls.endHandover(controller);
+		}
+
 		switch (outcome) {
 			case 'answered': {
 				break;
--- a/src/gateway/calls-in-progress/index.ts
+++ b/src/gateway/calls-in-progress/index.ts
@@ -50,8 +50,11 @@
 	async run(session: CallSession): Promise<void> {
 		this.sessions.add(session);
 		this.scheduleSilenceCheck();
-		await session.run();
-		this.sessions.delete(session);
+		try {
+			await session.run();
+		} finally {
+			this.sessions.delete(session);
+		}
 	}
 
 	/** Returns the signal of a call that is passed on; it aborts when the caller has disconnected or all calls are aborted. Call `endHandover` with it. */
--- a/src/gateway/log-incomplete-answer/test.ts
+++ b/src/gateway/log-incomplete-answer/test.ts
@@ -1,3 +1,4 @@
+import {once} from 'node:events';
 import {connect, type Socket} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
 import {test, type TestContext} from 'node:test';
@@ -36,7 +37,7 @@
 	const socket = connect(parseAddress(gateway.address));
 	socket.on('error', () => undefined);
 	socket.write('POST /x HTTP/1.1\r\nHost: h\r\nx-id: c1\r\nContent-Length: 4\r\n\r\nbody');
-	await delay(100);
+	await once(socket, 'data');
 	gateway.apply(createRoutingConfiguration({revision: 2 as Revision, routes: [route]}));
 	end(socket);
 	await delay(600);
--- a/src/results/create-router-error/index.ts
+++ b/src/results/create-router-error/index.ts
@@ -59,6 +59,12 @@
 	return createRouterError('internalError', undefined, {cause});
 }
 
+/** Converts an error that ends a call unexpectedly; the result promises nothing that may not hold if a target may have run the call. */
+export function convertUnexpectedError(cause: Error, mayHaveRun: boolean): RouterError {
+	const error = convertToRouterError(cause);
+	return error.notRun && mayHaveRun ? createRouterError('outcomeUnknown', error.message, {cause}) : error;
+}
+
 /** Formats the body of an error response. */
 export function formatErrorBody(error: RouterError): ErrorBody {
 	const body = {
