Do not take a target for unreachable whose connection waits to be noticed

After a late turn of the event loop, timers run before connections are looked at. The connect timeout then ended attempts whose connection had been made, and their targets counted as unreachable. It now waits until what had arrived is read, as the check for stalled attempts does; the cause is the same.

Test: src/forwarding/target-client, "whose connection was made while this process stood still", failed before with "notSent".

--- a/src/forwarding/target-client/index.ts
+++ b/src/forwarding/target-client/index.ts
@@ -13,6 +13,7 @@
 import type {TargetDescription} from '../../fleet/fleet-target/index.js';
 import {parseAddress} from '../../http/parse-address/index.js';
 import {openTargetSocket, type TargetSocket} from '../../http/target-socket/index.js';
+import {waitForArrivedData} from '../../http/wait-for-arrived-data/index.js';
 
 /** Progress of an exchange when it failed. */
 export type ExchangeStage = 'notSent' | 'sent' | 'responding';
@@ -112,7 +113,7 @@
 
 	constructor(private readonly request: ClientRequest, body: Buffer | undefined, private readonly listener: ExchangeListener) {
 		this.connectTimer = setTimeout(() => {
-			this.fail(new Error('connecting to the target timed out'));
+			void this.failUnlessConnected();
 		}, connectTimeoutMs);
 		request.once('socket', socket => {
 			if (!socket.connecting) {
@@ -156,6 +157,14 @@
 		this.request.destroy();
 	}
 
+	/** Ends an exchange whose connection has taken too long, unless it was made while the event loop was late. */
+	private async failUnlessConnected(): Promise<void> {
+		await waitForArrivedData();
+		if (this.stage === 'notSent') {
+			this.fail(new Error('connecting to the target timed out'));
+		}
+	}
+
 	private markSent(): void {
 		clearTimeout(this.connectTimer);
 		this.stage = 'sent';
--- a/src/forwarding/target-client/test.ts
+++ b/src/forwarding/target-client/test.ts
@@ -1,5 +1,5 @@
 import type {Socket} from 'node:net';
-import {setTimeout as delay} from 'node:timers/promises';
+import {setImmediate as nextTurn, setTimeout as delay} from 'node:timers/promises';
 import {test} from 'node:test';
 import {expect} from 'earl';
 import {createFleetTarget} from '../../fixtures/create-fleet-target/index.js';
@@ -159,3 +159,17 @@
 	server.close();
 	expect({outcome, receivedBytes}).toEqual({outcome: 'complete', receivedBytes: length});
 });
+
+test('guards against taking a target for unreachable whose connection was made while this process stood still', async t => {
+	const server = await startRawServer(socket => {
+		socket.write('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok');
+	});
+	t.after(() => {
+		server.close();
+	});
+	const result = sendGet(new TargetClient(), server.address, true);
+	await nextTurn();
+	// After this, timers run before connections are looked at.
+	Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 600);
+	expect(await result).toEqual({status: 200, body: 'ok', outcome: 'complete'});
+});
