Leave failed watchers out of the turn and ask others at once

In fleets of more than 12 instances, a lost watcher was noticed only by the timeout of a poll (1.4 s), stayed in the turn, and counted as live for 4 s; additional watchers came from the same ranking with the lost ones in it.

Additional watchers follow as soon as all regular ones have failed, and are chosen without those known to have failed.

--- a/src/gateway/list-watchers/index.ts
+++ b/src/gateway/list-watchers/index.ts
@@ -21,18 +21,45 @@
 /** Maximum number of additions: if the object API turned only some instances away, one of these would have reached it. */
 const maximumAdditions = 3;
 
-/** Lists the watchers among the live instances. Instances with the same view of the fleet and the same `staleMs` get the same list. */
-export function listWatchers(live: readonly InstanceId[], staleMs = 0): InstanceId[] {
+/** Interval at which further watchers are added while all regular watchers have failed, in milliseconds. */
+const replacementIntervalMs = 400;
+
+/** Whether the last call to an instance failed, as far as the asking instance knows. */
+export type FailureCheck = (id: InstanceId) => boolean;
+
+const hasNeverFailed: FailureCheck = () => false;
+
+/**
+ * Lists the watchers among the live instances: the regular ones, and additional ones that have not failed. Instances with the
+ * same view of the fleet, the same `staleMs` and the same failures get the same list.
+ */
+export function listWatchers(live: readonly InstanceId[], staleMs = 0, hasFailed = hasNeverFailed): InstanceId[] {
 	if (live.length <= smallFleetSize) {
 		return [...live];
 	}
 
-	const additions = Math.max(0, Math.ceil((staleMs - additionalWatchersDelayMs) / additionalWatchersIntervalMs));
-	const count = Math.max(minimumWatchers, Math.ceil(live.length / instancesPerWatcher)) + (Math.min(additions, maximumAdditions) * minimumWatchers);
-	return rankByHash('watchers', live, id => id).slice(0, count);
+	const ranked = rankByHash('watchers', live, id => id);
+	const regularCount = countRegularWatchers(live.length);
+	const regular = ranked.slice(0, regularCount);
+	const additions = regular.every(id => hasFailed(id)) ? countReplacements(staleMs) : countAdditions(staleMs);
+	const spare = additions === 0 ? [] : ranked.slice(regularCount).filter(id => !hasFailed(id));
+	return [...regular, ...spare.slice(0, Math.min(additions, maximumAdditions) * minimumWatchers)];
+}
+
+/** Whether all regular watchers of a large fleet have failed. */
+export function hasLostRegularWatchers(live: readonly InstanceId[], hasFailed: FailureCheck): boolean {
+	return live.length > smallFleetSize && listWatchers(live).every(id => hasFailed(id));
+}
+
+function countRegularWatchers(liveCount: number): number {
+	return Math.max(minimumWatchers, Math.ceil(liveCount / instancesPerWatcher));
+}
+
+function countAdditions(staleMs: number): number {
+	return Math.max(0, Math.ceil((staleMs - additionalWatchersDelayMs) / additionalWatchersIntervalMs));
 }
 
-/** Whether `self` is a watcher, when it has had no contact with the object API, directly or through a peer, for `staleMs`. */
-export function isWatcher(self: InstanceId, live: readonly InstanceId[], staleMs: number): boolean {
-	return listWatchers(live, staleMs).includes(self);
+/** Counts additions while all regular watchers have failed: the first follows at once, the second after the usual delay. */
+function countReplacements(staleMs: number): number {
+	return 1 + Math.max(0, Math.ceil((staleMs - additionalWatchersDelayMs) / replacementIntervalMs));
 }
--- a/src/peers/fake-peer-network/index.ts
+++ b/src/peers/fake-peer-network/index.ts
@@ -3,7 +3,9 @@
 import VError from 'verror';
 import type {Clock} from '../../clock/clock/index.js';
 import type {InstanceId} from '../../identity/ids/index.js';
-import type {PeerCaller, PeerMethodHandler, PeerMethodRegistry} from '../peer-caller/index.js';
+import type {
+	PeerCaller, PeerCallTimeout, PeerMethodHandler, PeerMethodRegistry,
+} from '../peer-caller/index.js';
 import type {AddressCaller} from '../peer-client/index.js';
 
 /** Network whose addresses are the instance ids. */
@@ -14,6 +16,7 @@
 	bytes = 0;
 	private readonly endpoints = new Map<string, FakePeerEndpoint>();
 	private readonly droppedDirections = new Set<string>();
+	private readonly silencedEndpoints = new Set<string>();
 
 	constructor(readonly clock: Clock) {}
 
@@ -38,6 +41,15 @@
 		}
 	}
 
+	/** Drops all messages from and to an instance, as after a loss of power, or delivers them again. */
+	silence(id: InstanceId, isSilent: boolean): void {
+		if (isSilent) {
+			this.silencedEndpoints.add(id);
+		} else {
+			this.silencedEndpoints.delete(id);
+		}
+	}
+
 	/** Delivers a call and its answer. Whether a message is dropped is decided when it is sent. */
 	async deliver(from: InstanceId, to: string, method: string, parameters: unknown): Promise<unknown> {
 		const endpoint = this.endpoints.get(to);
@@ -55,7 +67,7 @@
 	}
 
 	private async transmit(from: string, to: string): Promise<void> {
-		if (this.droppedDirections.has(`${from}\n${to}`)) {
+		if (this.droppedDirections.has(`${from}\n${to}`) || this.silencedEndpoints.has(from) || this.silencedEndpoints.has(to)) {
 			await new Promise(() => {
 				// The message is lost; the caller's timeout ends the call.
 			});
@@ -73,8 +85,8 @@
 		this.handlers.set(method, handler);
 	}
 
-	async call<Result>(peer: InstanceId, method: string, parameters: unknown, timeoutMs: number): Promise<Result> {
-		return this.callAddress(peer, method, parameters, timeoutMs);
+	async call<Result>(peer: InstanceId, method: string, parameters: unknown, timeout: number | PeerCallTimeout): Promise<Result> {
+		return this.callAddress(peer, method, parameters, typeof timeout === 'number' ? timeout : timeout.timeoutMs);
 	}
 
 	async callAddress<Result>(address: string, method: string, parameters: unknown, timeoutMs: number): Promise<Result> {
--- a/src/peers/peer-caller/index.ts
+++ b/src/peers/peer-caller/index.ts
@@ -2,9 +2,12 @@
 
 import type {InstanceId} from '../../identity/ids/index.js';
 
+/** Timeout of a call; `onAnswerBegun` is called when the first part of the answer has arrived. */
+export type PeerCallTimeout = {readonly timeoutMs: number; readonly onAnswerBegun?: () => void};
+
 /** Calls a method of another instance; rejects on a timeout or when the peer answers with an error. */
 export type PeerCaller = {
-	call<Result>(peer: InstanceId, method: string, parameters: unknown, timeoutMs: number): Promise<Result>;
+	call<Result>(peer: InstanceId, method: string, parameters: unknown, timeout: number | PeerCallTimeout): Promise<Result>;
 };
 
 /** Serves a method; `from` is the calling instance. */
--- a/src/peers/peer-client/index.ts
+++ b/src/peers/peer-client/index.ts
@@ -3,7 +3,7 @@
 import {LRUCache} from 'lru-cache';
 import VError from 'verror';
 import type {InstanceId} from '../../identity/ids/index.js';
-import type {PeerCaller} from '../peer-caller/index.js';
+import type {PeerCaller, PeerCallTimeout} from '../peer-caller/index.js';
 import {PeerLink, type PeerTrafficListener} from '../peer-link/index.js';
 
 /** Limit of open links; above it, the least recently used one is closed. */
@@ -33,13 +33,13 @@
 
 	constructor(private readonly options: PeerClientOptions) {}
 
-	async call<Result>(peer: InstanceId, method: string, parameters: unknown, timeoutMs: number): Promise<Result> {
+	async call<Result>(peer: InstanceId, method: string, parameters: unknown, timeout: number | PeerCallTimeout): Promise<Result> {
 		const address = this.options.findPeerAddress(peer);
 		if (address === undefined) {
 			throw new VError({name: 'PeerCallError'}, 'the address of instance %s is unknown', peer);
 		}
 
-		return this.getOrCreateLink(address).call(method, parameters, {from: this.options.self, to: peer, timeoutMs});
+		return this.getOrCreateLink(address).call(method, parameters, {from: this.options.self, to: peer, ...(typeof timeout === 'number' ? {timeoutMs: timeout} : timeout)});
 	}
 
 	async callAddress<Result>(address: string, method: string, parameters: unknown, timeoutMs: number): Promise<Result> {
--- a/src/peers/peer-client/test.ts
+++ b/src/peers/peer-client/test.ts
@@ -22,7 +22,7 @@
 		proxy.close();
 		await server.close();
 	});
-	return {client, proxy};
+	return {client, server, proxy};
 }
 
 describe('PeerClient', () => {
@@ -38,6 +38,21 @@
 		await expect(client.call(callee, 'fail', {}, longTimeoutMs)).toBeRejected();
 	});
 
+	test('guards against a large answer on a thin link that counts as late although it has begun', async () => {
+		const {client, server, proxy} = await createClientAndProxy();
+		server.register('large', async () => 'x'.repeat(8 * 1024 * 1024));
+		let hasBegun = false;
+		const call = client.call(callee, 'large', {}, {
+			timeoutMs: 600,
+			onAnswerBegun() {
+				hasBegun = true;
+				proxy.stallOpenConnections();
+			},
+		});
+		await expect(call).toBeRejected();
+		expect(hasBegun).toEqual(true);
+	});
+
 	test('guards against timeouts of several calls in a row after all connections of a peer have gone silent', async () => {
 		const {client, proxy} = await createClientAndProxy();
 		await Promise.all(Array.from({length: 4}, async () => client.call(callee, 'echo', {}, longTimeoutMs)));
--- a/src/peers/peer-link/index.ts
+++ b/src/peers/peer-link/index.ts
@@ -6,6 +6,7 @@
 import {JSONRPCClient, type JSONRPCResponse} from 'json-rpc-2.0';
 import {Pool} from 'undici';
 import VError from 'verror';
+import type {PeerCallTimeout} from '../peer-caller/index.js';
 
 /** Path of the JSON-RPC endpoint. */
 export const rpcPath = '/rpc';
@@ -30,11 +31,10 @@
 export type PeerTrafficListener = (traffic: PeerTraffic) => void;
 
 /** Caller, callee and timeout of a call. */
-export type PeerCallOptions = {
+export type PeerCallOptions = PeerCallTimeout & {
 	readonly from: string;
 	/** Id of the callee; an instance with another id refuses the call. */
 	readonly to?: string;
-	readonly timeoutMs: number;
 };
 
 type CallState = PeerCallOptions & {readonly signal: AbortSignal; sentBytes: number; receivedBytes: number};
@@ -90,6 +90,7 @@
 		const response = await this.pool.request({
 			method: 'POST', path: rpcPath, headers, body, signal: callState.signal,
 		});
+		callState.onAnswerBegun?.();
 		const text = await response.body.text();
 		callState.receivedBytes = Buffer.byteLength(text);
 		if (response.statusCode !== 200) {
