Bound, compress and pass on large answers between instances

A changed configuration is sent whole, since one object holds it (474 KB with 1,832 routes).

The timeout now counts until the answer begins, and silence ends it from then on, with an upper bound.

--- a/src/gateway/feed-poller/index.ts
+++ b/src/gateway/feed-poller/index.ts
@@ -8,7 +8,7 @@
 import {readInstant} from '../../clock/instant/index.js';
 import type {InstanceId, MonotonicMs} from '../../identity/ids/index.js';
 import type {EventLogger} from '../../logging/create-logger/index.js';
-import type {PeerCaller} from '../../peers/peer-caller/index.js';
+import type {AnswerProgress, PeerCaller, PeerCallTimeout} from '../../peers/peer-caller/index.js';
 import type {RandomSource} from '../../random/random-source/index.js';
 import type {CollectionMirror} from '../../store/collection-mirror/index.js';
 import type {RevisionTimeline} from '../../store/revision-timeline/index.js';
@@ -23,19 +23,23 @@
 const searchPollTimeoutMs = 200;
 /** Time beyond the wait at a watcher after which an answer that has not begun is late, in milliseconds. */
 const lateAnswerMs = 250;
-/** Timeout of a follower's poll, in milliseconds. A late poll goes on, and its answer counts. */
+/** Time until the answer to a follower's poll has to begin, in milliseconds. A late poll goes on, and its answer counts. */
 const pollTimeoutMs = 1400;
+/** Limits of an answer that has begun. */
+const answerProgress: AnswerProgress = {silenceMs: 700, maximumMs: 8000};
 /** Timeout of a watcher's call to a peer, in milliseconds. */
 const peerCheckTimeoutMs = 400;
-/** Pause of a follower after an update, in milliseconds; changes in quick succession share a response. */
-const pollPauseMs = 250;
 /** Pause of a follower after a poll that no watcher has answered, in milliseconds. */
 const failurePauseMs = 50;
 /** Watchers that are polled at the same time while no watcher is known to be healthy. */
 const searchedWatchers = 3;
 
 /** What an answer of a peer brought. */
-type PollOutcome = 'updated' | 'unchanged' | 'interrupted';
+type PollOutcome = 'updated' | 'unchanged' | 'interrupted' | 'referred';
+/** Mean pause of a follower after a poll, in milliseconds; changes in quick succession share a response. */
+const meanPausesMs: Readonly<Record<PollOutcome, number>> = {
+	updated: 250, unchanged: 0, interrupted: 250, referred: 100,
+};
 /** A poll under way. `outcome` rejects if the poll fails. */
 type Poll = {readonly watcher: InstanceId; readonly outcome: Promise<PollOutcome>; hasBegun: boolean};
 
@@ -57,6 +61,8 @@
 export class FeedPoller {
 	readonly failures: WatcherFailures;
 	private turn = 0;
+	/** An instance that has newer copies, as one that was asked for them said. */
+	private referredPeer: InstanceId | undefined;
 	private readonly pendingWatchers = new Set<InstanceId>();
 
 	constructor(private readonly options: FeedPollerOptions) {
@@ -65,18 +71,16 @@
 
 	/** Polls the next watcher, and others if its answer is late. Resolves after the pause that the outcome demands. */
 	async pollNextWatcher(signal: AbortSignal): Promise<void> {
-		const {clock} = this.options;
+		const {clock, random} = this.options;
 		this.turn += 1;
 		const outcome = await this.pollUntilAnswered(this.listPolledWatchers(clock.readMonotonic()));
-		if (outcome !== 'unchanged') {
-			await clock.sleep(outcome === undefined ? failurePauseMs : pollPauseMs, signal);
-		}
+		await clock.sleep(outcome === undefined ? failurePauseMs : random.applyJitter(meanPausesMs[outcome]), signal);
 	}
 
 	/** Fetches what a peer has at present. */
 	async fetchFromPeer(peer: InstanceId): Promise<void> {
 		try {
-			await this.fetch(peer, 0, {timeoutMs: peerCheckTimeoutMs});
+			await this.fetch(peer, 0, {timeoutMs: peerCheckTimeoutMs, progress: answerProgress});
 		} catch (error) {
 			this.handleFailure(peer, error as Error);
 		}
@@ -103,7 +107,10 @@
 		const watchersInTurn = watchers.filter(id => this.failures.isInTurn(id, now));
 		const polled = watchersInTurn.length > 0 ? watchersInTurn : watchers.filter(id => !this.pendingWatchers.has(id));
 		const first = this.turn % Math.max(1, polled.length);
-		return [...polled.slice(first), ...polled.slice(0, first)];
+		const turns = [...polled.slice(first), ...polled.slice(0, first)];
+		const {referredPeer} = this;
+		this.referredPeer = undefined;
+		return referredPeer === undefined || this.failures.hasFailed(referredPeer, now) ? turns : [referredPeer, ...turns.filter(id => id !== referredPeer)];
 	}
 
 	/** Polls watchers, in growing groups while no answer comes. Returns undefined if none answered in time. */
@@ -138,7 +145,7 @@
 		const poll: Poll = {
 			watcher,
 			outcome: this.fetch(watcher, waitMs, {
-				timeoutMs: pollTimeoutMs,
+				timeoutMs: pollTimeoutMs, progress: answerProgress,
 				onAnswerBegun() {
 					poll.hasBegun = true;
 				},
@@ -172,15 +179,24 @@
 		}
 	}
 
-	private async fetch(peer: InstanceId, waitMs: number, timeout: {readonly timeoutMs: number; readonly onAnswerBegun?: () => void}): Promise<PollOutcome> {
+	private async fetch(peer: InstanceId, waitMs: number, timeout: PeerCallTimeout): Promise<PollOutcome> {
 		const {caller, clock, timeline, mirrors} = this.options;
 		const sentAt = readInstant(clock);
 		const known = Object.fromEntries([...mirrors].map(([collection, mirror]) => [collection, mirror.readVersion() ?? '']));
-		const request: FeedsRequest = {known, waitMs};
+		const request: FeedsRequest = {known, waitMs, acceptsReferral: true};
 		const response = await caller.call<FeedsResponse>(peer, readFeedsMethod, request, timeout);
 		timeline.recordConfirmed(response.confirmed ?? [], sentAt);
 		this.recordContact(peer, response);
 		this.applyUpdates(peer, response);
+		if (response.mustConfirm === true) {
+			void this.confirmUpdates(peer);
+		}
+
+		if (response.referral !== undefined) {
+			this.referredPeer = this.options.random.pickSome(response.referral.filter(id => id !== this.options.self), 1)[0];
+			return 'referred';
+		}
+
 		return response.isInterrupted ? 'interrupted' : (response.updates.length > 0 ? 'updated' : 'unchanged');
 	}
 
@@ -192,6 +208,11 @@
 		}
 	}
 
+	/** Shows a peer that its large answer has arrived, by a request with the versions that this instance has now. */
+	private async confirmUpdates(peer: InstanceId): Promise<void> {
+		await this.fetchFromPeer(peer);
+	}
+
 	/** Records whether a peer that answered is cut off from the object API. */
 	private recordContact(peer: InstanceId, {isInterrupted, contactAgeMs = 0}: FeedsResponse): void {
 		const now = this.options.clock.readMonotonic();
--- a/src/gateway/feed-relay/index.ts
+++ b/src/gateway/feed-relay/index.ts
@@ -67,7 +67,7 @@
 		this.health = new FeedHealth(options.mirrors, this.startedAt);
 		this.poller = new FeedPoller({...options, health: this.health, listLiveIds: () => this.listLiveIds()});
 		this.answerer = new FeedAnswerer({...options, health: this.health});
-		options.registry.register(readFeedsMethod, async parameters => this.answerer.answer(parameters as FeedsRequest));
+		options.registry.register(readFeedsMethod, async (parameters, from) => this.answerer.answer(parameters as FeedsRequest, from));
 	}
 
 	/** Runs as a watcher or a follower until `signal` aborts. */
--- a/src/gateway/feed-relay/test.ts
+++ b/src/gateway/feed-relay/test.ts
@@ -138,3 +138,59 @@
 		}
 	}
 });
+
+/** Time within which a configuration has to be in force, in milliseconds: 3 s less 0.5 s for a request under way. */
+const configurationLimitMs = 2500;
+const routeCount = 1832;
+/** Widths of links, in bytes per millisecond: 7 and 140 Mbit/s. */
+const linkWidths = {minimum: 875, maximum: 17_500};
+
+/** Creates a configuration of realistic size and repetition. */
+function createLargeConfiguration(revision: number, random: RandomSource) {
+	const pickText = (length: number) => Array.from({length}, () => random.pickIndex(36).toString(36)).join('');
+	const routes = Array.from({length: routeCount}, () => ({
+		name: `r-${pickText(7)}`, host: `${pickText(5)}.example`, 'path-prefix': `/${pickText(7)}/${pickText(4)}/`, kind: 'streaming',
+		'timeout-ms': 4000, 'target-latency-ms': random.pickIndex(600), priority: 0, service: `${pickText(4)}11a`, 'max-attempts': 2,
+		public: false, 'session-affinity': true, resumable: true, 'gap-aim-ms': 500,
+	}));
+	return {revision, routes};
+}
+
+for (const size of [62, 195]) {
+	test(`guards against a large configuration that does not reach ${size} instances over thin links in time, or goes back`, async () => {
+		const times: number[] = [];
+		for (const seed of size === 62 ? [1, 2, 3] : [1]) {
+			const random = new RandomSource(seed);
+			const fleet = startGatewayFeeds(size);
+			const {clock, objectApi, network, instances} = fleet;
+			for (const {id} of instances) {
+				network.limitLink(id, linkWidths.minimum + random.pickIndex(linkWidths.maximum - linkWidths.minimum));
+			}
+
+			const created = await objectApi.create<unknown>('configuration', 'main', createLargeConfiguration(1, random));
+			await advanceWithBookmarks(fleet, 8000 + random.pickIndex(1000));
+			for (const {id} of listWatching(fleet)) {
+				network.limitLink(id, linkWidths.minimum);
+			}
+
+			const changedAt = clock.readMonotonic();
+			const second = await objectApi.update<unknown>('configuration', 'main', createLargeConfiguration(2, random), created.resourceVersion);
+			await clock.advance(500);
+			await objectApi.update<unknown>('configuration', 'main', createLargeConfiguration(3, random), second.resourceVersion);
+			while (instances.some(({applied}) => applied.revisions.at(-1) !== 3) && clock.readMonotonic() < changedAt + 15_000) {
+				await clock.advance(50);
+			}
+
+			times.push(clock.readMonotonic() - changedAt - 500);
+			for (const {applied: {revisions}} of instances) {
+				expect(revisions).toEqual(revisions.toSorted((a, b) => a - b));
+			}
+
+			for (const {stop} of instances) {
+				stop();
+			}
+		}
+
+		expect(times.filter(ms => ms >= configurationLimitMs)).toEqual([]);
+	});
+}
--- a/src/peers/peer-caller/index.ts
+++ b/src/peers/peer-caller/index.ts
@@ -2,8 +2,14 @@
 
 import type {InstanceId} from '../../identity/ids/index.js';
 
-/** Timeout of a call; `onAnswerBegun` is called when the first part of the answer has arrived. */
-export type PeerCallTimeout = {readonly timeoutMs: number; readonly onAnswerBegun?: () => void};
+/** Limits of an answer that has begun: maximum time between two parts, and of the whole call, in milliseconds. */
+export type AnswerProgress = {readonly silenceMs: number; readonly maximumMs: number};
+
+/**
+ * Timeout of a call. `onAnswerBegun` is called when the first part of the answer has arrived; from then on, `progress` replaces
+ * `timeoutMs`.
+ */
+export type PeerCallTimeout = {readonly timeoutMs: number; readonly progress?: AnswerProgress; readonly onAnswerBegun?: () => void};
 
 /** Calls a method of another instance; rejects on a timeout or when the peer answers with an error. */
 export type PeerCaller = {
--- a/src/peers/peer-client/test.ts
+++ b/src/peers/peer-client/test.ts
@@ -1,5 +1,10 @@
+import {randomBytes} from 'node:crypto';
+import {createServer} from 'node:http';
+import {setTimeout as delay} from 'node:timers/promises';
 import {after, describe, test} from 'node:test';
 import {expect} from 'earl';
+import {listenLocally} from '../../http/listen-locally/index.js';
+import {readJsonBody} from '../../http/read-body/index.js';
 import type {InstanceId} from '../../identity/ids/index.js';
 import {FaultyProxy} from '../../standin/faulty-proxy/index.js';
 import {PeerServer} from '../peer-server/index.js';
@@ -40,10 +45,12 @@
 
 	test('guards against a large answer on a thin link that counts as late although it has begun', async () => {
 		const {client, server, proxy} = await createClientAndProxy();
-		server.register('large', async () => 'x'.repeat(8 * 1024 * 1024));
+		// Random bytes, since compression would make a repetitive answer small.
+		const largeAnswer = randomBytes(2 * 1024 * 1024).toString('hex');
+		server.register('large', async () => largeAnswer);
 		let hasBegun = false;
 		const call = client.call(callee, 'large', {}, {
-			timeoutMs: 600,
+			timeoutMs: 1500,
 			onAnswerBegun() {
 				hasBegun = true;
 				proxy.stallOpenConnections();
@@ -53,6 +60,36 @@
 		expect(hasBegun).toEqual(true);
 	});
 
+	test('guards against a slow answer that is broken off by the timeout although its parts keep arriving, and against one that stalls', async () => {
+		const pauseMs = 15;
+		const server = createServer((message, response) => {
+			void readJsonBody(message, 1000).then(async body => {
+				const {id, params: {stallsAfter}} = body as {id: number; params: {stallsAfter: number}};
+				const answer = JSON.stringify({jsonrpc: '2.0', id, result: 'whole'});
+				response.write(answer[0]);
+				for (const character of answer.slice(1, stallsAfter)) {
+					await delay(pauseMs);
+					response.write(character);
+				}
+
+				if (stallsAfter > answer.length) {
+					response.end();
+				}
+			});
+		});
+		const address = await listenLocally(server);
+		const client = new PeerClient({self: 'a' as InstanceId, findPeerAddress: () => address});
+		after(async () => {
+			await client.close();
+			server.closeAllConnections();
+			server.close();
+		});
+		const timeout = {timeoutMs: 250, progress: {silenceMs: 250, maximumMs: 5000}};
+		expect(await client.call(callee, 'slow', {stallsAfter: 100}, timeout)).toEqual('whole');
+		await expect(client.call(callee, 'slow', {stallsAfter: 100}, {timeoutMs: 250})).toBeRejected();
+		await expect(client.call(callee, 'slow', {stallsAfter: 20}, timeout)).toBeRejected();
+	});
+
 	test('guards against timeouts of several calls in a row after all connections of a peer have gone silent', async () => {
 		const {client, proxy} = await createClientAndProxy();
 		await Promise.all(Array.from({length: 4}, async () => client.call(callee, 'echo', {}, longTimeoutMs)));
--- a/src/peers/peer-link/index.ts
+++ b/src/peers/peer-link/index.ts
@@ -6,6 +6,9 @@
 import {JSONRPCClient, type JSONRPCResponse} from 'json-rpc-2.0';
 import {Pool} from 'undici';
 import VError from 'verror';
+import {SystemClock} from '../../clock/clock/index.js';
+import {CallDeadline} from '../call-deadline/index.js';
+import {bodyEncoding, decompressBody} from '../compress-body/index.js';
 import type {PeerCallTimeout} from '../peer-caller/index.js';
 
 /** Path of the JSON-RPC endpoint. */
@@ -37,7 +40,9 @@
 	readonly to?: string;
 };
 
-type CallState = PeerCallOptions & {readonly signal: AbortSignal; sentBytes: number; receivedBytes: number};
+type CallState = PeerCallOptions & {readonly signal: AbortSignal; readonly deadline: CallDeadline; sentBytes: number; receivedBytes: number};
+
+const clock = new SystemClock();
 
 /** Pool of connections to one peer address. */
 export class PeerLink {
@@ -52,9 +57,12 @@
 	/** Calls a method; rejects on a timeout, when the peer cannot be reached or when it answers with an error. */
 	async call<Result>(method: string, parameters: unknown, options: PeerCallOptions): Promise<Result> {
 		const {pool} = this;
+		const controller = new AbortController();
+		const deadline = new CallDeadline(options, clock.readMonotonic());
 		const callState: CallState = {
-			...options, signal: AbortSignal.timeout(options.timeoutMs), sentBytes: 0, receivedBytes: 0,
+			...options, signal: controller.signal, deadline, sentBytes: 0, receivedBytes: 0,
 		};
+		const stopTimer = startTimer(deadline, controller);
 		let outcome: PeerTraffic['outcome'] = 'failed';
 		try {
 			const result = await this.client.request(method, parameters, callState) as Result;
@@ -68,6 +76,7 @@
 
 			throw new VError({name: 'PeerCallError', cause: error as Error, info: {outcome}}, 'call to method %s at %s failed', method, this.address);
 		} finally {
+			stopTimer();
 			this.onTraffic?.({
 				method, outcome, sentBytes: callState.sentBytes, receivedBytes: callState.receivedBytes,
 			});
@@ -82,7 +91,7 @@
 	private async post(payload: unknown, callState: CallState): Promise<void> {
 		const body = JSON.stringify(payload);
 		callState.sentBytes = Buffer.byteLength(body);
-		const headers: Record<string, string> = {'content-type': 'application/json', [callerHeader]: callState.from};
+		const headers: Record<string, string> = {'content-type': 'application/json', 'accept-encoding': bodyEncoding, [callerHeader]: callState.from};
 		if (callState.to !== undefined) {
 			headers[calleeHeader] = callState.to;
 		}
@@ -90,9 +99,16 @@
 		const response = await this.pool.request({
 			method: 'POST', path: rpcPath, headers, body, signal: callState.signal,
 		});
-		callState.onAnswerBegun?.();
-		const text = await response.body.text();
-		callState.receivedBytes = Buffer.byteLength(text);
+		const parts: Buffer[] = [];
+		callState.deadline.recordPart(clock.readMonotonic());
+		for await (const part of response.body as AsyncIterable<Buffer>) {
+			callState.deadline.recordPart(clock.readMonotonic());
+			parts.push(part);
+		}
+
+		const bytes = Buffer.concat(parts);
+		callState.receivedBytes = bytes.length;
+		const text = await decompressBody({bytes, encoding: String(response.headers['content-encoding'])}, maximumResponseBytes);
 		if (response.statusCode !== 200) {
 			throw new VError('peer responded with status %d: %s', response.statusCode, text.slice(0, 200));
 		}
@@ -114,3 +130,22 @@
 		});
 	}
 }
+
+/** Aborts a call at its deadline, which may move while the answer arrives. Returns a function that stops this. */
+function startTimer(deadline: CallDeadline, controller: AbortController): () => void {
+	let timer: NodeJS.Timeout;
+	const check = () => {
+		const remainingMs = deadline.measureRemainingMs(clock.readMonotonic());
+		if (remainingMs <= 0) {
+			controller.abort();
+		} else {
+			timer = setTimeout(check, Math.ceil(remainingMs));
+			timer.unref();
+		}
+	};
+
+	check();
+	return () => {
+		clearTimeout(timer);
+	};
+}
--- a/src/peers/peer-server/index.ts
+++ b/src/peers/peer-server/index.ts
@@ -12,6 +12,7 @@
 import {stopListening} from '../../http/stop-listening/index.js';
 import type {InstanceId} from '../../identity/ids/index.js';
 import {createRouterError} from '../../results/create-router-error/index.js';
+import {compressBody} from '../compress-body/index.js';
 import type {PeerMethodHandler, PeerMethodRegistry} from '../peer-caller/index.js';
 import {calleeHeader, callerHeader, rpcPath} from '../peer-link/index.js';
 
@@ -96,7 +97,11 @@
 
 		const request = await readJsonBody(message, maximumBodyBytes) as JSONRPCRequest;
 		const answer = await this.rpc.receive(request, {from: String(message.headers[callerHeader] ?? '') as InstanceId});
-		const sentBytes = sendJson(response, 200, answer);
-		this.onTraffic?.(sentBytes, Number(message.headers['content-length'] ?? 0));
+		const {bytes, encoding} = await compressBody(JSON.stringify(answer), message.headers['accept-encoding']);
+		response.writeHead(200, {
+			'content-type': 'application/json', 'content-length': bytes.length, ...(encoding !== undefined && {'content-encoding': encoding}),
+		});
+		response.end(bytes);
+		this.onTraffic?.(bytes.length, Number(message.headers['content-length'] ?? 0));
 	}
 }
