--- a/src/peers/call-deadline/index.ts
+++ b/src/peers/answer-deadline/index.ts
@@ -7,7 +7,7 @@
 import type {PeerCallTimeout} from '../peer-caller/index.js';
 
 /** When a call ends unless its answer is complete. */
-export class CallDeadline {
+export class AnswerDeadline {
 	private endsAt: number;
 	private hasBegun = false;
 
--- a/src/peers/fake-peer-network/index.ts
+++ b/src/peers/fake-peer-network/index.ts
@@ -6,7 +6,7 @@
 import type {
 	PeerCaller, PeerCallTimeout, PeerMethodHandler, PeerMethodRegistry,
 } from '../peer-caller/index.js';
-import {CallDeadline} from '../call-deadline/index.js';
+import {AnswerDeadline} from '../answer-deadline/index.js';
 import {measureCompressedBytes} from '../compress-body/index.js';
 import type {AddressCaller} from '../peer-client/index.js';
 
@@ -125,7 +125,7 @@
 	async callAddress<Result>(address: string, method: string, parameters: unknown, timeout: number | PeerCallTimeout): Promise<Result> {
 		const {clock} = this.network;
 		const controller = new AbortController();
-		const deadline = new CallDeadline(typeof timeout === 'number' ? {timeoutMs: timeout} : timeout, clock.readMonotonic());
+		const deadline = new AnswerDeadline(typeof timeout === 'number' ? {timeoutMs: timeout} : timeout, clock.readMonotonic());
 		const transfer: AnswerTransfer = {
 			signal: controller.signal,
 			onPart() {
@@ -153,7 +153,7 @@
 		return handler(parameters, from);
 	}
 
-	private async waitForDeadline(deadline: CallDeadline, signal: AbortSignal): Promise<void> {
+	private async waitForDeadline(deadline: AnswerDeadline, signal: AbortSignal): Promise<void> {
 		const {clock} = this.network;
 		for (let remainingMs = deadline.measureRemainingMs(clock.readMonotonic()); remainingMs > 0 && !signal.aborted;) {
 			await clock.sleep(remainingMs, signal);
--- a/src/peers/peer-link/index.ts
+++ b/src/peers/peer-link/index.ts
@@ -7,7 +7,7 @@
 import {Pool} from 'undici';
 import VError from 'verror';
 import {SystemClock} from '../../clock/clock/index.js';
-import {CallDeadline} from '../call-deadline/index.js';
+import {AnswerDeadline} from '../answer-deadline/index.js';
 import {bodyEncoding, decompressBody} from '../compress-body/index.js';
 import type {PeerCallTimeout} from '../peer-caller/index.js';
 
@@ -40,7 +40,7 @@
 	readonly to?: string;
 };
 
-type CallState = PeerCallOptions & {readonly signal: AbortSignal; readonly deadline: CallDeadline; sentBytes: number; receivedBytes: number};
+type CallState = PeerCallOptions & {readonly signal: AbortSignal; readonly deadline: AnswerDeadline; sentBytes: number; receivedBytes: number};
 
 const clock = new SystemClock();
 
@@ -58,7 +58,7 @@
 	async call<Result>(method: string, parameters: unknown, options: PeerCallOptions): Promise<Result> {
 		const {pool} = this;
 		const controller = new AbortController();
-		const deadline = new CallDeadline(options, clock.readMonotonic());
+		const deadline = new AnswerDeadline(options, clock.readMonotonic());
 		const callState: CallState = {
 			...options, signal: controller.signal, deadline, sentBytes: 0, receivedBytes: 0,
 		};
@@ -133,7 +133,7 @@
 }
 
 /** Aborts a call at its deadline, which may move while the answer arrives. Returns a function that stops this. */
-function startTimer(deadline: CallDeadline, controller: AbortController): () => void {
+function startTimer(deadline: AnswerDeadline, controller: AbortController): () => void {
 	let timer: NodeJS.Timeout;
 	const check = () => {
 		const remainingMs = deadline.measureRemainingMs(clock.readMonotonic());
