Keep the answer of a running call when something else follows on its connection

What callers saw: 408 or 400, which promise that a call has not run, while a target ran it, because the start of a next request or other bytes had followed it. Cause: the default of Node.js for client errors. The listener now answers them as the daemon does, after the answers that are open, and reads what waits before a head counts as late.

Also: a call that waited for proof that its caller is there could be sent after a planned stop had aborted all calls; whether it may still begin is decided after the wait. The three tests failed before.

--- a/src/gateway/call-listener/index.ts
+++ b/src/gateway/call-listener/index.ts
@@ -4,7 +4,8 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {once} from 'node:events';
-import type {AddressInfo} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
 import {canRescue} from '../../handover/can-rescue/index.js';
 import type {CallHandover, HandoverOutcome} from '../../handover/call-handover/index.js';
 import {cutOffHeader, remainingHeader, servedHeader} from '../../handover/handover-headers/index.js';
@@ -14,6 +15,7 @@
 import {parseAddress} from '../../http/parse-address/index.js';
 import {readBody} from '../../http/read-body/index.js';
 import {stopListening} from '../../http/stop-listening/index.js';
+import {waitForArrivedData} from '../../http/wait-for-arrived-data/index.js';
 import {CallerWatch} from '../../http/watch-caller/index.js';
 import type {MonotonicMs} from '../../identity/ids/index.js';
 import {CallDeadline} from '../../forwarding/call-deadline/index.js';
@@ -26,6 +28,7 @@
 	convertToRouterError, createRouterError, formatErrorBody, type RouterError,
 } from '../../results/create-router-error/index.js';
 import {resultCodes} from '../../results/result-codes/index.js';
+import {answerClientError} from '../../requests/answer-client-error/index.js';
 import {isRepeatable} from '../../routing/is-repeatable/index.js';
 import type {RoutingTable} from '../../routing/routing-table/index.js';
 import {CallsInProgress} from '../calls-in-progress/index.js';
@@ -68,6 +71,8 @@
 /** Maximum number of connections that wait to be accepted; a burst above it is delayed by seconds. */
 const connectionBacklog = 4096;
 const maximumHeaderBytes = 16_384;
+/** Code of the error of a connection whose request has not arrived in time. */
+const requestTimeoutCode = 'ERR_HTTP_REQUEST_TIMEOUT';
 /** Interval between checks for requests that exceed the header or request timeout, in milliseconds. */
 const connectionCheckIntervalMs = 1000;
 /** Maximum time for a complete request to arrive, in milliseconds. */
@@ -93,6 +98,9 @@
 		});
 		// A caller that ends its sending side still gets its answer; see `CallerWatch`.
 		Object.assign(this.server, {httpAllowHalfOpen: true});
+		this.server.on('clientError', (error, socket) => {
+			void this.handleClientError(error, socket as Socket);
+		});
 		this.idleConnections = new IdleConnections(this.server, options.context.clock);
 	}
 
@@ -198,6 +206,24 @@
 		}
 	}
 
+	/** Answers what is no valid request, unless a call on the connection is still to be answered, or the rest of its head waits unread. */
+	private async handleClientError(error: NodeJS.ErrnoException, socket: Socket): Promise<void> {
+		const {bytesRead, bytesWritten} = socket;
+		if (error.code === requestTimeoutCode) {
+			await waitForArrivedData();
+			if (socket.bytesRead > bytesRead) {
+				await delay(this.server.headersTimeout);
+			}
+
+			if (socket.bytesWritten > bytesWritten) {
+				return;
+			}
+		}
+
+		this.options.context.logger.info('connection without a valid request', {code: error.code, reason: error.message, readBytes: socket.bytesRead});
+		answerClientError(error, socket, this.calls.listExchanges(socket));
+	}
+
 	private readMoment(): CallMoment {
 		const {context: {clock}, readTable} = this.options;
 		return {at: clock.readMonotonic(), revision: readTable()?.configuration.revision};
@@ -214,11 +240,11 @@
 			throw createRouterError('noTarget', 'the route has no service with a positive weight');
 		}
 
+		const isConnected = await arrival.caller.confirm();
 		if (this.mustReject(deadline.read(), arrivedAt)) {
 			throw createRouterError('stopping', 'the call could outlast the instance', {retryAfterSeconds: 0});
 		}
 
-		const isConnected = await arrival.caller.confirm();
 		const passOn = {
 			resolvedCall, deadline, body, arrival,
 		};
--- a/src/gateway/calls-in-progress/index.ts
+++ b/src/gateway/calls-in-progress/index.ts
@@ -4,11 +4,13 @@
  */
 
 import type {ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
 import type {Clock} from '../../clock/clock/index.js';
 import type {CallDeadline} from '../../forwarding/call-deadline/index.js';
 import type {CallSession} from '../../forwarding/call-session/index.js';
 import {waitForArrivedData} from '../../http/wait-for-arrived-data/index.js';
 import type {RouteId} from '../../identity/ids/index.js';
+import type {OpenExchange} from '../../requests/answer-client-error/index.js';
 import type {Route} from '../../routing/routing-types/index.js';
 
 /** Interval between checks for calls whose target has gone silent, in milliseconds. */
@@ -38,6 +40,12 @@
 		});
 	}
 
+	/** Lists the calls on a connection. */
+	listExchanges(socket: Socket): ReadonlySet<OpenExchange> {
+		const responses = [...this.responses].filter(response => response.req.socket === socket);
+		return new Set(responses.map(response => ({message: response.req, response})));
+	}
+
 	/** Keeps the deadline of a call up to date with its route. */
 	followRoute(deadline: CallDeadline, response: ServerResponse): void {
 		this.deadlines.add(deadline);
--- a/src/gateway/calls-in-progress/test.ts
+++ b/src/gateway/calls-in-progress/test.ts
@@ -1,4 +1,4 @@
-import type {Socket} from 'node:net';
+import {connect, type Socket} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
 import {test, type TestContext} from 'node:test';
 import {expect} from 'earl';
@@ -7,6 +7,7 @@
 import {sendRawRequest} from '../../fixtures/send-raw-request/index.js';
 import {startRawServer} from '../../fixtures/start-raw-server/index.js';
 import {startTestGateway} from '../../fixtures/start-test-gateway/index.js';
+import {parseAddress} from '../../http/parse-address/index.js';
 import type {Route, RoutingConfiguration} from '../../routing/routing-types/index.js';
 
 const request = 'POST /x HTTP/1.1\r\nHost: h\r\nx-id: c1\r\nx-wait: 5000\r\nContent-Length: 4\r\n\r\nbody';
@@ -79,3 +80,49 @@
 	const {isComplete} = await answer;
 	expect(isComplete).toEqual(true);
 });
+
+/** Sends bytes on one connection and collects what comes back. */
+function openConnection(t: TestContext, address: string, text: string) {
+	const socket = connect({...parseAddress(address), allowHalfOpen: true});
+	let received = '';
+	socket.on('error', () => undefined);
+	socket.on('data', data => {
+		received += data.toString('latin1');
+	});
+	socket.write(text);
+	t.after(() => {
+		socket.destroy();
+	});
+	return {socket, readReceived: () => received};
+}
+
+for (const [name, rest] of [['the start of a next request', 'POST /x HTTP/1.1\r\nHo'], ['bytes that are no request', '\u0001\u0002\r\n\r\n']] as const) {
+	test(`guards against a refusal of a running call because ${name} follows it on its connection`, async t => {
+		const gateway = await startGateway(t, {kind: 'nonIdempotent', timeoutMs: 5000}, (socket, id) => {
+			setTimeout(() => {
+				socket.write(`HTTP/1.1 200 OK\r\nx-id: ${id}\r\nContent-Length: 2\r\n\r\nok`);
+			}, 2500);
+		});
+		const limits = {maximumBodyBytes: 1000, headerTimeoutMs: 500, idleTimeoutMs: 5000};
+		gateway.apply({...createConfiguration({kind: 'nonIdempotent', timeoutMs: 5000}), limits});
+		const {readReceived} = openConnection(t, gateway.address, request + rest);
+		await delay(3000);
+		expect(readReceived().split('\r\n')[0]).toEqual('HTTP/1.1 200 OK');
+	});
+}
+
+test('guards against a call that is sent to a target after all calls were aborted, and cut by the end of the process', async t => {
+	let runs = 0;
+	const gateway = await startGateway(t, {kind: 'nonIdempotent', timeoutMs: 5000}, () => {
+		runs += 1;
+	});
+	const {socket, readReceived} = openConnection(t, gateway.address, request);
+	socket.end();
+	await delay(30);
+	gateway.listener.refuseCalls();
+	gateway.listener.abortCalls();
+	await gateway.listener.flushAnswers(300);
+	gateway.listener.destroyConnections();
+	await delay(50);
+	expect([readReceived().includes('HTTP/1.1 503'), runs]).toEqual([true, 0]);
+});
