Break a stream off that no target can continue, and judge handovers after reading

A stream that had begun was sent as a whole to another instance when no target was usable, and the head of that answer threw in a callback that nobody awaits. An idempotent call whose answer waited unread after a late turn of the event loop was taken from a sound instance, which counted as silent. The begun stream now ends visibly incomplete, the steps of a call that is passed on are carried out under a guard, and silence is judged by what has arrived.

--- a/src/forwarding/call-session/index.ts
+++ b/src/forwarding/call-session/index.ts
@@ -73,7 +73,7 @@
 				this.tryNextTarget();
 			},
 			refuse: error => {
-				this.refuse(error);
+				this.fail(error);
 			},
 		}, context, arrivedAt);
 		this.move = new CallMove({
--- a/src/handover/call-handover/index.ts
+++ b/src/handover/call-handover/index.ts
@@ -121,7 +121,7 @@
 	/** Passes a call to one instance. */
 	private async passTo(peer: Member, handedOver: HandedOverCall, canMove: boolean): Promise<PeerOutcome> {
 		const {call: {method, path}, body, isRepeatable, deadline, sink, signal} = handedOver;
-		const {client, probe, options: {clock, peers}} = this;
+		const {client, probe, options: {clock, logger, peers}} = this;
 		return new PeerExchange({
 			peer: {id: peer.id, destination: this.findDestination(peer)},
 			request: {
@@ -129,7 +129,7 @@
 			},
 			deadline, canMove, sink, signal,
 		}, {
-			clock, client, probe, peers,
+			clock, logger, client, probe, peers,
 		}).run();
 	}
 
--- a/src/handover/peer-exchange/index.ts
+++ b/src/handover/peer-exchange/index.ts
@@ -11,7 +11,9 @@
 } from '../../forwarding/target-client/index.js';
 import {hopByHopHeaders} from '../../http/hop-by-hop-headers/index.js';
 import {isUnframed} from '../../http/is-unframed/index.js';
+import {waitForArrivedData} from '../../http/wait-for-arrived-data/index.js';
 import type {InstanceId, MonotonicMs} from '../../identity/ids/index.js';
+import type {EventLogger} from '../../logging/create-logger/index.js';
 import {assessHandover} from '../assess-handover/index.js';
 import {cutOffHeader, handoverHeaders, servedHeader} from '../handover-headers/index.js';
 import type {PeerProbe, ProbedPeer} from '../peer-probe/index.js';
@@ -41,6 +43,7 @@
 /** Dependencies of an exchange. */
 export type PeerExchangeOptions = {
 	readonly clock: Clock;
+	readonly logger: EventLogger;
 	readonly client: TargetClient;
 	readonly probe: PeerProbe;
 	readonly peers: {
@@ -55,6 +58,7 @@
 export class PeerExchange implements ExchangeListener {
 	private readonly sentAt: MonotonicMs;
 	private hasBegun = false;
+	private isDone = false;
 	/** Whether only the end of the connection delimits the answer. */
 	private endsWithConnection = false;
 	private exchange: Exchange | undefined;
@@ -72,7 +76,7 @@
 			this.onDone = resolve;
 			this.exchange = client.start(call.peer.destination, call.request, this);
 			this.timer = setInterval(() => {
-				this.check();
+				void this.check();
 			}, checkIntervalMs);
 			call.signal.addEventListener('abort', this.abort, {once: true});
 		});
@@ -88,20 +92,24 @@
 			return;
 		}
 
-		this.hasBegun = true;
 		this.endsWithConnection = isUnframed(call.request.method, status, name => head.names.has(name));
-		call.sink.begin(status, head.forwarded);
+		this.protect(() => {
+			call.sink.begin(status, head.forwarded);
+			this.hasBegun = true;
+		});
 	}
 
 	onChunk(chunk: Buffer): void {
 		const {call: {peer, sink}, options: {probe}} = this;
 		probe.recordHeard(peer.id);
-		if (!sink.write(chunk)) {
-			this.exchange?.pause();
-			sink.onDrain(() => {
-				this.exchange?.resume();
-			});
-		}
+		this.protect(() => {
+			if (!sink.write(chunk)) {
+				this.exchange?.pause();
+				sink.onDrain(() => {
+					this.exchange?.resume();
+				});
+			}
+		});
 	}
 
 	onEnd(): void {
@@ -124,8 +132,24 @@
 		this.breakOff('unknown');
 	};
 
-	/** Ends the call if it can't go on. */
-	private check(): void {
+	/** Carries out a step of the answer; ends the call if it throws, as when the head can't be passed on. */
+	private protect(step: () => void): void {
+		try {
+			step();
+		} catch (error) {
+			this.options.logger.warn('answer of another instance not passed on', {peer: this.call.peer.id, reason: (error as Error).message});
+			this.exchange?.abort();
+			this.breakOff('unknown');
+		}
+	}
+
+	/** Ends the call if it can't go on, judged by what the instance has sent until now. */
+	private async check(): Promise<void> {
+		await waitForArrivedData();
+		if (this.isDone) {
+			return;
+		}
+
 		const {call: {peer, deadline, canMove}, options: {clock, probe, peers}, sentAt, hasBegun} = this;
 		const now = clock.readMonotonic();
 		const assessment = assessHandover({
@@ -153,6 +177,7 @@
 	}
 
 	private finish(outcome: PeerOutcome): void {
+		this.isDone = true;
 		clearInterval(this.timer);
 		this.call.signal.removeEventListener('abort', this.abort);
 		this.onDone?.(outcome);
