Judge deadlines after reading, and end attempts at targets that switch protocols

After a late turn of the event loop a call was ended at its deadline though its answer had arrived, and a target that answered 101 kept its call until the deadline, because Node.js tells neither an answer nor an error then. The three tests failed before.

--- a/src/forwarding/attempt-starter/test.ts
+++ b/src/forwarding/attempt-starter/test.ts
@@ -42,3 +42,10 @@
 		expect([onAdmission.statusLine, onAdmission.durationMs < 1000]).toEqual(['HTTP/1.1 500 Internal Server Error', true]);
 	});
 }
+
+for (const kind of ['idempotent', 'nonIdempotent'] as const) {
+	test(`guards against a call that waits until its deadline because its target switches protocols (${kind})`, async t => {
+		const {statusLine, durationMs} = await sendCall(t, kind, '101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x');
+		expect([statusLine, durationMs < 1000]).toEqual(['HTTP/1.1 502 Bad Gateway', true]);
+	});
+}
--- a/src/forwarding/call-deadline/index.ts
+++ b/src/forwarding/call-deadline/index.ts
@@ -6,6 +6,7 @@
  */
 
 import type {Clock} from '../../clock/clock/index.js';
+import {waitForArrivedData} from '../../http/wait-for-arrived-data/index.js';
 import type {MonotonicMs, RouteId} from '../../identity/ids/index.js';
 import type {Route} from '../../routing/routing-types/index.js';
 import {calculateCallDeadline} from '../calculate-call-deadline/index.js';
@@ -79,7 +80,21 @@
 	private schedule(): void {
 		clearTimeout(this.timer);
 		this.timer = setTimeout(() => {
-			this.onExpired?.();
+			void this.handleTimer();
 		}, Math.max(0, this.time - this.clock.readMonotonic()));
 	}
+
+	/** Ends the wait unless an answer, or a configuration that extends the deadline, had arrived and waited unread, as after a late turn of the event loop. */
+	private async handleTimer(): Promise<void> {
+		await waitForArrivedData();
+		if (this.onExpired === undefined) {
+			return;
+		}
+
+		if (this.clock.readMonotonic() < this.time) {
+			this.schedule();
+		} else {
+			this.onExpired();
+		}
+	}
 }
--- a/src/forwarding/call-deadline/test.ts
+++ b/src/forwarding/call-deadline/test.ts
@@ -1,9 +1,13 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {test} from 'node:test';
 import {expect} from 'earl';
+import {createDescription} from '../../fixtures/create-fleet-target/index.js';
+import {holdEventLoop, startWorkerTarget} from '../../fixtures/start-worker-target/index.js';
+import {startTestGateway} from '../../fixtures/start-test-gateway/index.js';
+import {sendRawRequest} from '../../fixtures/send-raw-request/index.js';
 import {SystemClock} from '../../clock/clock/index.js';
 import {ManualClock} from '../../clock/manual-clock/index.js';
-import {createRoute} from '../../fixtures/create-routing-configuration/index.js';
+import {createRoute, createRoutingConfiguration} from '../../fixtures/create-routing-configuration/index.js';
 import type {MonotonicMs} from '../../identity/ids/index.js';
 import type {Route} from '../../routing/routing-types/index.js';
 import {CallDeadline} from './index.js';
@@ -42,3 +46,16 @@
 	await delay(250);
 	expect(expired).toEqual(1);
 });
+
+test('guards against a call that is ended at its deadline although its answer had arrived and waits unread', async t => {
+	const address = await startWorkerTarget(t, 300);
+	const configuration = createRoutingConfiguration({routes: [createRoute('r', {host: 'h', kind: 'nonIdempotent', timeoutMs: 800})]});
+	const gateway = await startTestGateway(configuration, [createDescription('t0', {address, weightsVersions: new Map()})]);
+	t.after(() => {
+		gateway.close();
+	});
+	const answer = sendRawRequest(gateway.address, 'POST /x HTTP/1.1\r\nHost: h\r\nx-id: c1\r\nContent-Length: 4\r\n\r\nbody');
+	await holdEventLoop(900);
+	const {head} = await answer;
+	expect(head.split('\r\n')[0]).toEqual('HTTP/1.1 200 OK');
+});
--- a/src/forwarding/target-client/index.ts
+++ b/src/forwarding/target-client/index.ts
@@ -135,6 +135,9 @@
 		request.once('response', response => {
 			this.receive(response);
 		});
+		request.once('upgrade', () => {
+			this.fail(new Error('the target switches protocols'));
+		});
 		request.on('error', error => {
 			this.fail(error);
 		});
