--- a/src/forwarding/attempt-starter/test.ts
+++ b/src/forwarding/attempt-starter/test.ts
@@ -31,7 +31,7 @@
 		expect([statusLine, durationMs < 1000]).toEqual(['HTTP/1.1 502 Bad Gateway', true]);
 	});
 
-	test(`guards against a call that stays open until its deadline after an unexpected error in a step of it (${kind})`, async t => {
+	test(`guards against a call that stays open until its deadline after an unexpected error when it is sent or admitted (${kind})`, async t => {
 		const fail = () => {
 			throw new Error('failed on purpose');
 		};
--- a/src/http/idle-connections/test.ts
+++ b/src/http/idle-connections/test.ts
@@ -63,7 +63,7 @@
 	expect(await sendOn(socket)).toEqual(true);
 });
 
-test('closes idle connections at the limit in force, also after it was lowered', async t => {
+test('closes idle connections at the limit that was in force when their last answer ended', async t => {
 	for (const [first, second] of [[300, 300], [600, 100]] as const) {
 		const gateway = await startGateway(t, first);
 		const socket = await openConnection(t, gateway.address);
