--- a/src/forwarding/call-move/test.ts
+++ b/src/forwarding/call-move/test.ts
@@ -296,3 +296,17 @@
 	const closed = events.find(({attempt, type}) => attempt === 1 && type === 'closed')!.atMs;
 	expect(Math.abs(closed - moved) < 100).toEqual(true);
 });
+
+test('guards against leaving a silent target for one whose answer breaks off after its head', async t => {
+	const breakOffAfterHead: Script = (socket, id) => {
+		socket.write(streamHead(id));
+		setTimeout(() => {
+			socket.destroy();
+		}, 100);
+	};
+
+	const {body, isComplete} = await playCall(t, {
+		route: {...resumableStream, maximumAttempts: 2}, scripts: [pauseWithinStream, breakOffAfterHead],
+	});
+	expect({body, isComplete}).toEqual({body: formatEvents(1, 2), isComplete: true});
+});
