Leave a silent target only for one that has delivered content

What callers saw: a stream whose target was silent for more than a second, and would have gone on, was cut, or ended as if complete, an event short. Calls that may run again were answered with 504 or not at all.

Cause: the bare head of the second target's answer aborted the attempt at the silent first one. A head says only that a target has taken the call. When the second target then was silent, too, broke off, ended without an event or sent something that is no event, the call had no attempt left that could finish. Class: one thing in progress is ended for the promise of another.

Evidence: src/forwarding/answer-forwarder plays three kinds of silence of a sound first target with seven useless second ones, and three for plain calls.

Change: each attempt has an answer of its own (attempt-answer, with a class for resumable streams and one for the others). While two are in flight, both go on until one holds content that the caller can use: the next event, a whole answer, or more of a plain answer than is held. An answer that ends without an event waits for the other attempt, and counts only if that one fails or ends, too.

One test of call-move asked that the first attempt ends within 300 ms of the second's head, which is the fault itself. It now asks that it ends within 150 ms of the second's first event.

--- /dev/null
+++ b/src/forwarding/answer-forwarder/test.ts
@@ -0,0 +1,141 @@
+import {test} from 'node:test';
+import {expect} from 'earl';
+import {
+	answerAfterPause, continueStream, formatChunk, formatEvent, formatEvents, freezeWithinStream, idempotent, lastChunk,
+	pauseWithinStream, playCall, resumableStream, streamHead, writeLater, type Script,
+} from '../../fixtures/play-call/index.js';
+import {createRoute, createRoutingConfiguration} from '../../fixtures/create-routing-configuration/index.js';
+
+const wholeStream = formatEvents(1, 2);
+const readStatus = (head: string) => Number(head.split(' ')[1]);
+const partialBody = 'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n';
+
+/** A sound target that is silent before the head of its stream. */
+const pauseBeforeStream: Script = (socket, id) => {
+	writeLater(socket, streamHead(id) + formatChunk(wholeStream) + lastChunk, 1900);
+};
+
+/** A sound target that is silent between the head of its stream and the first event. */
+const pauseAfterHead: Script = (socket, id) => {
+	socket.write(streamHead(id));
+	writeLater(socket, formatChunk(wholeStream) + lastChunk, 1700);
+};
+
+/** Sends `text` after the head of a stream, and breaks off 100 ms later. */
+const breakOffAfter = (text: string): Script => (socket, id) => {
+	socket.write(streamHead(id) + text);
+	setTimeout(() => {
+		socket.destroy();
+	}, 100);
+};
+
+/** Sends `text` after the head of a stream, and nothing more. */
+const freezeAfter = (text: string): Script => (socket, id) => {
+	socket.write(streamHead(id) + text);
+};
+
+const soundStreams: ReadonlyArray<readonly [string, Script]> = [
+	['within its stream', pauseWithinStream], ['before the head of its stream', pauseBeforeStream], ['after the head of its stream', pauseAfterHead],
+];
+
+const uselessStreams: ReadonlyArray<readonly [string, Script]> = [
+	['sends a head and is silent, too', freezeAfter('')],
+	['sends a head and breaks off', breakOffAfter('')],
+	['sends half an event and breaks off', breakOffAfter(formatChunk('id: 2\nda'))],
+	['sends half an event and is silent', freezeAfter(formatChunk('id: 2\nda'))],
+	['ends its answer without an event', freezeAfter(lastChunk)],
+	['sends text that is no event', freezeAfter(formatChunk('sorry\n\n') + lastChunk)],
+	['sends comments only', freezeAfter(formatChunk(': ping\n\n'))],
+];
+
+for (const [pause, first] of soundStreams) {
+	for (const [name, second] of uselessStreams) {
+		test(`guards against leaving a target that is silent ${pause} for one that ${name}`, async t => {
+			const {body, isComplete, unfinishedCalls} = await playCall(t, {route: {...resumableStream, maximumAttempts: 2}, scripts: [first, second]});
+			expect({body, isComplete, unfinishedCalls}).toEqual({body: wholeStream, isComplete: true, unfinishedCalls: 0});
+		});
+	}
+}
+
+const uselessAnswers: ReadonlyArray<readonly [string, Script]> = [
+	['sends a head and is silent, too', (socket, id) => {
+		socket.write(`${partialBody}x-id: ${id}\r\n\r\n`);
+	}],
+	['sends half a body and breaks off', (socket, id) => {
+		socket.write(`${partialBody}x-id: ${id}\r\n\r\nhalf`);
+		setTimeout(() => {
+			socket.destroy();
+		}, 100);
+	}],
+	['sends half a body and is silent', (socket, id) => {
+		socket.write(`${partialBody}x-id: ${id}\r\n\r\nhalf`);
+	}],
+];
+
+for (const [name, second] of uselessAnswers) {
+	test(`guards against leaving a silent target, whose answer may be repeated, for one that ${name}`, async t => {
+		const {body, isComplete, unfinishedCalls} = await playCall(t, {route: {...idempotent, maximumAttempts: 2}, scripts: [answerAfterPause, second]});
+		expect({body, isComplete, unfinishedCalls}).toEqual({body: 'first', isComplete: true, unfinishedCalls: 0});
+	});
+}
+
+test('guards against a stream that is cut after a change of the configuration because its second target breaks off after the head', async t => {
+	const route = createRoute('r', {
+		host: 'h', ...resumableStream, timeoutMs: 1200, maximumAttempts: 1,
+	});
+	const changes = [[], [route], [{...route, kind: 'idempotent' as const}]];
+	for (const routes of changes) {
+		const {body, isComplete} = await playCall(t, {
+			route: {...resumableStream, maximumAttempts: 2}, scripts: [pauseWithinStream, breakOffAfter('')],
+			meanwhile(gateway) {
+				setTimeout(() => {
+					gateway.apply(createRoutingConfiguration({routes}));
+				}, 400);
+			},
+		});
+		expect([body, isComplete]).toEqual([wholeStream, true]);
+	}
+});
+
+test('guards against a stream that two targets end without an event and that never ends for its caller', async t => {
+	const endEmpty: Script = (socket, id) => {
+		writeLater(socket, streamHead(id) + lastChunk, 1700);
+	};
+
+	const {head, body, isComplete, durationMs} = await playCall(t, {route: resumableStream, scripts: [endEmpty, freezeAfter(lastChunk)]});
+	expect([readStatus(head), body, isComplete, durationMs < 2200]).toEqual([200, '', true, true]);
+});
+
+test('guards against losing the end of a stream whose first target breaks off after the second has found nothing left to send', async t => {
+	const breakLate: Script = (socket, id) => {
+		socket.write(streamHead(id) + formatChunk(formatEvent(1)));
+		setTimeout(() => {
+			socket.destroy();
+		}, 1800);
+	};
+
+	const {body, isComplete, attempts} = await playCall(t, {route: resumableStream, scripts: [breakLate, freezeAfter(lastChunk)]});
+	expect([body, isComplete, attempts]).toEqual([formatEvent(1), true, 2]);
+});
+
+test('guards against a torn event in front of the next one when the second target breaks off and a third continues', async t => {
+	const {body, isComplete, attempts} = await playCall(t, {
+		route: resumableStream, scripts: [freezeWithinStream, breakOffAfter(formatChunk('id: 2\nda')), continueStream],
+	});
+	expect([body, isComplete, attempts]).toEqual([wholeStream, true, 3]);
+});
+
+test('guards against leaving a silent target for one that only repeats an event and breaks off', async t => {
+	const repeat = breakOffAfter(formatChunk(formatEvent(1)));
+	const {body, isComplete} = await playCall(t, {route: {...resumableStream, maximumAttempts: 2}, scripts: [pauseWithinStream, repeat]});
+	expect([body, isComplete]).toEqual([wholeStream, true]);
+});
+
+test('guards against a head of one answer with the body of another when the first target answers after the second has sent half', async t => {
+	const answerHalf: Script = (socket, id) => {
+		socket.write(`HTTP/1.1 201 Created\r\nx-id: ${id}\r\nContent-Length: 9\r\n\r\nhalf`);
+	};
+
+	const {head, body, isComplete} = await playCall(t, {route: idempotent, scripts: [answerAfterPause, answerHalf]});
+	expect([readStatus(head), body, isComplete]).toEqual([200, 'first', true]);
+});
--- a/src/forwarding/call-attempts/index.ts
+++ b/src/forwarding/call-attempts/index.ts
@@ -1,8 +1,8 @@
 /**
  * The attempts of one call: those in flight, and what those before them came to.
  *
- * Only the current attempt passes its answer on. A second one is in flight while the current one is silent: the successor,
- * which takes the call over when its answer begins.
+ * A second attempt is in flight while the current one is silent: the successor, which takes the call over if it is the first
+ * with something that the caller can use.
  */
 
 import type {FleetTarget} from '../../fleet/fleet-target/index.js';
@@ -10,9 +10,9 @@
 
 /** Keeps count of the attempts of a call. */
 export class CallAttempts {
-	/** The attempt whose answer is passed on. */
+	/** The attempt that the call is at. */
 	current: Attempt | undefined;
-	/** The attempt that takes the call over if it answers before the current one goes on. */
+	/** The attempt that takes the call over if it delivers before the current one goes on. */
 	successor: Attempt | undefined;
 	/** Attempts so far. */
 	count = 0;
@@ -26,6 +26,11 @@
 		return [this.current, this.successor].filter(attempt => attempt !== undefined);
 	}
 
+	/** Returns the attempt that is in flight beside `attempt`. */
+	findOther(attempt: Attempt): Attempt | undefined {
+		return this.inFlight.find(other => other !== attempt);
+	}
+
 	/** Attempts that may have run the call, or may yet do so. */
 	get possibleRuns(): number {
 		return this.runs + this.inFlight.length;
--- a/src/forwarding/call-move/index.ts
+++ b/src/forwarding/call-move/index.ts
@@ -2,8 +2,8 @@
  * Moves a call away from a target that has stalled.
  *
  * A sound target may be silent for a while and go on, and the next one may refuse the call. So the call is sent to a second
- * target while the attempt at the first one stays in flight. The first of the two that delivers goes on with the call, and
- * the other one is aborted in the same turn of the event loop, so that never both go on with it.
+ * target while the attempt at the first one stays in flight. The first of the two that delivers something that the caller
+ * can use goes on with the call, and the other one is aborted in the same turn of the event loop, so that never both go on with it.
  */
 
 import type {MonotonicMs, RequestId} from '../../identity/ids/index.js';
@@ -65,7 +65,7 @@
 		}
 	}
 
-	/** Lets `attempt`, which has begun its answer or gone on with it, go on alone. */
+	/** Lets `attempt`, which has delivered, go on alone. */
 	prefer(attempt: Attempt, now: MonotonicMs): void {
 		const {attempts} = this.call;
 		if (attempts.successor === undefined) {
@@ -86,9 +86,8 @@
 
 	/** Ends an attempt that has stalled, as one that may have run the call. */
 	private leave(attempt: Attempt, now: MonotonicMs): void {
-		const {attempts, relay, steps, starter} = this.call;
+		const {attempts, steps, starter} = this.call;
 		if (attempt === attempts.current) {
-			relay.discardIncomplete();
 			starter.recordBreak(now);
 		}
 
--- a/src/forwarding/call-move/test.ts
+++ b/src/forwarding/call-move/test.ts
@@ -43,17 +43,19 @@
 	expect(closed !== undefined && closed.atMs < 1700).toEqual(true);
 });
 
-test('guards against two targets that both go on with a stream: the attempt at the first ends when the second begins', async t => {
+test('guards against two targets that both go on with a stream: the attempt at the first ends with the first event of the second', async t => {
+	const eventDelayMs = 250;
 	const beginSlowly: Script = (socket, id) => {
 		socket.write(streamHead(id));
-		writeLater(socket, formatChunk(formatEvent(2)) + lastChunk, 800);
+		writeLater(socket, formatChunk(formatEvent(2)), eventDelayMs);
+		writeLater(socket, formatChunk(formatEvent(3)) + lastChunk, 900);
 	};
 
 	const {body, isComplete, events, unfinishedCalls} = await playCall(t, {route: resumableStream, scripts: [pauseWithinStream, beginSlowly]});
-	expect({body, isComplete, unfinishedCalls}).toEqual({body: formatEvents(1, 2), isComplete: true, unfinishedCalls: 0});
-	const begun = events.find(({attempt, type}) => attempt === 2 && type === 'received')!.atMs;
+	expect({body, isComplete, unfinishedCalls}).toEqual({body: formatEvents(1, 2, 3), isComplete: true, unfinishedCalls: 0});
+	const eventAt = events.find(({attempt, type}) => attempt === 2 && type === 'received')!.atMs + eventDelayMs;
 	const closed = events.find(({attempt, type}) => attempt === 1 && type === 'closed')!.atMs;
-	expect(closed - begun < 300).toEqual(true);
+	expect(Math.abs(closed - eventAt) < 150).toEqual(true);
 });
 
 test('guards against staying at a frozen target: its streams and calls go on elsewhere as soon as they are taken for stalled', async t => {
--- a/src/forwarding/event-splitter/index.ts
+++ b/src/forwarding/event-splitter/index.ts
@@ -6,10 +6,10 @@
 export type CompleteEvents = {
 	/** Complete events that the caller has not received yet. */
 	readonly bytes: Buffer;
-	/** Id of the last event returned so far; undefined before the first. */
-	readonly lastEventId: string | undefined;
 	/** Whether any of the completed events has data. Comments and blank lines are no progress. */
 	readonly hasProgress: boolean;
+	/** Whether `bytes` has an event with data. */
+	readonly hasContent: boolean;
 };
 
 const idPattern = /^id: ?(.*)$/mu;
@@ -29,41 +29,39 @@
 /** Passes on complete events that the caller has not received yet. */
 export class EventSplitter {
 	private readonly buffer = new EventBuffer(maximumEventBytes);
-	private isContinuation = false;
 
-	/** `lastEventId` identifies the last event that the caller received. If ids are numeric, events up to it are dropped. */
-	constructor(private lastEventId: string | undefined) {}
+	/** `lastEventId` identifies the last event that the caller received, then the last one returned. If ids are numeric, events up to it are dropped. */
+	constructor(public lastEventId: string | undefined) {}
 
 	/** Whether bytes have come since the last complete event. */
 	get hasIncompleteEvent(): boolean {
 		return !this.buffer.isEmpty;
 	}
 
-	/** Begins with the stream of another target. From here on, each piece must be an event with an id, or a comment. */
-	beginContinuation(): void {
-		this.isContinuation = true;
-	}
-
 	/**
 	 * Adds a chunk and returns the events that it completes. Throws a `RangeError` if an incomplete event exceeds
-	 * `maximumEventBytes`, and a `ContinuationError` if the chunk does not continue the stream; no event of it counts then.
+	 * `maximumEventBytes`. In a stream that continues the one of another target, each piece must be an event with an id, or a
+	 * comment; throws a `ContinuationError` for anything else, and no event of the chunk counts then.
 	 */
-	add(chunk: Buffer): CompleteEvents {
+	add(chunk: Buffer, isContinuation: boolean): CompleteEvents {
 		const accepted: Buffer[] = [];
 		let hasProgress = false;
+		let hasContent = false;
 		const texts = this.buffer.add(chunk).map(event => ({event, text: event.toString('latin1')}));
-		if (this.isContinuation && !texts.every(({text}) => this.continuesStream(text))) {
+		if (isContinuation && !texts.every(({text}) => this.continuesStream(text))) {
 			throw new ContinuationError();
 		}
 
 		for (const {event, text} of texts) {
-			hasProgress ||= contentPattern.test(text);
+			const hasData = contentPattern.test(text);
+			hasProgress ||= hasData;
 			if (this.acceptEvent(text)) {
 				accepted.push(event);
+				hasContent ||= hasData;
 			}
 		}
 
-		return {bytes: accepted.length === 1 ? accepted[0]! : Buffer.concat(accepted), lastEventId: this.lastEventId, hasProgress};
+		return {bytes: accepted.length === 1 ? accepted[0]! : Buffer.concat(accepted), hasProgress, hasContent};
 	}
 
 	/** Returns the bytes after the last complete event; call it once the response is complete. */
@@ -71,11 +69,6 @@
 		return this.buffer.flush();
 	}
 
-	/** Discards an interrupted event; the next target sends it again in full. */
-	discardPending(): void {
-		this.buffer.flush();
-	}
-
 	/** Where ids are numbers, the next ones are as well. Other ids have no order that could be checked. */
 	private continuesStream(event: string): boolean {
 		const id = idPattern.exec(event)?.[1]?.trim();
--- a/src/forwarding/is-attempt-stalled/test.ts
+++ b/src/forwarding/is-attempt-stalled/test.ts
@@ -19,7 +19,7 @@
 	record.hasAnswered = hasAnswered;
 	return {
 		target, record, weightsVersion: 1, exchange: undefined, head: hasAnswered ? head : undefined,
-		lastReceivedAt: at(0), lastProgressAt: at(0), isPaused: false,
+		lastReceivedAt: at(0), lastProgressAt: at(0), isPaused: false, answer: undefined,
 	};
 }
 
--- a/src/forwarding/must-withdraw-attempt/test.ts
+++ b/src/forwarding/must-withdraw-attempt/test.ts
@@ -21,7 +21,7 @@
 	const target = createFleetTarget('engine');
 	return {
 		target, weightsVersion, record: target.beginCall(1, at(announcedAt)), exchange: undefined, head: head as ResponseHead | undefined,
-		lastReceivedAt: at(announcedAt), lastProgressAt: at(announcedAt), isPaused: false,
+		lastReceivedAt: at(announcedAt), lastProgressAt: at(announcedAt), isPaused: false, answer: undefined,
 	};
 }
 
--- a/src/forwarding/response-relay/test.ts
+++ b/src/forwarding/response-relay/test.ts
@@ -36,36 +36,55 @@
 test('guards against the head of one response with the body of another for a retried idempotent call', () => {
 	const {sink, log} = createRecorder();
 	const relay = new ResponseRelay(sink, createRoute('r'), undefined);
-	relay.begin(head);
-	relay.addChunk(head, Buffer.from('half'));
-	relay.discardIncomplete();
-	expect(log).toEqual([]);
-	relay.begin(head);
-	relay.addChunk(head, Buffer.from('whole'));
-	relay.end(head);
+	const interrupted = relay.open({...head, status: 201});
+	relay.addChunk(interrupted, Buffer.from('half'));
+	expect([interrupted.isReady, log]).toEqual([false, []]);
+	const whole = relay.open(head);
+	relay.addChunk(whole, Buffer.from('whole'));
+	expect(whole.isReady).toEqual(false);
+	whole.end();
+	expect(whole.isReady).toEqual(true);
+	relay.pass(whole);
+	relay.end();
 	expect(log).toEqual(['200', 'whole', 'end']);
 });
 
 test('continues a resumable stream after the last complete event without a second head', () => {
 	const {sink, log} = createRecorder();
 	const relay = new ResponseRelay(sink, createRoute('r', {kind: 'streaming', isResumable: true}), undefined);
-	relay.begin(head);
-	relay.addChunk(head, Buffer.from('id: 1\ndata: a\n\nid: 2\nda'));
-	relay.discardIncomplete();
+	const first = relay.open(head);
+	relay.addChunk(first, Buffer.from('id: 1\ndata: a\n\nid: 2\nda'));
+	relay.pass(first);
 	expect(relay.readLastEventId()).toEqual('1');
-	relay.begin(head);
-	relay.addChunk(head, Buffer.from('id: 2\ndata: b\n\n'));
-	relay.end(head);
+	const second = relay.open(head);
+	relay.addChunk(second, Buffer.from('id: 2\ndata: b\n\n'));
+	expect([relay.isFirst(first), relay.isFirst(second), second.hasContent]).toEqual([true, false, true]);
+	relay.pass(second);
+	second.end();
+	relay.end();
 	expect(log).toEqual(['200', 'id: 1\ndata: a\n\n', 'id: 2\ndata: b\n\n', 'end']);
 });
 
 test('guards against a final chunk on a response that ends with its connection before it is complete', () => {
 	const {sink, log} = createRecorder();
-	const unframed = {...head, isUnframed: true};
 	const relay = new ResponseRelay(sink, createRoute('r', {kind: 'streaming'}), undefined);
-	relay.begin(unframed);
-	relay.addChunk(unframed, Buffer.from('data: a\n\ndata'));
-	expect(relay.isComplete(unframed)).toEqual(false);
+	const answer = relay.open({...head, isUnframed: true});
+	relay.addChunk(answer, Buffer.from('data: a\n\ndata'));
+	relay.pass(answer);
+	answer.end();
+	expect(answer.isWhole).toEqual(false);
 	relay.destroy();
 	expect(log).toEqual(['200', 'data: a\n\ndata', 'destroy']);
 });
+
+test('guards against a target that fills the memory with text that holds no event while another attempt goes on', () => {
+	const {sink} = createRecorder();
+	const relay = new ResponseRelay(sink, createRoute('r', {kind: 'streaming', isResumable: true}), undefined);
+	const answer = relay.open(head);
+	const comment = Buffer.from(`: ${'x'.repeat(100_000)}\n\n`);
+	expect(() => {
+		for (let count = 0; count < 10; count += 1) {
+			relay.addChunk(answer, comment);
+		}
+	}).toThrow(RangeError);
+});
--- a/src/forwarding/session-types/index.ts
+++ b/src/forwarding/session-types/index.ts
@@ -4,6 +4,7 @@
 import type {MonotonicMs} from '../../identity/ids/index.js';
 import type {RouterError} from '../../results/create-router-error/index.js';
 import type {CallerOrganisation, Route, ServiceId} from '../../routing/routing-types/index.js';
+import type {AttemptAnswer} from '../attempt-answer/index.js';
 import type {CallDeadline} from '../call-deadline/index.js';
 import type {ResponseHead, CallerSink, InboundCall} from '../call-types/index.js';
 import type {Exchange} from '../target-client/index.js';
@@ -29,6 +30,8 @@
 	readonly weightsVersion: number | undefined;
 	exchange: Exchange | undefined;
 	head: ResponseHead | undefined;
+	/** What has come of its answer; undefined before its head, and for a head that is no answer to the call. */
+	answer: AttemptAnswer | undefined;
 	/** When response data was last received; until then, when the call was sent. */
 	lastReceivedAt: MonotonicMs;
 	/** When response data last brought the response closer to its end. In a resumable stream, only complete events do. */
--- a/src/forwarding/start-attempt/index.ts
+++ b/src/forwarding/start-attempt/index.ts
@@ -48,7 +48,8 @@
 		call, route, organisation, target, hints, remainingMs, lastEventId, cacheStores: listCacheStores(),
 	});
 	const attempt: Attempt = {
-		target, weightsVersion: options.weightsVersion, exchange: undefined, head: undefined, lastReceivedAt: now, lastProgressAt: now, isPaused: false,
+		target, weightsVersion: options.weightsVersion, exchange: undefined, head: undefined, answer: undefined,
+		lastReceivedAt: now, lastProgressAt: now, isPaused: false,
 		record: target.beginCall(hints.estimatePrefillTokens(target, now), now, hints.memoryTokens),
 	};
 	attempt.exchange = targetClient.start(target, {
--- a/src/forwarding/target-client/index.ts
+++ b/src/forwarding/target-client/index.ts
@@ -155,6 +155,10 @@
 	}
 
 	abort(): void {
+		if (this.isDone) {
+			return;
+		}
+
 		this.isDone = true;
 		clearTimeout(this.connectTimer);
 		this.request.destroy();
--- a/src/gateway/calls-in-progress/index.ts
+++ b/src/gateway/calls-in-progress/index.ts
@@ -127,7 +127,7 @@
 		await waitForArrivedData();
 		const now = this.clock.readMonotonic();
 		for (const session of this.sessions) {
-			session.checkAttempt(now);
+			session.checkAttempts(now);
 		}
 
 		if (this.sessions.size > 0) {
--- a/src/statements/record-statements/test.ts
+++ b/src/statements/record-statements/test.ts
@@ -27,7 +27,7 @@
 function createAttemptAt(target: FleetTarget, sentAt: number): Attempt {
 	return {
 		target, record: target.beginCall(0, sentAt as MonotonicMs), weightsVersion: 1, exchange: undefined, head: undefined,
-		lastReceivedAt: sentAt as MonotonicMs, lastProgressAt: sentAt as MonotonicMs, isPaused: false,
+		lastReceivedAt: sentAt as MonotonicMs, lastProgressAt: sentAt as MonotonicMs, isPaused: false, answer: undefined,
 	};
 }
 
