Prefer a sound silent target to a temporary refusal of the next one

What callers saw: a call whose target was silent for more than a second was answered with the 429 or 408 of the target that it was sent to meanwhile.

Cause: only a status of 500 or more of one of two attempts left the call to the other one; a refusal without the mark "not run" and with another status was taken for the answer. A test over real connections got 429 before and the answer of the first target now. Answers about the call itself, such as 404, still end it: another target would say the same.

--- a/src/forwarding/answer-forwarder/test.ts
+++ b/src/forwarding/answer-forwarder/test.ts
@@ -1,7 +1,7 @@
 import {test} from 'node:test';
 import {expect} from 'earl';
 import {
-	answerAfterPause, continueStream, formatChunk, formatEvent, formatEvents, freezeWithinStream, idempotent, lastChunk,
+	answerAfterPause, continueStream, formatAnswer, formatChunk, formatEvent, formatEvents, freezeWithinStream, idempotent, lastChunk,
 	pauseWithinStream, playCall, resumableStream, streamHead, writeLater, type Script,
 } from '../../fixtures/play-call/index.js';
 import {createRoute, createRoutingConfiguration} from '../../fixtures/create-routing-configuration/index.js';
@@ -139,3 +139,12 @@
 	const {head, body, isComplete} = await playCall(t, {route: idempotent, scripts: [answerAfterPause, answerHalf]});
 	expect([readStatus(head), body, isComplete]).toEqual([200, 'first', true]);
 });
+
+test('guards against replacing the answer of a sound first target by an unmarked refusal of the second', async t => {
+	const refuseUnmarked: Script = (socket, id) => {
+		socket.write(formatAnswer(id, '429 Too Many Requests', 'no'));
+	};
+
+	const {head, body, isComplete} = await playCall(t, {route: idempotent, scripts: [answerAfterPause, refuseUnmarked]});
+	expect([readStatus(head), body, isComplete]).toEqual([200, 'first', true]);
+});
--- a/src/forwarding/attempt-handler/index.ts
+++ b/src/forwarding/attempt-handler/index.ts
@@ -16,6 +16,7 @@
 import type {CallTimes} from '../call-times/index.js';
 import type {ResponseHead} from '../call-types/index.js';
 import type {ForwardingContext} from '../forwarding-context/index.js';
+import {isTemporaryFailure} from '../is-temporary-failure/index.js';
 import type {AttemptFailure} from '../plan-next-step/index.js';
 import {recordHead} from '../record-head/index.js';
 import type {ResponseRelay} from '../response-relay/index.js';
@@ -241,7 +242,7 @@
 	/** Goes on with the other attempt if one is in flight, or retries an idempotent call, after an error response; returns whether it does. */
 	private replaceErrorResponse(attempt: Attempt, head: ResponseHead): boolean {
 		const {attempts, session: {route}} = this.call;
-		if (attempts.findOther(attempt) !== undefined && head.status >= firstServerErrorStatus) {
+		if (attempts.findOther(attempt) !== undefined && isTemporaryFailure(head.status)) {
 			attempt.exchange?.abort();
 			attempts.end(attempt, true);
 			this.continueOrFail('unknown', `response with status ${head.status}`, attempt);
