Keep a silent attempt until a target of another version has begun the stream

What callers saw: in a release, with two software versions side by side, a stream whose target was silent for 1.2 s before its first event was answered with 502 at once, or cut, when the target of the other version refused the call, broke off or was silent, too. Planned work and the silence of one sound target were enough.

Cause: the record of a stream names the version that may write its first event, and it could name one only. So the silent attempt was aborted before the second target, of another version, was even asked.

Change: while attempts at several versions are in flight, the record names all of them under one number, which the holders of records already read as "not certain": such a stream is not taken up. The first event that the caller gets records its version alone, under the next number. The form of the records on the wire and in the store is unchanged. Weighed: to make no such move leaves calls at frozen targets until their deadline; to wait for the head of the second answer would lose the call if it then breaks off.

--- a/src/forwarding/attempt-starter/index.ts
+++ b/src/forwarding/attempt-starter/index.ts
@@ -64,7 +64,8 @@
 		times.recordSent(now);
 		return startAttempt({
 			session, target, hints, guard, remainingMs: session.deadline.measureWorkMs(now),
-			lastEventId: relay.readLastEventId(), isRepeatable: isRepeatable(session.route), origin, number: attempts.count,
+			lastEventId: relay.readLastEventId(), isRepeatable: isRepeatable(session.route),
+			origin, otherTargets: attempts.inFlight.map(attempt => attempt.target),
 		}, this.context, listener, now);
 	}
 
--- a/src/forwarding/call-move/index.ts
+++ b/src/forwarding/call-move/index.ts
@@ -52,10 +52,6 @@
 			this.leave(stalled, now);
 		}
 
-		if (attempts.current !== undefined && !selection.origin.allowsBoth(attempts.current.target, plan.target)) {
-			this.leave(attempts.current, now);
-		}
-
 		const attempt = starter.send(plan.target, now);
 		this.reportMove(stalled, attempt);
 		if (attempts.current === undefined) {
--- a/src/forwarding/call-move/test.ts
+++ b/src/forwarding/call-move/test.ts
@@ -7,7 +7,11 @@
 	type PlayOptions, type Script, type TargetEvent,
 } from '../../fixtures/play-call/index.js';
 import {sendRawRequest} from '../../fixtures/send-raw-request/index.js';
+import type {StreamOrigins} from '../stream-origins/index.js';
+import type {MonotonicMs, SoftwareVersion} from '../../identity/ids/index.js';
 import {RetryBudget} from '../../requests/retry-budget/index.js';
+import type {StreamKey} from '../../resumption/stream-key/index.js';
+import {StreamRegister} from '../../resumption/stream-register/index.js';
 
 const failures: ReadonlyArray<readonly [string, Script]> = [
 	['refuses', refuse], ['breaks off', breakOff], ['answers another call', answerAnotherCall], ['answers with an error', answerError], ['is silent, too', staySilent],
@@ -141,20 +145,64 @@
 	expect([closedAttempts(events), countCalls()]).toEqual([[1, 2], 0]);
 });
 
+/** Records the versions that may begin the stream, as the instances that keep the record see them. */
+function createRecordedOrigins() {
+	const register = new StreamRegister();
+	const key = 'k' as StreamKey;
+	const streamOrigins: StreamOrigins = {
+		record(_stream, {software, recording, expiresAt}) {
+			register.add({
+				key, software, recording, expiresAt,
+			}, 0 as MonotonicMs);
+		},
+		find: async () => undefined,
+	};
+	return {streamOrigins, find: () => register.find(key, 0 as MonotonicMs)};
+}
+
+test('guards against ending the silent attempt before its stream has an event when another software version takes the call over', async t => {
+	const beginLate: Script = (socket, id) => {
+		writeLater(socket, streamHead(id) + formatChunk(formatEvents(1, 2)) + lastChunk, 1900);
+	};
+
+	const uselessAnswers: readonly Script[] = [refuse, breakOff, staySilent, (socket, id) => {
+		socket.write(streamHead(id));
+	}];
+	for (const fail of uselessAnswers) {
+		const {streamOrigins, find} = createRecordedOrigins();
+		const {body, isComplete} = await playCall(t, {
+			route: {...resumableStream, maximumAttempts: 2}, scripts: [beginLate, fail], softwareVersions: ['v1', 'v2'], streamOrigins,
+		});
+		expect([body, isComplete, find()]).toEqual([formatEvents(1, 2), true, 'v1']);
+	}
+});
+
 test('guards against a stream that begins at one software version while its record names the other', async t => {
+	const eventDelayMs = 300;
+	const {streamOrigins, find} = createRecordedOrigins();
+	const findings: unknown[] = [];
 	const beginLate: Script = (socket, id) => {
-		writeLater(socket, streamHead(id) + formatChunk(formatEvent(1)) + lastChunk, 1500);
+		writeLater(socket, streamHead(id) + formatChunk(formatEvent(1)) + lastChunk, 1900);
 	};
 
 	const answerLate: Script = (socket, id) => {
-		writeLater(socket, streamHead(id) + formatChunk(formatEvent(1)) + formatChunk(formatEvent(2)) + lastChunk, 500);
+		setTimeout(() => {
+			findings.push(find());
+		}, eventDelayMs / 2);
+		writeLater(socket, streamHead(id) + formatChunk(formatEvent(1)), eventDelayMs);
+		setTimeout(() => {
+			findings.push(find());
+			socket.write(formatChunk(formatEvent(2)) + lastChunk);
+		}, eventDelayMs + 50);
 	};
 
-	const {body, isComplete, events} = await playCall(t, {route: resumableStream, scripts: [beginLate, answerLate], softwareVersions: ['v1', 'v2']});
-	expect([body, isComplete]).toEqual([formatEvents(1, 2), true]);
-	const moved = events.find(({attempt, type}) => attempt === 2 && type === 'received')!.atMs;
+	const {body, isComplete, events} = await playCall(t, {
+		route: resumableStream, scripts: [beginLate, answerLate], softwareVersions: ['v1', 'v2'], streamOrigins,
+	});
+	expect([body, isComplete, findings]).toEqual([formatEvents(1, 2), true, ['conflicting', 'v2']]);
+	const eventAt = events.find(({attempt, type}) => attempt === 2 && type === 'received')!.atMs + eventDelayMs;
 	const closed = events.find(({attempt, type}) => attempt === 1 && type === 'closed')!.atMs;
-	expect(Math.abs(closed - moved) < 100).toEqual(true);
+	expect(Math.abs(closed - eventAt) < 100).toEqual(true);
 });
 
 test('guards against leaving a silent target for one whose answer breaks off after its head', async t => {
--- a/src/forwarding/start-attempt/index.ts
+++ b/src/forwarding/start-attempt/index.ts
@@ -21,9 +21,10 @@
 	readonly lastEventId: string | undefined;
 	/** Whether the call may run again; otherwise it gets a new connection. */
 	readonly isRepeatable: boolean;
-	/** Version that the call's stream is bound to, and the number of the attempt, from 1. */
+	/** Version that the call's stream is bound to. */
 	readonly origin: StreamOrigin;
-	readonly number: number;
+	/** Targets of the attempts that stay in flight. */
+	readonly otherTargets: readonly FleetTarget[];
 };
 
 /** Receives what comes back for an attempt. */
@@ -42,7 +43,7 @@
 	const {call, route, organisation, body} = session;
 	const {protocol, listCacheStores, targetClient, reachability} = context;
 	guard.recordSent();
-	attemptRequest.origin.recordSent(target, attemptRequest.number);
+	attemptRequest.origin.recordSent([...attemptRequest.otherTargets, target]);
 	context.limits.take(target, now);
 	const options = buildAttemptOptions({
 		call, route, organisation, target, hints, remainingMs, lastEventId, cacheStores: listCacheStores(),
--- a/src/forwarding/stream-origin/index.ts
+++ b/src/forwarding/stream-origin/index.ts
@@ -18,6 +18,10 @@
 	private software: SoftwareVersion | undefined;
 	/** Whether the caller has an event of this answer. */
 	private hasEvent = false;
+	/** Number of times that the stream was recorded. */
+	private recordings = 0;
+	/** Versions named by the last recording. */
+	private recorded: ReadonlySet<SoftwareVersion> = new Set();
 
 	constructor(private readonly session: StreamCall, private readonly origins: StreamOrigins) {}
 
@@ -58,34 +62,43 @@
 	}
 
 	/**
-	 * Records that the call is sent to `target`, in its attempt with this number. Until the first event comes, the record can
-	 * reach the instances and the object API that keep it.
+	 * Records that the call is in flight at `targets`, any of which may write the first event. Until that comes, the record can
+	 * reach the instances and the object API that keep it. While it names several versions, a stream is not taken up.
 	 */
-	recordSent({description}: FleetTarget, attempt: number): void {
-		const {call, route, service, organisation, arrivedAt} = this.session;
-		const firstRequest = this.isTakenUp ? call.resumes : call.id;
-		if (firstRequest !== undefined && route.kind === 'streaming' && route.isResumable && !this.hasEvent) {
-			const expiresAt = arrivedAt + (call.waitMs ?? route.timeoutMs) as MonotonicMs;
-			this.origins.record({service, organisation: organisation?.id, firstRequest}, {software: description.softwareVersion, attempt, expiresAt});
+	recordSent(targets: readonly FleetTarget[]): void {
+		if (!this.hasEvent) {
+			this.record(new Set(targets.map(({description}) => description.softwareVersion)));
 		}
 	}
 
-	/**
-	 * Whether attempts at both targets may be in flight at the same time. Until the first event comes, either may write it, and
-	 * the record names one version only.
-	 */
-	allowsBoth({description: first}: FleetTarget, {description: second}: FleetTarget): boolean {
-		return this.session.route.kind !== 'streaming' || this.hasEvent || first.softwareVersion === second.softwareVersion;
-	}
-
 	/** Binds the stream: the caller gets an event of `target`. */
-	recordEvent({description}: FleetTarget): void {
+	recordEvent({description: {softwareVersion}}: FleetTarget): void {
+		if (!this.hasEvent && this.recorded.size > 1) {
+			this.record(new Set([softwareVersion]));
+		}
+
 		this.hasEvent = true;
-		this.software ??= description.softwareVersion;
+		this.software ??= softwareVersion;
 	}
 
 	/** Whether the call may be sent to `target`. */
 	allows({description}: FleetTarget): boolean {
 		return this.software === undefined || description.softwareVersion === this.software;
 	}
+
+	/** Records the versions that may write the first event, in place of those recorded before. */
+	private record(versions: ReadonlySet<SoftwareVersion>): void {
+		const {call, route, service, organisation, arrivedAt} = this.session;
+		const firstRequest = this.isTakenUp ? call.resumes : call.id;
+		if (firstRequest === undefined || route.kind !== 'streaming' || !route.isResumable) {
+			return;
+		}
+
+		this.recordings += 1;
+		this.recorded = versions;
+		const expiresAt = arrivedAt + (call.waitMs ?? route.timeoutMs) as MonotonicMs;
+		for (const software of versions) {
+			this.origins.record({service, organisation: organisation?.id, firstRequest}, {software, recording: this.recordings, expiresAt});
+		}
+	}
 }
--- a/src/forwarding/stream-origin/test.ts
+++ b/src/forwarding/stream-origin/test.ts
@@ -14,15 +14,28 @@
 	const older = createFleetTarget('t1');
 	const newer = createFleetTarget('t2', {softwareVersion: 'v2' as SoftwareVersion});
 	expect([origin.isBound, origin.allows(older), origin.allows(newer)]).toEqual([false, true, true]);
-	origin.recordSent(newer, 1);
-	origin.recordSent(older, 2);
+	origin.recordSent([newer]);
+	origin.recordSent([older]);
 	origin.recordEvent(older);
-	origin.recordSent(newer, 3);
+	origin.recordSent([newer]);
 	origin.recordEvent(newer);
 	expect([origin.isBound, origin.allows(older), origin.allows(newer)]).toEqual([true, true, false]);
 	expect(records).toEqual([['c1', 'v2', 1, 1000], ['c1', 'v1', 2, 1000]]);
 });
 
+test('guards against a record that names one version while two may write the first event, and one that names two after it', () => {
+	const records: unknown[] = [];
+	const origin = createStreamOrigin({}, undefined, records);
+	const older = createFleetTarget('t1');
+	const newer = createFleetTarget('t2', {softwareVersion: 'v2' as SoftwareVersion});
+	origin.recordSent([older]);
+	origin.recordSent([older, newer]);
+	origin.recordEvent(older);
+	origin.recordEvent(older);
+	expect(records).toEqual([['c1', 'v1', 1, 1000], ['c1', 'v1', 2, 1000], ['c1', 'v2', 2, 1000], ['c1', 'v1', 3, 1000]]);
+	expect([origin.allows(older), origin.allows(newer)]).toEqual([true, false]);
+});
+
 test('guards against a stream taken up that forgets under which request it began, or goes on although its version is not certain', async () => {
 	const records: unknown[] = [];
 	const takenUp = {lastEventId: '7', resumes: 'c0' as RequestId};
@@ -30,7 +43,7 @@
 	expect([origin.isBound, await origin.bindTakenUp(), origin.isBound]).toEqual([false, true, true]);
 	const target = createFleetTarget('t2', {softwareVersion: 'v2' as SoftwareVersion});
 	expect([origin.allows(target), origin.allows(createFleetTarget('t1'))]).toEqual([true, false]);
-	origin.recordSent(target, 1);
+	origin.recordSent([target]);
 	expect(records).toEqual([['c0', 'v2', 1, 1000]]);
 	expect(await createStreamOrigin(takenUp).bindTakenUp()).toEqual(false);
 	expect(await createStreamOrigin({}).bindTakenUp()).toEqual(true);
--- a/src/forwarding/stream-origins/index.ts
+++ b/src/forwarding/stream-origins/index.ts
@@ -19,15 +19,18 @@
 /** What an attempt will have begun if the caller gets an event of it. */
 export type StreamBeginning = {
 	readonly software: SoftwareVersion;
-	/** Number of the attempt; from 1. */
-	readonly attempt: number;
+	/** Number of the recording of this stream; from 1. */
+	readonly recording: number;
 	/** When the caller no longer waits. */
 	readonly expiresAt: MonotonicMs;
 };
 
 /** Remembers the versions that began streams. */
 export type StreamOrigins = {
-	/** Records the version that is to write the first event of a stream; a later attempt replaces an earlier one. */
+	/**
+	 * Records a version that may write the first event of a stream. A later recording replaces an earlier one; several versions
+	 * of one recording leave it open which of them writes the event.
+	 */
 	record(stream: StreamIdentity, beginning: StreamBeginning): void;
 	/** Finds the version that began a stream; undefined if it is not certain. */
 	find(stream: TakenUpStream): Promise<SoftwareVersion | undefined>;
--- a/src/resumption/holder-records/index.ts
+++ b/src/resumption/holder-records/index.ts
@@ -106,7 +106,7 @@
 		const expiresAt = now + this.options.readLongestWaitMs() as MonotonicMs;
 		for (const {key, software} of this.parse(holderPrefix + this.options.self, value)) {
 			this.held.add({
-				key, software, attempt: 1, expiresAt,
+				key, software, recording: 1, expiresAt,
 			}, now);
 		}
 	}
--- a/src/resumption/stream-directory/index.ts
+++ b/src/resumption/stream-directory/index.ts
@@ -70,10 +70,10 @@
 		this.historyRecord.notify();
 	}
 
-	record(stream: StreamIdentity, {software, attempt, expiresAt}: StreamBeginning): void {
+	record(stream: StreamIdentity, {software, recording, expiresAt}: StreamBeginning): void {
 		const now = this.options.clock.readMonotonic();
 		const record = {
-			key: hashStream(stream), software, attempt, expiresAt,
+			key: hashStream(stream), software, recording, expiresAt,
 		};
 		this.own.add(record, now);
 		if (this.history.list(stream.service, now).length > 1) {
--- a/src/resumption/stream-messages/index.ts
+++ b/src/resumption/stream-messages/index.ts
@@ -27,13 +27,13 @@
 
 /** Formats records as they are sent at `now`. */
 export function formatStreamRecords(records: readonly StreamRecord[], now: MonotonicMs): unknown {
-	return records.map(({key, software, attempt, expiresAt}) => [key, software, Math.max(0, Math.round(expiresAt - now)), attempt]);
+	return records.map(({key, software, recording, expiresAt}) => [key, software, Math.max(0, Math.round(expiresAt - now)), recording]);
 }
 
 /** Parses records received at `now`. Throws if they are malformed. */
 export function parseStreamRecords(body: unknown, now: MonotonicMs): StreamRecord[] {
-	return recordsSchema.parse(body).map(([key, software, remainingMs, attempt]) => ({
-		key, software: software as SoftwareVersion, attempt, expiresAt: now + remainingMs as MonotonicMs,
+	return recordsSchema.parse(body).map(([key, software, remainingMs, recording]) => ({
+		key, software: software as SoftwareVersion, recording, expiresAt: now + remainingMs as MonotonicMs,
 	}));
 }
 
--- a/src/resumption/stream-register/index.ts
+++ b/src/resumption/stream-register/index.ts
@@ -8,20 +8,20 @@
 export type StreamRecord = {
 	readonly key: StreamKey;
 	readonly software: SoftwareVersion;
-	/** Number of the call's attempt. A later attempt replaces an earlier one, which brought no event. */
-	readonly attempt: number;
+	/** Number of the recording of the stream. A later one replaces those before, which brought no event. */
+	readonly recording: number;
 	/** When the caller no longer waits for the stream. */
 	readonly expiresAt: MonotonicMs;
 };
 
 type Entry = {
-	/** Undefined if two streams with the same key began at different versions, so that nothing is known of either. */
+	/** Undefined if two versions may have begun it: both were asked, or two streams have the same key. */
 	readonly software: SoftwareVersion | undefined;
-	readonly attempt: number;
+	readonly recording: number;
 	readonly expiresAt: MonotonicMs;
 };
 
-/** What is known of a stream. `conflicting`: its key was used for streams of two versions. */
+/** What is known of a stream. `conflicting`: two versions may have begun it. */
 export type StreamFinding = SoftwareVersion | 'conflicting' | undefined;
 
 /** Limit of the remembered streams; above it, the least recently used one is forgotten. */
@@ -37,18 +37,18 @@
 		return this.entries.size;
 	}
 
-	/** Records a stream; a later expiry replaces an earlier one, and a later attempt all before it. */
-	add({key, software, attempt, expiresAt}: StreamRecord, now: MonotonicMs): void {
+	/** Records a stream; a later expiry replaces an earlier one, and a later recording all before it. */
+	add({key, software, recording, expiresAt}: StreamRecord, now: MonotonicMs): void {
 		const existing = this.findEntry(key, now);
-		const isKnown = existing?.attempt === attempt && existing.software === software && existing.expiresAt >= expiresAt;
-		if (isKnown || (existing !== undefined && attempt < existing.attempt)) {
+		const isKnown = existing?.recording === recording && existing.software === software && existing.expiresAt >= expiresAt;
+		if (isKnown || (existing !== undefined && recording < existing.recording)) {
 			return;
 		}
 
-		const hasConflict = existing?.attempt === attempt && existing.software !== software;
+		const hasConflict = existing?.recording === recording && existing.software !== software;
 		this.changeCount += 1;
 		this.entries.set(key, {
-			software: hasConflict ? undefined : software, attempt, expiresAt: Math.max(expiresAt, existing?.expiresAt ?? 0) as MonotonicMs,
+			software: hasConflict ? undefined : software, recording, expiresAt: Math.max(expiresAt, existing?.expiresAt ?? 0) as MonotonicMs,
 		});
 	}
 
@@ -61,10 +61,10 @@
 	/** Lists the streams whose version is known. */
 	list(now: MonotonicMs): StreamRecord[] {
 		const records: StreamRecord[] = [];
-		for (const [key, {software, attempt, expiresAt}] of this.entries.entries()) {
+		for (const [key, {software, recording, expiresAt}] of this.entries.entries()) {
 			if (software !== undefined && expiresAt > now) {
 				records.push({
-					key, software, attempt, expiresAt,
+					key, software, recording, expiresAt,
 				});
 			}
 		}
--- a/src/resumption/stream-register/test.ts
+++ b/src/resumption/stream-register/test.ts
@@ -6,9 +6,9 @@
 
 const at = (ms: number) => ms as MonotonicMs;
 
-function createRecord(key: string, software: string, expiresAt: number, attempt = 1): StreamRecord {
+function createRecord(key: string, software: string, expiresAt: number, recording = 1): StreamRecord {
 	return {
-		key: key as StreamKey, software: software as SoftwareVersion, attempt, expiresAt: at(expiresAt),
+		key: key as StreamKey, software: software as SoftwareVersion, recording, expiresAt: at(expiresAt),
 	};
 }
 
