Serve a caller that ends its sending side after the head of its answer

What callers saw: a caller that ended its sending side a moment after the head of its answer was cut at once; one that did so a moment before the head got the whole answer. A stream's head comes within milliseconds, so the same caller was served or cut depending on who was faster.

Cause: CallerWatch sent interim responses to such a caller only before the head, and took every end of the caller's side after it for its leave.

Evidence: the new tests over real connections failed with `callerGone` in place of `answered` (nonIdempotent and streaming), with a reset in place of the second half of a body with a length, and with `callerGone` for a stream that its target broke off.

Why the fix works: in an answer in chunks, a zero before the size of the next chunk changes neither the size nor the body, and a write is what brings the reset of a caller that has left; the next one fails, so the call ends some 25 ms after the caller has gone. A lenient parser may take such a zero before the end of the connection for the last chunk, so an answer that is broken off after its caller has ended its side now ends with a reset (test: without it, the caller's connection ends in order). At most eight zeros precede a size, since some clients accept 16 digits.

--- a/src/http/watch-caller/index.ts
+++ b/src/http/watch-caller/index.ts
@@ -3,9 +3,13 @@
  *
  * A caller may end its sending side after a whole request and still read the answer. That looks the same as a caller that has
  * closed its connection, until something is written to it: the system of a caller that has left answers with a reset, and the
- * write after that fails. So a caller that ends its side before its answer has begun gets interim responses, which it may
- * discard. Nothing may be written between the parts of an answer that has begun; a caller that ends its side then counts as
- * gone, because one that only has nothing more to send would have done so after its request.
+ * write after that fails. So a caller that has ended its side gets bytes that are no part of its answer, and is served until a
+ * write fails:
+ *
+ * - Before the answer has begun, these are interim responses, which a caller may discard.
+ * - Within an answer in chunks, they are zeros before the size of the next chunk, which change neither the size nor the body.
+ *   An answer that breaks off after them must end with a reset, since a lenient parser may take a zero for the last chunk.
+ * - Within an answer with a length, nothing may be written but its body, so only the body shows whether the caller is there.
  */
 
 import type {ServerResponse} from 'node:http';
@@ -13,15 +17,22 @@
 import {abortResponse} from '../abort-response/index.js';
 import {waitForArrivedData} from '../wait-for-arrived-data/index.js';
 
-/** Time between the first two interim responses, in milliseconds; each pause after it is twice as long. */
+/** Time between the first two probes, in milliseconds; each pause after it is twice as long, until the answer goes on. */
 const probePauseMs = 25;
 const pauseFactor = 2;
+/** Zeros before the size of one chunk. Some clients accept no more than 16 digits, of which the size itself needs up to 8. */
+const maximumZeros = 8;
 /** Time for which a request waits whose caller has ended its side before it was read, in milliseconds; long enough for three interim responses. */
 const confirmationMs = 90;
 
 /** Watches one caller until its response has ended. */
 export class CallerWatch {
 	private timer: NodeJS.Timeout | undefined;
+	/** Bytes written to the connection up to the last probe; more of them are of the answer. */
+	private writtenBytes = 0;
+	/** Zeros written since the answer last went on. */
+	private zeros = 0;
+
 	constructor(private readonly response: ServerResponse) {
 		const {req: {socket}} = response;
 		const handleEnd = () => {
@@ -54,23 +65,55 @@
 	}
 
 	private handleEnd(): void {
-		if (this.response.headersSent) {
-			abortResponse(this.response);
-		} else {
-			this.probe(probePauseMs);
+		const {response} = this;
+		const {socket} = response.req;
+		if (response.headersSent && socket.writableEnded) {
+			// The server doesn't serve callers that have ended their side.
+			abortResponse(response);
+			return;
 		}
+
+		this.writtenBytes = socket.bytesWritten;
+		this.probe(probePauseMs);
 	}
 
-	/** Sends interim responses until the answer begins. Callers of HTTP/1.0 know none; a write of the answer shows whether they are there. */
+	/** Sends a probe, unless the answer itself has gone on since the last one, and the next one after `pauseMs`, until the answer ends. */
 	private probe(pauseMs: number): void {
 		const {response} = this;
-		if (response.headersSent || response.destroyed || response.req.httpVersion === '1.0') {
+		if (response.writableEnded || response.destroyed || !canProbe(response)) {
 			return;
 		}
 
-		response.writeContinue();
+		const {socket} = response.req;
+		const hasContinued = socket.bytesWritten > this.writtenBytes;
+		if (hasContinued) {
+			this.zeros = 0;
+		} else {
+			this.sendProbe();
+		}
+
+		this.writtenBytes = socket.bytesWritten;
+		const nextPauseMs = hasContinued ? probePauseMs : pauseMs;
 		this.timer = setTimeout(() => {
-			this.probe(pauseMs * pauseFactor);
-		}, pauseMs);
+			this.probe(nextPauseMs * pauseFactor);
+		}, nextPauseMs);
 	}
+
+	private sendProbe(): void {
+		const {response} = this;
+		if (!response.headersSent) {
+			response.writeContinue();
+		} else if (response.socket !== null && this.zeros < maximumZeros) {
+			this.zeros += 1;
+			// The head may still wait for the first chunk.
+			response.flushHeaders();
+			// Node.js writes chunks only as a whole, so what is written between two of its writes precedes the size of a chunk.
+			response.socket.write('0');
+		}
+	}
+}
+
+/** Whether anything may be written that is no part of the answer. Callers of HTTP/1.0 know neither interim responses nor chunks. */
+function canProbe({req: {httpVersion}, headersSent, chunkedEncoding}: ServerResponse): boolean {
+	return httpVersion !== '1.0' && (!headersSent || chunkedEncoding);
 }
