Log a cut of a caller that has ended its side as one by this instance

What on-call saw: `answer not completed` told `endedBy=caller` for a caller that had only ended its sending side and was cut at its deadline.

Cause: each connection whose incoming side had ended counted as one that its caller had ended. Such callers are served until a write fails.

Why the fix works: a caller that has left shows by a failed write, and the socket then has an error; without one the instance ended the connection. Where a server answers the end of a connection with its own, as that for other instances does, the caller still counts as the one that ended it. The test of a caller that leaves now closes its connection.

--- a/src/gateway/log-incomplete-answer/index.ts
+++ b/src/gateway/log-incomplete-answer/index.ts
@@ -7,7 +7,7 @@
 import type {MonotonicMs, RequestId, Revision} from '../../identity/ids/index.js';
 import type {EventLogger} from '../../logging/create-logger/index.js';
 
-/** Who ended the connection: the caller in order, a reset or another failure of the connection, or this instance. */
+/** Who ended the connection: the caller in order, so that it takes no more; a reset or another failure of the connection; or this instance. */
 export type ConnectionEnd = 'caller' | 'failure' | 'instance';
 
 /** State of a call at one time. */
@@ -35,9 +35,10 @@
 }
 
 function findConnectionEnd({req: {socket}}: ServerResponse): ConnectionEnd {
-	if (socket.errored) {
-		return 'failure';
+	if (!socket.readableEnded) {
+		return socket.errored ? 'failure' : 'instance';
 	}
 
-	return socket.readableEnded ? 'caller' : 'instance';
+	// A caller that has ended its side is there until a write fails, unless the server answers the end with its own.
+	return socket.errored !== null || socket.writableEnded ? 'caller' : 'instance';
 }
--- a/src/gateway/log-incomplete-answer/test.ts
+++ b/src/gateway/log-incomplete-answer/test.ts
@@ -1,4 +1,4 @@
-import {once} from 'node:events';
+import {on} from 'node:events';
 import {connect, type Socket} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
 import {test, type TestContext} from 'node:test';
@@ -37,7 +37,7 @@
 	const socket = connect(parseAddress(gateway.address));
 	socket.on('error', () => undefined);
 	socket.write('POST /x HTTP/1.1\r\nHost: h\r\nx-id: c1\r\nContent-Length: 4\r\n\r\nbody');
-	await once(socket, 'data');
+	await readFirstEvent(socket);
 	gateway.apply(createRoutingConfiguration({revision: 2 as Revision, routes: [route]}));
 	end(socket);
 	await delay(600);
@@ -45,15 +45,30 @@
 	return lines;
 }
 
+/** Waits until the first event has arrived; a caller that closes its connection earlier resets it. */
+async function readFirstEvent(socket: Socket): Promise<void> {
+	let received = '';
+	for await (const [data] of on(socket, 'data')) {
+		received += String(data);
+		if (received.includes('id: 1')) {
+			return;
+		}
+	}
+}
+
 test('guards against a cut by this instance that the logs do not tell from a caller that left', async t => {
 	const expected = {
 		id: 'c1', requestRead: true, headSent: true, revision: 1, revisionAtEnd: 2,
 	};
 	const byInstance = await collectLines(t, () => undefined);
 	expect(byInstance).toEqual([{...expected, endedBy: 'instance', durationMs: expect.a(Number)}]);
-	const byCaller = await collectLines(t, socket => {
+	const byInstanceAfterEnd = await collectLines(t, socket => {
 		socket.end();
 	});
+	expect(byInstanceAfterEnd).toEqual([{...expected, endedBy: 'instance', durationMs: expect.a(Number)}]);
+	const byCaller = await collectLines(t, socket => {
+		socket.destroy();
+	});
 	expect(byCaller).toEqual([{...expected, endedBy: 'caller', durationMs: expect.a(Number)}]);
 	const byReset = await collectLines(t, socket => {
 		socket.resetAndDestroy();
