Log the timeout in force and the silence of the target at the end of a call

What on-call saw: an answer cut at its deadline, or a call answered at it, was logged as `targetTimeout` without the timeout in force and without a word on whether its target had been silent.

Cause: the line of an ended call had the times of its first and last data, but not the deadline, which a changed configuration may raise.

Why it works: `CallDeadline` tells the time that the call had in the end, and the attempt in flight when the call ended knows when it last received something. An attempt that is paused until the caller reads counts as no silence of its target.

--- a/src/forwarding/call-deadline/index.ts
+++ b/src/forwarding/call-deadline/index.ts
@@ -35,6 +35,11 @@
 		return this.options.route.id;
 	}
 
+	/** Time from the arrival of the call to the deadline in force, in whole milliseconds. */
+	get timeoutMs(): number {
+		return Math.round(this.time - this.options.arrivedAt);
+	}
+
 	/** Returns the deadline in force. */
 	read(): MonotonicMs {
 		return this.time;
--- a/src/forwarding/call-deadline/test.ts
+++ b/src/forwarding/call-deadline/test.ts
@@ -24,6 +24,7 @@
 	expect([deadline.extend({timeoutMs: 2000}), deadline.read()]).toEqual([true, 3000 as MonotonicMs]);
 	expect([deadline.extend({timeoutMs: 200}), deadline.read()]).toEqual([false, 3000 as MonotonicMs]);
 	expect([deadline.extend({timeoutMs: 9000}), deadline.read()]).toEqual([true, 4000 as MonotonicMs]);
+	expect(deadline.timeoutMs).toEqual(3000);
 });
 
 test('gives targets the time of the caller for streams, and that of the route for other calls', () => {
--- a/src/forwarding/report-call/index.ts
+++ b/src/forwarding/report-call/index.ts
@@ -17,14 +17,25 @@
 };
 
 /** Reports a call that has ended. */
-export function reportCall(context: ForwardingContext, {call, route, organisation}: SessionOptions, summary: CallSummary): void {
+export function reportCall(context: ForwardingContext, session: SessionOptions, summary: CallSummary): void {
+	const {call, route, organisation, deadline} = session;
 	const {outcome, status, attempt, attempts, passedBytes, times} = summary;
 	context.logger.info('call finished', {
 		id: call.id, outcome, status, route: route.id, organisation: organisation?.id, resumes: call.resumes, afterEvent: call.lastEventId,
 		target: attempt?.target.description.id, software: attempt?.target.description.softwareVersion, weights: attempt?.weightsVersion,
-		limit: attempt?.target.limit.read(), attempts, ...times, passedBytes,
+		limit: attempt?.target.limit.read(), attempts, ...times, timeoutMs: deadline.timeoutMs, silentMs: measureSilence(session, summary), passedBytes,
 	});
 	context.report({
 		outcome, status, durationMs: times.durationMs, route: route.id, attempts,
 	});
 }
+
+/** Measures for how long the last attempt had received nothing when the call ended, in milliseconds; undefined for one that was paused. */
+function measureSilence({arrivedAt}: SessionOptions, {attempt, times}: CallSummary): number | undefined {
+	if (attempt === undefined || attempt.isPaused) {
+		return undefined;
+	}
+
+	// The time of the end is rounded and can lie before that of the last data.
+	return Math.max(0, Math.round(arrivedAt + times.durationMs - attempt.lastReceivedAt));
+}
