Let the daemon answer callers that have ended their sending side

What callers saw: a caller of the daemon that ended its sending side after a whole request got an error answer (3004 streamBroken), or a cut stream, and its engine was told to stop. The gateway answers such callers.

Cause: the daemon had a check of its own, `isCallerConnected`, beside `CallerWatch`, and took the end of the caller's side for its leave.

Why the fix works: the daemon now watches its callers with `CallerWatch`, which tells both kinds apart by a write. The tests of callers that had left before their calls were read move to the modules that they test.

--- a/src/http/watch-caller/index.ts
+++ b/src/http/watch-caller/index.ts
@@ -67,9 +67,12 @@
 	private handleEnd(): void {
 		const {response} = this;
 		const {socket} = response.req;
-		if (response.headersSent && socket.writableEnded) {
-			// The server doesn't serve callers that have ended their side.
-			abortResponse(response);
+		if (socket.writableEnded) {
+			// The server has answered the end with its own, and the connection closes once what was written is sent.
+			if (response.headersSent) {
+				abortResponse(response);
+			}
+
 			return;
 		}
 
--- a/src/http/watch-caller/test.ts
+++ b/src/http/watch-caller/test.ts
@@ -7,6 +7,7 @@
 import {expect} from 'earl';
 import {createDescription} from '../../fixtures/create-fleet-target/index.js';
 import {createRoute, createRoutingConfiguration} from '../../fixtures/create-routing-configuration/index.js';
+import {sendAbandonedRequests} from '../../fixtures/send-abandoned-requests/index.js';
 import {startRawServer} from '../../fixtures/start-raw-server/index.js';
 import {startTestGateway} from '../../fixtures/start-test-gateway/index.js';
 import type {CallKind} from '../../routing/routing-types/index.js';
@@ -104,6 +105,31 @@
 	expect([atOnce.outcome, atOnce.runs]).toEqual(['callerGone', 0]);
 });
 
+const callCount = 10;
+const ways = (['close', 'reset'] as const).flatMap(leave => [true, false].map(isAccepted => ({leave, isAccepted})));
+
+test('guards against sending calls whose callers have left before they were read', async () => {
+	let sent = 0;
+	const server = await startRawServer(() => {
+		sent += 1;
+	});
+	const descriptions = [createDescription('t0', {address: server.address, weightsVersions: new Map()})];
+	const gateway = await startTestGateway(createRoutingConfiguration({routes: [createRoute('r', {host: '127.0.0.1'})]}), descriptions);
+	const requests = Array.from({length: callCount}, (_, index) => `POST /x HTTP/1.1\r\nHost: 127.0.0.1\r\nx-id: c${index}\r\nContent-Length: 4\r\n\r\nbody`);
+	try {
+		for (const way of ways) {
+			await sendAbandonedRequests(gateway.address, {requests, ...way});
+			expect({...way, sent}).toEqual({...way, sent: 0});
+		}
+
+		expect(gateway.reports.every(report => report.outcome === 'callerGone')).toEqual(true);
+		expect(gateway.listener.callsInProgress).toEqual(0);
+	} finally {
+		gateway.close();
+		server.close();
+	}
+});
+
 /** Time for which a target is silent within its answer, in milliseconds; longer than that for which a caller that has left is served. */
 const silenceMs = 500;
 const firstEvent = 'id: 1\ndata: a\n\n';
--- a/src/requests/caller-server/index.ts
+++ b/src/requests/caller-server/index.ts
@@ -54,7 +54,7 @@
 		this.server.maxConnections = limits.connections + maximumSurplusConnections;
 		// Node silently drops headers beyond this count, so its limit is disabled and `checkHeaderCount` enforces one.
 		this.server.maxHeadersCount = 0;
-		// A caller that half-closes the connection early still gets its response or an error; see `openCallSignal`.
+		// A caller that half-closes the connection still gets its response or an error; see `CallerWatch`.
 		Object.assign(this.server, {httpAllowHalfOpen: true});
 		this.addListeners();
 	}
@@ -171,7 +171,7 @@
 		this.inFlight += 1;
 		this.trackExchange({message, response});
 		this.trackResponse(response);
-		// `openCallSignal` detects a caller that disconnects while its response is written.
+		// A failed write shows that the caller has left; see `CallerWatch`.
 		response.on('error', () => undefined);
 		let result = 'ok';
 		try {
--- a/src/requests/open-call-signal/index.ts
+++ b/src/requests/open-call-signal/index.ts
@@ -1,17 +1,14 @@
 /** Abort signal of a call, for callers that disconnect and deadlines that pass. */
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {isCallerConnected} from '../../http/is-caller-connected/index.js';
+import type {CallerWatch} from '../../http/watch-caller/index.js';
 import {createRouterError, RouterError} from '../../results/create-router-error/index.js';
 
 /** Header with the maximum time that the caller waits for the complete response, in milliseconds. */
 export const timeoutHeader = 'x-timeout-ms';
 const maximumTimeoutMs = 3_600_000;
 
-/**
- * Creates the abort signal of a call; its reason is a `RouterError`. A caller that closes its sending side counts as
- * disconnected, since the call would otherwise occupy its slot at the engine until a write fails.
- */
+/** Creates the abort signal of a call; its reason is a `RouterError`. A `CallerWatch` of the response ends it once the caller has left. */
 export function openCallSignal(message: IncomingMessage, response: ServerResponse): AbortSignal {
 	const controller = new AbortController();
 	const timeoutMs = parseTimeout(message.headers[timeoutHeader]);
@@ -20,20 +17,14 @@
 	};
 
 	const timer = timeoutMs === undefined ? undefined : setTimeout(abort, timeoutMs, createRouterError('targetTimeout', 'the caller\'s deadline has passed'));
-	const onEnd = () => {
-		abort(createRouterError('streamBroken', 'the caller closed its side of the connection'));
-	};
-
-	message.socket.once('end', onEnd);
 	response.once('close', () => {
 		clearTimeout(timer);
-		message.socket.off('end', onEnd);
 		if (!response.writableFinished) {
-			abort(createRouterError('streamBroken', 'the caller closed the connection'));
+			abort(createCallerGoneError());
 		}
 	});
-	if (message.socket.readableEnded || message.socket.destroyed) {
-		onEnd();
+	if (message.socket.destroyed) {
+		abort(createCallerGoneError());
 	}
 
 	return controller.signal;
@@ -46,15 +37,19 @@
 	}
 }
 
-/** Throws if the caller of `message` has left by the time that everything which had arrived from it is read, or if `signal` has aborted. */
-export async function confirmCaller(message: IncomingMessage, signal: AbortSignal): Promise<void> {
-	const isConnected = await isCallerConnected(message);
+/** Throws if the caller has left by the time that everything which had arrived from it is read, or if `signal` has aborted. */
+export async function confirmCaller(caller: CallerWatch, signal: AbortSignal): Promise<void> {
+	const isConnected = await caller.confirm();
 	checkSignal(signal);
 	if (!isConnected) {
-		throw createRouterError('streamBroken', 'the caller closed the connection');
+		throw createCallerGoneError();
 	}
 }
 
+function createCallerGoneError(): RouterError {
+	return createRouterError('streamBroken', 'the caller closed the connection');
+}
+
 function parseTimeout(value: string | string[] | undefined): number | undefined {
 	if (value === undefined) {
 		return undefined;
--- a/src/requests/serve-completion/index.ts
+++ b/src/requests/serve-completion/index.ts
@@ -2,6 +2,7 @@
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {readJsonBody} from '../../http/read-body/index.js';
+import {CallerWatch} from '../../http/watch-caller/index.js';
 import {createRouterError, formatErrorBody, convertToRouterError} from '../../results/create-router-error/index.js';
 import {estimateTokens} from '../../placement/hash-prompt/index.js';
 import type {Configuration, ResolvedModel, ResolvedOrganisation} from '../../configuration/configuration/index.js';
@@ -22,12 +23,13 @@
 
 /** Serves one completion request. Rejects with a `RouterError` only if nothing was sent to the caller. */
 export async function serveCompletion(context: RouterContext, path: CompletionRequest['path'], message: IncomingMessage, response: ServerResponse): Promise<void> {
+	const caller = new CallerWatch(response);
 	const signal = openCallSignal(message, response);
 	const secret = extractSecret(message.headers);
 	rejectUnknownKey(context, secret);
 	const body = await readJsonBody(message, context.settings.limits.bodyBytes);
 	refuseSecrets(body, secret);
-	await confirmCaller(message, signal);
+	await confirmCaller(caller, signal);
 	const request = parseCompletionRequest(path, body);
 	const authorise = () => authoriseCompletion(context.readConfiguration(), request.modelName, secret);
 	const {organisation} = authorise();
--- a/src/requests/serve-service/index.ts
+++ b/src/requests/serve-service/index.ts
@@ -2,6 +2,7 @@
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {readBody} from '../../http/read-body/index.js';
+import {CallerWatch} from '../../http/watch-caller/index.js';
 import {createRouterError} from '../../results/create-router-error/index.js';
 import type {Configuration, ResolvedKey, ResolvedRoute} from '../../configuration/configuration/index.js';
 import {authenticateCaller, extractSecret} from '../authenticate-caller/index.js';
@@ -16,6 +17,7 @@
 import {writeServiceResponse} from '../write-service-response/index.js';
 
 export async function serveService(context: RouterContext, message: IncomingMessage, response: ServerResponse): Promise<void> {
+	const caller = new CallerWatch(response);
 	const signal = openCallSignal(message, response);
 	const secret = extractSecret(message.headers);
 	const path = new URL(message.url ?? '/', 'http://localhost').pathname;
@@ -23,7 +25,7 @@
 	const {route, key} = authoriseCall(context.readConfiguration(), path, secret);
 	const body = await readBody(message, context.settings.limits.bodyBytes);
 	refuseSecretBytes(body, message.headers['content-type'], secret);
-	await confirmCaller(message, signal);
+	await confirmCaller(caller, signal);
 	context.retryBudget.recordRequest();
 	const call = createCall(context, {
 		message, body, route, path, secret, signal,
