Split connections, model lists and checks of requests from the caller server

The server of the daemon had four jobs in 298 lines: its life cycle with the choice of what serves a request, the connections and the exchanges on them, the lists of models, and checks of request heads. Each of the last three is a module of its own now. No behaviour changes.

--- a/src/requests/caller-server/index.ts
+++ b/src/requests/caller-server/index.ts
@@ -4,23 +4,22 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {once} from 'node:events';
-import type {AddressInfo, Socket} from 'node:net';
-import type {Duplex} from 'node:stream';
+import type {AddressInfo} from 'node:net';
 import {abortResponse} from '../../http/abort-response/index.js';
 import {sendError, sendJson} from '../../http/send-json/index.js';
 import {parseAddress} from '../../http/parse-address/index.js';
 import {stopListening} from '../../http/stop-listening/index.js';
 import {convertToRouterError, createRouterError} from '../../results/create-router-error/index.js';
-import type {Configuration, ResolvedModel} from '../../configuration/configuration/index.js';
+import {answerClientError, endConnection, sendRawError} from '../answer-client-error/index.js';
+import {CallerConnections} from '../caller-connections/index.js';
 import {
-	answerClientError, endConnection, sendRawError, type OpenExchange,
-} from '../answer-client-error/index.js';
-import {authenticateCaller, extractSecret} from '../authenticate-caller/index.js';
+	checkHeaderCount, checkMethod, decodePathSegment, parseRequestUrl,
+} from '../check-request/index.js';
 import {serveCompletion} from '../serve-completion/index.js';
+import {serveModel, serveModels} from '../serve-models/index.js';
 import {serveService} from '../serve-service/index.js';
 import type {RouterContext} from '../router-context/index.js';
 
-const maximumHeaderCount = 100;
 /** Connections over the limit that are still accepted so that they get an error response. Any beyond are closed without one. */
 const maximumSurplusConnections = 64;
 /** Interval at which Node checks for requests that exceed the receive timeout. */
@@ -35,13 +34,11 @@
 	/** Number of requests being served. */
 	inFlight = 0;
 	private readonly server: Server;
-	private readonly sockets = new Set<Socket>();
-	private readonly exchanges = new WeakMap<Duplex, Set<OpenExchange>>();
-	private readonly responses = new Set<ServerResponse>();
-	private isClosing = false;
+	private readonly connections: CallerConnections;
 
 	constructor(private readonly context: RouterContext) {
 		const {limits} = context.settings;
+		this.connections = new CallerConnections(limits.connections);
 		const options = {
 			maxHeaderSize: limits.headerBytes,
 			requestTimeout: limits.receiveTimeoutMs,
@@ -69,7 +66,7 @@
 
 	/** Returns the number of open connections from callers. */
 	countConnections(): number {
-		return this.sockets.size;
+		return this.connections.count;
 	}
 
 	/**
@@ -78,12 +75,7 @@
 	 */
 	async close(): Promise<void> {
 		const serverClosed = once(this.server, 'close');
-		this.isClosing = true;
-		for (const response of this.responses) {
-			// Has no effect once the headers are sent; that connection is closed when it becomes idle.
-			response.shouldKeepAlive = false;
-		}
-
+		this.connections.leave();
 		await stopListening(this.server);
 		const timer = setInterval(() => {
 			this.server.closeIdleConnections();
@@ -94,21 +86,20 @@
 
 	/** Destroys all connections and aborts the requests on them. */
 	closeAllConnections(): void {
-		for (const response of this.responses) {
-			abortResponse(response);
-		}
-
+		this.connections.abortResponses();
 		this.server.closeAllConnections();
 	}
 
 	private addListeners(): void {
-		const {server, context} = this;
+		const {server, context, connections} = this;
 		server.on('connection', socket => {
-			this.admitConnection(socket);
+			if (!connections.admit(socket)) {
+				context.metrics.connectionErrors.inc({code: 'surplus'});
+			}
 		});
 		server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
 			context.metrics.connectionErrors.inc({code: error.code ?? 'unknown'});
-			answerClientError(error, socket, this.exchanges.get(socket) ?? new Set());
+			answerClientError(error, socket, connections.listExchanges(socket));
 		});
 		server.on('checkContinue', (message, response) => {
 			if (Number(message.headers['content-length'] ?? 0) <= context.settings.limits.bodyBytes) {
@@ -125,52 +116,15 @@
 		});
 	}
 
-	/** Refuses connections over the limit with an error response, so that callers can tell an overloaded instance from a dead one. */
-	private admitConnection(socket: Socket): void {
-		if (this.sockets.size >= this.context.settings.limits.connections) {
-			this.context.metrics.connectionErrors.inc({code: 'surplus'});
-			sendRawError(socket, createRouterError('overloaded', 'too many connections', {retryAfterSeconds: 1}));
-			return;
-		}
-
-		this.sockets.add(socket);
-		socket.once('close', () => {
-			this.sockets.delete(socket);
-		});
-	}
-
-	/** Tracks the open exchanges of each connection. There may be several, since callers may pipeline requests. */
-	private trackExchange(exchange: OpenExchange): void {
-		const {socket} = exchange.message;
-		const openExchanges = this.exchanges.get(socket) ?? new Set();
-		this.exchanges.set(socket, openExchanges.add(exchange));
-		exchange.response.once('close', () => {
-			openExchanges.delete(exchange);
-		});
-	}
-
-	/** Tracks open responses, so that those that end during shutdown carry `Connection: close`. */
-	private trackResponse(response: ServerResponse): void {
-		this.responses.add(response);
-		response.once('close', () => {
-			this.responses.delete(response);
-		});
-		if (this.isClosing) {
-			response.shouldKeepAlive = false;
-		}
-	}
-
 	private async handleRequest(message: IncomingMessage, response: ServerResponse): Promise<void> {
-		if (!this.sockets.has(message.socket) || message.socket.writableEnded) {
-			// The connection was refused or is closing. The caller has been told so, and none of its requests may run.
+		if (!this.connections.canServe(message.socket)) {
 			return;
 		}
 
 		const {metrics, clock} = this.context;
 		const startedAt = clock.readMonotonic();
 		this.inFlight += 1;
-		this.trackExchange({message, response});
-		this.trackResponse(response);
+		this.connections.trackExchange(message, response);
 		// A failed write shows that the caller has left; see `CallerWatch`.
 		response.on('error', () => undefined);
 		let result = 'ok';
@@ -199,7 +153,7 @@
 
 			case modelsPath: {
 				checkMethod(message, 'GET');
-				this.serveModels(message, response);
+				serveModels(this.context, message, response);
 				return;
 			}
 
@@ -212,7 +166,7 @@
 			default: {
 				if (url.pathname.startsWith(`${modelsPath}/`)) {
 					checkMethod(message, 'GET');
-					this.serveModel(decodePathSegment(url.pathname.slice(modelsPath.length + 1)), message, response);
+					serveModel(this.context, decodePathSegment(url.pathname.slice(modelsPath.length + 1)), message, response);
 					return;
 				}
 
@@ -221,23 +175,6 @@
 		}
 	}
 
-	private serveModels(message: IncomingMessage, response: ServerResponse): void {
-		const configuration = this.context.readConfiguration();
-		const key = authenticateCaller(configuration, extractSecret(message.headers));
-		sendJson(response, 200, {object: 'list', data: configuration.listModels(key.fleet).map(model => formatModel(model))});
-	}
-
-	private serveModel(name: string, message: IncomingMessage, response: ServerResponse): void {
-		const configuration: Configuration = this.context.readConfiguration();
-		const key = authenticateCaller(configuration, extractSecret(message.headers));
-		const model = configuration.findModel(name, key.fleet);
-		if (model === undefined) {
-			throw createRouterError('notFound', `model "${name}"`);
-		}
-
-		sendJson(response, 200, formatModel(model));
-	}
-
 	private sendErrorResponse(message: IncomingMessage, response: ServerResponse, error: unknown): void {
 		const routerError = convertToRouterError(error);
 		if (routerError.entry.name === 'internalError') {
@@ -261,38 +198,3 @@
 		sendError(response, routerError, {connection: 'close'});
 	}
 }
-
-function formatModel(model: ResolvedModel): unknown {
-	return {
-		id: model.name, object: 'model', created: 0, owned_by: 'laburnumturn',
-	};
-}
-
-function parseRequestUrl(message: IncomingMessage): URL {
-	const url = message.url ?? '/';
-	if (!url.startsWith('/') || url.startsWith('//') || !URL.canParse(url, 'http://localhost')) {
-		throw createRouterError('malformedRequest', 'the path is not valid');
-	}
-
-	return new URL(url, 'http://localhost');
-}
-
-function decodePathSegment(text: string): string {
-	try {
-		return decodeURIComponent(text);
-	} catch {
-		throw createRouterError('malformedRequest', 'the path is not valid');
-	}
-}
-
-function checkHeaderCount(message: IncomingMessage): void {
-	if (message.rawHeaders.length / 2 > maximumHeaderCount) {
-		throw createRouterError('headersTooLarge', `more than ${maximumHeaderCount} headers`);
-	}
-}
-
-function checkMethod(message: IncomingMessage, method: string): void {
-	if (message.method !== method) {
-		throw createRouterError('methodNotAllowed', `use ${method}`);
-	}
-}
