Log no invalid request where the connection of a call breaks

What on-call saw: `connection without a valid request` with EPIPE or ECONNRESET for each caller that left during its call, beside the line `answer not completed` of the same call.

Cause: Node.js reports each error of a connection as a client error, also one that breaks the connection of a call. Since callers that end their side after the head are served until a write fails, each one that leaves its stream made such a line.

Evidence: the test of the log failed before, with a line `connection without a valid request`, code EPIPE, before that of the call.

Why the fix works: a connection that is destroyed while a call on it is in progress has ended with that call, whose own line tells who ended it.

--- a/src/gateway/call-listener/index.ts
+++ b/src/gateway/call-listener/index.ts
@@ -208,6 +208,11 @@
 
 	/** Answers what is no valid request, unless a call on the connection is still to be answered, or the rest of its head waits unread. */
 	private async handleClientError(error: NodeJS.ErrnoException, socket: Socket): Promise<void> {
+		if (socket.destroyed && this.calls.listExchanges(socket).size > 0) {
+			// The connection of a call broke, which `logIncompleteAnswer` tells.
+			return;
+		}
+
 		const {bytesRead, bytesWritten} = socket;
 		if (error.code === requestTimeoutCode) {
 			await waitForArrivedData();
--- a/src/gateway/log-incomplete-answer/test.ts
+++ b/src/gateway/log-incomplete-answer/test.ts
@@ -14,14 +14,17 @@
 
 const route = createRoute('r', {host: 'h', kind: 'streaming', timeoutMs: 400});
 
-/** Sends a call whose target begins a stream and goes silent, and collects the log lines of incomplete answers. */
+/** Events that tell of the end of a connection. */
+const endEvents = new Set(['answer not completed', 'connection without a valid request']);
+
+/** Sends a call whose target begins a stream and goes silent, and collects the log lines of the end of its connection. */
 async function collectLines(t: TestContext, end: (socket: Socket) => void): Promise<LogFields[]> {
 	const lines: LogFields[] = [];
 	const logger = {
 		...quietLogger,
 		info(event: string, fields: LogFields = {}) {
-			if (event === 'answer not completed') {
-				lines.push(fields);
+			if (endEvents.has(event)) {
+				lines.push({event, ...fields});
 			}
 		},
 	};
@@ -58,7 +61,7 @@
 
 test('guards against a cut by this instance that the logs do not tell from a caller that left', async t => {
 	const expected = {
-		id: 'c1', requestRead: true, headSent: true, revision: 1, revisionAtEnd: 2,
+		event: 'answer not completed', id: 'c1', requestRead: true, headSent: true, revision: 1, revisionAtEnd: 2,
 	};
 	const byInstance = await collectLines(t, () => undefined);
 	expect(byInstance).toEqual([{...expected, endedBy: 'instance', durationMs: expect.a(Number)}]);
