Let an instance that stands still keep a call until the next one answers

Callers of an instance that reaches no target got 502, 503, 429, 504 or a cut answer for repeatable calls whose first other instance would have answered: it stood still for a second and went on.

The exchange with an instance was aborted as soon as it had been silent for 0.5 s, before the next instance was asked and even if there was none. The answer of the next one was not waited for.

Both instances now keep the call. The first one that delivers a part of its answer is preferred, and the other exchange is aborted in the same turn of the event loop, so that answers are never mixed and no instance works on. A bare head doesn't count, and a refusal waits for the other instance. Calls that may run once are still sent to one instance only, and at most two instances that may run a call have it.

--- a/src/handover/assess-handover/index.ts
+++ b/src/handover/assess-handover/index.ts
@@ -1,4 +1,4 @@
-/** Decides whether a call that was passed on goes on at the instance that took it, from what came of it so far. */
+/** Assesses a call at the instance that took it, from what came of it so far. */
 
 import type {MonotonicMs} from '../../identity/ids/index.js';
 
@@ -13,10 +13,10 @@
 	readonly isMember: boolean;
 };
 
-/** `silent`: the instance answers no call. `expired`: the caller waits no longer. `broken`: an answer that has begun won't go on. */
+/** `silent`: the instance answers no call; it may go on. `expired`: the caller waits no longer. `broken`: an answer that has begun won't go on. */
 export type HandoverAssessment = 'keep' | 'silent' | 'expired' | 'broken';
 
-/** Time without any byte from an instance after which a call no longer waits for it, in milliseconds. */
+/** Time without any byte from an instance after which a call may be sent to another one as well, in milliseconds. */
 const silenceMs = 500;
 /** Time without any byte from an instance that has left the fleet after which its answers are broken off, in milliseconds. */
 const lostAnswerMs = 1000;
--- a/src/handover/call-handover/index.ts
+++ b/src/handover/call-handover/index.ts
@@ -1,7 +1,8 @@
 /**
  * Passes calls on to another instance while this one reaches no target. The other instance treats them as calls of its own:
  * it checks the key, charges quotas and retries, and chooses the target. This one passes its answer back unchanged. A call is
- * passed on once at most: an instance that is cut off as well refuses it, and the next one is asked.
+ * passed on once at most: an instance that is cut off as well refuses it, and the next one is asked. If an instance answers
+ * nothing at all, a call that may be repeated is sent to a second one while the first keeps it.
  */
 
 import type {Clock} from '../../clock/clock/index.js';
@@ -13,6 +14,7 @@
 import type {Member} from '../../membership/member/index.js';
 import {calleeHeader, callerHeader} from '../../peers/peer-link/index.js';
 import type {RandomSource} from '../../random/random-source/index.js';
+import {AnswerRace} from '../answer-race/index.js';
 import {remainingHeader} from '../handover-headers/index.js';
 import type {PeerAvailability} from '../peer-availability/index.js';
 import {
@@ -90,36 +92,39 @@
 		return this.options.reachability.isCutOff;
 	}
 
-	/** Passes a call on; asks another instance if one refuses because it is cut off itself, can't be reached, or answers nothing. */
+	/** Passes a call on; asks another instance if one refuses because it is cut off itself, or can't be reached; and once if one answers nothing. */
 	async handOver(call: HandedOverCall): Promise<HandoverOutcome> {
-		const {random, peers, clock, logger} = this.options;
-		const startedAt = clock.readMonotonic();
-		let mayHaveRun = false;
+		const {random, peers, clock} = this.options;
+		const race = new AnswerRace();
+		const outcomes: Array<Promise<PeerOutcome>> = [];
+		let canMove = call.isRepeatable;
 		for (const peer of random.pickSome(peers.list(), maximumPeers)) {
 			if (call.signal.aborted || clock.readMonotonic() >= call.deadline.read()) {
 				break;
 			}
 
-			const outcome = await this.passTo(peer, call, call.isRepeatable && !mayHaveRun);
-			logger.info('call handed over', {
-				id: call.call.id, peer: peer.id, outcome, durationMs: Math.round(clock.readMonotonic() - startedAt),
-			});
-			if (outcome === 'cutOff') {
-				peers.recordCutOff(peer.id);
-			} else if (outcome === 'silent') {
-				mayHaveRun = true;
-			} else if (outcome !== 'notRun') {
-				this.handedOver += 1;
-				return outcome;
+			const exchange = this.createExchange(peer, call, race);
+			const outcome = this.run(exchange, peer, call.call);
+			outcomes.push(outcome);
+			const progress = await (canMove ? Promise.race([outcome, exchange.silence]) : outcome);
+			if (progress === 'silent') {
+				canMove = false;
+			} else if (progress !== 'cutOff' && progress !== 'notRun') {
+				break;
 			}
 		}
 
-		this.notTaken += 1;
-		return mayHaveRun ? 'unknown' : 'notRun';
+		const outcome = summariseOutcomes(await Promise.all(outcomes));
+		if (outcome === 'notRun') {
+			this.notTaken += 1;
+		} else {
+			this.handedOver += 1;
+		}
+
+		return outcome;
 	}
 
-	/** Passes a call to one instance. */
-	private async passTo(peer: Member, handedOver: HandedOverCall, canMove: boolean): Promise<PeerOutcome> {
+	private createExchange(peer: Member, handedOver: HandedOverCall, race: AnswerRace): PeerExchange {
 		const {call: {method, path}, body, isRepeatable, deadline, sink, signal} = handedOver;
 		const {client, probe, options: {clock, logger, peers}} = this;
 		return new PeerExchange({
@@ -127,10 +132,25 @@
 			request: {
 				method, path, headers: this.buildHeaders(peer, handedOver), body, shouldUseNewConnection: !isRepeatable,
 			},
-			deadline, canMove, sink, signal,
+			deadline, race, sink, signal,
 		}, {
 			clock, logger, client, probe, peers,
-		}).run();
+		});
+	}
+
+	/** Passes a call to one instance, and records what became of it there. */
+	private async run(exchange: PeerExchange, {id}: Member, call: InboundCall): Promise<PeerOutcome> {
+		const {clock, logger, peers} = this.options;
+		const startedAt = clock.readMonotonic();
+		const outcome = await exchange.run();
+		logger.info('call handed over', {
+			id: call.id, peer: id, outcome, durationMs: Math.round(clock.readMonotonic() - startedAt),
+		});
+		if (outcome === 'cutOff') {
+			peers.recordCutOff(id);
+		}
+
+		return outcome;
 	}
 
 	/** Builds the headers: those of the caller, who the call is for, and how long its caller still waits. */
@@ -153,3 +173,9 @@
 		return destination;
 	}
 }
+
+/** Tells what became of a call from its outcomes at all instances that got it. */
+function summariseOutcomes(outcomes: readonly PeerOutcome[]): HandoverOutcome {
+	const byWeight = ['answered', 'expired', 'unknown'] as const;
+	return byWeight.find(outcome => outcomes.includes(outcome)) ?? 'notRun';
+}
--- a/src/handover/peer-exchange/index.ts
+++ b/src/handover/peer-exchange/index.ts
@@ -1,6 +1,6 @@
 /**
- * One call at the instance that it was passed on to. It ends at its deadline at the latest, and earlier if the instance
- * answers nothing at all.
+ * One call at an instance that it was passed on to. It ends at its deadline at the latest, and earlier if another instance
+ * answers the call.
  */
 
 import type {Clock} from '../../clock/clock/index.js';
@@ -14,6 +14,7 @@
 import {waitForArrivedData} from '../../http/wait-for-arrived-data/index.js';
 import type {InstanceId, MonotonicMs} from '../../identity/ids/index.js';
 import type {EventLogger} from '../../logging/create-logger/index.js';
+import type {AnswerRace, Contender} from '../answer-race/index.js';
 import {assessHandover} from '../assess-handover/index.js';
 import {cutOffHeader, handoverHeaders, servedHeader} from '../handover-headers/index.js';
 import type {PeerProbe, ProbedPeer} from '../peer-probe/index.js';
@@ -21,20 +22,22 @@
 /**
  * What became of a call at an instance. `answered`: the caller has its answer, or the connection to the caller was broken off
  * within it. `notRun`: it didn't take the call. `cutOff`: it reaches no target either. `unknown`: it may have run the call, and the
- * answer was lost before it began. `silent`: the same, and it answers nothing at all. `expired`: the deadline passed.
+ * answer was lost before it began. `expired`: the deadline passed. `dropped`: another instance answers the call.
  */
-export type PeerOutcome = 'answered' | 'notRun' | 'cutOff' | 'unknown' | 'silent' | 'expired';
+export type PeerOutcome = 'answered' | 'notRun' | 'cutOff' | 'unknown' | 'expired' | 'dropped';
 
 /** Interval between checks of a call, in milliseconds. */
 const checkIntervalMs = 100;
+const tooManyRequestsStatus = 429;
+const firstServerErrorStatus = 500;
 
 /** A call as it is sent to an instance. */
 export type PeerCall = {
 	readonly peer: ProbedPeer;
 	readonly request: OutboundRequest;
 	readonly deadline: Pick<CallDeadline, 'read'>;
-	/** Whether another instance may be asked if this one answers nothing. */
-	readonly canMove: boolean;
+	/** The instances that have the call; the answer of one of them is passed on. */
+	readonly race: AnswerRace;
 	readonly sink: CallerSink;
 	/** Aborts when the caller has disconnected or the instance stops. */
 	readonly signal: AbortSignal;
@@ -54,19 +57,36 @@
 	};
 };
 
+type AnswerHead = {readonly status: number; readonly headers: readonly string[]};
+
 /** Passes one call to one instance. */
-export class PeerExchange implements ExchangeListener {
+export class PeerExchange implements ExchangeListener, Contender {
+	/** Resolves once the instance answers nothing at all; the exchange goes on. */
+	readonly silence: Promise<'silent'>;
 	private readonly sentAt: MonotonicMs;
+	/** The head of the answer, once it has arrived. */
+	private head: AnswerHead | undefined;
+	/** Whether the caller has the head. */
 	private hasBegun = false;
+	/** Whether the answer waits for those of other instances. */
+	private isHeld = false;
+	/** Whether the answer has arrived as a whole. */
+	private hasEnded = false;
 	private isDone = false;
 	/** Whether only the end of the connection delimits the answer. */
 	private endsWithConnection = false;
 	private exchange: Exchange | undefined;
 	private timer: NodeJS.Timeout | undefined;
 	private onDone: ((outcome: PeerOutcome) => void) | undefined;
+	private onSilent: (() => void) | undefined;
 
 	constructor(private readonly call: PeerCall, private readonly options: PeerExchangeOptions) {
 		this.sentAt = options.clock.readMonotonic();
+		this.silence = new Promise(resolve => {
+			this.onSilent = () => {
+				resolve('silent');
+			};
+		});
 	}
 
 	/** Sends the call; resolves when its outcome is known. */
@@ -74,6 +94,7 @@
 		const {call, options: {client}} = this;
 		return new Promise(resolve => {
 			this.onDone = resolve;
+			call.race.add(this);
 			this.exchange = client.start(call.peer.destination, call.request, this);
 			this.timer = setInterval(() => {
 				void this.check();
@@ -93,15 +114,23 @@
 		}
 
 		this.endsWithConnection = isUnframed(call.request.method, status, name => head.names.has(name));
-		this.protect(() => {
-			call.sink.begin(status, head.forwarded);
-			this.hasBegun = true;
-		});
+		this.head = {status, headers: head.forwarded};
+		if (call.race.isAlone(this)) {
+			this.begin();
+		} else if (isFailure(status)) {
+			this.isHeld = true;
+			this.exchange?.pause();
+		}
 	}
 
 	onChunk(chunk: Buffer): void {
 		const {call: {peer, sink}, options: {probe}} = this;
 		probe.recordHeard(peer.id);
+		this.begin();
+		if (this.isDone) {
+			return;
+		}
+
 		this.protect(() => {
 			if (!sink.write(chunk)) {
 				this.exchange?.pause();
@@ -113,25 +142,73 @@
 	}
 
 	onEnd(): void {
-		// Instances of earlier releases pass such answers on, and the kernel closes the connections of a killed process in order.
-		if (this.endsWithConnection) {
-			this.call.sink.destroy();
-		} else {
-			this.call.sink.end();
+		this.hasEnded = true;
+		if (!this.isHeld) {
+			this.begin();
+			this.end();
 		}
-
-		this.finish('answered');
 	}
 
 	onFailure(stage: ExchangeStage): void {
 		this.breakOff(stage === 'notSent' ? 'notRun' : 'unknown');
 	}
 
+	/** Passes on what has arrived of the answer, because no other instance has the call any more. */
+	release(): void {
+		if (this.head === undefined) {
+			return;
+		}
+
+		this.begin();
+		this.isHeld = false;
+		if (this.hasEnded) {
+			this.end();
+		} else {
+			this.exchange?.resume();
+		}
+	}
+
+	/** Ends the exchange, because another instance answers the call. */
+	drop(): void {
+		this.exchange?.abort();
+		this.finish('dropped');
+	}
+
 	private readonly abort = (): void => {
 		this.exchange?.abort();
 		this.breakOff('unknown');
 	};
 
+	/** Passes on the head of the answer, from which on no other instance can answer the call. */
+	private begin(): void {
+		const {call: {race, sink}, head, hasBegun, isDone} = this;
+		if (hasBegun || isDone || head === undefined) {
+			return;
+		}
+
+		this.protect(() => {
+			sink.begin(head.status, head.headers);
+			this.hasBegun = true;
+			race.prefer(this);
+		});
+	}
+
+	/** Ends the answer. */
+	private end(): void {
+		if (this.isDone) {
+			return;
+		}
+
+		// Instances of earlier releases pass such answers on, and the kernel closes the connections of a killed process in order.
+		if (this.endsWithConnection) {
+			this.call.sink.destroy();
+		} else {
+			this.call.sink.end();
+		}
+
+		this.finish('answered');
+	}
+
 	/** Carries out a step of the answer; ends the call if it throws, as when the head can't be passed on. */
 	private protect(step: () => void): void {
 		try {
@@ -150,21 +227,18 @@
 			return;
 		}
 
-		const {call: {peer, deadline, canMove}, options: {clock, probe, peers}, sentAt, hasBegun} = this;
+		const {call: {peer, deadline}, options: {clock, probe, peers}, sentAt, hasBegun} = this;
 		const now = clock.readMonotonic();
 		const assessment = assessHandover({
 			deadline: deadline.read(), hasBegun, lastHeardAt: probe.check(peer, sentAt, now), isMember: peers.isMember(peer.id),
 		}, now);
 		if (assessment === 'silent') {
 			peers.recordSilent(peer.id);
+			this.onSilent?.();
+		} else if (assessment !== 'keep') {
+			this.exchange?.abort();
+			this.breakOff(assessment === 'broken' ? 'unknown' : assessment);
 		}
-
-		if (assessment === 'keep' || (assessment === 'silent' && !canMove)) {
-			return;
-		}
-
-		this.exchange?.abort();
-		this.breakOff(assessment === 'broken' ? 'unknown' : assessment);
 	}
 
 	/** Ends the call without a complete answer; `outcome` holds if the answer has not begun. */
@@ -181,9 +255,15 @@
 		clearInterval(this.timer);
 		this.call.signal.removeEventListener('abort', this.abort);
 		this.onDone?.(outcome);
+		this.call.race.remove(this);
 	}
 }
 
+/** Whether an answer tells that the call was refused or has failed, so that the answer of another instance is better. */
+function isFailure(status: number): boolean {
+	return status === tooManyRequestsStatus || status >= firstServerErrorStatus;
+}
+
 /** The head of another instance's answer: what of it goes to the caller, and the names of all headers in lower case. */
 function parseHead(rawHeaders: readonly string[]) {
 	const names = new Set(rawHeaders.filter((_, index) => index % 2 === 0).map(name => name.toLowerCase()));
