--- a/src/handover/peer-exchange/test.ts
+++ b/src/handover/peer-exchange/test.ts
@@ -20,7 +20,7 @@
 const eventChunk = `${event.length.toString(16)}\r\n${event}\r\n`;
 
 /** Creates the handover of an instance that is cut off, with one peer. */
-function createHandover(peerAddress: string, shouldHandOver: boolean, onSilent: () => void = () => undefined) {
+function createHandover(peerAddress: string, shouldHandOver: boolean, onSilent: () => void = () => undefined, isMember = true) {
 	return new CallHandover({
 		self: 'self' as InstanceId, clock: new SystemClock(), logger: quietLogger, random: new RandomSource(1),
 		reachability: {
@@ -28,7 +28,7 @@
 		},
 		peers: {
 			list: () => [createMember('peer', {peerAddress})],
-			isMember: () => true,
+			isMember: () => isMember,
 			recordCutOff: () => undefined,
 			recordSilent: onSilent,
 		},
@@ -53,6 +53,58 @@
 	});
 }
 
+for (const kind of ['idempotent', 'nonIdempotent'] as const) {
+	test(`guards against taking a sound instance for silent because this one stood still (${kind})`, async (t: TestContext) => {
+		let silent = 0;
+		const handover = createHandover(await startWorkerTarget(t, 1400, `${servedHeader}: true\r\n`), true, () => {
+			silent += 1;
+		});
+		const configuration = createRoutingConfiguration({routes: [createRoute('r', {host: 'h', kind, timeoutMs: 5000})]});
+		const gateway = await startTestGateway(configuration, [], {}, handover);
+		t.after(() => {
+			gateway.close();
+		});
+		const answer = sendRawRequest(gateway.address, requestText);
+		await holdEventLoop(900);
+		const {head} = await answer;
+		expect([head.split('\r\n')[0], silent]).toEqual(['HTTP/1.1 200 OK', 0]);
+	});
+}
+
+/** Starts an instance that answers questions at once, and calls in two parts with `pauseMs` between them. */
+async function startPausingPeer(t: TestContext, pauseMs: number): Promise<string> {
+	const peer = await startRawServer((socket, head) => {
+		if (head.startsWith('GET')) {
+			socket.end('HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n');
+			return;
+		}
+
+		socket.write(`HTTP/1.1 200 OK\r\nx-id: c1\r\n${servedHeader}: true\r\nContent-Length: 5\r\n\r\nbe`);
+		setTimeout(() => {
+			socket.write('gun');
+		}, pauseMs);
+	});
+	t.after(() => {
+		peer.close();
+	});
+	return peer.address;
+}
+
+for (const [cause, standstillMs] of [['its target pauses', 0], ['this instance stood still', 1300]] as const) {
+	test(`guards against breaking off the answer of a sound instance that is no member any more because ${cause}`, async (t: TestContext) => {
+		const handover = createHandover(await startPausingPeer(t, 1800), true, undefined, false);
+		const configuration = createRoutingConfiguration({routes: [createRoute('r', {host: 'h', timeoutMs: 5000})]});
+		const gateway = await startTestGateway(configuration, [], {}, handover);
+		t.after(() => {
+			gateway.close();
+		});
+		const answer = sendRawRequest(gateway.address, requestText);
+		await holdEventLoop(standstillMs);
+		const {body, isComplete} = await answer;
+		expect({body, isComplete}).toEqual({body: 'begun', isComplete: true});
+	});
+}
+
 test('guards against a stream that has begun and is sent as a whole to another instance', async t => {
 	const clock = new SystemClock();
 	const fleet = new TargetFleet(quietLogger);
