--- a/src/gateway/calls-in-progress/index.ts
+++ b/src/gateway/calls-in-progress/index.ts
@@ -65,7 +65,7 @@
 		}
 	}
 
-	/** Returns the signal of a call that is passed on; it aborts when the caller has disconnected or all calls are aborted. Call `endHandover` with it. */
+	/** Returns the controller of a call that is passed on; it aborts when the caller has disconnected or all calls are aborted. Call `endHandover` with it. */
 	beginHandover(response: ServerResponse): AbortController {
 		const controller = new AbortController();
 		this.handovers.add(controller);
--- a/src/handover/call-handover/index.ts
+++ b/src/handover/call-handover/index.ts
@@ -15,11 +15,9 @@
 import {calleeHeader, callerHeader} from '../../peers/peer-link/index.js';
 import type {RandomSource} from '../../random/random-source/index.js';
 import {AnswerRace} from '../answer-race/index.js';
-import {remainingHeader} from '../handover-headers/index.js';
+import {filterHeaders, isForwarded, remainingHeader} from '../handover-headers/index.js';
 import type {PeerAvailability} from '../peer-availability/index.js';
-import {
-	filterHeaders, isForwarded, PeerExchange, type PeerOutcome,
-} from '../peer-exchange/index.js';
+import {PeerExchange, type PeerOutcome} from '../peer-exchange/index.js';
 import {PeerProbe} from '../peer-probe/index.js';
 import type {TargetReachability} from '../target-reachability/index.js';
 
--- a/src/handover/peer-exchange/index.ts
+++ b/src/handover/peer-exchange/index.ts
@@ -9,14 +9,15 @@
 import type {
 	Exchange, ExchangeListener, ExchangeStage, OutboundRequest, TargetClient,
 } from '../../forwarding/target-client/index.js';
-import {hopByHopHeaders} from '../../http/hop-by-hop-headers/index.js';
 import {isUnframed} from '../../http/is-unframed/index.js';
 import {waitForArrivedData} from '../../http/wait-for-arrived-data/index.js';
 import type {InstanceId, MonotonicMs} from '../../identity/ids/index.js';
 import type {EventLogger} from '../../logging/create-logger/index.js';
 import type {AnswerRace, Contender} from '../answer-race/index.js';
 import {assessHandover} from '../assess-handover/index.js';
-import {cutOffHeader, handoverHeaders, servedHeader} from '../handover-headers/index.js';
+import {
+	cutOffHeader, filterHeaders, isForwarded, servedHeader,
+} from '../handover-headers/index.js';
 import type {PeerProbe, ProbedPeer} from '../peer-probe/index.js';
 
 /**
@@ -271,13 +272,3 @@
 		names, forwarded: filterHeaders(rawHeaders, isForwarded), isCutOff: names.has(cutOffHeader), isServed: names.has(servedHeader),
 	};
 }
-
-/** Whether a header passes from caller to target or back, and does not concern one connection or the handover; its name is in lower case. */
-export function isForwarded(name: string): boolean {
-	return !hopByHopHeaders.has(name) && !handoverHeaders.includes(name);
-}
-
-/** Keeps the headers whose names in lower case pass; `rawHeaders` alternates names and values. */
-export function filterHeaders(rawHeaders: readonly string[], passes: (name: string) => boolean): string[] {
-	return rawHeaders.filter((_, index) => passes(rawHeaders[index - (index % 2)]!.toLowerCase()));
-}
