--- a/src/gateway/collecting-sink/index.ts
+++ b/src/gateway/collecting-sink/index.ts
@@ -3,10 +3,7 @@
  * the process is killed, so an answer without a length is collected and sent with its length once it is complete.
  */
 
-import type {ServerResponse} from 'node:http';
-import type {CallerSink} from '../../forwarding/call-types/index.js';
-import {abortResponse} from '../../http/abort-response/index.js';
-import {beginResponse} from '../../http/begin-response/index.js';
+import {ResponseSink} from '../response-sink/index.js';
 
 /** Larger answers are broken off, in bytes. */
 const maximumCollectedBytes = 4 * 1024 * 1024;
@@ -14,25 +11,23 @@
 type Head = {readonly status: number; readonly headers: readonly string[]};
 
 /** Sink that sends an answer without length only as a whole. */
-export class CollectingSink implements CallerSink {
+export class CollectingSink extends ResponseSink {
 	/** Head of the answer that is being collected; undefined if it is sent as it arrives. */
 	private head: Head | undefined;
 	private readonly chunks: Buffer[] = [];
 	private collectedBytes = 0;
 
-	constructor(private readonly response: ServerResponse) {}
-
-	begin(status: number, headers: readonly string[]): void {
+	override begin(status: number, headers: readonly string[]): void {
 		if (hasLength(headers)) {
-			beginResponse(this.response, {status, headers});
+			super.begin(status, headers);
 		} else {
 			this.head = {status, headers};
 		}
 	}
 
-	write(chunk: Buffer): boolean {
+	override write(chunk: Buffer): boolean {
 		if (this.head === undefined) {
-			return this.response.write(chunk);
+			return super.write(chunk);
 		}
 
 		this.collectedBytes += chunk.length;
@@ -45,22 +40,20 @@
 		return true;
 	}
 
-	end(): void {
-		if (this.head !== undefined) {
-			const {status, headers} = this.head;
-			this.response.writeHead(status, [...headers, 'content-length', String(this.collectedBytes)]);
+	override end(): void {
+		if (this.head === undefined) {
+			super.end();
+			return;
 		}
 
+		const {status, headers} = this.head;
+		this.response.writeHead(status, [...headers, 'content-length', String(this.collectedBytes)]);
 		this.response.end(Buffer.concat(this.chunks));
 	}
 
-	destroy(): void {
+	override destroy(): void {
 		this.chunks.length = 0;
-		abortResponse(this.response);
-	}
-
-	onDrain(listener: () => void): void {
-		this.response.once('drain', listener);
+		super.destroy();
 	}
 }
 
