--- a/src/gateway/call-listener/index.ts
+++ b/src/gateway/call-listener/index.ts
@@ -194,10 +194,9 @@
 				call = {...call, waitMs: readRemainingMs(message) ?? call.waitMs};
 			}
 
-			const {table} = resolveCall(call, this.options.readTable());
-			const body = await readBody(message, table.configuration.limits.maximumBodyBytes);
-			// The configuration can have changed while the body arrived.
-			await this.forward(resolveCall(call, this.options.readTable()), body, {
+			const resolvedCall = resolveCall(call, this.options.readTable());
+			const body = await readBody(message, resolvedCall.table.configuration.limits.maximumBodyBytes);
+			await this.forward(this.updateResolvedCall(resolvedCall), body, {
 				message, response, caller, arrivedAt, isPassedOn,
 			});
 		} catch (error) {
@@ -206,6 +205,12 @@
 		}
 	}
 
+	/** Resolves a call again if the configuration has changed, as it can while the body arrives. */
+	private updateResolvedCall(resolvedCall: ResolvedCall): ResolvedCall {
+		const table = this.options.readTable();
+		return table === resolvedCall.table ? resolvedCall : resolveCall(resolvedCall.call, table);
+	}
+
 	/** Answers what is no valid request, unless a call on the connection is still to be answered, or the rest of its head waits unread. */
 	private async handleClientError(error: NodeJS.ErrnoException, socket: Socket): Promise<void> {
 		const {bytesRead, bytesWritten} = socket;
