Split the call listener into modules of one job

call-listener keeps the server, its connections and what concerns all calls. call-handler serves single calls, outbound-handover passes them on and answers those that no instance has answered, refusal-writer writes error answers, and caller-protocol holds the interface to the HTTP messages of callers. Behaviour and tests are unchanged.

--- a/src/gateway/platform-adapter/index.ts
+++ b/src/gateway/platform-adapter/index.ts
@@ -7,7 +7,7 @@
 import type {EngineCommander} from '../../rollout/rollout-controller/index.js';
 import type {RoutingConfiguration} from '../../routing/routing-types/index.js';
 import type {JsonResponse} from '../../http/start-json-server/index.js';
-import type {CallerProtocol} from '../call-listener/index.js';
+import type {CallerProtocol} from '../caller-protocol/index.js';
 
 /** Version of a model's weights that calls are to use from now on. */
 export type WeightsNotice = {readonly model: string; readonly version: number};
