Let requests at an engine finish when a configuration removes it

Callers of the daemon saw streams cut with an error event (outcomeUnknown) when a configuration came into force that no longer has the engine, or has it at another address. Unstreamed calls ran again elsewhere or failed. The removed engine went on generating, since it was not told to stop.

Cause: TargetDirectory stopped the monitor of a removed target at once, and with it destroyed the engine's connections, those of requests in flight and those for cancellations included.

A monitor without a target is now retired: it polls no longer and is no candidate, its requests go on and can be resumed and cancelled, and its connections close after the last one. The daemon's own stop still closes them at once.

--- a/src/capacity/measure-engine-monitors/index.ts
+++ b/src/capacity/measure-engine-monitors/index.ts
@@ -59,6 +59,9 @@
 	return {
 		complete: rejectCall, resume: rejectCall, cancel: rejectCall, readState: rejectCall, readBlocks: rejectCall, sendOrder: rejectCall,
 		watchCacheEvents: () => never(),
+		async drain() {
+			// There is no connection.
+		},
 		async close() {
 			// There is no connection.
 		},
--- a/src/requests/send-completion/test.ts
+++ b/src/requests/send-completion/test.ts
@@ -210,6 +210,51 @@
 	}
 });
 
+/** Starts a completion of 100 tokens in 500 ms, and removes its engine from the configuration once the first chunks have been passed on. */
+async function callAndRemoveEngine(fleet: LocalFleet, query: Partial<CompletionQuery> = {}): Promise<CompletionOutcome> {
+	const outcome = callCompletion({
+		address: fleet.address, secret: localSecret, prompt, maximumTokens: 100, ...query,
+	});
+	await waitFor(() => fleet.targets.list()[0]!.ownInFlight > 0 && countRuns(fleet) > 0);
+	await delay(100);
+	fleet.removeEngines();
+	return outcome;
+}
+
+test('guards against an answer that is cut, or is unknown to the caller, because a configuration without its engine comes into force', async () => {
+	for (const isStreamed of [true, false]) {
+		const fleet = await new LocalFleet({engines: 1, speed: {decodeMsPerToken: 5}}).start();
+		try {
+			const outcome = await callAndRemoveEngine(fleet, {isStreamed});
+			expect({error: outcome.error?.type, text: outcome.text, isComplete: outcome.isComplete})
+				.toEqual({error: undefined, text: generateTokens(prompt, 100).join(''), isComplete: true});
+			expect(countRuns(fleet)).toEqual(1);
+		} finally {
+			await fleet.stop();
+		}
+	}
+});
+
+test('guards against generation that continues at a removed engine after the caller disconnected, and connections to it that stay open', async () => {
+	const fleet = new LocalFleet({engines: 1, speed: {decodeMsPerToken: 5}});
+	const [engine] = fleet.engines;
+	let openConnections = 0;
+	engine!.server.on('connection', socket => {
+		openConnections += 1;
+		socket.once('close', () => {
+			openConnections -= 1;
+		});
+	});
+	await fleet.start();
+	try {
+		await callAndRemoveEngine(fleet, {disconnectAfterChunks: 60});
+		await waitFor(() => engine!.cancellations > 0 && openConnections === 0);
+		expect({cancellations: engine!.cancellations, openConnections}).toEqual({cancellations: 1, openConnections: 0});
+	} finally {
+		await fleet.stop();
+	}
+});
+
 test('guards against unbounded buffering for a caller that does not read', async () => {
 	const fleet = await new LocalFleet({engines: 1, speed: {decodeMsPerToken: 0}}).start();
 	try {
--- a/src/standin/local-fleet/index.ts
+++ b/src/standin/local-fleet/index.ts
@@ -122,6 +122,11 @@
 		this.apply(this.resources.map(resource => resource.kind === 'Key' && resource.name === 'local' ? {...resource, state: 'withdrawn'} : resource));
 	}
 
+	/** Removes all engines from the configuration; their servers go on. */
+	removeEngines(): void {
+		this.apply(this.resources.filter(resource => resource.kind !== 'Target' || resource.type !== 'engine'));
+	}
+
 	/** Returns the sum of a counter's samples that have all of `labels`. */
 	async readCounter(name: string, labels: Readonly<Record<string, string>> = {}): Promise<number> {
 		const metric = await this.registry.getSingleMetric(name)?.get();
--- a/src/targets/engine-client/index.ts
+++ b/src/targets/engine-client/index.ts
@@ -104,5 +104,8 @@
 	readBlocks(): Promise<BlockSnapshot>;
 	watchCacheEvents(after: number): Stream<CacheEvent>;
 	sendOrder(order: EngineOrder, timeoutMs: number): Promise<'accepted' | 'staleFencing' | 'refused'>;
+	/** Closes the connections once the exchanges on them have ended. No new ones can begin. */
+	drain(): Promise<void>;
+	/** Closes all connections at once, which breaks the exchanges on them. */
 	close(): Promise<void>;
 };
--- a/src/targets/engine-monitor/index.ts
+++ b/src/targets/engine-monitor/index.ts
@@ -19,6 +19,8 @@
 const staleAfterMs = 2500;
 /** Delay before the event stream is reopened. Limits the rate of snapshot reads when events are lost. */
 const eventRetryDelayMs = 100;
+/** Interval at which a retired monitor checks whether its requests have ended. */
+const retirementCheckIntervalMs = 250;
 
 const noLoad = {
 	running: 0, waiting: 0, slots: 1, pendingPrefillTokens: 0, ageMs: 0,
@@ -37,7 +39,10 @@
 	private lastPollAt = Number.NEGATIVE_INFINITY;
 	/** Time at which the engine measured the reported load. */
 	private loadMeasuredAt = Number.NEGATIVE_INFINITY;
+	/** Ends the polls. */
 	private readonly controller = new AbortController();
+	/** Aborts when the connections are closed whether or not requests use them. */
+	private readonly stopController = new AbortController();
 
 	constructor(
 		target: ResolvedTarget,
@@ -49,13 +54,28 @@
 		this.target = target;
 	}
 
-	/** Polls the state and follows cache events until `stop`. */
+	/** Polls the state and follows cache events until `retire` or `stop`. */
 	async run(): Promise<void> {
 		await Promise.all([this.pollState(), this.followCache()]);
 	}
 
+	/** Ends the polls, and closes the connections once this router's requests at the engine have ended. */
+	async retire(): Promise<void> {
+		const {signal} = this.stopController;
+		this.controller.abort();
+		while (this.ownInFlight > 0 && !signal.aborted) {
+			await this.clock.sleep(retirementCheckIntervalMs, signal);
+		}
+
+		if (!signal.aborted) {
+			await this.client.drain();
+		}
+	}
+
+	/** Ends the polls and closes the connections at once, which breaks the requests in flight. */
 	async stop(): Promise<void> {
 		this.controller.abort();
+		this.stopController.abort();
 		await this.client.close();
 	}
 
--- a/src/targets/http-engine-client/index.ts
+++ b/src/targets/http-engine-client/index.ts
@@ -115,6 +115,10 @@
 		return response.statusCode < 300 ? 'accepted' : 'refused';
 	}
 
+	async drain(): Promise<void> {
+		await Promise.all([this.completionPool.close(), this.controlPool.close()]);
+	}
+
 	async close(): Promise<void> {
 		await Promise.all([this.completionPool.destroy(), this.controlPool.destroy()]);
 	}
--- a/src/targets/target-directory/index.ts
+++ b/src/targets/target-directory/index.ts
@@ -11,9 +11,14 @@
 /** Creates the client of an engine. */
 export type EngineClientFactory = (target: ResolvedTarget) => EngineClient;
 
-/** Keeps one monitor per engine target and replaces it when the target's address changes. */
+/**
+ * Keeps one monitor per engine target and replaces it when the target's address changes. A monitor without a target is retired:
+ * it gets no new requests, and those in flight go on.
+ */
 export class TargetDirectory {
 	private readonly monitors = new Map<TargetId, EngineMonitor>();
+	/** Monitors without a target that still have requests in flight. */
+	private readonly retiredMonitors = new Set<EngineMonitor>();
 
 	constructor(
 		private readonly clock: Clock,
@@ -32,7 +37,7 @@
 				monitor.target = target;
 			} else {
 				this.monitors.delete(id);
-				void monitor.stop();
+				void this.retireMonitor(monitor);
 			}
 		}
 
@@ -64,7 +69,18 @@
 	}
 
 	async stop(): Promise<void> {
-		await Promise.all(this.list().map(async monitor => monitor.stop()));
+		await Promise.all([...this.list(), ...this.retiredMonitors].map(async monitor => monitor.stop()));
 		this.monitors.clear();
 	}
+
+	private async retireMonitor(monitor: EngineMonitor): Promise<void> {
+		this.retiredMonitors.add(monitor);
+		try {
+			await monitor.retire();
+		} catch (error) {
+			this.logger.warn('connections to a removed engine not closed', {target: monitor.target.id, reason: (error as Error).message});
+		} finally {
+			this.retiredMonitors.delete(monitor);
+		}
+	}
 }
