Resume a stream for longer where nothing can take its place

Callers of the daemon lost answers whose engine was out of reach for a second and went on generating: a stream of a non-deterministic model ended with an error event, and an unstreamed call at the only engine with outcomeUnknown.

Cause: two resumes in a row without a new chunk ended a run. Where connections are refused they fail at once, so a run was given up, and cancelled, within about 0.1 s, also when no other attempt could follow.

Two resumes remain the limit only while another attempt at another engine can bring the response. Otherwise the stream is resumed until its engine has been out of reach for streamSilenceMs. An engine that answers that it no longer has the stream (404) ends the resumes at once.

Evidence: the tests over real connections, with an engine that refuses connections for 1 s, failed before: outcomeUnknown for both kinds of call; 2 resumes instead of 1 of a stream that the engine had forgotten.

--- a/src/requests/completion-exchange/index.ts
+++ b/src/requests/completion-exchange/index.ts
@@ -17,7 +17,10 @@
 import type {CompletionRequest} from '../parse-completion-request/index.js';
 import {ChunkReader, type WireChunk} from '../read-chunks/index.js';
 import type {RouterContext} from '../router-context/index.js';
-import {acquireEngine, chooseWeightsVersion, createEngineRequest} from '../send-completion/index.js';
+import {ResumeLimit} from '../resume-limit/index.js';
+import {
+	acquireEngine, chooseWeightsVersion, createEngineRequest, hasOtherEngine,
+} from '../send-completion/index.js';
 
 /** Destination of a completion's chunks. */
 export type CompletionSink = {
@@ -40,8 +43,6 @@
 };
 
 const maximumAttempts = 3;
-/** Consecutive resumes without a new chunk. */
-const maximumResumesWithoutProgress = 2;
 
 const retryableResults: ReadonlySet<ResultName> = new Set(['targetUnreachable', 'targetRefused', 'targetTimeout', 'outcomeUnknown', 'streamBroken', 'answerMismatch']);
 const resumableResults: ReadonlySet<ResultName> = new Set(['targetUnreachable', 'targetTimeout', 'outcomeUnknown', 'streamBroken', 'answerMismatch']);
@@ -59,22 +60,24 @@
 	private writtenRequestId: RequestId | undefined;
 	/** Whether neither a resume nor another attempt can succeed. */
 	private hasPermanentFailure = false;
+	/** Number of the present attempt, from 1. */
+	private attempt = 1;
 
 	constructor(private readonly context: RouterContext, private readonly call: CompletionCall, private readonly sink: CompletionSink) {}
 
 	/** Resolves when the sink has the whole response. Otherwise rejects with a `RouterError` that covers all attempts. */
 	async run(): Promise<void> {
-		for (let attempt = 1; ; attempt += 1) {
+		for (;; this.attempt += 1) {
 			try {
 				await this.runAttempt();
 				return;
 			} catch (error) {
 				const failure = convertToRouterError(error);
-				if (!this.tryPrepareRetry(failure, attempt)) {
+				if (!this.tryPrepareRetry(failure)) {
 					throw this.createCallError(failure);
 				}
 
-				await this.context.clock.sleep(calculateBackoff(attempt, Math.random()), this.call.signal);
+				await this.context.clock.sleep(calculateBackoff(this.attempt, Math.random()), this.call.signal);
 			}
 		}
 	}
@@ -127,35 +130,35 @@
 	/** Reads the response to its end and resumes the stream on a new connection where it breaks. */
 	private async readAnswer(slot: EngineSlot, firstAnswer: EngineResponse, model: ResolvedModel): Promise<void> {
 		const reader = new ChunkReader(firstAnswer.requestId, this.context.metrics);
+		const limit = new ResumeLimit(this.context.settings.streamSilenceMs);
 		let answer: EngineResponse | undefined = firstAnswer;
-		let resumes = 0;
-		let lastOffset = 0;
 		for (;;) {
 			try {
-				answer ??= await this.resumeStream(slot.engine, firstAnswer, reader.nextOffset);
+				answer ??= await this.resumeStream(slot.engine, firstAnswer, reader.nextOffset, limit);
 				await this.forwardChunks(answer, reader, slot, model);
 				return;
 			} catch (error) {
 				const failure = convertToRouterError(error);
-				resumes = reader.nextOffset > lastOffset ? 1 : resumes + 1;
-				lastOffset = reader.nextOffset;
-				if (
-					this.hasPermanentFailure || this.call.signal.aborted
-					|| !resumableResults.has(failure.entry.name as ResultName) || resumes > maximumResumesWithoutProgress
-				) {
+				const mayResume = !this.hasPermanentFailure && !this.call.signal.aborted && resumableResults.has(failure.entry.name as ResultName);
+				if (!mayResume || !limit.tryResume(reader.nextOffset, this.isReplaceable(slot.engine, model), this.context.clock.readMonotonic())) {
 					throw failure;
 				}
 
 				answer = undefined;
-				await this.context.clock.sleep(calculateBackoff(resumes, Math.random()), this.call.signal);
+				await this.context.clock.sleep(calculateBackoff(limit.resumes, Math.random()), this.call.signal);
 				checkSignal(this.call.signal);
 			}
 		}
 	}
 
-	private async resumeStream(engine: EngineMonitor, firstAnswer: EngineResponse, offset: number): Promise<EngineResponse> {
+	private async resumeStream(engine: EngineMonitor, firstAnswer: EngineResponse, offset: number, limit: ResumeLimit): Promise<EngineResponse> {
 		this.context.metrics.resumes.inc();
 		const answer = await engine.client.resume(firstAnswer.requestId, offset, firstAnswer.incarnation, this.call.signal);
+		if (answer === undefined) {
+			limit.end();
+			throw createRouterError('streamBroken', 'the engine no longer has the stream');
+		}
+
 		if (answer.incarnation !== firstAnswer.incarnation || answer.weightsVersion !== firstAnswer.weightsVersion) {
 			throw createRouterError('targetRefused', 'the resumed stream belongs to another incarnation or weights version', {mayHaveRun: true});
 		}
@@ -218,11 +221,17 @@
 		this.weightsVersion = model.weightsVersion;
 	}
 
+	/** Returns whether another attempt, at another engine than `engine`, can bring the response. */
+	private isReplaceable(engine: EngineMonitor, model: ResolvedModel): boolean {
+		return this.attempt < maximumAttempts && this.context.retryBudget.readLevel() >= 1
+			&& (!this.sink.hasSent || this.canRegenerate()) && hasOtherEngine(this.context, model, engine);
+	}
+
 	/** Returns whether the request may be retried. If so, takes a retry from the budget and prepares the next attempt. */
-	private tryPrepareRetry(failure: RouterError, attempt: number): boolean {
+	private tryPrepareRetry(failure: RouterError): boolean {
 		const {call, sink, context} = this;
 		const name = failure.entry.name as ResultName;
-		if (this.hasPermanentFailure || call.signal.aborted || attempt === maximumAttempts || !retryableResults.has(name)) {
+		if (this.hasPermanentFailure || call.signal.aborted || this.attempt === maximumAttempts || !retryableResults.has(name)) {
 			return false;
 		}
 
--- a/src/requests/send-completion/index.ts
+++ b/src/requests/send-completion/index.ts
@@ -63,6 +63,11 @@
 	return chooseServedModel(declared, listMonitors(context, declared), context.clock.readMonotonic());
 }
 
+/** Whether another engine than `engine` can serve the model. */
+export function hasOtherEngine(context: RouterContext, model: ResolvedModel, engine: EngineMonitor): boolean {
+	return listCandidates(context, model).some(candidate => candidate !== engine);
+}
+
 function listCandidates(context: RouterContext, model: ResolvedModel): EngineMonitor[] {
 	const now = context.clock.readMonotonic();
 	return listMonitors(context, model).filter(monitor => monitor.canServe(model, now));
--- a/src/standin/engine-server/index.ts
+++ b/src/standin/engine-server/index.ts
@@ -1,9 +1,11 @@
 /** Stand-in of a model engine with an HTTP interface. */
 
 import {randomUUID} from 'node:crypto';
+import {once} from 'node:events';
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
+import type {AddressInfo} from 'node:net';
 import {performance} from 'node:perf_hooks';
 import {setTimeout as delay} from 'node:timers/promises';
 import {LRUCache} from 'lru-cache';
@@ -90,6 +92,16 @@
 		this.server.closeAllConnections();
 	}
 
+	/** Resets all connections and refuses new ones for `durationMs`. What the engine has begun goes on. */
+	async interruptConnections(durationMs: number): Promise<void> {
+		const {port, address} = this.server.address() as AddressInfo;
+		this.server.close();
+		this.server.closeAllConnections();
+		await delay(durationMs);
+		this.server.listen(port, address);
+		await once(this.server, 'listening');
+	}
+
 	private async serve(message: IncomingMessage, response: ServerResponse): Promise<void> {
 		const url = new URL(message.url ?? '/', 'http://localhost');
 		const {pathname} = url;
--- a/src/standin/local-fleet/index.ts
+++ b/src/standin/local-fleet/index.ts
@@ -88,6 +88,7 @@
 		const settings = settingsSchema.parse({
 			instance: 'entry-0', fleet, dataCentre: 'north-0', platform: {objectApi: 'http://127.0.0.1:1'},
 			listen: {caller: '127.0.0.1:0', peer: '127.0.0.1:0', admin: '127.0.0.1:0'}, limits: this.options.limits ?? {},
+			streamSilenceMs: this.options.silenceMs ?? defaultSilenceMs,
 		});
 		const metrics = new RequestMetrics({registry: this.registry, invariants: new InvariantChecker({isStrict: true})});
 		this.context = {
@@ -135,6 +136,11 @@
 			.reduce((sum, sample) => sum + sample.value, 0);
 	}
 
+	/** Counts the runs of a prompt at all engines. */
+	countRuns(prompt: string): number {
+		return this.engines.reduce((sum, engine) => sum + (engine.runs.get(prompt) ?? 0), 0);
+	}
+
 	/** Aborts the calls in progress, as a daemon does at the end of its stop. */
 	abortCalls(): void {
 		this.callerServer.closeAllConnections();
--- a/src/targets/engine-client/index.ts
+++ b/src/targets/engine-client/index.ts
@@ -97,8 +97,8 @@
 	/** Called when a response shows that the engine is leaving. */
 	onLeaving?: () => void;
 	complete(request: EngineRequest, signal: AbortSignal): Promise<EngineResponse>;
-	/** Continues the stream of an earlier request from `offset` on the same incarnation. */
-	resume(requestId: RequestId, offset: number, incarnation: Incarnation, signal: AbortSignal): Promise<EngineResponse>;
+	/** Continues the stream of an earlier request from `offset` on the same incarnation. Resolves to undefined if the engine doesn't have the stream. */
+	resume(requestId: RequestId, offset: number, incarnation: Incarnation, signal: AbortSignal): Promise<EngineResponse | undefined>;
 	cancel(requestId: RequestId): Promise<void>;
 	readState(): Promise<EngineState>;
 	readBlocks(): Promise<BlockSnapshot>;
--- a/src/targets/http-engine-client/index.ts
+++ b/src/targets/http-engine-client/index.ts
@@ -67,16 +67,24 @@
 		}
 
 		const body = JSON.stringify({...request.body, stream: true});
-		return this.openResponse({
+		const expected = {requestId: request.requestId, incarnation: request.expectedIncarnation, weightsVersion: request.expectedWeightsVersion};
+		const response = await this.request({
 			method: 'POST', path: request.path, headers, body, signal,
-		}, {requestId: request.requestId, incarnation: request.expectedIncarnation, weightsVersion: request.expectedWeightsVersion});
+		});
+		return convertResponse(response, expected);
 	}
 
-	async resume(requestId: RequestId, offset: number, incarnation: Incarnation, signal: AbortSignal): Promise<EngineResponse> {
+	async resume(requestId: RequestId, offset: number, incarnation: Incarnation, signal: AbortSignal): Promise<EngineResponse | undefined> {
 		const path = `/v1/streams/${encodeURIComponent(requestId)}?offset=${offset}`;
-		return this.openResponse({
+		const response = await this.request({
 			method: 'GET', path, headers: {'x-request-id': requestId, 'x-expected-incarnation': incarnation}, signal,
-		}, {requestId, incarnation});
+		});
+		if (response.statusCode === 404 && !namesOtherRequest(response, requestId)) {
+			discardBody(response.body);
+			return undefined;
+		}
+
+		return convertResponse(response, {requestId, incarnation});
 	}
 
 	async cancel(requestId: RequestId): Promise<void> {
@@ -123,32 +131,15 @@
 		await Promise.all([this.completionPool.destroy(), this.controlPool.destroy()]);
 	}
 
-	private async openResponse(options: Dispatcher.RequestOptions, expected: ExpectedHeaders): Promise<EngineResponse> {
-		let response: Dispatcher.ResponseData;
+	/** Sends a request on the connections for completions. Resolves with the response's headers. */
+	private async request(options: Dispatcher.RequestOptions): Promise<Dispatcher.ResponseData> {
 		try {
-			response = await this.completionPool.request(options);
+			const response = await this.completionPool.request(options);
+			this.reportLeaving(response.headers);
+			return response;
 		} catch (error) {
 			throw convertRequestError(error);
 		}
-
-		this.reportLeaving(response.headers);
-		if (response.statusCode !== 200) {
-			throw await convertErrorResponse(response, expected.requestId);
-		}
-
-		const {headers} = response;
-		if (!matchesExpectedHeaders(headers, expected)) {
-			discardBody(response.body);
-			throw createRouterError('answerMismatch', `response headers do not match request ${expected.requestId}`);
-		}
-
-		return {
-			requestId: expected.requestId,
-			incarnation: String(headers['x-engine-incarnation']) as Incarnation,
-			weightsVersion: String(headers['x-weights-version']),
-			cachedTokens: Number(headers['x-cached-tokens'] ?? 0),
-			chunks: readChunks(response.body),
-		};
 	}
 
 	private reportLeaving(headers: IncomingHttpHeaders): void {
@@ -174,6 +165,27 @@
 	}
 }
 
+/** Returns the response of a completion; rejects if it reports an error or is not the one expected. */
+async function convertResponse(response: Dispatcher.ResponseData, expected: ExpectedHeaders): Promise<EngineResponse> {
+	if (response.statusCode !== 200) {
+		throw await convertErrorResponse(response, expected.requestId);
+	}
+
+	const {headers} = response;
+	if (!matchesExpectedHeaders(headers, expected)) {
+		discardBody(response.body);
+		throw createRouterError('answerMismatch', `response headers do not match request ${expected.requestId}`);
+	}
+
+	return {
+		requestId: expected.requestId,
+		incarnation: String(headers['x-engine-incarnation']) as Incarnation,
+		weightsVersion: String(headers['x-weights-version']),
+		cachedTokens: Number(headers['x-cached-tokens'] ?? 0),
+		chunks: readChunks(response.body),
+	};
+}
+
 /** Whether the headers match. They do not if the engine ignored the expected values and ran the request with other weights or another cache. */
 function matchesExpectedHeaders(headers: IncomingHttpHeaders, expected: ExpectedHeaders): boolean {
 	return headers['x-request-id'] === expected.requestId
@@ -219,6 +231,11 @@
 	body.resume();
 }
 
+/** Whether the response says that it answers another request than `requestId`. */
+function namesOtherRequest({headers}: Dispatcher.ResponseData, requestId: RequestId): boolean {
+	return matchAnswerId([headers['x-request-id'] ?? []].flat(), requestId) === 'other';
+}
+
 /** Length of the error text after which reading stops. */
 const maximumErrorTextLength = 4096;
 
@@ -228,8 +245,7 @@
  */
 async function convertErrorResponse(response: Dispatcher.ResponseData, requestId?: RequestId): Promise<RouterError> {
 	const detail = `status ${response.statusCode}: ${await readErrorText(response.body)}`;
-	const namedIds = [response.headers['x-request-id'] ?? []].flat();
-	if (requestId !== undefined && matchAnswerId(namedIds, requestId) === 'other') {
+	if (requestId !== undefined && namesOtherRequest(response, requestId)) {
 		return createRouterError('answerMismatch', `an error response names another request than ${requestId}`);
 	}
 
