Fall back to the object API when the peer that relays a call fails

An instance could lose its lease, and the rollout with it, although the object API served it: seen by test, the renewals were rejected with 'relaying the call through b failed'.

Cause: after one failed direct call, all calls of the next 3 s went to a peer alone. Where that peer had ended, was silent or was itself cut off, the call failed without a try on the direct way, and a lease of 3 s can expire within that time.

A call that fails on one way is now repeated on the other one, in either order; the way that served it goes first afterwards. Writes are conditional, so a repeat cannot take effect twice. If the first attempt of a write may have taken effect and the second one does not settle it, the outcome is unknownOutcome; it was unavailable before, which promises that nothing was written.

Evidence: both new tests failed before, with the rejected renewal and with unavailable in place of unknownOutcome.

--- a/src/store/relayed-object-api/index.ts
+++ b/src/store/relayed-object-api/index.ts
@@ -1,5 +1,6 @@
 /**
- * Relays single calls of the object API through a peer while the object API does not serve this instance itself.
+ * Relays single calls of the object API through a peer while the object API does not serve this instance itself. A call that
+ * fails on one of the two ways is repeated on the other one, which is then used first for a while.
  * A write with an unknown outcome is also repeated. Since each write is conditional, the second one fails
  * with a conflict if the first took effect, and the caller then reads back the stored object.
  */
@@ -16,7 +17,7 @@
 /** JSON-RPC method of relayed calls. */
 export const relayMethod = 'objectApi.relay';
 const relayTimeoutMs = 700;
-/** Time after a failed call during which calls go directly to a peer, in milliseconds. */
+/** Time after a failed direct call during which calls go to a peer first, in milliseconds. */
 const relayDurationMs = 3000;
 /** Failures that indicate that the object API does not serve this instance at present. */
 const relayedFailures: ReadonlySet<ObjectApiFailure> = new Set(['unavailable', 'rateLimited', 'unknownOutcome']);
@@ -78,23 +79,28 @@
 	private async call<Value>(call: RelayedCall): Promise<StoredObject<Value>> {
 		const {clock, random, listPeers} = this.options;
 		const peer = random.pickSome(listPeers(), 1)[0];
-		if (peer !== undefined && clock.readMonotonic() < this.relayUntil) {
-			return this.callPeer(peer, call);
+		const callDirectly = async () => this.callDirectly(call);
+		if (peer === undefined) {
+			return await callDirectly() as StoredObject<Value>;
 		}
 
+		const callPeer = async () => this.callPeer(peer, call);
+		const isPeerFirst = clock.readMonotonic() < this.relayUntil;
+		const [callFirst, callSecond] = isPeerFirst ? [callPeer, callDirectly] : [callDirectly, callPeer];
 		try {
-			return await this.callDirectly(call) as StoredObject<Value>;
+			return await callFirst() as StoredObject<Value>;
 		} catch (error) {
-			if (peer === undefined || !(error instanceof ObjectApiError) || !relayedFailures.has(error.failure)) {
+			// An object API that limits the rate of two instances gets no third call.
+			if (!isRelayedFailure(error) || (isPeerFirst && error.failure === 'rateLimited')) {
 				throw error;
 			}
 
-			this.relayUntil = clock.readMonotonic() + relayDurationMs;
-			return this.callPeer(peer, call);
+			this.relayUntil = isPeerFirst ? 0 : clock.readMonotonic() + relayDurationMs;
+			return await repeatCall(callSecond, error) as StoredObject<Value>;
 		}
 	}
 
-	private async callPeer<Value>(peer: InstanceId, call: RelayedCall): Promise<StoredObject<Value>> {
+	private async callPeer(peer: InstanceId, call: RelayedCall): Promise<StoredObject> {
 		let result: RelayedResult;
 		try {
 			result = await this.options.caller.call<RelayedResult>(peer, relayMethod, call, relayTimeoutMs);
@@ -108,7 +114,7 @@
 		}
 
 		this.recordEra(parseVersion(result.object.resourceVersion).era);
-		return result.object as StoredObject<Value>;
+		return result.object;
 	}
 
 	/** Records the era of a failure. That an object is missing means nothing without the era in which it is. */
@@ -153,3 +159,21 @@
 		}
 	}
 }
+
+/** Whether a call failed in a way that another one may not. */
+function isRelayedFailure(error: unknown): error is ObjectApiError {
+	return error instanceof ObjectApiError && relayedFailures.has(error.failure);
+}
+
+/** Repeats a call after `firstError`. Where the second attempt does not settle whether the first took effect, the outcome is unknown. */
+async function repeatCall(call: () => Promise<StoredObject>, firstError: ObjectApiError): Promise<StoredObject> {
+	try {
+		return await call();
+	} catch (error) {
+		if (firstError.failure === 'unknownOutcome' && isRelayedFailure(error)) {
+			throw new ObjectApiError('unknownOutcome', `${firstError.message}; repeated: ${error.message}`, {cause: error});
+		}
+
+		throw error;
+	}
+}
--- a/src/store/relayed-object-api/test.ts
+++ b/src/store/relayed-object-api/test.ts
@@ -6,6 +6,7 @@
 import {Lease} from '../../leases/lease/index.js';
 import {FakePeerNetwork} from '../../peers/fake-peer-network/index.js';
 import {RandomSource} from '../../random/random-source/index.js';
+import type {ObjectApiError} from '../object-api/index.js';
 import {MemoryObjectApi} from '../memory-object-api/index.js';
 import {RelayedObjectApi, relayMethod} from './index.js';
 
@@ -121,3 +122,39 @@
 	direct[0]!.isCut = true;
 	await expect(relayed[0]!.get('c', 'n')).toBeRejectedWith('era');
 });
+
+test('guards against a renewal that is given up with the peer that relays it, although the object API serves this instance again', async () => {
+	type Instances = ReturnType<typeof createInstances>;
+	const endPeer = ({network}: Instances) => {
+		network.remove('b' as InstanceId);
+	};
+
+	const cutOffPeer = ({direct}: Instances) => {
+		direct[1]!.isCut = true;
+	};
+
+	for (const failPeer of [endPeer, cutOffPeer]) {
+		const instances = createInstances();
+		const {clock, direct, relayed} = instances;
+		const lease = new Lease({
+			objectApi: relayed[0]!, clock, name: 'job', holder: 'a', incarnation: 'a-1' as Incarnation, durationMs,
+		});
+		expect(await lease.acquire()).toEqual(true);
+		direct[0]!.isCut = true;
+		expect(await lease.acquire()).toEqual(true);
+		direct[0]!.isCut = false;
+		failPeer(instances);
+		for (let round = 0; round < 4; round += 1) {
+			await clock.advance(acquireIntervalMs);
+			expect(await lease.acquire()).toEqual(true);
+		}
+	}
+});
+
+test('guards against a write reported as not done after the answer to one of its two attempts was lost', async () => {
+	const {direct, relayed} = createInstances();
+	direct[0]!.losesAnswer = mockFn(() => true);
+	direct[1]!.isCut = true;
+	const failure = await relayed[0]!.create('c', 'n', 1).catch((error: unknown) => (error as ObjectApiError).failure);
+	expect(failure).toEqual('unknownOutcome');
+});
