--- a/src/gateway/feed-poller/index.ts
+++ b/src/gateway/feed-poller/index.ts
@@ -189,7 +189,8 @@
 		this.recordContact(peer, response);
 		this.applyUpdates(peer, response);
 		if (response.mustConfirm === true) {
-			void this.confirmUpdates(peer);
+			// The versions in this request show the peer that its large answer has arrived.
+			void this.fetchFromPeer(peer);
 		}
 
 		if (response.referral !== undefined) {
@@ -208,11 +209,6 @@
 		}
 	}
 
-	/** Shows a peer that its large answer has arrived, by a request with the versions that this instance has now. */
-	private async confirmUpdates(peer: InstanceId): Promise<void> {
-		await this.fetchFromPeer(peer);
-	}
-
 	/** Records whether a peer that answered is cut off from the object API. */
 	private recordContact(peer: InstanceId, {isInterrupted, contactAgeMs = 0}: FeedsResponse): void {
 		const now = this.options.clock.readMonotonic();
