--- a/src/gateway/feed-relay/index.ts
+++ b/src/gateway/feed-relay/index.ts
@@ -29,8 +29,8 @@
 /** Listeners that a mirror adds to the signal of its watch: one for its run, and one for its pause after a failure. */
 const listenersPerMirror = 2;
 
-/** Options of the feed relay. */
-export type FeedRelayOptions = {
+/** What a feed relay needs to know of its instance and its peers. */
+export type FeedEnvironment = {
 	readonly self: InstanceId;
 	/** Whether other instances know this one before they have started. */
 	readonly isSeed: boolean;
@@ -43,6 +43,10 @@
 	readonly registry: PeerMethodRegistry;
 	/** Live instances other than this one. */
 	readonly listPeers: () => readonly Member[];
+};
+
+/** Options of the feed relay. */
+export type FeedRelayOptions = FeedEnvironment & {
 	/** Mirrors by collection name. */
 	readonly mirrors: ReadonlyMap<string, CollectionMirror>;
 	/** Versions that the object API is known to have had; peers pass theirs on with their copies. */
--- a/src/gateway/gateway-feeds/index.ts
+++ b/src/gateway/gateway-feeds/index.ts
@@ -4,23 +4,18 @@
  * applied.
  */
 
-import type {Clock} from '../../clock/clock/index.js';
 import {
 	measureElapsedMs, readInstant, shiftBack, type Instant,
 } from '../../clock/instant/index.js';
-import type {InstanceId, MonotonicMs, Revision} from '../../identity/ids/index.js';
+import type {MonotonicMs, Revision} from '../../identity/ids/index.js';
 import type {TargetDescription} from '../../fleet/fleet-target/index.js';
-import type {EventLogger} from '../../logging/create-logger/index.js';
-import type {Member} from '../../membership/member/index.js';
-import type {PeerCaller, PeerMethodRegistry} from '../../peers/peer-caller/index.js';
 import {CollectionMirror} from '../../store/collection-mirror/index.js';
 import type {StoredObject} from '../../store/object-api/index.js';
 import {RevisionTimeline} from '../../store/revision-timeline/index.js';
-import type {RandomSource} from '../../random/random-source/index.js';
 import type {AnnouncementAge} from '../../rollout/weights-registry/index.js';
 import type {RoutingConfiguration} from '../../routing/routing-types/index.js';
 import type {WeightsNotice, PlatformAdapter} from '../platform-adapter/index.js';
-import {FeedRelay} from '../feed-relay/index.js';
+import {FeedRelay, type FeedEnvironment} from '../feed-relay/index.js';
 import {TargetRetention} from '../target-retention/index.js';
 
 /** Time without events after which a watch is replaced, in milliseconds. */
@@ -29,20 +24,8 @@
 const quarantineWaitMs = 400;
 
 /** Options of the gateway's feeds. */
-export type GatewayFeedsOptions = {
-	readonly self: InstanceId;
-	/** Whether other instances know this one before they have started. */
-	readonly isSeed: boolean;
-	/** Whether calls have been refused for want of a configuration. */
-	readonly isConfigurationMissed: () => boolean;
+export type GatewayFeedsOptions = FeedEnvironment & {
 	readonly adapter: PlatformAdapter;
-	readonly clock: Clock;
-	readonly logger: EventLogger;
-	readonly random: RandomSource;
-	readonly caller: PeerCaller;
-	readonly registry: PeerMethodRegistry;
-	/** Live instances other than this one. */
-	readonly listPeers: () => readonly Member[];
 	readonly onConfiguration: (configuration: RoutingConfiguration) => void;
 	readonly onTargets: (targets: readonly TargetDescription[]) => void;
 	readonly onWeights: (weights: WeightsNotice, age: AnnouncementAge) => void;
