Split the writing of a response from the completion exchange

The exchange had two jobs: it sends a request to engines, and it compares what a later attempt generates with what was written.

--- a/src/requests/completion-exchange/index.ts
+++ b/src/requests/completion-exchange/index.ts
@@ -15,23 +15,14 @@
 import {containsSecret} from '../filter-secrets/index.js';
 import {checkSignal} from '../open-call-signal/index.js';
 import type {CompletionRequest} from '../parse-completion-request/index.js';
-import {ChunkReader, type WireChunk} from '../read-chunks/index.js';
+import {ChunkReader} from '../read-chunks/index.js';
 import type {RouterContext} from '../router-context/index.js';
+import {ResponseWriter, type CompletionSink} from '../response-writer/index.js';
 import {ResumeLimit} from '../resume-limit/index.js';
 import {
 	acquireEngine, chooseWeightsVersion, createEngineRequest, hasOtherEngine,
 } from '../send-completion/index.js';
 
-/** Destination of a completion's chunks. */
-export type CompletionSink = {
-	/** Whether any part of the response was sent to the caller, so that it cannot be discarded. */
-	readonly hasSent: boolean;
-	/** Writes the next chunk. A returned promise resolves when the caller can receive more. */
-	write(chunk: WireChunk): Promise<void> | undefined;
-	/** Discards the chunks written so far. Called only while nothing was sent. */
-	reset(): void;
-};
-
 /** A completion in progress. */
 export type CompletionCall = {
 	readonly request: CompletionRequest;
@@ -53,17 +44,15 @@
 	mayHaveRun = false;
 	private readonly excludedTargets = new Set<TargetId>();
 	private weightsVersion: string | undefined;
-	/** Choices of each chunk written so far as JSON. Kept only for deterministic models. */
-	private readonly writtenChoices: string[] = [];
-	private writtenChunkCount = 0;
-	/** Engine request that generated the last chunk written. */
-	private writtenRequestId: RequestId | undefined;
-	/** Whether neither a resume nor another attempt can succeed. */
-	private hasPermanentFailure = false;
+	private readonly writer: ResponseWriter;
+	/** Whether the weights changed after a part was sent, so that no other attempt can succeed. */
+	private haveWeightsChanged = false;
 	/** Number of the present attempt, from 1. */
 	private attempt = 1;
 
-	constructor(private readonly context: RouterContext, private readonly call: CompletionCall, private readonly sink: CompletionSink) {}
+	constructor(private readonly context: RouterContext, private readonly call: CompletionCall, sink: CompletionSink) {
+		this.writer = new ResponseWriter(sink, context.metrics);
+	}
 
 	/** Resolves when the sink has the whole response. Otherwise rejects with a `RouterError` that covers all attempts. */
 	async run(): Promise<void> {
@@ -139,7 +128,7 @@
 				return;
 			} catch (error) {
 				const failure = convertToRouterError(error);
-				const mayResume = !this.hasPermanentFailure && !this.call.signal.aborted && resumableResults.has(failure.entry.name as ResultName);
+				const mayResume = !this.hasPermanentFailure() && !this.call.signal.aborted && resumableResults.has(failure.entry.name as ResultName);
 				if (!mayResume || !limit.tryResume(reader.nextOffset, this.isReplaceable(slot.engine, model), this.context.clock.readMonotonic())) {
 					throw failure;
 				}
@@ -172,7 +161,7 @@
 			const data = reader.accept(chunk);
 			slot.recordFirstChunk();
 			if (data !== undefined) {
-				const drained = this.forwardChunk(data, offset, model);
+				const drained = this.writer.write({data, offset, isDeterministic: model.deterministic});
 				if (drained !== undefined) {
 					await drained;
 				}
@@ -186,61 +175,41 @@
 		throw createRouterError('streamBroken');
 	}
 
-	/** Writes a chunk to the sink. If an earlier attempt already wrote the chunk at this offset, compares the two instead. */
-	private forwardChunk(data: WireChunk, offset: number, model: ResolvedModel): Promise<void> | undefined {
-		const choices = model.deterministic ? JSON.stringify(data.choices) : '';
-		if (offset < this.writtenChunkCount) {
-			if (this.writtenChoices[offset] !== choices) {
-				this.hasPermanentFailure = true;
-				throw createRouterError('answerMismatch', 'the regenerated response differs from the part already written; the model is not deterministic');
-			}
-
-			this.writtenRequestId = data.id as RequestId;
-			return undefined;
-		}
-
-		const {metrics} = this.context;
-		metrics.checkInvariant('contiguousOffsets', offset === this.writtenChunkCount);
-		metrics.checkInvariant('oneGeneration', this.writtenRequestId === undefined || this.writtenRequestId === data.id);
-		this.writtenRequestId = data.id as RequestId;
-		this.writtenChunkCount += 1;
-		if (model.deterministic) {
-			this.writtenChoices.push(choices);
-		}
-
-		return this.sink.write(data);
-	}
-
 	/** Throws if the weights version changed after a part was sent, since another version may generate another response even with a deterministic model. */
 	private checkWeightsVersion(model: ResolvedModel): void {
-		if (this.sink.hasSent && this.weightsVersion !== model.weightsVersion) {
-			this.hasPermanentFailure = true;
+		if (this.writer.hasSent && this.weightsVersion !== model.weightsVersion) {
+			this.haveWeightsChanged = true;
 			throw createRouterError('streamBroken', 'the weights version changed while the response was being sent');
 		}
 
 		this.weightsVersion = model.weightsVersion;
 	}
 
+	/** Returns whether neither a resume nor another attempt can succeed. */
+	private hasPermanentFailure(): boolean {
+		return this.haveWeightsChanged || this.writer.hasMismatch;
+	}
+
 	/** Returns whether another attempt, at another engine than `engine`, can bring the response. */
 	private isReplaceable(engine: EngineMonitor, model: ResolvedModel): boolean {
 		return this.attempt < maximumAttempts && this.context.retryBudget.readLevel() >= 1
-			&& (!this.sink.hasSent || this.canRegenerate()) && hasOtherEngine(this.context, model, engine);
+			&& (!this.writer.hasSent || this.canRegenerate()) && hasOtherEngine(this.context, model, engine);
 	}
 
 	/** Returns whether the request may be retried. If so, takes a retry from the budget and prepares the next attempt. */
 	private tryPrepareRetry(failure: RouterError): boolean {
-		const {call, sink, context} = this;
+		const {call, writer, context} = this;
 		const name = failure.entry.name as ResultName;
-		if (this.hasPermanentFailure || call.signal.aborted || this.attempt === maximumAttempts || !retryableResults.has(name)) {
+		if (this.hasPermanentFailure() || call.signal.aborted || this.attempt === maximumAttempts || !retryableResults.has(name)) {
 			return false;
 		}
 
-		if ((sink.hasSent && !this.canRegenerate()) || !context.retryBudget.take()) {
+		if ((writer.hasSent && !this.canRegenerate()) || !context.retryBudget.take()) {
 			return false;
 		}
 
 		context.metrics.retries.inc({kind: 'completion', reason: name});
-		this.resetForRetry();
+		writer.resetForRetry();
 		return true;
 	}
 
@@ -254,20 +223,6 @@
 		}
 	}
 
-	/** Discards what was written, unless a part was already sent to the caller. */
-	private resetForRetry(): void {
-		if (this.writtenChunkCount > 0) {
-			this.context.metrics.restarts.inc();
-		}
-
-		if (!this.sink.hasSent) {
-			this.sink.reset();
-			this.writtenChoices.length = 0;
-			this.writtenChunkCount = 0;
-			this.writtenRequestId = undefined;
-		}
-	}
-
 	private recordFailure(engine: EngineMonitor, failure: RouterError): void {
 		if (this.call.signal.aborted) {
 			return;
--- a/src/requests/write-completion/index.ts
+++ b/src/requests/write-completion/index.ts
@@ -5,7 +5,7 @@
 import {createRouterError} from '../../results/create-router-error/index.js';
 import {sendJson} from '../../http/send-json/index.js';
 import {waitForDrain} from '../../http/wait-for-drain/index.js';
-import type {CompletionSink} from '../completion-exchange/index.js';
+import type {CompletionSink} from '../response-writer/index.js';
 import type {CompletionRequest} from '../parse-completion-request/index.js';
 import type {ChunkChoice, CompletionUsage, WireChunk} from '../read-chunks/index.js';
 import type {RequestMetrics} from '../request-metrics/index.js';
