Ask an engine for its stream when the head of an answer is lost

A connection that broke before the head of the answer ended a run that went on at its engine: the call ran again, three times for one answer in the test, or failed with outcomeUnknown where the only engine was out of reach for a second.

Cause: only an answer whose head had arrived was resumed. The exchange cancelled the first run and began another before it knew whether that one could deliver anything.

The stream of such a run is now resumed from offset 0, if the request names the incarnation that has to run it. An engine that does not have it says so, and another attempt follows as before. A resume that fails for want of a connection no longer keeps the run from being cancelled.

Evidence: both new tests failed before, with 3 runs in place of 1 and with outcomeUnknown. The test of a withdrawn key needs an engine that forgets its streams now, so that the second attempt which it guards against is reached; what it expects is unchanged.

--- a/src/requests/completion-exchange/index.ts
+++ b/src/requests/completion-exchange/index.ts
@@ -33,6 +33,9 @@
 	authorise(): {readonly model: ResolvedModel; readonly organisation: OrganisationId};
 };
 
+/** The engine's run that a stream comes from. */
+type StreamOrigin = Pick<EngineResponse, 'requestId' | 'incarnation' | 'weightsVersion'>;
+
 const maximumAttempts = 3;
 
 const retryableResults: ReadonlySet<ResultName> = new Set(['targetUnreachable', 'targetRefused', 'targetTimeout', 'outcomeUnknown', 'streamBroken', 'answerMismatch']);
@@ -97,33 +100,35 @@
 	private async executeRequest(slot: EngineSlot, request: EngineRequest, model: ResolvedModel): Promise<void> {
 		const {engine} = slot;
 		let isComplete = false;
-		let mayBeRunning = true;
+		let mayBeRunning = false;
 		try {
-			const answer = await engine.client.complete(request, this.call.signal);
-			this.mayHaveRun = true;
-			await this.readAnswer(slot, answer, model);
+			const answer = await this.openStream(engine, request);
+			mayBeRunning = true;
+			await this.readAnswer(slot, request, answer, model);
 			isComplete = true;
 		} catch (error) {
 			const failure = convertToRouterError(error);
-			mayBeRunning = !failure.notRun;
-			this.mayHaveRun ||= mayBeRunning;
+			// After the request, a failure without a run is that of a resume.
+			mayBeRunning ||= !failure.notRun;
 			this.recordFailure(engine, failure);
 			throw failure;
 		} finally {
+			this.mayHaveRun ||= mayBeRunning;
 			if (!isComplete && mayBeRunning) {
 				this.cancelRequest(engine, request.requestId);
 			}
 		}
 	}
 
-	/** Reads the response to its end and resumes the stream on a new connection where it breaks. */
-	private async readAnswer(slot: EngineSlot, firstAnswer: EngineResponse, model: ResolvedModel): Promise<void> {
-		const reader = new ChunkReader(firstAnswer.requestId, this.context.metrics);
+	/** Reads the response to its end, from `firstAnswer` on if that has arrived. Resumes the stream on a new connection where it breaks. */
+	private async readAnswer(slot: EngineSlot, request: EngineRequest, firstAnswer: EngineResponse | undefined, model: ResolvedModel): Promise<void> {
+		const reader = new ChunkReader(request.requestId, this.context.metrics);
 		const limit = new ResumeLimit(this.context.settings.streamSilenceMs);
-		let answer: EngineResponse | undefined = firstAnswer;
+		const origin = firstAnswer ?? {requestId: request.requestId, incarnation: request.expectedIncarnation!, weightsVersion: model.weightsVersion};
+		let answer = firstAnswer;
 		for (;;) {
 			try {
-				answer ??= await this.resumeStream(slot.engine, firstAnswer, reader.nextOffset, limit);
+				answer ??= await this.resumeStream(slot.engine, origin, reader.nextOffset, limit);
 				await this.forwardChunks(answer, reader, slot, model);
 				return;
 			} catch (error) {
@@ -140,15 +145,29 @@
 		}
 	}
 
-	private async resumeStream(engine: EngineMonitor, firstAnswer: EngineResponse, offset: number, limit: ResumeLimit): Promise<EngineResponse> {
+	/** Sends the request. Resolves to undefined if the answer was lost, and the engine may be running the request and have its stream. */
+	private async openStream(engine: EngineMonitor, request: EngineRequest): Promise<EngineResponse | undefined> {
+		try {
+			return await engine.client.complete(request, this.call.signal);
+		} catch (error) {
+			const failure = convertToRouterError(error);
+			if (failure.entry.name !== 'outcomeUnknown' || request.expectedIncarnation === undefined || this.call.signal.aborted) {
+				throw failure;
+			}
+
+			return undefined;
+		}
+	}
+
+	private async resumeStream(engine: EngineMonitor, origin: StreamOrigin, offset: number, limit: ResumeLimit): Promise<EngineResponse> {
 		this.context.metrics.resumes.inc();
-		const answer = await engine.client.resume(firstAnswer.requestId, offset, firstAnswer.incarnation, this.call.signal);
+		const answer = await engine.client.resume(origin.requestId, offset, origin.incarnation, this.call.signal);
 		if (answer === undefined) {
 			limit.end();
 			throw createRouterError('streamBroken', 'the engine no longer has the stream');
 		}
 
-		if (answer.incarnation !== firstAnswer.incarnation || answer.weightsVersion !== firstAnswer.weightsVersion) {
+		if (answer.incarnation !== origin.incarnation || answer.weightsVersion !== origin.weightsVersion) {
 			throw createRouterError('targetRefused', 'the resumed stream belongs to another incarnation or weights version', {mayHaveRun: true});
 		}
 
--- a/src/requests/completion-exchange/test.ts
+++ b/src/requests/completion-exchange/test.ts
@@ -102,6 +102,34 @@
 	}
 });
 
+test('guards against a run that is given up because its connection broke before the head of the answer', async () => {
+	const fleet = await new LocalFleet({engines: 2, silenceMs: 5000}).start();
+	try {
+		for (const engine of fleet.engines) {
+			engine.faults.resetsAfterRun = 1;
+		}
+
+		const outcome = await callCompletion({address: fleet.address, secret: localSecret, prompt});
+		expect({error: outcome.error?.type, isComplete: outcome.isComplete}).toEqual({error: undefined, isComplete: true});
+		expect(fleet.countRuns(prompt)).toEqual(1);
+	} finally {
+		await fleet.stop();
+	}
+});
+
+test('guards against a run that is given up while its only engine is out of reach before the head of the answer', async () => {
+	const fleet = await new LocalFleet({engines: 1, silenceMs: 5000, speed: {prefillTokensPerMs: 0.01}}).start();
+	try {
+		const outcome = callCompletion({address: fleet.address, secret: localSecret, prompt});
+		await waitFor(() => fleet.countRuns(prompt) > 0);
+		await fleet.engines[0]!.interruptConnections(1000);
+		const {error, isComplete} = await outcome;
+		expect({error: error?.type, isComplete, runs: fleet.countRuns(prompt)}).toEqual({error: undefined, isComplete: true, runs: 1});
+	} finally {
+		await fleet.stop();
+	}
+});
+
 test('guards against resumes of a stream that its engine no longer has', async () => {
 	const fleet = await new LocalFleet({engines: 1, silenceMs: 5000}).start();
 	try {
--- a/src/requests/send-completion/test.ts
+++ b/src/requests/send-completion/test.ts
@@ -178,7 +178,7 @@
 	const fleet = await new LocalFleet({engines: 1}).start();
 	try {
 		const [engine] = fleet.engines;
-		engine!.faults.resetsAfterRun = 1;
+		Object.assign(engine!.faults, {resetsAfterRun: 1, forgetsStreams: true});
 		engine!.server.on('request', message => {
 			if (message.method === 'POST') {
 				fleet.withdrawKey();
