Repeat a cancellation that its engine has not received

A run went on to its end, for 10 s in the test, after its caller had left or its deadline had passed, if the engine was out of reach at that moment for less than a second.

Cause: a cancellation was sent once and its failure ignored, on the grounds that an engine which is down has no run. One that is cut off has.

The monitor of the engine now repeats it with backoff until the engine answers, for up to streamSilenceMs, and a retired monitor keeps its connections until then. An answer with any status ends the repeats; a cancellation that arrives twice has no further effect.

Evidence: the new test over real connections failed before, with 0 cancellations at the engine in place of 1.

--- a/src/requests/completion-exchange/index.ts
+++ b/src/requests/completion-exchange/index.ts
@@ -263,12 +263,10 @@
 		this.context.logger.warn('attempt failed', {target: engine.target.id, result: name, reason: failure.message});
 	}
 
-	/** Asks the engine to stop generating. A lost cancellation only wastes engine time. */
+	/** Asks the engine to stop generating. The call does not wait for that. */
 	private cancelRequest(engine: EngineMonitor, requestId: RequestId): void {
 		this.context.metrics.cancellations.inc();
-		engine.client.cancel(requestId).catch(() => {
-			// If the engine is down, the request has stopped as well.
-		});
+		void engine.cancelRun(requestId, this.context.settings.streamSilenceMs);
 	}
 
 	/** Converts the error of the last attempt to one that is accurate for all attempts. */
--- a/src/requests/completion-exchange/test.ts
+++ b/src/requests/completion-exchange/test.ts
@@ -130,6 +130,19 @@
 	}
 });
 
+test('guards against a run that goes on after its caller has left because its engine was out of reach at that moment', async () => {
+	const fleet = await new LocalFleet({engines: 1, silenceMs: 5000, speed: {decodeMsPerToken: 5}}).start();
+	try {
+		const headers = {'x-timeout-ms': '400'};
+		const outcome = await callAndInterruptEngine(fleet, {maximumTokens: 2000, headers});
+		expect(outcome.isComplete).toEqual(false);
+		await waitFor(() => fleet.engines[0]!.cancellations > 0);
+		expect(fleet.engines[0]!.cancellations).toEqual(1);
+	} finally {
+		await fleet.stop();
+	}
+});
+
 test('guards against resumes of a stream that its engine no longer has', async () => {
 	const fleet = await new LocalFleet({engines: 1, silenceMs: 5000}).start();
 	try {
--- a/src/targets/engine-client/index.ts
+++ b/src/targets/engine-client/index.ts
@@ -99,6 +99,7 @@
 	complete(request: EngineRequest, signal: AbortSignal): Promise<EngineResponse>;
 	/** Continues the stream of an earlier request from `offset` on the same incarnation. Resolves to undefined if the engine doesn't have the stream. */
 	resume(requestId: RequestId, offset: number, incarnation: Incarnation, signal: AbortSignal): Promise<EngineResponse | undefined>;
+	/** Asks the engine to stop a run. Resolves once it has answered, also if it doesn't have the run. */
 	cancel(requestId: RequestId): Promise<void>;
 	readState(): Promise<EngineState>;
 	readBlocks(): Promise<BlockSnapshot>;
--- a/src/targets/engine-monitor/index.ts
+++ b/src/targets/engine-monitor/index.ts
@@ -3,10 +3,12 @@
  * to the load report, which lags.
  */
 
+import {setMaxListeners} from 'node:events';
 import type {Clock} from '../../clock/clock/index.js';
 import type {EventLogger} from '../../logging/create-logger/index.js';
-import type {BlockKey, MonotonicMs} from '../../identity/ids/index.js';
+import type {BlockKey, MonotonicMs, RequestId} from '../../identity/ids/index.js';
 import type {ResolvedModel, ResolvedTarget} from '../../configuration/configuration/index.js';
+import {calculateBackoff} from '../../requests/calculate-backoff/index.js';
 import {createStream} from '../../streams/create-stream/index.js';
 import {CacheIndex, type BlockScope} from '../cache-index/index.js';
 import type {EngineClient, EngineState} from '../engine-client/index.js';
@@ -21,6 +23,8 @@
 const eventRetryDelayMs = 100;
 /** Interval at which a retired monitor checks whether its requests have ended. */
 const retirementCheckIntervalMs = 250;
+/** Step of the backoff at which repeated cancellations begin, with a pause of up to 160 ms. */
+const firstCancellationBackoff = 4;
 
 const noLoad = {
 	running: 0, waiting: 0, slots: 1, pendingPrefillTokens: 0, ageMs: 0,
@@ -39,6 +43,8 @@
 	private lastPollAt = Number.NEGATIVE_INFINITY;
 	/** Time at which the engine measured the reported load. */
 	private loadMeasuredAt = Number.NEGATIVE_INFINITY;
+	/** Number of runs that the engine has not yet been told to stop. */
+	private pendingCancellations = 0;
 	/** Ends the polls. */
 	private readonly controller = new AbortController();
 	/** Aborts when the connections are closed whether or not requests use them. */
@@ -52,6 +58,8 @@
 		private readonly leaving: LeavingTargets = new LeavingTargets(clock),
 	) {
 		this.target = target;
+		// Each cancellation that waits for its repeat listens to this signal.
+		setMaxListeners(0, this.stopController.signal);
 	}
 
 	/** Polls the state and follows cache events until `retire` or `stop`. */
@@ -59,11 +67,30 @@
 		await Promise.all([this.pollState(), this.followCache()]);
 	}
 
+	/** Asks the engine to stop a run. While the engine is out of reach, this is repeated for up to `patienceMs`. */
+	async cancelRun(requestId: RequestId, patienceMs: number): Promise<void> {
+		const {signal} = this.stopController;
+		const startedAt = this.clock.readMonotonic();
+		let isSettled = false;
+		this.pendingCancellations += 1;
+		for (let backoff = firstCancellationBackoff; !isSettled && !signal.aborted; backoff += 1) {
+			try {
+				await this.client.cancel(requestId);
+				isSettled = true;
+			} catch {
+				isSettled = this.clock.readMonotonic() - startedAt > patienceMs;
+				await this.clock.sleep(calculateBackoff(backoff, Math.random()), signal);
+			}
+		}
+
+		this.pendingCancellations -= 1;
+	}
+
 	/** Ends the polls, and closes the connections once this router's requests at the engine have ended. */
 	async retire(): Promise<void> {
 		const {signal} = this.stopController;
 		this.controller.abort();
-		while (this.ownInFlight > 0 && !signal.aborted) {
+		while (this.ownInFlight + this.pendingCancellations > 0 && !signal.aborted) {
 			await this.clock.sleep(retirementCheckIntervalMs, signal);
 		}
 
--- a/src/targets/http-engine-client/index.ts
+++ b/src/targets/http-engine-client/index.ts
@@ -3,6 +3,7 @@
 import type {IncomingHttpHeaders} from 'node:http';
 import type {Stream} from 'most';
 import {Pool, type Dispatcher} from 'undici';
+import VError from 'verror';
 import {createTaskStream} from '../../streams/create-task-stream/index.js';
 import {LineSplitter} from '../../streams/line-splitter/index.js';
 import {createRouterError, RouterError} from '../../results/create-router-error/index.js';
@@ -88,9 +89,15 @@
 	}
 
 	async cancel(requestId: RequestId): Promise<void> {
-		await fetchJson(`${this.origin}/v1/streams/${encodeURIComponent(requestId)}`, {
-			method: 'DELETE', timeoutMs: controlTimeoutMs, dispatcher: this.controlPool,
-		});
+		try {
+			await fetchJson(`${this.origin}/v1/streams/${encodeURIComponent(requestId)}`, {
+				method: 'DELETE', timeoutMs: controlTimeoutMs, dispatcher: this.controlPool,
+			});
+		} catch (error) {
+			if (VError.info(error as Error).status === undefined) {
+				throw error;
+			}
+		}
 	}
 
 	async readState(): Promise<EngineState> {
