Don't repeat the order for a load that its engine reports

An engine whose load takes longer than 4 s got the same order every 100 ms until the load ended: 41 orders in place of 1 for a load of 8 s in the test. Loads take that long while many engines load at a time; orders are priced, and each one calls in question a load that goes on.

Cause: the time after which an order counts as lost ran from the order alone, although the reports showed the load in progress.

It now runs from the last report that shows the load. An engine that reports nothing for 4 s gets the order again, as before.

Its fake engines now answer as the platform's do: a conflict while a load is in progress, and 'already done' for the version that they have.

--- a/src/rollout/plan-rollout/index.ts
+++ b/src/rollout/plan-rollout/index.ts
@@ -12,7 +12,10 @@
 /** Progress of an engine's change to other weights. */
 export type RolloutPhase
 	= | {readonly type: 'cordoned' | 'unreachable'; readonly since: MonotonicMs}
-		| {readonly type: 'loading'; readonly since: MonotonicMs; readonly version: number};
+		| LoadingPhase;
+
+/** A load that was ordered. `reportedAt` is when the engine last reported that it is in progress. */
+export type LoadingPhase = {readonly type: 'loading'; readonly since: MonotonicMs; readonly version: number; readonly reportedAt?: MonotonicMs};
 
 /** State of an engine that the plan depends on. */
 export type RolloutEngine = {
@@ -36,7 +39,7 @@
 const minimumLoadMs = 600;
 /** Time until an unreachable engine is tried again. A restarted engine counts as a new one and doesn't wait. */
 const unreachableRetryMs = 2500;
-/** Time after which an order counts as lost and is repeated. */
+/** Time without a report of the load after which an order counts as lost and is repeated. */
 const loadTimeoutMs = 4000;
 
 /** Plans the next steps that bring the engines to `desiredVersion`. */
@@ -82,7 +85,7 @@
 				return {type: 'release', id};
 			}
 
-			if (phaseAgeMs > loadTimeoutMs) {
+			if (now - (phase.reportedAt ?? phase.since) > loadTimeoutMs) {
 				return {type: 'order', id};
 			}
 
--- a/src/rollout/plan-rollout/test.ts
+++ b/src/rollout/plan-rollout/test.ts
@@ -67,4 +67,9 @@
 	const loading = [createEngine('a', 1, {type: 'loading', since: at(0), version: 2})];
 	expect(planRollout(loading, 2, at(700))).toEqual([{type: 'report', id: 'a' as TargetId}]);
 	expect(planRollout(loading, 2, at(5000))).toEqual([{type: 'order', id: 'a' as TargetId}]);
+	const reported = [createEngine('a', 1, {
+		type: 'loading', since: at(0), version: 2, reportedAt: at(4000),
+	})];
+	expect(planRollout(reported, 2, at(5000))).toEqual([{type: 'report', id: 'a' as TargetId}]);
+	expect(planRollout(reported, 2, at(9000))).toEqual([{type: 'order', id: 'a' as TargetId}]);
 });
--- a/src/rollout/rollout-controller/index.ts
+++ b/src/rollout/rollout-controller/index.ts
@@ -281,6 +281,10 @@
 
 		this.acceptedOrders.set(target, report.acceptedOrders);
 		if (report.isChanging) {
+			if (change.phase.type === 'loading') {
+				change.phase = {...change.phase, reportedAt: this.options.clock.readMonotonic()};
+			}
+
 			this.setCordon(target, change.model, loadCordonMs);
 			return;
 		}
--- a/src/rollout/rollout-controller/test.ts
+++ b/src/rollout/rollout-controller/test.ts
@@ -17,11 +17,13 @@
 
 const acceptOrder: OutcomeDecision = () => 'accepted';
 
-/** Fake engines that load within 800 ms and record the orders that they get. */
+/** Fake engines that load weights and record the orders that they get. */
 class FakeEngines {
 	readonly orders: SentOrder[] = [];
 	/** Decides the outcome of an order; accepted orders are carried out. */
 	decideOutcome: OutcomeDecision = acceptOrder;
+	/** Time that a load takes, in milliseconds. */
+	loadMs = 800;
 	private readonly acceptedCounts = new Map<string, number>();
 	private readonly loads = new Map<string, {version: number; doneAt: number}>();
 
@@ -35,17 +37,17 @@
 				this.orders.push({
 					at: this.clock.readMonotonic(), holder, target: id, order,
 				});
-				const outcome = order.expectedOrders === acceptedCount ? this.decideOutcome(target, order) : 'conflict';
+				const outcome = this.findConflict(id, order) ?? this.decideOutcome(target, order);
 				if (outcome === 'accepted') {
 					this.acceptedCounts.set(id, acceptedCount + 1);
-					this.loads.set(id, {version: order.version, doneAt: this.clock.readMonotonic() + 800});
+					this.loads.set(id, {version: order.version, doneAt: this.clock.readMonotonic() + this.loadMs});
 				}
 
 				return outcome;
 			},
 			readReport: async target => {
 				const load = this.loads.get(target.description.id);
-				const isChanging = load !== undefined && load.doneAt > this.clock.readMonotonic();
+				const isChanging = this.isLoading(target.description.id);
 				return {
 					versions: new Map([[testModel, load === undefined || isChanging ? 1 : load.version]]),
 					acceptedOrders: this.acceptedCounts.get(target.description.id) ?? 0, isChanging,
@@ -53,6 +55,19 @@
 			},
 		};
 	}
+
+	/** Finds the outcome of an order that an engine doesn't carry out because of earlier ones. */
+	private findConflict(id: string, order: WeightsOrder): OrderOutcome | undefined {
+		if (order.expectedOrders !== (this.acceptedCounts.get(id) ?? 0) || this.isLoading(id)) {
+			return 'conflict';
+		}
+
+		return this.loads.get(id)?.version === order.version ? 'alreadyDone' : undefined;
+	}
+
+	private isLoading(id: string): boolean {
+		return (this.loads.get(id)?.doneAt ?? 0) > this.clock.readMonotonic();
+	}
 }
 
 function createEnvironment(engineCount = 6) {
@@ -158,6 +173,18 @@
 	kill();
 });
 
+test('guards against orders to an engine whose load takes long, as many loads at a time do', async () => {
+	const {clock, engines, desiredVersions, start} = createEnvironment(1);
+	engines.loadMs = 8000;
+	const {fleet, kill} = start('a');
+	await clock.advance(2000);
+	desiredVersions.set(testModel, {version: 2});
+	await clock.advance(9500);
+	expect(fleet.locate(createDescription('e0').id)?.readVersion(testModel)).toEqual(2);
+	expect(engines.orders.length).toEqual(1);
+	kill();
+});
+
 test('guards against a delay for an engine that was unreachable and restarted under the same id', async () => {
 	const {clock, engines, desiredVersions, start} = createEnvironment(2);
 	engines.decideOutcome = target => target.description.startedAt === 1 ? 'unreachable' : 'accepted';
