--- a/src/gateway/platform-adapter/index.ts
+++ b/src/gateway/platform-adapter/index.ts
@@ -4,7 +4,7 @@
 import type {ObjectApi, StoredObject} from '../../store/object-api/index.js';
 import type {TargetProtocol} from '../../forwarding/call-types/index.js';
 import type {TargetDescription} from '../../fleet/fleet-target/index.js';
-import type {EngineCommander} from '../../rollout/rollout-controller/index.js';
+import type {EngineCommander} from '../../rollout/engine-commander/index.js';
 import type {RoutingConfiguration} from '../../routing/routing-types/index.js';
 import type {JsonResponse} from '../../http/start-json-server/index.js';
 import type {CallerProtocol} from '../call-listener/index.js';
--- a/src/rollout/rollout-controller/index.ts
+++ b/src/rollout/rollout-controller/index.ts
@@ -3,9 +3,10 @@
 import type {Clock} from '../../clock/clock/index.js';
 import type {FleetTarget} from '../../fleet/fleet-target/index.js';
 import type {TargetFleet} from '../../fleet/target-fleet/index.js';
-import type {FencingNumber, MonotonicMs, TargetId} from '../../identity/ids/index.js';
+import type {MonotonicMs, TargetId} from '../../identity/ids/index.js';
 import type {Lease, LeaseRecord} from '../../leases/lease/index.js';
 import type {EventLogger} from '../../logging/create-logger/index.js';
+import type {EngineCommander} from '../engine-commander/index.js';
 import {
 	minimumCordonMs, planRollout, type RolloutPhase, type RolloutStep,
 } from '../plan-rollout/index.js';
@@ -34,31 +35,6 @@
 /** Time for which an engine stays cordoned at all instances once it is ordered to load; each report of a load in progress renews the cordon. */
 const loadCordonMs = 1500;
 
-/**
- * Outcome of an order. `unreachable`: the engine can't have received the order.
- * `unknown`: the engine may have received it and may still carry it out.
- */
-export type OrderOutcome = 'accepted' | 'alreadyDone' | 'conflict' | 'refused' | 'gone' | 'unreachable' | 'unknown';
-
-/** Order to load weights. */
-export type WeightsOrder = {
-	readonly model: string;
-	readonly version: number;
-	readonly fencing: FencingNumber;
-	/** The engine refuses the order unless it has accepted exactly this many orders, so that a delayed duplicate has no effect. */
-	readonly expectedOrders: number;
-};
-
-/** State that an engine reports. */
-export type EngineReport = {readonly versions: ReadonlyMap<string, number>; readonly acceptedOrders: number; readonly isChanging: boolean};
-
-/** Sends orders to engines and reads their reports. */
-export type EngineCommander = {
-	order(target: FleetTarget, order: WeightsOrder): Promise<OrderOutcome>;
-	/** Resolves to undefined when the engine doesn't answer. */
-	readReport(target: FleetTarget): Promise<EngineReport | undefined>;
-};
-
 /** Notice to other instances of an engine's cordon and version. */
 export type RolloutNotice = {
 	readonly target: TargetId;
--- a/src/rollout/rollout-controller/test.ts
+++ b/src/rollout/rollout-controller/test.ts
@@ -8,9 +8,8 @@
 import {Lease} from '../../leases/lease/index.js';
 import {quietLogger} from '../../logging/quiet-logger/index.js';
 import {MemoryObjectApi} from '../../store/memory-object-api/index.js';
-import {
-	RolloutController, rolloutLeaseMs, type EngineCommander, type OrderOutcome, type WeightsOrder,
-} from './index.js';
+import type {EngineCommander, OrderOutcome, WeightsOrder} from '../engine-commander/index.js';
+import {RolloutController, rolloutLeaseMs} from './index.js';
 
 type OutcomeDecision = (target: FleetTarget, order: WeightsOrder) => OrderOutcome;
 type SentOrder = {readonly at: number; readonly holder: string; readonly target: string; readonly order: WeightsOrder};
