--- a/src/requests/completion-exchange/index.ts
+++ b/src/requests/completion-exchange/index.ts
@@ -15,19 +15,13 @@
 import {containsSecret} from '../filter-secrets/index.js';
 import {checkSignal} from '../open-call-signal/index.js';
 import type {CompletionRequest} from '../parse-completion-request/index.js';
-import {ChunkReader, type WireChunk} from '../read-chunks/index.js';
+import {ChunkReader} from '../read-chunks/index.js';
 import type {RouterContext} from '../router-context/index.js';
-import {acquireEngine, chooseWeightsVersion, createEngineRequest} from '../send-completion/index.js';
-
-/** Destination of a completion's chunks. */
-export type CompletionSink = {
-	/** Whether any part of the response was sent to the caller, so that it cannot be discarded. */
-	readonly hasSent: boolean;
-	/** Writes the next chunk. A returned promise resolves when the caller can receive more. */
-	write(chunk: WireChunk): Promise<void> | undefined;
-	/** Discards the chunks written so far. Called only while nothing was sent. */
-	reset(): void;
-};
+import {ResponseWriter, type CompletionSink} from '../response-writer/index.js';
+import {ResumeLimit} from '../resume-limit/index.js';
+import {
+	acquireEngine, chooseWeightsVersion, createEngineRequest, hasOtherEngine,
+} from '../send-completion/index.js';
 
 /** A completion in progress. */
 export type CompletionCall = {
@@ -39,9 +33,10 @@
 	authorise(): {readonly model: ResolvedModel; readonly organisation: OrganisationId};
 };
 
+/** The engine's run that a stream comes from. */
+type StreamOrigin = Pick<EngineResponse, 'requestId' | 'incarnation' | 'weightsVersion'>;
+
 const maximumAttempts = 3;
-/** Consecutive resumes without a new chunk. */
-const maximumResumesWithoutProgress = 2;
 
 const retryableResults: ReadonlySet<ResultName> = new Set(['targetUnreachable', 'targetRefused', 'targetTimeout', 'outcomeUnknown', 'streamBroken', 'answerMismatch']);
 const resumableResults: ReadonlySet<ResultName> = new Set(['targetUnreachable', 'targetTimeout', 'outcomeUnknown', 'streamBroken', 'answerMismatch']);
@@ -52,29 +47,29 @@
 	mayHaveRun = false;
 	private readonly excludedTargets = new Set<TargetId>();
 	private weightsVersion: string | undefined;
-	/** Choices of each chunk written so far as JSON. Kept only for deterministic models. */
-	private readonly writtenChoices: string[] = [];
-	private writtenChunkCount = 0;
-	/** Engine request that generated the last chunk written. */
-	private writtenRequestId: RequestId | undefined;
-	/** Whether neither a resume nor another attempt can succeed. */
-	private hasPermanentFailure = false;
-
-	constructor(private readonly context: RouterContext, private readonly call: CompletionCall, private readonly sink: CompletionSink) {}
+	private readonly writer: ResponseWriter;
+	/** Whether the weights changed after a part was sent, so that no other attempt can succeed. */
+	private haveWeightsChanged = false;
+	/** Number of the present attempt, from 1. */
+	private attempt = 1;
+
+	constructor(private readonly context: RouterContext, private readonly call: CompletionCall, sink: CompletionSink) {
+		this.writer = new ResponseWriter(sink, context.metrics);
+	}
 
 	/** Resolves when the sink has the whole response. Otherwise rejects with a `RouterError` that covers all attempts. */
 	async run(): Promise<void> {
-		for (let attempt = 1; ; attempt += 1) {
+		for (;; this.attempt += 1) {
 			try {
 				await this.runAttempt();
 				return;
 			} catch (error) {
 				const failure = convertToRouterError(error);
-				if (!this.tryPrepareRetry(failure, attempt)) {
+				if (!this.tryPrepareRetry(failure)) {
 					throw this.createCallError(failure);
 				}
 
-				await this.context.clock.sleep(calculateBackoff(attempt, Math.random()), this.call.signal);
+				await this.context.clock.sleep(calculateBackoff(this.attempt, Math.random()), this.call.signal);
 			}
 		}
 	}
@@ -105,58 +100,74 @@
 	private async executeRequest(slot: EngineSlot, request: EngineRequest, model: ResolvedModel): Promise<void> {
 		const {engine} = slot;
 		let isComplete = false;
-		let mayBeRunning = true;
+		let mayBeRunning = false;
 		try {
-			const answer = await engine.client.complete(request, this.call.signal);
-			this.mayHaveRun = true;
-			await this.readAnswer(slot, answer, model);
+			const answer = await this.openStream(engine, request);
+			mayBeRunning = true;
+			await this.readAnswer(slot, request, answer, model);
 			isComplete = true;
 		} catch (error) {
 			const failure = convertToRouterError(error);
-			mayBeRunning = !failure.notRun;
-			this.mayHaveRun ||= mayBeRunning;
+			// After the request, a failure without a run is that of a resume.
+			mayBeRunning ||= !failure.notRun;
 			this.recordFailure(engine, failure);
 			throw failure;
 		} finally {
+			this.mayHaveRun ||= mayBeRunning;
 			if (!isComplete && mayBeRunning) {
 				this.cancelRequest(engine, request.requestId);
 			}
 		}
 	}
 
-	/** Reads the response to its end and resumes the stream on a new connection where it breaks. */
-	private async readAnswer(slot: EngineSlot, firstAnswer: EngineResponse, model: ResolvedModel): Promise<void> {
-		const reader = new ChunkReader(firstAnswer.requestId, this.context.metrics);
-		let answer: EngineResponse | undefined = firstAnswer;
-		let resumes = 0;
-		let lastOffset = 0;
+	/** Reads the response to its end, from `firstAnswer` on if that has arrived. Resumes the stream on a new connection where it breaks. */
+	private async readAnswer(slot: EngineSlot, request: EngineRequest, firstAnswer: EngineResponse | undefined, model: ResolvedModel): Promise<void> {
+		const reader = new ChunkReader(request.requestId, this.context.metrics);
+		const limit = new ResumeLimit(this.context.settings.streamSilenceMs);
+		const origin = firstAnswer ?? {requestId: request.requestId, incarnation: request.expectedIncarnation!, weightsVersion: model.weightsVersion};
+		let answer = firstAnswer;
 		for (;;) {
 			try {
-				answer ??= await this.resumeStream(slot.engine, firstAnswer, reader.nextOffset);
+				answer ??= await this.resumeStream(slot.engine, origin, reader.nextOffset, limit);
 				await this.forwardChunks(answer, reader, slot, model);
 				return;
 			} catch (error) {
 				const failure = convertToRouterError(error);
-				resumes = reader.nextOffset > lastOffset ? 1 : resumes + 1;
-				lastOffset = reader.nextOffset;
-				if (
-					this.hasPermanentFailure || this.call.signal.aborted
-					|| !resumableResults.has(failure.entry.name as ResultName) || resumes > maximumResumesWithoutProgress
-				) {
+				const mayResume = !this.hasPermanentFailure() && !this.call.signal.aborted && resumableResults.has(failure.entry.name as ResultName);
+				if (!mayResume || !limit.tryResume(reader.nextOffset, this.isReplaceable(slot.engine, model), this.context.clock.readMonotonic())) {
 					throw failure;
 				}
 
 				answer = undefined;
-				await this.context.clock.sleep(calculateBackoff(resumes, Math.random()), this.call.signal);
+				await this.context.clock.sleep(calculateBackoff(limit.resumes, Math.random()), this.call.signal);
 				checkSignal(this.call.signal);
 			}
 		}
 	}
 
-	private async resumeStream(engine: EngineMonitor, firstAnswer: EngineResponse, offset: number): Promise<EngineResponse> {
+	/** Sends the request. Resolves to undefined if the answer was lost, and the engine may be running the request and have its stream. */
+	private async openStream(engine: EngineMonitor, request: EngineRequest): Promise<EngineResponse | undefined> {
+		try {
+			return await engine.client.complete(request, this.call.signal);
+		} catch (error) {
+			const failure = convertToRouterError(error);
+			if (failure.entry.name !== 'outcomeUnknown' || request.expectedIncarnation === undefined || this.call.signal.aborted) {
+				throw failure;
+			}
+
+			return undefined;
+		}
+	}
+
+	private async resumeStream(engine: EngineMonitor, origin: StreamOrigin, offset: number, limit: ResumeLimit): Promise<EngineResponse> {
 		this.context.metrics.resumes.inc();
-		const answer = await engine.client.resume(firstAnswer.requestId, offset, firstAnswer.incarnation, this.call.signal);
-		if (answer.incarnation !== firstAnswer.incarnation || answer.weightsVersion !== firstAnswer.weightsVersion) {
+		const answer = await engine.client.resume(origin.requestId, offset, origin.incarnation, this.call.signal);
+		if (answer === undefined) {
+			limit.end();
+			throw createRouterError('streamBroken', 'the engine no longer has the stream');
+		}
+
+		if (answer.incarnation !== origin.incarnation || answer.weightsVersion !== origin.weightsVersion) {
 			throw createRouterError('targetRefused', 'the resumed stream belongs to another incarnation or weights version', {mayHaveRun: true});
 		}
 
@@ -169,7 +180,7 @@
 			const data = reader.accept(chunk);
 			slot.recordFirstChunk();
 			if (data !== undefined) {
-				const drained = this.forwardChunk(data, offset, model);
+				const drained = this.writer.write({data, offset, isDeterministic: model.deterministic});
 				if (drained !== undefined) {
 					await drained;
 				}
@@ -183,55 +194,41 @@
 		throw createRouterError('streamBroken');
 	}
 
-	/** Writes a chunk to the sink. If an earlier attempt already wrote the chunk at this offset, compares the two instead. */
-	private forwardChunk(data: WireChunk, offset: number, model: ResolvedModel): Promise<void> | undefined {
-		const choices = model.deterministic ? JSON.stringify(data.choices) : '';
-		if (offset < this.writtenChunkCount) {
-			if (this.writtenChoices[offset] !== choices) {
-				this.hasPermanentFailure = true;
-				throw createRouterError('answerMismatch', 'the regenerated response differs from the part already written; the model is not deterministic');
-			}
-
-			this.writtenRequestId = data.id as RequestId;
-			return undefined;
-		}
-
-		const {metrics} = this.context;
-		metrics.checkInvariant('contiguousOffsets', offset === this.writtenChunkCount);
-		metrics.checkInvariant('oneGeneration', this.writtenRequestId === undefined || this.writtenRequestId === data.id);
-		this.writtenRequestId = data.id as RequestId;
-		this.writtenChunkCount += 1;
-		if (model.deterministic) {
-			this.writtenChoices.push(choices);
-		}
-
-		return this.sink.write(data);
-	}
-
 	/** Throws if the weights version changed after a part was sent, since another version may generate another response even with a deterministic model. */
 	private checkWeightsVersion(model: ResolvedModel): void {
-		if (this.sink.hasSent && this.weightsVersion !== model.weightsVersion) {
-			this.hasPermanentFailure = true;
+		if (this.writer.hasSent && this.weightsVersion !== model.weightsVersion) {
+			this.haveWeightsChanged = true;
 			throw createRouterError('streamBroken', 'the weights version changed while the response was being sent');
 		}
 
 		this.weightsVersion = model.weightsVersion;
 	}
 
+	/** Returns whether neither a resume nor another attempt can succeed. */
+	private hasPermanentFailure(): boolean {
+		return this.haveWeightsChanged || this.writer.hasMismatch;
+	}
+
+	/** Returns whether another attempt, at another engine than `engine`, can bring the response. */
+	private isReplaceable(engine: EngineMonitor, model: ResolvedModel): boolean {
+		return this.attempt < maximumAttempts && this.context.retryBudget.readLevel() >= 1
+			&& (!this.writer.hasSent || this.canRegenerate()) && hasOtherEngine(this.context, model, engine);
+	}
+
 	/** Returns whether the request may be retried. If so, takes a retry from the budget and prepares the next attempt. */
-	private tryPrepareRetry(failure: RouterError, attempt: number): boolean {
-		const {call, sink, context} = this;
+	private tryPrepareRetry(failure: RouterError): boolean {
+		const {call, writer, context} = this;
 		const name = failure.entry.name as ResultName;
-		if (this.hasPermanentFailure || call.signal.aborted || attempt === maximumAttempts || !retryableResults.has(name)) {
+		if (this.hasPermanentFailure() || call.signal.aborted || this.attempt === maximumAttempts || !retryableResults.has(name)) {
 			return false;
 		}
 
-		if ((sink.hasSent && !this.canRegenerate()) || !context.retryBudget.take()) {
+		if ((writer.hasSent && !this.canRegenerate()) || !context.retryBudget.take()) {
 			return false;
 		}
 
 		context.metrics.retries.inc({kind: 'completion', reason: name});
-		this.resetForRetry();
+		writer.resetForRetry();
 		return true;
 	}
 
@@ -245,20 +242,6 @@
 		}
 	}
 
-	/** Discards what was written, unless a part was already sent to the caller. */
-	private resetForRetry(): void {
-		if (this.writtenChunkCount > 0) {
-			this.context.metrics.restarts.inc();
-		}
-
-		if (!this.sink.hasSent) {
-			this.sink.reset();
-			this.writtenChoices.length = 0;
-			this.writtenChunkCount = 0;
-			this.writtenRequestId = undefined;
-		}
-	}
-
 	private recordFailure(engine: EngineMonitor, failure: RouterError): void {
 		if (this.call.signal.aborted) {
 			return;
@@ -280,12 +263,10 @@
 		this.context.logger.warn('attempt failed', {target: engine.target.id, result: name, reason: failure.message});
 	}
 
-	/** Asks the engine to stop generating. A lost cancellation only wastes engine time. */
+	/** Asks the engine to stop generating. The call does not wait for that. */
 	private cancelRequest(engine: EngineMonitor, requestId: RequestId): void {
 		this.context.metrics.cancellations.inc();
-		engine.client.cancel(requestId).catch(() => {
-			// If the engine is down, the request has stopped as well.
-		});
+		void engine.cancelRun(requestId, this.context.settings.streamSilenceMs);
 	}
 
 	/** Converts the error of the last attempt to one that is accurate for all attempts. */
--- a/src/targets/engine-client/index.ts
+++ b/src/targets/engine-client/index.ts
@@ -97,12 +97,16 @@
 	/** Called when a response shows that the engine is leaving. */
 	onLeaving?: () => void;
 	complete(request: EngineRequest, signal: AbortSignal): Promise<EngineResponse>;
-	/** Continues the stream of an earlier request from `offset` on the same incarnation. */
-	resume(requestId: RequestId, offset: number, incarnation: Incarnation, signal: AbortSignal): Promise<EngineResponse>;
+	/** Continues the stream of an earlier request from `offset` on the same incarnation. Resolves to undefined if the engine doesn't have the stream. */
+	resume(requestId: RequestId, offset: number, incarnation: Incarnation, signal: AbortSignal): Promise<EngineResponse | undefined>;
+	/** Asks the engine to stop a run. Resolves once it has answered, also if it doesn't have the run. */
 	cancel(requestId: RequestId): Promise<void>;
 	readState(): Promise<EngineState>;
 	readBlocks(): Promise<BlockSnapshot>;
 	watchCacheEvents(after: number): Stream<CacheEvent>;
 	sendOrder(order: EngineOrder, timeoutMs: number): Promise<'accepted' | 'staleFencing' | 'refused'>;
+	/** Closes the connections once the exchanges on them have ended. No new ones can begin. */
+	drain(): Promise<void>;
+	/** Closes all connections at once, which breaks the exchanges on them. */
 	close(): Promise<void>;
 };
