Begin no answer of a second instance when its call ends

A call that had been sent to two instances and reached its deadline, or was aborted by the stop of this instance, began the answer of the second one at that moment: its caller got a head and a cut connection where 504 or 502 was due.

When the exchange with the first instance ended, the other one was taken for the last that can answer, and passed its head on before it ended itself.

Of the four tests three failed before: 200 and 503 that break off instead of 504 and 502. They pass now.

Only a refusal, which has been held back as a whole, is still passed on at the deadline, whichever exchange notices the deadline first.

--- a/src/handover/answer-race/test.ts
+++ b/src/handover/answer-race/test.ts
@@ -45,6 +45,14 @@
 	// No answer follows.
 };
 
+const refuse: Behaviour = response => {
+	response.writeHead(...headOf(503, {'retry-after': '1'})).end('refused');
+};
+
+const sendHead: Behaviour = response => {
+	response.writeHead(...headOf(200)).flushHeaders();
+};
+
 /**
  * Starts an instance that reaches no target and passes calls on. The first other instance that gets one behaves as the first
  * of `behaviours` says, and so on; none of them answers anything else. The instances count as members as `isMember` says.
@@ -103,15 +111,11 @@
 	'the next one reaches no target either': [response => {
 		response.writeHead(503, {[cutOffHeader]: 'true'}).end();
 	}],
-	'the next one refuses the call': [response => {
-		response.writeHead(...headOf(503, {'retry-after': '1'})).end('refused');
-	}],
+	'the next one refuses the call': [refuse],
 	'the next one refuses the call without a body': [response => {
 		response.writeHead(...headOf(429, {'content-length': '0'})).end();
 	}],
-	'the next one sends only a head': [response => {
-		response.writeHead(...headOf(200)).flushHeaders();
-	}],
+	'the next one sends only a head': [sendHead],
 	'the answer of the next one breaks off after its head': [response => {
 		response.writeHead(...headOf(200)).flushHeaders();
 		setTimeout(() => {
@@ -186,6 +190,26 @@
 	expect([status, ms >= 950, ms < 1400, responses.map(response => response.destroyed)]).toEqual([504, true, true, [true, true]]);
 });
 
+for (const {answer, behaviour, status} of [
+	{answer: 'a refusal', behaviour: refuse, status: 503},
+	{answer: 'only a head', behaviour: sendHead, status: 504},
+]) {
+	test(`guards against a half answer, or a lost refusal, at the deadline of a call whose second instance has sent ${answer}`, async (t: TestContext) => {
+		const {gateway} = await startInstances(t, [standStill, behaviour], {...idempotent, timeoutMs: 1000});
+		const response = await sendCall(gateway.address);
+		expect([readStatus(response), response.isComplete]).toEqual([status, true]);
+	});
+
+	test(`guards against a half answer to a call that is aborted while its second instance has sent ${answer}`, async (t: TestContext) => {
+		const {gateway} = await startInstances(t, [standStill, behaviour], idempotent);
+		const pending = sendCall(gateway.address);
+		await delay(1000);
+		gateway.listener.abortCalls();
+		const response = await pending;
+		expect([readStatus(response), response.isComplete]).toEqual([502, true]);
+	});
+}
+
 test('guards against sending a call that may run once to a second instance', async t => {
 	const {gateway, responses} = await startInstances(t, [serveAfterStandstill, serveWith('second')], {kind: 'nonIdempotent'});
 	const {body} = await sendCall(gateway.address);
--- a/src/handover/peer-exchange/index.ts
+++ b/src/handover/peer-exchange/index.ts
@@ -156,7 +156,9 @@
 
 	/** Passes on what has arrived of the answer, because no other instance has the call any more. */
 	release(): void {
-		if (this.head === undefined) {
+		const {call: {deadline, signal}, options: {clock}, isHeld, head} = this;
+		const canBeComplete = isHeld || clock.readMonotonic() < deadline.read();
+		if (head === undefined || signal.aborted || !canBeComplete) {
 			return;
 		}
 
@@ -236,6 +238,8 @@
 		if (assessment === 'silent') {
 			peers.recordSilent(peer.id);
 			this.onSilent?.();
+		} else if (assessment === 'expired' && this.isHeld) {
+			this.release();
 		} else if (assessment !== 'keep') {
 			this.exchange?.abort();
 			this.breakOff(assessment === 'broken' ? 'unknown' : assessment);
