Keep every attempt in flight until one of them delivers

Callers lost an answer - of a sound but silent second target, which was aborted as soon as a third one was asked (the same class: ended for the promise of another); - whose end came from the second target while a third was silent: an answer without further events counted as none although it was the one passed on; - that the second target had ended without an event, or that was no stream, while the first one stayed frozen until the deadline; - with a comment of more than 256 KiB, also from the only target.

Change: a call may be in flight at all targets that it was sent to; another one is asked only once the newest has stalled, within the same limits of runs, attempts and retries. The answer passed on last needs no new event to end. One that has ended without content waits for others only as long as they sent something within 2.5 s. The bound of what is held applies while another attempt is in flight only.

--- a/src/forwarding/answer-forwarder/index.ts
+++ b/src/forwarding/answer-forwarder/index.ts
@@ -1,9 +1,9 @@
 /**
  * Decides what of the answers of a call's attempts goes to the caller.
  *
- * An attempt that is alone passes its answer on as it comes. While two are in flight, the head of an answer doesn't tell which
- * of them will finish: a target may be silent, break off or end without an event after its head. So both go on until one holds
- * content that the caller can use.
+ * An attempt that is alone passes its answer on as it comes. While several are in flight, the head of an answer doesn't tell
+ * which of them will finish: a target may be silent, break off or end without an event after its head. So all go on until one
+ * holds content that the caller can use.
  */
 
 import type {MonotonicMs} from '../../identity/ids/index.js';
@@ -21,23 +21,41 @@
 	readonly origin: StreamOrigin;
 };
 
+/** Maximum size of what one attempt sends without content while another one is in flight. */
+const maximumHeldBytes = 256 * 1024;
+/** Time without a byte after which an answer that has ended without content no longer waits for an attempt. Sound targets pause for less. */
+const longestPauseMs = 2500;
+
 /** Passes the answers of one call on. */
 export class AnswerForwarder {
 	constructor(private readonly call: AnsweredCall) {}
 
 	/**
 	 * Passes on what the answer of `attempt` holds, if its turn has come. The first event that the caller gets binds its stream
-	 * to the target's software. Returns whether the caller has the whole answer.
+	 * to the target's software. Returns whether the caller has the whole answer. Throws a `RangeError` if too much is held back.
 	 */
 	forward(attempt: Attempt, now: MonotonicMs): boolean {
-		const {relay, origin} = this.call;
-		const {answer, target} = attempt;
-		if (answer === undefined || !this.mayPass(attempt, now) || !answer.isReady) {
+		const {answer} = attempt;
+		if (answer === undefined) {
 			return false;
 		}
 
+		if (this.mayPass(attempt, now)) {
+			return answer.isReady && this.pass(attempt);
+		}
+
+		if (answer.heldBytes > maximumHeldBytes) {
+			throw new RangeError(`the target sends more than ${maximumHeldBytes} bytes without content`);
+		}
+
+		return false;
+	}
+
+	private pass(attempt: Attempt): boolean {
+		const {relay, origin} = this.call;
+		const answer = attempt.answer!;
 		if (answer.isResumable && answer.hasContent) {
-			origin.recordEvent(target);
+			origin.recordEvent(attempt.target);
 		}
 
 		if (!relay.pass(answer)) {
@@ -47,23 +65,23 @@
 		return answer.hasEnded;
 	}
 
-	/** Whether `attempt` is the one that goes on. Its content ends the other attempt. */
+	/** Whether `attempt` is the one that goes on. Its content ends the other attempts. */
 	private mayPass(attempt: Attempt, now: MonotonicMs): boolean {
 		const {attempts, move, relay} = this.call;
 		const answer = attempt.answer!;
-		const rival = attempts.findOther(attempt);
-		if (rival === undefined) {
+		const others = attempts.listOthers(attempt);
+		if (others.length === 0) {
 			return true;
 		}
 
-		const isFirst = relay.isFirst(answer);
-		const isEnd = answer.hasEnded && (isFirst || rival.answer?.hasEnded === true);
+		const isLatest = relay.isLatest(answer);
+		const isEnd = answer.hasEnded && (isLatest || others.every(other => isSettled(other, now)));
 		if (answer.hasContent || isEnd) {
 			move.prefer(attempt, now);
 			return true;
 		}
 
-		return isFirst;
+		return isLatest;
 	}
 
 	/** Pauses a target until the caller has read what was passed on. */
@@ -76,3 +94,8 @@
 		});
 	}
 }
+
+/** Whether nothing is expected of an attempt any more: its answer has ended, or it has been silent for too long. */
+function isSettled({answer, lastReceivedAt}: Attempt, now: MonotonicMs): boolean {
+	return answer?.hasEnded === true || now - lastReceivedAt > longestPauseMs;
+}
--- a/src/forwarding/answer-forwarder/test.ts
+++ b/src/forwarding/answer-forwarder/test.ts
@@ -2,7 +2,7 @@
 import {expect} from 'earl';
 import {
 	answerAfterPause, continueStream, formatAnswer, formatChunk, formatEvent, formatEvents, freezeWithinStream, idempotent, lastChunk,
-	pauseWithinStream, playCall, resumableStream, streamHead, writeLater, type Script,
+	pauseWithinStream, playCall, resumableStream, staySilent, streamHead, writeLater, type Script,
 } from '../../fixtures/play-call/index.js';
 import {createRoute, createRoutingConfiguration} from '../../fixtures/create-routing-configuration/index.js';
 
@@ -148,3 +148,54 @@
 	const {head, body, isComplete} = await playCall(t, {route: idempotent, scripts: [answerAfterPause, refuseUnmarked]});
 	expect([readStatus(head), body, isComplete]).toEqual([200, 'first', true]);
 });
+
+test('guards against losing the end of a stream that pauses at its second target while a third is silent', async t => {
+	const pauseBeforeEnd: Script = (socket, id) => {
+		socket.write(streamHead(id) + formatChunk(formatEvent(2)));
+		writeLater(socket, lastChunk, 1600);
+	};
+
+	const {body, isComplete, unfinishedCalls} = await playCall(t, {
+		route: resumableStream, scripts: [freezeWithinStream, pauseBeforeEnd, staySilent],
+	});
+	expect({body, isComplete, unfinishedCalls}).toEqual({body: wholeStream, isComplete: true, unfinishedCalls: 0});
+});
+
+test('guards against losing the end of a stream whose first target stays frozen after the second has found nothing left to send', async t => {
+	const {body, isComplete} = await playCall(t, {
+		route: {...resumableStream, maximumAttempts: 2}, scripts: [freezeWithinStream, freezeAfter(lastChunk)], waitMs: 3500,
+	});
+	expect([body, isComplete]).toEqual([formatEvent(1), true]);
+});
+
+test('guards against losing a whole answer that is no stream because the first target stays frozen', async t => {
+	const answerWhole: Script = (socket, id) => {
+		socket.write(formatAnswer(id, '200 OK', '{"text":"x"}'));
+	};
+
+	const {head, body, isComplete} = await playCall(t, {
+		route: {...resumableStream, maximumAttempts: 2}, scripts: [staySilent, answerWhole], waitMs: 3500,
+	});
+	expect([readStatus(head), body, isComplete]).toEqual([200, '{"text":"x"}', true]);
+});
+
+test('guards against breaking off the stream of the only target for a large comment', async t => {
+	const comment = `: ${'x'.repeat(300 * 1024)}\n\n`;
+	const sendComment: Script = (socket, id) => {
+		socket.write(streamHead(id) + formatChunk(formatEvent(1)) + formatChunk(comment) + formatChunk(formatEvent(2)) + lastChunk);
+	};
+
+	const {body, isComplete} = await playCall(t, {route: {...resumableStream, maximumAttempts: 1}, scripts: [sendComment]});
+	expect([body.length, isComplete]).toEqual([wholeStream.length + comment.length, true]);
+});
+
+test('guards against memory that a target fills with comments while another attempt is in flight', async t => {
+	const comments = formatChunk(`: ${'x'.repeat(60_000)}\n\n`).repeat(6);
+	const {body, isComplete, events} = await playCall(t, {
+		route: {...resumableStream, maximumAttempts: 2}, scripts: [pauseWithinStream, freezeAfter(comments)],
+	});
+	expect([body, isComplete]).toEqual([wholeStream, true]);
+	const received = events.find(({attempt, type}) => attempt === 2 && type === 'received')!.atMs;
+	const closed = events.find(({attempt, type}) => attempt === 2 && type === 'closed')!.atMs;
+	expect(closed - received < 300).toEqual(true);
+});
--- a/src/forwarding/assess-attempt/index.ts
+++ b/src/forwarding/assess-attempt/index.ts
@@ -18,8 +18,7 @@
 	readonly isRepeatable: boolean;
 };
 
-/** Assesses an attempt at `now`. Only repeatable calls move. An answer that has ended has
- * not stalled, and the time in which the caller does not read is not its target's. */
+/** Assesses an attempt at `now`. Only repeatable calls move. The time in which the caller does not read is not its target's. */
 export function assessAttempt({attempt, selection, isRepeatable}: AttemptInFlight, context: ForwardingContext, now: MonotonicMs): AttemptAssessment {
 	if (attempt.head === undefined && attempt.target.isSilent(now)) {
 		context.reachability.recordUnanswered(attempt.target, now);
@@ -29,10 +28,6 @@
 		return 'withdraw';
 	}
 
-	if (attempt.answer?.hasEnded === true) {
-		return 'keep';
-	}
-
 	if (attempt.isPaused) {
 		attempt.lastProgressAt = now;
 		return 'keep';
--- a/src/forwarding/attempt-answer/index.ts
+++ b/src/forwarding/attempt-answer/index.ts
@@ -19,12 +19,14 @@
 	readonly isReady: boolean;
 	/** Whether something is held that the caller can use: the next event of a stream, or a whole answer. */
 	readonly hasContent: boolean;
+	/** Size of what is held. */
+	readonly heldBytes: number;
 	/** Id of the last event received; undefined before the first, and for answers without events. */
 	readonly lastEventId: string | undefined;
 	/**
 	 * Adds bytes of the body; returns whether the answer came closer to its end. `isContinuation`: whether the caller has the
-	 * beginning from another target. Throws a `RangeError` if more is held than may be, and a `ContinuationError` if the bytes
-	 * don't continue what the caller has.
+	 * beginning from another target. Throws a `RangeError` if an event is too large, and a `ContinuationError` if the bytes don't
+	 * continue what the caller has.
 	 */
 	add(chunk: Buffer, isContinuation: boolean): boolean;
 	/** Records that the target has sent its last byte. */
--- a/src/forwarding/attempt-handler/index.ts
+++ b/src/forwarding/attempt-handler/index.ts
@@ -200,11 +200,26 @@
 		}
 	}
 
+	/** Passes on what was held back because of an attempt that has ended since. */
+	private forwardHeld(): void {
+		const now = this.context.clock.readMonotonic();
+		for (const attempt of this.call.attempts.inFlight) {
+			if (this.isInFlight(attempt)) {
+				this.forward(attempt, now);
+			}
+		}
+	}
+
 	private handleAssessment(attempt: Attempt, now: MonotonicMs): void {
 		if (!this.isInFlight(attempt)) {
 			return;
 		}
 
+		if (attempt.answer?.hasEnded === true) {
+			this.forward(attempt, now);
+			return;
+		}
+
 		const {selection, session: {route}, attempts} = this.call;
 		const assessment = assessAttempt({attempt, selection, isRepeatable: isRepeatable(route)}, this.context, now);
 		if (assessment === 'withdraw') {
@@ -220,7 +235,7 @@
 	/** Records that an attempt which may have run the call has ended before its answer was complete. */
 	private recordBreak(attempt: Attempt, now: MonotonicMs): void {
 		const {attempts} = this.call;
-		if (attempts.current === attempt) {
+		if (attempts.oldest === attempt) {
 			this.starter.recordBreak(now);
 		}
 
@@ -239,10 +254,10 @@
 		this.continueOrFail('notRun', `rejected with status ${head.status}`, attempt);
 	}
 
-	/** Goes on with the other attempt if one is in flight, or retries an idempotent call, after an error response; returns whether it does. */
+	/** Goes on with the other attempts in flight, or retries an idempotent call, after an error response; returns whether it does. */
 	private replaceErrorResponse(attempt: Attempt, head: ResponseHead): boolean {
 		const {attempts, session: {route}} = this.call;
-		if (attempts.findOther(attempt) !== undefined && isTemporaryFailure(head.status)) {
+		if (attempts.listOthers(attempt).length > 0 && isTemporaryFailure(head.status)) {
 			attempt.exchange?.abort();
 			attempts.end(attempt, true);
 			this.continueOrFail('unknown', `response with status ${head.status}`, attempt);
@@ -260,12 +275,12 @@
 		return true;
 	}
 
-	/** Goes on after a failed attempt: with the other one if one is in flight, else with a retry; ends the call if there is none. */
+	/** Goes on after a failed attempt: with the others in flight, else with a retry; ends the call if there is none. */
 	private continueOrFail(failure: AttemptFailure, reason: string, attempt: Attempt): void {
-		const {attempts, fail} = this.call;
+		const {fail} = this.call;
 		const step = this.steps.planAfter(attempt, failure, reason);
 		if (step.type === 'other attempt') {
-			this.forward(attempts.current!, this.context.clock.readMonotonic());
+			this.forwardHeld();
 		} else if (step.type === 'retry') {
 			this.tryNextTarget();
 		} else {
--- a/src/forwarding/attempt-starter/index.ts
+++ b/src/forwarding/attempt-starter/index.ts
@@ -40,7 +40,7 @@
 		this.waiter = new TargetWaiter(context.fleet);
 	}
 
-	/** Records that the answer of the current attempt broke off. Only a call whose answer has begun waits anew. */
+	/** Records that the answer broke off. Only a call whose answer has begun waits anew. */
 	recordBreak(now: MonotonicMs): void {
 		if (this.call.relay.hasBegun) {
 			this.waitingSince = now;
@@ -53,7 +53,7 @@
 		if (target === undefined) {
 			this.waitForTarget(now);
 		} else {
-			this.call.attempts.current = this.send(target, now);
+			this.send(target, now);
 		}
 	}
 
@@ -62,11 +62,13 @@
 		const {session, selection: {hints, origin}, attempts, relay, guard, times, listener} = this.call;
 		attempts.add(target);
 		times.recordSent(now);
-		return startAttempt({
+		const attempt = startAttempt({
 			session, target, hints, guard, remainingMs: session.deadline.measureWorkMs(now),
 			lastEventId: relay.readLastEventId(), isRepeatable: isRepeatable(session.route),
-			origin, otherTargets: attempts.inFlight.map(attempt => attempt.target),
+			origin, otherTargets: attempts.inFlight.map(other => other.target),
 		}, this.context, listener, now);
+		attempts.begin(attempt);
+		return attempt;
 	}
 
 	/** Stops waiting for a target. */
--- a/src/forwarding/call-attempts/index.ts
+++ b/src/forwarding/call-attempts/index.ts
@@ -1,8 +1,8 @@
 /**
  * The attempts of one call: those in flight, and what those before them came to.
  *
- * A second attempt is in flight while the current one is silent: the successor, which takes the call over if it is the first
- * with something that the caller can use.
+ * Several are in flight while the earlier ones are silent. The first that delivers something that the caller can use goes on
+ * with the call.
  */
 
 import type {FleetTarget} from '../../fleet/fleet-target/index.js';
@@ -10,30 +10,32 @@
 
 /** Keeps count of the attempts of a call. */
 export class CallAttempts {
-	/** The attempt that the call is at. */
-	current: Attempt | undefined;
-	/** The attempt that takes the call over if it delivers before the current one goes on. */
-	successor: Attempt | undefined;
 	/** Attempts so far. */
 	count = 0;
 	/** Ended attempts that may have run the call. */
 	runs = 0;
 	/** Targets that are not chosen again until the call has waited. */
 	readonly triedTargets = new Set<FleetTarget>();
+	private readonly open = new Set<Attempt>();
 
-	/** The attempts that may still get an answer. */
+	/** The attempts that may still get an answer, the oldest one first. */
 	get inFlight(): readonly Attempt[] {
-		return [this.current, this.successor].filter(attempt => attempt !== undefined);
+		return [...this.open];
 	}
 
-	/** Returns the attempt that is in flight beside `attempt`. */
-	findOther(attempt: Attempt): Attempt | undefined {
-		return this.inFlight.find(other => other !== attempt);
+	/** The oldest attempt in flight; undefined if there is none. */
+	get oldest(): Attempt | undefined {
+		return this.inFlight[0];
+	}
+
+	/** The newest attempt in flight; undefined if there is none. */
+	get newest(): Attempt | undefined {
+		return this.inFlight.at(-1);
 	}
 
 	/** Attempts that may have run the call, or may yet do so. */
 	get possibleRuns(): number {
-		return this.runs + this.inFlight.length;
+		return this.runs + this.open.size;
 	}
 
 	/** Whether any target may have run the call, even in part. */
@@ -47,21 +49,26 @@
 		this.triedTargets.add(target);
 	}
 
-	/** Records that an attempt has ended; `mayHaveRun`: whether it may have run the call. When the current one ends, its successor becomes the current one. */
+	/** Records that an attempt is in flight. */
+	begin(attempt: Attempt): void {
+		this.open.add(attempt);
+	}
+
+	/** Lists the attempts in flight beside `attempt`, the oldest one first. */
+	listOthers(attempt: Attempt): readonly Attempt[] {
+		return this.inFlight.filter(other => other !== attempt);
+	}
+
+	/** Records that an attempt has ended; `mayHaveRun`: whether it may have run the call. */
 	end(attempt: Attempt, mayHaveRun: boolean): void {
 		attempt.target.endCall(attempt.record);
 		this.runs += mayHaveRun ? 1 : 0;
-		if (this.current === attempt) {
-			this.current = this.successor;
-			this.successor = undefined;
-		} else if (this.successor === attempt) {
-			this.successor = undefined;
-		}
+		this.open.delete(attempt);
 	}
 
 	/** Aborts the attempts in flight; they get no further callbacks. */
 	abort(): void {
-		for (const attempt of this.inFlight) {
+		for (const attempt of this.open) {
 			attempt.exchange?.abort();
 		}
 	}
--- a/src/forwarding/call-move/index.ts
+++ b/src/forwarding/call-move/index.ts
@@ -2,8 +2,9 @@
  * Moves a call away from a target that has stalled.
  *
  * A sound target may be silent for a while and go on, and the next one may refuse the call. So the call is sent to a second
- * target while the attempt at the first one stays in flight. The first of the two that delivers something that the caller
- * can use goes on with the call, and the other one is aborted in the same turn of the event loop, so that never both go on with it.
+ * target while the attempt at the first one stays in flight, and to a third once the second has stalled, too. The first of them
+ * that delivers something that the caller can use goes on with the call, and the others are aborted in the same turn of the event
+ * loop, so that never two go on with it.
  */
 
 import type {MonotonicMs, RequestId} from '../../identity/ids/index.js';
@@ -34,44 +35,32 @@
 	constructor(private readonly call: MovableCall, private readonly context: ForwardingContext) {}
 
 	/**
-	 * Sends the call to another target if one can take it at once. The stalled attempt stays in flight if it is the current
-	 * one, and is replaced if it is the successor. A current attempt that has a successor waits for it.
+	 * Sends the call to another target as well, if one can take it at once. An attempt that has stalled waits for newer ones, so
+	 * that there is another target only once all before have stalled.
 	 */
 	tryMove(stalled: Attempt, now: MonotonicMs): void {
 		const {attempts, selection, guard, steps, starter} = this.call;
-		if (attempts.successor !== undefined && attempts.successor !== stalled) {
+		if (attempts.newest !== stalled) {
 			return;
 		}
 
 		const plan = planMove({selection, guard, planStep: () => steps.plan(this.failure, attempts.possibleRuns)}, this.context, now);
-		if (plan.type === 'stay') {
-			return;
-		}
-
-		if (stalled === attempts.successor) {
-			this.leave(stalled, now);
-		}
-
-		const attempt = starter.send(plan.target, now);
-		this.reportMove(stalled, attempt);
-		if (attempts.current === undefined) {
-			attempts.current = attempt;
-		} else {
-			attempts.successor = attempt;
+		if (plan.type === 'move') {
+			this.reportMove(stalled, starter.send(plan.target, now));
 		}
 	}
 
 	/** Lets `attempt`, which has delivered, go on alone. */
 	prefer(attempt: Attempt, now: MonotonicMs): void {
-		const {attempts} = this.call;
-		if (attempts.successor === undefined) {
-			return;
-		}
-
-		if (attempt === attempts.successor) {
-			this.leave(attempts.current!, now);
-		} else {
-			this.drop(attempts.successor);
+		let isOlder = true;
+		for (const other of this.call.attempts.inFlight) {
+			if (other === attempt) {
+				isOlder = false;
+			} else if (isOlder) {
+				this.leave(other, now);
+			} else {
+				this.drop(other);
+			}
 		}
 	}
 
@@ -83,10 +72,7 @@
 	/** Ends an attempt that has stalled, as one that may have run the call. */
 	private leave(attempt: Attempt, now: MonotonicMs): void {
 		const {attempts, steps, starter} = this.call;
-		if (attempt === attempts.current) {
-			starter.recordBreak(now);
-		}
-
+		starter.recordBreak(now);
 		attempt.exchange?.abort();
 		attempts.end(attempt, true);
 		attempt.target.recordFailure(now);
--- a/src/forwarding/call-session/index.ts
+++ b/src/forwarding/call-session/index.ts
@@ -176,7 +176,7 @@
 		this.isDone = true;
 		this.options.deadline.stop();
 		this.handler.stop();
-		const attempt = lastAttempt ?? this.attempts.current;
+		const attempt = lastAttempt ?? this.attempts.oldest;
 		this.attempts.endAll();
 		const times = this.times.summarise(this.context.clock.readMonotonic());
 		reportCall(this.context, this.options, {
--- a/src/forwarding/event-answer/index.ts
+++ b/src/forwarding/event-answer/index.ts
@@ -5,15 +5,12 @@
 import type {ResponseHead} from '../call-types/index.js';
 import {EventSplitter} from '../event-splitter/index.js';
 
-/** Maximum size of what comes without an event while another attempt may still go on with the call. */
-const maximumHeldBytes = 256 * 1024;
-
 /** Receives a resumable stream. */
 export class EventAnswer implements AttemptAnswer {
 	hasEnded = false;
+	heldBytes = 0;
 	hasContent = false;
 	private held: Buffer[] = [];
-	private heldBytes = 0;
 	private readonly splitter: EventSplitter;
 	private readonly boundary = new EventBoundary();
 	private isContinuation = false;
@@ -50,10 +47,6 @@
 		const {bytes, hasProgress, hasContent} = this.splitter.add(chunk, isContinuation);
 		this.hold(bytes);
 		this.hasContent ||= hasContent;
-		if (!this.hasContent && this.heldBytes > maximumHeldBytes) {
-			throw new RangeError(`the target sends more than ${maximumHeldBytes} bytes without an event`);
-		}
-
 		return hasProgress;
 	}
 
--- a/src/forwarding/plain-answer/index.ts
+++ b/src/forwarding/plain-answer/index.ts
@@ -20,6 +20,7 @@
 export class PlainAnswer implements AttemptAnswer {
 	readonly head: ResponseHead;
 	hasEnded = false;
+	heldBytes = 0;
 	private held: Buffer[] = [];
 	private receivedBytes = 0;
 	private readonly boundary = new EventBoundary();
@@ -52,6 +53,7 @@
 	add(chunk: Buffer): boolean {
 		this.boundary.add(chunk);
 		this.held.push(chunk);
+		this.heldBytes += chunk.length;
 		this.receivedBytes += chunk.length;
 		return true;
 	}
@@ -63,6 +65,7 @@
 	take(): Buffer {
 		const bytes = this.held.length === 1 ? this.held[0]! : Buffer.concat(this.held);
 		this.held = [];
+		this.heldBytes = 0;
 		return bytes;
 	}
 }
--- a/src/forwarding/response-relay/index.ts
+++ b/src/forwarding/response-relay/index.ts
@@ -17,6 +17,8 @@
 	passedBytes = 0;
 	/** The answer whose head the caller has. */
 	private firstAnswer: AttemptAnswer | undefined;
+	/** The answer that was passed on last; another one than the first if a target has continued the stream. */
+	private latestAnswer: AttemptAnswer | undefined;
 
 	constructor(private readonly sink: CallerSink, private readonly route: Route, private lastEventId: string | undefined) {}
 
@@ -49,14 +51,14 @@
 			: new PlainAnswer({head, isHeld: kind === 'idempotent', isEventStream: hasEvents});
 	}
 
-	/** Whether the caller has the head of this answer. */
-	isFirst(answer: AttemptAnswer): boolean {
-		return this.firstAnswer === answer;
+	/** Whether this answer is the one that was passed on last. */
+	isLatest(answer: AttemptAnswer): boolean {
+		return this.latestAnswer === answer;
 	}
 
 	/** Adds bytes to an answer; returns whether it came closer to its end. Throws what `AttemptAnswer.add` throws. */
 	addChunk(answer: AttemptAnswer, chunk: Buffer): boolean {
-		return answer.add(chunk, this.hasBegun && !this.isFirst(answer));
+		return answer.add(chunk, this.hasBegun && this.firstAnswer !== answer);
 	}
 
 	/** Passes on what `answer` holds. Returns false if its target is to be paused until `onDrain`. */
@@ -66,6 +68,7 @@
 			this.firstAnswer = answer;
 		}
 
+		this.latestAnswer = answer;
 		const bytes = answer.take();
 		this.lastEventId = answer.lastEventId ?? this.lastEventId;
 		this.passedBytes += bytes.length;
--- a/src/forwarding/step-planner/index.ts
+++ b/src/forwarding/step-planner/index.ts
@@ -31,8 +31,8 @@
 
 	/** Plans the step after an attempt that has ended, and reports both. A call with another attempt in flight goes on with that one. */
 	planAfter(attempt: Attempt, failure: AttemptFailure, reason: string): FollowingStep {
-		const {current, runs} = this.call.attempts;
-		const step: FollowingStep = current === undefined ? this.plan(failure, runs) : {type: 'other attempt'};
+		const {oldest, runs} = this.call.attempts;
+		const step: FollowingStep = oldest === undefined ? this.plan(failure, runs) : {type: 'other attempt'};
 		this.report(attempt, {failure, reason, step});
 		return step;
 	}
