Move the reading of another instance's head out of PeerExchange

parsePeerHead tells all that the exchange needs of a head, the framing and whether it is a failure included. Behaviour and tests are unchanged.

--- a/src/handover/peer-exchange/index.ts
+++ b/src/handover/peer-exchange/index.ts
@@ -9,15 +9,12 @@
 import type {
 	Exchange, ExchangeListener, ExchangeStage, OutboundRequest, TargetClient,
 } from '../../forwarding/target-client/index.js';
-import {isUnframed} from '../../http/is-unframed/index.js';
 import {waitForArrivedData} from '../../http/wait-for-arrived-data/index.js';
 import type {InstanceId, MonotonicMs} from '../../identity/ids/index.js';
 import type {EventLogger} from '../../logging/create-logger/index.js';
 import type {AnswerRace, Contender} from '../answer-race/index.js';
 import {assessHandover} from '../assess-handover/index.js';
-import {
-	cutOffHeader, filterHeaders, isForwarded, servedHeader,
-} from '../handover-headers/index.js';
+import {parsePeerHead, type PeerHead} from '../parse-peer-head/index.js';
 import type {PeerProbe, ProbedPeer} from '../peer-probe/index.js';
 
 /**
@@ -29,8 +26,6 @@
 
 /** Interval between checks of a call, in milliseconds. */
 const checkIntervalMs = 100;
-const tooManyRequestsStatus = 429;
-const firstServerErrorStatus = 500;
 
 /** A call as it is sent to an instance. */
 export type PeerCall = {
@@ -58,24 +53,20 @@
 	};
 };
 
-type AnswerHead = {readonly status: number; readonly headers: readonly string[]};
-
 /** Passes one call to one instance. */
 export class PeerExchange implements ExchangeListener, Contender {
 	/** Resolves once the instance answers nothing at all; the exchange goes on. */
 	readonly silence: Promise<'silent'>;
 	private readonly sentAt: MonotonicMs;
 	/** The head of the answer, once it has arrived. */
-	private head: AnswerHead | undefined;
+	private head: PeerHead | undefined;
 	/** Whether the caller has the head. */
 	private hasBegun = false;
-	/** Whether the answer waits for those of other instances. */
+	/** Whether the answer is held back, because that of another instance would be better. */
 	private isHeld = false;
 	/** Whether the answer has arrived as a whole. */
 	private hasEnded = false;
 	private isDone = false;
-	/** Whether only the end of the connection delimits the answer. */
-	private endsWithConnection = false;
 	private exchange: Exchange | undefined;
 	private timer: NodeJS.Timeout | undefined;
 	private onDone: ((outcome: PeerOutcome) => void) | undefined;
@@ -107,18 +98,17 @@
 	onHead(status: number, rawHeaders: readonly string[]): void {
 		const {call, options: {probe}} = this;
 		probe.recordHeard(call.peer.id);
-		const head = parseHead(rawHeaders);
+		const head = parsePeerHead(call.request.method, status, rawHeaders);
 		if (!head.isServed) {
 			this.exchange?.abort();
 			this.finish(head.isCutOff ? 'cutOff' : 'notRun');
 			return;
 		}
 
-		this.endsWithConnection = isUnframed(call.request.method, status, name => head.names.has(name));
-		this.head = {status, headers: head.forwarded};
+		this.head = head;
 		if (call.race.isAlone(this)) {
 			this.begin();
-		} else if (isFailure(status)) {
+		} else if (head.isFailure) {
 			this.isHeld = true;
 			this.exchange?.pause();
 		}
@@ -203,7 +193,7 @@
 		}
 
 		// Instances of earlier releases pass such answers on, and the kernel closes the connections of a killed process in order.
-		if (this.endsWithConnection) {
+		if (this.head?.isUnframed) {
 			this.call.sink.destroy();
 		} else {
 			this.call.sink.end();
@@ -263,16 +253,3 @@
 		this.call.race.remove(this);
 	}
 }
-
-/** Whether an answer tells that the call was refused or has failed, so that the answer of another instance is better. */
-function isFailure(status: number): boolean {
-	return status === tooManyRequestsStatus || status >= firstServerErrorStatus;
-}
-
-/** The head of another instance's answer: what of it goes to the caller, and the names of all headers in lower case. */
-function parseHead(rawHeaders: readonly string[]) {
-	const names = new Set(rawHeaders.filter((_, index) => index % 2 === 0).map(name => name.toLowerCase()));
-	return {
-		names, forwarded: filterHeaders(rawHeaders, isForwarded), isCutOff: names.has(cutOffHeader), isServed: names.has(servedHeader),
-	};
-}
