Test that a poll under way outlives the connections replaced for other calls

Polls of watchers share links with calls that time out. The test shows that a poll in progress is not broken off with the connections that are replaced for them; it fails if the replaced connections are destroyed.

--- a/src/peers/peer-client/test.ts
+++ b/src/peers/peer-client/test.ts
@@ -72,6 +72,21 @@
 		await expect(client.call(callee, 'fail', {}, longTimeoutMs)).toBeRejected();
 	});
 
+	test('guards against a poll under way that is broken off because other calls time out and their connections are replaced', async () => {
+		const {peers, client} = await createClientOfSeveral(2);
+		const [first, second] = peers;
+		first!.server.register('poll', async () => {
+			await delay(3 * silenceTimeoutMs);
+			return 'polled';
+		});
+		second!.server.register('hang', async () => delay(longTimeoutMs));
+		first!.server.register('hang', async () => delay(longTimeoutMs));
+		const poll = client.call(first!.id, 'poll', {}, longTimeoutMs);
+		await expect(client.call(second!.id, 'hang', {}, silenceTimeoutMs)).toBeRejected();
+		await expect(client.call(first!.id, 'hang', {}, silenceTimeoutMs)).toBeRejected();
+		expect(await poll).toEqual('polled');
+	});
+
 	test('guards against an answer that has begun and never ends, and against one that counts as late although it has begun', async () => {
 		const timeoutMs = 400;
 		const server = await startRawServer(socket => {
--- a/src/requests/completion-exchange/index.ts
+++ b/src/requests/completion-exchange/index.ts
@@ -108,7 +108,7 @@
 			isComplete = true;
 		} catch (error) {
 			const failure = convertToRouterError(error);
-			// After the request, a failure without a run is that of a resume.
+			// Once the request was sent, `notRun` only says that a resume was not carried out.
 			mayBeRunning ||= !failure.notRun;
 			this.recordFailure(engine, failure);
 			throw failure;
