--- a/src/store/relayed-object-api/index.ts
+++ b/src/store/relayed-object-api/index.ts
@@ -96,7 +96,7 @@
 			}
 
 			this.relayUntil = isPeerFirst ? 0 : clock.readMonotonic() + relayDurationMs;
-			return await repeatCall(callSecond, error) as StoredObject<Value>;
+			return await retryCall(callSecond, error) as StoredObject<Value>;
 		}
 	}
 
@@ -166,7 +166,7 @@
 }
 
 /** Repeats a call after `firstError`. Where the second attempt does not settle whether the first took effect, the outcome is unknown. */
-async function repeatCall(call: () => Promise<StoredObject>, firstError: ObjectApiError): Promise<StoredObject> {
+async function retryCall(call: () => Promise<StoredObject>, firstError: ObjectApiError): Promise<StoredObject> {
 	try {
 		return await call();
 	} catch (error) {
--- a/src/targets/http-engine-client/index.ts
+++ b/src/targets/http-engine-client/index.ts
@@ -80,7 +80,7 @@
 		const response = await this.request({
 			method: 'GET', path, headers: {'x-request-id': requestId, 'x-expected-incarnation': incarnation}, signal,
 		});
-		if (response.statusCode === 404 && !namesOtherRequest(response, requestId)) {
+		if (response.statusCode === 404 && !isForOtherRequest(response, requestId)) {
 			discardBody(response.body);
 			return undefined;
 		}
@@ -239,7 +239,7 @@
 }
 
 /** Whether the response says that it answers another request than `requestId`. */
-function namesOtherRequest({headers}: Dispatcher.ResponseData, requestId: RequestId): boolean {
+function isForOtherRequest({headers}: Dispatcher.ResponseData, requestId: RequestId): boolean {
 	return matchAnswerId([headers['x-request-id'] ?? []].flat(), requestId) === 'other';
 }
 
@@ -252,7 +252,7 @@
  */
 async function convertErrorResponse(response: Dispatcher.ResponseData, requestId?: RequestId): Promise<RouterError> {
 	const detail = `status ${response.statusCode}: ${await readErrorText(response.body)}`;
-	if (requestId !== undefined && namesOtherRequest(response, requestId)) {
+	if (requestId !== undefined && isForOtherRequest(response, requestId)) {
 		return createRouterError('answerMismatch', `an error response names another request than ${requestId}`);
 	}
 
