Keep crash evidence when a known crash is reported again

With 64 crashes recorded, a further report of one of them discarded the oldest: room was made although the report added no crash. Reports are sent twice and by several instances, so a burst of crashes wore down its own evidence. Crashes are now discarded only for a new one, as in the ledger of whole requests. The test failed before with 63 of 64 crashes left.

--- a/src/quarantine/crash-ledger/index.ts
+++ b/src/quarantine/crash-ledger/index.ts
@@ -95,9 +95,12 @@
 	 * another reason, such as a reset of their connection, and are left out. Returns whether the crash is new.
 	 */
 	recordCrash({target, startedAt, crashedAt, prompts}: CrashReport, now: MonotonicMs): boolean {
-		this.dropOldCrashes(now);
 		const id = `${target} ${startedAt}`;
 		const known = this.crashes.get(id);
+		if (known === undefined) {
+			this.dropOldCrashes(now);
+		}
+
 		const crash: Crash = known ?? {crashedAt, occurrences: new Map()};
 		this.crashes.set(id, crash);
 		for (const prompt of prompts.filter(({sentAt}) => sentAt <= crash.crashedAt)) {
--- a/src/quarantine/crash-ledger/test.ts
+++ b/src/quarantine/crash-ledger/test.ts
@@ -173,6 +173,18 @@
 	expect(ledger.listEvidence(isUnknown, at(2000)).length <= 64 * 80).toEqual(true);
 });
 
+test('guards against a further report of a known crash that discards the oldest one', () => {
+	const {ledger, crash} = createLedger();
+	for (let index = 1; index <= 64; index += 1) {
+		crash(index * 500, createPrompt(['culprit'], (index * 500) - callMs));
+	}
+
+	ledger.recordCrash({
+		target: 'e64' as TargetId, startedAt: 1, crashedAt: at(32_000), prompts: [createPrompt(['culprit'], 31_950)],
+	}, at(32_000));
+	expect(ledger.listEvidence(isUnknown, at(32_000))[0]?.crashes).toEqual(64);
+});
+
 test('guards against a second reset of connections to the same engines that counts as further crashes in sequence', () => {
 	const ledger = new CrashLedger();
 	for (const resetAt of [10_000, 12_000]) {
