Keep the evidence of both quarantines in one ledger with a rule of decision each

The ledgers of prompt parts and of whole requests each had their own store of crashes by incarnation, merge of reports, limit of age and number, exclusion of explained crashes, and count of crashes in sequence. EvidenceLedger and collectEvidence serve both now; EvidenceRule is what differs, with the classes PartRule and RequestRule. CrashLedger and RequestLedger remain as what the guards call, and hold the limits and the words of their kind.

One difference: when a crash has its maximum of 256 requests, a further report now brings the sending time of a known one up to date, as it does for parts.

--- a/src/quarantine/request-ledger/index.ts
+++ b/src/quarantine/request-ledger/index.ts
@@ -1,14 +1,10 @@
-/**
- * Records which requests ran at targets that crashed, and finds those that cause it.
- *
- * A crash breaks all requests of its target, so a sound one that is repeated can be in several crashes. Three facts tell
- * them apart. A complete answer to a request clears it of all crashes before. A crash that a known culprit explains speaks
- * against no other request. And repeats that are sent after a crash and break again say more than requests that were all
- * broken at one instant, as when all targets end for another reason.
- */
+/** Records which requests ran at targets that crashed, and finds those that cause it. */
 
-import type {MonotonicMs, TargetId} from '../../identity/ids/index.js';
+import type {MonotonicMs} from '../../identity/ids/index.js';
+import type {CrashedTarget, Evidence} from '../crash-evidence/index.js';
+import {EvidenceLedger, type CulpritLookup} from '../evidence-ledger/index.js';
 import type {RequestKey} from '../request-key/index.js';
+import {RequestRule} from '../request-rule/index.js';
 
 /** A request that ran when its target crashed. */
 export type CrashedRequest = {
@@ -18,13 +14,7 @@
 };
 
 /** Crash of one incarnation of a target, as one instance saw it. */
-export type RequestCrash = {
-	readonly target: TargetId;
-	/** Unix time of the start of the incarnation, in milliseconds. */
-	readonly startedAt: number;
-	readonly crashedAt: MonotonicMs;
-	readonly requests: readonly CrashedRequest[];
-};
+export type RequestCrash = CrashedTarget & {readonly requests: readonly CrashedRequest[]};
 
 /** What the recorded crashes say about a request. */
 export type RequestEvidence = {
@@ -34,115 +24,58 @@
 	readonly sequentialCrashes: number;
 };
 
-/** Tells whether a request is known to crash targets, which explains a crash with it. */
-export type RequestLookup = (key: RequestKey) => boolean;
-
 /** Time for which a crash is evidence, in milliseconds. A whole request is specific evidence, so it can be kept for long. */
 export const evidenceValidityMs = 3_600_000;
-/** Crashes that identify a request. */
-const requiredCrashes = 3;
-/** Minimum time from a crash to a later repeat, in milliseconds. Times that other instances report are off by the delay of their messages. */
-const reportSkewMs = 20;
 const maximumCrashes = 256;
 const maximumRequestsPerCrash = 256;
 
-type Crash = {readonly crashedAt: MonotonicMs; readonly sentAtByKey: Map<RequestKey, MonotonicMs>};
-
 /** Crashes of the last hour, by request. */
 export class RequestLedger {
-	/** By incarnation in the order of their arrival, so that the reports of several instances are merged. */
-	private readonly crashes = new Map<string, Crash>();
+	private readonly evidence = new EvidenceLedger<RequestKey>({
+		rule: new RequestRule(), validityMs: evidenceValidityMs, maximumCrashes, maximumKeysPerCrash: maximumRequestsPerCrash,
+	});
 
 	/** Whether there is no evidence against any request. */
 	get isEmpty(): boolean {
-		return this.crashes.size === 0;
+		return this.evidence.isEmpty;
 	}
 
-	/**
-	 * Records a crash, or adds the requests of a further report of the same one. Requests that were sent after it broke for
-	 * another reason and are left out. Returns whether the crash is new.
-	 */
-	recordCrash({target, startedAt, crashedAt, requests}: RequestCrash, now: MonotonicMs): boolean {
-		const id = `${target} ${startedAt}`;
-		const known = this.crashes.get(id);
-		if (known === undefined) {
-			this.dropOldCrashes(now);
-		}
-
-		const crash: Crash = known ?? {crashedAt, sentAtByKey: new Map()};
-		this.crashes.set(id, crash);
-		for (const {key, sentAt} of requests) {
-			if (sentAt <= crash.crashedAt && crash.sentAtByKey.size < maximumRequestsPerCrash) {
-				crash.sentAtByKey.set(key, Math.max(sentAt, crash.sentAtByKey.get(key) ?? sentAt) as MonotonicMs);
-			}
-		}
-
-		return known === undefined;
+	/** Records a crash, or adds the requests of a further report of the same one. Returns whether the crash is new. */
+	recordCrash(crash: RequestCrash, now: MonotonicMs): boolean {
+		return this.evidence.recordCrash(crash, crash.requests.map(({key, sentAt}) => ({keys: [key], sentAt})), now);
 	}
 
 	/** Clears a request of the crashes before `completedAt`. Returns whether there were any. */
 	recordCompletion(key: RequestKey, completedAt: MonotonicMs): boolean {
-		let isCleared = false;
-		for (const {crashedAt, sentAtByKey} of this.crashes.values()) {
-			if (crashedAt <= completedAt) {
-				isCleared = sentAtByKey.delete(key) || isCleared;
-			}
-		}
-
-		return isCleared;
+		return this.evidence.removeKey(key, completedAt);
 	}
 
 	/** Number of crashes with a request that no known culprit explains. */
-	countCrashes(key: RequestKey, isCulprit: RequestLookup, now: MonotonicMs): number {
-		return this.listUnexplained(isCulprit, now).filter(({sentAtByKey}) => sentAtByKey.has(key)).length;
+	countCrashes(key: RequestKey, isCulprit: CulpritLookup<RequestKey>, now: MonotonicMs): number {
+		return this.evidence.evaluate(isCulprit, now).evidenceByKey.get(key)?.crashList.length ?? 0;
 	}
 
 	/** Finds the request with the most crashes of those that enough crashes identify, and all that have as many. */
-	findCulprits(isCulprit: RequestLookup, now: MonotonicMs): RequestEvidence[] {
-		const identified = this.listEvidence(isCulprit, now)
-			.filter(({crashes}) => crashes >= requiredCrashes);
-		return identified.filter(({crashes}) => crashes === identified[0]!.crashes);
+	findCulprits(isCulprit: CulpritLookup<RequestKey>, now: MonotonicMs): RequestEvidence[] {
+		return this.evidence.findCulprits(isCulprit, now).map(evidence => summariseEvidence(evidence));
 	}
 
 	/** Lists the requests with crashes that no known culprit explains, those with the most crashes first. */
-	listEvidence(isCulprit: RequestLookup, now: MonotonicMs): RequestEvidence[] {
-		const evidenceByKey = new Map<RequestKey, RequestEvidence & {countedAt: number}>();
-		for (const {crashedAt, sentAtByKey} of this.listUnexplained(isCulprit, now)) {
-			for (const [key, sentAt] of sentAtByKey) {
-				const known = evidenceByKey.get(key);
-				const isSequential = sentAt > (known?.countedAt ?? Number.NEGATIVE_INFINITY) + reportSkewMs;
-				evidenceByKey.set(key, {
-					key,
-					crashes: (known?.crashes ?? 0) + 1,
-					sequentialCrashes: (known?.sequentialCrashes ?? 0) + (isSequential ? 1 : 0),
-					countedAt: isSequential ? crashedAt : known!.countedAt,
-				});
-			}
-		}
+	listEvidence(isCulprit: CulpritLookup<RequestKey>, now: MonotonicMs): RequestEvidence[] {
+		return this.evidence.listEvidence(isCulprit, now).map(evidence => summariseEvidence(evidence));
+	}
 
-		return [...evidenceByKey.values()]
-			.map(({key, crashes, sequentialCrashes}) => ({key, crashes, sequentialCrashes}))
-			.toSorted((a, b) => b.crashes - a.crashes || b.sequentialCrashes - a.sequentialCrashes);
+	/** Whether a call with the request is not sent to another target without being asked. */
+	isSuspicious(key: RequestKey, isCulprit: CulpritLookup<RequestKey>, now: MonotonicMs): boolean {
+		return this.evidence.isSuspicious([key], isCulprit, now);
 	}
 
 	/** Forgets what speaks against a request. */
 	forget(key: RequestKey): void {
-		for (const {sentAtByKey} of this.crashes.values()) {
-			sentAtByKey.delete(key);
-		}
-	}
-
-	private listUnexplained(isCulprit: RequestLookup, now: MonotonicMs): Crash[] {
-		return [...this.crashes.values()]
-			.filter(({crashedAt, sentAtByKey}) => now - crashedAt <= evidenceValidityMs && ![...sentAtByKey.keys()].some(key => isCulprit(key)))
-			.toSorted((a, b) => a.crashedAt - b.crashedAt);
+		this.evidence.removeKey(key, Number.POSITIVE_INFINITY);
 	}
+}
 
-	private dropOldCrashes(now: MonotonicMs): void {
-		for (const [id, {crashedAt}] of this.crashes) {
-			if (now - crashedAt > evidenceValidityMs || this.crashes.size >= maximumCrashes) {
-				this.crashes.delete(id);
-			}
-		}
-	}
+function summariseEvidence({key, sequentialCrashes, crashList}: Evidence<RequestKey>): RequestEvidence {
+	return {key, crashes: crashList.length, sequentialCrashes};
 }
--- a/src/quarantine/request-quarantine/index.ts
+++ b/src/quarantine/request-quarantine/index.ts
@@ -34,8 +34,6 @@
 
 /** Time from a crash report to the evaluation of its cause, in milliseconds. */
 const evaluationDelayMs = 100;
-/** Number of crashes with a request from which a call is not sent to a second target. */
-const suspiciousCrashes = 2;
 /** Bounds of the pause after which an instance that did not see the deciding crash announces or stores a quarantine, in milliseconds. */
 const announcementDelayMs = {shortest: 0, longest: 500};
 const storeDelayMs = {shortest: 2000, longest: 6000};
@@ -164,7 +162,7 @@
 		}
 
 		const key = readKey();
-		return this.isCulprit(key) || this.ledger.countCrashes(key, other => this.isCulprit(other), now) >= suspiciousCrashes;
+		return this.isCulprit(key) || this.ledger.isSuspicious(key, other => this.isCulprit(other), now);
 	}
 
 	recordBrokenConnection(readKey: RequestKeyReader, target: FleetTarget, sentAt: MonotonicMs, now: MonotonicMs): void {
