--- a/src/quarantine/prompt-quarantine/index.ts
+++ b/src/quarantine/prompt-quarantine/index.ts
@@ -15,15 +15,17 @@
 import type {EventLogger} from '../../logging/create-logger/index.js';
 import type {Member} from '../../membership/member/index.js';
 import type {DatagramTransport} from '../../peers/datagram-channel/index.js';
+import {splitList} from '../../peers/split-list/index.js';
 import type {RandomSource} from '../../random/random-source/index.js';
 import type {ObjectApi, StoredObject} from '../../store/object-api/index.js';
 import {CrashLedger, type CrashReport} from '../crash-ledger/index.js';
 import {forgetQuarantines} from '../forget-quarantines/index.js';
 import {partCodec} from '../part-codec/index.js';
 import {listSharedPartKeys, type PartKey} from '../part-key/index.js';
+import type {QuarantineNotice} from '../message-fields/index.js';
 import {QuarantineExchange} from '../quarantine-exchange/index.js';
 import {
-	maximumClearancesPerMessage, type Clearance, type QuarantineNews, type QuarantineNotice,
+	maximumClearancesPerMessage, type Clearance, type QuarantineNews,
 } from '../quarantine-messages/index.js';
 import {QuarantineRecords} from '../quarantine-records/index.js';
 import {QuarantineRegister, type Quarantine} from '../quarantine-register/index.js';
@@ -200,7 +202,7 @@
 		}
 	}
 
-	private applyNotice({quarantine, decidedAt}: QuarantineNotice, now: MonotonicMs): void {
+	private applyNotice({quarantine, decidedAt}: QuarantineNotice<PartKey>, now: MonotonicMs): void {
 		const {key: part} = quarantine;
 		if (!this.ledger.hasCompletedSince(part, decidedAt)) {
 			this.announced.set(part, now);
@@ -275,8 +277,8 @@
 		const clearances = [...this.pendingClearances.values()];
 		this.pendingClearances.clear();
 		this.clearedAt = clock.readMonotonic();
-		for (let offset = 0; offset < clearances.length; offset += maximumClearancesPerMessage) {
-			this.announceClearances(clearances.slice(offset, offset + maximumClearancesPerMessage), this.clearedAt);
+		for (const part of splitList(clearances, maximumClearancesPerMessage)) {
+			this.announceClearances(part, this.clearedAt);
 		}
 	}
 
@@ -307,7 +309,7 @@
 		void this.records.store(quarantine, isOwn ? 0 : this.drawDelay(storeDelayMs.shortest, storeDelayMs.longest));
 	}
 
-	private async announceAfterDelay(notice: QuarantineNotice, delayMs: number): Promise<void> {
+	private async announceAfterDelay(notice: QuarantineNotice<PartKey>, delayMs: number): Promise<void> {
 		const {key: part, endsAt} = notice.quarantine;
 		if (delayMs > 0) {
 			await this.options.clock.sleep(delayMs);
--- a/src/quarantine/quarantine-messages/index.ts
+++ b/src/quarantine/quarantine-messages/index.ts
@@ -1,31 +1,26 @@
-/**
- * Messages about crashes and quarantines between instances. They carry ages and remaining times instead of times,
- * since each instance has a monotonic clock of its own.
- */
+/** Messages about engine crashes and quarantines of prompt parts between instances. */
 
 import type {MonotonicMs, TargetId} from '../../identity/ids/index.js';
 import type {CrashReport} from '../crash-ledger/index.js';
-import {maximumKeyLength, maximumTrackedParts, type PartKey} from '../part-key/index.js';
-import type {Quarantine} from '../quarantine-register/index.js';
+import {
+	demandList, demandText, formatCrashedTarget, formatNotice, parseAge, parseCrashedTarget, parseNotice, readFields, type QuarantineNotice,
+} from '../message-fields/index.js';
+import {maximumTrackedParts, type PartKey} from '../part-key/index.js';
 
 /** When a call with the part ended with a complete answer, which clears the part of crashes before. */
 export type Clearance = {readonly part: PartKey; readonly completedAt: MonotonicMs};
 
-/** A quarantine and when an instance decided on it. */
-export type QuarantineNotice = {readonly quarantine: Quarantine; readonly decidedAt: MonotonicMs};
-
 /** What one instance tells the others. */
 export type QuarantineNews
 	= | {readonly type: 'crash'; readonly crash: CrashReport}
 		| {readonly type: 'clearance'; readonly clearances: readonly Clearance[]}
-		| {readonly type: 'quarantine'; readonly notice: QuarantineNotice};
+		| {readonly type: 'quarantine'; readonly notice: QuarantineNotice<PartKey>};
 
 /** Maximum number of prompts in one message; it bounds the size of a datagram. */
 export const maximumPromptsPerMessage = 8;
 /** Maximum number of clearances in one message. */
 export const maximumClearancesPerMessage = 32;
 
-type MessageField = 'type' | 'target' | 'startedAt' | 'ageMs' | 'prompts' | 'clearances' | 'part' | 'crashes' | 'durationMs' | 'remainingMs';
 type PromptRow = readonly [sentAgeMs: number, parts: readonly PartKey[]];
 type ClearanceRow = readonly [part: PartKey, ageMs: number];
 /** Message on the wire. */
@@ -38,10 +33,8 @@
 export function formatNews(news: QuarantineNews, now: MonotonicMs): QuarantineMessage {
 	switch (news.type) {
 		case 'crash': {
-			const {target, startedAt, crashedAt, prompts} = news.crash;
-			return {
-				type: 'crash', target, startedAt, ageMs: now - crashedAt, prompts: prompts.map(({parts, sentAt}) => [now - sentAt, parts]),
-			};
+			const prompts: PromptRow[] = news.crash.prompts.map(({parts, sentAt}) => [now - sentAt, parts]);
+			return {type: 'crash', ...formatCrashedTarget(news.crash, now), prompts};
 		}
 
 		case 'clearance': {
@@ -49,27 +42,18 @@
 		}
 
 		case 'quarantine': {
-			const {quarantine: {key: part, crashes, durationMs, endsAt}, decidedAt} = news.notice;
-			return {
-				type: 'quarantine', part, crashes, durationMs, remainingMs: endsAt - now, ageMs: now - decidedAt,
-			};
+			return {type: 'quarantine', part: news.notice.quarantine.key, ...formatNotice(news.notice, now)};
 		}
 	}
 }
 
 /** Parses a message received at `now`. Throws a `TypeError` if it is malformed. */
 export function parseNews(body: unknown, now: MonotonicMs): QuarantineNews {
-	const message = (typeof body === 'object' && body !== null ? body : {}) as Partial<Record<MessageField, unknown>>;
+	const message = readFields(body);
 	switch (message.type) {
 		case 'crash': {
 			const prompts = demandList(message.prompts, maximumPromptsPerMessage).map(row => parsePrompt(row, now));
-			return {
-				type: 'crash',
-				crash: {
-					target: demandText(message.target) as TargetId, startedAt: demandNumber(message.startedAt),
-					crashedAt: parseAge(message.ageMs, now), prompts,
-				},
-			};
+			return {type: 'crash', crash: {...parseCrashedTarget(message, now), prompts}};
 		}
 
 		case 'clearance': {
@@ -78,11 +62,7 @@
 		}
 
 		case 'quarantine': {
-			const endsAt = now + demandNumber(message.remainingMs) as MonotonicMs;
-			const quarantine: Quarantine = {
-				key: demandText(message.part) as PartKey, crashes: demandNumber(message.crashes), durationMs: demandNumber(message.durationMs), endsAt,
-			};
-			return {type: 'quarantine', notice: {quarantine, decidedAt: parseAge(message.ageMs, now)}};
+			return {type: 'quarantine', notice: parseNotice(demandText(message.part) as PartKey, message, now)};
 		}
 
 		default: {
@@ -100,31 +80,3 @@
 	const [part, ageMs] = demandList(row, 2);
 	return {part: demandText(part) as PartKey, completedAt: parseAge(ageMs, now)};
 }
-
-function parseAge(value: unknown, now: MonotonicMs): MonotonicMs {
-	return now - demandNumber(value) as MonotonicMs;
-}
-
-function demandNumber(value: unknown): number {
-	if (typeof value !== 'number' || !Number.isFinite(value) || value < 0) {
-		throw new TypeError('a number is missing or negative');
-	}
-
-	return value;
-}
-
-function demandText(value: unknown): string {
-	if (typeof value !== 'string' || value === '' || value.length > maximumKeyLength) {
-		throw new TypeError('a text is missing or too long');
-	}
-
-	return value;
-}
-
-function demandList(value: unknown, maximumLength: number): unknown[] {
-	if (!Array.isArray(value) || value.length > maximumLength) {
-		throw new TypeError('a list is missing or too long');
-	}
-
-	return value;
-}
