Log no quarantine of a part that is not in force

When a quarantine is refused because one that began less than 2 s before was lifted, calls with the part go on, but the log said that it was quarantined, and again with each further crash. The test failed before.

--- a/src/quarantine/prompt-quarantine/index.ts
+++ b/src/quarantine/prompt-quarantine/index.ts
@@ -302,7 +302,10 @@
 	}
 
 	private quarantine(quarantine: Quarantine, source: 'own' | 'peer', now: MonotonicMs): void {
-		this.register.add(quarantine);
+		if (!this.register.add(quarantine)) {
+			return;
+		}
+
 		this.logQuarantine(quarantine, source === 'own' ? 'crash' : 'crash reported by peer', now);
 		const isOwn = source === 'own';
 		void this.announceAfterDelay({quarantine, decidedAt: now}, isOwn ? 0 : this.drawDelay(0, maximumAnnouncementDelayMs));
--- a/src/quarantine/prompt-quarantine/test.ts
+++ b/src/quarantine/prompt-quarantine/test.ts
@@ -6,6 +6,7 @@
 import {simulateCrashingPrompt, type CrashSimulation} from '../../fixtures/simulate-crashing-prompt/index.js';
 import type {EngineWork} from '../../forwarding/call-types/index.js';
 import type {MonotonicMs} from '../../identity/ids/index.js';
+import type {EventLogger} from '../../logging/create-logger/index.js';
 import {quietLogger} from '../../logging/quiet-logger/index.js';
 import {FakeDatagramNetwork} from '../../peers/fake-datagram-network/index.js';
 import {RandomSource} from '../../random/random-source/index.js';
@@ -36,13 +37,13 @@
 }
 
 /** Creates two instances with one object API. */
-function createPair() {
+function createPair(logger: EventLogger = quietLogger) {
 	const clock = new ManualClock();
 	const network = new FakeDatagramNetwork();
 	const objectApi = new MemoryObjectApi();
 	const members = ['a', 'b'].map(id => createMember(id));
 	const guards = members.map((member, index) => new PromptQuarantine({
-		clock, logger: quietLogger, random: new RandomSource(index + 1), channel: network.open(member.id),
+		clock, logger, random: new RandomSource(index + 1), channel: network.open(member.id),
 		listPeers: () => members.filter(other => other !== member), objectApi, remover: objectApi, collection,
 	}));
 	let engines = 0;
@@ -192,6 +193,24 @@
 	expect(isRejected(first)).toEqual(false);
 });
 
+test('guards against a log that tells of a quarantine which is not in force because one that began as late was lifted', async () => {
+	const events: string[] = [];
+	const logger: EventLogger = {
+		...quietLogger,
+		warn(event) {
+			events.push(event);
+		},
+	};
+	const {objectApi, first, crashEngines, isRejected, refresh} = createPair(logger);
+	await crashEngines(first, 4);
+	const [name] = await refresh();
+	await objectApi.remove(collection, name!);
+	await refresh();
+	events.length = 0;
+	await crashEngines(first, 4);
+	expect([isRejected(first), events.includes('prompt part quarantined')]).toEqual([false, false]);
+});
+
 test('shows quarantined and suspected parts in the dump and in gauges', async () => {
 	const {clock, first, second, crashEngines, isRejected} = createPair();
 	await crashEngines(first, 2);
