Keep crashes with a request that came after its quarantine was lifted

A complete answer lifts a quarantine and removes its object. When the removal came back from the store, the instance forgot all crashes with the request, also those since the answer, so a request that went on to crash targets needed more of them. Evidence is now forgotten only where the removal lifts the quarantine, as for prompt parts. The test failed before.

--- a/src/quarantine/request-quarantine/index.ts
+++ b/src/quarantine/request-quarantine/index.ts
@@ -105,8 +105,10 @@
 				this.adopt(quarantine, 'store', clock.readMonotonic());
 			},
 			onRemoved: key => {
-				this.lift(key, 'object deleted');
-				this.ledger.forget(key);
+				// Where the quarantine was lifted before, what is recorded now came later.
+				if (this.lift(key, 'object deleted')) {
+					this.ledger.forget(key);
+				}
 			},
 		});
 	}
--- a/src/quarantine/request-quarantine/test.ts
+++ b/src/quarantine/request-quarantine/test.ts
@@ -166,3 +166,22 @@
 	await breakTargets(first, 1);
 	expect(isRejected(second)).toEqual(true);
 });
+
+test('guards against crashes after a complete answer that are forgotten when the object of the lifted quarantine is removed', async () => {
+	const {first, breakTargets, isRejected, readKey, clock, objectApi} = createPair();
+	const refresh = async () => {
+		const {items, resourceVersion} = await objectApi.list(collection);
+		first.replaceStored(items, resourceVersion);
+		return items.length;
+	};
+
+	await breakTargets(first, 3);
+	expect(await refresh()).toEqual(1);
+	first.recordCompleteAnswer(readKey, clock.readMonotonic());
+	await breakTargets(first, 2);
+	expect(await refresh()).toEqual(0);
+	expect(first.isSuspicious(readKey, clock.readMonotonic())).toEqual(true);
+	await clock.advance(firstDurationMs);
+	await breakTargets(first, 1);
+	expect(isRejected(first)).toEqual(true);
+});
