Let a complete answer to a request refute what is heard later

Reports of crashes and notices of quarantines are repeated after 150 ms to 1 s, because some datagrams are lost. An instance that had missed the first ones and heard of a complete answer in between took the repeats for news: it counted a crash from before the answer, or rejected the request until a trial, 10 s later. Complete answers are now remembered as for prompt parts. Both tests failed before.

--- a/src/quarantine/request-ledger/index.ts
+++ b/src/quarantine/request-ledger/index.ts
@@ -1,6 +1,7 @@
 /** Records which requests ran at targets that crashed, and finds those that cause it. */
 
 import type {MonotonicMs} from '../../identity/ids/index.js';
+import {CompletionLog} from '../completion-log/index.js';
 import type {CrashedTarget, Evidence} from '../crash-evidence/index.js';
 import {EvidenceLedger, type CulpritLookup} from '../evidence-ledger/index.js';
 import type {RequestKey} from '../request-key/index.js';
@@ -31,8 +32,9 @@
 
 /** Crashes of the last hour, by request. */
 export class RequestLedger {
+	private readonly completions = new CompletionLog<RequestKey>();
 	private readonly evidence = new EvidenceLedger<RequestKey>({
-		rule: new RequestRule(), validityMs: evidenceValidityMs, maximumCrashes, maximumKeysPerCrash: maximumRequestsPerCrash,
+		rule: new RequestRule(this.completions), validityMs: evidenceValidityMs, maximumCrashes, maximumKeysPerCrash: maximumRequestsPerCrash,
 	});
 
 	/** Whether there is no evidence against any request. */
@@ -45,11 +47,18 @@
 		return this.evidence.recordCrash(crash, crash.requests.map(({key, sentAt}) => ({keys: [key], sentAt})), now);
 	}
 
-	/** Clears a request of the crashes before `completedAt`. Returns whether there were any. */
+	/** Clears a request of the crashes before `completedAt`, also of those that are reported later. Returns whether any were known. */
 	recordCompletion(key: RequestKey, completedAt: MonotonicMs): boolean {
+		this.completions.record(key, completedAt);
+		// It is taken out of the known crashes as well, since so many requests complete in the hour in which these count that they are not all remembered.
 		return this.evidence.removeKey(key, completedAt);
 	}
 
+	/** Whether the request had a complete answer at `since` or later. */
+	hasCompletedSince(key: RequestKey, since: MonotonicMs): boolean {
+		return this.completions.hasCompletedSince(key, since);
+	}
+
 	/** Number of crashes with a request that no known culprit explains. */
 	countCrashes(key: RequestKey, isCulprit: CulpritLookup<RequestKey>, now: MonotonicMs): number {
 		return this.evidence.evaluate(isCulprit, now).evidenceByKey.get(key)?.crashList.length ?? 0;
--- a/src/quarantine/request-ledger/test.ts
+++ b/src/quarantine/request-ledger/test.ts
@@ -48,6 +48,14 @@
 	expect(ledger.recordCompletion(other, at(200))).toEqual(false);
 });
 
+test('guards against evidence from a crash report that arrives after the complete answer which refutes it', () => {
+	const ledger = new RequestLedger();
+	ledger.recordCompletion(sound, at(200));
+	crash(ledger, 100, [sound, other]);
+	crash(ledger, 300, [sound]);
+	expect([sound, other].map(key => ledger.countCrashes(key, noCulprit, at(300)))).toEqual([1, 1]);
+});
+
 test('guards against counting a crash twice that several instances report, or one that came before the request was sent', () => {
 	const ledger = new RequestLedger();
 	expect(crash(ledger, 100, [culprit], 't1')).toEqual(true);
--- a/src/quarantine/request-quarantine/index.ts
+++ b/src/quarantine/request-quarantine/index.ts
@@ -227,9 +227,12 @@
 			}
 
 			case 'quarantine': {
-				this.announced.set(news.quarantine.key, now);
-				if (this.adopt(news.quarantine, 'peer', now)) {
-					this.store(news.quarantine, this.drawDelay(storeDelayMs));
+				// A notice may be repeated after the answer that refutes it.
+				if (!this.ledger.hasCompletedSince(news.quarantine.key, news.decidedAt)) {
+					this.announced.set(news.quarantine.key, now);
+					if (this.adopt(news.quarantine, 'peer', now)) {
+						this.store(news.quarantine, this.drawDelay(storeDelayMs));
+					}
 				}
 
 				break;
--- a/src/quarantine/request-quarantine/test.ts
+++ b/src/quarantine/request-quarantine/test.ts
@@ -38,10 +38,10 @@
 /** Creates two instances with one object API, before targets in the given state. */
 function createPair() {
 	const clock = new ManualClock();
-	const network = new FakeDatagramNetwork();
+	const state: {probe: TargetState; isCut: boolean} = {probe: 'down', isCut: false};
+	const network = new FakeDatagramNetwork(() => state.isCut);
 	const objectApi = new MemoryObjectApi();
 	const members = ['a', 'b'].map(id => createMember(id));
-	const state: {probe: TargetState} = {probe: 'down'};
 	const createGuard = (index: number) => new RequestQuarantine({
 		clock, logger: quietLogger, random: new RandomSource(index + 1), self: members[index]!.id, channel: network.open(members[index]!.id),
 		listPeers: () => members.filter((_, other) => other !== index), objectApi, remover: objectApi, collection, probe: async () => state.probe,
@@ -185,3 +185,18 @@
 	await breakTargets(first, 1);
 	expect(isRejected(first)).toEqual(true);
 });
+
+test('guards against a repeated notice of a quarantine that a complete answer has refuted meanwhile', async () => {
+	const {first, second, state, breakTargets, isRejected, readKey, clock} = createPair();
+	await breakTargets(first, 2);
+	const sentAt = clock.readMonotonic();
+	await clock.advance(callMs);
+	state.isCut = true;
+	first.recordBrokenConnection(readKey, createFleetTarget('t9'), sentAt, clock.readMonotonic());
+	await clock.advance(2 * callMs);
+	expect([isRejected(first), isRejected(second)]).toEqual([true, false]);
+	state.isCut = false;
+	first.recordCompleteAnswer(readKey, clock.readMonotonic());
+	await clock.advance(trialIntervalMs);
+	expect([isRejected(first), isRejected(second)]).toEqual([false, false]);
+});
--- a/src/quarantine/request-rule/index.ts
+++ b/src/quarantine/request-rule/index.ts
@@ -7,6 +7,8 @@
  * broken at one instant, as when all targets end for another reason.
  */
 
+import type {MonotonicMs} from '../../identity/ids/index.js';
+import type {CompletionLog} from '../completion-log/index.js';
 import type {Evaluation, Evidence, EvidenceRule} from '../crash-evidence/index.js';
 import type {RequestKey} from '../request-key/index.js';
 
@@ -17,9 +19,10 @@
 
 /** Rule for whole requests. */
 export class RequestRule implements EvidenceRule<RequestKey> {
-	/** A cleared request is taken out of the recorded crashes, so what is left speaks against it. */
-	isCleared(): boolean {
-		return false;
+	constructor(private readonly completions: CompletionLog<RequestKey>) {}
+
+	isCleared(request: RequestKey, crashedAt: MonotonicMs): boolean {
+		return this.completions.hasCompletedSince(request, crashedAt);
 	}
 
 	/** Finds the request with the most crashes of those that enough crashes identify, and all that have as many. */
