--- a/src/quarantine/crash-evidence/index.ts
+++ b/src/quarantine/crash-evidence/index.ts
@@ -13,6 +13,9 @@
 	readonly crashedAt: MonotonicMs;
 };
 
+/** Who saw a crash: this instance, or another one that reported it. */
+export type CrashSource = 'own' | 'peer';
+
 /** A call that ran when its target crashed. */
 export type CrashedCall<Key extends string> = {
 	/** What identifies the call, from what most calls share to what few do. */
--- a/src/quarantine/crash-ledger/index.ts
+++ b/src/quarantine/crash-ledger/index.ts
@@ -2,7 +2,7 @@
 
 import type {MonotonicMs} from '../../identity/ids/index.js';
 import {CompletionLog} from '../completion-log/index.js';
-import type {CrashedTarget, Evidence} from '../crash-evidence/index.js';
+import type {CrashedCall, CrashedTarget, Evidence} from '../crash-evidence/index.js';
 import {EvidenceLedger, type CulpritLookup} from '../evidence-ledger/index.js';
 import type {PartKey} from '../part-key/index.js';
 import {PartRule} from '../part-rule/index.js';
@@ -34,6 +34,11 @@
 const maximumCrashes = 64;
 const maximumPartsPerCrash = 256;
 
+/** Lists the calls of a crash with what identifies them. */
+export function listPromptCalls({prompts}: CrashReport): Array<CrashedCall<PartKey>> {
+	return prompts.map(({parts, sentAt}) => ({keys: parts, sentAt}));
+}
+
 /** Crashes of the last minute and what they say about prompt parts. */
 export class CrashLedger {
 	private readonly completions = new CompletionLog<PartKey>();
@@ -43,7 +48,7 @@
 
 	/** Records a crash, or adds the prompts of a further report of the same crash. Returns whether the crash is new. */
 	recordCrash(crash: CrashReport, now: MonotonicMs): boolean {
-		return this.evidence.recordCrash(crash, crash.prompts.map(({parts, sentAt}) => ({keys: parts, sentAt})), now);
+		return this.evidence.recordCrash(crash, listPromptCalls(crash), now);
 	}
 
 	/** Records that a call with these parts ended with a complete answer. Returns the parts that this clears. */
@@ -57,7 +62,7 @@
 	}
 
 	/** Forgets the crashes with a part, which would otherwise speak against the other parts of its prompts. */
-	forgetCrashes(part: PartKey): void {
+	forget(part: PartKey): void {
 		this.evidence.forgetCrashes(part);
 	}
 
--- a/src/quarantine/quarantine-records/index.ts
+++ b/src/quarantine/quarantine-records/index.ts
@@ -9,6 +9,7 @@
 import type {Clock} from '../../clock/clock/index.js';
 import type {MonotonicMs, ResourceVersion} from '../../identity/ids/index.js';
 import type {EventLogger} from '../../logging/create-logger/index.js';
+import {drawDelay} from '../../random/draw-delay/index.js';
 import type {RandomSource} from '../../random/random-source/index.js';
 import {ObjectApiError, type ObjectApi, type StoredObject} from '../../store/object-api/index.js';
 import {parseVersion} from '../../store/object-version/index.js';
@@ -27,8 +28,8 @@
 const sameEndToleranceMs = 2000;
 /** Bounds of the pause before a retry, in milliseconds; a quarantine also holds while it is not stored. */
 const retryDelayMs = {shortest: 250, longest: 5000};
-/** Longest pause before a lost object is written again, in milliseconds; one of the instances does so first. */
-const maximumRewriteDelayMs = 2000;
+/** Bounds of the pause before a lost object is written again, in milliseconds; one of the instances does so first. */
+const rewriteDelayMs = {shortest: 0, longest: 2000};
 const maximumRemovalAttempts = 5;
 const maximumRememberedNames = 1000;
 const randomSteps = 1000;
@@ -159,7 +160,7 @@
 		const quarantine = read(key);
 		if (quarantine !== undefined) {
 			logger.info('quarantine lost by the store', {key});
-			void this.store(quarantine, maximumRewriteDelayMs * random.pickIndex(randomSteps) / randomSteps);
+			void this.store(quarantine, drawDelay(random, rewriteDelayMs));
 		}
 	}
 
--- a/src/quarantine/quarantine-register/index.ts
+++ b/src/quarantine/quarantine-register/index.ts
@@ -31,7 +31,8 @@
 /** Returns the duration of a quarantine from that of the previous one, which is undefined for the first, and from the number of crashes in sequence. */
 export type DurationPlan = (previousMs: number | undefined, sequentialCrashes: number) => number;
 
-const doubleDuration: DurationPlan = previousMs => previousMs === undefined ? initialDurationMs : Math.min(maximumDurationMs, 2 * previousMs);
+/** Doubles the duration with each quarantine, up to a day. */
+export const doubleDuration: DurationPlan = previousMs => previousMs === undefined ? initialDurationMs : Math.min(maximumDurationMs, 2 * previousMs);
 
 /** Quarantines by key. */
 export class QuarantineRegister<Key extends string = PartKey> {
--- a/src/quarantine/request-ledger/index.ts
+++ b/src/quarantine/request-ledger/index.ts
@@ -2,7 +2,7 @@
 
 import type {MonotonicMs} from '../../identity/ids/index.js';
 import {CompletionLog} from '../completion-log/index.js';
-import type {CrashedTarget, Evidence} from '../crash-evidence/index.js';
+import type {CrashedCall, CrashedTarget, Evidence} from '../crash-evidence/index.js';
 import {EvidenceLedger, type CulpritLookup} from '../evidence-ledger/index.js';
 import type {RequestKey} from '../request-key/index.js';
 import {RequestRule} from '../request-rule/index.js';
@@ -30,6 +30,11 @@
 const maximumCrashes = 256;
 const maximumRequestsPerCrash = 256;
 
+/** Lists the calls of a crash with what identifies them. */
+export function listRequestCalls({requests}: RequestCrash): Array<CrashedCall<RequestKey>> {
+	return requests.map(({key, sentAt}) => ({keys: [key], sentAt}));
+}
+
 /** Crashes of the last hour, by request. */
 export class RequestLedger {
 	private readonly completions = new CompletionLog<RequestKey>();
@@ -44,7 +49,7 @@
 
 	/** Records a crash, or adds the requests of a further report of the same one. Returns whether the crash is new. */
 	recordCrash(crash: RequestCrash, now: MonotonicMs): boolean {
-		return this.evidence.recordCrash(crash, crash.requests.map(({key, sentAt}) => ({keys: [key], sentAt})), now);
+		return this.evidence.recordCrash(crash, listRequestCalls(crash), now);
 	}
 
 	/** Clears a request of the crashes before `completedAt`, also of those that are reported later. Returns whether any were known. */
