Leave the gateway its one job: connect components, start and stop them

It also kept the routing table, served readiness and addresses, took over named weights and estimated the number of instances.

--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -2,7 +2,6 @@
 
 import {setMaxListeners} from 'node:events';
 import type {Clock} from '../../clock/clock/index.js';
-import {AdminServer} from '../../daemon/admin-server/index.js';
 import type {PlannedStop} from '../../daemon/planned-stop/index.js';
 import {LoadExchange} from '../../fleet/load-exchange/index.js';
 import {PrefixDirectory} from '../../fleet/prefix-directory/index.js';
@@ -10,7 +9,6 @@
 import type {ForwardingContext} from '../../forwarding/forwarding-context/index.js';
 import {pruneConnections} from '../../forwarding/prune-connections/index.js';
 import {TargetClient} from '../../forwarding/target-client/index.js';
-import {startJsonServer} from '../../http/start-json-server/index.js';
 import {parseAddress} from '../../http/parse-address/index.js';
 import {remainingHeader} from '../../handover/handover-headers/index.js';
 import type {
@@ -31,24 +29,27 @@
 import {StreamDirectory} from '../../resumption/stream-directory/index.js';
 import type {RolloutController} from '../../rollout/rollout-controller/index.js';
 import {RolloutNotices} from '../../rollout/rollout-notices/index.js';
-import {WeightsRegistry, type AnnouncementAge} from '../../rollout/weights-registry/index.js';
-import {RoutingTable} from '../../routing/routing-table/index.js';
+import {WeightsRegistry} from '../../rollout/weights-registry/index.js';
 import type {RoutingConfiguration} from '../../routing/routing-types/index.js';
-import {addressValiditySeconds, answerAddressQuery} from '../answer-address-query/index.js';
+import {addressValiditySeconds} from '../answer-address-query/index.js';
+import {applyNamedWeights} from '../apply-named-weights/index.js';
 import {CallListener} from '../call-listener/index.js';
 import {createGatewayStop} from '../create-gateway-stop/index.js';
 import {createHandover, type Handover} from '../create-handover/index.js';
 import {createMembership} from '../create-membership/index.js';
 import {createRollout} from '../create-rollout/index.js';
 import {createStatements, runStatements, type StatementExchange} from '../create-statements/index.js';
+import {CurrentRouting} from '../current-routing/index.js';
 import {describeTarget} from '../describe-target/index.js';
+import {estimateInstanceCount} from '../estimate-instance-count/index.js';
 import {GatewayFeeds} from '../gateway-feeds/index.js';
 import type {GatewayMetrics} from '../gateway-metrics/index.js';
 import {InstanceRegistry} from '../instance-registry/index.js';
 import {listGauges} from '../list-gauges/index.js';
-import type {PlatformAdapter, WeightsNotice} from '../platform-adapter/index.js';
+import type {PlatformAdapter} from '../platform-adapter/index.js';
 import {ServiceRetryBudgets} from '../service-retry-budgets/index.js';
 import type {SettingsStore} from '../settings-store/index.js';
+import {startGatewayServers} from '../start-gateway-servers/index.js';
 
 /** Options of a gateway. */
 export type GatewayOptions = {
@@ -60,8 +61,6 @@
 	readonly metrics: GatewayMetrics;
 };
 
-/** Minimum number of instances assumed until the registry has been read, so that quota shares are not too large. */
-const assumedInstanceCount = 12;
 /** Upper limit of the tasks that wait on the signal of the gateway at the same time; more would be a leak. */
 const maximumTasks = 24;
 /** Number of distinct values that `draw` returns. */
@@ -92,9 +91,8 @@
 	private readonly weightsRegistry: WeightsRegistry;
 	private readonly instanceRegistry: InstanceRegistry;
 	private readonly startedAt: MonotonicMs;
-	private routingTable: RoutingTable | undefined;
+	private readonly routing = new CurrentRouting(() => this.feeds.canServe(this.options.clock.readMonotonic()));
 	private plannedStop: PlannedStop | undefined;
-	private isConfigurationMissed = false;
 
 	constructor(private readonly options: GatewayOptions) {
 		const {adapter, clock, logger, random, metrics, settings: store} = options;
@@ -118,12 +116,12 @@
 		this.peerClient = new PeerClient({self, findPeerAddress: id => this.membership.findPeerAddress(id)});
 		this.membership = createMembership({
 			settings: store, instanceRegistry: this.instanceRegistry, caller: this.peerClient, registry: this.peerServer, clock, random, logger,
-			readRevision: () => this.routingTable === undefined ? -1 as Revision : this.feeds.readRevision(),
+			readRevision: () => this.routing.table === undefined ? -1 as Revision : this.feeds.readRevision(),
 		});
 		this.feeds = new GatewayFeeds({
 			self, adapter, clock, logger, random, caller: this.peerClient, registry: this.peerServer,
 			isSeed: settings.seeds.some(seed => parseAddress(seed).host === parseAddress(settings.listen.peer).host),
-			isConfigurationMissed: () => this.isConfigurationMissed,
+			isConfigurationMissed: () => this.routing.isMissed,
 			listPeers: () => this.listPeers(),
 			onInstances: instances => {
 				this.instanceRegistry.replace(instances);
@@ -136,7 +134,7 @@
 				this.streams.observeTargets(targets);
 			},
 			onWeights: (weights, age) => {
-				this.applyWeights(weights, age);
+				applyNamedWeights({notice: weights, age}, this.weightsRegistry, logger, clock.readMonotonic());
 			},
 			onQuarantines: (objects, version) => {
 				this.quarantine.replaceStored(objects, version);
@@ -169,7 +167,7 @@
 		this.streams = new StreamDirectory({
 			self, clock, logger, random, channel: this.datagramChannel, caller: this.peerClient, registry: this.peerServer,
 			objectApi: this.relayedObjectApi, directObjectApi: adapter.objectApi, collection: adapter.collections.streams, listLive,
-			readLongestWaitMs: () => calculateLongestWaitMs(this.routingTable?.configuration.routes),
+			readLongestWaitMs: () => calculateLongestWaitMs(this.routing.table?.configuration.routes),
 		});
 		this.rollout = createRollout({
 			...options, self, objectApi: this.relayedObjectApi, fleet: this.fleet, weights: this.weightsRegistry, notices: this.rolloutNotices,
@@ -181,7 +179,7 @@
 			listPeers: () => this.listPeers(),
 		});
 		this.listener = new CallListener({
-			context: this.createContext(), protocol: adapter.callerProtocol, readTable: () => this.readRoutingTable(), handover: this.handover.calls,
+			context: this.createContext(), protocol: adapter.callerProtocol, readTable: () => this.routing.readForCall(), handover: this.handover.calls,
 		});
 		this.peerServer.setCallRoute({
 			marker: remainingHeader,
@@ -198,7 +196,7 @@
 
 	/** Starts all listeners and tasks. */
 	async start(): Promise<void> {
-		const {adapter, clock, metrics, logger} = this.options;
+		const {clock, logger} = this.options;
 		const settings = this.options.settings.current;
 		const {signal} = this.controller;
 		await this.peerServer.listen(settings.listen.peer);
@@ -222,15 +220,11 @@
 		}).run(signal);
 		void this.options.settings.run(logger, signal);
 		await this.listener.listen(settings.listen.caller);
-		await startJsonServer(settings.listen.readiness, url => url.pathname === adapter.readinessPath
-			? {status: this.isReady() ? 200 : 503, body: {ready: this.isReady()}}
-			: {status: 404, body: {}});
-		await startJsonServer(settings.listen.directory, url => answerAddressQuery(url, {
-			...this.options, membership: this.membership, isAvoided: this.handover.isCutOff,
-		}));
-		await new AdminServer({
-			metrics, dump: () => this.dump(), readObstacle: () => this.isReady() ? undefined : 'no configuration, or stopping',
-		}).listen(settings.listen.admin);
+		await startGatewayServers({
+			...this.options, listen: settings.listen, membership: this.membership, isAvoided: this.handover.isCutOff,
+			isReady: () => this.isReady(),
+			dump: () => this.dump(),
+		});
 		logger.info('gateway started', {peer: settings.listen.peer, seeds: settings.seeds.length, settings: this.options.settings.revision});
 	}
 
@@ -264,18 +258,7 @@
 	}
 
 	private isReady(): boolean {
-		return this.findUsableTable() !== undefined && this.plannedStop === undefined;
-	}
-
-	/** Returns the routing table for a call, and notes when there is none yet. */
-	private readRoutingTable(): RoutingTable | undefined {
-		this.isConfigurationMissed ||= this.routingTable === undefined;
-		return this.findUsableTable();
-	}
-
-	/** Finds the routing table, unless calls have to wait for other collections. */
-	private findUsableTable(): RoutingTable | undefined {
-		return this.feeds.canServe(this.options.clock.readMonotonic()) ? this.routingTable : undefined;
+		return this.routing.findUsable() !== undefined && this.plannedStop === undefined;
 	}
 
 	private listPeers(): readonly Member[] {
@@ -284,27 +267,14 @@
 	}
 
 	private countInstances(): number {
-		const {registeredInstanceCount} = this.instanceRegistry;
-		const knownCount = Math.max(registeredInstanceCount, this.membership.countKnownMembers());
-		return registeredInstanceCount === 0 ? Math.max(knownCount, assumedInstanceCount) : knownCount;
+		return estimateInstanceCount(this.instanceRegistry.registeredInstanceCount, this.membership.countKnownMembers());
 	}
 
 	private applyConfiguration(configuration: RoutingConfiguration): void {
-		this.routingTable = new RoutingTable(configuration);
-		this.listener.applyConfiguration(this.routingTable);
+		this.listener.applyConfiguration(this.routing.apply(configuration));
 		this.quotaLending.apply(configuration.organisations);
 	}
 
-	private applyWeights({model, version}: WeightsNotice, age: AnnouncementAge): void {
-		const now = this.options.clock.readMonotonic();
-		if (this.weightsRegistry.addVersion(model, version, age, now)) {
-			const exclusiveFrom = this.weightsRegistry.find(model)?.readExclusiveFrom() ?? now;
-			this.options.logger.info('weights named', {
-				model, version, maximumAgeMs: age.maximumMs && Math.round(age.maximumMs), oldWeightsForMs: Math.round(exclusiveFrom - now),
-			});
-		}
-	}
-
 	private createContext(): ForwardingContext {
 		const {settings, adapter, clock, logger, random, metrics} = this.options;
 		return {
@@ -316,8 +286,8 @@
 			draw: () => random.pickIndex(drawResolution) / drawResolution,
 			findVersionHistory: model => this.weightsRegistry.find(model),
 			findRetryBudget: service => this.retryBudgets.find(service),
-			findService: service => this.routingTable?.findService(service),
-			listCacheStores: () => this.routingTable?.configuration.cacheStores ?? [],
+			findService: service => this.routing.table?.findService(service),
+			listCacheStores: () => this.routing.table?.configuration.cacheStores ?? [],
 			report(report) {
 				metrics.recordCall(report);
 			},
