--- a/src/quarantine/request-quarantine/index.ts
+++ b/src/quarantine/request-quarantine/index.ts
@@ -24,7 +24,8 @@
 	listRequestCalls, RequestLedger, type RequestCrash, type RequestEvidence,
 } from '../request-ledger/index.js';
 import type {RequestNews} from '../request-messages/index.js';
-import {objectionMs, RequestTrials, trialIntervalMs} from '../request-trials/index.js';
+import {trialIntervalMs} from '../request-trials/index.js';
+import {TrialAnnouncer} from '../trial-announcer/index.js';
 
 const maximumDumpedRequests = 50;
 const maximumLoggedSuspects = 4;
@@ -53,7 +54,7 @@
 	private readonly exchange: RequestExchange;
 	private readonly evaluation: EvaluationDelay;
 	private readonly confirmation: CrashConfirmation;
-	private readonly trials = new RequestTrials();
+	private readonly trials: TrialAnnouncer;
 
 	constructor(private readonly options: RequestQuarantineOptions) {
 		const {clock, logger, probe} = options;
@@ -76,6 +77,13 @@
 				this.exchange.announce({type: 'quarantine', ...notice});
 			},
 		});
+		this.trials = new TrialAnnouncer({
+			...options,
+			isOnProbation: (key, now) => this.keeper.register.isOnProbation(key, now),
+			announce: (key, trial) => {
+				this.exchange.announce({type: 'trial', key, ...trial});
+			},
+		});
 	}
 
 	/** Removes quarantines whose probation has ended, until `signal` aborts. */
@@ -100,24 +108,7 @@
 	}
 
 	async beginTrial(readKey: RequestKeyReader): Promise<boolean> {
-		const {clock, self, logger} = this.options;
-		const {register} = this.keeper;
-		const now = clock.readMonotonic();
-		if (register.isEmpty || !register.isOnProbation(readKey(), now)) {
-			return false;
-		}
-
-		const key = readKey();
-		const trial = this.trials.begin(key, self, now);
-		if (trial === undefined) {
-			return false;
-		}
-
-		this.exchange.announce({type: 'trial', key, ...trial});
-		await clock.sleep(objectionMs);
-		const isGranted = this.trials.holds(key, trial) && register.isOnProbation(key, clock.readMonotonic());
-		logger.info('request trial', {request: key, outcome: isGranted ? 'granted' : 'left to another instance'});
-		return isGranted;
+		return !this.keeper.register.isEmpty && this.trials.begin(readKey());
 	}
 
 	/** Quarantines the request again for longer if its trial has not led to a complete answer in time. */
