--- a/src/fleet/fleet-target/index.ts
+++ b/src/fleet/fleet-target/index.ts
@@ -8,9 +8,9 @@
 	DataCentreId, InstanceId, MonotonicMs, SoftwareVersion, TargetId,
 } from '../../identity/ids/index.js';
 import {PermitAccount} from '../../limits/permit-account/index.js';
-import type {TargetLimit} from '../../limits/target-limit/index.js';
 import type {ServiceId} from '../../routing/routing-types/index.js';
 import {IncarnationStatements} from '../../statements/incarnation-statements/index.js';
+import type {StatedNumber} from '../../statements/stated-number/index.js';
 import type {TargetPause} from '../../statements/target-pause/index.js';
 
 /** Description of a target, as the target announces it. */
@@ -80,7 +80,7 @@
 
 	constructor(public description: TargetDescription, readonly statements = new IncarnationStatements()) {}
 
-	get limit(): TargetLimit {
+	get limit(): StatedNumber {
 		return this.statements.limit;
 	}
 
--- a/src/statements/incarnation-statements/index.ts
+++ b/src/statements/incarnation-statements/index.ts
@@ -3,12 +3,12 @@
  * entry in the list: a process goes on after its entry is removed, and an older copy of the list may show the entry again.
  */
 
-import {TargetLimit} from '../../limits/target-limit/index.js';
+import {StatedNumber} from '../stated-number/index.js';
 import {TargetPause} from '../target-pause/index.js';
 
 /** Statements of one incarnation that are in force. */
 export class IncarnationStatements {
-	readonly limit = new TargetLimit();
+	readonly limit = new StatedNumber();
 	readonly pause = new TargetPause();
 	/** Weights version of each model, as the target's last answer or report named it. */
 	readonly weightsVersions = new Map<string, number>();
