Keep what brittle targets have to refuse below the number that they state

A target that says Server-Brittle: N falls over if it has to turn away more than N requests in a second for want of room, from all instances together. Nothing read the header. Each request to such a target now takes a permit from the one instance that issues them, at a rate learned from reported refusals and bounded by what may still be refused after the first report (docs/brittle-targets.md). Permits that no waiting call uses at once are given back. A target that comes back after a fall counts as brittle until its first answer.

The parser of stated numbers moves to src/statements, since limits and brittleness have the same form, and news of both move from TargetLimits to LimitNews.

--- a/src/fleet/fleet-target/index.ts
+++ b/src/fleet/fleet-target/index.ts
@@ -84,6 +84,15 @@
 		return this.statements.limit;
 	}
 
+	get brittleness(): StatedNumber {
+		return this.statements.brittleness;
+	}
+
+	/** Whether each request to the target needs a permit. */
+	get needsPermit(): boolean {
+		return this.limit.read() !== undefined || this.brittleness.read() !== undefined;
+	}
+
 	get pause(): TargetPause {
 		return this.statements.pause;
 	}
--- a/src/fleet/target-fleet/index.ts
+++ b/src/fleet/target-fleet/index.ts
@@ -3,6 +3,7 @@
 import type {MonotonicMs, TargetId} from '../../identity/ids/index.js';
 import type {EventLogger} from '../../logging/create-logger/index.js';
 import type {ServiceId} from '../../routing/routing-types/index.js';
+import {BrittleServices} from '../../statements/brittle-services/index.js';
 import {isSameProcess, StatementRegister} from '../../statements/statement-register/index.js';
 import {FleetTarget, type TargetDescription} from '../fleet-target/index.js';
 
@@ -10,6 +11,7 @@
 export class TargetFleet {
 	/** Statements of all incarnations, listed or not. */
 	readonly statements = new StatementRegister();
+	private readonly brittleServices = new BrittleServices();
 	private readonly targets = new Map<TargetId, FleetTarget>();
 	private targetsByService = new Map<ServiceId, FleetTarget[]>();
 	private readonly listeners = new Set<() => void>();
@@ -24,7 +26,7 @@
 		}
 
 		for (const description of listed.values()) {
-			this.update(description);
+			this.update(description, now);
 		}
 
 		this.statements.prune(now);
@@ -70,19 +72,21 @@
 	}
 
 	/** Removes a target, unless `description`, which the list has under its id, is of the same process. */
-	private removeUnlessListed({description: removed}: FleetTarget, description: TargetDescription | undefined, now: MonotonicMs): void {
+	private removeUnlessListed(target: FleetTarget, description: TargetDescription | undefined, now: MonotonicMs): void {
+		const {description: removed} = target;
 		if (description !== undefined && isSameProcess(removed, description)) {
 			return;
 		}
 
 		this.targets.delete(removed.id);
+		this.brittleServices.recordGone(target, now);
 		this.statements.markUnlisted(removed, now);
 		if (description === undefined) {
 			this.logger.info('target gone', {target: removed.id, service: removed.service, address: removed.address});
 		}
 	}
 
-	private update(description: TargetDescription): void {
+	private update(description: TargetDescription, now: MonotonicMs): void {
 		const statements = this.statements.getListed(description);
 		const existing = this.targets.get(description.id);
 		if (existing !== undefined) {
@@ -94,7 +98,9 @@
 			return;
 		}
 
-		this.targets.set(description.id, new FleetTarget(description, statements));
+		const target = new FleetTarget(description, statements);
+		this.brittleServices.complete(target, this.targets.values(), now);
+		this.targets.set(description.id, target);
 		this.logger.info('target known', {
 			target: description.id, service: description.service, address: description.address, started: description.startedAt,
 			software: description.softwareVersion,
--- a/src/gateway/describe-target/index.ts
+++ b/src/gateway/describe-target/index.ts
@@ -9,5 +9,6 @@
 		...target.description, weightsVersions: Object.fromEntries(target.description.weightsVersions),
 		calls: target.calls.size, avoided: target.isInCooldown(now), silent: target.isSilent(now), cordoned: target.isCordoned(now),
 		leaving: target.isLeaving, pausedMs: Math.max(0, target.pause.readUntil() - now), requestsPerSecond: target.limit.read(),
+		refusalsPerSecond: target.brittleness.read(),
 	};
 }
--- a/src/limits/permit-account/index.ts
+++ b/src/limits/permit-account/index.ts
@@ -36,6 +36,13 @@
 		return isAllowed;
 	}
 
+	/** Gives up all permits; returns how many were valid. */
+	drain(now: MonotonicMs): number {
+		const count = this.hasPermit(now) ? this.permits : 0;
+		this.permits = 0;
+		return count;
+	}
+
 	recordWanted(): void {
 		this.wanted += 1;
 	}
--- a/src/limits/request-pacer/index.ts
+++ b/src/limits/request-pacer/index.ts
@@ -2,8 +2,8 @@
 
 import type {MonotonicMs} from '../../identity/ids/index.js';
 
-/** Time for which unused requests are saved up, in milliseconds; at least one request is. */
-const savedMs = 250;
+/** Time for which unused requests are saved up by default, in milliseconds; at least one request is. */
+const defaultSavedMs = 250;
 const msPerSecond = 1000;
 
 /** Pacer of the requests to one target. */
@@ -11,7 +11,7 @@
 	private level = 0;
 	private refilledAt: MonotonicMs;
 
-	constructor(private requestsPerSecond: number, now: MonotonicMs) {
+	constructor(private requestsPerSecond: number, now: MonotonicMs, private readonly savedMs = defaultSavedMs) {
 		this.refilledAt = now;
 	}
 
@@ -22,9 +22,21 @@
 		this.refill(now);
 	}
 
+	/** Puts back requests that were taken and not sent. */
+	refund(count: number, now: MonotonicMs): void {
+		this.refill(now);
+		this.level = Math.min(this.capacity, this.level + count);
+	}
+
+	/** Discards what was saved up. */
+	clear(now: MonotonicMs): void {
+		this.refill(now);
+		this.level = 0;
+	}
+
 	/** Highest number of requests that can be taken at once. */
 	get capacity(): number {
-		return Math.max(1, this.requestsPerSecond * savedMs / msPerSecond);
+		return Math.max(1, this.requestsPerSecond * this.savedMs / msPerSecond);
 	}
 
 	/** Takes up to `count` requests; returns how many the rate allows now. */
--- a/src/limits/target-limits/index.ts
+++ b/src/limits/target-limits/index.ts
@@ -1,10 +1,11 @@
 /**
- * Keeps the requests of all instances to a target within the limit that the target states in its answers.
+ * Keeps the requests of all instances to a target within the limit that the target states in its answers, and the requests
+ * that a brittle target has to refuse within the number that it states.
  *
- * Whoever sees a limit begin, change or end tells all other instances. For each target, one instance issues permits for
- * single requests at the stated rate; rendezvous hashing over the live instances tells which. An instance sends to a
- * target with a limit only with a permit, and places its requests elsewhere until it has one. A lost message leaves the
- * target idle for a moment and never sends it too much.
+ * Whoever sees a statement begin, change or end tells all other instances. For each target, one instance issues permits for
+ * single requests, at the stated rate or at one that refusals allow; rendezvous hashing over the live instances tells which.
+ * An instance sends to such a target only with a permit, and places its requests elsewhere until it has one. A lost message
+ * leaves the target idle for a moment and never sends it too much.
  */
 
 import type {Clock} from '../../clock/clock/index.js';
@@ -16,14 +17,16 @@
 import type {Member} from '../../membership/member/index.js';
 import {rankLiveMembers} from '../../membership/rank-live-members/index.js';
 import type {DatagramTransport} from '../../peers/datagram-channel/index.js';
-import {sendRepeatedly} from '../../peers/send-repeatedly/index.js';
 import type {LimitGate} from '../limit-gate/index.js';
-import {limitMessageType, parseLimitMessage, type LimitMessage} from '../limit-messages/index.js';
+import {
+	limitMessageType, parseLimitMessage, type LimitMessage, type MessageOf,
+} from '../limit-messages/index.js';
+import {
+	describeEnds, describeStatements, identify, LimitNews,
+} from '../limit-news/index.js';
 import {askTimeoutMs} from '../permit-account/index.js';
 import {PermitIssuer, type PermitAsk, type PermitGrant} from '../permit-issuer/index.js';
 
-/** Pauses before an announcement is sent again, in milliseconds, because datagrams may be lost. */
-const repeatDelaysMs = [150, 500];
 /** Longest sleep of the issuer, in milliseconds; an ask wakes it. */
 const idleSleepMs = 60_000;
 
@@ -38,13 +41,13 @@
 	readonly listLive: () => readonly Member[];
 };
 
-type MessageOf<Type extends LimitMessage['type']> = Extract<LimitMessage, {type: Type}>;
-
 /** Limits of all targets, with the permits of this instance and those that it issues. */
 export class TargetLimits implements LimitGate {
 	/** Gauges of the metrics. */
 	readonly gauges = {
 		limited_targets: {help: 'Targets that state a request limit.', read: () => this.listLimited().length},
+		brittle_targets: {help: 'Targets that state that they are brittle.', read: () => this.listBrittle().length},
+		brittle_refusals: {help: 'Requests of this instance since the start that brittle targets refused for want of room.', read: () => this.reportedRefusals},
 		limit_issuer_targets: {help: 'Targets for which this instance issues permits.', read: () => this.issuer.targetCount},
 		limit_permits_issued: {help: 'Permits issued since the start.', read: () => this.issuedPermits},
 		limit_permits_used: {help: 'Requests sent with a permit since the start.', read: () => this.usedPermits},
@@ -52,15 +55,16 @@
 	};
 
 	private readonly issuer = new PermitIssuer();
+	private readonly news: LimitNews;
 	private readonly wakeup = new Wakeup();
-	/** Targets whose limit is being announced, with whether it has changed meanwhile. */
-	private readonly announcements = new Map<FleetTarget, {isChanged: boolean}>();
 	private nextAskNumber = 1;
 	private issuedPermits = 0;
 	private usedPermits = 0;
 	private withheldRequests = 0;
+	private reportedRefusals = 0;
 
 	constructor(private readonly options: TargetLimitsOptions) {
+		this.news = new LimitNews(options);
 		options.channel.register(limitMessageType, body => {
 			this.receive(body);
 		});
@@ -79,13 +83,17 @@
 		const limits = this.listLimited().map(({description: {id}, limit}) => ({
 			target: id, requestsPerSecond: limit.read(), issuer: this.chooseIssuer(id)?.id,
 		}));
+		const brittle = this.listBrittle().map(({description: {id}, brittleness}) => ({
+			target: id, refusalsPerSecond: brittleness.read(), issuer: this.chooseIssuer(id)?.id,
+		}));
 		return {
-			limits, issuedPermits: this.issuedPermits, usedPermits: this.usedPermits, withheldRequests: this.withheldRequests,
+			limits, brittle, reportedRefusals: this.reportedRefusals,
+			issuedPermits: this.issuedPermits, usedPermits: this.usedPermits, withheldRequests: this.withheldRequests,
 		};
 	}
 
-	allows({limit, permits}: FleetTarget, now: MonotonicMs): boolean {
-		return limit.read() === undefined || permits.hasPermit(now);
+	allows(target: FleetTarget, now: MonotonicMs): boolean {
+		return !target.needsPermit || target.permits.hasPermit(now);
 	}
 
 	ask(target: FleetTarget, now: MonotonicMs): void {
@@ -95,34 +103,29 @@
 	}
 
 	take(target: FleetTarget, now: MonotonicMs): void {
-		if (target.limit.read() !== undefined && target.permits.take(now)) {
-			this.usedPermits += 1;
+		if (!target.needsPermit || !target.permits.take(now)) {
+			return;
+		}
+
+		this.usedPermits += 1;
+		// Permits for brittle targets are not kept for requests that have not arrived yet.
+		if (target.brittleness.read() === undefined) {
 			target.permits.recordWanted();
 			// Asks at once for the next request, which would otherwise find no permit.
 			this.openAsk(target, now);
 		}
 	}
 
-	announce(target: FleetTarget): void {
-		const running = this.announcements.get(target);
-		if (running === undefined) {
-			void this.announceRepeatedly(target);
-		} else {
-			running.isChanged = true;
+	reportRefused(target: FleetTarget, now: MonotonicMs): void {
+		const issuer = this.chooseIssuer(target.description.id);
+		if (issuer !== undefined) {
+			this.reportedRefusals += 1;
+			this.deliver(issuer.id, {...identify(target), type: 'refused'}, now);
 		}
 	}
 
-	private async announceRepeatedly(target: FleetTarget): Promise<void> {
-		const state = {isChanged: false};
-		this.announcements.set(target, state);
-		do {
-			state.isChanged = false;
-			await sendRepeatedly(() => {
-				this.sendToAll(this.describeLimit(target));
-			}, repeatDelaysMs, this.options.clock);
-		} while (state.isChanged);
-
-		this.announcements.delete(target);
+	announce(target: FleetTarget): void {
+		this.news.announce(target);
 	}
 
 	private openAsk(target: FleetTarget, now: MonotonicMs): void {
@@ -133,7 +136,7 @@
 
 		const issuer = this.chooseIssuer(target.description.id);
 		const message: MessageOf<'ask'> = {
-			...identify(target), type: 'ask', requestsPerSecond: target.limit.read() ?? 0, ageMs: now - target.limit.readStatedAt(),
+			...identify(target), type: 'ask', ...describeStatements(target, now),
 			asker: this.options.self, number: this.nextAskNumber, count,
 		};
 		this.nextAskNumber += 1;
@@ -178,11 +181,6 @@
 		}
 	}
 
-	private sendToAll(message: LimitMessage): void {
-		const {self, channel, listLive} = this.options;
-		channel.send(listLive().filter(({id}) => id !== self).map(({peerAddress}) => peerAddress), limitMessageType, message);
-	}
-
 	private receive(body: unknown): void {
 		const {clock, logger} = this.options;
 		let message: LimitMessage;
@@ -197,7 +195,7 @@
 	}
 
 	private handle(message: LimitMessage, now: MonotonicMs): void {
-		this.applyNews(message, now);
+		this.news.apply(message, now);
 		const target = this.options.fleet.locateIncarnation(message.target, message.startedAt);
 		if (target === undefined) {
 			return;
@@ -205,7 +203,20 @@
 
 		switch (message.type) {
 			case 'limit':
-			case 'ended': {
+			case 'ended':
+			case 'brittle':
+			case 'brittleEnded': {
+				break;
+			}
+
+			case 'unused': {
+				this.issuer.refund(target, message.count, now);
+				this.wakeup.notify();
+				break;
+			}
+
+			case 'refused': {
+				this.handleRefused(target, now);
 				break;
 			}
 
@@ -215,10 +226,7 @@
 			}
 
 			case 'grant': {
-				if (target.permits.grant(message.number, message.count, now)) {
-					this.options.fleet.notify();
-				}
-
+				this.handleGrant(target, message, now);
 				break;
 			}
 
@@ -229,28 +237,36 @@
 		}
 	}
 
-	/** Applies what a message says of a limit. Its target may not be listed here now. */
-	private applyNews(message: LimitMessage, now: MonotonicMs): void {
-		const {fleet, logger} = this.options;
-		const {limit} = fleet.statements.get({id: message.target, startedAt: message.startedAt}, now);
-		if (message.type === 'limit' || message.type === 'ask') {
-			const {requestsPerSecond, ageMs} = message;
-			if (limit.recordStated(requestsPerSecond, now - ageMs as MonotonicMs)) {
-				logger.info('target limit changed', {target: message.target, requestsPerSecond, source: 'instance'});
-			}
-		} else if (message.type === 'ended' && limit.recordAbsent(now - message.ageMs as MonotonicMs)) {
-			logger.info('target limit ended', {target: message.target, source: 'instance'});
-			fleet.notify();
+	/**
+	 * Lets waiting calls use permits. Those for a brittle target that no call uses at once are given back: requests that are
+	 * sent long after their permits were issued may all be refused before the issuer learns of the first refusal.
+	 */
+	private handleGrant(target: FleetTarget, {number, count}: MessageOf<'grant'>, now: MonotonicMs): void {
+		const isBrittle = target.brittleness.read() !== undefined;
+		if (target.permits.grant(number, count, now)) {
+			this.options.fleet.notify();
+		}
+
+		const unused = isBrittle ? target.permits.drain(now) : 0;
+		const issuer = unused === 0 ? undefined : this.chooseIssuer(target.description.id);
+		if (issuer !== undefined) {
+			this.deliver(issuer.id, {...identify(target), type: 'unused', count: unused}, now);
 		}
 	}
 
-	private handleAsk(target: FleetTarget, {asker, number, count}: MessageOf<'ask'>, now: MonotonicMs): void {
-		if (target.limit.read() === undefined) {
-			this.deliver(asker, this.describeLimit(target), now);
-			return;
+	private handleRefused(target: FleetTarget, now: MonotonicMs): void {
+		if (target.brittleness.read() !== undefined && this.isIssuer(target)) {
+			this.issuer.recordRefused(target, now);
+		}
+	}
+
+	private handleAsk(target: FleetTarget, message: MessageOf<'ask'>, now: MonotonicMs): void {
+		const {asker, number, count} = message;
+		for (const end of describeEnds(target, message, now)) {
+			this.deliver(asker, end, now);
 		}
 
-		if (!this.isIssuer(target)) {
+		if (!target.needsPermit || !this.isIssuer(target)) {
 			return;
 		}
 
@@ -267,22 +283,11 @@
 		this.wakeup.notify();
 	}
 
-	/** Describes what is known of a limit, for other instances. */
-	private describeLimit(target: FleetTarget): LimitMessage {
-		const now = this.options.clock.readMonotonic();
-		const requestsPerSecond = target.limit.read();
-		return requestsPerSecond === undefined
-			? {...identify(target), type: 'ended', ageMs: Math.max(0, now - target.limit.readEndedAt())}
-			: {
-				...identify(target), type: 'limit', requestsPerSecond, ageMs: Math.max(0, now - target.limit.readStatedAt()),
-			};
-	}
-
 	private listLimited(): FleetTarget[] {
 		return [...this.options.fleet.list()].filter(({limit}) => limit.read() !== undefined);
 	}
-}
 
-function identify({description: {id, startedAt}}: FleetTarget): Pick<LimitMessage, 'target' | 'startedAt'> {
-	return {target: id, startedAt};
+	private listBrittle(): FleetTarget[] {
+		return [...this.options.fleet.list()].filter(({brittleness}) => brittleness.read() !== undefined);
+	}
 }
--- a/src/limits/target-limits/test.ts
+++ b/src/limits/target-limits/test.ts
@@ -1,5 +1,6 @@
 import {test} from 'node:test';
 import {expect} from 'earl';
+import {simulateBrittleService} from '../../fixtures/simulate-brittle-service/index.js';
 import {simulateTargetLimit, type LimitSimulation} from '../../fixtures/simulate-target-limit/index.js';
 
 const windowMs = 4000;
@@ -62,3 +63,42 @@
 	const {sentAt} = await simulateTargetLimit(createSimulation(1.8, {readLimit: atMs => atMs < 10_000 ? 10 : 2}));
 	expect(countBetween(sentAt, 11_000, 20_000) <= 24).toEqual(true);
 });
+
+const brittleTargets = 4;
+const brittleSlots = 4;
+const brittleCallMs = 200;
+/** Calls a second that an instance which knew the room of all targets would let them serve. */
+const servableCallsPerSecond = brittleTargets * brittleSlots * 1000 / brittleCallMs;
+const shrinksAtMs = 5000;
+/** The rule of the platform: no more than two falls and a tenth of the targets. */
+const allowedFalls = 2 + (brittleTargets / 10);
+
+/** Simulates targets that say they are brittle 3 s before their queues become shorter and they can fall over, under more calls than they can serve. */
+async function simulateBrittleTargets(instances: number, lossShare: number, crashAtMs = Number.POSITIVE_INFINITY) {
+	return simulateBrittleService({
+		instances, targets: brittleTargets, callMs: brittleCallMs, lossShare, crashAtMs, seconds: 15, seed: 1,
+		readCallsPerSecond: () => 1.5 * servableCallsPerSecond,
+		target: {
+			slots: brittleSlots, fallsFromMs: shrinksAtMs, readQueueLength: now => now < shrinksAtMs ? 8 : 2,
+			readRefusals: now => now < shrinksAtMs - 3000 ? undefined : 10,
+		},
+	});
+}
+
+test('guards against brittle targets that fall over, or stay idle, while calls exceed their room and the room shrinks', async () => {
+	const untilMs = 14_000;
+	for (const [instances, lossShare] of [[9, 0], [9, 0.05], [77, 0.01], [195, 0.01]] as const) {
+		const {servedArrivedAt, fallsAt} = await simulateBrittleTargets(instances, lossShare);
+		const served = countBetween(servedArrivedAt, shrinksAtMs, untilMs);
+		const isBusy = served >= 0.75 * servableCallsPerSecond * (untilMs - shrinksAtMs) / 1000;
+		expect([instances, fallsAt.length <= allowedFalls, isBusy]).toEqual([instances, true, true]);
+	}
+});
+
+test('guards against calls that rush to brittle targets which come back after a crash, and fell them', async () => {
+	for (const instances of [9, 195]) {
+		const {servedArrivedAt, fallsAt} = await simulateBrittleTargets(instances, 0.01, 7000);
+		const served = countBetween(servedArrivedAt, 11_000, 14_000);
+		expect([instances, fallsAt.length <= allowedFalls, served > servableCallsPerSecond]).toEqual([instances, true, true]);
+	}
+});
--- a/src/statements/incarnation-statements/index.ts
+++ b/src/statements/incarnation-statements/index.ts
@@ -8,7 +8,10 @@
 
 /** Statements of one incarnation that are in force. */
 export class IncarnationStatements {
+	/** Requests per second that the target takes from all instances together. */
 	readonly limit = new StatedNumber();
+	/** Requests that the target can turn away in a second, from all instances together, without falling over. */
+	readonly brittleness = new StatedNumber();
 	readonly pause = new TargetPause();
 	/** Weights version of each model, as the target's last answer or report named it. */
 	readonly weightsVersions = new Map<string, number>();
@@ -24,7 +27,7 @@
 	/** Whether anything is known that a new object for the same incarnation would lack. */
 	get hasAny(): boolean {
 		return this.isLeavingStated || this.isLeavingListed || this.weightsVersions.size > 0 || this.pause.readUntil() > Number.NEGATIVE_INFINITY
-			|| this.limit.readStatedAt() > Number.NEGATIVE_INFINITY;
+			|| this.limit.readStatedAt() > Number.NEGATIVE_INFINITY || this.brittleness.readStatedAt() > Number.NEGATIVE_INFINITY;
 	}
 
 	/** Records that the target is leaving, which nothing takes back. Returns whether that is new. */
--- a/src/statements/record-statements/index.ts
+++ b/src/statements/record-statements/index.ts
@@ -7,23 +7,27 @@
 import type {ResponseHead} from '../../forwarding/call-types/index.js';
 import type {Attempt} from '../../forwarding/session-types/index.js';
 import type {MonotonicMs} from '../../identity/ids/index.js';
+import {recordBrittleness} from '../record-brittleness/index.js';
 import {recordLeaving} from '../record-leaving/index.js';
 import {recordPause} from '../record-pause/index.js';
 import {recordRequestLimit} from '../record-request-limit/index.js';
 import type {StatementContext, StatementRule} from '../statement-rule/index.js';
 
-const rules: readonly StatementRule[] = [recordRequestLimit, recordLeaving, recordPause];
+/** Status of a refusal for want of room. */
+const fullStatus = 503;
+
+const rules: readonly StatementRule[] = [recordRequestLimit, recordBrittleness, recordLeaving, recordPause];
 
 /** Records the statements in a head that was received at `now`, unless it may come from another target or belong to another call. */
 export function recordStatements(attempt: Attempt, head: ResponseHead, context: StatementContext, now: MonotonicMs): void {
-	const {statements, isGenuine, isNotRun, isOtherTarget} = head;
+	const {status, statements, isGenuine, isNotRun, isOtherTarget} = head;
 	if (!isGenuine && (!isNotRun || isOtherTarget)) {
 		return;
 	}
 
 	for (const record of rules) {
 		record({
-			attempt, statements, isRefusal: !isGenuine, receivedAt: now,
+			attempt, statements, isRefusal: !isGenuine, isOutOfRoom: isNotRun && status === fullStatus, receivedAt: now,
 		}, context);
 	}
 }
--- a/src/statements/record-statements/test.ts
+++ b/src/statements/record-statements/test.ts
@@ -9,7 +9,7 @@
 import type {MonotonicMs, WallMs} from '../../identity/ids/index.js';
 import {openLimitGate} from '../../limits/limit-gate/index.js';
 import {quietLogger} from '../../logging/quiet-logger/index.js';
-import type {RequestLimit} from '../../limits/request-limit/index.js';
+import type {NumberStatement} from '../parse-stated-number/index.js';
 import {silentAnnouncer} from '../leaving-notices/index.js';
 import {maximumPauseMs} from '../record-pause/index.js';
 import {noStatements, type TargetStatements} from '../target-statements/index.js';
@@ -31,12 +31,12 @@
 	};
 }
 
-type HeadChanges = Partial<Omit<ResponseHead, 'statements'>> & {readonly requestLimit?: RequestLimit; readonly statements?: Partial<TargetStatements>};
+type HeadChanges = Partial<Omit<ResponseHead, 'statements'>> & {readonly requestLimit?: NumberStatement; readonly statements?: Partial<TargetStatements>};
 
-function receive(attempt: Attempt, {requestLimit = 'none', statements, ...changes}: HeadChanges, at: number): number | undefined {
+function receive(attempt: Attempt, {requestLimit = 'none', statements, ...changes}: HeadChanges, at: number, limits = openLimitGate): number | undefined {
 	const head: ResponseHead = {...plainHead, statements: {...noStatements, requestLimit, ...statements}, ...changes};
 	recordStatements(attempt, head, {
-		clock: new ManualClock(), logger: quietLogger, fleet: new TargetFleet(quietLogger), limits: openLimitGate, leavingNotices: silentAnnouncer,
+		clock: new ManualClock(), logger: quietLogger, fleet: new TargetFleet(quietLogger), limits, leavingNotices: silentAnnouncer,
 	}, at as MonotonicMs);
 	return attempt.target.limit.read();
 }
@@ -87,3 +87,25 @@
 	expect(receive(attempt, {...refusal, requestLimit: 2, statements: {isLeaving: true, pause: {type: 'delay', ms: 500}}}, 10)).toEqual(2);
 	expect([attempt.target.isLeaving, attempt.target.isPaused(100 as MonotonicMs)]).toEqual([true, true]);
 });
+
+test('guards against a brittle target that is not known, or not to the issuer of its permits: also refusals say it, and those for want of room are reported', () => {
+	const {target} = createAttempt(0);
+	const reported: string[] = [];
+	const limits = {
+		...openLimitGate, reportRefused({description: {id}}: FleetTarget) {
+			reported.push(id);
+		},
+	};
+	const state = (changes: HeadChanges, at: number) => {
+		receive(createAttemptAt(target, at), changes, at, limits);
+		return [target.brittleness.read(), reported.length];
+	};
+
+	expect(state({...refusal, statements: {brittleness: 4}}, 10)).toEqual([4, 1]);
+	expect(state({...refusal, status: 429}, 20)).toEqual([4, 1]);
+	expect(state({statements: {brittleness: 'invalid'}}, 30)).toEqual([4, 1]);
+	expect(state({...refusal, isOtherTarget: true, statements: {brittleness: 7}}, 40)).toEqual([4, 1]);
+	expect(state(refusal, 50)).toEqual([4, 2]);
+	expect(state({}, 60)).toEqual([undefined, 2]);
+	expect(state(refusal, 70)).toEqual([undefined, 2]);
+});
--- a/src/statements/statement-catch-up/index.ts
+++ b/src/statements/statement-catch-up/index.ts
@@ -35,6 +35,8 @@
 	target: z.string().min(1).max(maximumIdLength), startedAt: z.number(), isLeaving: z.boolean(),
 	/** The limit in force and the time since it was last stated. */
 	limit: z.object({requestsPerSecond: z.number().nonnegative(), ageMs: z.number().nonnegative()}).optional(),
+	/** The brittleness in force and the time since it was last stated. Instances of earlier builds don't tell it. */
+	brittle: z.object({refusalsPerSecond: z.number().nonnegative(), ageMs: z.number().nonnegative()}).optional(),
 });
 const answerSchema = z.object({statements: z.array(rowSchema).max(maximumRows)});
 
@@ -92,7 +94,7 @@
 		}
 	}
 
-	private apply({target, startedAt, isLeaving, limit}: StatementRow): void {
+	private apply({target, startedAt, isLeaving, limit, brittle}: StatementRow): void {
 		const {clock, logger, fleet, leavingNotices} = this.options;
 		const now = clock.readMonotonic();
 		const incarnation = {id: target as TargetId, startedAt};
@@ -100,24 +102,31 @@
 			leavingNotices.apply(incarnation);
 		}
 
-		if (limit !== undefined && fleet.statements.get(incarnation, now).limit.recordStated(limit.requestsPerSecond, now - limit.ageMs as MonotonicMs)) {
+		const statements = fleet.statements.get(incarnation, now);
+		if (limit !== undefined && statements.limit.recordStated(limit.requestsPerSecond, now - limit.ageMs as MonotonicMs)) {
 			logger.info('target limit changed', {target, requestsPerSecond: limit.requestsPerSecond, source: 'instance'});
 		}
+
+		if (brittle !== undefined && statements.brittleness.recordStated(brittle.refusalsPerSecond, now - brittle.ageMs as MonotonicMs)) {
+			logger.info('target brittleness changed', {target, refusalsPerSecond: brittle.refusalsPerSecond, source: 'instance'});
+		}
 	}
 
 	/** Describes the statements that bind all instances. */
 	private describe(now: MonotonicMs): StatementRow[] {
 		return this.options.fleet.statements.list()
 			.map(({incarnation, statements}) => describeStatements(incarnation, statements, now))
-			.filter(({isLeaving, limit}) => isLeaving || limit !== undefined)
+			.filter(({isLeaving, limit, brittle}) => isLeaving || limit !== undefined || brittle !== undefined)
 			.slice(0, maximumRows);
 	}
 }
 
-function describeStatements({id, startedAt}: TargetIncarnation, {isLeaving, limit}: IncarnationStatements, now: MonotonicMs): StatementRow {
+function describeStatements({id, startedAt}: TargetIncarnation, {isLeaving, limit, brittleness}: IncarnationStatements, now: MonotonicMs): StatementRow {
 	const requestsPerSecond = limit.read();
+	const refusalsPerSecond = brittleness.read();
 	return {
 		target: id, startedAt, isLeaving,
 		limit: requestsPerSecond === undefined ? undefined : {requestsPerSecond, ageMs: Math.max(0, now - limit.readStatedAt())},
+		brittle: refusalsPerSecond === undefined ? undefined : {refusalsPerSecond, ageMs: Math.max(0, now - brittleness.readStatedAt())},
 	};
 }
--- a/src/statements/statement-catch-up/test.ts
+++ b/src/statements/statement-catch-up/test.ts
@@ -56,12 +56,13 @@
 	}
 });
 
-test('guards against a limit that seems to have been stated only when a peer passed it on, so that answers given meanwhile do not end it', async () => {
+test('guards against a limit or a brittleness that seems to have been stated only when a peer passed it on, so that answers given meanwhile do not end it', async () => {
 	const row = {
-		target: 't1', startedAt: 1, isLeaving: false, limit: {requestsPerSecond: 2, ageMs: 500},
+		target: 't1', startedAt: 1, isLeaving: false, limit: {requestsPerSecond: 2, ageMs: 500}, brittle: {refusalsPerSecond: 6, ageMs: 500},
 	};
 	const {askedAt, fleet} = await catchUp(async () => ({statements: [row]}));
-	const {limit} = fleet.statements.list()[0]!.statements;
+	const {limit, brittleness} = fleet.statements.list()[0]!.statements;
 	expect([askedAt.length, fleet.statements.list()[0]!.incarnation.id, limit.read()]).toEqual([3, 't1' as TargetId, 2]);
 	expect(limit.readStatedAt() as number).toEqual(askedAt.at(-1)! - 500);
+	expect([brittleness.read(), brittleness.readStatedAt() as number]).toEqual([6, askedAt.at(-1)! - 500]);
 });
--- a/src/statements/statement-rule/index.ts
+++ b/src/statements/statement-rule/index.ts
@@ -11,6 +11,8 @@
 	readonly statements: TargetStatements;
 	/** Whether the target refused the call without running it. */
 	readonly isRefusal: boolean;
+	/** Whether it refused the call because it has no room. */
+	readonly isOutOfRoom: boolean;
 	readonly receivedAt: MonotonicMs;
 };
 
