Continue no stream whose position is unknown, and record who wrote its first event

Found by the review. The first event that the caller gets is now recorded under a number above all others, and an instance forgets its own records of a stream that ends there without an event. Instances of earlier releases read the number as any other.

--- a/src/forwarding/answer-forwarder/index.ts
+++ b/src/forwarding/answer-forwarder/index.ts
@@ -54,7 +54,7 @@
 	private pass(attempt: Attempt): boolean {
 		const {relay, origin} = this.call;
 		const answer = attempt.answer!;
-		if (answer.isResumable && answer.hasContent) {
+		if (answer.hasContent) {
 			origin.recordEvent(attempt.target);
 		}
 
@@ -75,7 +75,7 @@
 		}
 
 		const isLatest = relay.isLatest(answer);
-		const isEnd = answer.hasEnded && (isLatest || others.every(other => isSettled(other, now)));
+		const isEnd = answer.hasEnded && (isLatest || (others.every(other => isSettled(other, now)) && isBestEnd(attempt, attempts.inFlight)));
 		if (answer.hasContent || isEnd) {
 			move.prefer(attempt, now);
 			return true;
@@ -95,6 +95,12 @@
 	}
 }
 
+/** Whether the answer is the one to pass on of those that have ended without content: the oldest with a body, else the oldest. */
+function isBestEnd(attempt: Attempt, inFlight: readonly Attempt[]): boolean {
+	const ended = inFlight.filter(({answer}) => answer?.hasEnded === true);
+	return (ended.find(({answer}) => answer!.receivedBytes > 0) ?? ended[0]) === attempt;
+}
+
 /** Whether nothing is expected of an attempt any more: its answer has ended, or it has been silent for too long. */
 function isSettled({answer, lastReceivedAt}: Attempt, now: MonotonicMs): boolean {
 	return answer?.hasEnded === true || now - lastReceivedAt > longestPauseMs;
--- a/src/forwarding/attempt-answer/index.ts
+++ b/src/forwarding/attempt-answer/index.ts
@@ -19,6 +19,8 @@
 	readonly isReady: boolean;
 	/** Whether something is held that the caller can use: the next event of a stream, or a whole answer. */
 	readonly hasContent: boolean;
+	/** Size of the body so far. */
+	readonly receivedBytes: number;
 	/** Size of what is held. */
 	readonly heldBytes: number;
 	/** Id of the last event received; undefined before the first, and for answers without events. */
--- a/src/forwarding/attempt-handler/index.ts
+++ b/src/forwarding/attempt-handler/index.ts
@@ -168,7 +168,7 @@
 
 		attempt.target.recordSuccess();
 		guard.recordEnd(attempt, now);
-		this.forward(attempt, now);
+		this.forwardHeld();
 	}
 
 	/** Handles an exchange that failed, or that is given up. */
@@ -200,7 +200,7 @@
 		}
 	}
 
-	/** Passes on what was held back because of an attempt that has ended since. */
+	/** Passes on what was held back for an attempt that has ended. */
 	private forwardHeld(): void {
 		const now = this.context.clock.readMonotonic();
 		for (const attempt of this.call.attempts.inFlight) {
--- a/src/forwarding/call-move/test.ts
+++ b/src/forwarding/call-move/test.ts
@@ -155,6 +155,9 @@
 				key, software, recording, expiresAt,
 			}, 0 as MonotonicMs);
 		},
+		forget() {
+			register.delete(key);
+		},
 		find: async () => undefined,
 	};
 	return {streamOrigins, find: () => register.find(key, 0 as MonotonicMs)};
--- a/src/forwarding/call-session/index.ts
+++ b/src/forwarding/call-session/index.ts
@@ -176,6 +176,7 @@
 		this.isDone = true;
 		this.options.deadline.stop();
 		this.handler.stop();
+		this.origin.end();
 		const attempt = lastAttempt ?? this.attempts.oldest;
 		this.attempts.endAll();
 		const times = this.times.summarise(this.context.clock.readMonotonic());
--- a/src/forwarding/event-answer/index.ts
+++ b/src/forwarding/event-answer/index.ts
@@ -9,7 +9,10 @@
 export class EventAnswer implements AttemptAnswer {
 	hasEnded = false;
 	heldBytes = 0;
+	receivedBytes = 0;
 	hasContent = false;
+	/** Whether the last event has an id, so that another target can go on after it. */
+	isResumable = true;
 	private held: Buffer[] = [];
 	private readonly splitter: EventSplitter;
 	private readonly boundary = new EventBoundary();
@@ -20,10 +23,6 @@
 		this.splitter = new EventSplitter(lastEventId);
 	}
 
-	get isResumable(): boolean {
-		return true;
-	}
-
 	get isReady(): boolean {
 		return true;
 	}
@@ -43,10 +42,15 @@
 
 	add(chunk: Buffer, isContinuation: boolean): boolean {
 		this.boundary.add(chunk);
+		this.receivedBytes += chunk.length;
 		this.isContinuation = isContinuation;
-		const {bytes, hasProgress, hasContent} = this.splitter.add(chunk, isContinuation);
+		const {bytes, hasProgress, hasContent, endsWithId} = this.splitter.add(chunk, isContinuation);
 		this.hold(bytes);
-		this.hasContent ||= hasContent;
+		if (hasContent) {
+			this.hasContent = true;
+			this.isResumable = endsWithId;
+		}
+
 		return hasProgress;
 	}
 
--- a/src/forwarding/event-splitter/index.ts
+++ b/src/forwarding/event-splitter/index.ts
@@ -10,6 +10,8 @@
 	readonly hasProgress: boolean;
 	/** Whether `bytes` has an event with data. */
 	readonly hasContent: boolean;
+	/** Whether the last event with data in `bytes` has an id, so that another target can go on after it; true without such an event. */
+	readonly endsWithId: boolean;
 };
 
 const idPattern = /^id: ?(.*)$/mu;
@@ -47,6 +49,7 @@
 		const accepted: Buffer[] = [];
 		let hasProgress = false;
 		let hasContent = false;
+		let endsWithId = true;
 		const texts = this.buffer.add(chunk).map(event => ({event, text: event.toString('latin1')}));
 		if (isContinuation && !texts.every(({text}) => this.continuesStream(text))) {
 			throw new ContinuationError();
@@ -58,10 +61,13 @@
 			if (this.acceptEvent(text)) {
 				accepted.push(event);
 				hasContent ||= hasData;
+				endsWithId = hasData ? idPattern.test(text) : endsWithId;
 			}
 		}
 
-		return {bytes: accepted.length === 1 ? accepted[0]! : Buffer.concat(accepted), hasProgress, hasContent};
+		return {
+			bytes: accepted.length === 1 ? accepted[0]! : Buffer.concat(accepted), hasProgress, hasContent, endsWithId,
+		};
 	}
 
 	/** Returns the bytes after the last complete event; call it once the response is complete. */
--- a/src/forwarding/event-splitter/test.ts
+++ b/src/forwarding/event-splitter/test.ts
@@ -34,7 +34,9 @@
 	const splitter = new EventSplitter(undefined);
 	expect(add(splitter, 'id: 1\r\ndata: a\r\n\r')).toEqual('');
 	expect(add(splitter, '\nid: 2\r\nda')).toEqual('id: 1\r\ndata: a\r\n\r\n');
-	expect(splitter.add(Buffer.from('ta: b\n\r\n'), false)).toEqual({bytes: Buffer.from('id: 2\r\ndata: b\n\r\n'), hasProgress: true, hasContent: true});
+	expect(splitter.add(Buffer.from('ta: b\n\r\n'), false)).toEqual({
+		bytes: Buffer.from('id: 2\r\ndata: b\n\r\n'), hasProgress: true, hasContent: true, endsWithId: true,
+	});
 	expect(splitter.lastEventId).toEqual('2');
 });
 
--- a/src/forwarding/plain-answer/index.ts
+++ b/src/forwarding/plain-answer/index.ts
@@ -21,8 +21,8 @@
 	readonly head: ResponseHead;
 	hasEnded = false;
 	heldBytes = 0;
+	receivedBytes = 0;
 	private held: Buffer[] = [];
-	private receivedBytes = 0;
 	private readonly boundary = new EventBoundary();
 
 	constructor(private readonly options: PlainAnswerOptions) {
--- a/src/forwarding/response-relay/index.ts
+++ b/src/forwarding/response-relay/index.ts
@@ -29,7 +29,7 @@
 
 	/** Whether another target can continue a response that has begun. */
 	get isResumable(): boolean {
-		return this.firstAnswer?.isResumable === true;
+		return this.latestAnswer?.isResumable === true;
 	}
 
 	/** Id of the last event that the caller received; undefined before the first. */
--- a/src/forwarding/stream-origin/index.ts
+++ b/src/forwarding/stream-origin/index.ts
@@ -8,7 +8,8 @@
 import type {FleetTarget} from '../../fleet/fleet-target/index.js';
 import type {MonotonicMs, SoftwareVersion} from '../../identity/ids/index.js';
 import type {SessionOptions} from '../session-types/index.js';
-import type {StreamOrigins} from '../stream-origins/index.js';
+import type {StreamIdentity} from '../../resumption/stream-key/index.js';
+import {firstEventRecording, type StreamOrigins} from '../stream-origins/index.js';
 
 /** The call as far as its stream is concerned. */
 type StreamCall = Pick<SessionOptions, 'call' | 'route' | 'service' | 'organisation' | 'arrivedAt'>;
@@ -18,10 +19,8 @@
 	private software: SoftwareVersion | undefined;
 	/** Whether the caller has an event of this answer. */
 	private hasEvent = false;
-	/** Number of times that the stream was recorded. */
+	/** Number of recordings before the first event. */
 	private recordings = 0;
-	/** Versions named by the last recording. */
-	private recorded: ReadonlySet<SoftwareVersion> = new Set();
 
 	constructor(private readonly session: StreamCall, private readonly origins: StreamOrigins) {}
 
@@ -67,38 +66,54 @@
 	 */
 	recordSent(targets: readonly FleetTarget[]): void {
 		if (!this.hasEvent) {
-			this.record(new Set(targets.map(({description}) => description.softwareVersion)));
+			this.recordings += 1;
+			this.record(new Set(targets.map(({description}) => description.softwareVersion)), this.recordings);
 		}
 	}
 
 	/** Binds the stream: the caller gets an event of `target`. */
 	recordEvent({description: {softwareVersion}}: FleetTarget): void {
-		if (!this.hasEvent && this.recorded.size > 1) {
-			this.record(new Set([softwareVersion]));
+		if (!this.hasEvent) {
+			this.record(new Set([softwareVersion]), firstEventRecording);
 		}
 
 		this.hasEvent = true;
 		this.software ??= softwareVersion;
 	}
 
+	/** Forgets the records of a call that ends without an event. Another instance may have passed on the stream's events. */
+	end(): void {
+		const identity = this.identify();
+		if (identity !== undefined && this.recordings > 0 && !this.hasEvent) {
+			this.origins.forget(identity);
+		}
+	}
+
 	/** Whether the call may be sent to `target`. */
 	allows({description}: FleetTarget): boolean {
 		return this.software === undefined || description.softwareVersion === this.software;
 	}
 
-	/** Records the versions that may write the first event, in place of those recorded before. */
-	private record(versions: ReadonlySet<SoftwareVersion>): void {
-		const {call, route, service, organisation, arrivedAt} = this.session;
-		const firstRequest = this.isTakenUp ? call.resumes : call.id;
-		if (firstRequest === undefined || route.kind !== 'streaming' || !route.isResumable) {
+	/** Records the versions that may write the first event, in place of those with a lower number. */
+	private record(versions: ReadonlySet<SoftwareVersion>, recording: number): void {
+		const identity = this.identify();
+		if (identity === undefined) {
 			return;
 		}
 
-		this.recordings += 1;
-		this.recorded = versions;
+		const {call, route, arrivedAt} = this.session;
 		const expiresAt = arrivedAt + (call.waitMs ?? route.timeoutMs) as MonotonicMs;
 		for (const software of versions) {
-			this.origins.record({service, organisation: organisation?.id, firstRequest}, {software, recording: this.recordings, expiresAt});
+			this.origins.record(identity, {software, recording, expiresAt});
 		}
 	}
+
+	/** Returns what the stream is recorded by; undefined if it can't be taken up. */
+	private identify(): StreamIdentity | undefined {
+		const {call, route, service, organisation} = this.session;
+		const firstRequest = this.isTakenUp ? call.resumes : call.id;
+		return firstRequest !== undefined && route.kind === 'streaming' && route.isResumable
+			? {service, organisation: organisation?.id, firstRequest}
+			: undefined;
+	}
 }
--- a/src/forwarding/stream-origins/index.ts
+++ b/src/forwarding/stream-origins/index.ts
@@ -19,12 +19,18 @@
 /** What an attempt will have begun if the caller gets an event of it. */
 export type StreamBeginning = {
 	readonly software: SoftwareVersion;
-	/** Number of the recording of this stream; from 1. */
+	/** Number of the recording of this stream, from 1; `firstEventRecording` once the caller has the first event. */
 	readonly recording: number;
 	/** When the caller no longer waits. */
 	readonly expiresAt: MonotonicMs;
 };
 
+/**
+ * Number of the recording that is made with the first event. It is above all made before, also by other instances that had the
+ * same call.
+ */
+export const firstEventRecording = 1_000_000;
+
 /** Remembers the versions that began streams. */
 export type StreamOrigins = {
 	/**
@@ -32,6 +38,8 @@
 	 * of one recording leave it open which of them writes the event.
 	 */
 	record(stream: StreamIdentity, beginning: StreamBeginning): void;
+	/** Forgets what this instance knows of a stream of which its caller has no event from it. */
+	forget(stream: StreamIdentity): void;
 	/** Finds the version that began a stream; undefined if it is not certain. */
 	find(stream: TakenUpStream): Promise<SoftwareVersion | undefined>;
 };
--- a/src/resumption/stream-directory/index.ts
+++ b/src/resumption/stream-directory/index.ts
@@ -81,6 +81,10 @@
 		}
 	}
 
+	forget(stream: StreamIdentity): void {
+		this.own.delete(hashStream(stream));
+	}
+
 	async find(stream: TakenUpStream): Promise<SoftwareVersion | undefined> {
 		const {software, source} = await this.findOrigin(stream);
 		this.takenUp += 1;
--- a/src/resumption/stream-register/index.ts
+++ b/src/resumption/stream-register/index.ts
@@ -72,6 +72,11 @@
 		return records;
 	}
 
+	/** Forgets a stream. */
+	delete(key: StreamKey): void {
+		this.entries.delete(key);
+	}
+
 	/** Forgets streams whose callers no longer wait. */
 	prune(now: MonotonicMs): void {
 		for (const [key, {expiresAt}] of this.entries.entries()) {
