--- a/src/forwarding/answer-forwarder/test.ts
+++ b/src/forwarding/answer-forwarder/test.ts
@@ -2,7 +2,7 @@
 import {expect} from 'earl';
 import {
 	answerAfterPause, continueStream, formatAnswer, formatChunk, formatEvent, formatEvents, freezeWithinStream, idempotent, lastChunk,
-	pauseWithinStream, playCall, resumableStream, streamHead, writeLater, type Script,
+	pauseWithinStream, playCall, resumableStream, staySilent, streamHead, writeLater, type Script,
 } from '../../fixtures/play-call/index.js';
 import {createRoute, createRoutingConfiguration} from '../../fixtures/create-routing-configuration/index.js';
 
@@ -148,3 +148,15 @@
 	const {head, body, isComplete} = await playCall(t, {route: idempotent, scripts: [answerAfterPause, refuseUnmarked]});
 	expect([readStatus(head), body, isComplete]).toEqual([200, 'first', true]);
 });
+
+test('guards against losing the end of a stream that pauses at its second target while a third is silent', async t => {
+	const pauseBeforeEnd: Script = (socket, id) => {
+		socket.write(streamHead(id) + formatChunk(formatEvent(2)));
+		writeLater(socket, lastChunk, 1600);
+	};
+
+	const {body, isComplete, unfinishedCalls} = await playCall(t, {
+		route: resumableStream, scripts: [freezeWithinStream, pauseBeforeEnd, staySilent],
+	});
+	expect({body, isComplete, unfinishedCalls}).toEqual({body: wholeStream, isComplete: true, unfinishedCalls: 0});
+});
