--- a/src/forwarding/answer-forwarder/test.ts
+++ b/src/forwarding/answer-forwarder/test.ts
@@ -160,3 +160,10 @@
 	});
 	expect({body, isComplete, unfinishedCalls}).toEqual({body: wholeStream, isComplete: true, unfinishedCalls: 0});
 });
+
+test('guards against losing the end of a stream whose first target stays frozen after the second has found nothing left to send', async t => {
+	const {body, isComplete} = await playCall(t, {
+		route: {...resumableStream, maximumAttempts: 2}, scripts: [freezeWithinStream, freezeAfter(lastChunk)], waitMs: 3500,
+	});
+	expect([body, isComplete]).toEqual([formatEvent(1), true]);
+});
