--- a/src/forwarding/answer-forwarder/test.ts
+++ b/src/forwarding/answer-forwarder/test.ts
@@ -167,3 +167,14 @@
 	});
 	expect([body, isComplete]).toEqual([formatEvent(1), true]);
 });
+
+test('guards against losing a whole answer that is no stream because the first target stays frozen', async t => {
+	const answerWhole: Script = (socket, id) => {
+		socket.write(formatAnswer(id, '200 OK', '{"text":"x"}'));
+	};
+
+	const {head, body, isComplete} = await playCall(t, {
+		route: {...resumableStream, maximumAttempts: 2}, scripts: [staySilent, answerWhole], waitMs: 3500,
+	});
+	expect([readStatus(head), body, isComplete]).toEqual([200, '{"text":"x"}', true]);
+});
