--- a/src/forwarding/answer-forwarder/test.ts
+++ b/src/forwarding/answer-forwarder/test.ts
@@ -178,3 +178,13 @@
 	});
 	expect([readStatus(head), body, isComplete]).toEqual([200, '{"text":"x"}', true]);
 });
+
+test('guards against breaking off the stream of the only target for a large comment', async t => {
+	const comment = `: ${'x'.repeat(300 * 1024)}\n\n`;
+	const sendComment: Script = (socket, id) => {
+		socket.write(streamHead(id) + formatChunk(formatEvent(1)) + formatChunk(comment) + formatChunk(formatEvent(2)) + lastChunk);
+	};
+
+	const {body, isComplete} = await playCall(t, {route: {...resumableStream, maximumAttempts: 1}, scripts: [sendComment]});
+	expect([body.length, isComplete]).toEqual([wholeStream.length + comment.length, true]);
+});
