--- a/src/forwarding/call-move/test.ts
+++ b/src/forwarding/call-move/test.ts
@@ -218,3 +218,14 @@
 	});
 	expect({body, isComplete}).toEqual({body: formatEvents(1, 2), isComplete: true});
 });
+
+test('guards against ending a silent but sound second attempt for a third that has not delivered', async t => {
+	const answerLate: Script = (socket, id) => {
+		writeLater(socket, formatAnswer(id, '200 OK', 'second'), 1600);
+	};
+
+	for (const fail of [refuse, breakOff, staySilent]) {
+		const {body, isComplete} = await playCall(t, {route: idempotent, scripts: [staySilent, answerLate, fail]});
+		expect([body, isComplete]).toEqual(['second', true]);
+	}
+});
