Test that a call whose deadline passes at two instances gets a refusal

Fails on: the first instance's end at the deadline releases the bare head of the second one, which is then cut. The caller gets status 200 and a cut connection in place of 504.

--- a/src/handover/answer-race/test.ts
+++ b/src/handover/answer-race/test.ts
@@ -205,3 +205,11 @@
 		expect([body, isComplete, responses.length]).toEqual(['first', true, 1]);
 	});
 }
+
+test('guards against a cut connection in place of a refusal when the deadline passes at two instances, of which one has sent a head', async t => {
+	const {gateway} = await startInstances(t, [standStill, response => {
+		response.writeHead(...headOf(200)).flushHeaders();
+	}], {...idempotent, timeoutMs: 1000});
+	const answer = await sendCall(gateway.address);
+	expect([readStatus(answer), answer.isComplete]).toEqual([504, true]);
+});
