Let the target that goes on with a stream end it while another is silent

What callers saw: a stream that had moved once, and whose second target paused before its end, was held until the deadline and then cut.

Cause: of two attempts, only the one that had sent the head of the response was let through without an event. After a move, another attempt goes on with the stream; its end and its comments waited for a rival that never came.

The test of answer-forwarder for it failed before, and passes now.

--- a/src/forwarding/answer-forwarder/index.ts
+++ b/src/forwarding/answer-forwarder/index.ts
@@ -56,14 +56,14 @@
 			return true;
 		}
 
-		const isFirst = relay.isFirst(answer);
-		const isEnd = answer.hasEnded && (isFirst || rival.answer?.hasEnded === true);
+		const isLatest = relay.isLatest(answer);
+		const isEnd = answer.hasEnded && (isLatest || rival.answer?.hasEnded === true);
 		if (answer.hasContent || isEnd) {
 			move.prefer(attempt, now);
 			return true;
 		}
 
-		return isFirst;
+		return isLatest;
 	}
 
 	/** Pauses a target until the caller has read what was passed on. */
--- a/src/forwarding/response-relay/index.ts
+++ b/src/forwarding/response-relay/index.ts
@@ -17,6 +17,8 @@
 	passedBytes = 0;
 	/** The answer whose head the caller has. */
 	private firstAnswer: AttemptAnswer | undefined;
+	/** The answer that was passed on last; it is another one than the first once a target has continued the stream. */
+	private latestAnswer: AttemptAnswer | undefined;
 
 	constructor(private readonly sink: CallerSink, private readonly route: Route, private lastEventId: string | undefined) {}
 
@@ -54,6 +56,11 @@
 		return this.firstAnswer === answer;
 	}
 
+	/** Whether the caller has got the response from this answer until now. */
+	isLatest(answer: AttemptAnswer): boolean {
+		return this.latestAnswer === answer;
+	}
+
 	/** Adds bytes to an answer; returns whether it came closer to its end. Throws what `AttemptAnswer.add` throws. */
 	addChunk(answer: AttemptAnswer, chunk: Buffer): boolean {
 		return answer.add(chunk, this.hasBegun && !this.isFirst(answer));
@@ -66,6 +73,7 @@
 			this.firstAnswer = answer;
 		}
 
+		this.latestAnswer = answer;
 		const bytes = answer.take();
 		this.lastEventId = answer.lastEventId ?? this.lastEventId;
 		this.passedBytes += bytes.length;
