Don't break off the only answer of a call for a large comment

What callers saw: a stream with a comment, or another piece that is no event, of more than 256 KiB was cut, although no other attempt was in flight.

Cause: the bound on what is held for the sake of another attempt was checked before the bytes were passed on.

--- a/src/forwarding/answer-forwarder/test.ts
+++ b/src/forwarding/answer-forwarder/test.ts
@@ -188,3 +188,21 @@
 	const {body, isComplete} = await playCall(t, {route: {...resumableStream, maximumAttempts: 1}, scripts: [sendComment]});
 	expect([body.length, isComplete]).toEqual([wholeStream.length + comment.length, true]);
 });
+
+test('guards against holding comments of a second target without bound while the first is silent', async t => {
+	const comment = `: ${'x'.repeat(30_000)}\n\n`;
+	const sendComments: Script = (socket, id) => {
+		socket.on('error', () => undefined);
+		socket.write(streamHead(id));
+		const timer = setInterval(() => {
+			socket.write(formatChunk(comment));
+		}, 10);
+		socket.once('close', () => {
+			clearInterval(timer);
+		});
+	};
+
+	const {body, isComplete, events} = await playCall(t, {route: {...resumableStream, maximumAttempts: 2}, scripts: [pauseBeforeStream, sendComments]});
+	const [received, closed] = ['received', 'closed'].map(type => events.find(event => event.attempt === 2 && event.type === type)!.atMs);
+	expect([body, isComplete, closed! - received! < 500]).toEqual([wholeStream, true, true]);
+});
--- a/src/forwarding/event-answer/index.ts
+++ b/src/forwarding/event-answer/index.ts
@@ -5,7 +5,10 @@
 import type {ResponseHead} from '../call-types/index.js';
 import {EventSplitter} from '../event-splitter/index.js';
 
-/** Maximum size of what comes without an event while another attempt may still go on with the call. */
+/**
+ * Size of what has come without an event and is held, because another attempt may still go on with the call, above which the
+ * target may send no more. What the caller gets at once doesn't count.
+ */
 const maximumHeldBytes = 256 * 1024;
 
 /** Receives a resumable stream. */
@@ -45,15 +48,15 @@
 	}
 
 	add(chunk: Buffer, isContinuation: boolean): boolean {
+		if (!this.hasContent && this.heldBytes > maximumHeldBytes) {
+			throw new RangeError(`the target sends more than ${maximumHeldBytes} bytes without an event`);
+		}
+
 		this.boundary.add(chunk);
 		this.isContinuation = isContinuation;
 		const {bytes, hasProgress, hasContent} = this.splitter.add(chunk, isContinuation);
 		this.hold(bytes);
 		this.hasContent ||= hasContent;
-		if (!this.hasContent && this.heldBytes > maximumHeldBytes) {
-			throw new RangeError(`the target sends more than ${maximumHeldBytes} bytes without an event`);
-		}
-
 		return hasProgress;
 	}
 
