Test that an instance which stands still isn't left for a comment of the next one

Fails on: the first bytes of the second instance's answer, also a bare comment, end the call at the first one. The caller gets the comment and a cut connection in place of the first one's whole answer.

--- a/src/handover/answer-race/test.ts
+++ b/src/handover/answer-race/test.ts
@@ -213,3 +213,19 @@
 	const answer = await sendCall(gateway.address);
 	expect([readStatus(answer), answer.isComplete]).toEqual([504, true]);
 });
+
+for (const isBroken of [false, true]) {
+	test(`guards against leaving an instance that stands still for one that sends only a comment and ${isBroken ? 'breaks off' : 'is silent'}`, async (t: TestContext) => {
+		const {gateway} = await startInstances(t, [serveAfterStandstill, response => {
+			response.writeHead(...headOf(200));
+			response.write(': ping\n\n');
+			setTimeout(() => {
+				if (isBroken) {
+					response.destroy();
+				}
+			}, 100);
+		}], stream);
+		const answer = await sendCall(gateway.address);
+		expect([readStatus(answer), answer.body, answer.isComplete]).toEqual([200, 'first', true]);
+	});
+}
