--- a/src/forwarding/answer-forwarder/test.ts
+++ b/src/forwarding/answer-forwarder/test.ts
@@ -206,3 +206,13 @@
 	const [received, closed] = ['received', 'closed'].map(type => events.find(event => event.attempt === 2 && event.type === type)!.atMs);
 	expect([body, isComplete, closed! - received! < 500]).toEqual([wholeStream, true, true]);
 });
+
+test('guards against an event without an id of one run in front of the first events of another run', async t => {
+	const sendWithoutId: Script = (socket, id) => {
+		socket.write(streamHead(id) + formatChunk('data: a\n\n'));
+		writeLater(socket, formatChunk('data: b\n\n') + lastChunk, 1700);
+	};
+
+	const {body, isComplete} = await playCall(t, {route: resumableStream, scripts: [sendWithoutId, freezeAfter(formatChunk(wholeStream) + lastChunk)]});
+	expect([body, isComplete]).toEqual(['data: a\n\ndata: b\n\n', true]);
+});
