Test that two instances with one call don't record its stream at the wrong version

Fails on: recordings are numbered by each instance for itself. While both keep a call, the one that made more attempts overrides the record of the one whose event the caller gets, and the stream is taken up at the other version.

--- a/src/forwarding/stream-origin/test.ts
+++ b/src/forwarding/stream-origin/test.ts
@@ -6,7 +6,9 @@
 import {createStreamOrigin} from '../../fixtures/create-stream-origin/index.js';
 import {startRawServer} from '../../fixtures/start-raw-server/index.js';
 import {startTestGateway} from '../../fixtures/start-test-gateway/index.js';
-import type {RequestId, SoftwareVersion} from '../../identity/ids/index.js';
+import type {MonotonicMs, RequestId, SoftwareVersion} from '../../identity/ids/index.js';
+import type {StreamKey} from '../../resumption/stream-key/index.js';
+import {StreamRegister} from '../../resumption/stream-register/index.js';
 
 test('guards against a stream whose version changes with the target that continues it', () => {
 	const records: unknown[] = [];
@@ -100,3 +102,25 @@
 	expect([alone.isComplete, alone.text.includes('v1'), alone.text.includes('v2')]).toEqual([false, true, false]);
 	expect(await readStream(descriptions)).toEqual({isComplete: true, text: 'id: 1\ndata: v1\n\nid: 2\ndata: v1\n\n'});
 });
+
+test('guards against a stream taken up at another version than its own because two instances that had the call recorded it', () => {
+	const records: unknown[] = [];
+	const older = createFleetTarget('t1');
+	const newer = createFleetTarget('t2', {softwareVersion: 'v2' as SoftwareVersion});
+	const first = createStreamOrigin({}, undefined, records);
+	const second = createStreamOrigin({}, undefined, records);
+	first.recordSent([older]);
+	// The first instance stands still. The second one sends the call twice, and the first one goes on before it has an event.
+	second.recordSent([newer]);
+	second.recordSent([newer]);
+	first.recordEvent(older);
+	const register = new StreamRegister();
+	const now = 0 as MonotonicMs;
+	for (const [key, software, recording, expiresAt] of records as Array<[string, SoftwareVersion, number, MonotonicMs]>) {
+		register.add({
+			key: key as StreamKey, software, recording, expiresAt,
+		}, now);
+	}
+
+	expect(register.find('c1' as StreamKey, now)).not.toEqual('v2');
+});
