--- a/src/forwarding/answer-forwarder/test.ts
+++ b/src/forwarding/answer-forwarder/test.ts
@@ -216,3 +216,16 @@
 	const {body, isComplete} = await playCall(t, {route: resumableStream, scripts: [sendWithoutId, freezeAfter(formatChunk(wholeStream) + lastChunk)]});
 	expect([body, isComplete]).toEqual(['data: a\n\ndata: b\n\n', true]);
 });
+
+test('guards against replacing a whole answer that is no stream by one without a body', async t => {
+	const answerWhole: Script = (socket, id) => {
+		writeLater(socket, formatAnswer(id, '200 OK', '{"text":"x"}'), 1500);
+	};
+
+	const endEmpty: Script = (socket, id) => {
+		writeLater(socket, streamHead(id) + lastChunk, 700);
+	};
+
+	const {head, body, isComplete} = await playCall(t, {route: {...resumableStream, maximumAttempts: 2}, scripts: [answerWhole, endEmpty]});
+	expect([readStatus(head), body, isComplete]).toEqual([200, '{"text":"x"}', true]);
+});
