Pass a whole answer on at the deadline that waits for a silent attempt

What callers saw: a call whose first target stayed frozen got 504, or a cut stream, although the second target had given its whole answer: one without events, or the end of a stream of which nothing was left to send.

Cause: an answer that ends without an event waits for the other attempt, and nothing ended that wait but the other attempt itself. The deadline and the stop of the instance now take such an answer before they give up. It still waits until then.

Two tests of answer-forwarder for it failed before, and pass now.

--- a/src/forwarding/attempt-handler/index.ts
+++ b/src/forwarding/attempt-handler/index.ts
@@ -107,6 +107,19 @@
 		}
 	}
 
+	/** Passes on a whole answer that waits for the other attempt, because there is no more time to wait; returns whether there is one. */
+	completeWaiting(): boolean {
+		const {attempts} = this.call;
+		const waiting = attempts.inFlight.find(({answer}) => answer?.hasEnded === true);
+		if (waiting === undefined) {
+			return false;
+		}
+
+		this.move.prefer(waiting, this.context.clock.readMonotonic());
+		this.forward(waiting, this.context.clock.readMonotonic());
+		return true;
+	}
+
 	/** Handles the head of an answer. */
 	onHead(attempt: Attempt, head: ResponseHead): void {
 		const {session, selection: {hints}, relay} = this.call;
--- a/src/forwarding/call-session/index.ts
+++ b/src/forwarding/call-session/index.ts
@@ -120,12 +120,17 @@
 		}
 	}
 
-	/** Ends the call before its response is complete; the result depends on whether a target may have run it. */
+	/**
+	 * Ends the call before its response is complete, unless a whole answer waits for the other attempt. The result depends on
+	 * whether a target may have run the call.
+	 */
 	private endEarly(resultIfNotRun: ResultName, resultIfMayHaveRun: ResultName): void {
-		if (!this.isDone) {
-			this.attempts.abort();
-			this.fail(createRouterError(this.attempts.mayHaveRun ? resultIfMayHaveRun : resultIfNotRun));
-		}
+		this.protect(() => {
+			if (!this.isDone && !this.handler.completeWaiting()) {
+				this.attempts.abort();
+				this.fail(createRouterError(this.attempts.mayHaveRun ? resultIfMayHaveRun : resultIfNotRun));
+			}
+		});
 	}
 
 	/** Ends the call because of an error in this program. */
