Let no comment of another instance end the wait for one that stands still

What callers saw: a stream that was passed on got ": ping" and a cut connection, although the first instance would have answered after 1.2 s.

Cause: any byte of the second instance's answer was taken for its beginning and ended the exchange with the first. Comments keep a connection in use and say nothing of the answer; up to 100 of them are held now, until something else comes or no other instance has the call.

--- a/src/handover/peer-exchange/index.ts
+++ b/src/handover/peer-exchange/index.ts
@@ -14,6 +14,7 @@
 import type {EventLogger} from '../../logging/create-logger/index.js';
 import type {AnswerRace, Contender} from '../answer-race/index.js';
 import {assessHandover} from '../assess-handover/index.js';
+import {isComment} from '../is-comment/index.js';
 import {parsePeerHead, type PeerHead} from '../parse-peer-head/index.js';
 import type {PeerProbe, ProbedPeer} from '../peer-probe/index.js';
 
@@ -24,6 +25,8 @@
  */
 export type PeerOutcome = 'answered' | 'notRun' | 'cutOff' | 'unknown' | 'expired' | 'dropped';
 
+/** Maximum number of comments that are held while another instance has the call; one more counts as the beginning of the answer. */
+const maximumComments = 100;
 /** Interval between checks of a call, in milliseconds. */
 const checkIntervalMs = 100;
 
@@ -64,6 +67,8 @@
 	private hasBegun = false;
 	/** Whether the answer is held back, because that of another instance would be better. */
 	private isHeld = false;
+	/** Comments that came before anything else, while another instance has the call. */
+	private comments: Buffer[] = [];
 	/** Whether the answer has arrived as a whole. */
 	private hasEnded = false;
 	private isDone = false;
@@ -115,26 +120,20 @@
 	}
 
 	onChunk(chunk: Buffer): void {
-		const {call: {peer, sink}, options: {probe}} = this;
+		const {call: {peer, race}, options: {probe}} = this;
 		probe.recordHeard(peer.id);
-		this.begin();
-		if (this.isDone) {
+		if (!this.hasBegun && !race.isAlone(this) && this.comments.length < maximumComments && isComment(chunk)) {
+			this.comments.push(chunk);
 			return;
 		}
 
-		this.protect(() => {
-			if (!sink.write(chunk)) {
-				this.exchange?.pause();
-				sink.onDrain(() => {
-					this.exchange?.resume();
-				});
-			}
-		});
+		this.begin();
+		this.write(chunk);
 	}
 
 	onEnd(): void {
 		this.hasEnded = true;
-		if (!this.isHeld) {
+		if (!this.isHeld && this.comments.length === 0) {
 			this.begin();
 			this.end();
 		}
@@ -184,6 +183,28 @@
 			this.hasBegun = true;
 			race.prefer(this);
 		});
+		const {comments} = this;
+		this.comments = [];
+		for (const comment of comments) {
+			this.write(comment);
+		}
+	}
+
+	/** Passes bytes of the body on. The instance is paused while the caller does not read. */
+	private write(chunk: Buffer): void {
+		const {sink} = this.call;
+		if (this.isDone) {
+			return;
+		}
+
+		this.protect(() => {
+			if (!sink.write(chunk)) {
+				this.exchange?.pause();
+				sink.onDrain(() => {
+					this.exchange?.resume();
+				});
+			}
+		});
 	}
 
 	/** Ends the answer. */
