Wait for the call that a test aborts, not for a fixed time

The test "a call that is sent to a target after all calls were aborted" waited 30 ms for its call to be read; at a load of 26 to 30 it failed in 2 of 8 runs, since the instance had not read it by then. It now waits until the call is in progress. What it expects is unchanged.

--- a/src/gateway/calls-in-progress/test.ts
+++ b/src/gateway/calls-in-progress/test.ts
@@ -9,6 +9,7 @@
 import {startTestGateway} from '../../fixtures/start-test-gateway/index.js';
 import {parseAddress} from '../../http/parse-address/index.js';
 import type {Route, RoutingConfiguration} from '../../routing/routing-types/index.js';
+import {waitFor} from '../../standin/wait-for/index.js';
 
 const request = 'POST /x HTTP/1.1\r\nHost: h\r\nx-id: c1\r\nx-wait: 5000\r\nContent-Length: 4\r\n\r\nbody';
 const formatEvent = (id: number) => `id: ${id}\ndata: x\n\n`;
@@ -118,7 +119,7 @@
 	});
 	const {socket, readReceived} = openConnection(t, gateway.address, request);
 	socket.end();
-	await delay(30);
+	await waitFor(() => gateway.listener.callsInProgress === 1);
 	gateway.listener.refuseCalls();
 	gateway.listener.abortCalls();
 	await gateway.listener.flushAnswers(300);
