Hold bytes of answers in one place, and copy no single chunk

Both kinds of answers kept a list of chunks and its size; HeldBytes serves both, and returns a single chunk as it is: the usual case in a stream, where each chunk was copied since the answers of attempts were told apart. Whether an attempt is alone is read without a list. Behaviour is unchanged.

--- a/src/forwarding/answer-forwarder/index.ts
+++ b/src/forwarding/answer-forwarder/index.ts
@@ -68,12 +68,12 @@
 	/** Whether `attempt` is the one that goes on. Its content ends the other attempts. */
 	private mayPass(attempt: Attempt, now: MonotonicMs): boolean {
 		const {attempts, move, relay} = this.call;
-		const answer = attempt.answer!;
-		const others = attempts.listOthers(attempt);
-		if (others.length === 0) {
+		if (attempts.isAlone(attempt)) {
 			return true;
 		}
 
+		const answer = attempt.answer!;
+		const others = attempts.listOthers(attempt);
 		const isLatest = relay.isLatest(answer);
 		const isEnd = answer.hasEnded && (isLatest || (others.every(other => isSettled(other, now)) && isBestEnd(attempt, attempts.inFlight)));
 		if (answer.hasContent || isEnd) {
--- a/src/forwarding/attempt-handler/index.ts
+++ b/src/forwarding/attempt-handler/index.ts
@@ -270,7 +270,7 @@
 	/** Goes on with the other attempts in flight, or retries an idempotent call, after an error response; returns whether it does. */
 	private replaceErrorResponse(attempt: Attempt, head: ResponseHead): boolean {
 		const {attempts, session: {route}} = this.call;
-		if (attempts.listOthers(attempt).length > 0 && isTemporaryFailure(head.status)) {
+		if (!attempts.isAlone(attempt) && isTemporaryFailure(head.status)) {
 			attempt.exchange?.abort();
 			attempts.end(attempt, true);
 			this.continueOrFail('unknown', `response with status ${head.status}`, attempt);
--- a/src/forwarding/call-attempts/index.ts
+++ b/src/forwarding/call-attempts/index.ts
@@ -54,6 +54,11 @@
 		this.open.add(attempt);
 	}
 
+	/** Whether `attempt` is the only one in flight. */
+	isAlone(attempt: Attempt): boolean {
+		return this.open.size === 1 && this.open.has(attempt);
+	}
+
 	/** Lists the attempts in flight beside `attempt`, the oldest one first. */
 	listOthers(attempt: Attempt): readonly Attempt[] {
 		return this.inFlight.filter(other => other !== attempt);
--- a/src/forwarding/event-answer/index.ts
+++ b/src/forwarding/event-answer/index.ts
@@ -1,6 +1,7 @@
 /** A stream of events that another target can continue: passed on event by event. */
 
 import {EventBoundary} from '../../streams/event-boundary/index.js';
+import {HeldBytes} from '../../streams/held-bytes/index.js';
 import type {AttemptAnswer} from '../attempt-answer/index.js';
 import type {ResponseHead} from '../call-types/index.js';
 import {EventSplitter} from '../event-splitter/index.js';
@@ -8,12 +9,11 @@
 /** Receives a resumable stream. */
 export class EventAnswer implements AttemptAnswer {
 	hasEnded = false;
-	heldBytes = 0;
 	receivedBytes = 0;
 	hasContent = false;
 	/** Whether the last event has an id, so that another target can go on after it. */
 	isResumable = true;
-	private held: Buffer[] = [];
+	private readonly held = new HeldBytes();
 	private readonly splitter: EventSplitter;
 	private readonly boundary = new EventBoundary();
 	private isContinuation = false;
@@ -23,6 +23,10 @@
 		this.splitter = new EventSplitter(lastEventId);
 	}
 
+	get heldBytes(): number {
+		return this.held.size;
+	}
+
 	get isReady(): boolean {
 		return true;
 	}
@@ -45,7 +49,7 @@
 		this.receivedBytes += chunk.length;
 		this.isContinuation = isContinuation;
 		const {bytes, hasProgress, hasContent, endsWithId} = this.splitter.add(chunk, isContinuation);
-		this.hold(bytes);
+		this.held.add(bytes);
 		if (hasContent) {
 			this.hasContent = true;
 			this.isResumable = endsWithId;
@@ -60,20 +64,10 @@
 
 	take(): Buffer {
 		if (this.hasEnded) {
-			this.hold(this.splitter.flush());
+			this.held.add(this.splitter.flush());
 		}
 
-		const bytes = Buffer.concat(this.held);
-		this.held = [];
-		this.heldBytes = 0;
 		this.hasContent = false;
-		return bytes;
-	}
-
-	private hold(bytes: Buffer): void {
-		if (bytes.length > 0) {
-			this.held.push(bytes);
-			this.heldBytes += bytes.length;
-		}
+		return this.held.take();
 	}
 }
--- a/src/forwarding/plain-answer/index.ts
+++ b/src/forwarding/plain-answer/index.ts
@@ -1,6 +1,7 @@
 /** An answer that no other target can continue. One to a call that may run again is held until it is whole. */
 
 import {EventBoundary} from '../../streams/event-boundary/index.js';
+import {HeldBytes} from '../../streams/held-bytes/index.js';
 import type {AttemptAnswer} from '../attempt-answer/index.js';
 import type {ResponseHead} from '../call-types/index.js';
 
@@ -20,9 +21,8 @@
 export class PlainAnswer implements AttemptAnswer {
 	readonly head: ResponseHead;
 	hasEnded = false;
-	heldBytes = 0;
 	receivedBytes = 0;
-	private held: Buffer[] = [];
+	private readonly held = new HeldBytes();
 	private readonly boundary = new EventBoundary();
 
 	constructor(private readonly options: PlainAnswerOptions) {
@@ -42,6 +42,10 @@
 		return !this.head.isUnframed || !this.options.isEventStream || this.boundary.isReached;
 	}
 
+	get heldBytes(): number {
+		return this.held.size;
+	}
+
 	get isReady(): boolean {
 		return !this.options.isHeld || this.hasContent;
 	}
@@ -52,8 +56,7 @@
 
 	add(chunk: Buffer): boolean {
 		this.boundary.add(chunk);
-		this.held.push(chunk);
-		this.heldBytes += chunk.length;
+		this.held.add(chunk);
 		this.receivedBytes += chunk.length;
 		return true;
 	}
@@ -63,9 +66,6 @@
 	}
 
 	take(): Buffer {
-		const bytes = this.held.length === 1 ? this.held[0]! : Buffer.concat(this.held);
-		this.held = [];
-		this.heldBytes = 0;
-		return bytes;
+		return this.held.take();
 	}
 }
