Keep the error of a target as the answer until another attempt has a better one

What callers saw: a target that answered with an error of its own, after it had been silent, lost that answer when the second target was silent as well: 504 at the deadline in place of the target's 500.

A temporary failure of one attempt ended it at its head for the promise of the other one.

Change: such an answer is held as a fallback. It is passed on if no other attempt is left and no retry follows, or if the others stay silent.

--- a/src/forwarding/answer-forwarder/index.ts
+++ b/src/forwarding/answer-forwarder/index.ts
@@ -95,10 +95,12 @@
 	}
 }
 
-/** Whether the answer is the one to pass on of those that have ended without content: the oldest with a body, else the oldest. */
+/** Whether the answer is the one to pass on of those that have ended without content: the oldest with a body, else the oldest; errors come last. */
 function isBestEnd(attempt: Attempt, inFlight: readonly Attempt[]): boolean {
 	const ended = inFlight.filter(({answer}) => answer?.hasEnded === true);
-	return (ended.find(({answer}) => answer!.receivedBytes > 0) ?? ended[0]) === attempt;
+	const successful = ended.filter(({answer}) => !answer!.isFallback);
+	const candidates = successful.length > 0 ? successful : ended;
+	return (candidates.find(({answer}) => answer!.receivedBytes > 0) ?? candidates[0]) === attempt;
 }
 
 /** Whether nothing is expected of an attempt any more: its answer has ended, or it has been silent for too long. */
--- a/src/forwarding/answer-forwarder/test.ts
+++ b/src/forwarding/answer-forwarder/test.ts
@@ -222,3 +222,40 @@
 	const {head, body, isComplete} = await playCall(t, {route: {...resumableStream, maximumAttempts: 2}, scripts: [answerWhole, endEmpty]});
 	expect([readStatus(head), body, isComplete]).toEqual([200, '{"text":"x"}', true]);
 });
+
+/** A sound target that answers with an error of its own after a pause. */
+const failAfterPause: Script = (socket, id) => {
+	writeLater(socket, formatAnswer(id, '500 Error', 'own error'), 1600);
+};
+
+test('guards against dropping the error of a target because the call was sent to another one, which is silent or breaks off', async t => {
+	const breakOffLate: Script = socket => {
+		setTimeout(() => {
+			socket.destroy();
+		}, 800);
+	};
+
+	for (const second of [staySilent, breakOffLate]) {
+		const {head, body, isComplete, durationMs} = await playCall(t, {route: {...idempotent, maximumAttempts: 2}, scripts: [failAfterPause, second]});
+		expect([readStatus(head), body, isComplete, durationMs < 4500]).toEqual([500, 'own error', true, true]);
+	}
+});
+
+test('guards against passing the error of one target on while another one can still answer, or a third', async t => {
+	const answerLate: Script = (socket, id) => {
+		writeLater(socket, formatAnswer(id, '200 OK', 'late'), 900);
+	};
+
+	const refuseLate: Script = (socket, id) => {
+		writeLater(socket, `HTTP/1.1 503 Full\r\nx-id: ${id}\r\nx-not-run: true\r\nContent-Length: 0\r\n\r\n`, 600);
+	};
+
+	const answerAtOnce: Script = (socket, id) => {
+		socket.write(formatAnswer(id, '200 OK', 'third'));
+	};
+
+	const second = await playCall(t, {route: idempotent, scripts: [failAfterPause, answerLate]});
+	expect([second.body, second.attempts]).toEqual(['late', 2]);
+	const third = await playCall(t, {route: idempotent, scripts: [failAfterPause, refuseLate, answerAtOnce]});
+	expect([third.body, third.attempts]).toEqual(['third', 3]);
+});
--- a/src/forwarding/attempt-answer/index.ts
+++ b/src/forwarding/attempt-answer/index.ts
@@ -11,6 +11,8 @@
 	readonly head: ResponseHead;
 	/** Whether another target can continue the answer once the caller has a part of it. */
 	readonly isResumable: boolean;
+	/** Whether the answer is an error that counts only if no other attempt has a better one. */
+	readonly isFallback: boolean;
 	/** Whether the target has sent its last byte. */
 	readonly hasEnded: boolean;
 	/** Whether the last byte ends a whole answer; only for one that has ended. */
--- a/src/forwarding/attempt-handler/index.ts
+++ b/src/forwarding/attempt-handler/index.ts
@@ -122,7 +122,7 @@
 
 	/** Handles the head of an answer. */
 	onHead(attempt: Attempt, head: ResponseHead): void {
-		const {session, selection: {hints}, relay} = this.call;
+		const {session, selection: {hints}, attempts, relay} = this.call;
 		const now = this.context.clock.readMonotonic();
 		recordHead(attempt, head, session.call.work?.model, this.context, now);
 		if (head.isNotRun) {
@@ -139,8 +139,9 @@
 
 		attempt.target.recordAnswer(attempt.record, now);
 		hints.recordUse(attempt.target, now);
-		if (!this.replaceErrorResponse(attempt, head)) {
-			attempt.answer = relay.open(head);
+		const isAlone = attempts.isAlone(attempt);
+		if (!isAlone || !this.retryErrorResponse(attempt, head)) {
+			attempt.answer = relay.open(head, !isAlone && isTemporaryFailure(head.status));
 			this.forward(attempt, now);
 		}
 	}
@@ -213,6 +214,15 @@
 		}
 	}
 
+	/** Goes on with the attempts in flight. The last one may have an error that is worth a retry. */
+	private continueAt(oldest: Attempt): void {
+		const {answer} = oldest;
+		const isLastError = answer?.isFallback === true && this.call.attempts.isAlone(oldest);
+		if (!isLastError || !this.retryErrorResponse(oldest, answer.head)) {
+			this.forwardHeld();
+		}
+	}
+
 	/** Passes on what was held back for an attempt that has ended. */
 	private forwardHeld(): void {
 		const now = this.context.clock.readMonotonic();
@@ -267,18 +277,10 @@
 		this.continueOrFail('notRun', `rejected with status ${head.status}`, attempt);
 	}
 
-	/** Goes on with the other attempts in flight, or retries an idempotent call, after an error response; returns whether it does. */
-	private replaceErrorResponse(attempt: Attempt, head: ResponseHead): boolean {
+	/** Retries an idempotent call after an error of the server; returns whether it does. */
+	private retryErrorResponse(attempt: Attempt, {status}: ResponseHead): boolean {
 		const {attempts, session: {route}} = this.call;
-		if (!attempts.isAlone(attempt) && isTemporaryFailure(head.status)) {
-			attempt.exchange?.abort();
-			attempts.end(attempt, true);
-			this.continueOrFail('unknown', `response with status ${head.status}`, attempt);
-			return true;
-		}
-
-		const isServerError = head.status >= firstServerErrorStatus;
-		if (!isServerError || route.kind !== 'idempotent' || this.steps.plan('unknown', attempts.runs + 1).type !== 'retry') {
+		if (status < firstServerErrorStatus || route.kind !== 'idempotent' || this.steps.plan('unknown', attempts.runs + 1).type !== 'retry') {
 			return false;
 		}
 
@@ -290,10 +292,10 @@
 
 	/** Goes on after a failed attempt: with the others in flight, else with a retry; ends the call if there is none. */
 	private continueOrFail(failure: AttemptFailure, reason: string, attempt: Attempt): void {
-		const {fail} = this.call;
+		const {attempts: {oldest}, fail} = this.call;
 		const step = this.steps.planAfter(attempt, failure, reason);
 		if (step.type === 'other attempt') {
-			this.forwardHeld();
+			this.continueAt(oldest!);
 		} else if (step.type === 'retry') {
 			this.tryNextTarget();
 		} else {
--- a/src/forwarding/event-answer/index.ts
+++ b/src/forwarding/event-answer/index.ts
@@ -23,6 +23,10 @@
 		this.splitter = new EventSplitter(lastEventId);
 	}
 
+	get isFallback(): boolean {
+		return false;
+	}
+
 	get heldBytes(): number {
 		return this.held.size;
 	}
--- a/src/forwarding/plain-answer/index.ts
+++ b/src/forwarding/plain-answer/index.ts
@@ -15,6 +15,8 @@
 	readonly isHeld: boolean;
 	/** Whether the body is a stream of events. */
 	readonly isEventStream: boolean;
+	/** Whether another attempt may have a better answer. */
+	readonly isFallback: boolean;
 };
 
 /** Receives an answer that is not resumable. */
@@ -42,15 +44,23 @@
 		return !this.head.isUnframed || !this.options.isEventStream || this.boundary.isReached;
 	}
 
+	get isFallback(): boolean {
+		return this.options.isFallback;
+	}
+
 	get heldBytes(): number {
 		return this.held.size;
 	}
 
 	get isReady(): boolean {
-		return !this.options.isHeld || this.hasContent;
+		return !this.options.isHeld || this.isSufficient;
 	}
 
 	get hasContent(): boolean {
+		return !this.isFallback && this.isSufficient;
+	}
+
+	private get isSufficient(): boolean {
 		return this.hasEnded || this.receivedBytes > maximumHeldBytes;
 	}
 
--- a/src/forwarding/response-relay/index.ts
+++ b/src/forwarding/response-relay/index.ts
@@ -42,13 +42,15 @@
 		return this.hasBegun ? status === okStatus : status >= okStatus;
 	}
 
-	/** Opens the answer that begins with this head. Nothing of it is passed on yet. */
-	open(head: ResponseHead): AttemptAnswer {
+	/** Opens the answer that begins with this head. Nothing of it is passed on yet. `isFallback`: whether another attempt may have a better one. */
+	open(head: ResponseHead, isFallback: boolean): AttemptAnswer {
 		const {kind, isResumable} = this.route;
 		const hasEvents = isEventStream(head, kind === 'streaming');
 		return hasEvents && isResumable
 			? new EventAnswer(head, this.lastEventId)
-			: new PlainAnswer({head, isHeld: kind === 'idempotent', isEventStream: hasEvents});
+			: new PlainAnswer({
+				head, isHeld: kind === 'idempotent', isEventStream: hasEvents, isFallback,
+			});
 	}
 
 	/** Whether this answer is the one that was passed on last. */
--- a/src/forwarding/response-relay/test.ts
+++ b/src/forwarding/response-relay/test.ts
@@ -36,10 +36,10 @@
 test('guards against the head of one response with the body of another for a retried idempotent call', () => {
 	const {sink, log} = createRecorder();
 	const relay = new ResponseRelay(sink, createRoute('r'), undefined);
-	const interrupted = relay.open({...head, status: 201});
+	const interrupted = relay.open({...head, status: 201}, false);
 	relay.addChunk(interrupted, Buffer.from('half'));
 	expect([interrupted.isReady, log]).toEqual([false, []]);
-	const whole = relay.open(head);
+	const whole = relay.open(head, false);
 	relay.addChunk(whole, Buffer.from('whole'));
 	expect(whole.isReady).toEqual(false);
 	whole.end();
@@ -52,11 +52,11 @@
 test('continues a resumable stream after the last complete event without a second head', () => {
 	const {sink, log} = createRecorder();
 	const relay = new ResponseRelay(sink, createRoute('r', {kind: 'streaming', isResumable: true}), undefined);
-	const first = relay.open(head);
+	const first = relay.open(head, false);
 	relay.addChunk(first, Buffer.from('id: 1\ndata: a\n\nid: 2\nda'));
 	relay.pass(first);
 	expect(relay.readLastEventId()).toEqual('1');
-	const second = relay.open(head);
+	const second = relay.open(head, false);
 	relay.addChunk(second, Buffer.from('id: 2\ndata: b\n\n'));
 	expect([relay.isLatest(first), relay.isLatest(second), second.hasContent]).toEqual([true, false, true]);
 	relay.pass(second);
@@ -69,7 +69,7 @@
 test('guards against a final chunk on a response that ends with its connection before it is complete', () => {
 	const {sink, log} = createRecorder();
 	const relay = new ResponseRelay(sink, createRoute('r', {kind: 'streaming'}), undefined);
-	const answer = relay.open({...head, isUnframed: true});
+	const answer = relay.open({...head, isUnframed: true}, false);
 	relay.addChunk(answer, Buffer.from('data: a\n\ndata'));
 	relay.pass(answer);
 	answer.end();
