--- a/src/forwarding/answer-forwarder/index.ts
+++ b/src/forwarding/answer-forwarder/index.ts
@@ -7,16 +7,13 @@
  */
 
 import type {MonotonicMs} from '../../identity/ids/index.js';
-import type {CallAttempts} from '../call-attempts/index.js';
 import type {CallMove} from '../call-move/index.js';
-import type {ResponseRelay} from '../response-relay/index.js';
+import type {CallParts} from '../call-parts/index.js';
 import type {Attempt} from '../session-types/index.js';
 import type {StreamOrigin} from '../stream-origin/index.js';
 
 /** The call whose answers are passed on. */
-export type AnsweredCall = {
-	readonly attempts: CallAttempts;
-	readonly relay: ResponseRelay;
+export type AnsweredCall = Pick<CallParts, 'attempts' | 'relay'> & {
 	readonly move: CallMove;
 	readonly origin: StreamOrigin;
 };
--- a/src/forwarding/attempt-handler/index.ts
+++ b/src/forwarding/attempt-handler/index.ts
@@ -10,18 +10,14 @@
 import {AnswerForwarder} from '../answer-forwarder/index.js';
 import {assessAttempt} from '../assess-attempt/index.js';
 import {AttemptStarter} from '../attempt-starter/index.js';
-import type {CallAttempts} from '../call-attempts/index.js';
-import type {CallGuard} from '../call-guard/index.js';
 import {CallMove} from '../call-move/index.js';
-import type {CallTimes} from '../call-times/index.js';
+import type {CallParts} from '../call-parts/index.js';
 import type {ResponseHead} from '../call-types/index.js';
 import type {ForwardingContext} from '../forwarding-context/index.js';
 import {isTemporaryFailure} from '../is-temporary-failure/index.js';
 import type {AttemptFailure} from '../plan-next-step/index.js';
 import {recordHead} from '../record-head/index.js';
-import type {ResponseRelay} from '../response-relay/index.js';
-import type {TargetSelection} from '../select-target/index.js';
-import type {Attempt, SessionOptions} from '../session-types/index.js';
+import type {Attempt} from '../session-types/index.js';
 import type {AttemptListener} from '../start-attempt/index.js';
 import {StepPlanner} from '../step-planner/index.js';
 import type {ExchangeStage} from '../target-client/index.js';
@@ -29,13 +25,7 @@
 const firstServerErrorStatus = 500;
 
 /** The call whose attempts are handled. */
-export type HandledCall = {
-	readonly session: SessionOptions;
-	readonly selection: TargetSelection;
-	readonly attempts: CallAttempts;
-	readonly relay: ResponseRelay;
-	readonly guard: CallGuard;
-	readonly times: CallTimes;
+export type HandledCall = CallParts & {
 	/** Whether the call has ended. */
 	readonly isDone: () => boolean;
 	/** Carries out a step of the call, and ends the call if it throws. */
--- a/src/forwarding/attempt-starter/index.ts
+++ b/src/forwarding/attempt-starter/index.ts
@@ -4,25 +4,16 @@
 import type {MonotonicMs} from '../../identity/ids/index.js';
 import type {RouterError} from '../../results/create-router-error/index.js';
 import {isRepeatable} from '../../routing/is-repeatable/index.js';
-import type {CallAttempts} from '../call-attempts/index.js';
-import type {CallGuard} from '../call-guard/index.js';
-import type {CallTimes} from '../call-times/index.js';
+import type {CallParts} from '../call-parts/index.js';
 import type {ForwardingContext} from '../forwarding-context/index.js';
 import {planWait} from '../plan-wait/index.js';
-import type {ResponseRelay} from '../response-relay/index.js';
-import {selectTarget, type TargetSelection} from '../select-target/index.js';
-import type {Attempt, SessionOptions} from '../session-types/index.js';
+import {selectTarget} from '../select-target/index.js';
+import type {Attempt} from '../session-types/index.js';
 import {startAttempt, type AttemptListener} from '../start-attempt/index.js';
 import {TargetWaiter} from '../target-waiter/index.js';
 
 /** The call whose attempts are started. */
-export type StartedCall = {
-	readonly session: SessionOptions;
-	readonly selection: TargetSelection;
-	readonly attempts: CallAttempts;
-	readonly relay: ResponseRelay;
-	readonly guard: CallGuard;
-	readonly times: CallTimes;
+export type StartedCall = CallParts & {
 	/** Receives what comes back. */
 	readonly listener: AttemptListener;
 	/** Tries again after the call has waited for a target. */
--- a/src/forwarding/call-move/index.ts
+++ b/src/forwarding/call-move/index.ts
@@ -9,23 +9,16 @@
 
 import type {MonotonicMs, RequestId} from '../../identity/ids/index.js';
 import type {AttemptStarter} from '../attempt-starter/index.js';
-import type {CallAttempts} from '../call-attempts/index.js';
-import type {CallGuard} from '../call-guard/index.js';
+import type {CallParts} from '../call-parts/index.js';
 import type {ForwardingContext} from '../forwarding-context/index.js';
 import {planMove} from '../plan-move/index.js';
 import type {AttemptFailure} from '../plan-next-step/index.js';
-import type {ResponseRelay} from '../response-relay/index.js';
-import type {TargetSelection} from '../select-target/index.js';
 import type {Attempt} from '../session-types/index.js';
 import type {StepPlanner} from '../step-planner/index.js';
 
 /** A call that may move. */
-export type MovableCall = {
+export type MovableCall = Pick<CallParts, 'attempts' | 'relay' | 'guard' | 'selection'> & {
 	readonly id: RequestId;
-	readonly attempts: CallAttempts;
-	readonly relay: ResponseRelay;
-	readonly guard: CallGuard;
-	readonly selection: TargetSelection;
 	readonly steps: StepPlanner;
 	readonly starter: AttemptStarter;
 };
--- a/src/forwarding/step-planner/index.ts
+++ b/src/forwarding/step-planner/index.ts
@@ -1,21 +1,14 @@
 /** Plans what follows the attempts of one call, and reports those that fail. */
 
 import {buildStepQuery} from '../build-step-query/index.js';
-import type {CallAttempts} from '../call-attempts/index.js';
-import type {CallGuard} from '../call-guard/index.js';
+import type {CallParts} from '../call-parts/index.js';
 import type {ForwardingContext} from '../forwarding-context/index.js';
 import {planNextStep, type AttemptFailure, type NextStep} from '../plan-next-step/index.js';
 import {reportFailedAttempt, type FollowingStep} from '../report-failed-attempt/index.js';
-import type {ResponseRelay} from '../response-relay/index.js';
-import type {Attempt, SessionOptions} from '../session-types/index.js';
+import type {Attempt} from '../session-types/index.js';
 
 /** The call whose steps are planned. */
-export type PlannedCall = {
-	readonly session: SessionOptions;
-	readonly attempts: CallAttempts;
-	readonly relay: ResponseRelay;
-	readonly guard: CallGuard;
-};
+export type PlannedCall = Pick<CallParts, 'session' | 'attempts' | 'relay' | 'guard'>;
 
 /** Plans the steps of one call. */
 export class StepPlanner {
