Fill retry budgets by time and calls, so that restarts, reloads and joins add none

Callers saw targets that got more repeats than the budget of their service while the fleet was in trouble. A changed file of settings, and each restart, filled the budget of an instance to its burst, and the burst kept the number of instances at its first use and was at least one retry each.

A budget now starts empty. Calls add retries that last as long as they are in the window of the allowance, and extra retries are added with time: what can be saved and what a window adds are together one share. The share is read at each use, so it follows the settings and the number of instances, and a level is kept when the settings change. A call may still use at once what the calls of the window have earned, which is more than the former burst. The window comes from the settings (windowMs, 10 s without it).

A start with retries is what exceeds the allowance.

--- a/src/forwarding/build-step-query/index.ts
+++ b/src/forwarding/build-step-query/index.ts
@@ -28,6 +28,6 @@
 		maximumRuns: session.route.maximumAttempts,
 		attempts,
 		remainingMs: session.deadline.read() - now,
-		takeRetry: () => context.findRetryBudget(session.service).take(),
+		takeRetry: () => context.findRetryBudget(session.service).take(now),
 	};
 }
--- a/src/forwarding/call-move/test.ts
+++ b/src/forwarding/call-move/test.ts
@@ -6,10 +6,10 @@
 	freezeWithinStream, idempotent, lastChunk, pauseWithinStream, playCall, refuse, resumableStream, startTargets, staySilent, streamHead, writeLater,
 	type PlayOptions, type Script, type TargetEvent,
 } from '../../fixtures/play-call/index.js';
+import {createFixedRetries} from '../../fixtures/create-fixed-retries/index.js';
 import {sendRawRequest} from '../../fixtures/send-raw-request/index.js';
 import type {StreamOrigins} from '../stream-origins/index.js';
 import type {MonotonicMs, SoftwareVersion} from '../../identity/ids/index.js';
-import {RetryBudget} from '../../requests/retry-budget/index.js';
 import type {StreamKey} from '../../resumption/stream-key/index.js';
 import {StreamRegister} from '../../resumption/stream-register/index.js';
 
@@ -98,7 +98,7 @@
 });
 
 test('guards against a second retry for a call whose first target breaks off while the second prepares its answer', async t => {
-	const budget = new RetryBudget({retriesPerRequest: 0, initialRetries: 1, maximumLevel: 1});
+	const budget = createFixedRetries(1);
 	const breakLate: Script = (socket, id) => {
 		socket.write(streamHead(id) + formatChunk(formatEvent(1)) + formatChunk('id: 2\nda'));
 		setTimeout(() => {
--- a/src/forwarding/call-session/index.ts
+++ b/src/forwarding/call-session/index.ts
@@ -104,7 +104,7 @@
 
 		const error = await admitCall({origin: this.origin, charge: this.charge, draw: this.context.draw});
 		if (error === undefined) {
-			this.context.findRetryBudget(this.options.service).recordRequest();
+			this.context.findRetryBudget(this.options.service).recordCall(this.context.clock.readMonotonic());
 			this.handler.tryNextTarget();
 		} else {
 			this.refuse(error);
--- a/src/forwarding/forwarding-context/index.ts
+++ b/src/forwarding/forwarding-context/index.ts
@@ -7,7 +7,7 @@
 import type {LimitGate} from '../../limits/limit-gate/index.js';
 import type {EventLogger} from '../../logging/create-logger/index.js';
 import type {WeightsVersionHistory} from '../../rollout/weights-version-history/index.js';
-import type {RetryBudget} from '../../requests/retry-budget/index.js';
+import type {RetryGate} from '../../retries/retry-gate/index.js';
 import type {
 	CacheStore, CallerOrganisation, Service, ServiceId,
 } from '../../routing/routing-types/index.js';
@@ -58,7 +58,7 @@
 	readonly draw: () => number;
 	/** Finds the history of the weights versions announced for a model; undefined when there are none. */
 	readonly findVersionHistory: (model: string) => WeightsVersionHistory | undefined;
-	readonly findRetryBudget: (service: ServiceId) => RetryBudget;
+	readonly findRetryBudget: (service: ServiceId) => RetryGate;
 	readonly findService: (service: ServiceId) => Service | undefined;
 	readonly listCacheStores: () => readonly CacheStore[];
 	readonly report: (report: CallReport) => void;
--- a/src/gateway/call-listener/test.ts
+++ b/src/gateway/call-listener/test.ts
@@ -10,7 +10,7 @@
 import {hashKey} from '../../keys/hash-key/index.js';
 import type {ForwardingContext} from '../../forwarding/forwarding-context/index.js';
 import type {Route} from '../../routing/routing-types/index.js';
-import {RetryBudget} from '../../requests/retry-budget/index.js';
+import {createFixedRetries} from '../../fixtures/create-fixed-retries/index.js';
 
 type Script = (socket: Socket, id: string, head: string) => void;
 type CallResult = {status: number; body: string; runs: number; outcome: string | undefined};
@@ -338,7 +338,7 @@
 };
 
 test('guards against breaking a silent stream off when no retry is left that could continue it elsewhere', async () => {
-	const emptyBudget = new RetryBudget({retriesPerRequest: 0, initialRetries: 0, maximumLevel: 0});
+	const emptyBudget = createFixedRetries(0);
 	for (const [route, changes] of [
 		[resumableStream, {findRetryBudget: () => emptyBudget}],
 		[{...resumableStream, maximumAttempts: 1}, {}],
--- a/src/gateway/gateway-settings/index.ts
+++ b/src/gateway/gateway-settings/index.ts
@@ -22,8 +22,8 @@
 	objectApi: addressSchema,
 	/** Addresses of up to three other instances. Only their host is used; their peer port is taken to be that of `listen.peer`. */
 	seeds: z.array(z.string()),
-	/** Retries that all instances together may send per service: `ratio` per call, plus `extra` in any time window. */
-	retryBudget: z.object({ratio: z.number().min(0).max(10), extra: z.number().min(0)}),
+	/** Retries that all instances together may send per service: `ratio` per call, plus `extra`, in any window of `windowMs` milliseconds. */
+	retryBudget: z.object({ratio: z.number().min(0).max(10), extra: z.number().min(0), windowMs: z.number().positive().default(10_000)}),
 	/**
 	 * Tolerance that operators grant on token quotas, because instances synchronise with a delay: `ratio` is a
 	 * fraction of rate and burst, `extraTokens` a number of tokens in any time window.
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -105,10 +105,7 @@
 		this.fleet = new TargetFleet(logger);
 		this.datagramChannel = new DatagramChannel(logger);
 		this.weightsRegistry = new WeightsRegistry(this.startedAt, () => store.current.weightsLimitMs);
-		this.retryBudgets = new ServiceRetryBudgets(() => store.current.retryBudget, () => this.countInstances());
-		store.onChange(() => {
-			this.retryBudgets.reset();
-		});
+		this.retryBudgets = new ServiceRetryBudgets(() => store.current.retryBudget, () => this.countInstances(), this.startedAt);
 		this.instanceRegistry = new InstanceRegistry({
 			objectApi: adapter.objectApi, collection: adapter.collections.instances, self, peerAddress: settings.listen.peer, clock, logger,
 		});
--- a/src/gateway/service-retry-budgets/index.ts
+++ b/src/gateway/service-retry-budgets/index.ts
@@ -1,34 +1,46 @@
 /** Retry budgets by service, which keep all instances together within the allowance of each service. */
 
-import {RetryBudget} from '../../requests/retry-budget/index.js';
+import type {MonotonicMs} from '../../identity/ids/index.js';
+import {RetryBudget, type RetryShare} from '../../retries/retry-budget/index.js';
 import type {ServiceId} from '../../routing/routing-types/index.js';
 
-/** Retries of one service over all instances: `ratio` per call, plus `extra` in any time window. */
-export type RetryAllowance = {readonly ratio: number; readonly extra: number};
+/** Retries of one service over all instances: `ratio` per call, plus `extra`, in any window. */
+export type RetryAllowance = {readonly ratio: number; readonly extra: number; readonly windowMs: number};
 
-/** Fraction of the allowance that is distributed; the remainder covers instances that restart with a full budget. */
-const distributedRatio = 0.6;
+/**
+ * Fractions of the allowance that are distributed. The remainder covers what no instance sees: instances that are missing in
+ * the count, requests of targets whose run was a repeat, and retries that are sent some time after they were taken.
+ */
+const distributedRatio = {perCall: 0.6, extra: 0.7};
 
 /** Creates the budget of each service on first use. */
 export class ServiceRetryBudgets {
 	private readonly budgets = new Map<ServiceId, RetryBudget>();
 
-	constructor(private readonly readAllowance: () => RetryAllowance, private readonly countInstances: () => number) {}
+	/** `startedAt`: start of the process, from which on extra retries are added. */
+	constructor(
+		private readonly readAllowance: () => RetryAllowance,
+		private readonly countInstances: () => number,
+		private readonly startedAt: MonotonicMs,
+	) {}
 
 	find(service: ServiceId): RetryBudget {
 		let budget = this.budgets.get(service);
 		if (budget === undefined) {
-			const {ratio, extra} = this.readAllowance();
-			const burstRetries = Math.max(1, extra * distributedRatio / Math.max(1, this.countInstances()));
-			budget = new RetryBudget({retriesPerRequest: ratio * distributedRatio, initialRetries: burstRetries, maximumLevel: burstRetries});
+			budget = new RetryBudget(() => this.calculateShare(), this.startedAt);
 			this.budgets.set(service, budget);
 		}
 
 		return budget;
 	}
 
-	/** Creates the budgets anew at their next use, with the allowance of that time. */
-	reset(): void {
-		this.budgets.clear();
+	/** Calculates the share of this instance by the settings in force and the present number of instances. */
+	private calculateShare(): RetryShare {
+		const {ratio, extra, windowMs} = this.readAllowance();
+		return {
+			retriesPerCall: ratio * distributedRatio.perCall,
+			extraRetries: extra * distributedRatio.extra / Math.max(1, this.countInstances()),
+			windowMs,
+		};
 	}
 }
--- a/src/gateway/settings-store/test.ts
+++ b/src/gateway/settings-store/test.ts
@@ -73,3 +73,8 @@
 	expect(store.current.graceMs).toEqual(5000);
 	controller.abort();
 });
+
+test('guards against settings without a window of retries, as earlier templates have them, that are refused', () => {
+	const {store} = createStore();
+	expect(store.current.retryBudget).toEqual({ratio: 0.2, extra: 50, windowMs: 10_000});
+});
