Pay for the requests of calls that are passed on to other instances

Callers saw targets get more repeats than the budget of their service when healthy targets fell silent. An instance whose targets are all silent passes calls on, and the instance that took one treated it as new: it added the call to its budget, and its first request cost nothing, although a target or another instance might have had the call before. An instance that is busy for 0.5 s looks silent, and each call passed on to it then went to a second one for free.

A call now carries the number of its requests that may have reached targets (x-laburnumturn-prior-requests). The instance that sends a request beyond the first pays for it, once; without a retry it does nothing with the call, so that the next instance is asked, or the first one answers what is true. The call adds to the budget of the instance that sends its first request. A retry that is not sent is returned. A call that another instance may have run is no longer refused as not run. Without the header, as from an instance of the former release, the number is 0.

--- a/src/forwarding/attempt-handler/index.ts
+++ b/src/forwarding/attempt-handler/index.ts
@@ -184,6 +184,7 @@
 		const now = this.context.clock.readMonotonic();
 		if (stage === 'notSent') {
 			this.call.attempts.end(attempt, false);
+			this.call.requests.recordNotSent(now);
 			attempt.target.recordUnreachable(now);
 			this.continueOrFail('notSent', error.message, attempt);
 			return;
--- a/src/forwarding/attempt-starter/index.ts
+++ b/src/forwarding/attempt-starter/index.ts
@@ -50,8 +50,9 @@
 
 	/** Sends the call to `target`. */
 	send(target: FleetTarget, now: MonotonicMs): Attempt {
-		const {session, selection: {hints, origin}, attempts, relay, guard, times, listener} = this.call;
+		const {session, selection: {hints, origin}, attempts, requests, relay, guard, times, listener} = this.call;
 		attempts.add(target);
+		requests.recordSent(now);
 		times.recordSent(now);
 		const attempt = startAttempt({
 			session, target, hints, guard, remainingMs: session.deadline.measureWorkMs(now),
--- a/src/forwarding/build-step-query/index.ts
+++ b/src/forwarding/build-step-query/index.ts
@@ -1,7 +1,7 @@
 /** Collects what the decision after a failed attempt depends on. */
 
 import type {CallGuard} from '../call-guard/index.js';
-import type {ForwardingContext} from '../forwarding-context/index.js';
+import type {CallRequests} from '../call-requests/index.js';
 import type {MonotonicMs} from '../../identity/ids/index.js';
 import type {AttemptFailure, NextStepQuery} from '../plan-next-step/index.js';
 import type {ResponseRelay} from '../response-relay/index.js';
@@ -12,6 +12,7 @@
 export type FailedAttempt = {
 	readonly failure: AttemptFailure;
 	readonly session: SessionOptions;
+	readonly requests: CallRequests;
 	readonly relay: ResponseRelay;
 	readonly guard: CallGuard;
 	readonly runs: number;
@@ -19,8 +20,10 @@
 };
 
 /** Builds the query. A call that may crash the next target isn't repeatable. */
-export function buildStepQuery(attempt: FailedAttempt, context: ForwardingContext, now: MonotonicMs): NextStepQuery {
-	const {failure, session, relay, guard, runs, attempts} = attempt;
+export function buildStepQuery(attempt: FailedAttempt, now: MonotonicMs): NextStepQuery {
+	const {
+		failure, session, requests, relay, guard, runs, attempts,
+	} = attempt;
 	return {
 		failure,
 		isRepeatable: isRepeatable(session.route) && (!relay.hasBegun || relay.isResumable) && !guard.isSuspicious(now),
@@ -28,6 +31,6 @@
 		maximumRuns: session.route.maximumAttempts,
 		attempts,
 		remainingMs: session.deadline.read() - now,
-		takeRetry: () => context.findRetryBudget(session.service).take(now),
+		takeRetry: () => requests.reserve(now),
 	};
 }
--- a/src/forwarding/call-attempts/index.ts
+++ b/src/forwarding/call-attempts/index.ts
@@ -12,12 +12,17 @@
 export class CallAttempts {
 	/** Attempts so far. */
 	count = 0;
-	/** Ended attempts that may have run the call. */
-	runs = 0;
+	/** Ended attempts that may have run the call, those of other instances included. */
+	runs: number;
 	/** Targets that are not chosen again until the call has waited. */
 	readonly triedTargets = new Set<FleetTarget>();
 	private readonly open = new Set<Attempt>();
 
+	/** `priorRuns`: runs at other instances, which passed the call on. */
+	constructor(priorRuns = 0) {
+		this.runs = priorRuns;
+	}
+
 	/** The attempts that may still get an answer, the oldest one first. */
 	get inFlight(): readonly Attempt[] {
 		return [...this.open];
--- a/src/forwarding/call-session/index.ts
+++ b/src/forwarding/call-session/index.ts
@@ -14,8 +14,10 @@
 import {CallAttempts} from '../call-attempts/index.js';
 import {CallCharge} from '../call-charge/index.js';
 import {CallGuard} from '../call-guard/index.js';
+import {CallRequests} from '../call-requests/index.js';
 import {CallTimes} from '../call-times/index.js';
 import type {ForwardingContext} from '../forwarding-context/index.js';
+import {isRepeatable} from '../../routing/is-repeatable/index.js';
 import {PrefixHints} from '../prefix-hints/index.js';
 import {reportCall} from '../report-call/index.js';
 import {ResponseRelay} from '../response-relay/index.js';
@@ -29,21 +31,25 @@
 	private readonly charge: CallCharge;
 	private readonly guard: CallGuard;
 	private readonly times: CallTimes;
-	private readonly attempts = new CallAttempts();
+	private readonly attempts: CallAttempts;
+	private readonly requests: CallRequests;
 	private readonly handler: AttemptHandler;
 	private isDone = false;
 	private onDone: (() => void) | undefined;
 
 	constructor(private readonly options: SessionOptions, private readonly context: ForwardingContext) {
-		const {call, route, organisation, arrivedAt, sink} = options;
-		const {attempts} = this;
+		const {call, route, service, organisation, arrivedAt, sink, prior} = options;
+		// A call that may run once is passed on only if nothing has run.
+		const attempts = new CallAttempts(isRepeatable(route) ? prior.count : 0);
+		this.attempts = attempts;
+		this.requests = new CallRequests(prior, context.findRetryBudget(service));
 		this.origin = new StreamOrigin(options, context.streamOrigins);
 		this.times = new CallTimes(arrivedAt);
 		this.charge = new CallCharge(context.quota, organisation, call.work);
 		this.guard = new CallGuard(context, options);
 		this.relay = new ResponseRelay(sink, route, call.lastEventId);
 		this.handler = new AttemptHandler({
-			session: options, attempts, relay: this.relay, guard: this.guard, times: this.times,
+			session: options, attempts, requests: this.requests, relay: this.relay, guard: this.guard, times: this.times,
 			selection: {
 				session: options, triedTargets: attempts.triedTargets, hints: new PrefixHints(call.work, organisation, context.prefixes), origin: this.origin,
 			},
@@ -104,7 +110,6 @@
 
 		const error = await admitCall({origin: this.origin, charge: this.charge, draw: this.context.draw});
 		if (error === undefined) {
-			this.context.findRetryBudget(this.options.service).recordCall(this.context.clock.readMonotonic());
 			this.handler.tryNextTarget();
 		} else {
 			this.refuse(error);
@@ -169,10 +174,15 @@
 			this.charge.refund();
 		}
 
-		this.options.refuse(error);
+		this.options.refuse(this.describe(error), this.requests.count);
 		this.finish(error.entry.name, error.entry.httpStatus);
 	}
 
+	/** Returns the error that is true for the whole call, a part of which another instance may have run. */
+	private describe(error: RouterError): RouterError {
+		return error.notRun && this.attempts.mayHaveRun ? createRouterError('outcomeUnknown', error.message) : error;
+	}
+
 	private finish(outcome: string, status: number, lastAttempt?: Attempt): void {
 		if (this.isDone) {
 			return;
@@ -184,6 +194,7 @@
 		this.origin.end();
 		const attempt = lastAttempt ?? this.attempts.oldest;
 		this.attempts.endAll();
+		this.requests.end(this.context.clock.readMonotonic());
 		const times = this.times.summarise(this.context.clock.readMonotonic());
 		reportCall(this.context, this.options, {
 			outcome, status, attempt, attempts: this.attempts.count, passedBytes: this.relay.passedBytes, times,
--- a/src/forwarding/session-types/index.ts
+++ b/src/forwarding/session-types/index.ts
@@ -6,6 +6,7 @@
 import type {CallerOrganisation, Route, ServiceId} from '../../routing/routing-types/index.js';
 import type {AttemptAnswer} from '../attempt-answer/index.js';
 import type {CallDeadline} from '../call-deadline/index.js';
+import type {PriorRequests} from '../call-requests/index.js';
 import type {ResponseHead, CallerSink, InboundCall} from '../call-types/index.js';
 import type {Exchange} from '../target-client/index.js';
 
@@ -19,8 +20,9 @@
 	readonly arrivedAt: MonotonicMs;
 	readonly deadline: CallDeadline;
 	readonly sink: CallerSink;
-	/** Responds with an error; only for a call whose response has not begun. */
-	readonly refuse: (error: RouterError) => void;
+	readonly prior: PriorRequests;
+	/** Responds with an error; only for a call whose response has not begun. `requests`: how many may have reached targets. */
+	readonly refuse: (error: RouterError, requests: number) => void;
 };
 
 /** An attempt to run the call at one target. */
--- a/src/forwarding/step-planner/index.ts
+++ b/src/forwarding/step-planner/index.ts
@@ -8,7 +8,7 @@
 import type {Attempt} from '../session-types/index.js';
 
 /** The call whose steps are planned. */
-export type PlannedCall = Pick<CallParts, 'session' | 'attempts' | 'relay' | 'guard'>;
+export type PlannedCall = Pick<CallParts, 'session' | 'attempts' | 'requests' | 'relay' | 'guard'>;
 
 /** Plans the steps of one call. */
 export class StepPlanner {
@@ -16,10 +16,10 @@
 
 	/** Plans the step after an attempt that fails, with which `runs` attempts may have run the call. Takes a retry if there is to be another attempt. */
 	plan(failure: AttemptFailure, runs: number): NextStep {
-		const {session, attempts: {count: attempts}, relay, guard} = this.call;
+		const {session, attempts: {count: attempts}, requests, relay, guard} = this.call;
 		return planNextStep(buildStepQuery({
-			failure, session, relay, guard, runs, attempts,
-		}, this.context, this.context.clock.readMonotonic()));
+			failure, session, requests, relay, guard, runs, attempts,
+		}, this.context.clock.readMonotonic()));
 	}
 
 	/** Plans the step after an attempt that has ended, and reports both. A call with another attempt in flight goes on with that one. */
--- a/src/gateway/call-handler/index.ts
+++ b/src/gateway/call-handler/index.ts
@@ -3,13 +3,16 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {addRetryAfterJitter} from '../../forwarding/add-retry-after-jitter/index.js';
 import {CallDeadline} from '../../forwarding/call-deadline/index.js';
+import {noPriorRequests, type PriorRequests} from '../../forwarding/call-requests/index.js';
 import {CallSession} from '../../forwarding/call-session/index.js';
 import type {InboundCall} from '../../forwarding/call-types/index.js';
 import {drawService} from '../../forwarding/draw-service/index.js';
 import type {ForwardingContext} from '../../forwarding/forwarding-context/index.js';
 import type {CallHandover} from '../../handover/call-handover/index.js';
 import {canRescue} from '../../handover/can-rescue/index.js';
-import {cutOffHeader, remainingHeader, servedHeader} from '../../handover/handover-headers/index.js';
+import {
+	cutOffHeader, priorRequestsHeader, remainingHeader, servedHeader,
+} from '../../handover/handover-headers/index.js';
 import {discardRemainingBody} from '../../http/discard-remaining-body/index.js';
 import {readBody} from '../../http/read-body/index.js';
 import {CallerWatch} from '../../http/watch-caller/index.js';
@@ -47,6 +50,8 @@
 	readonly arrivedAt: MonotonicMs;
 	/** Whether another instance has passed it on. */
 	readonly isPassedOn: boolean;
+	/** Requests of other instances that may have reached targets. */
+	readonly priorRequests: number;
 };
 
 /** Time after which callers may return when no instance reaches a target, in seconds. */
@@ -93,6 +98,7 @@
 		}
 
 		const caller = new CallerWatch(response);
+		const priorRequests = isPassedOn ? readPriorRequests(message) : 0;
 		let call: InboundCall | undefined;
 		this.calls.add(response);
 		response.once('close', () => {
@@ -112,9 +118,14 @@
 			const resolvedCall = resolveCall(call, this.options.readTable());
 			const body = await readBody(message, resolvedCall.table.configuration.limits.maximumBodyBytes);
 			await this.dispatch(this.updateResolvedCall(resolvedCall), body, {
-				response, caller, arrivedAt: arrival.at, isPassedOn,
+				response, caller, arrivedAt: arrival.at, isPassedOn, priorRequests,
 			});
 		} catch (error) {
+			if (priorRequests > 0 && !response.headersSent) {
+				// The instance that passed the call on asks the next one, and knows whether a target may have run the call.
+				response.removeHeader(servedHeader);
+			}
+
 			this.refusals.refuse(response, convertToRouterError(error), call);
 			discardRemainingBody(message);
 		}
@@ -148,7 +159,7 @@
 		};
 		if (isConnected && !isPassedOn && handover?.shouldHandOver(isRepeatable(route), arrivedAt) === true) {
 			const retryAfterSeconds = addRetryAfterJitter(unreachableRetrySeconds, context.draw());
-			await this.outboundHandover.handOver(readCall, createRouterError('targetsUnreachable', undefined, {retryAfterSeconds}));
+			await this.outboundHandover.handOver(readCall, {error: createRouterError('targetsUnreachable', undefined, {retryAfterSeconds}), requests: 0});
 			return;
 		}
 
@@ -161,14 +172,15 @@
 	}
 
 	/** Creates the session of a call, which ends when its caller disconnects. */
-	private createSession(readCall: ReadCall, service: ServiceId, {arrivedAt, isPassedOn}: Arrival): CallSession {
+	private createSession(readCall: ReadCall, service: ServiceId, {arrivedAt, isPassedOn, priorRequests}: Arrival): CallSession {
 		const {resolvedCall: {call, route, organisation}, deadline, body, response} = readCall;
 		const session = new CallSession({
 			call, route, service, organisation, arrivedAt, deadline, body,
 			sink: createCallerSink(response),
-			refuse: error => {
+			prior: this.payFor(priorRequests, service, this.options.context.clock.readMonotonic()),
+			refuse: (error, requests) => {
 				if (!isPassedOn && canRescue(error, route)) {
-					this.outboundHandover.rescue(readCall, error);
+					this.outboundHandover.rescue(readCall, {error, requests});
 				} else {
 					this.refusals.refuse(response, error, call);
 				}
@@ -182,6 +194,19 @@
 		return session;
 	}
 
+	/** Takes the retry for the first request of this instance, if other instances may have sent some before. */
+	private payFor(priorRequests: number, service: ServiceId, now: MonotonicMs): PriorRequests {
+		if (priorRequests === 0) {
+			return noPriorRequests;
+		}
+
+		if (!this.options.context.findRetryBudget(service).take(now)) {
+			throw createRouterError('overloaded', 'no retry is left for a call that was passed on');
+		}
+
+		return {count: priorRequests, reservedRetries: 1};
+	}
+
 	private readMoment(): CallMoment {
 		const {context: {clock}, readTable} = this.options;
 		return {at: clock.readMonotonic(), revision: readTable()?.configuration.revision};
@@ -198,3 +223,9 @@
 	const value = Number(message.headers[remainingHeader]);
 	return value >= 0 ? value : undefined;
 }
+
+/** Reads how many requests of a call that was passed on may have reached targets. An instance of an earlier release doesn't say so. */
+function readPriorRequests(message: IncomingMessage): number {
+	const value = Number(message.headers[priorRequestsHeader]);
+	return Number.isSafeInteger(value) && value > 0 ? value : 0;
+}
--- a/src/gateway/outbound-handover/index.ts
+++ b/src/gateway/outbound-handover/index.ts
@@ -19,6 +19,9 @@
 	readonly response: ServerResponse;
 };
 
+/** What became of a call here: its error, and how many of its requests may have reached targets. */
+export type FailedCall = {readonly error: RouterError; readonly requests: number};
+
 /** Dependencies. */
 export type OutboundHandoverOptions = {
 	/** Without it, no call is passed on. */
@@ -31,23 +34,23 @@
 export class OutboundHandover {
 	constructor(private readonly options: OutboundHandoverOptions) {}
 
-	/** Passes a call on to another instance if this one reaches no target; ends it with `error` if it does, or if no other takes it. */
-	async handOver(readCall: ReadCall, error: RouterError): Promise<void> {
+	/** Passes a call on to another instance if this one reaches no target; ends it with its error if it does, or if no other takes it. */
+	async handOver(readCall: ReadCall, {error, requests}: FailedCall): Promise<void> {
 		const {resolvedCall: {call}, response} = readCall;
-		const failure = createFailure(await this.pass(readCall), error);
+		const failure = createFailure(await this.pass(readCall, requests), error);
 		if (failure !== undefined) {
 			this.options.refusals.refuse(response, failure, call);
 		}
 	}
 
-	/** Passes a call that ended with `error` on to another instance; the call is answered whatever comes of it. */
-	rescue(readCall: ReadCall, error: RouterError): void {
-		this.handOver(readCall, error).catch((error_: unknown) => {
+	/** Passes a call that has failed here on to another instance; the call is answered whatever comes of it. */
+	rescue(readCall: ReadCall, failedCall: FailedCall): void {
+		this.handOver(readCall, failedCall).catch((error_: unknown) => {
 			this.options.refusals.refuse(readCall.response, convertToRouterError(error_), readCall.resolvedCall.call);
 		});
 	}
 
-	private async pass({resolvedCall: {call, route}, deadline, body, response}: ReadCall): Promise<HandoverOutcome> {
+	private async pass({resolvedCall: {call, route}, deadline, body, response}: ReadCall, priorRequests: number): Promise<HandoverOutcome> {
 		const {handover, calls} = this.options;
 		const controller = calls.beginHandover(response);
 		try {
@@ -56,7 +59,7 @@
 			}
 
 			return await handover.handOver({
-				call, rawHeaders: response.req.rawHeaders, body, isRepeatable: isRepeatable(route),
+				call, rawHeaders: response.req.rawHeaders, body, isRepeatable: isRepeatable(route), priorRequests,
 				deadline, sink: createCallerSink(response), signal: controller.signal,
 			});
 		} finally {
--- a/src/handover/call-handover/index.ts
+++ b/src/handover/call-handover/index.ts
@@ -15,7 +15,9 @@
 import {calleeHeader, callerHeader} from '../../peers/peer-link/index.js';
 import type {RandomSource} from '../../random/random-source/index.js';
 import {AnswerRace} from '../answer-race/index.js';
-import {filterHeaders, isForwarded, remainingHeader} from '../handover-headers/index.js';
+import {
+	filterHeaders, isForwarded, priorRequestsHeader, remainingHeader,
+} from '../handover-headers/index.js';
 import type {PeerAvailability} from '../peer-availability/index.js';
 import {PeerExchange, type PeerOutcome} from '../peer-exchange/index.js';
 import {PeerProbe} from '../peer-probe/index.js';
@@ -31,6 +33,8 @@
 	readonly rawHeaders: readonly string[];
 	readonly body: Buffer | undefined;
 	readonly isRepeatable: boolean;
+	/** Requests that may have reached targets. */
+	readonly priorRequests: number;
 	readonly deadline: CallDeadline;
 	readonly sink: CallerSink;
 	/** Aborts when the caller has disconnected or the instance stops. */
@@ -96,17 +100,20 @@
 		const race = new AnswerRace();
 		const outcomes: Array<Promise<PeerOutcome>> = [];
 		let canMove = call.isRepeatable;
+		let {priorRequests} = call;
 		for (const peer of random.pickSome(peers.list(), maximumPeers)) {
 			if (call.signal.aborted || clock.readMonotonic() >= call.deadline.read()) {
 				break;
 			}
 
-			const exchange = this.createExchange(peer, call, race);
+			const exchange = this.createExchange(peer, {...call, priorRequests}, race);
 			const outcome = this.run(exchange, peer, call.call);
 			outcomes.push(outcome);
 			const progress = await (canMove ? Promise.race([outcome, exchange.silence]) : outcome);
 			if (progress === 'silent') {
 				canMove = false;
+				// The silent instance may send a request of its own.
+				priorRequests += 1;
 			} else if (progress !== 'cutOff' && progress !== 'notRun') {
 				break;
 			}
@@ -151,12 +158,14 @@
 		return outcome;
 	}
 
-	/** Builds the headers: those of the caller, who the call is for, and how long its caller still waits. */
-	private buildHeaders(peer: Member, {rawHeaders, deadline}: HandedOverCall): string[] {
+	/** Builds the headers: those of the caller, who the call is for, how long its caller still waits, and what may have reached targets. */
+	private buildHeaders(peer: Member, {rawHeaders, deadline, priorRequests}: HandedOverCall): string[] {
 		const {self, clock} = this.options;
 		const forwarded = filterHeaders(rawHeaders, name => isForwarded(name) && name !== 'content-length');
 		const remainingMs = Math.max(1, Math.floor(deadline.measureWorkMs(clock.readMonotonic())));
-		return [...forwarded, callerHeader, self, calleeHeader, peer.id, remainingHeader, String(remainingMs)];
+		const routing = [callerHeader, self, calleeHeader, peer.id];
+		const progress = [remainingHeader, String(remainingMs), priorRequestsHeader, String(priorRequests)];
+		return [...forwarded, ...routing, ...progress];
 	}
 
 	private findDestination({id, peerAddress}: Member): Destination {
--- a/src/handover/call-handover/test.ts
+++ b/src/handover/call-handover/test.ts
@@ -13,7 +13,9 @@
 import type {Member} from '../../membership/member/index.js';
 import {RandomSource} from '../../random/random-source/index.js';
 import type {CallKind} from '../../routing/routing-types/index.js';
-import {cutOffHeader, remainingHeader, servedHeader} from '../handover-headers/index.js';
+import {
+	cutOffHeader, priorRequestsHeader, remainingHeader, servedHeader,
+} from '../handover-headers/index.js';
 import {CallHandover} from './index.js';
 
 type Handler = (message: IncomingMessage, response: ServerResponse) => void;
@@ -223,6 +225,21 @@
 	expect([first.result.text, second.result.text, Math.max(first.ms, second.ms) < 1500]).toEqual(['served', 'served', true]);
 });
 
+test('guards against a second instance that is not told of the request that the silent first one may send', async t => {
+	const prior: unknown[] = [];
+	const record = (handle: Handler): Handler => (message, response) => {
+		if (message.method === 'POST') {
+			prior.push(message.headers[priorRequestsHeader]);
+		}
+
+		handle(message, response);
+	};
+
+	const {call} = await startCutOffInstance(t, [record(standStill), record(standStill)], 'idempotent', true, 1500);
+	await call();
+	expect(prior).toEqual(['0', '1']);
+});
+
 test('guards against calls that go to an instance that has answered nothing a moment before', async t => {
 	let received = 0;
 	const count: Handler = ({method}) => {
--- a/src/retries/retry-budget/index.ts
+++ b/src/retries/retry-budget/index.ts
@@ -90,7 +90,7 @@
 		const extraRetries = Math.min(share.extraRetries, this.share.extraRetries);
 		const added = extraRetries * (1 - savedRatio) * Math.max(0, now - this.filledAt) / share.windowMs;
 		this.extra = Math.min(this.extra + added, share.extraRetries * savedRatio);
-		this.filledAt = now;
+		this.filledAt = Math.max(this.filledAt, now) as MonotonicMs;
 		// A window of another length begins without calls and without retries, as that of a new process does.
 		if (share.windowMs !== this.share.windowMs) {
 			this.calls = new WindowedSum(share.windowMs);
