--- a/src/soak/soak-instance/index.ts
+++ b/src/soak/soak-instance/index.ts
@@ -45,6 +45,8 @@
 	readonly directory: string;
 	/** Called when the process exits although the test did not stop it. */
 	readonly onCrash: (detail: string) => void;
+	/** Settings beyond those that all instances of a soak test have. */
+	readonly settings?: Readonly<Record<string, unknown>>;
 };
 
 /** Starts, pauses and stops one gateway process. */
@@ -69,14 +71,20 @@
 		return `${this.options.host}:${ports.directory}`;
 	}
 
+	/** Id of the process that runs now; undefined while it is restarted. */
+	get processId(): number | undefined {
+		return this.process?.exitCode === null ? this.process.pid : undefined;
+	}
+
 	async start(): Promise<void> {
-		const {name, host, zone, seedHosts, directory} = this.options;
+		const {name, host, zone, seedHosts, directory, settings} = this.options;
 		const objectApi = await this.storeProxy.listen();
 		await writeFile(this.settingsFile, JSON.stringify({
 			instance: name, dataCentre: zone, region: 'east', objectApi,
 			seeds: seedHosts.map(seed => `${seed}:1`), retryBudget: {ratio: 0.2, extra: 50}, quotaTolerance: {ratio: 0.1, extraTokens: 110_000},
 			weightsLimitMs: 10_000, graceMs: terminationGraceMs,
 			listen: Object.fromEntries(Object.entries(ports).map(([use, port]) => [use, `${host}:${port}`])),
+			...settings,
 		}));
 		this.log = createWriteStream(join(directory, `${name}.log`));
 		this.launch();
