Bound the memory of callers' bodies and their connections

Bodies are charged to a budget as they arrive, and the one that holds most for what its caller sends is refused when it is used up. Short chunks are copied together. Connections beyond the limit take the place of quiet ones.

--- a/src/gateway/call-handler/index.ts
+++ b/src/gateway/call-handler/index.ts
@@ -11,9 +11,9 @@
 import {canRescue} from '../../handover/can-rescue/index.js';
 import {cutOffHeader, remainingHeader, servedHeader} from '../../handover/handover-headers/index.js';
 import {discardRemainingBody} from '../../http/discard-remaining-body/index.js';
-import {readBody} from '../../http/read-body/index.js';
 import {CallerWatch} from '../../http/watch-caller/index.js';
 import type {MonotonicMs} from '../../identity/ids/index.js';
+import type {CallerIntake} from '../../intake/caller-intake/index.js';
 import {convertToRouterError, createRouterError} from '../../results/create-router-error/index.js';
 import {resultCodes} from '../../results/result-codes/index.js';
 import {isRepeatable} from '../../routing/is-repeatable/index.js';
@@ -35,6 +35,8 @@
 	readonly readTable: () => RoutingTable | undefined;
 	/** Without it, calls are never passed on to other instances. */
 	readonly handover?: CallHandover | undefined;
+	/** Bounds what callers take while they send. */
+	readonly intake: CallerIntake;
 };
 
 /** When an instance that leaves stops taking all calls, and when it aborts those in progress. */
@@ -94,8 +96,10 @@
 
 		const caller = new CallerWatch(response);
 		let call: InboundCall | undefined;
+		const bodyReader = this.options.intake.openBody(message);
 		this.calls.add(response);
 		response.once('close', () => {
+			bodyReader.release();
 			if (!response.writableFinished) {
 				logIncompleteAnswer({
 					id: call?.id, response, arrival, end: this.readMoment(),
@@ -110,13 +114,13 @@
 			}
 
 			const resolvedCall = resolveCall(call, this.options.readTable());
-			const body = await readBody(message, resolvedCall.table.configuration.limits.maximumBodyBytes);
+			const body = await bodyReader.read(resolvedCall.table.configuration.limits.maximumBodyBytes);
 			await this.dispatch(this.updateResolvedCall(resolvedCall), body, {
 				response, caller, arrivedAt: arrival.at, isPassedOn,
 			});
 		} catch (error) {
 			this.refusals.refuse(response, convertToRouterError(error), call);
-			discardRemainingBody(message);
+			discardRemainingBody(message, bodyReader.limitBytes);
 		}
 	}
 
--- a/src/gateway/call-listener/index.ts
+++ b/src/gateway/call-listener/index.ts
@@ -11,7 +11,9 @@
 import {stopListening} from '../../http/stop-listening/index.js';
 import {waitForArrivedData} from '../../http/wait-for-arrived-data/index.js';
 import type {MonotonicMs} from '../../identity/ids/index.js';
-import {answerClientError} from '../../requests/answer-client-error/index.js';
+import {ConnectionLimit} from '../../intake/connection-limit/index.js';
+import {answerClientError, sendRawError} from '../../requests/answer-client-error/index.js';
+import {createRouterError} from '../../results/create-router-error/index.js';
 import type {RoutingTable} from '../../routing/routing-table/index.js';
 import {CallHandler, type CallHandlerOptions, type Departure} from '../call-handler/index.js';
 import {CallsInProgress} from '../calls-in-progress/index.js';
@@ -25,6 +27,14 @@
 const connectionCheckIntervalMs = 1000;
 /** Maximum time for a complete request to arrive, in milliseconds. */
 const requestTimeoutMs = 30_000;
+/** Connections over the limit that are still accepted so that they get an error response. */
+const maximumSurplusConnections = 64;
+
+/** Dependencies of a listener. */
+export type CallListenerOptions = CallHandlerOptions & {
+	/** Connections that callers may open; undefined if they are not limited. */
+	readonly maximumConnections?: number | undefined;
+};
 
 /** HTTP server for callers. */
 export class CallListener {
@@ -32,14 +42,20 @@
 	private readonly calls: CallsInProgress;
 	private readonly handler: CallHandler;
 	private readonly idleConnections: IdleConnections;
+	/** Undefined if the connections are not limited. */
+	private readonly connectionLimit: ConnectionLimit | undefined;
 
-	constructor(private readonly options: CallHandlerOptions) {
+	constructor(private readonly options: CallListenerOptions) {
 		const {clock} = options.context;
 		this.calls = new CallsInProgress(clock);
 		this.handler = new CallHandler(options, this.calls);
 		this.server = createServer({
 			maxHeaderSize: maximumHeaderBytes, connectionsCheckingInterval: connectionCheckIntervalMs, requestTimeout: requestTimeoutMs, noDelay: true,
 		}, (message, response) => {
+			if (this.connectionLimit?.has(message.socket) === false) {
+				return;
+			}
+
 			this.idleConnections.follow(response);
 			this.handler.handle(message, response);
 		});
@@ -49,6 +65,7 @@
 			void this.handleClientError(error, socket as Socket);
 		});
 		this.idleConnections = new IdleConnections(this.server, clock);
+		this.connectionLimit = options.maximumConnections === undefined ? undefined : this.limitConnections(options.maximumConnections);
 	}
 
 	/** Calls that are read, served or passed on, or whose answers are not yet written as a whole. */
@@ -111,6 +128,21 @@
 		await this.calls.flush(timeoutMs);
 	}
 
+	/** Bounds the connections. One that is refused is told so; any beyond a few of these are closed without an answer. */
+	private limitConnections(maximumConnections: number): ConnectionLimit {
+		const {intake, context: {clock}} = this.options;
+		const limit = new ConnectionLimit(maximumConnections, () => this.calls.readConnectionStates());
+		intake.addConnectionLimit(limit);
+		this.server.maxConnections = maximumConnections + maximumSurplusConnections;
+		this.server.on('connection', socket => {
+			intake.scheduleCheck();
+			if (!limit.admit(socket, clock.readMonotonic())) {
+				sendRawError(socket, createRouterError('overloaded', 'too many connections', {retryAfterSeconds: 1}));
+			}
+		});
+		return limit;
+	}
+
 	/** Answers what is no valid request, unless a call on the connection is still to be answered, or the rest of its head waits unread. */
 	private async handleClientError(error: NodeJS.ErrnoException, socket: Socket): Promise<void> {
 		if (socket.destroyed && this.calls.listExchanges(socket).size > 0) {
--- a/src/gateway/calls-in-progress/index.ts
+++ b/src/gateway/calls-in-progress/index.ts
@@ -10,6 +10,7 @@
 import type {CallSession} from '../../forwarding/call-session/index.js';
 import {waitForArrivedData} from '../../http/wait-for-arrived-data/index.js';
 import type {RouteId} from '../../identity/ids/index.js';
+import type {ConnectionState} from '../../intake/choose-connection-to-close/index.js';
 import type {OpenExchange} from '../../requests/answer-client-error/index.js';
 import type {Route} from '../../routing/routing-types/index.js';
 
@@ -46,6 +47,18 @@
 		return new Set(responses.map(response => ({message: response.req, response})));
 	}
 
+	/** Returns the state of each connection with a call. */
+	readConnectionStates(): ReadonlyMap<Socket, ConnectionState> {
+		const states = new Map<Socket, ConnectionState>();
+		for (const {req: {socket, complete}} of this.responses) {
+			if (complete || !states.has(socket)) {
+				states.set(socket, complete ? 'serving' : 'receiving');
+			}
+		}
+
+		return states;
+	}
+
 	/** Keeps the deadline of a call up to date with its route. */
 	followRoute(deadline: CallDeadline, response: ServerResponse): void {
 		this.deadlines.add(deadline);
--- a/src/gateway/gateway-settings/index.ts
+++ b/src/gateway/gateway-settings/index.ts
@@ -4,6 +4,7 @@
 import {isAddress, parseSettingsFile} from '../../settings/parse-settings-file/index.js';
 
 const addressSchema = z.string().refine(isAddress, 'must be host:port');
+const defaultBodyStallMs = 10_000;
 
 /** Schema of the settings. Unknown fields are ignored, so that an older version starts with newer settings. */
 export const gatewaySettingsSchema = z.object({
@@ -35,6 +36,19 @@
 	capacity: z.object({
 		coreShare: z.number().positive(), cores: z.number().positive(), linkMegabitsPerSecond: z.number().positive(),
 	}).optional(),
+	/** Memory of the machine, in units of 2^20 bytes. */
+	memoryMb: z.number().positive().optional(),
+	/** Descriptors that the process may open. */
+	descriptors: z.number().int().positive().optional(),
+	/** What callers may take; limits that are absent follow from memory and descriptors of the machine. */
+	callers: z.object({
+		/** Memory that the bodies of all calls in progress may take together. */
+		heldBodyBytes: z.number().int().positive().optional(),
+		/** Connections of callers. */
+		connections: z.number().int().positive().optional(),
+		/** Time for which a body may go without progress, in milliseconds; shorter the more memory bodies take. */
+		bodyStallMs: z.number().positive().default(defaultBodyStallMs),
+	}).prefault({}),
 	/** Time between SIGTERM and SIGKILL, in milliseconds. */
 	graceMs: z.number().positive(),
 });
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -36,6 +36,7 @@
 import {CallListener} from '../call-listener/index.js';
 import {createGatewayStop} from '../create-gateway-stop/index.js';
 import {createHandover, type Handover} from '../create-handover/index.js';
+import {createIntake} from '../create-intake/index.js';
 import {createMembership} from '../create-membership/index.js';
 import {createRollout} from '../create-rollout/index.js';
 import {createStatements, runStatements, type StatementExchange} from '../create-statements/index.js';
@@ -178,7 +179,9 @@
 			readSelf: () => this.membership.readSelf(),
 			listPeers: () => this.listPeers(),
 		});
+		const intakeOptions = createIntake(settings, clock, logger);
 		this.listener = new CallListener({
+			...intakeOptions,
 			context: this.createContext(), protocol: adapter.callerProtocol, readTable: () => this.routing.readForCall(), handover: this.handover.calls,
 		});
 		this.peerServer.setCallRoute({
@@ -188,7 +191,7 @@
 			},
 		});
 		metrics.addGauges(listGauges({
-			listener: this.listener, sources: [this.quarantine, ...Object.values(this.statements), this.streams, this.handover.calls],
+			listener: this.listener, sources: [intakeOptions.intake, this.quarantine, ...Object.values(this.statements), this.streams, this.handover.calls],
 			objectApi: adapter.objectApi,
 			countMembers: () => this.listPeers().length + 1, readRevision: () => this.feeds.readRevision(),
 		}));
