Change fewer engines to new weights at once while they are busy

Callers were late in the middle of a burst because four tenths of the engines loaded newly announced weights at the same time, each few seconds. How many change at once now follows from what the others can spare and from the limits of the old weights: up to 0.4 of the engines while they are idle, 0.15 while they are busy, and as many as needed so that each is ready before its limit. Engines are chosen by the calls of all instances.

The pause of a new holder of the lease moves to a module of its own.

--- a/src/rollout/rollout-controller/index.ts
+++ b/src/rollout/rollout-controller/index.ts
@@ -4,24 +4,18 @@
 import type {FleetTarget} from '../../fleet/fleet-target/index.js';
 import type {TargetFleet} from '../../fleet/target-fleet/index.js';
 import type {MonotonicMs, TargetId} from '../../identity/ids/index.js';
-import type {Lease, LeaseRecord} from '../../leases/lease/index.js';
+import type {Lease} from '../../leases/lease/index.js';
 import type {EventLogger} from '../../logging/create-logger/index.js';
+import {calculateChangingLimit} from '../calculate-changing-limit/index.js';
+import {calculateOrderPauseMs, maximumRenewalAgeMs, rolloutLeaseMs} from '../calculate-order-pause/index.js';
 import type {EngineCommander} from '../engine-commander/index.js';
 import {
 	minimumCordonMs, planRollout, type RolloutPhase, type RolloutStep,
 } from '../plan-rollout/index.js';
+import type {WeightsVersionHistory} from '../weights-version-history/index.js';
 
 /** Name of the lease; stored in the object API and therefore stable. */
 export const rolloutLeaseName = 'rollout';
-export const rolloutLeaseMs = 3000;
-/**
- * Maximum age of the last confirmed renewal for which the holder sends orders. As it is shorter than the lease,
- * a successor may send its first order earlier by the difference.
- */
-const maximumRenewalAgeMs = 1500;
-/** Minimum time between the last order of one holder and the first order of the next. */
-const minimumOrderPauseMs = rolloutLeaseMs;
-const orderPauseMarginMs = 400;
 /** Upper limit of the time without orders that is reported to the next holder. */
 const maximumUnusedMs = 60_000;
 /** Time that a stopping holder may take to finish a rollout in progress. */
@@ -52,13 +46,16 @@
 	readonly lease: Lease;
 	readonly fleet: TargetFleet;
 	readonly commander: EngineCommander;
-	/** Lists the newest announced version of each model. */
-	readonly listDesiredVersions: () => ReadonlyMap<string, {readonly version: number}>;
+	/** Lists the newest announced version of each model, and when older ones may no longer be used. */
+	readonly listDesiredVersions: () => ReadonlyMap<string, DesiredVersion>;
 	/** Whether this instance tries to acquire the lease. */
 	readonly isContender: () => boolean;
 	readonly announce: (notice: RolloutNotice) => void;
 };
 
+/** Newest announced version of a model; see `WeightsVersionHistory`. */
+export type DesiredVersion = Pick<WeightsVersionHistory, 'version' | 'findLimit'>;
+
 type EngineChange = {phase: RolloutPhase; readonly target: FleetTarget; readonly model: string; hasPendingRequest: boolean};
 
 /** Contends for the rollout lease, and rolls out weights while it holds the lease. */
@@ -140,8 +137,8 @@
 		while (!signal.aborted) {
 			const now = clock.readMonotonic();
 			if (this.mayOrder(now)) {
-				for (const [model, {version}] of listDesiredVersions()) {
-					this.advanceRollout(model, version, now);
+				for (const [model, desired] of listDesiredVersions()) {
+					this.advanceRollout(model, desired, now);
 				}
 			}
 
@@ -149,19 +146,29 @@
 		}
 	}
 
-	private advanceRollout(model: string, desiredVersion: number, now: MonotonicMs): void {
+	private advanceRollout(model: string, desired: DesiredVersion, now: MonotonicMs): void {
 		this.discardStaleChanges();
 		const targets = this.listEngines(model);
 		const engines = targets.map(target => ({
 			id: target.description.id,
 			version: target.readVersion(model)!,
-			callsInFlight: target.calls.size,
+			callsInFlight: target.readTotalLoad(now).calls,
 			phase: this.changes.get(target.description.id)?.phase,
 		}));
-		for (const step of planRollout(engines, desiredVersion, now)) {
+		const outdated = engines.filter(({version}) => version < desired.version);
+		if (outdated.length === 0 && this.changes.size === 0) {
+			return;
+		}
+
+		const changingLimit = calculateChangingLimit({
+			engineCount: engines.length,
+			limits: outdated.map(({version}) => desired.findLimit(version)),
+			meanLoadTokens: targets.reduce((sum, target) => sum + target.measureLoad(now), 0) / targets.length,
+		}, now);
+		for (const step of planRollout(engines, {version: desired.version, changingLimit}, now)) {
 			const target = this.options.fleet.locate(step.id);
 			if (target !== undefined) {
-				this.performStep(step, target, model, desiredVersion);
+				this.performStep(step, target, model, desired.version);
 			}
 		}
 	}
@@ -282,17 +289,3 @@
 		}
 	}
 }
-
-/**
- * Calculates the pause of a new holder before its first order. A predecessor that didn't release the lease may have
- * sent orders until `maximumRenewalAgeMs` after its last renewal.
- */
-function calculateOrderPauseMs(predecessor: LeaseRecord | undefined): number {
-	if (predecessor === undefined) {
-		return 0;
-	}
-
-	return predecessor.holder === ''
-		? Math.max(0, minimumOrderPauseMs - (predecessor.unusedMs ?? 0) + orderPauseMarginMs)
-		: minimumOrderPauseMs + maximumRenewalAgeMs + orderPauseMarginMs - rolloutLeaseMs;
-}
