Give each service of the daemon a retry budget that all instances share

Callers of one service lost retries when another one failed: all services and models of a daemon shared one budget. Each daemon and each start brought a budget of its own, so the fleet had no common bound. And a target that was never reached took a retry: five calls to a service without a listening target lowered the level from 20 to 10.5 (played on; the test of serve-service shows it now), although nothing reached a target.

The daemon now uses the budgets of the gateway, by service and by base model, with the setting retryBudget (ratio 0.1 as before, extra 200 for the fleet, windowMs 10,000), and pays for requests that are sent. Resumes stay free: they ask a run for the rest of its stream and begin none.

--- a/src/daemon/create-request-path/index.ts
+++ b/src/daemon/create-request-path/index.ts
@@ -2,13 +2,13 @@
 
 import type {BudgetGate} from '../../budget/budget-gate/index.js';
 import type {Configuration} from '../../configuration/configuration/index.js';
+import {ServiceRetryBudgets} from '../../gateway/service-retry-budgets/index.js';
 import {chooseAddresses} from '../../membership/choose-addresses/index.js';
 import {EngineGate} from '../../fairness/engine-gate/index.js';
 import {createPlacement} from '../../placement/create-placement/index.js';
 import {createServiceConnections} from '../../requests/forward-call/index.js';
 import {IdempotencyRecords} from '../../requests/idempotency-records/index.js';
 import {RequestMetrics} from '../../requests/request-metrics/index.js';
-import {RetryBudget} from '../../requests/retry-budget/index.js';
 import type {AddressAnswer, RouterContext} from '../../requests/router-context/index.js';
 import type {TargetDirectory} from '../../targets/target-directory/index.js';
 import type {DaemonCore} from '../create-core/index.js';
@@ -17,9 +17,10 @@
 
 /** Creates the context of the request path and registers its component `requests`. */
 export function createRequestPath(core: DaemonCore, targets: TargetDirectory, budget: BudgetGate, readConfiguration: () => Configuration): RouterContext {
-	const {settings, clock, logger, objectApi, invariants, components} = core;
+	const {settings, clock, logger, objectApi, invariants, components, membership} = core;
 	const metrics = new RequestMetrics({registry: core.metrics.registry, invariants});
 	const idempotency = new IdempotencyRecords({objectApi, clock, metrics});
+	const retryBudgets = new ServiceRetryBudgets(() => settings.retryBudget, () => membership.countKnownMembers(), clock.readMonotonic());
 	const serviceConnections = createServiceConnections();
 	const controller = new AbortController();
 	components.register({
@@ -36,7 +37,7 @@
 		settings, clock, logger, targets, metrics, idempotency, serviceConnections, readConfiguration,
 		gate: createEngineGate(core),
 		budget,
-		retryBudget: new RetryBudget(),
+		findRetryBudget: service => retryBudgets.find(service),
 		chooseAddresses: dataCentre => createAddressAnswer(core, dataCentre),
 	};
 }
--- a/src/daemon/settings/index.ts
+++ b/src/daemon/settings/index.ts
@@ -51,6 +51,12 @@
 		/** Time after which the remaining requests are aborted. */
 		maximumMs: z.number().int().min(100).max(3_600_000).default(300_000),
 	}).prefault({}),
+	/** Retries that all instances together may send per service: `ratio` per request, plus `extra`, in any window of `windowMs`. */
+	retryBudget: z.strictObject({
+		ratio: z.number().min(0).max(10).default(0.1),
+		extra: z.number().min(0).max(100_000).default(200),
+		windowMs: z.number().int().min(100).max(600_000).default(10_000),
+	}).prefault({}),
 	/** Idle timeout of a stream: the maximum time between two chunks. */
 	streamSilenceMs: z.number().int().min(100).max(600_000).default(10_000),
 });
--- a/src/requests/completion-exchange/index.ts
+++ b/src/requests/completion-exchange/index.ts
@@ -8,10 +8,14 @@
 import type {ResultName} from '../../results/result-codes/index.js';
 import type {OrganisationId, RequestId, TargetId} from '../../identity/ids/index.js';
 import type {ResolvedModel} from '../../configuration/configuration/index.js';
+import {CallRequests, noPriorRequests} from '../../forwarding/call-requests/index.js';
+import type {RetryGate} from '../../retries/retry-gate/index.js';
+import type {ServiceId} from '../../routing/routing-types/index.js';
 import type {EngineSlot} from '../../fairness/engine-gate/index.js';
 import type {EngineResponse, EngineRequest} from '../../targets/engine-client/index.js';
 import type {EngineMonitor} from '../../targets/engine-monitor/index.js';
 import {calculateBackoff} from '../calculate-backoff/index.js';
+import {createCallError} from '../create-call-error/index.js';
 import {containsSecret} from '../filter-secrets/index.js';
 import {checkSignal} from '../open-call-signal/index.js';
 import type {CompletionRequest} from '../parse-completion-request/index.js';
@@ -48,6 +52,8 @@
 	private readonly excludedTargets = new Set<TargetId>();
 	private weightsVersion: string | undefined;
 	private readonly writer: ResponseWriter;
+	/** Undefined before the first attempt. */
+	private requests: CallRequests | undefined;
 	/** Whether the weights changed after a part was sent, so that no other attempt can succeed. */
 	private haveWeightsChanged = false;
 	/** Number of the present attempt, from 1. */
@@ -59,6 +65,14 @@
 
 	/** Resolves when the sink has the whole response. Otherwise rejects with a `RouterError` that covers all attempts. */
 	async run(): Promise<void> {
+		try {
+			await this.runAttempts();
+		} finally {
+			this.requests?.end(this.context.clock.readMonotonic());
+		}
+	}
+
+	private async runAttempts(): Promise<void> {
 		for (;; this.attempt += 1) {
 			try {
 				await this.runAttempt();
@@ -66,7 +80,7 @@
 			} catch (error) {
 				const failure = convertToRouterError(error);
 				if (!this.tryPrepareRetry(failure)) {
-					throw this.createCallError(failure);
+					throw createCallError(failure, {mayHaveRun: this.mayHaveRun, signal: this.call.signal});
 				}
 
 				await this.context.clock.sleep(calculateBackoff(this.attempt, Math.random()), this.call.signal);
@@ -80,6 +94,7 @@
 		const {model: declared, organisation} = call.authorise();
 		const model = chooseWeightsVersion(context, declared);
 		this.checkWeightsVersion(model);
+		this.requests ??= new CallRequests(noPriorRequests, this.findRetryBudget(model));
 		const completion = {request: call.request, model, organisation};
 		const {slot, expectedIncarnation} = await acquireEngine(context, completion, {excluded: this.excludedTargets, signal: call.signal});
 		try {
@@ -90,6 +105,7 @@
 				throw createRouterError('malformedRequest', 'the body contains the caller\'s key');
 			}
 
+			this.requests.recordSent(context.clock.readMonotonic());
 			await this.executeRequest(slot, request, model);
 		} finally {
 			slot.release();
@@ -110,6 +126,10 @@
 			const failure = convertToRouterError(error);
 			// Once the request was sent, `notRun` only says that a resume was not carried out.
 			mayBeRunning ||= !failure.notRun;
+			if (!mayBeRunning && failure.entry.name === 'targetUnreachable') {
+				this.requests?.recordNotSent(this.context.clock.readMonotonic());
+			}
+
 			this.recordFailure(engine, failure);
 			throw failure;
 		} finally {
@@ -211,7 +231,7 @@
 
 	/** Returns whether another attempt, at another engine than `engine`, can bring the response. */
 	private isReplaceable(engine: EngineMonitor, model: ResolvedModel): boolean {
-		return this.attempt < maximumAttempts && this.context.retryBudget.readLevel() >= 1
+		return this.attempt < maximumAttempts && this.findRetryBudget(model).readLevel(this.context.clock.readMonotonic()) >= 1
 			&& (!this.writer.hasSent || this.canRegenerate()) && hasOtherEngine(this.context, model, engine);
 	}
 
@@ -223,7 +243,7 @@
 			return false;
 		}
 
-		if ((writer.hasSent && !this.canRegenerate()) || !context.retryBudget.take()) {
+		if ((writer.hasSent && !this.canRegenerate()) || this.requests?.reserve(context.clock.readMonotonic()) === false) {
 			return false;
 		}
 
@@ -263,24 +283,13 @@
 		this.context.logger.warn('attempt failed', {target: engine.target.id, result: name, reason: failure.message});
 	}
 
+	private findRetryBudget({base}: ResolvedModel): RetryGate {
+		return this.context.findRetryBudget(base as ServiceId);
+	}
+
 	/** Asks the engine to stop generating. The call does not wait for that. */
 	private cancelRequest(engine: EngineMonitor, requestId: RequestId): void {
 		this.context.metrics.cancellations.inc();
 		void engine.cancelRun(requestId, this.context.settings.streamSilenceMs);
 	}
-
-	/** Converts the error of the last attempt to one that is accurate for all attempts. */
-	private createCallError(failure: RouterError): RouterError {
-		if (this.call.signal.aborted) {
-			const reason = this.call.signal.reason as RouterError;
-			const isDeadlineExceeded = reason.entry.name === 'targetTimeout';
-			return isDeadlineExceeded && !this.mayHaveRun ? createRouterError('overloaded', 'the deadline passed before the request was sent') : reason;
-		}
-
-		if (this.mayHaveRun && failure.notRun) {
-			return createRouterError('outcomeUnknown', `an earlier attempt may have run; the last one failed: ${failure.message}`, {cause: failure});
-		}
-
-		return failure;
-	}
 }
--- a/src/requests/forward-call/index.ts
+++ b/src/requests/forward-call/index.ts
@@ -12,8 +12,10 @@
 import {classifyCallError} from '../../http/classify-call-error/index.js';
 import {createTargetConnector} from '../../http/create-target-connector/index.js';
 import {isUnframed} from '../../http/is-unframed/index.js';
+import {CallRequests, noPriorRequests} from '../../forwarding/call-requests/index.js';
 import {createRouterError, convertToRouterError, RouterError} from '../../results/create-router-error/index.js';
 import type {ResultName} from '../../results/result-codes/index.js';
+import type {ServiceId} from '../../routing/routing-types/index.js';
 import {calculateBackoff} from '../calculate-backoff/index.js';
 import {checkSignal} from '../open-call-signal/index.js';
 import {leavingHeader} from '../../targets/leaving-targets/index.js';
@@ -53,6 +55,15 @@
 
 /** Sends the call, with retries, until a target responds; rejects with a `RouterError` that is `notRun` only if no attempt may have run. */
 export async function forwardCall(context: RouterContext, call: ServiceCall): Promise<ServiceResponse> {
+	const requests = new CallRequests(noPriorRequests, context.findRetryBudget((call.route.service ?? '') as ServiceId));
+	try {
+		return await sendWithRetries(context, call, requests);
+	} finally {
+		requests.end(context.clock.readMonotonic());
+	}
+}
+
+async function sendWithRetries(context: RouterContext, call: ServiceCall, requests: CallRequests): Promise<ServiceResponse> {
 	let attemptsThatMayHaveRun = 0;
 	const startIndex = Math.floor(Math.random() * 1024);
 	for (let attempt = 1; ; attempt += 1) {
@@ -60,11 +71,11 @@
 			checkSignal(call.signal);
 			const target = pickTarget(call, startIndex + attempt);
 			context.metrics.checkInvariant('atMostOneAttempt', call.isRepeatable || attemptsThatMayHaveRun === 0);
-			return await sendCall(context, target, call);
+			return await sendCounted(context, target, call, requests);
 		} catch (error) {
 			const failure = convertToRouterError(error);
 			attemptsThatMayHaveRun += failure.notRun ? 0 : 1;
-			if (!takeRetry(context, call, failure, attempt)) {
+			if (!takeRetry({context, call, requests}, failure, attempt)) {
 				throw attemptsThatMayHaveRun > 0 && failure.notRun
 					? createRouterError('outcomeUnknown', `an earlier attempt may have run; the last one failed: ${failure.message}`, {cause: failure})
 					: failure;
@@ -87,11 +98,14 @@
 
 const retryableResults: ReadonlySet<ResultName> = new Set(['targetUnreachable', 'targetRefused', 'targetTimeout', 'outcomeUnknown']);
 
+/** A call in progress. */
+type CallInProgress = {readonly context: RouterContext; readonly call: ServiceCall; readonly requests: CallRequests};
+
 /** Takes a retry from the budget if `failure` may be retried. A call that may not be repeated is retried only if it did not run. */
-function takeRetry(context: RouterContext, call: ServiceCall, failure: RouterError, attempt: number): boolean {
+function takeRetry({context, call, requests}: CallInProgress, failure: RouterError, attempt: number): boolean {
 	const name = failure.entry.name as ResultName;
 	const isAllowed = retryableResults.has(name) && (failure.notRun || call.isRepeatable) && attempt < maximumAttempts && !call.signal.aborted;
-	if (!isAllowed || !context.retryBudget.take()) {
+	if (!isAllowed || !requests.reserve(context.clock.readMonotonic())) {
 		return false;
 	}
 
@@ -99,6 +113,20 @@
 	return true;
 }
 
+/** Sends the call, and counts the request unless the target could not be reached. */
+async function sendCounted(context: RouterContext, target: ResolvedTarget, call: ServiceCall, requests: CallRequests): Promise<ServiceResponse> {
+	requests.recordSent(context.clock.readMonotonic());
+	try {
+		return await sendCall(context, target, call);
+	} catch (error) {
+		if (convertToRouterError(error).entry.name === 'targetUnreachable') {
+			requests.recordNotSent(context.clock.readMonotonic());
+		}
+
+		throw error;
+	}
+}
+
 async function sendCall(context: RouterContext, target: ResolvedTarget, call: ServiceCall): Promise<ServiceResponse> {
 	const connection = call.isRepeatable ? undefined : new FreshConnection(target, call.route.timeoutMs);
 	const close = async () => {
--- a/src/requests/router-context/index.ts
+++ b/src/requests/router-context/index.ts
@@ -7,10 +7,11 @@
 import type {Settings} from '../../daemon/settings/index.js';
 import type {EngineGate} from '../../fairness/engine-gate/index.js';
 import type {EventLogger} from '../../logging/create-logger/index.js';
+import type {RetryGate} from '../../retries/retry-gate/index.js';
+import type {ServiceId} from '../../routing/routing-types/index.js';
 import type {TargetDirectory} from '../../targets/target-directory/index.js';
 import type {IdempotencyRecords} from '../idempotency-records/index.js';
 import type {RequestMetrics} from '../request-metrics/index.js';
-import type {RetryBudget} from '../retry-budget/index.js';
 
 /** Instances that a caller may use, best first. */
 export type AddressAnswer = {
@@ -28,10 +29,11 @@
 	readonly gate: EngineGate;
 	readonly budget: BudgetGate;
 	readonly metrics: RequestMetrics;
-	readonly retryBudget: RetryBudget;
 	readonly idempotency: IdempotencyRecords;
 	/** Connection pool for calls of services that may be repeated. */
 	readonly serviceConnections: Dispatcher;
+	/** Finds the retry budget of a service, or of the engines of a base model. */
+	findRetryBudget(service: ServiceId): RetryGate;
 	/** Returns the current configuration; throws `notReady` or `isolated` if requests must be refused. */
 	readConfiguration(): Configuration;
 	/** Answers an address query of a caller in `dataCentre`, or of one that did not name its data centre. */
--- a/src/requests/serve-completion/index.ts
+++ b/src/requests/serve-completion/index.ts
@@ -40,7 +40,6 @@
 	let usedTokens = 0;
 	try {
 		checkSignal(signal);
-		context.retryBudget.recordRequest();
 		usedTokens = await runCompletion(context, response, {
 			request, signal, secret,
 			authorise() {
--- a/src/requests/serve-service/index.ts
+++ b/src/requests/serve-service/index.ts
@@ -26,7 +26,6 @@
 	const body = await readBody(message, context.settings.limits.bodyBytes);
 	refuseSecretBytes(body, message.headers['content-type'], secret);
 	await confirmCaller(caller, signal);
-	context.retryBudget.recordRequest();
 	const call = createCall(context, {
 		message, body, route, path, secret, signal,
 	});
--- a/src/requests/serve-service/test.ts
+++ b/src/requests/serve-service/test.ts
@@ -1,6 +1,7 @@
 import {test} from 'node:test';
 import {expect} from 'earl';
 import {classifyCallError} from '../../http/classify-call-error/index.js';
+import type {ServiceId} from '../../routing/routing-types/index.js';
 import {callService, type ServiceOutcome, type ServiceQuery} from '../../standin/call-service/index.js';
 import {LocalFleet, localSecret, otherSecret} from '../../standin/local-fleet/index.js';
 import type {ServiceFaults} from '../../standin/service-faults/index.js';
@@ -148,6 +149,33 @@
 	});
 });
 
+test('guards against a failing service that uses up the retries of another one', async () => {
+	const fleet = await new LocalFleet({engines: 1}).start();
+	try {
+		const failing = 'orders' as ServiceId;
+		while (fleet.context.findRetryBudget(failing).take(fleet.clock.readMonotonic())) {
+			// Until none is left.
+		}
+
+		expect(fleet.context.findRetryBudget('base' as ServiceId).take(fleet.clock.readMonotonic())).toEqual(true);
+	} finally {
+		await fleet.stop();
+	}
+});
+
+test('guards against a retry that is spent on a target which could not be reached', async () => {
+	await runWithFleet(async (fleet, call) => {
+		for (const service of fleet.services) {
+			service.server.close();
+		}
+
+		const readLevel = () => fleet.context.findRetryBudget('orders' as ServiceId).readLevel(fleet.clock.readMonotonic());
+		const before = readLevel();
+		await Promise.all(Array.from({length: 5}, async (_, index) => call({callId: `call-${index}`})));
+		expect(readLevel() >= before).toEqual(true);
+	});
+});
+
 test('guards against a key in any header, query parameter or body that a target sees', async () => {
 	await runWithFleet(async (fleet, call) => {
 		const headers = {'x-api-key': localSecret, 'x-note': `a ${localSecret} b`, cookie: `k=${localSecret}`};
--- a/src/retries/retry-budget/index.ts
+++ b/src/retries/retry-budget/index.ts
@@ -72,7 +72,6 @@
 		this.counts.taken -= 1;
 	}
 
-	/** Returns the number of available retries, including fractions. */
 	readLevel(now: MonotonicMs): number {
 		this.refill(now);
 		return this.countEarned(now) + this.extra;
--- a/src/retries/retry-gate/index.ts
+++ b/src/retries/retry-gate/index.ts
@@ -12,4 +12,6 @@
 	take(now: MonotonicMs): boolean;
 	/** Returns a retry that was taken and not sent. */
 	refund(now: MonotonicMs): void;
+	/** Returns the number of available retries, including fractions. */
+	readLevel(now: MonotonicMs): number;
 };
--- a/src/standin/local-fleet/index.ts
+++ b/src/standin/local-fleet/index.ts
@@ -6,7 +6,8 @@
 import {Configuration} from '../../configuration/configuration/index.js';
 import {resolveConfiguration} from '../../configuration/resolve-configuration/index.js';
 import {settingsSchema, type Settings} from '../../daemon/settings/index.js';
-import type {Revision} from '../../identity/ids/index.js';
+import {ServiceRetryBudgets} from '../../gateway/service-retry-budgets/index.js';
+import type {MonotonicMs, Revision} from '../../identity/ids/index.js';
 import {InvariantChecker} from '../../invariants/invariant-checker/index.js';
 import {hashKey} from '../../keys/hash-key/index.js';
 import {createLogger} from '../../logging/create-logger/index.js';
@@ -17,7 +18,6 @@
 import {createServiceConnections} from '../../requests/forward-call/index.js';
 import {IdempotencyRecords} from '../../requests/idempotency-records/index.js';
 import {RequestMetrics} from '../../requests/request-metrics/index.js';
-import {RetryBudget} from '../../requests/retry-budget/index.js';
 import type {RouterContext} from '../../requests/router-context/index.js';
 import type {Resource} from '../../resources/schemas/index.js';
 import {listenLocally} from '../../http/listen-locally/index.js';
@@ -46,6 +46,10 @@
 const fleet = 'north';
 const defaultSilenceMs = 300;
 const readyPollIntervalMs = 5;
+/** Retries of each service. */
+const retryAllowance = {ratio: 0.1, extra: 20, windowMs: 10_000};
+/** Time for which the instance has run when it is created, in milliseconds. */
+const runningMs = 60_000;
 
 /** A router, engines and services. Model `fixed` is deterministic, model `assistant` is not. */
 export class LocalFleet {
@@ -60,6 +64,7 @@
 	readonly targets: TargetDirectory;
 	readonly placement = new RoundRobinPlacement();
 	private readonly logger = createLogger({}, true);
+	private readonly retryBudgets: ServiceRetryBudgets;
 	private readonly serviceConnections = createServiceConnections();
 	private readonly speed: EngineSpeed;
 	private callerServer!: CallerServer;
@@ -71,6 +76,7 @@
 			slots: 64, prefillTokensPerMs: 1000, decodeMsPerToken: 1, ...options.speed,
 		};
 		this.speed = speed;
+		this.retryBudgets = new ServiceRetryBudgets(() => retryAllowance, () => 1, this.clock.readMonotonic() - runningMs as MonotonicMs);
 		this.engines = Array.from({length: options.engines ?? 2}, () => new EngineServer({
 			speed, cacheBlocks: 256, models: [{base: 'base', weightsVersion: 'v1', state: 'ready'}], checksFencing: true,
 			loadLagMs: 50, eventLagMs: 10, loadMs: 10,
@@ -100,7 +106,7 @@
 			budget: this.options.budget ?? {admit: async () => ({settle() {/* Unlimited. */}})},
 			metrics,
 			idempotency: new IdempotencyRecords({objectApi: this.objectApi, clock: this.clock, metrics}),
-			retryBudget: new RetryBudget(),
+			findRetryBudget: service => this.retryBudgets.find(service),
 			serviceConnections: this.serviceConnections,
 			readConfiguration: () => this.configuration,
 			chooseAddresses: () => ({instances: [], valid_for_seconds: 1}),
