Show the levels of the retry budgets, and the retries taken and refused

An empty budget showed in no metric; operators had to infer it from attempts that gave up with time left. The gauges name the service with the fewest retries left; the dump has all of them.

--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -37,6 +37,7 @@
 import {createGatewayStop} from '../create-gateway-stop/index.js';
 import {createHandover, type Handover} from '../create-handover/index.js';
 import {createMembership} from '../create-membership/index.js';
+import {createRetryGauges} from '../create-retry-gauges/index.js';
 import {createRollout} from '../create-rollout/index.js';
 import {createStatements, runStatements, type StatementExchange} from '../create-statements/index.js';
 import {CurrentRouting} from '../current-routing/index.js';
@@ -185,7 +186,8 @@
 			},
 		});
 		metrics.addGauges(listGauges({
-			listener: this.listener, sources: [this.quarantine, ...Object.values(this.statements), this.streams, this.handover.calls],
+			listener: this.listener,
+			sources: [this.quarantine, ...Object.values(this.statements), this.streams, this.handover.calls, createRetryGauges(this.retryBudgets, clock)],
 			objectApi: adapter.objectApi,
 			countMembers: () => this.listPeers().length + 1, readRevision: () => this.feeds.readRevision(),
 		}));
@@ -244,6 +246,7 @@
 			membership: this.membership.dump(),
 			rollout: this.rollout.dump(),
 			quota: this.quotaLending.dump(),
+			retries: this.retryBudgets.dump(now),
 			quarantine: this.quarantine.dump(),
 			limits: this.statements.limits.dump(),
 			streams: this.streams.dump(),
--- a/src/gateway/service-retry-budgets/index.ts
+++ b/src/gateway/service-retry-budgets/index.ts
@@ -7,6 +7,15 @@
 /** Retries of one service over all instances: `ratio` per call, plus `extra`, in any window. */
 export type RetryAllowance = {readonly ratio: number; readonly extra: number; readonly windowMs: number};
 
+/** Retries of all services at this instance. */
+export type RetrySummary = {
+	/** Level of the service with the fewest retries left. */
+	readonly lowestLevel: number;
+	/** Retries since the start. */
+	readonly taken: number;
+	readonly refused: number;
+};
+
 /**
  * Fractions of the allowance that are distributed. The remainder covers what no instance sees: instances that are missing in
  * the count, requests of targets whose run was a repeat, and retries that are sent some time after they were taken.
@@ -34,6 +43,20 @@
 		return budget;
 	}
 
+	/** Summarises all services; without any, the lowest level is 0. */
+	summarise(now: MonotonicMs): RetrySummary {
+		const all = [...this.budgets.values()];
+		return {
+			lowestLevel: all.length === 0 ? 0 : Math.min(...all.map(budget => budget.readLevel(now))),
+			taken: all.reduce((sum, {counts}) => sum + counts.taken, 0),
+			refused: all.reduce((sum, {counts}) => sum + counts.refused, 0),
+		};
+	}
+
+	dump(now: MonotonicMs): unknown {
+		return Object.fromEntries([...this.budgets].map(([service, budget]) => [service, {level: budget.readLevel(now), ...budget.counts}]));
+	}
+
 	/** Calculates the share of this instance by the settings in force and the present number of instances. */
 	private calculateShare(): RetryShare {
 		const {ratio, extra, windowMs} = this.readAllowance();
