Queue calls that wait for a target, by priority and fairly over organisations

Calls without a usable target looked again every 60 ms, so the first one to look took the room. One queue for each service decides now which call goes next, whether a call waits and when a refused caller returns. Engines count as full once their prompts would take most of the tightest latency goal.

--- /dev/null
+++ b/src/admission/admission-recorder/index.ts
@@ -0,0 +1,28 @@
+/** Receives what the admission queues decide, for metrics. */
+
+import type {AdmissionRefusal} from '../plan-admission/index.js';
+
+/**
+ * Why a waiting call was refused. `full`: the bounds of the queues; `target`: pauses and limits of all targets, or no target for a
+ * stream that continues; else see `AdmissionRefusal`.
+ */
+export type RefusalReason = AdmissionRefusal | 'full' | 'target';
+
+/** How a wait ended; `ended`: the caller left, or the call ended for another reason. */
+export type WaitOutcome = 'sent' | 'refused' | 'ended';
+
+/** Receives decisions. */
+export type AdmissionRecorder = {
+	recordWait(priority: number, outcome: WaitOutcome, waitMs: number): void;
+	recordRefusal(priority: number, reason: RefusalReason): void;
+};
+
+/** Recorder that drops everything. */
+export const idleAdmissionRecorder: AdmissionRecorder = {
+	recordWait() {
+		// Nothing is kept.
+	},
+	recordRefusal() {
+		// Nothing is kept.
+	},
+};
--- /dev/null
+++ b/src/admission/queue-bounds/index.ts
@@ -0,0 +1,50 @@
+/** Bounds of what waits in all queues of an instance. */
+
+/** Limits of the queues. */
+export type AdmissionLimits = {
+	/** Calls that may wait. */
+	readonly maximumCalls: number;
+	/** Memory that waiting calls may hold, in bytes. */
+	readonly maximumBytes: number;
+	/** Longest wait of a call, in milliseconds. */
+	readonly longestWaitMs: number;
+	/** Part of the tightest latency goal of a service that prompts at one of its engines may take; 0 if only its memory counts. */
+	readonly goalFraction: number;
+};
+
+/** Memory that a waiting call takes besides its body, in bytes. */
+const callOverheadBytes = 8192;
+
+/** Counts what waits against the limits. */
+export class QueueBounds {
+	private calls = 0;
+	private bytes = 0;
+
+	constructor(private readonly readLimits: () => AdmissionLimits) {}
+
+	get goalFraction(): number {
+		return this.readLimits().goalFraction;
+	}
+
+	get longestWaitMs(): number {
+		return this.readLimits().longestWaitMs;
+	}
+
+	/** Whether a further call with a body of `bytes` may wait. */
+	allows(bytes: number): boolean {
+		const {maximumCalls, maximumBytes} = this.readLimits();
+		return this.calls < maximumCalls && this.bytes + bytes + callOverheadBytes <= maximumBytes;
+	}
+
+	/** Counts a call. */
+	add(bytes: number): void {
+		this.calls += 1;
+		this.bytes += bytes + callOverheadBytes;
+	}
+
+	/** Counts a call no more. */
+	remove(bytes: number): void {
+		this.calls -= 1;
+		this.bytes -= bytes + callOverheadBytes;
+	}
+}
--- a/src/forwarding/attempt-handler/index.ts
+++ b/src/forwarding/attempt-handler/index.ts
@@ -128,6 +128,7 @@
 		}
 
 		attempt.target.recordAnswer(attempt.record, now);
+		this.starter.recordAnswer(attempt, now);
 		hints.recordUse(attempt.target, now);
 		const isAlone = attempts.isAlone(attempt);
 		if (!isAlone || !this.retryErrorResponse(attempt, head)) {
--- a/src/forwarding/attempt-starter/index.ts
+++ b/src/forwarding/attempt-starter/index.ts
@@ -2,33 +2,27 @@
 
 import type {FleetTarget} from '../../fleet/fleet-target/index.js';
 import type {MonotonicMs} from '../../identity/ids/index.js';
-import type {RouterError} from '../../results/create-router-error/index.js';
 import {isRepeatable} from '../../routing/is-repeatable/index.js';
-import type {CallParts} from '../call-parts/index.js';
 import type {ForwardingContext} from '../forwarding-context/index.js';
-import {planWait} from '../plan-wait/index.js';
-import {selectTarget} from '../select-target/index.js';
+import {PolledWait} from '../polled-wait/index.js';
+import {QueuedWait} from '../queued-wait/index.js';
 import type {Attempt} from '../session-types/index.js';
 import {startAttempt, type AttemptListener} from '../start-attempt/index.js';
-import {TargetWaiter} from '../target-waiter/index.js';
+import type {TargetWait, WaitingCallParts} from '../target-wait/index.js';
 
 /** The call whose attempts are started. */
-export type StartedCall = CallParts & {
+export type StartedCall = WaitingCallParts & {
 	/** Receives what comes back. */
 	readonly listener: AttemptListener;
-	/** Tries again after the call has waited for a target. */
-	readonly tryAgain: () => void;
-	/** Ends the call because it would wait too long for a target. */
-	readonly refuse: (error: RouterError) => void;
 };
 
 /** Starts attempts of one call. */
 export class AttemptStarter {
-	private readonly waiter: TargetWaiter;
+	private readonly wait: TargetWait;
 
 	/** `waitingSince`: when the call arrived or, once its stream has begun, when the stream last broke off. */
 	constructor(private readonly call: StartedCall, private readonly context: ForwardingContext, private waitingSince: MonotonicMs) {
-		this.waiter = new TargetWaiter(context.fleet);
+		this.wait = context.admission === undefined ? new PolledWait(call, context) : new QueuedWait(call, context, context.admission);
 	}
 
 	/** Records that the answer broke off. Only a call whose answer has begun waits anew. */
@@ -40,9 +34,9 @@
 
 	/** Starts the next attempt, or waits for a target that can take the call. */
 	startNext(now: MonotonicMs): void {
-		const target = selectTarget(this.call.selection, this.context, now);
+		const target = this.wait.select(this.waitingSince, now);
 		if (target === undefined) {
-			this.waitForTarget(now);
+			this.wait.begin(this.waitingSince, now);
 		} else {
 			this.send(target, now);
 		}
@@ -59,27 +53,17 @@
 			origin, otherTargets: attempts.inFlight.map(other => other.target),
 		}, this.context, listener, now);
 		attempts.begin(attempt);
+		this.wait.recordSent(attempt, this.waitingSince, now);
 		return attempt;
 	}
 
-	/** Stops waiting for a target. */
-	stop(): void {
-		this.waiter.stop();
+	/** Records that the answer to an attempt has begun. */
+	recordAnswer(attempt: Attempt, now: MonotonicMs): void {
+		this.wait.recordAnswer(attempt, now);
 	}
 
-	private waitForTarget(now: MonotonicMs): void {
-		const {session, selection, attempts: {mayHaveRun, triedTargets}, listener, tryAgain, refuse} = this.call;
-		const plan = planWait({
-			session, selection, deadline: session.deadline.read(), mayHaveRun, since: this.waitingSince,
-		}, this.context, now);
-		if (plan.type === 'reject') {
-			refuse(plan.error);
-			return;
-		}
-
-		this.waiter.wait(plan.longestMs, () => {
-			triedTargets.clear();
-			listener.protect(tryAgain);
-		});
+	/** Stops waiting for a target. */
+	stop(): void {
+		this.wait.stop();
 	}
 }
--- a/src/forwarding/call-attempts/index.ts
+++ b/src/forwarding/call-attempts/index.ts
@@ -18,6 +18,9 @@
 	readonly triedTargets = new Set<FleetTarget>();
 	private readonly open = new Set<Attempt>();
 
+	/** `onEnd` is called after each attempt, whose target then has room for other calls. */
+	constructor(private readonly onEnd?: () => void) {}
+
 	/** The attempts that may still get an answer, the oldest one first. */
 	get inFlight(): readonly Attempt[] {
 		return [...this.open];
@@ -69,6 +72,7 @@
 		attempt.target.endCall(attempt.record);
 		this.runs += mayHaveRun ? 1 : 0;
 		this.open.delete(attempt);
+		this.onEnd?.();
 	}
 
 	/** Aborts the attempts in flight; they get no further callbacks. */
--- a/src/forwarding/call-session/index.ts
+++ b/src/forwarding/call-session/index.ts
@@ -29,7 +29,10 @@
 	private readonly charge: CallCharge;
 	private readonly guard: CallGuard;
 	private readonly times: CallTimes;
-	private readonly attempts = new CallAttempts();
+	private readonly attempts = new CallAttempts(() => {
+		this.context.admission?.wake(this.options.service);
+	});
+
 	private readonly handler: AttemptHandler;
 	private isDone = false;
 	private onDone: (() => void) | undefined;
--- a/src/forwarding/call-times/index.ts
+++ b/src/forwarding/call-times/index.ts
@@ -8,6 +8,8 @@
 	readonly firstMs: number | undefined;
 	readonly lastMs: number | undefined;
 	readonly durationMs: number;
+	/** Time in the admission queue, over all attempts; undefined for a call that has not waited there. */
+	readonly waitedMs: number | undefined;
 };
 
 /** Records the stage timings of one call. */
@@ -16,6 +18,9 @@
 	private firstChunkAt: MonotonicMs | undefined;
 	private lastChunkAt: MonotonicMs | undefined;
 
+	private waitedMs: number | undefined;
+	private waitingSince: MonotonicMs | undefined;
+
 	constructor(private readonly arrivedAt: MonotonicMs) {}
 
 	/** Records the time of the first attempt. */
@@ -29,6 +34,19 @@
 		this.lastChunkAt = now;
 	}
 
+	/** Records that the call waits for a target. */
+	recordWait(now: MonotonicMs): void {
+		this.waitingSince ??= now;
+	}
+
+	/** Records the end of the wait, if there is one. */
+	recordWaitEnd(now: MonotonicMs): void {
+		if (this.waitingSince !== undefined) {
+			this.waitedMs = (this.waitedMs ?? 0) + now - this.waitingSince;
+			this.waitingSince = undefined;
+		}
+	}
+
 	summarise(now: MonotonicMs): StageTimes {
 		const toMsSinceArrival = (at: MonotonicMs | undefined) => at === undefined ? undefined : Math.round(at - this.arrivedAt);
 		return {
@@ -36,6 +54,7 @@
 			firstMs: toMsSinceArrival(this.firstChunkAt),
 			lastMs: toMsSinceArrival(this.lastChunkAt),
 			durationMs: Math.round(now - this.arrivedAt),
+			waitedMs: this.waitedMs === undefined ? undefined : Math.round(this.waitedMs),
 		};
 	}
 }
--- a/src/forwarding/forwarding-context/index.ts
+++ b/src/forwarding/forwarding-context/index.ts
@@ -1,5 +1,6 @@
 /** Dependencies that all forwarded calls of an instance share. */
 
+import type {AdmissionQueues} from '../../admission/admission-queues/index.js';
 import type {Clock} from '../../clock/clock/index.js';
 import type {PrefixDirectory} from '../../fleet/prefix-directory/index.js';
 import type {TargetFleet} from '../../fleet/target-fleet/index.js';
@@ -49,6 +50,8 @@
 	readonly promptGuard?: PromptGuard;
 	/** Without a guard, every request is sent. */
 	readonly requestGuard?: RequestGuard;
+	/** Without queues, each call that waits for a target looks for one by itself. */
+	readonly admission?: AdmissionQueues | undefined;
 	readonly limits: LimitGate;
 	readonly leavingNotices: LeavingAnnouncer;
 	readonly streamOrigins: StreamOrigins;
--- a/src/gateway/gateway-settings/index.ts
+++ b/src/gateway/gateway-settings/index.ts
@@ -35,6 +35,17 @@
 	capacity: z.object({
 		coreShare: z.number().positive(), cores: z.number().positive(), linkMegabitsPerSecond: z.number().positive(),
 	}).optional(),
+	/** Makes calls for which no target has room wait in admission queues; without it, each looks for room by itself. */
+	admission: z.object({
+		/** Calls that may wait at this instance. */
+		maximumCalls: z.number().int().min(1).max(100_000).default(1000),
+		/** Memory that waiting calls may hold at this instance, in bytes. */
+		maximumBytes: z.number().int().min(1_000_000).default(33_554_432),
+		/** Longest wait of a call, in milliseconds. */
+		longestWaitMs: z.number().min(100).max(60_000).default(5000),
+		/** Part of the tightest latency goal of a service that prompts at one of its engines may take; 0 if only its memory counts. */
+		goalFraction: z.number().min(0).max(10).default(0.8),
+	}).optional(),
 	/** Time between SIGTERM and SIGKILL, in milliseconds. */
 	graceMs: z.number().positive(),
 });
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -1,6 +1,7 @@
 /** The gateway process: connects the components that serve callers on a platform, and stops them in order. */
 
 import {setMaxListeners} from 'node:events';
+import type {AdmissionQueues} from '../../admission/admission-queues/index.js';
 import type {Clock} from '../../clock/clock/index.js';
 import type {PlannedStop} from '../../daemon/planned-stop/index.js';
 import {LoadExchange} from '../../fleet/load-exchange/index.js';
@@ -34,6 +35,7 @@
 import {addressValiditySeconds} from '../answer-address-query/index.js';
 import {applyNamedWeights} from '../apply-named-weights/index.js';
 import {CallListener} from '../call-listener/index.js';
+import {createAdmission} from '../create-admission/index.js';
 import {createGatewayStop} from '../create-gateway-stop/index.js';
 import {createHandover, type Handover} from '../create-handover/index.js';
 import {createMembership} from '../create-membership/index.js';
@@ -88,6 +90,7 @@
 	private readonly streams: StreamDirectory;
 	private readonly listener: CallListener;
 	private readonly retryBudgets: ServiceRetryBudgets;
+	private readonly admission: AdmissionQueues | undefined;
 	private readonly weightsRegistry: WeightsRegistry;
 	private readonly instanceRegistry: InstanceRegistry;
 	private readonly startedAt: MonotonicMs;
@@ -103,6 +106,7 @@
 		this.startedAt = clock.readMonotonic();
 		setMaxListeners(maximumTasks, this.controller.signal);
 		this.fleet = new TargetFleet(logger);
+		this.admission = createAdmission({...options, fleet: this.fleet});
 		this.datagramChannel = new DatagramChannel(logger);
 		this.weightsRegistry = new WeightsRegistry(this.startedAt, () => store.current.weightsLimitMs);
 		this.retryBudgets = new ServiceRetryBudgets(() => store.current.retryBudget, () => this.countInstances());
@@ -247,6 +251,7 @@
 			membership: this.membership.dump(),
 			rollout: this.rollout.dump(),
 			quota: this.quotaLending.dump(),
+			admission: this.admission?.dump(),
 			quarantine: this.quarantine.dump(),
 			limits: this.statements.limits.dump(),
 			streams: this.streams.dump(),
@@ -280,7 +285,7 @@
 		return {
 			clock, logger, fleet: this.fleet, prefixes: this.prefixDirectory, targetClient: this.targetClient,
 			protocol: adapter.targetProtocol, quota: this.quotaLending, promptGuard: this.quarantine.prompts, requestGuard: this.quarantine.requests,
-			limits: this.statements.limits, leavingNotices: this.statements.leavingNotices, streamOrigins: this.streams,
+			admission: this.admission, limits: this.statements.limits, leavingNotices: this.statements.leavingNotices, streamOrigins: this.streams,
 			reachability: this.handover.reachability,
 			dataCentre: settings.current.dataCentre as DataCentreId,
 			draw: () => random.pickIndex(drawResolution) / drawResolution,
