Tell other instances which calls wait, and leave room to more urgent ones elsewhere

Load reports and sums carry waiting calls by service and priority in an optional field. An instance leaves room for at most 250 ms and a quarter of the latency goal.

--- a/src/admission/admission-metrics/index.ts
+++ b/src/admission/admission-metrics/index.ts
@@ -14,6 +14,7 @@
 export class AdmissionMetrics implements AdmissionRecorder {
 	private readonly waits: Histogram;
 	private readonly refusals: Counter;
+	private readonly yields: Counter;
 
 	/** `countByPriority` counts the waiting calls when the metrics are collected. */
 	constructor(registry: Registry, countByPriority: () => ReadonlyMap<number, number>) {
@@ -25,6 +26,10 @@
 			name: `${metricPrefix}refusals_total`, help: 'Calls that an admission queue refused, by priority and reason.',
 			labelNames: ['priority', 'reason'], registers: [registry],
 		});
+		this.yields = new Counter({
+			name: `${metricPrefix}yields_total`, help: 'Calls that on arrival left room to more urgent ones at other instances, by priority.',
+			labelNames: ['priority'], registers: [registry],
+		});
 		// Prometheus reads the gauge from the registry.
 		// eslint-disable-next-line no-new
 		new Gauge({
@@ -45,4 +50,8 @@
 	recordRefusal(priority: number, reason: RefusalReason): void {
 		this.refusals.inc({priority, reason});
 	}
+
+	recordYield(priority: number): void {
+		this.yields.inc({priority});
+	}
 }
--- a/src/admission/admission-queue/index.ts
+++ b/src/admission/admission-queue/index.ts
@@ -18,12 +18,14 @@
 import {chooseEvicted} from '../choose-evicted/index.js';
 import {coversNeeds, coversTargets} from '../covers-needs/index.js';
 import {FailedNeeds} from '../failed-needs/index.js';
+import {isHeld} from '../is-held/index.js';
 import {planAdmission} from '../plan-admission/index.js';
 import {planReturn} from '../plan-return/index.js';
 import type {QueueBounds} from '../queue-bounds/index.js';
 import type {
-	CallNeeds, CallRank, QueuedCall, QueueEntry,
+	CallRank, QueuedCall, QueueEntry,
 } from '../queued-call/index.js';
+import type {SharedBacklog, WaitingEntry} from '../shared-backlog/index.js';
 import {ServiceDemand} from '../service-demand/index.js';
 import {WaitingLevels} from '../waiting-levels/index.js';
 
@@ -35,10 +37,15 @@
 	readonly fleet: Pick<TargetFleet, 'subscribe' | 'listServing'>;
 	readonly bounds: QueueBounds;
 	readonly recorder: AdmissionRecorder;
+	/** What waits at other instances. */
+	readonly backlog: Pick<SharedBacklog, 'hasMoreUrgent'>;
 	/** Returns a random number from 0 (inclusive) to 1 (exclusive). */
 	readonly draw: () => number;
 };
 
+/** A call that has not joined the queue yet. */
+export type ArrivingCall = CallRank & Pick<QueuedCall, 'needs' | 'latencyGoalMs'>;
+
 /** How a call left the queue. */
 export type LeaveReason = 'sent' | 'ended';
 
@@ -48,10 +55,9 @@
 const maximumFailedTries = 8;
 /** The same while a target states a limit, since each call asks for a permit of its own. */
 const maximumPermitTries = 64;
-/** Cost of the later calls that may be sent before a call, as a multiple of its own cost. */
-const passLimitFactor = 2;
-/** Longest time for which room is held for a call that others have passed, in milliseconds. */
-const longestHoldMs = 250;
+/** Longest time for which a call leaves room to more urgent ones at other instances, in milliseconds, and as a fraction of its latency goal. */
+const longestYieldMs = 250;
+const yieldFraction = 0.25;
 
 /** Queue of one service. */
 export class AdmissionQueue {
@@ -78,6 +84,16 @@
 		return this.levels.countByPriority();
 	}
 
+	/** Summarises the waiting calls for other instances. */
+	summariseWaiting(): WaitingEntry[] {
+		const smallest = new Map<number, number>();
+		for (const {call: {priority, needs}} of this.entries.values()) {
+			smallest.set(priority, Math.min(smallest.get(priority) ?? Infinity, needs.memoryTokens));
+		}
+
+		return [...this.countByPriority()].map(([priority, calls]) => [this.options.service, priority, calls, smallest.get(priority) ?? 0]);
+	}
+
 	/** Records a call that has arrived, whether it waits or not. */
 	recordArrival({priority, costTokens}: CallRank, now: MonotonicMs): void {
 		this.demand.recordArrival(priority, costTokens, now);
@@ -93,8 +109,16 @@
 		}
 	}
 
-	/** Whether a call that has just arrived has to wait, because calls of the same or a higher rank wait for room that it would take. */
-	mustJoin(call: CallRank & {readonly needs: CallNeeds}, now: MonotonicMs): boolean {
+	/**
+	 * Whether a call that has just arrived has to wait, because calls of the same or a higher rank wait here for room that it would
+	 * take, or more urgent ones at other instances.
+	 */
+	mustJoin(call: ArrivingCall, now: MonotonicMs): boolean {
+		if (this.mustYield(call, now)) {
+			this.options.recorder.recordYield(call.priority);
+			return true;
+		}
+
 		return [...this.entries.values()].some(entry => entry.call.priority <= call.priority
 			&& (isHeld(entry, now) ? coversTargets : coversNeeds)(entry.call.needs, call.needs));
 	}
@@ -168,7 +192,7 @@
 		const tryLimit = asksForPermits ? maximumPermitTries : maximumFailedTries;
 		const tried = new Set<QueueEntry>();
 		this.levels.drain({
-			canTry: entry => tried.size < tryLimit && !tried.has(entry) && !failed.matches(entry.call.needs),
+			canTry: entry => tried.size < tryLimit && !tried.has(entry) && !this.mustYield(entry.call, now) && !failed.matches(entry.call.needs),
 			tryStart: entry => {
 				entry.call.resume();
 				if (!this.entries.has(entry.call)) {
@@ -187,6 +211,12 @@
 		}
 	}
 
+	/** Whether a call leaves room to more urgent ones at other instances. That ends after a while, because reports are old. */
+	private mustYield(call: ArrivingCall, now: MonotonicMs): boolean {
+		const {backlog, service} = this.options;
+		return now < call.since + Math.min(longestYieldMs, call.latencyGoalMs * yieldFraction) && backlog.hasMoreUrgent(service, call, now);
+	}
+
 	/** Plans how long a call goes on waiting, and refuses it if it doesn't. Returns whether it waits. */
 	private planWait(entry: QueueEntry, now: MonotonicMs): boolean {
 		const {call} = entry;
@@ -263,12 +293,3 @@
 		return Math.max(1, Math.min(checkIntervalMs, firstCheckAt - now));
 	}
 }
-
-/** Whether room is held for a call. That happens once, so that a call which fits nowhere doesn't stop all others. */
-function isHeld(entry: QueueEntry, now: MonotonicMs): boolean {
-	if (entry.heldUntil === undefined && entry.passedTokens >= entry.call.costTokens * passLimitFactor) {
-		entry.heldUntil = now + longestHoldMs as MonotonicMs;
-	}
-
-	return entry.heldUntil !== undefined && now < entry.heldUntil;
-}
--- a/src/admission/admission-queue/test.ts
+++ b/src/admission/admission-queue/test.ts
@@ -2,8 +2,12 @@
 import {expect} from 'earl';
 import {createDescription} from '../../fixtures/create-fleet-target/index.js';
 import {createTestQueue} from '../../fixtures/create-queued-call/index.js';
-import type {MonotonicMs, OrganisationId, SoftwareVersion} from '../../identity/ids/index.js';
+import type {
+	InstanceId, MonotonicMs, OrganisationId, SoftwareVersion,
+} from '../../identity/ids/index.js';
 import {createRouterError} from '../../results/create-router-error/index.js';
+import type {ServiceId} from '../../routing/routing-types/index.js';
+import {idleAdmissionRecorder} from '../admission-recorder/index.js';
 
 test('guards against capacity that goes to the call which looks first: priority and then age decide', async () => {
 	const {clock, queue, room, arrive, listNames} = createTestQueue();
@@ -170,9 +174,7 @@
 test('guards against a queue without bound: a call of a higher priority replaces one of a lower', () => {
 	const refusals: unknown[] = [];
 	const {queue, arrive, listNames} = createTestQueue({maximumCalls: 2}, {
-		recordWait() {
-			// Not of interest here.
-		},
+		...idleAdmissionRecorder,
 		recordRefusal(priority, reason) {
 			refusals.push([priority, reason]);
 		},
@@ -196,3 +198,22 @@
 	const refused = events.filter(({type}) => type === 'refused');
 	expect(refused.map(event => [event.name, event.at, event.error === error])).toEqual([['rejected', 0, true], ['paused', 2000, true]]);
 });
+
+test('guards against room that goes to a call while more urgent ones wait at another instance, and against one that leaves room for long', async () => {
+	const {clock, backlog, room, arrive, events} = createTestQueue();
+	const reportUrgent = () => {
+		backlog.record('peer' as InstanceId, [['service-1' as ServiceId, 0, 1, 500]], clock.readMonotonic() + 1000 as MonotonicMs);
+	};
+
+	reportUrgent();
+	room.tokens = 10_000;
+	arrive('yielding');
+	arrive('urgent', {priority: 0});
+	arrive('small', {needs: {memoryTokens: 400}});
+	await clock.advance(0);
+	reportUrgent();
+	await clock.advance(400);
+	const sent = events.filter(({type}) => type === 'sent');
+	expect(sent.map(({name}) => name)).toEqual(['urgent', 'small', 'yielding']);
+	expect(sent[2]!.at >= 250 && sent[2]!.at <= 310).toEqual(true);
+});
--- a/src/admission/admission-queues/index.ts
+++ b/src/admission/admission-queues/index.ts
@@ -3,15 +3,18 @@
 import type {MonotonicMs} from '../../identity/ids/index.js';
 import type {ServiceId} from '../../routing/routing-types/index.js';
 import {AdmissionQueue, type AdmissionQueueOptions} from '../admission-queue/index.js';
+import {SharedBacklog} from '../shared-backlog/index.js';
 import {QueueBounds, type AdmissionLimits} from '../queue-bounds/index.js';
 
 /** Dependencies of the queues. */
-export type AdmissionQueuesOptions = Omit<AdmissionQueueOptions, 'service' | 'bounds'> & {
+export type AdmissionQueuesOptions = Omit<AdmissionQueueOptions, 'service' | 'bounds' | 'backlog'> & {
 	readonly readLimits: () => AdmissionLimits;
 };
 
 /** Queues by service. */
 export class AdmissionQueues {
+	/** What waits here and at other instances. */
+	readonly backlog = new SharedBacklog(() => [...this.queues.values()].flatMap(queue => queue.summariseWaiting()));
 	private readonly queues = new Map<ServiceId, AdmissionQueue>();
 	private readonly bounds: QueueBounds;
 
@@ -21,7 +24,9 @@
 
 	/** Returns the queue of a service. */
 	get(service: ServiceId): AdmissionQueue {
-		const queue = this.queues.get(service) ?? new AdmissionQueue({...this.options, service, bounds: this.bounds});
+		const queue = this.queues.get(service) ?? new AdmissionQueue({
+			...this.options, service, bounds: this.bounds, backlog: this.backlog,
+		});
 		this.queues.set(service, queue);
 		return queue;
 	}
--- a/src/admission/admission-recorder/index.ts
+++ b/src/admission/admission-recorder/index.ts
@@ -15,6 +15,8 @@
 export type AdmissionRecorder = {
 	recordWait(priority: number, outcome: WaitOutcome, waitMs: number): void;
 	recordRefusal(priority: number, reason: RefusalReason): void;
+	/** Records a call that has arrived and leaves room to more urgent ones at other instances. */
+	recordYield(priority: number): void;
 };
 
 /** Recorder that drops everything. */
@@ -25,4 +27,7 @@
 	recordRefusal() {
 		// Nothing is kept.
 	},
+	recordYield() {
+		// Nothing is kept.
+	},
 };
--- a/src/fleet/load-aggregator/index.ts
+++ b/src/fleet/load-aggregator/index.ts
@@ -9,6 +9,9 @@
  * aggregators of the other data centres.
  */
 
+import {
+	fleetBacklogKey, subtractEntries, type SharedBacklog, type WaitingEntry,
+} from '../../admission/shared-backlog/index.js';
 import type {Clock} from '../../clock/clock/index.js';
 import type {InstanceId, MonotonicMs} from '../../identity/ids/index.js';
 import {
@@ -18,7 +21,7 @@
 import type {Member} from '../../membership/member/index.js';
 import type {DatagramTransport} from '../../peers/datagram-channel/index.js';
 import {
-	formatLoad, parseLoad, sumsMessageType, type LoadEntry, type SumsMessage,
+	formatLoad, formatWaiting, parseLoad, sumsMessageType, type LoadEntry, type SumsMessage,
 } from '../load-messages/index.js';
 import type {TargetLoad} from '../fleet-target/index.js';
 import type {PrefixDirectory, PrefixUse} from '../prefix-directory/index.js';
@@ -52,6 +55,9 @@
 	readonly listPeers: () => readonly Member[];
 	/** Returns the load that this instance last reported for a target. */
 	readonly readReportedLoad: (target: LoadEntry[0]) => TargetLoad | undefined;
+	readonly backlog: SharedBacklog;
+	/** Returns the waiting calls that this instance last reported. */
+	readonly readReportedWaiting: () => readonly WaitingEntry[];
 	/** Called when sums for reporters arrive. */
 	readonly onSums: (sender: InstanceId, now: MonotonicMs) => void;
 };
@@ -112,12 +118,18 @@
 
 	private buildFleetSums(sender: MemberEntry, now: MonotonicMs): SumsMessage {
 		const loads = [...this.options.fleet.list()].map(target => formatLoad(target.description.id, target.readTotalLoad(now)));
-		return this.buildMessage(sender, 'fleet', loads, [...this.ownUses, ...this.remoteUses], now);
+		return {
+			...this.buildMessage(sender, 'fleet', loads, [...this.ownUses, ...this.remoteUses], now),
+			waiting: formatWaiting(this.options.backlog.sumAll(now)),
+		};
 	}
 
 	private buildDataCentreSums(sender: MemberEntry, now: MonotonicMs): SumsMessage {
 		const loads = [...this.options.fleet.list()].map(target => formatLoad(target.description.id, target.readLoadFrom(this.reportedAt, now)));
-		return this.buildMessage(sender, 'dataCentre', loads, this.ownUses, now);
+		return {
+			...this.buildMessage(sender, 'dataCentre', loads, this.ownUses, now),
+			waiting: formatWaiting(this.options.backlog.sum(this.reportedAt, now)),
+		};
 	}
 
 	private buildMessage(sender: MemberEntry, scope: SumsMessage['scope'], loads: readonly LoadEntry[], uses: readonly PrefixUse[], now: MonotonicMs): SumsMessage {
@@ -179,6 +191,7 @@
 			this.aggregatorHeardAt.set(sender.id, now);
 			this.remoteUses = [...this.remoteUses, ...message.prefixes].slice(-maximumPrefixUses);
 			this.applyLoads(sender.id, message, now, load => load);
+			this.options.backlog.record(sender.id, message.waiting, now + message.validMs as MonotonicMs);
 		}
 	}
 
@@ -186,6 +199,8 @@
 	private applyFleetSums(message: SumsMessage, now: MonotonicMs): void {
 		if (!this.hasReporters()) {
 			this.applyLoads(fleetLoadKey, message, now, (load, id) => subtractLoad(load, this.options.readReportedLoad(id)));
+			const elsewhere = subtractEntries(message.waiting ?? [], this.options.readReportedWaiting());
+			this.options.backlog.record(fleetBacklogKey, elsewhere, now + message.validMs as MonotonicMs);
 		}
 	}
 
--- a/src/fleet/load-exchange/index.ts
+++ b/src/fleet/load-exchange/index.ts
@@ -7,6 +7,7 @@
  * others. In a large one it reports to the aggregator of its data centre, which sends the sums of the whole fleet back.
  */
 
+import {SharedBacklog, type WaitingEntry} from '../../admission/shared-backlog/index.js';
 import type {Clock} from '../../clock/clock/index.js';
 import type {InstanceId, MonotonicMs} from '../../identity/ids/index.js';
 import {parseMemberEntry} from '../../membership/heartbeat/index.js';
@@ -17,7 +18,7 @@
 import type {TargetLoad} from '../fleet-target/index.js';
 import {LoadAggregator, sumValidityMs, type AggregatedMembership} from '../load-aggregator/index.js';
 import {
-	formatLoad, loadMessageType, parseLoad, type LoadEntry, type LoadMessage,
+	formatLoad, formatWaiting, loadMessageType, parseLoad, type LoadEntry, type LoadMessage,
 } from '../load-messages/index.js';
 import type {PrefixDirectory, PrefixUse} from '../prefix-directory/index.js';
 import {hasAggregators, rankAggregators} from '../rank-aggregators/index.js';
@@ -61,6 +62,8 @@
 	/** Live instances other than this one. */
 	readonly listPeers: () => readonly Member[];
 	readonly membership: AggregatedMembership;
+	/** Without it, no calls wait in queues. */
+	readonly backlog?: SharedBacklog | undefined;
 };
 
 type LastReport = {readonly round: number; readonly nextUseNumber: number; readonly wasIdle: boolean};
@@ -73,6 +76,9 @@
 	private readonly aggregatorChoice = new AggregatorChoice();
 	/** The loads in the last report to an aggregator. */
 	private reportedLoads: ReadonlyMap<LoadEntry[0], TargetLoad> = new Map();
+	/** The waiting calls in it. */
+	private reportedWaiting: readonly WaitingEntry[] = [];
+	private readonly backlog: SharedBacklog;
 	private round = 0;
 	/** Whether the fleet was large in the last round. */
 	private usesAggregators = false;
@@ -81,8 +87,11 @@
 		options.channel.register(loadMessageType, body => {
 			this.receive(body as LoadMessage);
 		});
+		this.backlog = options.backlog ?? new SharedBacklog(() => []);
 		this.aggregator = new LoadAggregator({
 			...options,
+			backlog: this.backlog,
+			readReportedWaiting: () => this.reportedWaiting,
 			readReportedLoad: target => this.reportedLoads.get(target),
 			onSums: (sender, now) => {
 				this.aggregatorChoice.recordSums(sender, now);
@@ -122,6 +131,7 @@
 		} else if (aggregator !== undefined) {
 			const loads = this.listLoads(aggregatedLimits.loads);
 			this.reportedLoads = new Map(loads.map(entry => [entry[0], parseLoad(entry)]));
+			this.reportedWaiting = this.backlog.listOwn();
 			this.report([aggregator], loads, aggregatedLimits);
 		}
 	}
@@ -145,14 +155,16 @@
 	private report(receivers: readonly Member[], loads: readonly LoadEntry[], limits: ReportLimits): void {
 		const {channel, prefixes, membership} = this.options;
 		const uses = prefixes.listOwnUses(this.lastReports.get(receivers[0]!.id)?.nextUseNumber ?? 0, limits.prefixUses);
-		const dueReceivers = receivers.filter(peer => loads.length > 0 || uses.length > 0 || this.isEmptyReportDue(peer, limits.idleRounds));
+		const waiting = formatWaiting(this.backlog.listOwn());
+		const isIdle = loads.length === 0 && waiting === undefined;
+		const dueReceivers = receivers.filter(peer => !isIdle || uses.length > 0 || this.isEmptyReportDue(peer, limits.idleRounds));
 		for (const peer of dueReceivers) {
-			this.lastReports.set(peer.id, {round: this.round, nextUseNumber: prefixes.nextOwnUseNumber, wasIdle: loads.length === 0});
+			this.lastReports.set(peer.id, {round: this.round, nextUseNumber: prefixes.nextOwnUseNumber, wasIdle: isIdle});
 		}
 
 		if (dueReceivers.length > 0) {
 			const message: LoadMessage = {
-				sender: membership.describeSelf(), validMs: limits.validMs, loads, prefixes: uses,
+				sender: membership.describeSelf(), validMs: limits.validMs, loads, prefixes: uses, waiting,
 			};
 			channel.send(dueReceivers.map(peer => peer.peerAddress), loadMessageType, message);
 		}
@@ -198,11 +210,12 @@
 		return loads.length <= limit ? loads : loads.toSorted((a, b) => b[3] - a[3]).slice(0, limit);
 	}
 
-	private receive({sender, validMs, loads, prefixes: uses}: LoadMessage): void {
+	private receive({sender, validMs, loads, prefixes: uses, waiting}: LoadMessage): void {
 		const {clock, fleet, prefixes, membership} = this.options;
 		const now = clock.readMonotonic();
 		const senderId = sender.id;
 		membership.applyEntry(parseMemberEntry(sender), now);
+		this.backlog.record(senderId, waiting, now + validMs as MonotonicMs);
 		for (const [prefix, target] of uses) {
 			prefixes.recordUse(prefix, target, now);
 		}
--- a/src/fleet/load-exchange/test.ts
+++ b/src/fleet/load-exchange/test.ts
@@ -2,12 +2,14 @@
 import {test} from 'node:test';
 import {expect} from 'earl';
 import {SystemClock} from '../../clock/clock/index.js';
+import {SharedBacklog, type WaitingEntry} from '../../admission/shared-backlog/index.js';
 import {ManualClock} from '../../clock/manual-clock/index.js';
 import {createMembershipHeartbeats} from '../../fixtures/create-membership-heartbeats/index.js';
 import {createDescription} from '../../fixtures/create-fleet-target/index.js';
 import {createMember} from '../../fixtures/create-member/index.js';
 import type {DataCentreId, TargetId} from '../../identity/ids/index.js';
 import {quietLogger} from '../../logging/quiet-logger/index.js';
+import type {ServiceId} from '../../routing/routing-types/index.js';
 import {DatagramChannel} from '../../peers/datagram-channel/index.js';
 import {FakeDatagramNetwork} from '../../peers/fake-datagram-network/index.js';
 import {reservePorts} from '../../process/reserve-ports/index.js';
@@ -55,25 +57,29 @@
 
 const dataCentreCount = 3;
 
-/** Creates instances that exchange loads over a fake network without loss. */
-function createExchangingInstances(count: number) {
+/** Creates instances that exchange loads over a fake network, which loses datagrams while `isLost` says so. */
+function createExchangingInstances(count: number, isLost = () => false) {
 	const clock = new ManualClock();
 	const controller = new AbortController();
 	const members = Array.from({length: count}, (_, index) => createMember(`i${index}`, {dataCentre: `dc-${index % dataCentreCount}` as DataCentreId}));
-	const network = new FakeDatagramNetwork();
+	const network = new FakeDatagramNetwork(isLost);
 	const instances = members.map((member, index) => {
 		const fleet = new TargetFleet(quietLogger);
 		fleet.replace(Array.from({length: 98}, (_item, number) => createDescription(`i-${number}c37c357a`)), clock.readMonotonic());
 		const prefixes = new PrefixDirectory();
 		const membership = createMembershipHeartbeats(member.id);
+		const waiting: WaitingEntry[] = [];
+		const backlog = new SharedBacklog(() => waiting);
 		const exchange = new LoadExchange({
-			membership, clock, random: new RandomSource(index + 1), fleet, prefixes,
+			membership, clock, random: new RandomSource(index + 1), fleet, prefixes, backlog,
 			channel: network.open(member.peerAddress),
 			readSelf: () => member,
 			listPeers: () => members.filter(other => other !== member),
 		});
 		void exchange.run(controller.signal);
-		return {fleet, prefixes, membership};
+		return {
+			fleet, prefixes, membership, waiting, backlog,
+		};
 	});
 	return {
 		clock, instances, sent: network.sent,
@@ -129,3 +135,52 @@
 	expect(calculateLivenessTimeoutMs(195)).toEqual(calculateLivenessTimeoutMs(72));
 	expect(calculateLivenessTimeoutMs(350) < 5000).toEqual(true);
 });
+
+const urgentCall: WaitingEntry = ['service-1' as ServiceId, 0, 2, 500];
+
+for (const count of [3, 72]) {
+	test(`guards against urgent calls of which other instances don't know, and against a backlog that outlives its calls (${count} instances)`, async () => {
+		let isLost = false;
+		const {clock, instances, stop} = createExchangingInstances(count, () => isLost);
+		const countInformed = () => instances.filter(({backlog}) =>
+			backlog.hasMoreUrgent('service-1' as ServiceId, {priority: 1, needs: {memoryTokens: 1000}}, clock.readMonotonic())).length;
+		await clock.advance(2000);
+		instances[1]!.waiting.push(urgentCall);
+		await clock.advance(1000);
+		expect(countInformed()).toEqual(count - 1);
+		instances[1]!.waiting.pop();
+		await clock.advance(1500);
+		expect(countInformed()).toEqual(0);
+		instances[1]!.waiting.push(urgentCall);
+		await clock.advance(1000);
+		isLost = true;
+		await clock.advance(2500);
+		expect(countInformed()).toEqual(0);
+		stop();
+	});
+}
+
+test('guards against calls of several instances that count twice, or once more at the instance where they wait', async () => {
+	const {clock, instances, stop} = createExchangingInstances(72);
+	await clock.advance(2000);
+	for (const {waiting} of instances) {
+		waiting.push(urgentCall);
+	}
+
+	await clock.advance(3000);
+	for (const {backlog} of instances) {
+		expect(backlog.sumAll(clock.readMonotonic())).toEqual([['service-1' as ServiceId, 0, 144, 500]]);
+	}
+
+	stop();
+});
+
+test('guards against larger messages while no call waits', async () => {
+	const {clock, instances, sent, stop} = createExchangingInstances(3);
+	await clock.advance(1000);
+	const {largestBytes} = sent;
+	instances[0]!.waiting.push(urgentCall);
+	await clock.advance(500);
+	expect([largestBytes < sent.largestBytes, sent.largestBytes - largestBytes < 60]).toEqual([true, true]);
+	stop();
+});
--- a/src/fleet/load-messages/index.ts
+++ b/src/fleet/load-messages/index.ts
@@ -1,5 +1,6 @@
 /** Messages of the load exchange. */
 
+import type {WaitingEntry} from '../../admission/shared-backlog/index.js';
 import type {MemberEntry} from '../../membership/heartbeat/index.js';
 import type {MemberRow} from '../../membership/member-row/index.js';
 import type {TargetId} from '../../identity/ids/index.js';
@@ -21,6 +22,8 @@
 	readonly validMs: number;
 	readonly loads: readonly LoadEntry[];
 	readonly prefixes: readonly PrefixUse[];
+	/** Calls in the admission queues of the sender; absent if none wait, and from instances of earlier releases. */
+	readonly waiting?: readonly WaitingEntry[] | undefined;
 };
 
 /** Sums of an aggregator. */
@@ -32,11 +35,21 @@
 	readonly validMs: number;
 	readonly loads: readonly LoadEntry[];
 	readonly prefixes: readonly PrefixUse[];
+	/** Calls in the admission queues that the sums cover; absent if none wait, and from instances of earlier releases. */
+	readonly waiting?: readonly WaitingEntry[] | undefined;
 	/** Live members by turns, and recently changed ones in full. */
 	readonly members: readonly MemberRow[];
 	readonly changedMembers: readonly MemberEntry[];
 };
 
+/** Limit of the waiting calls in one message, by services and priorities. */
+const maximumWaitingEntries = 24;
+
+/** Formats waiting calls, the most urgent ones first; undefined if none wait. */
+export function formatWaiting(entries: readonly WaitingEntry[]): readonly WaitingEntry[] | undefined {
+	return entries.length === 0 ? undefined : entries.slice(0, maximumWaitingEntries);
+}
+
 /** Formats the load of a target. */
 export function formatLoad(id: TargetId, {calls, prefillTokens, memoryTokens}: TargetLoad): LoadEntry {
 	return [id, calls, prefillTokens, memoryTokens];
--- a/src/forwarding/queued-wait/index.ts
+++ b/src/forwarding/queued-wait/index.ts
@@ -49,7 +49,7 @@
 			return selectTarget(selection, this.context, now);
 		}
 
-		const hasTurn = this.queued !== undefined || !this.queue.mustJoin({...rank, needs: this.describeNeeds()}, now);
+		const hasTurn = this.queued !== undefined || !this.queue.mustJoin({...rank, needs: this.describeNeeds(), latencyGoalMs: route.latencyGoalMs}, now);
 		return hasTurn ? this.selectInTime(now) : undefined;
 	}
 
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -179,6 +179,7 @@
 		});
 		this.loadExchange = new LoadExchange({
 			clock, random, fleet: this.fleet, prefixes: this.prefixDirectory, channel: this.datagramChannel, membership: this.membership,
+			backlog: this.admission?.backlog,
 			readSelf: () => this.membership.readSelf(),
 			listPeers: () => this.listPeers(),
 		});
