Log what calls waited for, and pause before a call returns to targets that refused it

A queue served at once would send a refused call again to the same targets until its attempts are spent; it waits 60 ms before, as without a queue.

--- a/src/admission/admission-queue/index.ts
+++ b/src/admission/admission-queue/index.ts
@@ -16,6 +16,7 @@
 import {AnswerPace} from '../answer-pace/index.js';
 import type {AdmissionRecorder, RefusalReason} from '../admission-recorder/index.js';
 import {chooseEvicted} from '../choose-evicted/index.js';
+import {CongestionLog} from '../congestion-log/index.js';
 import {coversNeeds, coversTargets} from '../covers-needs/index.js';
 import {FailedNeeds} from '../failed-needs/index.js';
 import {isHeld} from '../is-held/index.js';
@@ -27,6 +28,7 @@
 } from '../queued-call/index.js';
 import type {SharedBacklog, WaitingEntry} from '../shared-backlog/index.js';
 import {ServiceDemand} from '../service-demand/index.js';
+import {summariseWaiting} from '../summarise-waiting/index.js';
 import {WaitingLevels} from '../waiting-levels/index.js';
 
 /** Dependencies of a queue. */
@@ -67,11 +69,13 @@
 	private readonly levels = new WaitingLevels();
 	private readonly demand = new ServiceDemand();
 	private readonly wakeup = new Wakeup();
+	private readonly congestionLog: CongestionLog;
 	/** Never aborts: the task ends when no call waits. */
 	private readonly signal = new AbortController().signal;
 	private isRunning = false;
 
 	constructor(private readonly options: AdmissionQueueOptions) {
+		this.congestionLog = new CongestionLog(options.service, options.logger);
 		this.pace = new AnswerPace(() => options.bounds.goalFraction);
 	}
 
@@ -86,12 +90,7 @@
 
 	/** Summarises the waiting calls for other instances. */
 	summariseWaiting(): WaitingEntry[] {
-		const smallest = new Map<number, number>();
-		for (const {call: {priority, needs}} of this.entries.values()) {
-			smallest.set(priority, Math.min(smallest.get(priority) ?? Infinity, needs.memoryTokens));
-		}
-
-		return [...this.countByPriority()].map(([priority, calls]) => [this.options.service, priority, calls, smallest.get(priority) ?? 0]);
+		return summariseWaiting(this.options.service, this.entries.keys());
 	}
 
 	/** Records a call that has arrived, whether it waits or not. */
@@ -119,14 +118,15 @@
 			return true;
 		}
 
-		return [...this.entries.values()].some(entry => entry.call.priority <= call.priority
+		return [...this.entries.values()].some(entry => entry.call.priority <= call.priority && entry.call.earliestAt <= now
 			&& (isHeld(entry, now) ? coversTargets : coversNeeds)(entry.call.needs, call.needs));
 	}
 
 	/** Adds a call, or refuses it at once. */
 	join(call: QueuedCall, now: MonotonicMs): void {
 		if (!this.makeRoom(call, now)) {
-			this.reject(call, 'full', now);
+			this.options.recorder.recordRefusal(call.priority, 'full');
+			this.refuse(call, 'full', now);
 			return;
 		}
 
@@ -137,6 +137,7 @@
 		this.levels.add(entry);
 		this.options.bounds.add(call.bytes);
 		this.demand.recordWaiting(now);
+		this.congestionLog.recordJoin(now);
 		if (this.planWait(entry, now)) {
 			this.start();
 			this.wake();
@@ -192,7 +193,8 @@
 		const tryLimit = asksForPermits ? maximumPermitTries : maximumFailedTries;
 		const tried = new Set<QueueEntry>();
 		this.levels.drain({
-			canTry: entry => tried.size < tryLimit && !tried.has(entry) && !this.mustYield(entry.call, now) && !failed.matches(entry.call.needs),
+			canTry: entry => tried.size < tryLimit && !tried.has(entry) && entry.call.earliestAt <= now
+				&& !failed.matches(entry.call.needs) && !this.mustYield(entry.call, now),
 			tryStart: entry => {
 				entry.call.resume();
 				if (!this.entries.has(entry.call)) {
@@ -259,11 +261,6 @@
 		return true;
 	}
 
-	private reject(call: QueuedCall, reason: RefusalReason, now: MonotonicMs): void {
-		this.options.recorder.recordRefusal(call.priority, reason);
-		this.refuse(call, reason, now);
-	}
-
 	private refuse(call: QueuedCall, reason: RefusalReason, now: MonotonicMs): void {
 		const {drainMs} = this.demand.forecast(call, this.levels, now);
 		const retryAfterSeconds = planReturn({deadline: call.readDeadline(), drainMs, draw: this.options.draw()}, now);
@@ -272,6 +269,7 @@
 
 	private removeRefused(entry: QueueEntry, reason: RefusalReason, now: MonotonicMs): void {
 		const {recorder} = this.options;
+		this.congestionLog.recordRefusal();
 		this.remove(entry, now);
 		recorder.recordWait(entry.call.priority, 'refused', now - entry.joinedAt);
 		recorder.recordRefusal(entry.call.priority, reason);
@@ -283,6 +281,7 @@
 		this.options.bounds.remove(entry.call.bytes);
 		if (this.entries.size === 0) {
 			this.demand.recordEmpty(now);
+			this.congestionLog.recordEmpty(now);
 			// Ends the sleep of the task, so that no timer is left.
 			this.wakeup.notify();
 		}
--- a/src/admission/admission-queue/test.ts
+++ b/src/admission/admission-queue/test.ts
@@ -217,3 +217,14 @@
 	expect(sent.map(({name}) => name)).toEqual(['urgent', 'small', 'yielding']);
 	expect(sent[2]!.at >= 250 && sent[2]!.at <= 310).toEqual(true);
 });
+
+test('guards against a call that is sent again at once to the targets that have just refused it, or stops others meanwhile', async () => {
+	const {clock, room, arrive, events} = createTestQueue();
+	arrive('refused', {earliestAt: 60 as MonotonicMs});
+	room.tokens = 2000;
+	await clock.advance(0);
+	await clock.advance(10);
+	arrive('newcomer');
+	await clock.advance(100);
+	expect(events.filter(({type}) => type === 'sent').map(({name, at}) => [name, at])).toEqual([['newcomer', 10], ['refused', 60]]);
+});
--- a/src/admission/answer-pace/index.ts
+++ b/src/admission/answer-pace/index.ts
@@ -72,7 +72,8 @@
 		}
 
 		const goalMs = this.goalMs.read(now);
-		const limitMs = Math.max((goalMs * goalFraction) - this.shortestMs.read(now), goalMs * minimumGoalFraction);
-		return (load.prefillTokens + prefillTokens) * this.queuedMs / this.tokens <= limitMs;
+		const shortestMs = this.shortestMs.read(now);
+		const limitMs = Math.max((goalMs * goalFraction) - shortestMs, goalMs * minimumGoalFraction);
+		return !Number.isFinite(shortestMs) || (load.prefillTokens + prefillTokens) * this.queuedMs / this.tokens <= limitMs;
 	}
 }
--- a/src/admission/queued-call/index.ts
+++ b/src/admission/queued-call/index.ts
@@ -38,6 +38,8 @@
 	/** Memory that the call holds while it waits. */
 	readonly bytes: number;
 	readonly latencyGoalMs: number;
+	/** Time before which the call is not sent, because all targets have just refused it. */
+	readonly earliestAt: MonotonicMs;
 	readDeadline(): MonotonicMs;
 	/** Plans the wait of a call that pauses, limits or the version of its stream hold back; undefined if the queue decides. */
 	planFixedWait(now: MonotonicMs): FixedWait | undefined;
--- a/src/forwarding/call-times/index.ts
+++ b/src/forwarding/call-times/index.ts
@@ -10,8 +10,16 @@
 	readonly durationMs: number;
 	/** Time in the admission queue, over all attempts; undefined for a call that has not waited there. */
 	readonly waitedMs: number | undefined;
+	/** What kept the call back when it last began to wait there. */
+	readonly waitedFor: WaitObstacle | undefined;
 };
 
+/**
+ * What a call in the admission queue waits for. `turn`: calls that go before it; `room`: memory of an engine; `pace`: an engine that
+ * would begin to answer in time; `target`: a target at all, the end of pauses or limits, or one that can continue its stream.
+ */
+export type WaitObstacle = 'turn' | 'room' | 'pace' | 'target';
+
 /** Records the stage timings of one call. */
 export class CallTimes {
 	private firstSentAt: MonotonicMs | undefined;
@@ -20,6 +28,7 @@
 
 	private waitedMs: number | undefined;
 	private waitingSince: MonotonicMs | undefined;
+	private waitedFor: WaitObstacle | undefined;
 
 	constructor(private readonly arrivedAt: MonotonicMs) {}
 
@@ -35,7 +44,8 @@
 	}
 
 	/** Records that the call waits for a target. */
-	recordWait(now: MonotonicMs): void {
+	recordWait(obstacle: WaitObstacle, now: MonotonicMs): void {
+		this.waitedFor = obstacle;
 		this.waitingSince ??= now;
 	}
 
@@ -55,6 +65,7 @@
 			lastMs: toMsSinceArrival(this.lastChunkAt),
 			durationMs: Math.round(now - this.arrivedAt),
 			waitedMs: this.waitedMs === undefined ? undefined : Math.round(this.waitedMs),
+			waitedFor: this.waitedFor,
 		};
 	}
 }
--- a/src/forwarding/queued-wait/index.ts
+++ b/src/forwarding/queued-wait/index.ts
@@ -7,6 +7,7 @@
 } from '../../admission/queued-call/index.js';
 import type {FleetTarget} from '../../fleet/fleet-target/index.js';
 import type {MonotonicMs} from '../../identity/ids/index.js';
+import type {WaitObstacle} from '../call-times/index.js';
 import {estimateTargetWait} from '../estimate-target-wait/index.js';
 import type {ForwardingContext} from '../forwarding-context/index.js';
 import {listCandidates} from '../list-candidates/index.js';
@@ -19,6 +20,8 @@
 const continuedStreamPriority = -1;
 /** Cost of a call that states no token counts. */
 const plainCallTokens = 1000;
+/** Time before a call is sent again to targets that have refused it, in milliseconds. */
+const refusedPauseMs = 60;
 /** Targets that are judged by their pace before the call waits. */
 const maximumSelections = 3;
 /** Share of an organisation relative to others; the configuration doesn't name weights. */
@@ -30,6 +33,8 @@
 	/** The call in the queue; undefined unless it waits. */
 	private queued: QueuedCall | undefined;
 	private hasArrived = false;
+	/** What kept the call back when it last looked for a target. */
+	private obstacle: WaitObstacle = 'room';
 
 	constructor(private readonly call: WaitingCallParts, private readonly context: ForwardingContext, queues: AdmissionQueues) {
 		this.queue = queues.get(call.session.service);
@@ -50,13 +55,14 @@
 		}
 
 		const hasTurn = this.queued !== undefined || !this.queue.mustJoin({...rank, needs: this.describeNeeds(), latencyGoalMs: route.latencyGoalMs}, now);
+		this.obstacle = hasTurn ? 'room' : 'turn';
 		return hasTurn ? this.selectInTime(now) : undefined;
 	}
 
 	begin(since: MonotonicMs, now: MonotonicMs): void {
 		if (this.queued === undefined) {
-			this.call.times.recordWait(now);
-			this.queued = this.createQueuedCall(since);
+			this.call.times.recordWait(this.dependsOnRoom(now) ? this.obstacle : 'target', now);
+			this.queued = this.createQueuedCall(since, now);
 			this.queue.join(this.queued, now);
 		}
 	}
@@ -89,6 +95,7 @@
 				return target;
 			}
 
+			this.obstacle = 'pace';
 			triedTargets.add(target);
 		}
 
@@ -118,10 +125,11 @@
 		return {model: work?.model, software: origin.read(), memoryTokens: hints.memoryTokens};
 	}
 
-	private createQueuedCall(since: MonotonicMs): QueuedCall {
+	private createQueuedCall(since: MonotonicMs, now: MonotonicMs): QueuedCall {
 		const {session: {route, body, deadline}, attempts: {triedTargets}, listener, tryAgain, refuse} = this.call;
 		return {
 			...this.describeRank(since), needs: this.describeNeeds(), bytes: body?.length ?? 0, latencyGoalMs: route.latencyGoalMs,
+			earliestAt: triedTargets.size === 0 ? now : now + refusedPauseMs as MonotonicMs,
 			readDeadline: () => deadline.read(),
 			planFixedWait: now => this.planFixedWait(since, now),
 			resume() {
@@ -137,13 +145,18 @@
 
 	/** Plans the wait of a call that room alone doesn't let go on. */
 	private planFixedWait(since: MonotonicMs, now: MonotonicMs): FixedWait | undefined {
-		const {session, selection, attempts: {mayHaveRun}, relay} = this.call;
-		const dependsOnRoom = !selection.origin.isBound && !relay.hasBegun && !mayHaveRun
-			&& listCandidates(selection, this.context.fleet).length > 0 && estimateTargetWait(selection, this.context, now) === undefined;
-		return dependsOnRoom
+		const {session, selection, attempts: {mayHaveRun}} = this.call;
+		return this.dependsOnRoom(now)
 			? undefined
 			: planWait({
 				session, selection, deadline: session.deadline.read(), mayHaveRun, since,
 			}, this.context, now);
 	}
+
+	/** Whether only room keeps the call back, not its past, the version of its stream, or pauses and limits of targets. */
+	private dependsOnRoom(now: MonotonicMs): boolean {
+		const {selection, attempts: {mayHaveRun}, relay} = this.call;
+		return !selection.origin.isBound && !relay.hasBegun && !mayHaveRun
+			&& listCandidates(selection, this.context.fleet).length > 0 && estimateTargetWait(selection, this.context, now) === undefined;
+	}
 }
--- a/src/forwarding/queued-wait/test.ts
+++ b/src/forwarding/queued-wait/test.ts
@@ -57,7 +57,9 @@
 		gateway.close();
 		engine.close();
 	});
-	return {gateway, received, admission};
+	return {
+		gateway, received, admission, fleet,
+	};
 }
 
 test('guards against calls that are sent in the order in which they look for room, and against room that is found late', async t => {
@@ -110,3 +112,23 @@
 	received[0]!.answer();
 	await first;
 });
+
+test('guards against a call that spends its attempts at once on a target that refuses it', async t => {
+	const receivedAt: number[] = [];
+	const target = await startRawServer((socket, head) => {
+		receivedAt.push(performance.now());
+		const id = /x-id: (\S+)/u.exec(head)?.[1];
+		socket.write(receivedAt.length < 3
+			? `HTTP/1.1 503 Full\r\nx-id: ${id}\r\nx-not-run: true\r\nContent-Length: 0\r\n\r\n`
+			: `HTTP/1.1 200 OK\r\nx-id: ${id}\r\nContent-Length: 2\r\n\r\nok`);
+	});
+	const {gateway, fleet} = await startFullEngine(t);
+	fleet.replace([createDescription('t', {address: target.address})], 0 as MonotonicMs);
+	t.after(() => {
+		target.close();
+	});
+	const {head} = await sendRawRequest(gateway.address, formatCall('call', '/x'));
+	expect(head.split('\r\n')[0]).toEqual('HTTP/1.1 200 OK');
+	const gapsMs = receivedAt.slice(1).map((at, index) => at - receivedAt[index]!);
+	expect([gapsMs.length, gapsMs.every(ms => ms >= 50)]).toEqual([2, true]);
+});
