--- a/src/gateway/create-admission/test.ts
+++ b/src/gateway/create-admission/test.ts
@@ -8,7 +8,7 @@
 import {quietLogger} from '../../logging/quiet-logger/index.js';
 import {RandomSource} from '../../random/random-source/index.js';
 import type {ServiceId} from '../../routing/routing-types/index.js';
-import type {GatewaySettings} from '../gateway-settings/index.js';
+import {parseGatewaySettings, type GatewaySettings} from '../gateway-settings/index.js';
 import {createAdmission} from './index.js';
 
 const limits = {
@@ -38,3 +38,25 @@
 	queue.join(createQueuedCall(), 0 as MonotonicMs);
 	expect(queue.length).toEqual(3);
 });
+
+/** Parses settings with the given section. */
+function parseAdmission(admission: unknown) {
+	const settings = {
+		instance: 'i1', dataCentre: 'dc-1', region: 'r1', objectApi: '127.0.0.1:1', seeds: [],
+		listen: {
+			caller: '127.0.0.1:1', readiness: '127.0.0.1:2', directory: '127.0.0.1:3', peer: '127.0.0.1:4', admin: '127.0.0.1:5',
+		},
+		retryBudget: {ratio: 0.2, extra: 50}, quotaTolerance: {ratio: 0.1, extraTokens: 1000}, weightsLimitMs: 10_000, graceMs: 8000, admission,
+	};
+	return parseGatewaySettings(JSON.stringify(settings), 'settings.jsonc').admission;
+}
+
+test('guards against settings of the queues that are wrong, or that have to be named one by one', () => {
+	expect(parseAdmission({})).toEqual({
+		maximumCalls: 1000, maximumBytes: 33_554_432, longestWaitMs: 5000, goalFraction: 0.8,
+	});
+	expect(parseAdmission(undefined)).toEqual(undefined);
+	for (const wrong of [{maximumCalls: 0}, {maximumBytes: 10}, {longestWaitMs: -1}, {goalFraction: 11}, {maximumCalls: 1.5}]) {
+		expect(() => parseAdmission(wrong)).toThrow(/settings\.jsonc/u);
+	}
+});
