--- a/src/forwarding/call-attempts/index.ts
+++ b/src/forwarding/call-attempts/index.ts
@@ -18,8 +18,11 @@
 	readonly triedTargets = new Set<FleetTarget>();
 	private readonly open = new Set<Attempt>();
 
-	/** `priorRuns`: runs at other instances, which passed the call on. */
-	constructor(priorRuns = 0) {
+	/**
+	 * `onEnd` is called after each attempt, whose target then has room for other calls. `priorRuns`: runs at other instances,
+	 * which passed the call on.
+	 */
+	constructor(private readonly onEnd?: () => void, priorRuns = 0) {
 		this.runs = priorRuns;
 	}
 
@@ -74,6 +77,7 @@
 		attempt.target.endCall(attempt.record);
 		this.runs += mayHaveRun ? 1 : 0;
 		this.open.delete(attempt);
+		this.onEnd?.();
 	}
 
 	/** Aborts the attempts in flight; they get no further callbacks. */
--- a/src/forwarding/call-session/index.ts
+++ b/src/forwarding/call-session/index.ts
@@ -40,7 +40,9 @@
 	constructor(private readonly options: SessionOptions, private readonly context: ForwardingContext) {
 		const {call, route, service, organisation, arrivedAt, sink, prior} = options;
 		// A call that may run once is passed on only if nothing has run.
-		const attempts = new CallAttempts(isRepeatable(route) ? prior.count : 0);
+		const attempts = new CallAttempts(() => {
+			context.admission?.wake(service);
+		}, isRepeatable(route) ? prior.count : 0);
 		this.attempts = attempts;
 		this.requests = new CallRequests(prior, context.findRetryBudget(service));
 		this.origin = new StreamOrigin(options, context.streamOrigins);
