--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -193,11 +193,10 @@
 				this.listener.serveHandedOver(message, response);
 			},
 		});
+		const retryGauges = createRetryGauges(this.retryBudgets, clock);
 		metrics.addGauges(listGauges({
 			listener: this.listener,
-			sources: [
-				intakeOptions.intake, this.quarantine, ...Object.values(this.statements), this.streams, this.handover.calls, createRetryGauges(this.retryBudgets, clock),
-			],
+			sources: [intakeOptions.intake, this.quarantine, this.streams, this.handover.calls, ...Object.values(this.statements), retryGauges],
 			objectApi: adapter.objectApi,
 			countMembers: () => this.listPeers().length + 1, readRevision: () => this.feeds.readRevision(),
 		}));
