Choose targets by learned speeds and by loads corrected for the age of reports

The setting evenLoad turns it on; without it, targets are compared as before. Speeds are learned from the time to the first byte and the work of the target, and passed on in an optional field of the load messages of a large fleet. Old sums move to the mean of the last seconds. Hot prefixes get more homes.

--- a/src/fleet/choose-target/test.ts
+++ b/src/fleet/choose-target/test.ts
@@ -48,7 +48,7 @@
 	for (let index = 0; index < 60; index += 1) {
 		const chosen = chooseTarget(createQuery(targets, {draw: random.pickIndex(1000) / 1000}), at(0))!;
 		const {calls, prefillTokens} = chosen.readOwnLoad();
-		chosen.recordRemoteLoad(`i${index % 8}` as InstanceId, {calls: 0, prefillTokens: 0, memoryTokens: 0}, at(1000));
+		chosen.recordRemoteLoad(`i${index % 8}` as InstanceId, {calls: 0, prefillTokens: 0, memoryTokens: 0}, {expiresAt: at(1000)});
 		chosen.beginCall(800, at(0));
 		expect(calls * 800).toEqual(prefillTokens);
 	}
--- a/src/fleet/fleet-target/index.ts
+++ b/src/fleet/fleet-target/index.ts
@@ -8,10 +8,16 @@
 	DataCentreId, InstanceId, MonotonicMs, SoftwareVersion, TargetId,
 } from '../../identity/ids/index.js';
 import {PermitAccount} from '../../limits/permit-account/index.js';
+import {hashText} from '../../random/rank-by-hash/index.js';
 import type {ServiceId} from '../../routing/routing-types/index.js';
 import {IncarnationStatements} from '../../statements/incarnation-statements/index.js';
 import type {StatedNumber} from '../../statements/stated-number/index.js';
 import type {TargetPause} from '../../statements/target-pause/index.js';
+import {LearnedSpeed} from '../learned-speed/index.js';
+import {RemoteLoads, type ReportTimes, type TargetLoad} from '../remote-loads/index.js';
+import {ServicePace} from '../service-pace/index.js';
+
+export type {TargetLoad} from '../remote-loads/index.js';
 
 /** Description of a target, as the target announces it. */
 export type TargetDescription = {
@@ -44,17 +50,8 @@
 
 /** Load of a call in flight besides its prefill, as the number of prompt tokens that take the same effort. */
 const loadPerCallTokens = 400;
-
-/** Work in flight that one instance has sent to a target. */
-export type TargetLoad = {
-	readonly calls: number;
-	/** Prompt tokens that the target still has to compute. */
-	readonly prefillTokens: number;
-	/** Engine memory that the calls take, in tokens. */
-	readonly memoryTokens: number;
-};
-
-type RemoteLoad = TargetLoad & {readonly expiresAt: MonotonicMs};
+/** Time to the first byte besides the work, as the number of prompt tokens that take the same time. */
+const answerOverheadTokens = 1400;
 
 /** A call in flight at the target. */
 export type TargetCall = {
@@ -63,6 +60,8 @@
 	readonly prefillTokens: number;
 	/** Engine memory that the call takes, in tokens. */
 	readonly memoryTokens: number;
+	/** Work that the target had when the call was sent, the call's own included, in prompt tokens. */
+	readonly workTokens: number;
 	hasAnswered: boolean;
 };
 
@@ -72,13 +71,21 @@
 	readonly permits = new PermitAccount();
 	/** Time until which a rollout keeps new calls away, on this instance's monotonic clock. */
 	cordonedUntil = 0;
-	private readonly remoteLoads = new Map<InstanceId, RemoteLoad>();
+	/** Hash of the id, for rendezvous hashing. */
+	readonly idHash: number;
+	/** Speed in relation to the other targets of the service. */
+	readonly speed: LearnedSpeed;
+	private readonly remoteLoads = new RemoteLoads();
 	private lastReceivedAt = 0;
 	private lastFailedAt = 0;
 	private unreachableAt = 0;
 	private failureCount = 0;
 
-	constructor(public description: TargetDescription, readonly statements = new IncarnationStatements()) {}
+	/** `pace` is shared by the targets of the service. */
+	constructor(public description: TargetDescription, readonly statements = new IncarnationStatements(), private readonly pace = new ServicePace()) {
+		this.idHash = hashText(description.id);
+		this.speed = new LearnedSpeed(pace);
+	}
 
 	get limit(): StatedNumber {
 		return this.statements.limit;
@@ -128,14 +135,18 @@
 
 	beginCall(prefillTokens: number, now: MonotonicMs, memoryTokens = 0): TargetCall {
 		const call: TargetCall = {
-			sentAt: now, prefillTokens, memoryTokens, hasAnswered: false,
+			sentAt: now, prefillTokens, memoryTokens, workTokens: this.estimateLoad(now) + prefillTokens + answerOverheadTokens, hasAnswered: false,
 		};
 		this.calls.add(call);
 		return call;
 	}
 
-	endCall(call: TargetCall): void {
+	/** Ends a call. `lastReceivedAt` is when the last bytes of its answer arrived; undefined if the time in flight says nothing. */
+	endCall(call: TargetCall, lastReceivedAt?: MonotonicMs): void {
 		this.calls.delete(call);
+		if (call.hasAnswered && lastReceivedAt !== undefined) {
+			this.pace.recordCall(lastReceivedAt - call.sentAt);
+		}
 	}
 
 	/** Records that bytes of any answer arrived. */
@@ -152,6 +163,14 @@
 	recordAnswer(call: TargetCall, now: MonotonicMs): void {
 		call.hasAnswered = true;
 		this.lastReceivedAt = now;
+		this.pace.recordResponse(now - call.sentAt);
+	}
+
+	/** Learns the target's speed from the first bytes of a successful answer. Calls without a prompt tell nothing of it. */
+	learnSpeed({prefillTokens, workTokens, sentAt}: TargetCall, now: MonotonicMs): void {
+		if (prefillTokens > 0) {
+			this.speed.recordOwn({workTokens, ms: now - sentAt}, now);
+		}
 	}
 
 	recordSuccess(): void {
@@ -218,48 +237,55 @@
 		return {calls: this.calls.size, prefillTokens, memoryTokens};
 	}
 
-	/** Records the load that another instance reported; it counts until `expiresAt`. */
-	recordRemoteLoad(instance: InstanceId, load: TargetLoad, expiresAt: MonotonicMs): void {
-		this.remoteLoads.set(instance, {...load, expiresAt});
+	/** Records the load that another instance reported. */
+	recordRemoteLoad(instance: InstanceId, load: TargetLoad, times: ReportTimes): void {
+		this.remoteLoads.record(instance, load, times);
 	}
 
-	/** Records that another instance has no work in flight here. */
-	forgetRemoteLoad(instance: InstanceId): void {
-		this.remoteLoads.delete(instance);
+	/** Records that another instance has no work in flight here. `measuredAt` is undefined for a report that needs no correction. */
+	forgetRemoteLoad(instance: InstanceId, measuredAt?: MonotonicMs): void {
+		this.remoteLoads.forget(instance, measuredAt);
 	}
 
-	/** Load from all instances, as the number of prompt tokens that take the same effort. */
+	/** Load from all instances as reported, as the number of prompt tokens that take the same effort. */
 	measureLoad(now: MonotonicMs): number {
 		return weighLoad(this.readTotalLoad(now));
 	}
 
-	/** Engine memory that the calls of all instances take, in tokens. */
+	/** Load from all instances, corrected for the age of the reports, as the number of prompt tokens that take the same effort. */
+	estimateLoad(now: MonotonicMs): number {
+		return weighLoad(addLoads(this.readOwnLoad(), this.remoteLoads.estimate(this.pace, now)));
+	}
+
+	/** Engine memory that the calls of all instances take as reported, in tokens. */
 	measureMemory(now: MonotonicMs): number {
 		return this.readTotalLoad(now).memoryTokens;
 	}
 
-	/** Work in flight from all instances. Reports that have expired are deleted. */
+	/** Engine memory that the calls of all instances take, with what was probably sent since the reports, in tokens. */
+	estimateMemory(now: MonotonicMs): number {
+		return this.readOwnLoad().memoryTokens + this.remoteLoads.estimate(this.pace, now).memoryTokens;
+	}
+
+	/** Work in flight from all instances as reported. */
 	readTotalLoad(now: MonotonicMs): TargetLoad {
-		return this.readLoadFrom(this.remoteLoads, now);
+		return addLoads(this.readOwnLoad(), this.remoteLoads.sum(now));
 	}
 
-	/** Work in flight from this instance and from `instances`. Reports that have expired are deleted. */
+	/** Work in flight from this instance and from `instances`. */
 	readLoadFrom(instances: {has(instance: InstanceId): boolean}, now: MonotonicMs): TargetLoad {
-		let {calls, prefillTokens, memoryTokens} = this.readOwnLoad();
-		for (const [instance, load] of this.remoteLoads) {
-			if (now > load.expiresAt) {
-				this.remoteLoads.delete(instance);
-			} else if (instances.has(instance)) {
-				calls += load.calls;
-				prefillTokens += load.prefillTokens;
-				memoryTokens += load.memoryTokens;
-			}
-		}
-
-		return {calls, prefillTokens, memoryTokens};
+		return addLoads(this.readOwnLoad(), this.remoteLoads.sum(now, instances));
 	}
 }
 
+function addLoads(first: TargetLoad, second: TargetLoad): TargetLoad {
+	return {
+		calls: first.calls + second.calls,
+		prefillTokens: first.prefillTokens + second.prefillTokens,
+		memoryTokens: first.memoryTokens + second.memoryTokens,
+	};
+}
+
 function weighLoad({calls, prefillTokens}: TargetLoad): number {
 	return prefillTokens + (calls * loadPerCallTokens);
 }
--- a/src/fleet/fleet-target/test.ts
+++ b/src/fleet/fleet-target/test.ts
@@ -35,7 +35,7 @@
 	const target = createFleetTarget('t');
 	target.beginCall(3000, at(0));
 	const ownLoad = target.measureLoad(at(0));
-	target.recordRemoteLoad('other' as InstanceId, {calls: 2, prefillTokens: 1000, memoryTokens: 0}, at(1000));
+	target.recordRemoteLoad('other' as InstanceId, {calls: 2, prefillTokens: 1000, memoryTokens: 0}, {expiresAt: at(1000)});
 	expect(target.measureLoad(at(100))).toEqual(ownLoad + 1800);
 	expect(target.measureLoad(at(2000))).toEqual(ownLoad);
 });
--- a/src/fleet/load-aggregator/index.ts
+++ b/src/fleet/load-aggregator/index.ts
@@ -18,9 +18,10 @@
 import type {Member} from '../../membership/member/index.js';
 import type {DatagramTransport} from '../../peers/datagram-channel/index.js';
 import {
-	formatLoad, parseLoad, sumsMessageType, type LoadEntry, type SumsMessage,
+	formatLoad, parseLoad, sumsMessageType, type LoadEntry, type PaceEntry, type SumsMessage,
 } from '../load-messages/index.js';
 import type {TargetLoad} from '../fleet-target/index.js';
+import type {PaceExchange} from '../pace-exchange/index.js';
 import type {PrefixDirectory, PrefixUse} from '../prefix-directory/index.js';
 import {rankAggregators} from '../rank-aggregators/index.js';
 import type {TargetFleet} from '../target-fleet/index.js';
@@ -31,6 +32,8 @@
 const aggregatorTimeoutMs = 1500;
 /** Time for which reported and summed loads count, in milliseconds; several rounds fit into it. */
 export const sumValidityMs = 1000;
+/** Mean age of the loads in sums when they arrive, in milliseconds: reports and sums wait for a round of 200 ms each. */
+const sumsAgeMs = 300;
 /** Rounds in which all live members are listed once to reporters, and those of the data centre to other aggregators. */
 const membersCycleRounds = {fleet: 3, dataCentre: 1} as const;
 /** Limits of the lists in one message. Messages above the size of a packet are fragmented, which is cheaper than sending several to each reporter. */
@@ -45,6 +48,7 @@
 	readonly clock: Clock;
 	readonly fleet: TargetFleet;
 	readonly prefixes: PrefixDirectory;
+	readonly paces: PaceExchange;
 	readonly channel: DatagramTransport;
 	readonly membership: AggregatedMembership;
 	readonly readSelf: () => Member;
@@ -95,6 +99,12 @@
 		this.ownUses = [...this.ownUses, ...uses].slice(-maximumPrefixUses);
 	}
 
+	/** Keeps observations of speeds that were made in this data centre, for the next sums. */
+	keepPaces(entries: readonly PaceEntry[] | undefined): void {
+		this.options.paces.keep(entries, 'fleet');
+		this.options.paces.keep(entries, 'dataCentre');
+	}
+
 	/** Sends the sums of a round to reporters and other aggregators. */
 	sendSums(now: MonotonicMs): void {
 		forgetOlder(this.reportedAt, now - reporterTimeoutMs);
@@ -123,11 +133,13 @@
 	private buildMessage(sender: MemberEntry, scope: SumsMessage['scope'], loads: readonly LoadEntry[], uses: readonly PrefixUse[], now: MonotonicMs): SumsMessage {
 		const {membership, readSelf} = this.options;
 		const {dataCentre} = readSelf();
+		const paces = this.options.paces.take(scope);
 		const isIncluded = (member: Member) => scope === 'fleet' || member.dataCentre === dataCentre;
 		return {
 			sender, scope, validMs: sumValidityMs,
-			loads: loads.filter(([, calls]) => calls > 0).toSorted((a, b) => b[3] - a[3]).slice(0, maximumLoads),
+			loads: loads.filter(([, calls]) => calls > 0).toSorted((a, b) => b[3] - a[3]).slice(0, maximumLoads - paces.length),
 			prefixes: uses.slice(-maximumPrefixUses),
+			paces: paces.length > 0 ? paces : undefined,
 			members: membership.listTurn(this.round, membersCycleRounds[scope], now, isIncluded).map(entry => formatMemberRow(entry)),
 			changedMembers: membership.pickChanged(maximumChangedMembers, now, isIncluded),
 		};
@@ -156,7 +168,7 @@
 	}
 
 	private receive(message: SumsMessage): void {
-		const {clock, membership, onSums, prefixes} = this.options;
+		const {clock, membership, onSums, prefixes, paces} = this.options;
 		const now = clock.readMonotonic();
 		const sender = parseMemberEntry(message.sender);
 		membership.applyEntry(sender, now);
@@ -172,11 +184,13 @@
 			prefixes.recordUse(prefix, target, now);
 		}
 
+		paces.record(message.paces, now);
 		if (message.scope === 'fleet') {
 			onSums(sender.id, now);
 			this.applyFleetSums(message, now);
 		} else {
 			this.aggregatorHeardAt.set(sender.id, now);
+			paces.keep(message.paces, 'fleet');
 			this.remoteUses = [...this.remoteUses, ...message.prefixes].slice(-maximumPrefixUses);
 			this.applyLoads(sender.id, message, now, load => load);
 		}
@@ -191,14 +205,15 @@
 
 	private applyLoads(key: InstanceId, {loads, validMs}: SumsMessage, now: MonotonicMs, adjust: (load: TargetLoad, id: LoadEntry[0]) => TargetLoad): void {
 		const entries = new Map(loads.map(entry => [entry[0], entry]));
+		const measuredAt = now - sumsAgeMs as MonotonicMs;
 		const expiresAt = now + validMs as MonotonicMs;
 		for (const target of this.options.fleet.list()) {
 			const {id} = target.description;
 			const entry = entries.get(id);
 			if (entry === undefined) {
-				target.forgetRemoteLoad(key);
+				target.forgetRemoteLoad(key, measuredAt);
 			} else {
-				target.recordRemoteLoad(key, adjust(parseLoad(entry), id), expiresAt);
+				target.recordRemoteLoad(key, adjust(parseLoad(entry), id), {measuredAt, expiresAt});
 			}
 		}
 	}
--- a/src/fleet/load-exchange/index.ts
+++ b/src/fleet/load-exchange/index.ts
@@ -17,8 +17,9 @@
 import type {TargetLoad} from '../fleet-target/index.js';
 import {LoadAggregator, sumValidityMs, type AggregatedMembership} from '../load-aggregator/index.js';
 import {
-	formatLoad, loadMessageType, parseLoad, type LoadEntry, type LoadMessage,
+	formatLoad, loadMessageType, parseLoad, type LoadEntry, type LoadMessage, type PaceEntry,
 } from '../load-messages/index.js';
+import {PaceExchange} from '../pace-exchange/index.js';
 import type {PrefixDirectory, PrefixUse} from '../prefix-directory/index.js';
 import {hasAggregators, rankAggregators} from '../rank-aggregators/index.js';
 import type {TargetFleet} from '../target-fleet/index.js';
@@ -61,6 +62,8 @@
 	/** Live instances other than this one. */
 	readonly listPeers: () => readonly Member[];
 	readonly membership: AggregatedMembership;
+	/** Whether observations of the speeds of targets are passed on in a large fleet; not if it is undefined. */
+	readonly sharesPaces?: () => boolean;
 };
 
 type LastReport = {readonly round: number; readonly nextUseNumber: number; readonly wasIdle: boolean};
@@ -70,6 +73,7 @@
 	/** The last report sent to each instance. */
 	private readonly lastReports = new Map<InstanceId, LastReport>();
 	private readonly aggregator: LoadAggregator;
+	private readonly paces: PaceExchange;
 	private readonly aggregatorChoice = new AggregatorChoice();
 	/** The loads in the last report to an aggregator. */
 	private reportedLoads: ReadonlyMap<LoadEntry[0], TargetLoad> = new Map();
@@ -81,8 +85,9 @@
 		options.channel.register(loadMessageType, body => {
 			this.receive(body as LoadMessage);
 		});
+		this.paces = new PaceExchange(options.fleet, () => options.sharesPaces?.() ?? false);
 		this.aggregator = new LoadAggregator({
-			...options,
+			...options, paces: this.paces,
 			readReportedLoad: target => this.reportedLoads.get(target),
 			onSums: (sender, now) => {
 				this.aggregatorChoice.recordSums(sender, now);
@@ -118,11 +123,13 @@
 		if (this.aggregator.hasReporters() || aggregator?.id === self.id) {
 			this.aggregatorChoice.recordSums(self.id, now);
 			this.aggregator.recordUses(this.takeOwnUses(self.id));
+			this.aggregator.keepPaces(this.paces.takeOwn(now));
 			this.aggregator.sendSums(now);
 		} else if (aggregator !== undefined) {
-			const loads = this.listLoads(aggregatedLimits.loads);
+			const paces = this.paces.takeOwn(now);
+			const loads = this.listLoads(aggregatedLimits.loads - paces.length);
 			this.reportedLoads = new Map(loads.map(entry => [entry[0], parseLoad(entry)]));
-			this.report([aggregator], loads, aggregatedLimits);
+			this.report([aggregator], loads, aggregatedLimits, paces.length > 0 ? paces : undefined);
 		}
 	}
 
@@ -142,7 +149,7 @@
 	}
 
 	/** Sends a report to receivers that need the same prefix uses. */
-	private report(receivers: readonly Member[], loads: readonly LoadEntry[], limits: ReportLimits): void {
+	private report(receivers: readonly Member[], loads: readonly LoadEntry[], limits: ReportLimits, paces?: readonly PaceEntry[]): void {
 		const {channel, prefixes, membership} = this.options;
 		const uses = prefixes.listOwnUses(this.lastReports.get(receivers[0]!.id)?.nextUseNumber ?? 0, limits.prefixUses);
 		const dueReceivers = receivers.filter(peer => loads.length > 0 || uses.length > 0 || this.isEmptyReportDue(peer, limits.idleRounds));
@@ -152,7 +159,7 @@
 
 		if (dueReceivers.length > 0) {
 			const message: LoadMessage = {
-				sender: membership.describeSelf(), validMs: limits.validMs, loads, prefixes: uses,
+				sender: membership.describeSelf(), validMs: limits.validMs, loads, prefixes: uses, paces,
 			};
 			channel.send(dueReceivers.map(peer => peer.peerAddress), loadMessageType, message);
 		}
@@ -198,7 +205,7 @@
 		return loads.length <= limit ? loads : loads.toSorted((a, b) => b[3] - a[3]).slice(0, limit);
 	}
 
-	private receive({sender, validMs, loads, prefixes: uses}: LoadMessage): void {
+	private receive({sender, validMs, loads, prefixes: uses, paces}: LoadMessage): void {
 		const {clock, fleet, prefixes, membership} = this.options;
 		const now = clock.readMonotonic();
 		const senderId = sender.id;
@@ -213,12 +220,14 @@
 			if (entry === undefined) {
 				target.forgetRemoteLoad(senderId);
 			} else {
-				target.recordRemoteLoad(senderId, parseLoad(entry), now + validMs as MonotonicMs);
+				target.recordRemoteLoad(senderId, parseLoad(entry), {expiresAt: now + validMs as MonotonicMs});
 			}
 		}
 
 		if (this.usesAggregators) {
 			this.aggregator.recordReport(senderId, uses, now);
+			this.paces.record(paces, now);
+			this.aggregator.keepPaces(paces);
 		}
 	}
 }
--- a/src/fleet/load-messages/index.ts
+++ b/src/fleet/load-messages/index.ts
@@ -14,6 +14,9 @@
 /** Load of one target: calls in flight, prompt tokens still to compute and engine memory taken, in tokens. */
 export type LoadEntry = readonly [id: TargetId, calls: number, prefillTokens: number, memoryTokens: number];
 
+/** What a target was seen to do since the last report: work in prompt tokens, and the time that it took, in milliseconds. */
+export type PaceEntry = readonly [id: TargetId, workTokens: number, ms: number];
+
 /** Report of one instance on the work that it has sent to targets. */
 export type LoadMessage = {
 	readonly sender: MemberEntry;
@@ -21,6 +24,8 @@
 	readonly validMs: number;
 	readonly loads: readonly LoadEntry[];
 	readonly prefixes: readonly PrefixUse[];
+	/** Only in a large fleet; absent in reports of the previous release. */
+	readonly paces?: readonly PaceEntry[];
 };
 
 /** Sums of an aggregator. */
@@ -32,6 +37,8 @@
 	readonly validMs: number;
 	readonly loads: readonly LoadEntry[];
 	readonly prefixes: readonly PrefixUse[];
+	/** Paces that the receiver has not been told; absent in sums of the previous release. */
+	readonly paces?: readonly PaceEntry[];
 	/** Live members by turns, and recently changed ones in full. */
 	readonly members: readonly MemberRow[];
 	readonly changedMembers: readonly MemberEntry[];
--- a/src/fleet/prefix-directory/test.ts
+++ b/src/fleet/prefix-directory/test.ts
@@ -41,3 +41,15 @@
 test('guards against equal keys for one prefix id in two namespaces', () => {
 	expect(formatPrefixKey('org/1', 'p') === formatPrefixKey('org/2', 'p')).toEqual(false);
 });
+
+test('guards against a prefix that still counts as hot when its uses have stopped', () => {
+	const directory = new PrefixDirectory();
+	for (let ms = 0; ms < 20_000; ms += 50) {
+		directory.recordUse('hot', a, at(ms));
+	}
+
+	const perSecond = directory.readUsesPerSecond('hot', at(20_000));
+	expect(perSecond > 18 && perSecond < 22).toEqual(true);
+	expect(directory.readUsesPerSecond('hot', at(35_000)) < 1).toEqual(true);
+	expect(directory.readUsesPerSecond('unknown', at(0))).toEqual(0);
+});
--- /dev/null
+++ b/src/fleet/remote-loads/index.ts
@@ -0,0 +1,118 @@
+/**
+ * Work in flight at one target that other instances reported, and an estimate of what it has become since.
+ *
+ * While a report is on its way, other instances send further work and some of the reported work ends. The older the report,
+ * the less it tells of the present. The estimate therefore moves from the reported value to the mean of the last
+ * seconds, as fast as calls of the service end.
+ */
+
+import type {InstanceId, MonotonicMs} from '../../identity/ids/index.js';
+import type {ServicePace} from '../service-pace/index.js';
+
+/** Work in flight that one instance has sent to a target. */
+export type TargetLoad = {
+	readonly calls: number;
+	/** Prompt tokens that the target still has to compute. */
+	readonly prefillTokens: number;
+	/** Engine memory that the calls take, in tokens. */
+	readonly memoryTokens: number;
+};
+
+/** When a report of loads was made, and until when it counts. */
+export type ReportTimes = {
+	/** Undefined for reports that need no correction. */
+	readonly measuredAt?: MonotonicMs;
+	readonly expiresAt: MonotonicMs;
+};
+
+type RemoteLoad = {readonly load: TargetLoad; readonly times: ReportTimes};
+
+/** Time over which the mean is taken, in milliseconds. */
+const averagingMs = 3000;
+
+/** No work. */
+export const noLoad: TargetLoad = {calls: 0, prefillTokens: 0, memoryTokens: 0};
+
+/** Reported loads of one target. */
+export class RemoteLoads {
+	private readonly loads = new Map<InstanceId, RemoteLoad>();
+	/** Mean of the reports that need correction. */
+	private average = noLoad;
+	/** When the last report that needs correction was made; undefined if there was none. */
+	private lastMeasuredAt: MonotonicMs | undefined;
+
+	/** Records what `instance` reported. */
+	record(instance: InstanceId, load: TargetLoad, times: ReportTimes): void {
+		this.updateAverage(times.measuredAt);
+		this.loads.set(instance, {load, times});
+	}
+
+	/** Records that `instance` has no work in flight. `measuredAt` is undefined for a report that needs no correction. */
+	forget(instance: InstanceId, measuredAt?: MonotonicMs): void {
+		this.updateAverage(measuredAt);
+		this.loads.delete(instance);
+	}
+
+	/** Sums up the reports, or those of `instances`. Reports that have expired are deleted. */
+	sum(now: MonotonicMs, instances?: {has(instance: InstanceId): boolean}): TargetLoad {
+		return this.sumWhere(now, instance => instances === undefined || instances.has(instance));
+	}
+
+	/**
+	 * Estimates the present work from the reports and the mean. Memory is never estimated below what was reported, because
+	 * calls that begin on full memory evict cached prefixes.
+	 */
+	estimate({responseMs, callMs}: ServicePace, now: MonotonicMs): TargetLoad {
+		const reported = this.sum(now);
+		if (this.lastMeasuredAt === undefined) {
+			return reported;
+		}
+
+		const ageMs = Math.max(0, now - this.lastMeasuredAt);
+		const prefillChange = 1 - Math.exp(-ageMs / responseMs);
+		const callChange = 1 - Math.exp(-ageMs / callMs);
+		const old = this.sumOld(now);
+		return {
+			calls: reported.calls + ((this.average.calls - old.calls) * callChange),
+			prefillTokens: reported.prefillTokens + ((this.average.prefillTokens - old.prefillTokens) * prefillChange),
+			memoryTokens: reported.memoryTokens + (Math.max(0, this.average.memoryTokens - old.memoryTokens) * callChange),
+		};
+	}
+
+	/** Sums up the reports that need correction. */
+	private sumOld(now: MonotonicMs): TargetLoad {
+		return this.sumWhere(now, (_, {times}) => times.measuredAt !== undefined);
+	}
+
+	private sumWhere(now: MonotonicMs, isIncluded: (instance: InstanceId, remoteLoad: RemoteLoad) => boolean): TargetLoad {
+		let {calls, prefillTokens, memoryTokens} = noLoad;
+		for (const [instance, remoteLoad] of this.loads) {
+			const {load, times} = remoteLoad;
+			if (now > times.expiresAt) {
+				this.loads.delete(instance);
+			} else if (isIncluded(instance, remoteLoad)) {
+				calls += load.calls;
+				prefillTokens += load.prefillTokens;
+				memoryTokens += load.memoryTokens;
+			}
+		}
+
+		return {calls, prefillTokens, memoryTokens};
+	}
+
+	/** Adds the reports that counted until `measuredAt` to the mean, by the time for which they did. */
+	private updateAverage(measuredAt: MonotonicMs | undefined): void {
+		if (measuredAt === undefined) {
+			return;
+		}
+
+		const weight = 1 - Math.exp(-Math.max(0, measuredAt - (this.lastMeasuredAt ?? measuredAt)) / averagingMs);
+		const {calls, prefillTokens, memoryTokens} = this.sumOld(measuredAt);
+		this.lastMeasuredAt = measuredAt;
+		this.average = {
+			calls: this.average.calls + ((calls - this.average.calls) * weight),
+			prefillTokens: this.average.prefillTokens + ((prefillTokens - this.average.prefillTokens) * weight),
+			memoryTokens: this.average.memoryTokens + ((memoryTokens - this.average.memoryTokens) * weight),
+		};
+	}
+}
--- a/src/fleet/target-fleet/index.ts
+++ b/src/fleet/target-fleet/index.ts
@@ -6,6 +6,7 @@
 import {BrittleServices} from '../../statements/brittle-services/index.js';
 import {isSameProcess, StatementRegister} from '../../statements/statement-register/index.js';
 import {FleetTarget, type TargetDescription} from '../fleet-target/index.js';
+import {ServicePace} from '../service-pace/index.js';
 
 /** All listed targets, indexed by id and by service. */
 export class TargetFleet {
@@ -14,6 +15,7 @@
 	private readonly brittleServices = new BrittleServices();
 	private readonly targets = new Map<TargetId, FleetTarget>();
 	private targetsByService = new Map<ServiceId, FleetTarget[]>();
+	private readonly paces = new Map<ServiceId, ServicePace>();
 	private readonly listeners = new Set<() => void>();
 
 	constructor(private readonly logger: EventLogger) {}
@@ -98,7 +100,7 @@
 			return;
 		}
 
-		const target = new FleetTarget(description, statements);
+		const target = new FleetTarget(description, statements, this.findOrCreatePace(description.service));
 		this.brittleServices.complete(target, this.targets.values(), now);
 		this.targets.set(description.id, target);
 		this.logger.info('target known', {
@@ -107,6 +109,12 @@
 		});
 	}
 
+	private findOrCreatePace(service: ServiceId): ServicePace {
+		const pace = this.paces.get(service) ?? new ServicePace();
+		this.paces.set(service, pace);
+		return pace;
+	}
+
 	private rebuildServiceIndex(): void {
 		const targetsByService = new Map<ServiceId, FleetTarget[]>();
 		for (const target of this.targets.values()) {
--- a/src/forwarding/call-attempts/index.ts
+++ b/src/forwarding/call-attempts/index.ts
@@ -66,7 +66,7 @@
 
 	/** Records that an attempt has ended; `mayHaveRun`: whether it may have run the call. */
 	end(attempt: Attempt, mayHaveRun: boolean): void {
-		attempt.target.endCall(attempt.record);
+		attempt.target.endCall(attempt.record, attempt.lastReceivedAt);
 		this.runs += mayHaveRun ? 1 : 0;
 		this.open.delete(attempt);
 	}
--- a/src/forwarding/forwarding-context/index.ts
+++ b/src/forwarding/forwarding-context/index.ts
@@ -1,6 +1,7 @@
 /** Dependencies that all forwarded calls of an instance share. */
 
 import type {Clock} from '../../clock/clock/index.js';
+import type {PlacementPolicy} from '../../fleet/placement-policy/index.js';
 import type {PrefixDirectory} from '../../fleet/prefix-directory/index.js';
 import type {TargetFleet} from '../../fleet/target-fleet/index.js';
 import type {DataCentreId} from '../../identity/ids/index.js';
@@ -54,6 +55,8 @@
 	readonly streamOrigins: StreamOrigins;
 	readonly reachability: ReachabilityMonitor;
 	readonly dataCentre: DataCentreId;
+	/** Returns how targets are compared; undefined for a comparison by reported loads. */
+	readonly readPlacementPolicy?: () => PlacementPolicy | undefined;
 	/** Returns a random number from 0 (inclusive) to 1 (exclusive). */
 	readonly draw: () => number;
 	/** Finds the history of the weights versions announced for a model; undefined when there are none. */
--- a/src/forwarding/prefix-hints/index.ts
+++ b/src/forwarding/prefix-hints/index.ts
@@ -56,6 +56,17 @@
 		}));
 	}
 
+	/** Estimates the tokens beyond the shared prefix that calls of all instances bring to its holders in a second. */
+	measurePromptTokensPerSecond(holders: ReadonlySet<FleetTarget>, now: MonotonicMs): number {
+		const keys = new Set([...holders].map(holder => this.formatKey(holder)));
+		let usesPerSecond = 0;
+		for (const key of keys) {
+			usesPerSecond += key === undefined ? 0 : this.directory.readUsesPerSecond(key, now);
+		}
+
+		return usesPerSecond * (this.work?.parts.at(-1)?.tokens ?? 0);
+	}
+
 	/** Records that `target` holds the shared prefix from now on. */
 	recordUse(target: FleetTarget, now: MonotonicMs): void {
 		const key = this.formatKey(target);
--- a/src/forwarding/prefix-hints/test.ts
+++ b/src/forwarding/prefix-hints/test.ts
@@ -38,3 +38,18 @@
 	const plain = new PrefixHints(undefined, undefined, new PrefixDirectory());
 	expect(plain.formatCacheScope(createFleetTarget('t'))).toEqual(undefined);
 });
+
+test('estimates the work that all calls with the shared prefix bring to its holders, for the weights that these serve', () => {
+	const directory = new PrefixDirectory();
+	const target = createFleetTarget('t');
+	const hints = new PrefixHints(work, undefined, directory);
+	for (let ms = 0; ms < 20_000; ms += 100) {
+		hints.recordUse(target, ms as MonotonicMs);
+	}
+
+	const perSecond = hints.measurePromptTokensPerSecond(new Set([target]), 20_000 as MonotonicMs);
+	expect(perSecond > 27_000 && perSecond < 33_000).toEqual(true);
+	expect(hints.measurePromptTokensPerSecond(new Set(), 20_000 as MonotonicMs)).toEqual(0);
+	target.recordVersion(testModel, 2);
+	expect(hints.measurePromptTokensPerSecond(new Set([target]), 20_000 as MonotonicMs)).toEqual(0);
+});
--- a/src/forwarding/select-target/index.ts
+++ b/src/forwarding/select-target/index.ts
@@ -27,6 +27,7 @@
 	const {work} = session.call;
 	const engineTokens = context.findService(session.service)?.engine?.memoryTokens;
 	const targets = listCandidates(selection, context.fleet);
+	const holders = hints.selectHolders(targets, now);
 	const excluded = new Set(triedTargets);
 	const query: TargetQuery = {
 		targets,
@@ -37,7 +38,9 @@
 			? undefined
 			: {callTokens: hints.memoryTokens, engineTokens},
 		sharedPrefix: hints.sharedPrefix,
-		holders: hints.selectHolders(targets, now),
+		holders,
+		promptTokensPerSecond: hints.measurePromptTokensPerSecond(holders, now),
+		policy: context.readPlacementPolicy?.(),
 		dataCentre: context.dataCentre,
 		draw: context.draw(),
 	};
--- a/src/gateway/gateway-settings/index.ts
+++ b/src/gateway/gateway-settings/index.ts
@@ -31,6 +31,8 @@
 	quotaTolerance: z.object({ratio: z.number().min(0).max(1), extraTokens: z.number().min(0)}),
 	/** Time after newer weights are named from which no call may start on older ones, in milliseconds. */
 	weightsLimitMs: z.number().positive(),
+	/** Whether targets are chosen by learned speeds and by loads that are corrected for the age of reports. */
+	evenLoad: z.boolean().default(false),
 	/** What the instance may use: its share of each core, the number of cores, and the bandwidth of its link. */
 	capacity: z.object({
 		coreShare: z.number().positive(), cores: z.number().positive(), linkMegabitsPerSecond: z.number().positive(),
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -3,6 +3,7 @@
 import {setMaxListeners} from 'node:events';
 import type {Clock} from '../../clock/clock/index.js';
 import type {PlannedStop} from '../../daemon/planned-stop/index.js';
+import {LearnedLoadPolicy} from '../../fleet/learned-load-policy/index.js';
 import {LoadExchange} from '../../fleet/load-exchange/index.js';
 import {PrefixDirectory} from '../../fleet/prefix-directory/index.js';
 import {TargetFleet} from '../../fleet/target-fleet/index.js';
@@ -46,6 +47,7 @@
 import type {GatewayMetrics} from '../gateway-metrics/index.js';
 import {InstanceRegistry} from '../instance-registry/index.js';
 import {listGauges} from '../list-gauges/index.js';
+import {LoadGauges} from '../load-gauges/index.js';
 import type {PlatformAdapter} from '../platform-adapter/index.js';
 import {ServiceRetryBudgets} from '../service-retry-budgets/index.js';
 import type {SettingsStore} from '../settings-store/index.js';
@@ -65,6 +67,7 @@
 const maximumTasks = 24;
 /** Number of distinct values that `draw` returns. */
 const drawResolution = 0x40_00_00_00;
+const learnedLoadPolicy = new LearnedLoadPolicy();
 
 /** One gateway instance. */
 export class Gateway {
@@ -177,6 +180,7 @@
 			clock, random, fleet: this.fleet, prefixes: this.prefixDirectory, channel: this.datagramChannel, membership: this.membership,
 			readSelf: () => this.membership.readSelf(),
 			listPeers: () => this.listPeers(),
+			sharesPaces: () => store.current.evenLoad,
 		});
 		this.listener = new CallListener({
 			context: this.createContext(), protocol: adapter.callerProtocol, readTable: () => this.routing.readForCall(), handover: this.handover.calls,
@@ -188,7 +192,10 @@
 			},
 		});
 		metrics.addGauges(listGauges({
-			listener: this.listener, sources: [this.quarantine, ...Object.values(this.statements), this.streams, this.handover.calls],
+			listener: this.listener,
+			sources: [
+				this.quarantine, ...Object.values(this.statements), this.streams, this.handover.calls, new LoadGauges(this.fleet, clock),
+			],
 			objectApi: adapter.objectApi,
 			countMembers: () => this.listPeers().length + 1, readRevision: () => this.feeds.readRevision(),
 		}));
@@ -282,6 +289,7 @@
 			protocol: adapter.targetProtocol, quota: this.quotaLending, promptGuard: this.quarantine.prompts, requestGuard: this.quarantine.requests,
 			limits: this.statements.limits, leavingNotices: this.statements.leavingNotices, streamOrigins: this.streams,
 			reachability: this.handover.reachability,
+			readPlacementPolicy: () => settings.current.evenLoad ? learnedLoadPolicy : undefined,
 			dataCentre: settings.current.dataCentre as DataCentreId,
 			draw: () => random.pickIndex(drawResolution) / drawResolution,
 			findVersionHistory: model => this.weightsRegistry.find(model),
--- a/src/random/rank-by-hash/index.ts
+++ b/src/random/rank-by-hash/index.ts
@@ -14,8 +14,24 @@
 	return weighted.toSorted((a, b) => b.weight - a.weight).map(({item}) => item);
 }
 
+/** Picks the first `count` items of the ranking for `key`. `readHash` returns the `hashText` of an item's id. */
+export function pickByHash<Item>(key: string, items: readonly Item[], count: number, readHash: (item: Item) => number): Item[] {
+	const keyHash = hashText(key);
+	const picked: Array<{readonly item: Item; readonly weight: number}> = [];
+	for (const item of items) {
+		const weight = Math.imul(keyHash, readHash(item));
+		if (picked.length < count || weight > picked.at(-1)!.weight) {
+			const position = picked.findIndex(other => weight > other.weight);
+			picked.splice(position === -1 ? picked.length : position, 0, {item, weight});
+			picked.length = Math.min(picked.length, count);
+		}
+	}
+
+	return picked.map(({item}) => item);
+}
+
 /** Hashes a text to an odd 32-bit number. Products of odd numbers modulo a power of two are evenly distributed. */
-function hashText(text: string): number {
+export function hashText(text: string): number {
 	let hash = hashCache.get(text);
 	if (hash === undefined) {
 		const value = hashToNumber(text);
