--- a/src/fleet/fleet-target/index.ts
+++ b/src/fleet/fleet-target/index.ts
@@ -264,7 +264,7 @@
 
 	/** Engine memory that the calls of all instances take, with what was probably sent since the reports, in tokens. */
 	estimateMemory(now: MonotonicMs): number {
-		return this.readOwnLoad().memoryTokens + this.remoteLoads.estimate(this.pace, now).memoryTokens;
+		return this.readOwnLoad().memoryTokens + this.remoteLoads.estimateMemory(this.pace, now);
 	}
 
 	/** Work in flight from all instances as reported. */
--- a/src/fleet/load-exchange/test.ts
+++ b/src/fleet/load-exchange/test.ts
@@ -56,14 +56,14 @@
 const dataCentreCount = 3;
 
 /** Creates instances that exchange loads over a fake network without loss. */
-function createExchangingInstances(count: number) {
+function createExchangingInstances(count: number, {targets = 98, sharesPaces = false} = {}) {
 	const clock = new ManualClock();
 	const controller = new AbortController();
 	const members = Array.from({length: count}, (_, index) => createMember(`i${index}`, {dataCentre: `dc-${index % dataCentreCount}` as DataCentreId}));
 	const network = new FakeDatagramNetwork();
 	const instances = members.map((member, index) => {
 		const fleet = new TargetFleet(quietLogger);
-		fleet.replace(Array.from({length: 98}, (_item, number) => createDescription(`i-${number}c37c357a`)), clock.readMonotonic());
+		fleet.replace(Array.from({length: targets}, (_item, number) => createDescription(`i-${number}c37c357a`)), clock.readMonotonic());
 		const prefixes = new PrefixDirectory();
 		const membership = createMembershipHeartbeats(member.id);
 		const exchange = new LoadExchange({
@@ -71,6 +71,7 @@
 			channel: network.open(member.peerAddress),
 			readSelf: () => member,
 			listPeers: () => members.filter(other => other !== member),
+			sharesPaces: () => sharesPaces,
 		});
 		void exchange.run(controller.signal);
 		return {fleet, prefixes, membership};
@@ -113,6 +114,39 @@
 	stop();
 });
 
+/** Lets each instance of a large fleet work at all of its targets for 3 s; returns what was sent, and the instances. */
+async function exchangeBusyLoads(sharesPaces: boolean) {
+	const {clock, instances, sent, stop} = createExchangingInstances(24, {targets: 200, sharesPaces});
+	for (const {fleet} of instances) {
+		for (const [index, target] of [...fleet.list()].entries()) {
+			target.beginCall(1000, clock.readMonotonic(), 9000 + index);
+		}
+	}
+
+	for (let round = 0; round < 15; round += 1) {
+		await clock.advance(200);
+		for (const [index, {fleet}] of instances.entries()) {
+			const target = fleet.locate(`i-${index}c37c357a` as TargetId)!;
+			target.speed.recordOwn({workTokens: 6000, ms: index === 0 ? 400 : 100}, clock.readMonotonic());
+		}
+	}
+
+	// Each instance sends once more when it is stopped.
+	const sentBefore = {...sent};
+	stop();
+	return {sent: sentBefore, instances, now: clock.readMonotonic()};
+}
+
+test('guards against larger or more messages for the speeds of targets, which all instances learn from the calls of each', async () => {
+	const without = await exchangeBusyLoads(false);
+	const {sent, instances, now} = await exchangeBusyLoads(true);
+	expect(sent.largestBytes <= without.sent.largestBytes).toEqual(true);
+	expect(sent.datagrams).toEqual(without.sent.datagrams);
+	for (const {fleet} of instances) {
+		expect(fleet.locate('i-0c37c357a' as TargetId)!.speed.read(now) < 0.8).toEqual(true);
+	}
+});
+
 test('guards against treating an idle instance as dead', async () => {
 	const {clock, instances, stop} = createExchangingInstances(9);
 	await clock.advance(2000);
--- a/src/fleet/remote-loads/index.ts
+++ b/src/fleet/remote-loads/index.ts
@@ -55,49 +55,61 @@
 
 	/** Sums up the reports, or those of `instances`. Reports that have expired are deleted. */
 	sum(now: MonotonicMs, instances?: {has(instance: InstanceId): boolean}): TargetLoad {
-		return this.sumWhere(now, instance => instances === undefined || instances.has(instance));
+		let {calls, prefillTokens, memoryTokens} = noLoad;
+		for (const [instance, {load, times}] of this.loads) {
+			if (now > times.expiresAt) {
+				this.loads.delete(instance);
+			} else if (instances === undefined || instances.has(instance)) {
+				calls += load.calls;
+				prefillTokens += load.prefillTokens;
+				memoryTokens += load.memoryTokens;
+			}
+		}
+
+		return {calls, prefillTokens, memoryTokens};
 	}
 
-	/**
-	 * Estimates the present work from the reports and the mean. Memory is never estimated below what was reported, because
-	 * calls that begin on full memory evict cached prefixes.
-	 */
+	/** Estimates the present work from the reports and the mean. */
 	estimate({responseMs, callMs}: ServicePace, now: MonotonicMs): TargetLoad {
 		const reported = this.sum(now);
 		if (this.lastMeasuredAt === undefined) {
 			return reported;
 		}
 
-		const ageMs = Math.max(0, now - this.lastMeasuredAt);
-		const prefillChange = 1 - Math.exp(-ageMs / responseMs);
-		const callChange = 1 - Math.exp(-ageMs / callMs);
 		const old = this.sumOld(now);
+		const callChange = this.calculateChange(callMs, now);
 		return {
 			calls: reported.calls + ((this.average.calls - old.calls) * callChange),
-			prefillTokens: reported.prefillTokens + ((this.average.prefillTokens - old.prefillTokens) * prefillChange),
+			prefillTokens: reported.prefillTokens + ((this.average.prefillTokens - old.prefillTokens) * this.calculateChange(responseMs, now)),
 			memoryTokens: reported.memoryTokens + (Math.max(0, this.average.memoryTokens - old.memoryTokens) * callChange),
 		};
 	}
 
-	/** Sums up the reports that need correction. */
-	private sumOld(now: MonotonicMs): TargetLoad {
-		return this.sumWhere(now, (_, {times}) => times.measuredAt !== undefined);
-	}
-
-	private sumWhere(now: MonotonicMs, isIncluded: (instance: InstanceId, remoteLoad: RemoteLoad) => boolean): TargetLoad {
-		let {calls, prefillTokens, memoryTokens} = noLoad;
-		for (const [instance, remoteLoad] of this.loads) {
-			const {load, times} = remoteLoad;
-			if (now > times.expiresAt) {
-				this.loads.delete(instance);
-			} else if (isIncluded(instance, remoteLoad)) {
-				calls += load.calls;
-				prefillTokens += load.prefillTokens;
-				memoryTokens += load.memoryTokens;
+	/**
+	 * Estimates the memory that the present work takes. It is never below what was reported, because calls that begin on full
+	 * memory evict cached prefixes.
+	 */
+	estimateMemory({callMs}: ServicePace, now: MonotonicMs): number {
+		let reported = 0;
+		let old = 0;
+		for (const {load, times} of this.loads.values()) {
+			if (now <= times.expiresAt) {
+				reported += load.memoryTokens;
+				old += times.measuredAt === undefined ? 0 : load.memoryTokens;
 			}
 		}
 
-		return {calls, prefillTokens, memoryTokens};
+		return this.average.memoryTokens > old ? reported + ((this.average.memoryTokens - old) * this.calculateChange(callMs, now)) : reported;
+	}
+
+	/** Calculates how far work that lasts `meanMs` has moved to its mean since the last report that needs correction, from 0 to 1. */
+	private calculateChange(meanMs: number, now: MonotonicMs): number {
+		return 1 - Math.exp(-Math.max(0, now - this.lastMeasuredAt!) / meanMs);
+	}
+
+	/** Sums up the reports that need correction. */
+	private sumOld(now: MonotonicMs): TargetLoad {
+		return this.sum(now, {has: instance => this.loads.get(instance)!.times.measuredAt !== undefined});
 	}
 
 	/** Adds the reports that counted until `measuredAt` to the mean, by the time for which they did. */
--- a/src/fleet/remote-loads/test.ts
+++ b/src/fleet/remote-loads/test.ts
@@ -49,4 +49,6 @@
 	const full = createSteadyLoads(noLoad);
 	full.record(sums, busy, {measuredAt: at(19_900), expiresAt: at(21_200)});
 	expect(full.estimate(pace, at(20_300)).memoryTokens).toEqual(40_000);
+	expect(full.estimateMemory(pace, at(20_300))).toEqual(40_000);
+	expect(idle.estimateMemory(pace, at(20_300))).toEqual(idle.estimate(pace, at(20_300)).memoryTokens);
 });
