--- a/src/fleet/load-exchange/index.ts
+++ b/src/fleet/load-exchange/index.ts
@@ -18,8 +18,9 @@
 import type {TargetLoad} from '../fleet-target/index.js';
 import {LoadAggregator, sumValidityMs, type AggregatedMembership} from '../load-aggregator/index.js';
 import {
-	formatLoad, formatWaiting, loadMessageType, parseLoad, type LoadEntry, type LoadMessage,
+	formatLoad, formatWaiting, loadMessageType, parseLoad, type LoadEntry, type LoadMessage, type PaceEntry,
 } from '../load-messages/index.js';
+import {PaceExchange} from '../pace-exchange/index.js';
 import type {PrefixDirectory, PrefixUse} from '../prefix-directory/index.js';
 import {hasAggregators, rankAggregators} from '../rank-aggregators/index.js';
 import type {TargetFleet} from '../target-fleet/index.js';
@@ -64,6 +65,8 @@
 	readonly membership: AggregatedMembership;
 	/** Without it, no calls wait in queues. */
 	readonly backlog?: SharedBacklog | undefined;
+	/** Whether observations of the speeds of targets are passed on in a large fleet; not if it is undefined. */
+	readonly sharesPaces?: () => boolean;
 };
 
 type LastReport = {readonly round: number; readonly nextUseNumber: number; readonly wasIdle: boolean};
@@ -73,6 +76,7 @@
 	/** The last report sent to each instance. */
 	private readonly lastReports = new Map<InstanceId, LastReport>();
 	private readonly aggregator: LoadAggregator;
+	private readonly paces: PaceExchange;
 	private readonly aggregatorChoice = new AggregatorChoice();
 	/** The loads in the last report to an aggregator. */
 	private reportedLoads: ReadonlyMap<LoadEntry[0], TargetLoad> = new Map();
@@ -88,9 +92,11 @@
 			this.receive(body as LoadMessage);
 		});
 		this.backlog = options.backlog ?? new SharedBacklog(() => []);
+		this.paces = new PaceExchange(options.fleet, () => options.sharesPaces?.() ?? false);
 		this.aggregator = new LoadAggregator({
 			...options,
 			backlog: this.backlog,
+			paces: this.paces,
 			readReportedWaiting: () => this.reportedWaiting,
 			readReportedLoad: target => this.reportedLoads.get(target),
 			onSums: (sender, now) => {
@@ -127,12 +133,14 @@
 		if (this.aggregator.hasReporters() || aggregator?.id === self.id) {
 			this.aggregatorChoice.recordSums(self.id, now);
 			this.aggregator.recordUses(this.takeOwnUses(self.id));
+			this.aggregator.keepPaces(this.paces.takeOwn(now));
 			this.aggregator.sendSums(now);
 		} else if (aggregator !== undefined) {
-			const loads = this.listLoads(aggregatedLimits.loads);
+			const paces = this.paces.takeOwn(now);
+			const loads = this.listLoads(aggregatedLimits.loads - paces.length);
 			this.reportedLoads = new Map(loads.map(entry => [entry[0], parseLoad(entry)]));
 			this.reportedWaiting = this.backlog.listOwn();
-			this.report([aggregator], loads, aggregatedLimits);
+			this.report([aggregator], loads, aggregatedLimits, paces.length > 0 ? paces : undefined);
 		}
 	}
 
@@ -152,7 +160,7 @@
 	}
 
 	/** Sends a report to receivers that need the same prefix uses. */
-	private report(receivers: readonly Member[], loads: readonly LoadEntry[], limits: ReportLimits): void {
+	private report(receivers: readonly Member[], loads: readonly LoadEntry[], limits: ReportLimits, paces?: readonly PaceEntry[]): void {
 		const {channel, prefixes, membership} = this.options;
 		const uses = prefixes.listOwnUses(this.lastReports.get(receivers[0]!.id)?.nextUseNumber ?? 0, limits.prefixUses);
 		const waiting = formatWaiting(this.backlog.listOwn());
@@ -164,7 +172,7 @@
 
 		if (dueReceivers.length > 0) {
 			const message: LoadMessage = {
-				sender: membership.describeSelf(), validMs: limits.validMs, loads, prefixes: uses, waiting,
+				sender: membership.describeSelf(), validMs: limits.validMs, loads, prefixes: uses, waiting, paces,
 			};
 			channel.send(dueReceivers.map(peer => peer.peerAddress), loadMessageType, message);
 		}
@@ -210,7 +218,7 @@
 		return loads.length <= limit ? loads : loads.toSorted((a, b) => b[3] - a[3]).slice(0, limit);
 	}
 
-	private receive({sender, validMs, loads, prefixes: uses, waiting}: LoadMessage): void {
+	private receive({sender, validMs, loads, prefixes: uses, waiting, paces}: LoadMessage): void {
 		const {clock, fleet, prefixes, membership} = this.options;
 		const now = clock.readMonotonic();
 		const senderId = sender.id;
@@ -226,12 +234,14 @@
 			if (entry === undefined) {
 				target.forgetRemoteLoad(senderId);
 			} else {
-				target.recordRemoteLoad(senderId, parseLoad(entry), now + validMs as MonotonicMs);
+				target.recordRemoteLoad(senderId, parseLoad(entry), {expiresAt: now + validMs as MonotonicMs});
 			}
 		}
 
 		if (this.usesAggregators) {
 			this.aggregator.recordReport(senderId, uses, now);
+			this.paces.record(paces, now);
+			this.aggregator.keepPaces(paces);
 		}
 	}
 }
--- a/src/fleet/load-messages/index.ts
+++ b/src/fleet/load-messages/index.ts
@@ -15,6 +15,9 @@
 /** Load of one target: calls in flight, prompt tokens still to compute and engine memory taken, in tokens. */
 export type LoadEntry = readonly [id: TargetId, calls: number, prefillTokens: number, memoryTokens: number];
 
+/** What a target was seen to do since the last report: work in prompt tokens, and the time that it took, in milliseconds. */
+export type PaceEntry = readonly [id: TargetId, workTokens: number, ms: number];
+
 /** Report of one instance on the work that it has sent to targets. */
 export type LoadMessage = {
 	readonly sender: MemberEntry;
@@ -24,6 +27,8 @@
 	readonly prefixes: readonly PrefixUse[];
 	/** Calls in the admission queues of the sender; absent if none wait, and from instances of earlier releases. */
 	readonly waiting?: readonly WaitingEntry[] | undefined;
+	/** Only in a large fleet; absent in reports of the previous release. */
+	readonly paces?: readonly PaceEntry[];
 };
 
 /** Sums of an aggregator. */
@@ -37,6 +42,8 @@
 	readonly prefixes: readonly PrefixUse[];
 	/** Calls in the admission queues that the sums cover; absent if none wait, and from instances of earlier releases. */
 	readonly waiting?: readonly WaitingEntry[] | undefined;
+	/** Paces that the receiver has not been told; absent in sums of the previous release. */
+	readonly paces?: readonly PaceEntry[];
 	/** Live members by turns, and recently changed ones in full. */
 	readonly members: readonly MemberRow[];
 	readonly changedMembers: readonly MemberEntry[];
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -4,6 +4,7 @@
 import type {AdmissionQueues} from '../../admission/admission-queues/index.js';
 import type {Clock} from '../../clock/clock/index.js';
 import type {PlannedStop} from '../../daemon/planned-stop/index.js';
+import {LearnedLoadPolicy} from '../../fleet/learned-load-policy/index.js';
 import {LoadExchange} from '../../fleet/load-exchange/index.js';
 import {PrefixDirectory} from '../../fleet/prefix-directory/index.js';
 import {TargetFleet} from '../../fleet/target-fleet/index.js';
@@ -50,6 +51,7 @@
 import type {GatewayMetrics} from '../gateway-metrics/index.js';
 import {InstanceRegistry} from '../instance-registry/index.js';
 import {listGauges} from '../list-gauges/index.js';
+import {LoadGauges} from '../load-gauges/index.js';
 import type {PlatformAdapter} from '../platform-adapter/index.js';
 import {ServiceRetryBudgets} from '../service-retry-budgets/index.js';
 import type {SettingsStore} from '../settings-store/index.js';
@@ -69,6 +71,7 @@
 const maximumTasks = 24;
 /** Number of distinct values that `draw` returns. */
 const drawResolution = 0x40_00_00_00;
+const learnedLoadPolicy = new LearnedLoadPolicy();
 
 /** One gateway instance. */
 export class Gateway {
@@ -181,6 +184,7 @@
 			backlog: this.admission?.backlog,
 			readSelf: () => this.membership.readSelf(),
 			listPeers: () => this.listPeers(),
+			sharesPaces: () => store.current.evenLoad,
 		});
 		const intakeOptions = createIntake(settings, clock, logger);
 		this.listener = new CallListener({
@@ -194,9 +198,12 @@
 			},
 		});
 		const retryGauges = createRetryGauges(this.retryBudgets, clock);
+		const loadGauges = new LoadGauges(this.fleet, clock);
 		metrics.addGauges(listGauges({
 			listener: this.listener,
-			sources: [intakeOptions.intake, this.quarantine, this.streams, this.handover.calls, ...Object.values(this.statements), retryGauges],
+			sources: [
+				intakeOptions.intake, this.quarantine, this.streams, this.handover.calls, ...Object.values(this.statements), retryGauges, loadGauges,
+			],
 			objectApi: adapter.objectApi,
 			countMembers: () => this.listPeers().length + 1, readRevision: () => this.feeds.readRevision(),
 		}));
@@ -292,6 +299,7 @@
 			protocol: adapter.targetProtocol, quota: this.quotaLending, promptGuard: this.quarantine.prompts, requestGuard: this.quarantine.requests,
 			admission: this.admission, limits: this.statements.limits, leavingNotices: this.statements.leavingNotices, streamOrigins: this.streams,
 			reachability: this.handover.reachability,
+			readPlacementPolicy: () => settings.current.evenLoad ? learnedLoadPolicy : undefined,
 			dataCentre: settings.current.dataCentre as DataCentreId,
 			draw: () => random.pickIndex(drawResolution) / drawResolution,
 			findVersionHistory: model => this.weightsRegistry.find(model),
