--- a/src/fleet/load-exchange/test.ts
+++ b/src/fleet/load-exchange/test.ts
@@ -58,7 +58,7 @@
 const dataCentreCount = 3;
 
 /** Creates instances that exchange loads over a fake network, which loses datagrams while `isLost` says so. */
-function createExchangingInstances(count: number, {isLost = () => false, targets = 98, sharesPaces = false} = {}) {
+function createExchangingInstances(count: number, {isLost = (): boolean => false, targets = 98, sharesPaces = false} = {}) {
 	const clock = new ManualClock();
 	const controller = new AbortController();
 	const members = Array.from({length: count}, (_, index) => createMember(`i${index}`, {dataCentre: `dc-${index % dataCentreCount}` as DataCentreId}));
