--- a/src/admission/admission-queue/index.ts
+++ b/src/admission/admission-queue/index.ts
@@ -249,7 +249,7 @@
 	private makeRoom(call: QueuedCall, now: MonotonicMs): boolean {
 		const {bounds} = this.options;
 		while (!bounds.allows(call.bytes)) {
-			const evicted = chooseEvicted(this.entries.values(), call);
+			const evicted = bounds.fits(call.bytes) ? chooseEvicted(this.entries.values(), call) : undefined;
 			if (evicted === undefined) {
 				return false;
 			}
--- a/src/admission/admission-queue/test.ts
+++ b/src/admission/admission-queue/test.ts
@@ -228,3 +228,10 @@
 	await clock.advance(100);
 	expect(events.filter(({type}) => type === 'sent').map(({name, at}) => [name, at])).toEqual([['newcomer', 10], ['refused', 60]]);
 });
+
+test('guards against a call that evicts others in vain because it exceeds the bounds by itself', () => {
+	const {arrive, listNames} = createTestQueue({maximumBytes: 1_000_000});
+	arrive('low', {priority: 2});
+	arrive('oversized', {priority: 0, bytes: 2_000_000});
+	expect(listNames('refused')).toEqual(['oversized']);
+});
--- a/src/admission/queue-bounds/index.ts
+++ b/src/admission/queue-bounds/index.ts
@@ -30,6 +30,11 @@
 		return this.readLimits().longestWaitMs;
 	}
 
+	/** Whether a call with a body of `bytes` may wait if no other does. */
+	fits(bytes: number): boolean {
+		return bytes + callOverheadBytes <= this.readLimits().maximumBytes;
+	}
+
 	/** Whether a further call with a body of `bytes` may wait. */
 	allows(bytes: number): boolean {
 		const {maximumCalls, maximumBytes} = this.readLimits();
--- a/src/admission/queue-bounds/test.ts
+++ b/src/admission/queue-bounds/test.ts
@@ -11,6 +11,7 @@
 	bounds.add(0);
 	bounds.add(0);
 	expect(bounds.allows(0)).toEqual(false);
+	expect([bounds.fits(90_000), bounds.fits(100_000)]).toEqual([true, false]);
 	bounds.remove(50_000);
 	expect(bounds.allows(40_000)).toEqual(true);
 });
--- a/src/handover/can-rescue/index.ts
+++ b/src/handover/can-rescue/index.ts
@@ -6,7 +6,7 @@
 import type {Route} from '../../routing/routing-types/index.js';
 
 /** Errors of calls that found no target. */
-const rescuedErrors: ReadonlySet<string> = new Set<ResultName>(['targetRefused', 'noTarget']);
+const rescuedErrors: ReadonlySet<string> = new Set<ResultName>(['targetRefused', 'noTarget', 'overloaded']);
 
 /** Whether a call that ended with `error` may be passed on: no target ran it, or it may run again. */
 export function canRescue(error: RouterError, route: Route): boolean {
--- a/src/handover/can-rescue/test.ts
+++ b/src/handover/can-rescue/test.ts
@@ -11,3 +11,7 @@
 	expect(listRescued('nonIdempotent')).toEqual(['targetRefused', 'noTarget']);
 	expect(listRescued('idempotent')).toEqual(['targetRefused', 'noTarget', 'outcomeUnknown']);
 });
+
+test('guards against calls of an instance without paths that end because their targets seem full', () => {
+	expect(canRescue(createRouterError('overloaded'), createRoute('r', {kind: 'nonIdempotent'}))).toEqual(true);
+});
