--- a/src/fleet/learned-load-policy/index.ts
+++ b/src/fleet/learned-load-policy/index.ts
@@ -43,8 +43,8 @@
 	rate(candidates: Candidates, query: TargetQuery, now: MonotonicMs): RatedTarget[] {
 		const homes = selectHomes(candidates, query, now);
 		return sampleTargets(candidates, query, homes, now).map(target => {
-			const tokens = target.estimateLoad(now) + estimatePrefixTokens(target, query, homes) + typicalCallTokens;
-			return {target, cost: (tokens / weighSpeed(target, now)) + sumPenalties(target, query, now)};
+			const work = (target.estimateLoad(now) + typicalCallTokens) / weighSpeed(target, now);
+			return {target, cost: work + estimatePrefixTokens(target, query, homes) + sumPenalties(target, query, now)};
 		});
 	}
 }
--- a/src/fleet/learned-load-policy/test.ts
+++ b/src/fleet/learned-load-policy/test.ts
@@ -1,6 +1,7 @@
 import {test} from 'node:test';
 import {expect} from 'earl';
 import {createFleetTarget, testModel} from '../../fixtures/create-fleet-target/index.js';
+import {simulateFleet} from '../../fixtures/simulate-fleet/index.js';
 import {simulateUnevenFleet, type UnevenFleet} from '../../fixtures/simulate-uneven-fleet/index.js';
 import type {DataCentreId, InstanceId, MonotonicMs} from '../../identity/ids/index.js';
 import {RandomSource} from '../../random/random-source/index.js';
@@ -155,3 +156,19 @@
 	expect(after.p99Ms <= before.p99Ms * noWorseFactor).toEqual(true);
 	expect(after.recomputedTokensPerCall <= before.recomputedTokensPerCall * noWorseFactor).toEqual(true);
 });
+
+const calmFleet = {
+	instances: 62, engines: 63, callsPerSecond: 280, seconds: 8, stores: 3, subjects: 1600, firstEngines: 63, engineIntervalMs: 60, seed: 1,
+	policy: new LearnedLoadPolicy(),
+};
+
+test('guards against uneven load in a large fleet of equal engines with cache stores: no engine gets three times the mean', async () => {
+	const {busiestFactor, lateShare} = await simulateFleet(calmFleet);
+	expect(busiestFactor < 3).toEqual(true);
+	expect(lateShare < 0.01).toEqual(true);
+});
+
+test('guards against late answers after a rollout in a large fleet, with cold caches and 25 of 63 engines at first', async () => {
+	const {lateShare} = await simulateFleet({...calmFleet, firstEngines: 25});
+	expect(lateShare < 0.01).toEqual(true);
+});
