--- a/platform/soak/process-usage/index.ts
+++ b/src/soak/process-usage/index.ts
@@ -5,12 +5,15 @@
 
 const sampleIntervalMs = 20;
 const bytesPerKilobyte = 1024;
-/** The largest resident set since the start of the process. */
 const peakPattern = /^VmHWM:\s+(\d+) kB/mu;
+const residentPattern = /^VmRSS:\s+(\d+) kB/mu;
 
 /** Records the most that a process, and those that replace it, have used. */
 export class ProcessUsage {
+	/** Largest resident set since the start of the process. */
 	peakResidentBytes = 0;
+	/** Largest resident set among the samples, which leaves out what the start of the process took. */
+	peakSampledBytes = 0;
 	peakDescriptors = 0;
 
 	constructor(private readonly readProcessId: () => number | undefined) {}
@@ -23,7 +26,8 @@
 		}
 	}
 
-	private sample(): void {
+	/** Samples the usage once. */
+	sample(): void {
 		const processId = this.readProcessId();
 		if (processId === undefined) {
 			return;
@@ -31,11 +35,15 @@
 
 		try {
 			const status = readFileSync(`/proc/${processId}/status`, 'utf8');
-			const residentBytes = Number(peakPattern.exec(status)?.[1] ?? 0) * bytesPerKilobyte;
-			this.peakResidentBytes = Math.max(this.peakResidentBytes, residentBytes);
+			this.peakResidentBytes = Math.max(this.peakResidentBytes, readBytes(status, peakPattern));
+			this.peakSampledBytes = Math.max(this.peakSampledBytes, readBytes(status, residentPattern));
 			this.peakDescriptors = Math.max(this.peakDescriptors, readdirSync(`/proc/${processId}/fd`).length);
 		} catch {
 			// The process has ended.
 		}
 	}
 }
+
+function readBytes(status: string, pattern: RegExp): number {
+	return Number(pattern.exec(status)?.[1] ?? 0) * bytesPerKilobyte;
+}
--- a/platform/soak/untrusted-caller/index.ts
+++ b/src/soak/untrusted-caller/index.ts
@@ -2,15 +2,14 @@
 
 import {once} from 'node:events';
 import {connect, type Socket} from 'node:net';
-import {parseAddress} from '../../../src/http/parse-address/index.js';
-import {headers} from '../../names/index.js';
+import {parseAddress} from '../../http/parse-address/index.js';
 
 /** How the body is sent. */
 export type UntrustedBody = {
 	/** Length of the body that is sent, in bytes. */
 	readonly sentBytes: number;
 	/** Length in the head; undefined for a body in chunks. */
-	readonly announcedBytes?: number;
+	readonly announcedBytes?: number | undefined;
 	/** Size of one write, and of one chunk of a body in chunks, in bytes. */
 	readonly pieceBytes: number;
 	/** Whether the last byte or the last chunk is left out. */
@@ -20,10 +19,8 @@
 /** What a caller sends, and where. */
 export type UntrustedCallerOptions = {
 	readonly address: string;
-	/** Value of the header `host`. */
-	readonly host: string;
 	readonly path: string;
-	readonly id: string;
+	readonly headers: Readonly<Record<string, string>>;
 	readonly body: UntrustedBody;
 };
 
@@ -70,9 +67,10 @@
 	}
 
 	private buildHead(): string {
-		const {host, path, id, body: {announcedBytes}} = this.options;
+		const {path, headers, body: {announcedBytes}} = this.options;
 		const framing = announcedBytes === undefined ? 'transfer-encoding: chunked' : `content-length: ${announcedBytes}`;
-		return `POST ${path} HTTP/1.1\r\nhost: ${host}\r\n${headers.requestId}: ${id}\r\n${framing}\r\n\r\n`;
+		const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}`);
+		return [`POST ${path} HTTP/1.1`, ...lines, framing, '', ''].join('\r\n');
 	}
 }
 
