--- a/src/daemon/create-request-path/index.ts
+++ b/src/daemon/create-request-path/index.ts
@@ -6,6 +6,7 @@
 import {EngineGate} from '../../fairness/engine-gate/index.js';
 import {createPlacement} from '../../placement/create-placement/index.js';
 import {createServiceConnections} from '../../requests/forward-call/index.js';
+import {CallerIntake} from '../../intake/caller-intake/index.js';
 import {IdempotencyRecords} from '../../requests/idempotency-records/index.js';
 import {RequestMetrics} from '../../requests/request-metrics/index.js';
 import {RetryBudget} from '../../requests/retry-budget/index.js';
@@ -32,8 +33,11 @@
 			await serviceConnections.destroy();
 		},
 	});
+	const {heldBodyBytes, bodyStallMs} = settings.limits;
+	const intake = new CallerIntake({clock, logger, readLimits: () => ({heldBytes: heldBodyBytes, stallMs: bodyStallMs})});
+	core.metrics.addGauges(intake.bodyGauges);
 	return {
-		settings, clock, logger, targets, metrics, idempotency, serviceConnections, readConfiguration,
+		intake, settings, clock, logger, targets, metrics, idempotency, serviceConnections, readConfiguration,
 		gate: createEngineGate(core),
 		budget,
 		retryBudget: new RetryBudget(),
--- a/src/daemon/metrics/index.ts
+++ b/src/daemon/metrics/index.ts
@@ -69,6 +69,13 @@
 		}));
 	}
 
+	/** Adds gauges whose values are read from another component, by name. */
+	addGauges(gauges: Readonly<Record<string, {readonly help: string; readonly read: () => number}>>): void {
+		for (const [name, {help, read}] of Object.entries(gauges)) {
+			this.addGauge(name, help, read);
+		}
+	}
+
 	private addGauge(name: string, help: string, read: () => number): void {
 		this.gauges.push(new Gauge({
 			name: prefix + name, help, registers: [this.registry],
--- a/src/http/read-body/index.ts
+++ b/src/http/read-body/index.ts
@@ -46,7 +46,11 @@
 
 /** Reads the body as JSON; throws `malformedRequest` if it is not valid JSON. */
 export async function readJsonBody(message: IncomingMessage, limitBytes: number): Promise<unknown> {
-	const body = await readBody(message, limitBytes);
+	return parseJsonBody(await readBody(message, limitBytes));
+}
+
+/** Parses a body as JSON; throws `malformedRequest` if it is not valid JSON. */
+export function parseJsonBody(body: Buffer): unknown {
 	try {
 		return JSON.parse(body.toString('utf8')) as unknown;
 	} catch (error) {
--- a/src/intake/body-reader/index.ts
+++ b/src/intake/body-reader/index.ts
@@ -40,7 +40,8 @@
 
 				isDone = true;
 				message.off('data', addChunk);
-				message.pause();
+				// What still arrives is dropped, not kept in the buffer of the message.
+				message.resume();
 				assembly.clear();
 				this.release();
 				reject(error);
--- a/src/intake/caller-intake/index.ts
+++ b/src/intake/caller-intake/index.ts
@@ -36,14 +36,21 @@
 		this.budget = new BodyBudget(options.readLimits);
 	}
 
-	/** Gauges of the metrics, by name. */
-	get gauges() {
+	/** Gauges of the bodies, by name. */
+	get bodyGauges() {
 		const {budget} = this;
 		return {
 			body_bytes_held: {help: 'Memory that bodies of calls in progress take.', read: () => budget.heldBytes},
 			bodies_refused_for_memory: {help: 'Bodies refused because there was no memory for them.', read: () => budget.refusals.memory},
 			bodies_refused_as_stalled: {help: 'Bodies refused because they stood still.', read: () => budget.refusals.stalled},
 			bodies_refused_as_too_large: {help: 'Bodies refused because they exceed the limit of a body.', read: () => budget.refusals.tooLarge},
+		};
+	}
+
+	/** Gauges of bodies and connections, by name. */
+	get gauges() {
+		return {
+			...this.bodyGauges,
 			caller_connections: {help: 'Open connections of callers, where they are limited.', read: () => this.sumConnections(limit => limit.count)},
 			connections_closed_for_others: {help: 'Quiet connections closed in favour of new ones.', read: () => this.sumConnections(({counts}) => counts.closed)},
 			connections_refused: {help: 'Connections refused above the limit.', read: () => this.sumConnections(({counts}) => counts.refused)},
--- a/src/requests/caller-server/index.ts
+++ b/src/requests/caller-server/index.ts
@@ -6,6 +6,7 @@
 import {once} from 'node:events';
 import type {AddressInfo} from 'node:net';
 import {abortResponse} from '../../http/abort-response/index.js';
+import {discardRemainingBody} from '../../http/discard-remaining-body/index.js';
 import {sendError, sendJson} from '../../http/send-json/index.js';
 import {parseAddress} from '../../http/parse-address/index.js';
 import {stopListening} from '../../http/stop-listening/index.js';
@@ -191,7 +192,8 @@
 			return;
 		}
 
-		// The remaining request body is not read, so the connection closes after the response.
+		// The remaining request body is dropped, and the connection closes after the response.
+		discardRemainingBody(message, this.context.settings.limits.bodyBytes);
 		response.once('finish', () => {
 			endConnection(message.socket);
 		});
--- a/src/requests/router-context/index.ts
+++ b/src/requests/router-context/index.ts
@@ -6,6 +6,7 @@
 import type {Configuration} from '../../configuration/configuration/index.js';
 import type {Settings} from '../../daemon/settings/index.js';
 import type {EngineGate} from '../../fairness/engine-gate/index.js';
+import type {CallerIntake} from '../../intake/caller-intake/index.js';
 import type {EventLogger} from '../../logging/create-logger/index.js';
 import type {TargetDirectory} from '../../targets/target-directory/index.js';
 import type {IdempotencyRecords} from '../idempotency-records/index.js';
@@ -25,6 +26,8 @@
 	readonly clock: Clock;
 	readonly logger: EventLogger;
 	readonly targets: TargetDirectory;
+	/** Bounds what callers take while they send. */
+	readonly intake: CallerIntake;
 	readonly gate: EngineGate;
 	readonly budget: BudgetGate;
 	readonly metrics: RequestMetrics;
--- a/src/requests/serve-completion/index.ts
+++ b/src/requests/serve-completion/index.ts
@@ -1,7 +1,7 @@
 /** Serves `POST /v1/completions` and `POST /v1/chat/completions`. */
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {readJsonBody} from '../../http/read-body/index.js';
+import {parseJsonBody} from '../../http/read-body/index.js';
 import {CallerWatch} from '../../http/watch-caller/index.js';
 import {createRouterError, formatErrorBody, convertToRouterError} from '../../results/create-router-error/index.js';
 import {estimateTokens} from '../../placement/hash-prompt/index.js';
@@ -12,6 +12,7 @@
 import {refuseSecrets} from '../filter-secrets/index.js';
 import {checkSignal, confirmCaller, openCallSignal} from '../open-call-signal/index.js';
 import {parseCompletionRequest, type CompletionRequest} from '../parse-completion-request/index.js';
+import {readCallBody} from '../read-call-body/index.js';
 import type {RouterContext} from '../router-context/index.js';
 import {createCompletionIdentity, StreamSink, BufferedSink} from '../write-completion/index.js';
 
@@ -27,7 +28,7 @@
 	const signal = openCallSignal(message, response);
 	const secret = extractSecret(message.headers);
 	rejectUnknownKey(context, secret);
-	const body = await readJsonBody(message, context.settings.limits.bodyBytes);
+	const body = parseJsonBody(await readCallBody(context, message, response));
 	refuseSecrets(body, secret);
 	await confirmCaller(caller, signal);
 	const request = parseCompletionRequest(path, body);
--- a/src/requests/serve-service/index.ts
+++ b/src/requests/serve-service/index.ts
@@ -1,7 +1,6 @@
 /** Serves calls of services, which are routed by path prefix. */
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {readBody} from '../../http/read-body/index.js';
 import {CallerWatch} from '../../http/watch-caller/index.js';
 import {createRouterError} from '../../results/create-router-error/index.js';
 import type {Configuration, ResolvedKey, ResolvedRoute} from '../../configuration/configuration/index.js';
@@ -11,6 +10,7 @@
 } from '../filter-secrets/index.js';
 import {forwardCall, isRepeatableCall, type ServiceCall} from '../forward-call/index.js';
 import {confirmCaller, openCallSignal} from '../open-call-signal/index.js';
+import {readCallBody} from '../read-call-body/index.js';
 import {readServiceBody} from '../read-service-body/index.js';
 import {extractIdempotencyKey, serveIdempotentCall} from '../serve-idempotent-call/index.js';
 import type {RouterContext} from '../router-context/index.js';
@@ -23,7 +23,7 @@
 	const path = new URL(message.url ?? '/', 'http://localhost').pathname;
 	const idempotencyKey = extractIdempotencyKey(message);
 	const {route, key} = authoriseCall(context.readConfiguration(), path, secret);
-	const body = await readBody(message, context.settings.limits.bodyBytes);
+	const body = await readCallBody(context, message, response);
 	refuseSecretBytes(body, message.headers['content-type'], secret);
 	await confirmCaller(caller, signal);
 	context.retryBudget.recordRequest();
--- a/src/standin/local-fleet/index.ts
+++ b/src/standin/local-fleet/index.ts
@@ -9,6 +9,7 @@
 import type {Revision} from '../../identity/ids/index.js';
 import {InvariantChecker} from '../../invariants/invariant-checker/index.js';
 import {hashKey} from '../../keys/hash-key/index.js';
+import {CallerIntake} from '../../intake/caller-intake/index.js';
 import {createLogger} from '../../logging/create-logger/index.js';
 import {MemoryObjectApi} from '../../store/memory-object-api/index.js';
 import {EngineGate} from '../../fairness/engine-gate/index.js';
@@ -93,6 +94,9 @@
 		const metrics = new RequestMetrics({registry: this.registry, invariants: new InvariantChecker({isStrict: true})});
 		this.context = {
 			settings, clock: this.clock, logger: this.logger, targets: this.targets,
+			intake: new CallerIntake({
+				clock: this.clock, logger: this.logger, readLimits: () => ({heldBytes: settings.limits.heldBodyBytes, stallMs: settings.limits.bodyStallMs}),
+			}),
 			gate: new EngineGate({
 				clock: this.clock, placement: this.placement, prefillTokensPerMs: this.speed.prefillTokensPerMs, engineBacklogMs: 1000,
 				queueWaitMs: settings.limits.queueWaitMs, queuedRequests: settings.limits.queuedRequests, countInstances: () => 1,
