--- a/src/daemon/admin-server/index.ts
+++ b/src/daemon/admin-server/index.ts
@@ -6,9 +6,15 @@
 import {once} from 'node:events';
 import type {AddressInfo} from 'node:net';
 import {Registry, register as defaultRegistry} from 'prom-client';
+import {discardRemainingBody} from '../../http/discard-remaining-body/index.js';
+import {briefRequests, limitConnections} from '../../http/limit-connections/index.js';
 import {parseAddress} from '../../http/parse-address/index.js';
 import {sendJson} from '../../http/send-json/index.js';
 
+const maximumConnections = 64;
+/** Bytes of a body that are read and dropped; the requests have none. */
+const maximumDiscardedBytes = 64 * 1024;
+
 /** Sources of what the listener serves. */
 export type AdminSources = {
 	readonly metrics: {readonly registry: Registry};
@@ -23,11 +29,14 @@
 	private readonly server: Server;
 
 	constructor(private readonly sources: AdminSources) {
-		this.server = createServer((message, response) => {
+		this.server = createServer(briefRequests, (message, response) => {
 			void this.serve(message, response).catch((error: unknown) => {
 				sendJson(response, 500, {message: (error as Error).message});
+			}).finally(() => {
+				discardRemainingBody(message, maximumDiscardedBytes);
 			});
 		});
+		limitConnections(this.server, maximumConnections);
 	}
 
 	/** Starts listening; returns `host:port`. */
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -36,7 +36,7 @@
 import {CallListener} from '../call-listener/index.js';
 import {createGatewayStop} from '../create-gateway-stop/index.js';
 import {createHandover, type Handover} from '../create-handover/index.js';
-import {createIntake} from '../create-intake/index.js';
+import {calculatePeerLimits, createIntake} from '../create-intake/index.js';
 import {createMembership} from '../create-membership/index.js';
 import {createRollout} from '../create-rollout/index.js';
 import {createStatements, runStatements, type StatementExchange} from '../create-statements/index.js';
@@ -113,7 +113,7 @@
 		this.instanceRegistry = new InstanceRegistry({
 			objectApi: adapter.objectApi, collection: adapter.collections.instances, self, peerAddress: settings.listen.peer, clock, logger,
 		});
-		this.peerServer = new PeerServer(self);
+		this.peerServer = new PeerServer(self, undefined, calculatePeerLimits(settings));
 		this.peerClient = new PeerClient({self, findPeerAddress: id => this.membership.findPeerAddress(id)});
 		this.membership = createMembership({
 			settings: store, instanceRegistry: this.instanceRegistry, caller: this.peerClient, registry: this.peerServer, clock, random, logger,
--- a/src/intake/caller-intake/index.ts
+++ b/src/intake/caller-intake/index.ts
@@ -15,7 +15,8 @@
 /** Dependencies of an intake. */
 export type CallerIntakeOptions = {
 	readonly clock: Pick<Clock, 'readMonotonic'>;
-	readonly logger: EventLogger;
+	/** Without it, refusals are not logged. */
+	readonly logger?: EventLogger;
 	/** Returns the limits in force. */
 	readonly readLimits: () => BodyLimits;
 };
@@ -108,7 +109,7 @@
 
 		this.loggedAt = now;
 		this.loggedRefusals = sum;
-		options.logger.warn('callers limited', {
+		options.logger?.warn('callers limited', {
 			...refusals, connectionsClosed, connectionsRefused, heldBytes, bodies: count, limitBytes: options.readLimits().heldBytes,
 		});
 	}
--- a/src/peers/peer-server/index.ts
+++ b/src/peers/peer-server/index.ts
@@ -6,17 +6,25 @@
 import {once} from 'node:events';
 import type {AddressInfo} from 'node:net';
 import {JSONRPCServer, type JSONRPCRequest} from 'json-rpc-2.0';
+import {SystemClock} from '../../clock/clock/index.js';
+import {discardRemainingBody} from '../../http/discard-remaining-body/index.js';
 import {parseAddress} from '../../http/parse-address/index.js';
-import {readJsonBody} from '../../http/read-body/index.js';
+import {parseJsonBody} from '../../http/read-body/index.js';
 import {sendJson} from '../../http/send-json/index.js';
 import {stopListening} from '../../http/stop-listening/index.js';
 import type {InstanceId} from '../../identity/ids/index.js';
+import {CallerIntake} from '../../intake/caller-intake/index.js';
 import {createRouterError} from '../../results/create-router-error/index.js';
 import {compressBody} from '../compress-body/index.js';
 import type {PeerMethodHandler, PeerMethodRegistry} from '../peer-caller/index.js';
 import {calleeHeader, callerHeader, rpcPath} from '../peer-link/index.js';
 
 const maximumBodyBytes = 32 * 1024 * 1024;
+/** Maximum time for a request to arrive, in milliseconds; longer than its caller waits, also after this process stood still. */
+const requestTimeoutMs = 30_000;
+const connectionCheckIntervalMs = 5000;
+/** Time for which a body may go without progress, in milliseconds. */
+const bodyStallMs = 5000;
 /** Longer than the client's timeout, so that the client closes idle connections and never sends on one that the server is closing. */
 const keepAliveTimeoutMs = 60_000;
 
@@ -25,6 +33,18 @@
 /** Messages with the header `marker` are calls of callers that another instance passes on. */
 export type CallRoute = {readonly marker: string; readonly handle: (message: IncomingMessage, response: ServerResponse) => void};
 
+/** What requests of other instances may take. */
+export type PeerServerLimits = {
+	/** Size of a body. */
+	readonly bodyBytes: number;
+	/** Memory that all bodies together may take. */
+	readonly heldBodyBytes: number;
+	/** Open connections; further ones are closed. Undefined if they are not limited. */
+	readonly connections?: number | undefined;
+};
+
+const defaultLimits: PeerServerLimits = {bodyBytes: maximumBodyBytes, heldBodyBytes: 2 * maximumBodyBytes};
+
 /** Serves the methods that the daemon's components register. */
 export class PeerServer implements PeerMethodRegistry {
 	private readonly rpc = new JSONRPCServer<CallContext>({
@@ -36,12 +56,25 @@
 	private readonly server: Server;
 	private callRoute: CallRoute | undefined;
 
-	constructor(private readonly self: InstanceId, private readonly onTraffic?: (sentBytes: number, receivedBytes: number) => void) {
-		this.server = createServer((message, response) => {
+	private readonly intake: CallerIntake;
+
+	constructor(
+		private readonly self: InstanceId,
+		private readonly onTraffic?: (sentBytes: number, receivedBytes: number) => void,
+		private readonly limits: PeerServerLimits = defaultLimits,
+	) {
+		this.intake = new CallerIntake({clock: new SystemClock(), readLimits: () => ({heldBytes: limits.heldBodyBytes, stallMs: bodyStallMs})});
+		const options = {headersTimeout: requestTimeoutMs, requestTimeout: requestTimeoutMs, connectionsCheckingInterval: connectionCheckIntervalMs};
+		this.server = createServer(options, (message, response) => {
 			void this.serve(message, response).catch((error: unknown) => {
 				sendJson(response, 400, {message: (error as Error).message});
+				discardRemainingBody(message);
 			});
 		});
+		if (limits.connections !== undefined) {
+			this.server.maxConnections = limits.connections;
+		}
+
 		this.server.keepAliveTimeout = keepAliveTimeoutMs;
 	}
 
@@ -95,7 +128,11 @@
 			return;
 		}
 
-		const request = await readJsonBody(message, maximumBodyBytes) as JSONRPCRequest;
+		const reader = this.intake.openBody(message);
+		response.once('close', () => {
+			reader.release();
+		});
+		const request = parseJsonBody(await reader.read(this.limits.bodyBytes)) as JSONRPCRequest;
 		const answer = await this.rpc.receive(request, {from: String(message.headers[callerHeader] ?? '') as InstanceId});
 		const {bytes, encoding} = await compressBody(JSON.stringify(answer), message.headers['accept-encoding']);
 		response.writeHead(200, {
