--- a/src/soak/untrusted-caller/index.ts
+++ b/src/soak/untrusted-caller/index.ts
@@ -22,6 +22,8 @@
 	readonly path: string;
 	readonly headers: Readonly<Record<string, string>>;
 	readonly body: UntrustedBody;
+	/** Whether the caller reads its answer; it does unless this is false. */
+	readonly readsAnswer?: boolean | undefined;
 };
 
 /** Chunks are written together up to this size, in bytes, because one write for each small chunk would bound the load by the sender. */
@@ -40,6 +42,10 @@
 		this.socket.on('error', () => {
 			// The instance may reset the connection of such a caller.
 		});
+		if (options.readsAnswer === false) {
+			return;
+		}
+
 		this.socket.on('data', data => {
 			this.status ??= Number(/^HTTP\/1\.1 (\d{3})/u.exec(data.toString('latin1'))?.[1]);
 		});
