--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -39,7 +39,7 @@
 import {createAdmission} from '../create-admission/index.js';
 import {createGatewayStop} from '../create-gateway-stop/index.js';
 import {createHandover, type Handover} from '../create-handover/index.js';
-import {createIntake} from '../create-intake/index.js';
+import {calculatePeerLimits, createIntake} from '../create-intake/index.js';
 import {createMembership} from '../create-membership/index.js';
 import {createRetryGauges} from '../create-retry-gauges/index.js';
 import {createRollout} from '../create-rollout/index.js';
@@ -118,7 +118,7 @@
 		this.instanceRegistry = new InstanceRegistry({
 			objectApi: adapter.objectApi, collection: adapter.collections.instances, self, peerAddress: settings.listen.peer, clock, logger,
 		});
-		this.peerServer = new PeerServer(self);
+		this.peerServer = new PeerServer(self, undefined, calculatePeerLimits(settings));
 		this.peerClient = new PeerClient({self, findPeerAddress: id => this.membership.findPeerAddress(id)});
 		this.membership = createMembership({
 			settings: store, instanceRegistry: this.instanceRegistry, caller: this.peerClient, registry: this.peerServer, clock, random, logger,
--- a/src/intake/caller-intake/index.ts
+++ b/src/intake/caller-intake/index.ts
@@ -15,7 +15,8 @@
 /** Dependencies of an intake. */
 export type CallerIntakeOptions = {
 	readonly clock: Pick<Clock, 'readMonotonic'>;
-	readonly logger: EventLogger;
+	/** Without it, refusals are not logged. */
+	readonly logger?: EventLogger;
 	/** Returns the limits in force. */
 	readonly readLimits: () => BodyLimits;
 };
@@ -36,14 +37,21 @@
 		this.budget = new BodyBudget(options.readLimits);
 	}
 
-	/** Gauges of the metrics, by name. */
-	get gauges() {
+	/** Gauges of the bodies, by name. */
+	get bodyGauges() {
 		const {budget} = this;
 		return {
 			body_bytes_held: {help: 'Memory that bodies of calls in progress take.', read: () => budget.heldBytes},
 			bodies_refused_for_memory: {help: 'Bodies refused because there was no memory for them.', read: () => budget.refusals.memory},
 			bodies_refused_as_stalled: {help: 'Bodies refused because they stood still.', read: () => budget.refusals.stalled},
 			bodies_refused_as_too_large: {help: 'Bodies refused because they exceed the limit of a body.', read: () => budget.refusals.tooLarge},
+		};
+	}
+
+	/** Gauges of bodies and connections, by name. */
+	get gauges() {
+		return {
+			...this.bodyGauges,
 			caller_connections: {help: 'Open connections of callers, where they are limited.', read: () => this.sumConnections(limit => limit.count)},
 			connections_closed_for_others: {help: 'Quiet connections closed in favour of new ones.', read: () => this.sumConnections(({counts}) => counts.closed)},
 			connections_refused: {help: 'Connections refused above the limit.', read: () => this.sumConnections(({counts}) => counts.refused)},
@@ -101,7 +109,7 @@
 
 		this.loggedAt = now;
 		this.loggedRefusals = sum;
-		options.logger.warn('callers limited', {
+		options.logger?.warn('callers limited', {
 			...refusals, connectionsClosed, connectionsRefused, heldBytes, bodies: count, limitBytes: options.readLimits().heldBytes,
 		});
 	}
--- a/src/requests/router-context/index.ts
+++ b/src/requests/router-context/index.ts
@@ -6,6 +6,7 @@
 import type {Configuration} from '../../configuration/configuration/index.js';
 import type {Settings} from '../../daemon/settings/index.js';
 import type {EngineGate} from '../../fairness/engine-gate/index.js';
+import type {CallerIntake} from '../../intake/caller-intake/index.js';
 import type {EventLogger} from '../../logging/create-logger/index.js';
 import type {RetryGate} from '../../retries/retry-gate/index.js';
 import type {ServiceId} from '../../routing/routing-types/index.js';
@@ -26,6 +27,8 @@
 	readonly clock: Clock;
 	readonly logger: EventLogger;
 	readonly targets: TargetDirectory;
+	/** Bounds what callers take while they send. */
+	readonly intake: CallerIntake;
 	readonly gate: EngineGate;
 	readonly budget: BudgetGate;
 	readonly metrics: RequestMetrics;
--- a/src/standin/local-fleet/index.ts
+++ b/src/standin/local-fleet/index.ts
@@ -10,6 +10,7 @@
 import type {MonotonicMs, Revision} from '../../identity/ids/index.js';
 import {InvariantChecker} from '../../invariants/invariant-checker/index.js';
 import {hashKey} from '../../keys/hash-key/index.js';
+import {CallerIntake} from '../../intake/caller-intake/index.js';
 import {createLogger} from '../../logging/create-logger/index.js';
 import {MemoryObjectApi} from '../../store/memory-object-api/index.js';
 import {EngineGate} from '../../fairness/engine-gate/index.js';
@@ -99,6 +100,9 @@
 		const metrics = new RequestMetrics({registry: this.registry, invariants: new InvariantChecker({isStrict: true})});
 		this.context = {
 			settings, clock: this.clock, logger: this.logger, targets: this.targets,
+			intake: new CallerIntake({
+				clock: this.clock, logger: this.logger, readLimits: () => ({heldBytes: settings.limits.heldBodyBytes, stallMs: settings.limits.bodyStallMs}),
+			}),
 			gate: new EngineGate({
 				clock: this.clock, placement: this.placement, prefillTokensPerMs: this.speed.prefillTokensPerMs, engineBacklogMs: 1000,
 				queueWaitMs: settings.limits.queueWaitMs, queuedRequests: settings.limits.queuedRequests, countInstances: () => 1,
