--- a/src/forwarding/call-attempts/index.ts
+++ b/src/forwarding/call-attempts/index.ts
@@ -8,6 +8,12 @@
 import type {FleetTarget} from '../../fleet/fleet-target/index.js';
 import type {Attempt} from '../session-types/index.js';
 
+/** Is told of the attempts of a call. */
+export type AttemptObserver = {
+	recordBegun(attempt: Attempt): void;
+	recordEnded(attempt: Attempt, mayHaveRun: boolean): void;
+};
+
 /** Keeps count of the attempts of a call. */
 export class CallAttempts {
 	/** Attempts so far. */
@@ -18,6 +24,8 @@
 	readonly triedTargets = new Set<FleetTarget>();
 	private readonly open = new Set<Attempt>();
 
+	constructor(private readonly observer?: AttemptObserver) {}
+
 	/** The attempts that may still get an answer, the oldest one first. */
 	get inFlight(): readonly Attempt[] {
 		return [...this.open];
@@ -52,6 +60,7 @@
 	/** Records that an attempt is in flight. */
 	begin(attempt: Attempt): void {
 		this.open.add(attempt);
+		this.observer?.recordBegun(attempt);
 	}
 
 	/** Whether `attempt` is the only one in flight. */
@@ -69,6 +78,7 @@
 		attempt.target.endCall(attempt.record);
 		this.runs += mayHaveRun ? 1 : 0;
 		this.open.delete(attempt);
+		this.observer?.recordEnded(attempt, mayHaveRun);
 	}
 
 	/** Aborts the attempts in flight; they get no further callbacks. */
--- a/src/forwarding/call-session/index.ts
+++ b/src/forwarding/call-session/index.ts
@@ -15,6 +15,7 @@
 import {CallCharge} from '../call-charge/index.js';
 import {CallGuard} from '../call-guard/index.js';
 import {CallTimes} from '../call-times/index.js';
+import {CallVersions} from '../call-versions/index.js';
 import type {ForwardingContext} from '../forwarding-context/index.js';
 import {PrefixHints} from '../prefix-hints/index.js';
 import {reportCall} from '../report-call/index.js';
@@ -29,15 +30,17 @@
 	private readonly charge: CallCharge;
 	private readonly guard: CallGuard;
 	private readonly times: CallTimes;
-	private readonly attempts = new CallAttempts();
+	private readonly attempts: CallAttempts;
 	private readonly handler: AttemptHandler;
 	private isDone = false;
 	private onDone: (() => void) | undefined;
 
 	constructor(private readonly options: SessionOptions, private readonly context: ForwardingContext) {
 		const {call, route, organisation, arrivedAt, sink} = options;
-		const {attempts} = this;
 		this.origin = new StreamOrigin(options, context.streamOrigins);
+		const versions = new CallVersions(options, this.origin, context);
+		this.attempts = new CallAttempts(versions);
+		const {attempts} = this;
 		this.times = new CallTimes(arrivedAt);
 		this.charge = new CallCharge(context.quota, organisation, call.work);
 		this.guard = new CallGuard(context, options);
@@ -45,7 +48,8 @@
 		this.handler = new AttemptHandler({
 			session: options, attempts, relay: this.relay, guard: this.guard, times: this.times,
 			selection: {
-				session: options, triedTargets: attempts.triedTargets, hints: new PrefixHints(call.work, organisation, context.prefixes), origin: this.origin,
+				session: options, triedTargets: attempts.triedTargets, hints: new PrefixHints(call.work, organisation, context.prefixes),
+				origin: this.origin, versions,
 			},
 			isDone: () => this.isDone,
 			protect: step => {
--- /dev/null
+++ b/src/forwarding/call-versions/index.ts
@@ -0,0 +1,91 @@
+/**
+ * Which software versions one call may go to while its service is rolled out, and what its requests show about them.
+ *
+ * A call draws once. Since its draw is compared with the share of the present moment, one that waits for a target follows the
+ * rollout. A call that has been sent to the new version goes on at the old one, unless all calls go to the new one, so that
+ * repeats add nothing to what a bad version gets.
+ */
+
+import type {FleetTarget} from '../../fleet/fleet-target/index.js';
+import type {ForwardingContext} from '../forwarding-context/index.js';
+import type {AttemptFailure} from '../plan-next-step/index.js';
+import type {Attempt, SessionOptions} from '../session-types/index.js';
+import type {StreamOrigin} from '../stream-origin/index.js';
+
+/** Draw of a call that goes to the new version only when all calls do. */
+const lastFraction = 1;
+const firstServerErrorStatus = 500;
+
+/** Versions for one call. */
+export class CallVersions {
+	private fraction: number;
+
+	constructor(
+		private readonly session: Pick<SessionOptions, 'service' | 'route'>,
+		private readonly origin: Pick<StreamOrigin, 'isBound'>,
+		private readonly context: Pick<ForwardingContext, 'versionRouting' | 'draw' | 'clock'>,
+	) {
+		this.fraction = context.versionRouting === undefined ? 0 : context.draw();
+	}
+
+	/** Selects the targets of the versions that the call may go to. A stream that is bound to a version keeps it while it serves. */
+	select(targets: readonly FleetTarget[]): FleetTarget[] {
+		const {versionRouting} = this.context;
+		if (versionRouting === undefined) {
+			return [...targets];
+		}
+
+		const {service} = this.session;
+		const lane = this.origin.isBound ? undefined : versionRouting.chooseLane(service, this.fraction);
+		return targets.filter(({description}) => versionRouting.allows(service, lane, description.softwareVersion));
+	}
+
+	/** Goes to the old versions from now on, because no target of the new one can take the call. Returns whether that is a change. */
+	retreat(): boolean {
+		const {context: {versionRouting}, session: {service}, origin} = this;
+		if (origin.isBound || versionRouting?.chooseLane(service, this.fraction) !== 'new') {
+			return false;
+		}
+
+		this.fraction = lastFraction;
+		return versionRouting.chooseLane(service, this.fraction) !== 'new';
+	}
+
+	/** Records that an attempt has begun. */
+	recordBegun({target}: Attempt): void {
+		this.context.versionRouting?.recordSent(target, this.session.route.id);
+		this.retreat();
+	}
+
+	/** Records that an attempt has ended; `mayHaveRun`: whether it may have run the call. */
+	recordEnded(attempt: Attempt, mayHaveRun: boolean): void {
+		const {answer, head} = attempt;
+		const status = head?.status ?? 0;
+		if (!mayHaveRun) {
+			return;
+		}
+
+		if (status >= firstServerErrorStatus) {
+			this.record(attempt, 'failed');
+		} else if (answer?.hasEnded === true && answer.isWhole) {
+			this.record(attempt, 'good');
+		} else if (head === undefined) {
+			this.record(attempt, 'unanswered');
+		}
+	}
+
+	/** Records an attempt whose target was to blame for its end. */
+	recordFailure(attempt: Attempt, failure: AttemptFailure): void {
+		const isError = (attempt.head?.status ?? 0) >= firstServerErrorStatus;
+		if ((failure === 'unknown' || failure === 'broken') && !isError) {
+			this.record(attempt, 'failed');
+		}
+	}
+
+	private record({target, record}: Attempt, outcome: 'good' | 'failed' | 'unanswered'): void {
+		const {versionRouting, clock} = this.context;
+		versionRouting?.recordEnded({
+			target, route: this.session.route.id, outcome, durationMs: clock.readMonotonic() - record.sentAt,
+		});
+	}
+}
--- a/src/forwarding/forwarding-context/index.ts
+++ b/src/forwarding/forwarding-context/index.ts
@@ -18,6 +18,7 @@
 import type {RequestGuard} from '../request-guard/index.js';
 import type {StreamOrigins} from '../stream-origins/index.js';
 import type {TargetClient} from '../target-client/index.js';
+import type {VersionRouting} from '../version-routing/index.js';
 
 /** Admits calls by charging them to the quota of their organisation. */
 export type QuotaGate = {
@@ -53,6 +54,8 @@
 	readonly leavingNotices: LeavingAnnouncer;
 	readonly streamOrigins: StreamOrigins;
 	readonly reachability: ReachabilityMonitor;
+	/** Without it, calls go to targets of any software version. */
+	readonly versionRouting?: VersionRouting | undefined;
 	readonly dataCentre: DataCentreId;
 	/** Returns a random number from 0 (inclusive) to 1 (exclusive). */
 	readonly draw: () => number;
--- a/src/forwarding/list-candidates/index.ts
+++ b/src/forwarding/list-candidates/index.ts
@@ -2,13 +2,19 @@
 
 import type {FleetTarget} from '../../fleet/fleet-target/index.js';
 import type {TargetFleet} from '../../fleet/target-fleet/index.js';
+import type {CallVersions} from '../call-versions/index.js';
 import type {SessionOptions} from '../session-types/index.js';
 import type {StreamOrigin} from '../stream-origin/index.js';
 
-/** A call and the version that its stream is bound to. */
-export type BoundCall = {readonly session: Pick<SessionOptions, 'service'>; readonly origin: StreamOrigin};
+/** A call, the version that its stream is bound to, and the versions that a rollout lets it go to. */
+export type BoundCall = {
+	readonly session: Pick<SessionOptions, 'service'>;
+	readonly origin: StreamOrigin;
+	readonly versions?: Pick<CallVersions, 'select'> | undefined;
+};
 
 /** Lists the serving targets of the call's service whose software its stream may go on at. */
-export function listCandidates({session, origin}: BoundCall, fleet: TargetFleet): FleetTarget[] {
-	return fleet.listServing(session.service).filter(target => origin.allows(target));
+export function listCandidates({session, origin, versions}: BoundCall, fleet: TargetFleet): FleetTarget[] {
+	const targets = fleet.listServing(session.service).filter(target => origin.allows(target));
+	return versions === undefined ? targets : versions.select(targets);
 }
--- a/src/forwarding/select-target/index.ts
+++ b/src/forwarding/select-target/index.ts
@@ -3,6 +3,7 @@
 import {chooseTarget, type TargetQuery} from '../../fleet/choose-target/index.js';
 import type {FleetTarget} from '../../fleet/fleet-target/index.js';
 import type {MonotonicMs} from '../../identity/ids/index.js';
+import type {CallVersions} from '../call-versions/index.js';
 import type {ForwardingContext} from '../forwarding-context/index.js';
 import type {PrefixHints} from '../prefix-hints/index.js';
 import {listCandidates} from '../list-candidates/index.js';
@@ -15,6 +16,7 @@
 	readonly triedTargets: ReadonlySet<FleetTarget>;
 	readonly hints: PrefixHints;
 	readonly origin: StreamOrigin;
+	readonly versions?: Pick<CallVersions, 'select' | 'retreat' | 'recordFailure'> | undefined;
 };
 
 /**
@@ -48,7 +50,7 @@
 		target = chooseTarget(query, now);
 	}
 
-	return target;
+	return target === undefined && selection.versions?.retreat() === true ? selectTarget(selection, context, now) : target;
 }
 
 /** Whether a target other than `current` could take over the call. */
--- a/src/forwarding/step-planner/index.ts
+++ b/src/forwarding/step-planner/index.ts
@@ -8,7 +8,7 @@
 import type {Attempt} from '../session-types/index.js';
 
 /** The call whose steps are planned. */
-export type PlannedCall = Pick<CallParts, 'session' | 'attempts' | 'relay' | 'guard'>;
+export type PlannedCall = Pick<CallParts, 'session' | 'attempts' | 'relay' | 'guard' | 'selection'>;
 
 /** Plans the steps of one call. */
 export class StepPlanner {
@@ -32,7 +32,8 @@
 
 	/** Reports an attempt that has ended, and the step after it. */
 	report(attempt: Attempt, {failure, reason, step}: {readonly failure: AttemptFailure; readonly reason: string; readonly step: FollowingStep}): void {
-		const {session: {call: {id}}, attempts: {count: attempts}, guard} = this.call;
+		const {session: {call: {id}}, attempts: {count: attempts}, guard, selection} = this.call;
+		selection.versions?.recordFailure(attempt, failure);
 		reportFailedAttempt(this.context.logger, {
 			id, attempt, attempts, failure, reason, step, guard,
 		});
--- a/src/gateway/gateway-feeds/index.ts
+++ b/src/gateway/gateway-feeds/index.ts
@@ -7,7 +7,7 @@
 import {
 	measureElapsedMs, readInstant, shiftBack, type Instant,
 } from '../../clock/instant/index.js';
-import type {MonotonicMs, Revision} from '../../identity/ids/index.js';
+import type {MonotonicMs, ResourceVersion, Revision} from '../../identity/ids/index.js';
 import type {TargetDescription} from '../../fleet/fleet-target/index.js';
 import {CollectionMirror} from '../../store/collection-mirror/index.js';
 import type {StoredObject} from '../../store/object-api/index.js';
@@ -20,8 +20,8 @@
 
 /** Time without events after which a watch is replaced, in milliseconds. */
 const watchSilenceTimeoutMs = 5000;
-/** Time after the first configuration for which calls wait for the stored quarantines, in milliseconds. */
-const quarantineWaitMs = 400;
+/** Time after the first configuration for which calls wait for the stored quarantines and orders of software versions, in milliseconds. */
+const restrictionWaitMs = 400;
 
 /** Options of the gateway's feeds. */
 export type GatewayFeedsOptions = FeedEnvironment & {
@@ -31,6 +31,8 @@
 	readonly onWeights: (weights: WeightsNotice, age: AnnouncementAge) => void;
 	readonly onInstances: (instances: readonly StoredObject[]) => void;
 	readonly onQuarantines: (quarantines: readonly StoredObject[], version: string | undefined) => void;
+	/** Without it, orders of software versions are not followed. */
+	readonly onRollouts?: ((rollouts: readonly StoredObject[], version: ResourceVersion) => void) | undefined;
 };
 
 /** Mirrors the platform's collections and applies their changes. */
@@ -67,6 +69,7 @@
 			const mirror = this.mirrors.get(quarantines)!;
 			options.onQuarantines([...mirror.objects.values()], mirror.readVersion());
 		});
+		this.followRollouts();
 		this.relay = new FeedRelay({
 			...options, mirrors: this.mirrors, timeline: this.timeline,
 			readRevision: () => this.revision,
@@ -83,10 +86,11 @@
 		return this.revision;
 	}
 
-	/** Whether calls may be served: there is a configuration, and the stored quarantines have been read or are late. */
+	/** Whether calls may be served: there is a configuration, and what keeps calls from targets has been read or is late. */
 	canServe(now: MonotonicMs): boolean {
-		const {isSynced} = this.mirrors.get(this.options.adapter.collections.quarantines)!;
-		return this.configuredAt !== undefined && (isSynced || now >= this.configuredAt + quarantineWaitMs);
+		const {quarantines, rollouts} = this.options.adapter.collections;
+		const isSynced = [quarantines, rollouts].every(collection => this.mirrors.get(collection)?.isSynced ?? true);
+		return this.configuredAt !== undefined && (isSynced || now >= this.configuredAt + restrictionWaitMs);
 	}
 
 	/** Follows the collections until `signal` aborts. */
@@ -102,6 +106,16 @@
 		return {...this.relay.dump(), collections};
 	}
 
+	private followRollouts(): void {
+		const {onRollouts, adapter: {collections: {rollouts}}} = this.options;
+		if (onRollouts !== undefined) {
+			this.addMirror(rollouts, () => {
+				const mirror = this.mirrors.get(rollouts)!;
+				onRollouts([...mirror.objects.values()], mirror.readVersion()!);
+			});
+		}
+	}
+
 	private addMirror(collection: string, onChange: () => void): void {
 		const {adapter, clock, logger, random} = this.options;
 		this.mirrors.set(collection, new CollectionMirror({
--- a/src/gateway/gateway-settings/index.ts
+++ b/src/gateway/gateway-settings/index.ts
@@ -35,6 +35,13 @@
 	capacity: z.object({
 		coreShare: z.number().positive(), cores: z.number().positive(), linkMegabitsPerSecond: z.number().positive(),
 	}).optional(),
+	/**
+	 * What a bad software version may get while operators move a service to it: a share of all requests until the deadline,
+	 * requests in addition, and the time after its 50th bad answer. Without it, orders to move a service are not followed.
+	 */
+	softwareRollout: z.object({
+		exposureShare: z.number().min(0).max(1), exposureSlack: z.number().min(0), rollbackMs: z.number().positive(),
+	}).optional(),
 	/** Time between SIGTERM and SIGKILL, in milliseconds. */
 	graceMs: z.number().positive(),
 });
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -38,6 +38,7 @@
 import {createHandover, type Handover} from '../create-handover/index.js';
 import {createMembership} from '../create-membership/index.js';
 import {createRollout} from '../create-rollout/index.js';
+import {combineStops, createSoftwareRollouts, type SoftwareRolloutParts} from '../create-software-rollouts/index.js';
 import {createStatements, runStatements, type StatementExchange} from '../create-statements/index.js';
 import {CurrentRouting} from '../current-routing/index.js';
 import {describeTarget} from '../describe-target/index.js';
@@ -62,7 +63,7 @@
 };
 
 /** Upper limit of the tasks that wait on the signal of the gateway at the same time; more would be a leak. */
-const maximumTasks = 24;
+const maximumTasks = 28;
 /** Number of distinct values that `draw` returns. */
 const drawResolution = 0x40_00_00_00;
 
@@ -79,6 +80,7 @@
 	private readonly quotaLending: QuotaLending;
 	private readonly relayedObjectApi: RelayedObjectApi;
 	private readonly rollout: RolloutController;
+	private readonly software: SoftwareRolloutParts | undefined;
 	private readonly datagramChannel: DatagramChannel;
 	private readonly loadExchange: LoadExchange;
 	private readonly rolloutNotices: RolloutNotices;
@@ -118,8 +120,11 @@
 			settings: store, instanceRegistry: this.instanceRegistry, caller: this.peerClient, registry: this.peerServer, clock, random, logger,
 			readRevision: () => this.routing.table === undefined ? -1 as Revision : this.feeds.readRevision(),
 		});
+		this.software = createSoftwareRollouts({
+			...options, fleet: this.fleet, channel: this.datagramChannel, listLive,
+		});
 		this.feeds = new GatewayFeeds({
-			self, adapter, clock, logger, random, caller: this.peerClient, registry: this.peerServer,
+			...this.software, self, adapter, clock, logger, random, caller: this.peerClient, registry: this.peerServer,
 			isSeed: settings.seeds.some(seed => parseAddress(seed).host === parseAddress(settings.listen.peer).host),
 			isConfigurationMissed: () => this.routing.isMissed,
 			listPeers: () => this.listPeers(),
@@ -141,11 +146,8 @@
 			},
 		});
 		this.quotaLending = new QuotaLending({
-			clock, random, caller: this.peerClient, registry: this.peerServer,
-			countInstances: () => this.countInstances(),
-			readTolerance: () => store.current.quotaTolerance,
-			self, channel: this.datagramChannel,
-			listPeers: () => this.listPeers(),
+			clock, random, self, caller: this.peerClient, registry: this.peerServer, channel: this.datagramChannel,
+			countInstances: () => this.countInstances(), readTolerance: () => store.current.quotaTolerance, listPeers: () => this.listPeers(),
 		});
 		this.relayedObjectApi = new RelayedObjectApi({
 			objectApi: adapter.objectApi, caller: this.peerClient, registry: this.peerServer, random, clock,
@@ -175,8 +177,7 @@
 		});
 		this.loadExchange = new LoadExchange({
 			clock, random, fleet: this.fleet, prefixes: this.prefixDirectory, channel: this.datagramChannel, membership: this.membership,
-			readSelf: () => this.membership.readSelf(),
-			listPeers: () => this.listPeers(),
+			readSelf: () => this.membership.readSelf(), listPeers: () => this.listPeers(),
 		});
 		this.listener = new CallListener({
 			context: this.createContext(), protocol: adapter.callerProtocol, readTable: () => this.routing.readForCall(), handover: this.handover.calls,
@@ -188,9 +189,9 @@
 			},
 		});
 		metrics.addGauges(listGauges({
-			listener: this.listener, sources: [this.quarantine, ...Object.values(this.statements), this.streams, this.handover.calls],
-			objectApi: adapter.objectApi,
-			countMembers: () => this.listPeers().length + 1, readRevision: () => this.feeds.readRevision(),
+			listener: this.listener,
+			sources: [this.quarantine, ...Object.values(this.statements), this.streams, this.handover.calls, ...this.software?.sources ?? []],
+			objectApi: adapter.objectApi, countMembers: () => this.listPeers().length + 1, readRevision: () => this.feeds.readRevision(),
 		}));
 	}
 
@@ -203,6 +204,7 @@
 		this.membership.start();
 		void this.feeds.run(signal);
 		void this.rollout.run(signal);
+		void this.software?.rollouts.run(signal);
 		await this.datagramChannel.listen(settings.listen.peer, signal);
 		void this.loadExchange.run(signal);
 		void this.quotaLending.run(signal);
@@ -233,7 +235,7 @@
 		const {clock, logger, settings} = this.options;
 		this.plannedStop ??= createGatewayStop({
 			clock, logger, graceMs: settings.current.graceMs, addressValiditySeconds,
-			membership: this.membership, listener: this.listener, rollout: this.rollout, controller: this.controller,
+			membership: this.membership, listener: this.listener, rollout: combineStops([this.rollout, this.software?.rollouts]), controller: this.controller,
 		});
 		await this.plannedStop.run();
 	}
@@ -246,6 +248,7 @@
 			feeds: this.feeds.dump(),
 			membership: this.membership.dump(),
 			rollout: this.rollout.dump(),
+			softwareRollouts: this.software?.rollouts.dump(),
 			quota: this.quotaLending.dump(),
 			quarantine: this.quarantine.dump(),
 			limits: this.statements.limits.dump(),
@@ -281,7 +284,7 @@
 			clock, logger, fleet: this.fleet, prefixes: this.prefixDirectory, targetClient: this.targetClient,
 			protocol: adapter.targetProtocol, quota: this.quotaLending, promptGuard: this.quarantine.prompts, requestGuard: this.quarantine.requests,
 			limits: this.statements.limits, leavingNotices: this.statements.leavingNotices, streamOrigins: this.streams,
-			reachability: this.handover.reachability,
+			reachability: this.handover.reachability, versionRouting: this.software?.rollouts.routing,
 			dataCentre: settings.current.dataCentre as DataCentreId,
 			draw: () => random.pickIndex(drawResolution) / drawResolution,
 			findVersionHistory: model => this.weightsRegistry.find(model),
--- a/src/gateway/settings-store/index.ts
+++ b/src/gateway/settings-store/index.ts
@@ -15,7 +15,7 @@
 const checkIntervalMs = 5000;
 const revisionLength = 12;
 /** Settings that take effect at the next start only. */
-const startSettings = ['instance', 'dataCentre', 'region', 'listen', 'objectApi', 'seeds', 'capacity'] as const;
+const startSettings = ['instance', 'dataCentre', 'region', 'listen', 'objectApi', 'seeds', 'capacity', 'softwareRollout'] as const;
 
 /** Options of the store. */
 export type SettingsStoreOptions = {
--- /dev/null
+++ b/src/software-rollout/judge-version/index.ts
@@ -0,0 +1,183 @@
+/**
+ * Judges whether a new version is bad by comparison with the versions that served before, over the same time.
+ *
+ * Some failures and slow answers of a good version are normal, and faults of the surroundings meet old and new targets alike.
+ * So a version is bad only if its bad answers are more than those of the old versions and a margin explain, by the bound of
+ * Chernoff, and only if they are not all those of one group of targets.
+ */
+
+import type {RouteId} from '../../identity/ids/index.js';
+import {
+	parseCellKey, sumCells, type EvidenceCell, type EvidenceCells,
+} from '../evidence-cell/index.js';
+import {countFrom, countValues, findQuantile} from '../latency-histogram/index.js';
+
+/** Evidence of one span of time. */
+export type EvidenceSpan = {
+	readonly name: string;
+	readonly cells: EvidenceCells;
+};
+
+/** Why a version is bad. */
+export type BadVersion = {
+	readonly kind: 'failures' | 'slow answers';
+	/** Undefined for all routes together. */
+	readonly route: RouteId | undefined;
+	readonly span: string;
+	readonly answers: number;
+	readonly bad: number;
+	/** Share of bad answers that a good version may have. */
+	readonly expectedShare: number;
+};
+
+/** Answers of one route, or of several. `expected`: number of bad ones that a good version may have. */
+type Sample = {readonly answers: number; readonly bad: number; readonly expected: number};
+/** A sample of all groups of targets, and what is left of it without the one with most bad answers. */
+type Comparison = {readonly all: Sample; readonly rest: Sample; readonly groups: number};
+/** Expected share of bad answers, and how they are counted. */
+type Measure = {readonly share: number; readonly count: (cell: EvidenceCell) => {readonly answers: number; readonly bad: number}};
+
+const minimumBad = 6;
+/** Logarithm of the chance with which a good version is taken for a bad one in one comparison. */
+const evidenceNeeded = 11;
+const minimumBadOfRest = 3;
+const evidenceNeededOfRest = 3;
+/** Where all answers come from one group of targets, which may be one faulty target. */
+const minimumBadOfOneGroup = 15;
+const evidenceNeededOfOneGroup = 25;
+/** Share of failures that is normal at times, whatever the old versions show. */
+const normalFailureShare = 0.04;
+/** Factor by which the share of bad answers of a good version may exceed that of the old ones. */
+const shareMargin = 1.5;
+const normalSlowShare = 0.05;
+/** Answers of the old versions below which a median says little. */
+const minimumReferenceAnswers = 20;
+/** Distance from the median of the old versions from which answers count as slow: about 3 times, and for the old ones 1.7 times. */
+const slowBuckets = 6;
+const referenceSlowBuckets = 3;
+const emptySample: Sample = {answers: 0, bad: 0, expected: 0};
+
+/** Judges a version; undefined if nothing shows that it is bad. The last span is that of the whole rollout. */
+export function judgeVersion(spans: readonly EvidenceSpan[]): BadVersion | undefined {
+	const whole = spans.at(-1);
+	if (whole === undefined) {
+		return undefined;
+	}
+
+	const routes = [...new Set([...whole.cells.keys()].map(key => parseCellKey(key).route))];
+	for (const span of spans) {
+		for (const kind of ['failures', 'slow answers'] as const) {
+			const findMeasure = kind === 'failures' ? findFailureMeasure : findSlowMeasure;
+			const comparisons = routes.map(route => compareRoute(span, route, findMeasure(span, whole, route)));
+			const badRoute = routes.find((_, index) => isBad(comparisons[index]!));
+			const overall = addComparisons(comparisons);
+			if (badRoute !== undefined || isBad(overall)) {
+				const {all} = badRoute === undefined ? overall : comparisons[routes.indexOf(badRoute)]!;
+				return {
+					kind, route: badRoute, span: span.name, answers: all.answers, bad: all.bad, expectedShare: all.expected / all.answers,
+				};
+			}
+		}
+	}
+
+	return undefined;
+}
+
+/** Counts the bad answers of a version over the whole rollout: failures, and answers that count as slow. */
+export function countBadAnswers(whole: EvidenceSpan): number {
+	const routes = [...new Set([...whole.cells.keys()].map(key => parseCellKey(key).route))];
+	let bad = 0;
+	for (const route of routes) {
+		const cell = sumCells(whole.cells, scope => scope.lane === 'new' && scope.route === route);
+		bad += cell.failures + (findSlowMeasure(whole, whole, route)?.count(cell).bad ?? 0);
+	}
+
+	return bad;
+}
+
+function sumPrevious(span: EvidenceSpan, route: RouteId): EvidenceCell {
+	return sumCells(span.cells, scope => scope.lane === 'previous' && scope.route === route);
+}
+
+function findFailureMeasure(span: EvidenceSpan, whole: EvidenceSpan, route: RouteId): Measure {
+	const shares = [span, whole].map(({cells}) => {
+		const {answers, failures} = sumPrevious({name: '', cells}, route);
+		return answers < minimumReferenceAnswers ? 0 : (failures + 1) / (answers + 1);
+	});
+	return {
+		share: Math.max(normalFailureShare, shareMargin * Math.max(...shares)),
+		count: ({answers, failures}) => ({answers, bad: failures}),
+	};
+}
+
+/** Finds what counts as slow on a route; undefined if the old versions have too few answers to tell. */
+function findSlowMeasure(span: EvidenceSpan, whole: EvidenceSpan, route: RouteId): Measure | undefined {
+	const references = [sumPrevious(whole, route), sumPrevious(span, route)].filter(({durations}) => countValues(durations) >= minimumReferenceAnswers);
+	if (references.length === 0) {
+		return undefined;
+	}
+
+	const medians = references.map(({durations}) => findQuantile(durations, 0.5)!);
+	const median = Math.max(...medians);
+	const shares = references.map(({durations}) => countFrom(durations, median + referenceSlowBuckets) / countValues(durations));
+	return {
+		share: Math.max(normalSlowShare, shareMargin * Math.max(...shares)),
+		count: ({durations}) => ({answers: countValues(durations), bad: countFrom(durations, median + slowBuckets)}),
+	};
+}
+
+function compareRoute({cells}: EvidenceSpan, route: RouteId, measure: Measure | undefined): Comparison {
+	if (measure === undefined) {
+		return {all: emptySample, rest: emptySample, groups: 0};
+	}
+
+	const samples = [...cells].filter(([key]) => {
+		const scope = parseCellKey(key);
+		return scope.lane === 'new' && scope.route === route;
+	}).map(([, cell]) => measure.count(cell)).filter(({answers}) => answers > 0);
+	const all = buildSample(samples, measure.share);
+	const worst = samples.toSorted((a, b) => b.bad - a.bad)[0];
+	return {all, rest: buildSample(samples.filter(sample => sample !== worst), measure.share), groups: samples.length};
+}
+
+function buildSample(samples: ReadonlyArray<{readonly answers: number; readonly bad: number}>, share: number): Sample {
+	let sum = emptySample;
+	for (const {answers, bad} of samples) {
+		sum = addSamples(sum, {answers, bad, expected: answers * Math.min(share, 1)});
+	}
+
+	return sum;
+}
+
+function addSamples(a: Sample, b: Sample): Sample {
+	return {answers: a.answers + b.answers, bad: a.bad + b.bad, expected: a.expected + b.expected};
+}
+
+function addComparisons(comparisons: readonly Comparison[]): Comparison {
+	let sum: Comparison = {all: emptySample, rest: emptySample, groups: 0};
+	for (const {all, rest, groups} of comparisons) {
+		sum = {all: addSamples(sum.all, all), rest: addSamples(sum.rest, rest), groups: Math.max(sum.groups, groups)};
+	}
+
+	return sum;
+}
+
+function isBad({all, rest, groups}: Comparison): boolean {
+	if (groups <= 1) {
+		return all.bad >= minimumBadOfOneGroup && measureEvidence(all) >= evidenceNeededOfOneGroup;
+	}
+
+	return all.bad >= minimumBad && measureEvidence(all) >= evidenceNeeded
+		&& rest.bad >= minimumBadOfRest && measureEvidence(rest) >= evidenceNeededOfRest;
+}
+
+/** Measures the evidence of a sample: the negative logarithm of the bound of Chernoff on the chance that a good version has as many bad answers. */
+function measureEvidence({answers, bad, expected}: Sample): number {
+	const [share, expectedShare] = [bad / answers, Math.max(expected / answers, Number.EPSILON)];
+	if (answers === 0 || share <= expectedShare) {
+		return 0;
+	}
+
+	const rest = share >= 1 ? 0 : (1 - share) * Math.log((1 - share) / (1 - expectedShare));
+	return answers * ((share * Math.log(share / expectedShare)) + rest);
+}
--- /dev/null
+++ b/src/software-rollout/plan-stage/index.ts
@@ -0,0 +1,115 @@
+/**
+ * Plans the stage of a rollout from the order, its age, the evidence and the calls left at the old version.
+ *
+ * The shift begins as late as the calls at the old version allow: a version that turns bad before it has had only the share of
+ * the canary.
+ */
+
+import type {
+	RolloutBounds, RolloutStage, RolloutState, RolloutStatus,
+} from '../rollout-types/index.js';
+
+/** What the plan depends on. */
+export type StageQuery = {
+	readonly durationMs: number;
+	/** Time since the appearance of the order. */
+	readonly ageMs: number;
+	readonly status: Pick<RolloutStatus, 'state' | 'stage' | 'share'> | undefined;
+	/** Time since the present stage was written. */
+	readonly stageAgeMs: number;
+	readonly bounds: RolloutBounds;
+	/** Why the version is bad; undefined if nothing shows that. */
+	readonly stopReason: string | undefined;
+	/** Requests for the service since the order. */
+	readonly requests: number;
+	/** Answers of the new version. */
+	readonly newAnswers: number;
+	/** Time within which nearly all calls at the old version end; undefined if it is not known. */
+	readonly drainMs: number | undefined;
+	/** Whether targets of the new version, and targets of other versions, serve. */
+	readonly hasNewTargets: boolean;
+	readonly hasPreviousTargets: boolean;
+	/** Calls left at the old version, at all instances that were heard. */
+	readonly callsLeft: number;
+	/** Whether all live instances have stated their calls left in the present stage. */
+	readonly haveAllStated: boolean;
+};
+
+/** Stage that is to be written. */
+export type StagePlan = {readonly state: RolloutState; readonly stage: RolloutStage; readonly share: number; readonly reason?: string};
+
+/** Fraction of the allowed exposure that the canary takes. */
+const canaryFraction = 0.4;
+const maximumCanaryShare = 0.3;
+/** Age of the order from which the rate of requests is known, in milliseconds. */
+const minimumRateAgeMs = 1500;
+/** Factor from which another share of the canary is worth a write. */
+const shareChangeFactor = 1.4;
+/** Time for a stage to reach all instances, and for the ramp, in milliseconds. */
+const spreadMs = 700;
+/** Time for the last status to be written, in milliseconds. */
+const commitMs = 600;
+const minimumDrainMs = 150;
+const unknownDrainMs = 1000;
+const drainFactor = 1.2;
+/** Longest shift, as a fraction of the duration. */
+const maximumShiftFraction = 0.5;
+/** Time in stage `shift` before `completed`, in which the new version shows how it bears the load, in milliseconds. */
+const minimumShiftMs = 900;
+/** Time before the deadline from which the plan doesn't wait for instances that are not heard, in milliseconds. */
+const lastCallMs = 600;
+
+/** Plans the status to be written now; undefined if the present one is to stay. */
+export function planStage(query: StageQuery): StagePlan | undefined {
+	const {status, stopReason, hasNewTargets} = query;
+	if (status !== undefined && status.state !== 'serving') {
+		return undefined;
+	}
+
+	if (stopReason !== undefined) {
+		return {
+			state: 'rolled_back', stage: status?.stage ?? 'canary', share: 0, reason: stopReason,
+		};
+	}
+
+	if (status === undefined) {
+		return {state: 'serving', stage: 'canary', share: calculateCanaryShare(query)};
+	}
+
+	if (!hasNewTargets) {
+		return undefined;
+	}
+
+	return status.stage === 'shift' ? planCompletion(query, status.share) : planCanary(query, status.share);
+}
+
+/** Calculates the age of the order from which all calls go to the new version. */
+export function calculateShiftAgeMs({durationMs, drainMs = unknownDrainMs}: Pick<StageQuery, 'durationMs' | 'drainMs'>): number {
+	const shiftMs = Math.max(spreadMs + (Math.max(minimumDrainMs, drainMs) * drainFactor), minimumShiftMs) + commitMs;
+	return durationMs - Math.min(shiftMs, durationMs * maximumShiftFraction);
+}
+
+function planCanary(query: StageQuery, share: number): StagePlan | undefined {
+	const {ageMs, newAnswers, hasPreviousTargets} = query;
+	// Without any answer nothing speaks for the version, unless it is the only one.
+	if (ageMs >= calculateShiftAgeMs(query) && (newAnswers > 0 || !hasPreviousTargets)) {
+		return {state: 'serving', stage: 'shift', share};
+	}
+
+	const wanted = calculateCanaryShare(query);
+	return wanted >= share * shareChangeFactor ? {state: 'serving', stage: 'canary', share: wanted} : undefined;
+}
+
+function planCompletion(query: StageQuery, share: number): StagePlan | undefined {
+	const {durationMs, ageMs, stageAgeMs, callsLeft, haveAllStated} = query;
+	const isLastCall = ageMs >= durationMs - lastCallMs;
+	return callsLeft === 0 && stageAgeMs >= minimumShiftMs && (haveAllStated || isLastCall) ? {state: 'completed', stage: 'shift', share} : undefined;
+}
+
+/** Calculates the share of the canary. The slack counts for more where there are few requests. */
+function calculateCanaryShare({durationMs, ageMs, requests, bounds}: StageQuery): number {
+	const isRateKnown = ageMs >= minimumRateAgeMs && requests > 0;
+	const expectedRequests = requests * Math.max(1, durationMs / ageMs);
+	const slackShare = isRateKnown ? bounds.exposureSlack / expectedRequests : 0;
+	return Math.min(maximumCanaryShare, canaryFraction * (bounds.exposureShare + slackShare));
+}
--- a/src/store/memory-object-api/index.ts
+++ b/src/store/memory-object-api/index.ts
@@ -5,7 +5,7 @@
 import {createStream} from '../../streams/create-stream/index.js';
 import {formatVersion, parseVersion, type VersionParts} from '../object-version/index.js';
 import {
-	ObjectApiError, type ObjectApi, type ObjectList, type StoredObject, type WatchEvent,
+	ObjectApiError, type ObjectApi, type ObjectList, type StatusWriter, type StoredObject, type WatchEvent,
 } from '../object-api/index.js';
 
 /** Maximum size of a value, in bytes of JSON. */
@@ -30,7 +30,7 @@
 type Watcher = {readonly collection: string; readonly notify: (event: WatchEvent) => void; readonly fail: (error: Error) => void};
 
 /** In-memory object API. */
-export class MemoryObjectApi implements ObjectApi {
+export class MemoryObjectApi implements ObjectApi, StatusWriter {
 	readonly faults: ObjectApiFaults = {isDown: false, lostAnswers: 0, delayMs: 0};
 	/** Calls served so far, by kind. */
 	readonly calls = {read: 0, write: 0, watch: 0};
@@ -67,6 +67,12 @@
 		return this.completeWrite(this.storeObject('modified', collection, name, value));
 	}
 
+	async updateStatus(collection: string, name: string, status: unknown, expected: ResourceVersion): Promise<StoredObject> {
+		await this.beginCall('write');
+		const {value} = this.checkVersion(collection, name, expected);
+		return this.completeWrite(this.storeObject('modified', collection, name, value, status));
+	}
+
 	async remove(collection: string, name: string, expected?: ResourceVersion): Promise<void> {
 		await this.beginCall('write');
 		const object = this.checkVersion(collection, name, expected);
@@ -219,7 +225,9 @@
 		return object;
 	}
 
-	private storeObject<Value>(type: 'added' | 'modified', collection: string, name: string, value: Value): StoredObject<Value> {
+	/** Stores an object. Without a new status, it keeps the one that it has. */
+	private storeObject<Value>(type: 'added' | 'modified', collection: string, name: string, value: Value, newStatus?: unknown): StoredObject<Value> {
+		const status = newStatus ?? this.openCollection(collection).get(name)?.status;
 		const text = JSON.stringify(value);
 		if (Buffer.byteLength(text) > maximumValueBytes) {
 			throw new ObjectApiError('tooLarge', `${collection}/${name} is larger than ${maximumValueBytes} bytes`);
@@ -227,7 +235,7 @@
 
 		this.version += 1;
 		const object: StoredObject<Value> = {
-			collection, name, resourceVersion: this.formatVersion(), value: JSON.parse(text) as Value,
+			collection, name, resourceVersion: this.formatVersion(), value: JSON.parse(text) as Value, ...(status !== undefined && {status}),
 		};
 		this.openCollection(collection).set(name, object);
 		this.publish({type, object});
--- a/src/store/object-api/index.ts
+++ b/src/store/object-api/index.ts
@@ -12,6 +12,8 @@
 	readonly name: string;
 	readonly resourceVersion: ResourceVersion;
 	readonly value: Value;
+	/** What others than the owner of the value state about the object; only in collections whose objects have one. */
+	readonly status?: unknown;
 };
 
 /**
@@ -62,3 +64,9 @@
 	/** Returns the latest era seen in an answer, which rises with each restore from a copy; 0 before the first. */
 	readEra(): number;
 };
+
+/** Writes the statuses of objects. Rejects with `ObjectApiError`. */
+export type StatusWriter = {
+	/** Replaces the status of an object. Fails with `conflict` if the version of the object is not `expected`. */
+	updateStatus(collection: string, name: string, status: unknown, expected: ResourceVersion): Promise<StoredObject>;
+};
