--- a/src/forwarding/call-versions/index.ts
+++ b/src/forwarding/call-versions/index.ts
@@ -10,7 +10,9 @@
 import type {ForwardingContext} from '../forwarding-context/index.js';
 import type {AttemptFailure} from '../plan-next-step/index.js';
 import type {Attempt, SessionOptions} from '../session-types/index.js';
+import type {RequestOutcome} from '../../software-rollout/evidence-recorder/index.js';
 import type {StreamOrigin} from '../stream-origin/index.js';
+import type {SentRequest} from '../version-routing/index.js';
 
 /** Draw of a call that goes to the new version only when all calls do. */
 const lastFraction = 1;
@@ -23,7 +25,7 @@
 	constructor(
 		private readonly session: Pick<SessionOptions, 'service' | 'route'>,
 		private readonly origin: Pick<StreamOrigin, 'isBound'>,
-		private readonly context: Pick<ForwardingContext, 'versionRouting' | 'draw' | 'clock'>,
+		private readonly context: Pick<ForwardingContext, 'versionRouting' | 'draw'>,
 	) {
 		this.fraction = context.versionRouting === undefined ? 0 : context.draw();
 	}
@@ -52,8 +54,8 @@
 	}
 
 	/** Records that an attempt has begun. */
-	recordBegun({target}: Attempt): void {
-		this.context.versionRouting?.recordSent(target, this.session.route.id);
+	recordBegun(attempt: Attempt): void {
+		this.context.versionRouting?.recordSent(this.describe(attempt));
 		this.retreat();
 	}
 
@@ -61,16 +63,12 @@
 	recordEnded(attempt: Attempt, mayHaveRun: boolean): void {
 		const {answer, head} = attempt;
 		const status = head?.status ?? 0;
-		if (!mayHaveRun) {
-			return;
-		}
-
-		if (status >= firstServerErrorStatus) {
+		if (mayHaveRun && status >= firstServerErrorStatus) {
 			this.record(attempt, 'failed');
-		} else if (answer?.hasEnded === true && answer.isWhole) {
+		} else if (mayHaveRun && answer?.hasEnded === true && answer.isWhole) {
 			this.record(attempt, 'good');
-		} else if (head === undefined) {
-			this.record(attempt, 'unanswered');
+		} else {
+			this.record(attempt, mayHaveRun ? 'unanswered' : 'notRun');
 		}
 	}
 
@@ -82,10 +80,11 @@
 		}
 	}
 
-	private record({target, record}: Attempt, outcome: 'good' | 'failed' | 'unanswered'): void {
-		const {versionRouting, clock} = this.context;
-		versionRouting?.recordEnded({
-			target, route: this.session.route.id, outcome, durationMs: clock.readMonotonic() - record.sentAt,
-		});
+	private record(attempt: Attempt, outcome: RequestOutcome): void {
+		this.context.versionRouting?.recordEnded(this.describe(attempt), outcome);
+	}
+
+	private describe({target, record}: Attempt): SentRequest {
+		return {target, route: this.session.route.id, call: record};
 	}
 }
--- a/src/forwarding/version-routing/index.ts
+++ b/src/forwarding/version-routing/index.ts
@@ -1,18 +1,13 @@
 /** What calls need to know of the rollouts of software versions. */
 
-import type {FleetTarget} from '../../fleet/fleet-target/index.js';
+import type {FleetTarget, TargetCall} from '../../fleet/fleet-target/index.js';
 import type {RouteId, SoftwareVersion} from '../../identity/ids/index.js';
 import type {ServiceId} from '../../routing/routing-types/index.js';
 import type {RequestOutcome} from '../../software-rollout/evidence-recorder/index.js';
 import type {VersionLane} from '../../software-rollout/rollout-types/index.js';
 
-/** A request that was sent to a target and has ended. */
-export type EndedRequest = {
-	readonly target: FleetTarget;
-	readonly route: RouteId;
-	readonly outcome: RequestOutcome;
-	readonly durationMs: number;
-};
+/** A request that was sent to a target. */
+export type SentRequest = {readonly target: FleetTarget; readonly route: RouteId; readonly call: TargetCall};
 
 /** Routes calls between the versions of a service that is rolled out, and takes in how they ended. */
 export type VersionRouting = {
@@ -23,6 +18,7 @@
 	chooseLane(service: ServiceId, fraction: number): VersionLane | undefined;
 	/** Whether a call may go to a target of `version`; without a lane, to any version that serves in the rollout. */
 	allows(service: ServiceId, lane: VersionLane | undefined, version: SoftwareVersion): boolean;
-	recordSent(target: FleetTarget, route: RouteId): void;
-	recordEnded(request: EndedRequest): void;
+	recordSent(request: SentRequest): void;
+	/** Records the end of a request, or, after that, that its target was to blame for it. */
+	recordEnded(request: SentRequest, outcome: RequestOutcome): void;
 };
--- a/src/software-rollout/evidence-ledger/index.ts
+++ b/src/software-rollout/evidence-ledger/index.ts
@@ -30,8 +30,9 @@
 const spanLengthsMs = [1500, 4000] as const;
 /** Time for which a statement of calls left counts, in milliseconds. */
 const statementValidMs = 1000;
-/** Fraction of the calls at the old version whose duration counts. */
-const drainQuantile = 0.995;
+const typicalQuantile = 0.5;
+/** Fraction of the calls at the old version that a shift waits for. */
+const drainQuantile = 0.999;
 
 /** Sums of all reports on one rollout. */
 export class EvidenceLedger {
@@ -65,8 +66,8 @@
 	/** Returns the evidence of the last seconds and, as the last span, of the whole rollout. */
 	listSpans(now: MonotonicMs): EvidenceSpan[] {
 		this.takeSnapshot(now);
-		const recent = spanLengthsMs.map(ms => ({name: `last ${ms} ms`, cells: subtractCells(this.totals, this.findCellsAt(now - ms))}));
-		return [...recent, {name: 'since the order', cells: this.totals}];
+		const recent = spanLengthsMs.map(ms => ({name: `last ${ms} ms`, lengthMs: ms, cells: subtractCells(this.totals, this.findCellsAt(now - ms))}));
+		return [...recent, {name: 'since the order', lengthMs: Infinity, cells: this.totals}];
 	}
 
 	/** Counts the requests sent to all versions. */
@@ -79,11 +80,14 @@
 		return sumCells(this.totals, ({lane}) => lane === 'new');
 	}
 
-	/** Estimates the time within which nearly all calls at the old version end; undefined without any. */
-	estimateDrainMs(): number | undefined {
+	/** Estimates the time within which half of the calls at the old version end, and nearly all of them; undefined without any. */
+	estimateDurations(): {readonly typicalMs: number | undefined; readonly drainMs: number | undefined} {
 		const {durations} = sumCells(this.totals, ({lane}) => lane === 'previous');
-		const bucket = findQuantile(durations, drainQuantile);
-		return bucket === undefined ? undefined : calculateUpperBoundMs(bucket);
+		const [typical, longest] = [typicalQuantile, drainQuantile].map(fraction => findQuantile(durations, fraction));
+		return {
+			typicalMs: typical === undefined ? undefined : calculateUpperBoundMs(typical),
+			drainMs: longest === undefined ? undefined : calculateUpperBoundMs(longest),
+		};
 	}
 
 	/** Counts the calls left at the old version that instances state who know status write `write`. */
--- a/src/software-rollout/judge-version/index.ts
+++ b/src/software-rollout/judge-version/index.ts
@@ -10,11 +10,15 @@
 import {
 	parseCellKey, sumCells, type EvidenceCell, type EvidenceCells,
 } from '../evidence-cell/index.js';
-import {countFrom, countValues, findQuantile} from '../latency-histogram/index.js';
+import {
+	calculateUpperBoundMs, countFrom, countValues, findQuantile,
+} from '../latency-histogram/index.js';
 
 /** Evidence of one span of time. */
 export type EvidenceSpan = {
 	readonly name: string;
+	/** Infinite for the whole rollout. */
+	readonly lengthMs: number;
 	readonly cells: EvidenceCells;
 };
 
@@ -37,9 +41,11 @@
 /** Expected share of bad answers, and how they are counted. */
 type Measure = {readonly share: number; readonly count: (cell: EvidenceCell) => {readonly answers: number; readonly bad: number}};
 
+type MeasureFinder = (span: EvidenceSpan, whole: EvidenceSpan, route: RouteId) => Measure | undefined;
+
 const minimumBad = 6;
 /** Logarithm of the chance with which a good version is taken for a bad one in one comparison. */
-const evidenceNeeded = 11;
+const evidenceNeeded = 10;
 const minimumBadOfRest = 3;
 const evidenceNeededOfRest = 3;
 /** Where all answers come from one group of targets, which may be one faulty target. */
@@ -47,16 +53,33 @@
 const evidenceNeededOfOneGroup = 25;
 /** Share of failures that is normal at times, whatever the old versions show. */
 const normalFailureShare = 0.04;
-/** Factor by which the share of bad answers of a good version may exceed that of the old ones. */
-const shareMargin = 1.5;
-const normalSlowShare = 0.05;
+/** Factors by which the shares of failures and of slow answers of a good version may exceed those of the old ones. */
+const failureMargin = 1.5;
+const slowMargin = 1.15;
+const normalSlowShare = 0.025;
 /** Answers of the old versions below which a median says little. */
 const minimumReferenceAnswers = 20;
-/** Distance from the median of the old versions from which answers count as slow: about 3 times, and for the old ones 1.7 times. */
-const slowBuckets = 6;
-const referenceSlowBuckets = 3;
+/** Distances from the median of the old versions from which answers count as slow: from about 3 to 11 times. */
+const slowDistances = [6, 8, 10, 12, 14] as const;
+/** Part of a span from which durations are too long for it. */
+const longestSlowFraction = 0.25;
+/**
+ * Distance by which the answers of the old versions count as slow earlier, since targets of one version differ in speed: 1.7
+ * times. Over many groups of targets the differences even out.
+ */
+const speedTolerance = 3;
+const evenSpeedTolerance = 1;
+const evenGroups = 8;
 const emptySample: Sample = {answers: 0, bad: 0, expected: 0};
 
+const measureFinders: ReadonlyArray<{readonly kind: BadVersion['kind']; readonly find: MeasureFinder}> = [
+	{kind: 'failures', find: findFailureMeasure},
+	...slowDistances.map(distance => ({
+		kind: 'slow answers' as const,
+		find: (span: EvidenceSpan, whole: EvidenceSpan, route: RouteId) => findSlowMeasure(distance, span, whole, route),
+	})),
+];
+
 /** Judges a version; undefined if nothing shows that it is bad. The last span is that of the whole rollout. */
 export function judgeVersion(spans: readonly EvidenceSpan[]): BadVersion | undefined {
 	const whole = spans.at(-1);
@@ -66,9 +89,8 @@
 
 	const routes = [...new Set([...whole.cells.keys()].map(key => parseCellKey(key).route))];
 	for (const span of spans) {
-		for (const kind of ['failures', 'slow answers'] as const) {
-			const findMeasure = kind === 'failures' ? findFailureMeasure : findSlowMeasure;
-			const comparisons = routes.map(route => compareRoute(span, route, findMeasure(span, whole, route)));
+		for (const {kind, find} of measureFinders) {
+			const comparisons = routes.map(route => compareRoute(span, route, find(span, whole, route)));
 			const badRoute = routes.find((_, index) => isBad(comparisons[index]!));
 			const overall = addComparisons(comparisons);
 			if (badRoute !== undefined || isBad(overall)) {
@@ -89,40 +111,55 @@
 	let bad = 0;
 	for (const route of routes) {
 		const cell = sumCells(whole.cells, scope => scope.lane === 'new' && scope.route === route);
-		bad += cell.failures + (findSlowMeasure(whole, whole, route)?.count(cell).bad ?? 0);
+		bad += cell.failures + (findSlowMeasure(slowDistances[0], whole, whole, route)?.count(cell).bad ?? 0);
 	}
 
 	return bad;
 }
 
-function sumPrevious(span: EvidenceSpan, route: RouteId): EvidenceCell {
-	return sumCells(span.cells, scope => scope.lane === 'previous' && scope.route === route);
+function sumPrevious(cells: EvidenceCells, route: RouteId): EvidenceCell {
+	return sumCells(cells, scope => scope.lane === 'previous' && scope.route === route);
+}
+
+/** Counts the groups of targets of the new version that have answered. */
+function countGroups(cells: EvidenceCells): number {
+	const answered = [...cells].filter(([, {answers}]) => answers > 0).map(([key]) => parseCellKey(key));
+	return new Set(answered.filter(({lane}) => lane === 'new').map(({group}) => group)).size;
 }
 
 function findFailureMeasure(span: EvidenceSpan, whole: EvidenceSpan, route: RouteId): Measure {
 	const shares = [span, whole].map(({cells}) => {
-		const {answers, failures} = sumPrevious({name: '', cells}, route);
+		const {answers, failures} = sumPrevious(cells, route);
 		return answers < minimumReferenceAnswers ? 0 : (failures + 1) / (answers + 1);
 	});
 	return {
-		share: Math.max(normalFailureShare, shareMargin * Math.max(...shares)),
+		share: Math.max(normalFailureShare, failureMargin * Math.max(...shares)),
 		count: ({answers, failures}) => ({answers, bad: failures}),
 	};
 }
 
-/** Finds what counts as slow on a route; undefined if the old versions have too few answers to tell. */
-function findSlowMeasure(span: EvidenceSpan, whole: EvidenceSpan, route: RouteId): Measure | undefined {
-	const references = [sumPrevious(whole, route), sumPrevious(span, route)].filter(({durations}) => countValues(durations) >= minimumReferenceAnswers);
+/** Finds what counts as slow on a route, `distance` above the median; undefined if the old versions have too few answers to tell. */
+function findSlowMeasure(distance: number, span: EvidenceSpan, whole: EvidenceSpan, route: RouteId): Measure | undefined {
+	const references = [sumPrevious(whole.cells, route), sumPrevious(span.cells, route)].filter(({durations}) => countValues(durations) >= minimumReferenceAnswers);
 	if (references.length === 0) {
 		return undefined;
 	}
 
+	const tolerance = countGroups(whole.cells) >= evenGroups ? evenSpeedTolerance : speedTolerance;
 	const medians = references.map(({durations}) => findQuantile(durations, 0.5)!);
 	const median = Math.max(...medians);
-	const shares = references.map(({durations}) => countFrom(durations, median + referenceSlowBuckets) / countValues(durations));
+	// In a short span, requests that were sent before it become slow, which says little about the share.
+	if (calculateUpperBoundMs(median + distance) > span.lengthMs * longestSlowFraction) {
+		return undefined;
+	}
+
+	const shares = references.map(({durations}) => countFrom(durations, median + distance - tolerance) / countValues(durations));
 	return {
-		share: Math.max(normalSlowShare, shareMargin * Math.max(...shares)),
-		count: ({durations}) => ({answers: countValues(durations), bad: countFrom(durations, median + slowBuckets)}),
+		share: Math.max(normalSlowShare, slowMargin * Math.max(...shares)),
+		count({durations}) {
+			const bad = countFrom(durations, median + distance);
+			return {answers: Math.max(bad, countValues(durations)), bad};
+		},
 	};
 }
 
--- a/src/software-rollout/plan-stage/index.ts
+++ b/src/software-rollout/plan-stage/index.ts
@@ -22,8 +22,11 @@
 	readonly stopReason: string | undefined;
 	/** Requests for the service since the order. */
 	readonly requests: number;
-	/** Answers of the new version. */
+	/** Requests to the new version, and answers of it. */
+	readonly newRequests: number;
 	readonly newAnswers: number;
+	/** Median duration of the calls at the old version; undefined if it is not known. */
+	readonly typicalMs: number | undefined;
 	/** Time within which nearly all calls at the old version end; undefined if it is not known. */
 	readonly drainMs: number | undefined;
 	/** Whether targets of the new version, and targets of other versions, serve. */
@@ -38,9 +41,18 @@
 /** Stage that is to be written. */
 export type StagePlan = {readonly state: RolloutState; readonly stage: RolloutStage; readonly share: number; readonly reason?: string};
 
-/** Fraction of the allowed exposure that the canary takes. */
-const canaryFraction = 0.4;
+/** Fraction of the allowed exposure that the canary takes: until the rate is known, and bounds for afterwards. */
+const firstCanaryFraction = 0.4;
+const leastCanaryFraction = 0.4;
+const mostCanaryFraction = 0.6;
+/** Fraction below which what is left for the shift can't be enough, so that the canary has to show as much as it can. */
+const hopelessFraction = 0;
+const minimumCanaryShare = 0.005;
 const maximumCanaryShare = 0.3;
+/** Time from an answer to the stop of the version at all instances, in milliseconds. */
+const stopDelayMs = 400;
+/** Answers that show that a version is bad, if a third of them are. */
+const answersUntilStop = 30;
 /** Age of the order from which the rate of requests is known, in milliseconds. */
 const minimumRateAgeMs = 1500;
 /** Factor from which another share of the canary is worth a write. */
@@ -51,7 +63,7 @@
 const commitMs = 600;
 const minimumDrainMs = 150;
 const unknownDrainMs = 1000;
-const drainFactor = 1.2;
+const drainFactor = 1.1;
 /** Longest shift, as a fraction of the duration. */
 const maximumShiftFraction = 0.5;
 /** Time in stage `shift` before `completed`, in which the new version shows how it bears the load, in milliseconds. */
@@ -97,7 +109,8 @@
 	}
 
 	const wanted = calculateCanaryShare(query);
-	return wanted >= share * shareChangeFactor ? {state: 'serving', stage: 'canary', share: wanted} : undefined;
+	const isOther = wanted >= share * shareChangeFactor || wanted * shareChangeFactor <= share;
+	return isOther ? {state: 'serving', stage: 'canary', share: wanted} : undefined;
 }
 
 function planCompletion(query: StageQuery, share: number): StagePlan | undefined {
@@ -106,10 +119,23 @@
 	return callsLeft === 0 && stageAgeMs >= minimumShiftMs && (haveAllStated || isLastCall) ? {state: 'completed', stage: 'shift', share} : undefined;
 }
 
-/** Calculates the share of the canary. The slack counts for more where there are few requests. */
-function calculateCanaryShare({durationMs, ageMs, requests, bounds}: StageQuery): number {
-	const isRateKnown = ageMs >= minimumRateAgeMs && requests > 0;
-	const expectedRequests = requests * Math.max(1, durationMs / ageMs);
-	const slackShare = isRateKnown ? bounds.exposureSlack / expectedRequests : 0;
-	return Math.min(maximumCanaryShare, canaryFraction * (bounds.exposureShare + slackShare));
+/** Calculates the share of the canary, from what it may take and has taken so far. The slack counts for more where there are few requests. */
+function calculateCanaryShare(query: StageQuery): number {
+	const {durationMs, ageMs, requests, newRequests, bounds} = query;
+	if (ageMs < minimumRateAgeMs || requests === 0) {
+		return firstCanaryFraction * bounds.exposureShare;
+	}
+
+	const requestsPerMs = requests / ageMs;
+	const allowed = (bounds.exposureShare * requestsPerMs * Math.max(durationMs, ageMs)) + bounds.exposureSlack;
+	const remainingMs = Math.max(calculateShiftAgeMs(query) - ageMs, minimumRateAgeMs);
+	const share = ((chooseCanaryFraction(query, requestsPerMs, allowed) * allowed) - newRequests) / (requestsPerMs * remainingMs);
+	return Math.min(maximumCanaryShare, Math.max(minimumCanaryShare, share));
+}
+
+/** Chooses the fraction of the allowed exposure that the canary takes. The rest is for a version that turns out to be bad in the shift. */
+function chooseCanaryFraction({typicalMs = unknownDrainMs}: StageQuery, requestsPerMs: number, allowed: number): number {
+	const untilStop = (requestsPerMs * (typicalMs + stopDelayMs)) + answersUntilStop;
+	const fraction = 1 - (untilStop / allowed);
+	return fraction < hopelessFraction ? mostCanaryFraction : Math.min(mostCanaryFraction, Math.max(leastCanaryFraction, fraction));
 }
--- a/src/software-rollout/rollout-exchange/index.ts
+++ b/src/software-rollout/rollout-exchange/index.ts
@@ -73,7 +73,7 @@
 		const {self, incarnation, clock, channel, evidence} = this.options;
 		const {own, fleet} = evidence.get(rollout);
 		const now = clock.readMonotonic();
-		const changed = own.takeChanged();
+		const changed = own.takeChanged(now);
 		const report: EvidenceReport = {
 			from: self, incarnation, write: rollout.status?.write ?? 0, callsLeft, cells: changed,
 		};
@@ -82,7 +82,7 @@
 		if (isFull || isUrgent || changed.size > 0) {
 			const message: EvidenceMessage = {
 				...report, service: rollout.order.service, order: rollout.number, ageMs: now - rollout.startedAt,
-				cells: formatCells(isFull ? own.cells : changed),
+				cells: formatCells(isFull ? own.readCells(now) : changed),
 			};
 			channel.send(this.listCollectors(), evidenceMessageType, message);
 		}
--- a/src/software-rollout/rollout-routing/index.ts
+++ b/src/software-rollout/rollout-routing/index.ts
@@ -3,11 +3,12 @@
 import type {Clock} from '../../clock/clock/index.js';
 import type {FleetTarget} from '../../fleet/fleet-target/index.js';
 import type {TargetFleet} from '../../fleet/target-fleet/index.js';
-import type {EndedRequest, VersionRouting} from '../../forwarding/version-routing/index.js';
+import type {SentRequest, VersionRouting} from '../../forwarding/version-routing/index.js';
 import type {RouteId, SoftwareVersion} from '../../identity/ids/index.js';
 import type {ServiceId} from '../../routing/routing-types/index.js';
 import {calculateShiftShare} from '../calculate-shift-share/index.js';
 import {findGroup, type CellScope} from '../evidence-cell/index.js';
+import type {RequestOutcome} from '../evidence-recorder/index.js';
 import type {KnownRollout, OrderRegister} from '../order-register/index.js';
 import type {EvidenceStore} from '../rollout-evidence/index.js';
 import {isVersionOf, type VersionLane} from '../rollout-types/index.js';
@@ -60,19 +61,18 @@
 		return (isNew && lane !== 'previous') || (isPrevious && lane !== 'new');
 	}
 
-	recordSent(target: FleetTarget, route: RouteId): void {
+	recordSent({target, route, call}: SentRequest): void {
 		const rollout = this.findServing(target);
 		if (rollout !== undefined) {
-			this.options.evidence.get(rollout).own.recordSent(describeScope(rollout, target, route));
+			this.options.evidence.get(rollout).own.recordSent(describeScope(rollout, target, route), call);
 		}
 	}
 
-	recordEnded({target, route, outcome, durationMs}: EndedRequest): void {
+	recordEnded({target, route, call}: SentRequest, outcome: RequestOutcome): void {
 		const rollout = this.findServing(target);
-		const now = this.options.clock.readMonotonic();
 		// What was sent before the order shows nothing about it.
-		if (rollout !== undefined && now - durationMs >= rollout.startedAt) {
-			this.options.evidence.get(rollout).own.recordOutcome(describeScope(rollout, target, route), outcome, durationMs);
+		if (rollout !== undefined && call.sentAt >= rollout.startedAt) {
+			this.options.evidence.get(rollout).own.recordEnded(describeScope(rollout, target, route), call, outcome, this.options.clock.readMonotonic());
 		}
 	}
 
--- a/src/software-rollout/software-rollouts/index.ts
+++ b/src/software-rollout/software-rollouts/index.ts
@@ -197,11 +197,12 @@
 	private plan(rollout: KnownRollout, now: MonotonicMs): StagePlan | undefined {
 		const {order, status, startedAt, stageSince, stopReason} = rollout;
 		const {fleet} = this.evidence.get(rollout);
+		const {sent, answers} = fleet.sumNew();
 		const versions = this.listVersions(order.service);
 		const callsLeft = fleet.countCallsLeft(this.options.listLive().map(({id}) => id), status?.write ?? 0, now);
 		return planStage({
 			durationMs: order.durationMs, ageMs: now - startedAt, status, stageAgeMs: now - stageSince, bounds: this.options.readBounds(), stopReason,
-			requests: fleet.countRequests(), newAnswers: fleet.sumNew().answers, drainMs: fleet.estimateDrainMs(),
+			requests: fleet.countRequests(), newRequests: sent, newAnswers: answers, ...fleet.estimateDurations(),
 			hasNewTargets: versions.includes(order.target), hasPreviousTargets: versions.some(version => version !== order.target),
 			callsLeft: callsLeft.count, haveAllStated: callsLeft.haveAllStated,
 		});
