--- a/src/software-rollout/evidence-cell/index.ts
+++ b/src/software-rollout/evidence-cell/index.ts
@@ -3,6 +3,7 @@
  * targets. Groups are few, so that the sums stay small in a large fleet; they tell one faulty target from a bad version.
  */
 
+import {LRUCache} from 'lru-cache';
 import type {RouteId, TargetId} from '../../identity/ids/index.js';
 import {hashToNumber} from '../../random/hash-to-number/index.js';
 import type {LatencyHistogram} from '../latency-histogram/index.js';
@@ -32,6 +33,9 @@
 /** Number of groups of targets. */
 export const groupCount = 16;
 
+const maximumParsedKeys = 2000;
+const parsedKeys = new LRUCache<CellKey, CellScope>({max: maximumParsedKeys});
+
 /** A cell without anything. */
 export const emptyCell: EvidenceCell = {
 	sent: 0, answers: 0, failures: 0, durations: new Map(),
@@ -47,10 +51,17 @@
 	return `${lane} ${group} ${route}`;
 }
 
-/** Parses the key of a cell. */
+/** Parses the key of a cell. Each judgement parses all of them several times, so the results are kept. */
 export function parseCellKey(key: CellKey): CellScope {
+	const known = parsedKeys.get(key);
+	if (known !== undefined) {
+		return known;
+	}
+
 	const [lane = '', group = '', ...route] = key.split(' ');
-	return {lane: lane === 'new' ? 'new' : 'previous', group: Number(group), route: route.join(' ') as RouteId};
+	const scope: CellScope = {lane: lane === 'new' ? 'new' : 'previous', group: Number(group), route: route.join(' ') as RouteId};
+	parsedKeys.set(key, scope);
+	return scope;
 }
 
 /** Adds `factor` times a cell to another. */
--- a/src/software-rollout/plan-stage/index.ts
+++ b/src/software-rollout/plan-stage/index.ts
@@ -43,16 +43,16 @@
 
 /** Fraction of the allowed exposure that the canary takes: until the rate is known, and bounds for afterwards. */
 const firstCanaryFraction = 0.4;
-const leastCanaryFraction = 0.4;
+const leastCanaryFraction = 0.35;
 const mostCanaryFraction = 0.6;
 /** Fraction below which what is left for the shift can't be enough, so that the canary has to show as much as it can. */
 const hopelessFraction = 0;
 const minimumCanaryShare = 0.005;
 const maximumCanaryShare = 0.3;
 /** Time from an answer to the stop of the version at all instances, in milliseconds. */
-const stopDelayMs = 400;
-/** Answers that show that a version is bad, if a third of them are. */
-const answersUntilStop = 30;
+const stopDelayMs = 550;
+/** Answers that show that a version is bad, if a fifth of them are. */
+const answersUntilStop = 60;
 /** Age of the order from which the rate of requests is known, in milliseconds. */
 const minimumRateAgeMs = 1500;
 /** Factor from which another share of the canary is worth a write. */
--- a/src/software-rollout/software-rollouts/index.ts
+++ b/src/software-rollout/software-rollouts/index.ts
@@ -15,7 +15,9 @@
 import {chooseContenders} from '../../rollout/choose-contenders/index.js';
 import type {ServiceId} from '../../routing/routing-types/index.js';
 import type {StoredObject} from '../../store/object-api/index.js';
-import {countBadAnswers, judgeVersion, type BadVersion} from '../judge-version/index.js';
+import {describeBadVersion} from '../describe-bad-version/index.js';
+import {isStatusLost, isStoredStatusOlder, lostStatusDelayMs} from '../is-status-lost/index.js';
+import {countBadAnswers, judgeVersion} from '../judge-version/index.js';
 import {OrderRegister, type KnownRollout} from '../order-register/index.js';
 import {planStage, type StagePlan} from '../plan-stage/index.js';
 import {EvidenceStore} from '../rollout-evidence/index.js';
@@ -28,9 +30,9 @@
 
 /** Interval at which evidence is sent and judged, and stages are planned, while an order is in progress, in milliseconds. */
 const stepIntervalMs = 150;
+/** The same in stage `shift`, in which a bad version gets many calls. */
+const shiftStepIntervalMs = 75;
 const idleIntervalMs = 60_000;
-/** Time after which a stored status that is older than the known one is written again, in milliseconds; the feed takes less. */
-const lostStatusDelayMs = 2000;
 /** Time from the start from which a service without targets of other versions counts as one without, in milliseconds. */
 const fleetReadMs = 3000;
 
@@ -142,7 +144,17 @@
 				this.step(rollout, clock.readMonotonic());
 			}
 
-			await (active.length > 0 ? clock.sleep(stepIntervalMs, signal) : this.stepWakeup.wait(clock, idleIntervalMs, signal));
+			const intervalMs = active.some(({status}) => status?.stage === 'shift') ? shiftStepIntervalMs : stepIntervalMs;
+			await (active.length > 0 ? clock.sleep(intervalMs, signal) : this.waitForWork(signal));
+		}
+	}
+
+	/** Waits for a change. A status that the store doesn't have yet is looked at again when the feed has had its time. */
+	private async waitForWork(signal: AbortSignal): Promise<void> {
+		const isStoreBehind = this.orders.list().some(rollout => isStoredStatusOlder(rollout));
+		const isNotified = await this.stepWakeup.wait(this.options.clock, isStoreBehind ? lostStatusDelayMs : idleIntervalMs, signal);
+		if (!isNotified && this.listActive().length > 0) {
+			this.holderWakeup.notify();
 		}
 	}
 
@@ -277,13 +289,3 @@
 		return bad;
 	}
 }
-
-/** Whether the store lacks the status that is known, because it was restored from a copy. */
-function isStatusLost({status, storedStatus, number, stageSince}: KnownRollout, now: MonotonicMs): boolean {
-	const storedWrite = storedStatus?.order === number ? storedStatus.write : 0;
-	return status !== undefined && storedWrite < status.write && now - stageSince >= lostStatusDelayMs;
-}
-
-function describeBadVersion({kind, route, span, answers, bad, expectedShare}: BadVersion): string {
-	return `${bad} ${kind} of ${answers} on ${route ?? 'all routes'}, ${span}; at most ${Math.round(expectedShare * 1000) / 10}% expected`;
-}
