--- a/src/software-rollout/judge-version/index.ts
+++ b/src/software-rollout/judge-version/index.ts
@@ -44,10 +44,10 @@
 type MeasureFinder = (span: EvidenceSpan, whole: EvidenceSpan, route: RouteId) => Measure | undefined;
 
 const minimumBad = 6;
-/** Logarithm of the chance with which a good version is taken for a bad one in one comparison. */
 const evidenceNeeded = 8;
 const minimumBadOfRest = 3;
-const evidenceNeededOfRest = 3;
+/** Part of the evidence that has to be left without the group of targets with most bad answers. */
+const restFraction = 0.375;
 /** Where all answers come from one group of targets, which may be one faulty target. */
 const minimumBadOfOneGroup = 15;
 const evidenceNeededOfOneGroup = 25;
@@ -80,8 +80,11 @@
 	})),
 ];
 
-/** Judges a version; undefined if nothing shows that it is bad. The last span is that of the whole rollout. */
-export function judgeVersion(spans: readonly EvidenceSpan[]): BadVersion | undefined {
+/**
+ * Judges a version; undefined if nothing shows that it is bad. The last span is that of the whole rollout. `needed`: logarithm of
+ * the chance with which a good version may be taken for a bad one in one comparison.
+ */
+export function judgeVersion(spans: readonly EvidenceSpan[], needed = evidenceNeeded): BadVersion | undefined {
 	const whole = spans.at(-1);
 	if (whole === undefined) {
 		return undefined;
@@ -91,9 +94,9 @@
 	for (const span of spans) {
 		for (const {kind, find} of measureFinders) {
 			const comparisons = routes.map(route => compareRoute(span, route, find(span, whole, route)));
-			const badRoute = routes.find((_, index) => isBad(comparisons[index]!));
+			const badRoute = routes.find((_, index) => isBad(comparisons[index]!, needed));
 			const overall = addComparisons(comparisons);
-			if (badRoute !== undefined || isBad(overall)) {
+			if (badRoute !== undefined || isBad(overall, needed)) {
 				const {all} = badRoute === undefined ? overall : comparisons[routes.indexOf(badRoute)]!;
 				return {
 					kind, route: badRoute, span: span.name, answers: all.answers, bad: all.bad, expectedShare: all.expected / all.answers,
@@ -200,13 +203,13 @@
 	return sum;
 }
 
-function isBad({all, rest, groups}: Comparison): boolean {
+function isBad({all, rest, groups}: Comparison, needed: number): boolean {
 	if (groups <= 1) {
 		return all.bad >= minimumBadOfOneGroup && measureEvidence(all) >= evidenceNeededOfOneGroup;
 	}
 
-	return all.bad >= minimumBad && measureEvidence(all) >= evidenceNeeded
-		&& rest.bad >= minimumBadOfRest && measureEvidence(rest) >= evidenceNeededOfRest;
+	return all.bad >= minimumBad && measureEvidence(all) >= needed
+		&& rest.bad >= minimumBadOfRest && measureEvidence(rest) >= needed * restFraction;
 }
 
 /** Measures the evidence of a sample: the negative logarithm of the bound of Chernoff on the chance that a good version has as many bad answers. */
--- a/src/software-rollout/rollout-evidence/index.ts
+++ b/src/software-rollout/rollout-evidence/index.ts
@@ -1,12 +1,19 @@
 /** The evidence on each rollout in progress: what this instance counts, and the sums of the fleet. */
 
+import type {MonotonicMs} from '../../identity/ids/index.js';
 import type {ServiceId} from '../../routing/routing-types/index.js';
 import {EvidenceLedger} from '../evidence-ledger/index.js';
 import {EvidenceRecorder} from '../evidence-recorder/index.js';
 import type {KnownRollout} from '../order-register/index.js';
 
 /** Evidence on one rollout. */
-export type RolloutEvidence = {readonly order: number; readonly own: EvidenceRecorder; readonly fleet: EvidenceLedger};
+export type RolloutEvidence = {
+	readonly order: number;
+	readonly own: EvidenceRecorder;
+	readonly fleet: EvidenceLedger;
+	/** When the version had given many bad answers, as far as this instance has heard; undefined before. */
+	manyBadSince: MonotonicMs | undefined;
+};
 
 /** Evidence by service, for the newest order of each. */
 export class EvidenceStore {
@@ -20,7 +27,9 @@
 			return known;
 		}
 
-		const created: RolloutEvidence = {order: number, own: new EvidenceRecorder(), fleet: new EvidenceLedger()};
+		const created: RolloutEvidence = {
+			order: number, own: new EvidenceRecorder(), fleet: new EvidenceLedger(), manyBadSince: undefined,
+		};
 		this.evidence.set(service, created);
 		return created;
 	}
--- a/src/software-rollout/software-rollouts/index.ts
+++ b/src/software-rollout/software-rollouts/index.ts
@@ -15,9 +15,10 @@
 import {chooseContenders} from '../../rollout/choose-contenders/index.js';
 import type {ServiceId} from '../../routing/routing-types/index.js';
 import type {StoredObject} from '../../store/object-api/index.js';
+import {assessStop, manyBadAnswers} from '../assess-stop/index.js';
 import {describeBadVersion} from '../describe-bad-version/index.js';
 import {isStatusLost, isStoredStatusOlder, lostStatusDelayMs} from '../is-status-lost/index.js';
-import {countBadAnswers, judgeVersion} from '../judge-version/index.js';
+import {countBadAnswers} from '../judge-version/index.js';
 import {OrderRegister, type KnownRollout} from '../order-register/index.js';
 import {planStage, type StagePlan} from '../plan-stage/index.js';
 import {EvidenceStore} from '../rollout-evidence/index.js';
@@ -170,7 +171,13 @@
 	}
 
 	private judge(rollout: KnownRollout, now: MonotonicMs): void {
-		const bad = judgeVersion(this.evidence.get(rollout).fleet.listSpans(now));
+		const evidence = this.evidence.get(rollout);
+		const spans = evidence.fleet.listSpans(now);
+		if (countBadAnswers(spans.at(-1)!) >= manyBadAnswers) {
+			evidence.manyBadSince ??= now;
+		}
+
+		const bad = assessStop({spans, manyBadSince: evidence.manyBadSince, rollbackMs: this.options.readBounds().rollbackMs}, now);
 		if (bad === undefined) {
 			return;
 		}
