--- a/src/forwarding/call-attempts/index.ts
+++ b/src/forwarding/call-attempts/index.ts
@@ -8,6 +8,12 @@
 import type {FleetTarget} from '../../fleet/fleet-target/index.js';
 import type {Attempt} from '../session-types/index.js';
 
+/** Is told of the attempts of a call. */
+export type AttemptObserver = {
+	recordBegun?(attempt: Attempt): void;
+	recordEnded(attempt: Attempt, mayHaveRun: boolean): void;
+};
+
 /** Keeps count of the attempts of a call. */
 export class CallAttempts {
 	/** Attempts so far. */
@@ -18,11 +24,8 @@
 	readonly triedTargets = new Set<FleetTarget>();
 	private readonly open = new Set<Attempt>();
 
-	/**
-	 * `onEnd` is called after each attempt, whose target then has room for other calls. `priorRuns`: runs at other instances,
-	 * which passed the call on.
-	 */
-	constructor(private readonly onEnd?: () => void, priorRuns = 0) {
+	/** `priorRuns`: runs at other instances, which passed the call on. */
+	constructor(private readonly observers: readonly AttemptObserver[] = [], priorRuns = 0) {
 		this.runs = priorRuns;
 	}
 
@@ -60,6 +63,9 @@
 	/** Records that an attempt is in flight. */
 	begin(attempt: Attempt): void {
 		this.open.add(attempt);
+		for (const observer of this.observers) {
+			observer.recordBegun?.(attempt);
+		}
 	}
 
 	/** Whether `attempt` is the only one in flight. */
@@ -77,7 +83,9 @@
 		attempt.target.endCall(attempt.record, attempt.lastReceivedAt);
 		this.runs += mayHaveRun ? 1 : 0;
 		this.open.delete(attempt);
-		this.onEnd?.();
+		for (const observer of this.observers) {
+			observer.recordEnded(attempt, mayHaveRun);
+		}
 	}
 
 	/** Aborts the attempts in flight; they get no further callbacks. */
--- a/src/forwarding/call-session/index.ts
+++ b/src/forwarding/call-session/index.ts
@@ -16,6 +16,7 @@
 import {CallGuard} from '../call-guard/index.js';
 import {CallRequests} from '../call-requests/index.js';
 import {CallTimes} from '../call-times/index.js';
+import {CallVersions} from '../call-versions/index.js';
 import type {ForwardingContext} from '../forwarding-context/index.js';
 import {isRepeatable} from '../../routing/is-repeatable/index.js';
 import {PrefixHints} from '../prefix-hints/index.js';
@@ -39,13 +40,17 @@
 
 	constructor(private readonly options: SessionOptions, private readonly context: ForwardingContext) {
 		const {call, route, service, organisation, arrivedAt, sink, prior} = options;
-		// A call that may run once is passed on only if nothing has run.
-		const attempts = new CallAttempts(() => {
-			context.admission?.wake(service);
-		}, isRepeatable(route) ? prior.count : 0);
-		this.attempts = attempts;
 		this.requests = new CallRequests(prior, context.findRetryBudget(service));
 		this.origin = new StreamOrigin(options, context.streamOrigins);
+		const versions = new CallVersions(options, this.origin, context);
+		const queueWaker = {
+			recordEnded() {
+				context.admission?.wake(service);
+			},
+		};
+		// A call that may run once is passed on only if nothing has run.
+		const attempts = new CallAttempts([versions, queueWaker], isRepeatable(route) ? prior.count : 0);
+		this.attempts = attempts;
 		this.times = new CallTimes(arrivedAt);
 		this.charge = new CallCharge(context.quota, organisation, call.work);
 		this.guard = new CallGuard(context, options);
@@ -53,7 +58,8 @@
 		this.handler = new AttemptHandler({
 			session: options, attempts, requests: this.requests, relay: this.relay, guard: this.guard, times: this.times,
 			selection: {
-				session: options, triedTargets: attempts.triedTargets, hints: new PrefixHints(call.work, organisation, context.prefixes), origin: this.origin,
+				session: options, triedTargets: attempts.triedTargets, hints: new PrefixHints(call.work, organisation, context.prefixes),
+				origin: this.origin, versions,
 			},
 			isDone: () => this.isDone,
 			protect: step => {
--- a/src/forwarding/forwarding-context/index.ts
+++ b/src/forwarding/forwarding-context/index.ts
@@ -20,6 +20,7 @@
 import type {RequestGuard} from '../request-guard/index.js';
 import type {StreamOrigins} from '../stream-origins/index.js';
 import type {TargetClient} from '../target-client/index.js';
+import type {VersionRouting} from '../version-routing/index.js';
 
 /** Admits calls by charging them to the quota of their organisation. */
 export type QuotaGate = {
@@ -57,6 +58,8 @@
 	readonly leavingNotices: LeavingAnnouncer;
 	readonly streamOrigins: StreamOrigins;
 	readonly reachability: ReachabilityMonitor;
+	/** Without it, calls go to targets of any software version. */
+	readonly versionRouting?: VersionRouting | undefined;
 	readonly dataCentre: DataCentreId;
 	/** Returns how targets are compared; undefined for a comparison by reported loads. */
 	readonly readPlacementPolicy?: () => PlacementPolicy | undefined;
--- a/src/gateway/gateway-settings/index.ts
+++ b/src/gateway/gateway-settings/index.ts
@@ -62,6 +62,13 @@
 		/** Part of the tightest latency goal of a service that prompts at one of its engines may take; 0 if only its memory counts. */
 		goalFraction: z.number().min(0).max(10).default(0.8),
 	}).optional(),
+	/**
+	 * What a bad software version may get while operators move a service to it: a share of all requests until the deadline,
+	 * requests in addition, and the time after its 50th bad answer. Without it, orders to move a service are not followed.
+	 */
+	softwareRollout: z.object({
+		exposureShare: z.number().min(0).max(1), exposureSlack: z.number().min(0), rollbackMs: z.number().positive(),
+	}).optional(),
 	/** Time between SIGTERM and SIGKILL, in milliseconds. */
 	graceMs: z.number().positive(),
 });
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -1,10 +1,8 @@
 /** The gateway process: connects the components that serve callers on a platform, and stops them in order. */
 
 import {setMaxListeners} from 'node:events';
-import type {AdmissionQueues} from '../../admission/admission-queues/index.js';
 import type {Clock} from '../../clock/clock/index.js';
 import type {PlannedStop} from '../../daemon/planned-stop/index.js';
-import {LearnedLoadPolicy} from '../../fleet/learned-load-policy/index.js';
 import {LoadExchange} from '../../fleet/load-exchange/index.js';
 import {PrefixDirectory} from '../../fleet/prefix-directory/index.js';
 import {TargetFleet} from '../../fleet/target-fleet/index.js';
@@ -36,14 +34,14 @@
 import {addressValiditySeconds} from '../answer-address-query/index.js';
 import {applyNamedWeights} from '../apply-named-weights/index.js';
 import {CallListener} from '../call-listener/index.js';
-import {createAdmission} from '../create-admission/index.js';
 import {createGatewayStop} from '../create-gateway-stop/index.js';
 import {createHandover, type Handover} from '../create-handover/index.js';
-import {calculatePeerLimits, createIntake} from '../create-intake/index.js';
+import {calculatePeerLimits} from '../create-intake/index.js';
 import {createMembership} from '../create-membership/index.js';
-import {createRetryGauges} from '../create-retry-gauges/index.js';
 import {createRollout} from '../create-rollout/index.js';
+import {combineStops, createSoftwareRollouts, type SoftwareRolloutParts} from '../create-software-rollouts/index.js';
 import {createStatements, runStatements, type StatementExchange} from '../create-statements/index.js';
+import {createTrafficControl, type TrafficControl} from '../create-traffic-control/index.js';
 import {CurrentRouting} from '../current-routing/index.js';
 import {describeTarget} from '../describe-target/index.js';
 import {estimateInstanceCount} from '../estimate-instance-count/index.js';
@@ -51,9 +49,7 @@
 import type {GatewayMetrics} from '../gateway-metrics/index.js';
 import {InstanceRegistry} from '../instance-registry/index.js';
 import {listGauges} from '../list-gauges/index.js';
-import {LoadGauges} from '../load-gauges/index.js';
 import type {PlatformAdapter} from '../platform-adapter/index.js';
-import {ServiceRetryBudgets} from '../service-retry-budgets/index.js';
 import type {SettingsStore} from '../settings-store/index.js';
 import {startGatewayServers} from '../start-gateway-servers/index.js';
 
@@ -68,10 +64,9 @@
 };
 
 /** Upper limit of the tasks that wait on the signal of the gateway at the same time; more would be a leak. */
-const maximumTasks = 24;
+const maximumTasks = 28;
 /** Number of distinct values that `draw` returns. */
 const drawResolution = 0x40_00_00_00;
-const learnedLoadPolicy = new LearnedLoadPolicy();
 
 /** One gateway instance. */
 export class Gateway {
@@ -86,6 +81,7 @@
 	private readonly quotaLending: QuotaLending;
 	private readonly relayedObjectApi: RelayedObjectApi;
 	private readonly rollout: RolloutController;
+	private readonly software: SoftwareRolloutParts | undefined;
 	private readonly datagramChannel: DatagramChannel;
 	private readonly loadExchange: LoadExchange;
 	private readonly rolloutNotices: RolloutNotices;
@@ -94,8 +90,7 @@
 	private readonly handover: Handover;
 	private readonly streams: StreamDirectory;
 	private readonly listener: CallListener;
-	private readonly retryBudgets: ServiceRetryBudgets;
-	private readonly admission: AdmissionQueues | undefined;
+	private readonly traffic: TrafficControl;
 	private readonly weightsRegistry: WeightsRegistry;
 	private readonly instanceRegistry: InstanceRegistry;
 	private readonly startedAt: MonotonicMs;
@@ -107,14 +102,17 @@
 		const settings = store.current;
 		const self = settings.instance as InstanceId;
 		const listLive = () => this.membership.listLive(clock.readMonotonic());
+		const countInstances = () => this.countInstances();
+		const listPeers = () => this.listPeers();
 		const listPeerIds = () => this.listPeers().map(peer => peer.id);
 		this.startedAt = clock.readMonotonic();
 		setMaxListeners(maximumTasks, this.controller.signal);
 		this.fleet = new TargetFleet(logger);
-		this.admission = createAdmission({...options, fleet: this.fleet});
+		this.traffic = createTrafficControl({
+			...options, fleet: this.fleet, startedAt: this.startedAt, countInstances,
+		});
 		this.datagramChannel = new DatagramChannel(logger);
 		this.weightsRegistry = new WeightsRegistry(this.startedAt, () => store.current.weightsLimitMs);
-		this.retryBudgets = new ServiceRetryBudgets(() => store.current.retryBudget, () => this.countInstances(), this.startedAt);
 		this.instanceRegistry = new InstanceRegistry({
 			objectApi: adapter.objectApi, collection: adapter.collections.instances, self, peerAddress: settings.listen.peer, clock, logger,
 		});
@@ -124,8 +122,11 @@
 			settings: store, instanceRegistry: this.instanceRegistry, caller: this.peerClient, registry: this.peerServer, clock, random, logger,
 			readRevision: () => this.routing.table === undefined ? -1 as Revision : this.feeds.readRevision(),
 		});
+		this.software = createSoftwareRollouts({
+			...options, fleet: this.fleet, channel: this.datagramChannel, listLive,
+		});
 		this.feeds = new GatewayFeeds({
-			self, adapter, clock, logger, random, caller: this.peerClient, registry: this.peerServer,
+			...this.software, self, adapter, clock, logger, random, caller: this.peerClient, registry: this.peerServer,
 			isSeed: settings.seeds.some(seed => parseAddress(seed).host === parseAddress(settings.listen.peer).host),
 			isConfigurationMissed: () => this.routing.isMissed,
 			listPeers: () => this.listPeers(),
@@ -147,31 +148,26 @@
 			},
 		});
 		this.quotaLending = new QuotaLending({
-			clock, random, caller: this.peerClient, registry: this.peerServer,
-			countInstances: () => this.countInstances(),
-			readTolerance: () => store.current.quotaTolerance,
-			self, channel: this.datagramChannel,
-			listPeers: () => this.listPeers(),
+			clock, random, self, caller: this.peerClient, registry: this.peerServer, channel: this.datagramChannel,
+			countInstances, readTolerance: () => store.current.quotaTolerance, listPeers,
 		});
 		this.relayedObjectApi = new RelayedObjectApi({
-			objectApi: adapter.objectApi, caller: this.peerClient, registry: this.peerServer, random, clock,
-			listPeers: listPeerIds,
-		});
-		this.rolloutNotices = new RolloutNotices({
-			clock, fleet: this.fleet, channel: this.datagramChannel, listPeers: () => this.listPeers(),
-		});
-		this.handover = createHandover({
-			self, clock, logger, random, fleet: this.fleet, channel: this.datagramChannel, listPeers: () => this.listPeers(),
+			objectApi: adapter.objectApi, caller: this.peerClient, registry: this.peerServer, random, clock, listPeers: listPeerIds,
 		});
+		const channelOptions = {
+			self, clock, logger, random, fleet: this.fleet, channel: this.datagramChannel, listPeers,
+		};
+		this.rolloutNotices = new RolloutNotices(channelOptions);
+		this.handover = createHandover(channelOptions);
 		this.quarantine = new FleetQuarantine({
-			clock, logger, random, self, channel: this.datagramChannel, listPeers: () => this.listPeers(), probe: this.handover.probe,
+			...channelOptions, probe: this.handover.probe,
 			objectApi: this.relayedObjectApi, remover: adapter.objectApi, collection: adapter.collections.quarantines,
 		});
 		this.statements = createStatements({
-			...options, self, fleet: this.fleet, channel: this.datagramChannel, caller: this.peerClient, registry: this.peerServer, listLive,
+			...options, ...channelOptions, caller: this.peerClient, registry: this.peerServer, listLive,
 		});
 		this.streams = new StreamDirectory({
-			self, clock, logger, random, channel: this.datagramChannel, caller: this.peerClient, registry: this.peerServer,
+			...channelOptions, caller: this.peerClient, registry: this.peerServer,
 			objectApi: this.relayedObjectApi, directObjectApi: adapter.objectApi, collection: adapter.collections.streams, listLive,
 			readLongestWaitMs: () => calculateLongestWaitMs(this.routing.table?.configuration.routes),
 		});
@@ -181,14 +177,11 @@
 		});
 		this.loadExchange = new LoadExchange({
 			clock, random, fleet: this.fleet, prefixes: this.prefixDirectory, channel: this.datagramChannel, membership: this.membership,
-			backlog: this.admission?.backlog,
-			readSelf: () => this.membership.readSelf(),
-			listPeers: () => this.listPeers(),
-			sharesPaces: () => store.current.evenLoad,
+			backlog: this.traffic.admission?.backlog, sharesPaces: () => store.current.evenLoad,
+			readSelf: () => this.membership.readSelf(), listPeers,
 		});
-		const intakeOptions = createIntake(settings, clock, logger);
 		this.listener = new CallListener({
-			...intakeOptions,
+			...this.traffic.intakeOptions,
 			context: this.createContext(), protocol: adapter.callerProtocol, readTable: () => this.routing.readForCall(), handover: this.handover.calls,
 		});
 		this.peerServer.setCallRoute({
@@ -197,15 +190,11 @@
 				this.listener.serveHandedOver(message, response);
 			},
 		});
-		const retryGauges = createRetryGauges(this.retryBudgets, clock);
-		const loadGauges = new LoadGauges(this.fleet, clock);
+		const softwareSources = this.software?.sources ?? [];
 		metrics.addGauges(listGauges({
 			listener: this.listener,
-			sources: [
-				intakeOptions.intake, this.quarantine, this.streams, this.handover.calls, ...Object.values(this.statements), retryGauges, loadGauges,
-			],
-			objectApi: adapter.objectApi,
-			countMembers: () => this.listPeers().length + 1, readRevision: () => this.feeds.readRevision(),
+			sources: [this.quarantine, this.streams, this.handover.calls, ...Object.values(this.statements), ...this.traffic.gaugeSources, ...softwareSources],
+			objectApi: adapter.objectApi, countMembers: () => this.listPeers().length + 1, readRevision: () => this.feeds.readRevision(),
 		}));
 	}
 
@@ -218,6 +207,7 @@
 		this.membership.start();
 		void this.feeds.run(signal);
 		void this.rollout.run(signal);
+		void this.software?.rollouts.run(signal);
 		await this.datagramChannel.listen(settings.listen.peer, signal);
 		void this.loadExchange.run(signal);
 		void this.quotaLending.run(signal);
@@ -248,7 +238,7 @@
 		const {clock, logger, settings} = this.options;
 		this.plannedStop ??= createGatewayStop({
 			clock, logger, graceMs: settings.current.graceMs, addressValiditySeconds,
-			membership: this.membership, listener: this.listener, rollout: this.rollout, controller: this.controller,
+			membership: this.membership, listener: this.listener, rollout: combineStops([this.rollout, this.software?.rollouts]), controller: this.controller,
 		});
 		await this.plannedStop.run();
 	}
@@ -261,9 +251,9 @@
 			feeds: this.feeds.dump(),
 			membership: this.membership.dump(),
 			rollout: this.rollout.dump(),
+			softwareRollouts: this.software?.rollouts.dump(),
 			quota: this.quotaLending.dump(),
-			retries: this.retryBudgets.dump(now),
-			admission: this.admission?.dump(),
+			...this.traffic.dump(now),
 			quarantine: this.quarantine.dump(),
 			limits: this.statements.limits.dump(),
 			streams: this.streams.dump(),
@@ -297,13 +287,13 @@
 		return {
 			clock, logger, fleet: this.fleet, prefixes: this.prefixDirectory, targetClient: this.targetClient,
 			protocol: adapter.targetProtocol, quota: this.quotaLending, promptGuard: this.quarantine.prompts, requestGuard: this.quarantine.requests,
-			admission: this.admission, limits: this.statements.limits, leavingNotices: this.statements.leavingNotices, streamOrigins: this.streams,
-			reachability: this.handover.reachability,
-			readPlacementPolicy: () => settings.current.evenLoad ? learnedLoadPolicy : undefined,
+			admission: this.traffic.admission, limits: this.statements.limits, leavingNotices: this.statements.leavingNotices, streamOrigins: this.streams,
+			reachability: this.handover.reachability, versionRouting: this.software?.rollouts.routing,
+			readPlacementPolicy: this.traffic.readPlacementPolicy,
 			dataCentre: settings.current.dataCentre as DataCentreId,
 			draw: () => random.pickIndex(drawResolution) / drawResolution,
 			findVersionHistory: model => this.weightsRegistry.find(model),
-			findRetryBudget: service => this.retryBudgets.find(service),
+			findRetryBudget: service => this.traffic.retryBudgets.find(service),
 			findService: service => this.routing.table?.findService(service),
 			listCacheStores: () => this.routing.table?.configuration.cacheStores ?? [],
 			report(report) {
--- a/src/rollout/calculate-changing-limit/index.ts
+++ b/src/rollout/calculate-changing-limit/index.ts
@@ -24,10 +24,10 @@
 /** Share of the engines that may change at once while they are idle, and while they are busy. */
 const idleShare = 0.4;
 const busyShare = 0.15;
-/** Mean load up to which engines count as idle: two calls that generate. */
-const idleLoadTokens = 800;
-/** Mean load from which engines count as busy: a new call waits for a long prompt. */
-const busyLoadTokens = 3000;
+/** Mean load up to which engines count as idle: a new call waits for no more than one prompt. */
+const idleLoadTokens = 2500;
+/** Mean load from which engines count as busy: a new call waits for several prompts. */
+const busyLoadTokens = 7000;
 /** Time that an engine takes for a change, with the time in which its calls end, in milliseconds. */
 const changeMs = 2000;
 /** Time by which the last engine is to be ready before its limit, in milliseconds. */
