Take a crash before the head of an answer as evidence against the prompt

Callers saw target after target crash, and sound requests refused, by a prompt part that no quarantine found. Only a successful answer that breaks was evidence; a target that ends before its head has left adds none, and the guard of whole requests can't help, as no two of these requests are alike.

A connection that breaks before a head counts once a probe finds that nothing listens at the address, which tells a crash from a reset. The guards share the probe. The simulation of crashing prompts, in which engines always crash within their answers, is unchanged.

--- a/src/forwarding/call-guard/index.ts
+++ b/src/forwarding/call-guard/index.ts
@@ -74,7 +74,8 @@
 
 	/**
 	 * Records that the exchange failed on the target's side. A connection that broke is evidence against the request if the
-	 * target has ended. Only a successful answer that broke is evidence against the prompt.
+	 * target has ended. If it broke before the head of an answer, the same holds for the prompt; a successful answer that broke
+	 * is evidence against the prompt at once.
 	 */
 	recordFailure({target, head, record}: Attempt, {stage, error}: ExchangeFailure, now: MonotonicMs): void {
 		if (stage === 'notSent' || isParseError(error)) {
@@ -86,6 +87,8 @@
 		if (this.work !== undefined && stage === 'responding' && head !== undefined && isSuccess(head)) {
 			this.hasBrokenAnswer = true;
 			this.prompts.recordBrokenAnswer(this.work, target, record.sentAt, now);
+		} else if (this.work !== undefined && head === undefined) {
+			this.prompts.recordBrokenConnection(this.work, target, record.sentAt, now);
 		}
 	}
 
--- a/src/forwarding/call-guard/test.ts
+++ b/src/forwarding/call-guard/test.ts
@@ -17,13 +17,18 @@
 
 /** Creates a guard that records what calls report, rejects prompts with the part `culprit` once it is told to, and suspects all others as it is told. */
 function createGuard() {
-	const state = {isQuarantined: false, isSuspicious: false, log: [] as string[]};
+	const state = {
+		isQuarantined: false, isSuspicious: false, log: [] as string[], unanswered: [] as string[],
+	};
 	const guard: PromptGuard = {
 		findRejection: work => state.isQuarantined && work.parts.some(({id}) => id === 'culprit') ? {part: 'culprit', remainingMs: 90_500} : undefined,
 		isSuspicious: () => state.isSuspicious,
 		recordBrokenAnswer(_work, target) {
 			state.log.push(`broken ${target.description.id}`);
 		},
+		recordBrokenConnection(_work, target) {
+			state.unanswered.push(target.description.id);
+		},
 		recordCompleteAnswer() {
 			state.log.push('complete');
 		},
@@ -272,3 +277,11 @@
 	await call('c1', '');
 	expect(state.log).toEqual(['complete']);
 });
+
+test('guards against a connection that breaks before an answer and that no guard of prompts hears of', async t => {
+	const {state, call} = await startTargets(t, {kind: 'nonIdempotent'}, socket => {
+		socket.destroy();
+	});
+	await call('c1');
+	expect([state.unanswered.length, state.log]).toEqual([1, []]);
+});
--- a/src/forwarding/prompt-guard/index.ts
+++ b/src/forwarding/prompt-guard/index.ts
@@ -15,6 +15,8 @@
 	isSuspicious(work: EngineWork, now: MonotonicMs): boolean;
 	/** Records that the connection broke within the answer to a call that was sent at `sentAt`. */
 	recordBrokenAnswer(work: EngineWork, target: FleetTarget, sentAt: MonotonicMs, now: MonotonicMs): void;
+	/** Records that the connection broke before the head of the answer to a call that was sent at `sentAt`. */
+	recordBrokenConnection(work: EngineWork, target: FleetTarget, sentAt: MonotonicMs, now: MonotonicMs): void;
 	/** Records that a call ended with a complete answer. */
 	recordCompleteAnswer(work: EngineWork, now: MonotonicMs): void;
 };
@@ -26,6 +28,9 @@
 	recordBrokenAnswer() {
 		// Nothing is recorded.
 	},
+	recordBrokenConnection() {
+		// Nothing is recorded.
+	},
 	recordCompleteAnswer() {
 		// Nothing is recorded.
 	},
--- a/src/quarantine/crash-confirmation/index.ts
+++ b/src/quarantine/crash-confirmation/index.ts
@@ -7,35 +7,38 @@
 import type {FleetTarget} from '../../fleet/fleet-target/index.js';
 import type {TargetState} from '../../fleet/probe-target/index.js';
 import type {MonotonicMs} from '../../identity/ids/index.js';
-import type {CrashedRequest, RequestCrash} from '../request-ledger/index.js';
+import type {CrashedTarget} from '../crash-evidence/index.js';
 
-/** Time in which the requests of one crash are collected before the probe, in milliseconds. Their connections break at almost the same time. */
+/** Time in which the calls of one crash are collected before the probe, in milliseconds. Their connections break at almost the same time. */
 const collectionMs = 10;
 /** Pause before a target that still accepted a connection is probed once more; its listener may close a little after its connections. */
 const secondProbeDelayMs = 100;
 
+/** A confirmed crash, and the calls whose connections broke with it. */
+export type ConfirmedCrash<Call> = CrashedTarget & {readonly calls: readonly Call[]};
+
 /** Options of `CrashConfirmation`. */
-export type CrashConfirmationOptions = {
+export type CrashConfirmationOptions<Call> = {
 	readonly clock: Clock;
 	readonly probe: (target: FleetTarget) => Promise<TargetState>;
 	/** Called for each confirmed crash. */
-	readonly onCrash: (crash: RequestCrash) => void;
+	readonly onCrash: (crash: ConfirmedCrash<Call>) => void;
 };
 
-/** Collects broken requests by target until a probe has told what happened. */
-export class CrashConfirmation {
-	private readonly pending = new Map<FleetTarget, {readonly crashedAt: MonotonicMs; readonly requests: CrashedRequest[]}>();
+/** Collects broken calls by target until a probe has told what happened. */
+export class CrashConfirmation<Call> {
+	private readonly pending = new Map<FleetTarget, {readonly crashedAt: MonotonicMs; readonly calls: Call[]}>();
 
-	constructor(private readonly options: CrashConfirmationOptions) {}
+	constructor(private readonly options: CrashConfirmationOptions<Call>) {}
 
-	/** Adds a request whose connection to `target` broke at `now`. */
-	add(request: CrashedRequest, target: FleetTarget, now: MonotonicMs): void {
+	/** Adds a call whose connection to `target` broke at `now`. */
+	add(call: Call, target: FleetTarget, now: MonotonicMs): void {
 		const pending = this.pending.get(target);
 		if (pending === undefined) {
-			this.pending.set(target, {crashedAt: now, requests: [request]});
+			this.pending.set(target, {crashedAt: now, calls: [call]});
 			void this.confirm(target, now);
 		} else {
-			pending.requests.push(request);
+			pending.calls.push(call);
 		}
 	}
 
@@ -43,12 +46,12 @@
 		const {clock, onCrash} = this.options;
 		await clock.sleep(collectionMs);
 		const isDown = await this.isDown(target, crashedAt);
-		const {requests} = this.pending.get(target)!;
+		const {calls} = this.pending.get(target)!;
 		this.pending.delete(target);
 		if (isDown) {
 			const {id, startedAt} = target.description;
 			onCrash({
-				target: id, startedAt, crashedAt, requests,
+				target: id, startedAt, crashedAt, calls,
 			});
 		}
 	}
--- a/src/quarantine/crash-confirmation/test.ts
+++ b/src/quarantine/crash-confirmation/test.ts
@@ -4,17 +4,17 @@
 import {createFleetTarget} from '../../fixtures/create-fleet-target/index.js';
 import type {TargetState} from '../../fleet/probe-target/index.js';
 import type {RequestKey} from '../request-key/index.js';
-import type {RequestCrash} from '../request-ledger/index.js';
-import {CrashConfirmation} from './index.js';
+import type {CrashedRequest} from '../request-ledger/index.js';
+import {CrashConfirmation, type ConfirmedCrash} from './index.js';
 
 const startMs = 1000;
 
 /** Creates a confirmation whose probes give the listed states in turn. */
 function createConfirmation(...states: TargetState[]) {
 	const clock = new ManualClock(startMs);
-	const crashes: RequestCrash[] = [];
+	const crashes: Array<ConfirmedCrash<CrashedRequest>> = [];
 	const probes: TargetState[] = [];
-	const confirmation = new CrashConfirmation({
+	const confirmation = new CrashConfirmation<CrashedRequest>({
 		clock,
 		async probe() {
 			const state = states[probes.length] ?? 'up';
@@ -40,7 +40,7 @@
 	await clock.advance(5);
 	breakConnection('b');
 	await clock.advance(300);
-	expect(crashes.map(({requests}) => requests.map(({key}) => String(key)))).toEqual([['a', 'b']]);
+	expect(crashes.map(({calls}) => calls.map(({key}) => String(key)))).toEqual([['a', 'b']]);
 	expect([crashes[0]!.crashedAt as number, probes.length]).toEqual([startMs, 1]);
 });
 
--- a/src/quarantine/fleet-quarantine/index.ts
+++ b/src/quarantine/fleet-quarantine/index.ts
@@ -3,6 +3,7 @@
 import type {StoredObject} from '../../store/object-api/index.js';
 import {PromptQuarantine} from '../prompt-quarantine/index.js';
 import {isRequestRecord} from '../request-codec/index.js';
+import {shareProbes} from '../share-probes/index.js';
 import {RequestQuarantine, type RequestQuarantineOptions} from '../request-quarantine/index.js';
 
 /** Both guards. */
@@ -11,8 +12,9 @@
 	readonly requests: RequestQuarantine;
 
 	constructor(options: RequestQuarantineOptions) {
-		this.prompts = new PromptQuarantine(options);
-		this.requests = new RequestQuarantine(options);
+		const probe = shareProbes(options.probe);
+		this.prompts = new PromptQuarantine({...options, probe});
+		this.requests = new RequestQuarantine({...options, probe});
 	}
 
 	/** Gauges for the metrics of the instance. */
--- a/src/quarantine/prompt-quarantine/index.ts
+++ b/src/quarantine/prompt-quarantine/index.ts
@@ -5,12 +5,16 @@
 import type {PromptGuard, PromptRejection} from '../../forwarding/prompt-guard/index.js';
 import type {MonotonicMs} from '../../identity/ids/index.js';
 import type {StoredObject} from '../../store/object-api/index.js';
+import {CrashConfirmation} from '../crash-confirmation/index.js';
 import type {CrashSource} from '../crash-evidence/index.js';
-import {CrashLedger, listPromptCalls, type CrashReport} from '../crash-ledger/index.js';
+import {
+	CrashLedger, listPromptCalls, type CrashedPrompt, type CrashReport,
+} from '../crash-ledger/index.js';
 import {EvaluationDelay} from '../evaluation-delay/index.js';
 import {PartClearances} from '../part-clearances/index.js';
 import {listSharedPartKeys, type PartKey} from '../part-key/index.js';
 import {PartKind} from '../part-kind/index.js';
+import type {TargetProbe} from '../share-probes/index.js';
 import {QuarantineExchange} from '../quarantine-exchange/index.js';
 import {QuarantineKeeper, type QuarantineOptions} from '../quarantine-keeper/index.js';
 import type {Clearance, QuarantineNews} from '../quarantine-messages/index.js';
@@ -18,6 +22,12 @@
 const maximumLoggedParts = 6;
 const maximumDumpedParts = 50;
 
+/** Options of `PromptQuarantine`. */
+export type PromptQuarantineOptions = QuarantineOptions & {
+	/** Finds out whether a target whose connection broke before an answer has ended. */
+	readonly probe: TargetProbe;
+};
+
 /** Guard of prompts of one instance. */
 export class PromptQuarantine implements PromptGuard {
 	/** Gauges for the metrics of the instance. */
@@ -32,9 +42,10 @@
 	private readonly exchange: QuarantineExchange;
 	private readonly evaluation: EvaluationDelay;
 	private readonly clearances: PartClearances;
+	private readonly confirmation: CrashConfirmation<CrashedPrompt>;
 
-	constructor(private readonly options: QuarantineOptions) {
-		const {clock, logger} = options;
+	constructor(private readonly options: PromptQuarantineOptions) {
+		const {clock, logger, probe} = options;
 		this.evaluation = new EvaluationDelay(clock);
 		this.exchange = new QuarantineExchange({
 			...options,
@@ -48,6 +59,12 @@
 				this.exchange.announce({type: 'quarantine', notice});
 			},
 		});
+		this.confirmation = new CrashConfirmation({
+			clock, probe,
+			onCrash: ({calls, ...crash}) => {
+				this.recordOwnCrash({...crash, prompts: calls});
+			},
+		});
 		this.clearances = new PartClearances({
 			...options,
 			readCompletedAt: part => this.ledger.readCompletedAt(part),
@@ -84,11 +101,16 @@
 	recordBrokenAnswer(work: EngineWork, {description}: FleetTarget, sentAt: MonotonicMs, now: MonotonicMs): void {
 		const parts = listSharedPartKeys(work);
 		if (parts.length > 0) {
-			const crash: CrashReport = {
+			this.recordOwnCrash({
 				target: description.id, startedAt: description.startedAt, crashedAt: now, prompts: [{parts, sentAt}],
-			};
-			this.exchange.announceCrash(crash);
-			this.addCrash(crash, 'own', now);
+			});
+		}
+	}
+
+	recordBrokenConnection(work: EngineWork, target: FleetTarget, sentAt: MonotonicMs, now: MonotonicMs): void {
+		const parts = listSharedPartKeys(work);
+		if (parts.length > 0) {
+			this.confirmation.add({parts, sentAt}, target, now);
 		}
 	}
 
@@ -143,6 +165,11 @@
 		this.keeper.applyCompletion(part, completedAt);
 	}
 
+	private recordOwnCrash(crash: CrashReport): void {
+		this.exchange.announceCrash(crash);
+		this.addCrash(crash, 'own', this.options.clock.readMonotonic());
+	}
+
 	private addCrash(crash: CrashReport, source: CrashSource, now: MonotonicMs): void {
 		if (source === 'own') {
 			this.evaluation.recordOwnCrash(now);
--- a/src/quarantine/prompt-quarantine/test.ts
+++ b/src/quarantine/prompt-quarantine/test.ts
@@ -4,6 +4,7 @@
 import {createFleetTarget, testModel} from '../../fixtures/create-fleet-target/index.js';
 import {createMember} from '../../fixtures/create-member/index.js';
 import {simulateCrashingPrompt, type CrashSimulation} from '../../fixtures/simulate-crashing-prompt/index.js';
+import type {TargetState} from '../../fleet/probe-target/index.js';
 import type {EngineWork} from '../../forwarding/call-types/index.js';
 import type {MonotonicMs} from '../../identity/ids/index.js';
 import type {EventLogger} from '../../logging/create-logger/index.js';
@@ -20,6 +21,9 @@
 const seeds = [1, 2, 3, 4, 5, 6];
 /** Time from sending a call to the crash of its engine, in milliseconds. */
 const callMs = 100;
+/** Time in which a crash is confirmed, and in which instances tell each other of a quarantine, in milliseconds. */
+const probeMs = 150;
+const spreadMs = 1000;
 
 /** Creates the parameters of a simulation like the played incident: 8 engines, two prompts with the culprit a second among sound calls. */
 function createSimulation(changes: Partial<CrashSimulation> = {}): CrashSimulation {
@@ -36,8 +40,8 @@
 	};
 }
 
-/** Creates two instances with one object API. */
-function createPair(logger: EventLogger = quietLogger) {
+/** Creates two instances with one object API, whose probes find targets in `state`. */
+function createPair(logger: EventLogger = quietLogger, state: TargetState = 'unknown') {
 	const clock = new ManualClock();
 	const network = new FakeDatagramNetwork();
 	const objectApi = new MemoryObjectApi();
@@ -45,6 +49,7 @@
 	const guards = members.map((member, index) => new PromptQuarantine({
 		clock, logger, random: new RandomSource(index + 1), channel: network.open(member.id),
 		listPeers: () => members.filter(other => other !== member), objectApi, remover: objectApi, collection,
+		probe: async () => state,
 	}));
 	let engines = 0;
 	return {
@@ -60,6 +65,16 @@
 				await clock.advance(callMs);
 			}
 		},
+		/** The same with engines that end before the head of their answers. */
+		async breakConnections(guard: PromptQuarantine, count: number) {
+			for (let index = 0; index < count; index += 1) {
+				const sentAt = clock.readMonotonic();
+				engines += 1;
+				await clock.advance(callMs);
+				guard.recordBrokenConnection(createWork('root', 'culprit', 'own'), createFleetTarget(`e${engines}`), sentAt, clock.readMonotonic());
+				await clock.advance(callMs + probeMs);
+			}
+		},
 		isRejected: (guard: PromptQuarantine) => guard.findRejection(createWork('root', 'culprit', 'own'), clock.readMonotonic()) !== undefined,
 		async refresh() {
 			const {items, resourceVersion} = await objectApi.list(collection);
@@ -72,6 +87,17 @@
 	};
 }
 
+test('guards against a part that crashes engines before the head of an answer, which is no evidence, and resets that are taken for crashes', async () => {
+	const ended = createPair(quietLogger, 'down');
+	await ended.breakConnections(ended.first, 5);
+	await ended.clock.advance(spreadMs);
+	expect([ended.isRejected(ended.first), ended.isRejected(ended.second)]).toEqual([true, true]);
+	const alive = createPair(quietLogger, 'up');
+	await alive.breakConnections(alive.first, 5);
+	await alive.clock.advance(spreadMs);
+	expect([alive.isRejected(alive.first), alive.isRejected(alive.second)]).toEqual([false, false]);
+});
+
 test('guards against a prompt part that crashes engine after engine: no call with it reaches an engine 3 s after the fifth crash, and sound calls go on', async () => {
 	const unguarded = await simulateCrashingPrompt(createSimulation({isGuarded: false}));
 	expect(unguarded.lateCulprits > 10).toEqual(true);
--- a/src/quarantine/request-quarantine/index.ts
+++ b/src/quarantine/request-quarantine/index.ts
@@ -21,7 +21,7 @@
 import type {RequestKey} from '../request-key/index.js';
 import {RequestKind} from '../request-kind/index.js';
 import {
-	listRequestCalls, RequestLedger, type RequestCrash, type RequestEvidence,
+	listRequestCalls, RequestLedger, type CrashedRequest, type RequestCrash, type RequestEvidence,
 } from '../request-ledger/index.js';
 import type {RequestNews} from '../request-messages/index.js';
 import {trialIntervalMs} from '../request-trials/index.js';
@@ -53,7 +53,7 @@
 	private readonly keeper: QuarantineKeeper<RequestKey>;
 	private readonly exchange: RequestExchange;
 	private readonly evaluation: EvaluationDelay;
-	private readonly confirmation: CrashConfirmation;
+	private readonly confirmation: CrashConfirmation<CrashedRequest>;
 	private readonly trials: TrialAnnouncer;
 
 	constructor(private readonly options: RequestQuarantineOptions) {
@@ -67,8 +67,8 @@
 		});
 		this.confirmation = new CrashConfirmation({
 			clock, probe,
-			onCrash: crash => {
-				this.recordOwnCrash(crash);
+			onCrash: ({calls, ...crash}) => {
+				this.recordOwnCrash({...crash, requests: calls});
 			},
 		});
 		this.keeper = new QuarantineKeeper({
