--- a/src/gateway/call-listener/index.ts
+++ b/src/gateway/call-listener/index.ts
@@ -65,6 +65,7 @@
 			void this.handleClientError(error, socket as Socket);
 		});
 		this.idleConnections = new IdleConnections(this.server, clock);
+		options.intake.addAnswers(() => this.calls.listResponses());
 		this.connectionLimit = options.maximumConnections === undefined ? undefined : this.limitConnections(options.maximumConnections);
 	}
 
--- a/src/gateway/calls-in-progress/index.ts
+++ b/src/gateway/calls-in-progress/index.ts
@@ -47,6 +47,11 @@
 		return new Set(responses.map(response => ({message: response.req, response})));
 	}
 
+	/** Lists the answers that are not yet written. */
+	listResponses(): Iterable<ServerResponse> {
+		return this.responses;
+	}
+
 	/** Returns the state of each connection with a call. */
 	readConnectionStates(): ReadonlyMap<Socket, ConnectionState> {
 		const states = new Map<Socket, ConnectionState>();
--- a/src/intake/body-budget/index.ts
+++ b/src/intake/body-budget/index.ts
@@ -25,6 +25,8 @@
 export class BodyBudget {
 	/** Memory that all bodies take. */
 	heldBytes = 0;
+	/** Memory that unread answers take; it is not left to bodies. */
+	unreadBytes = 0;
 	/** Bodies refused since the start. */
 	readonly refusals: Record<RefusalReason | 'tooLarge', number> = {memory: 0, stalled: 0, tooLarge: 0};
 	/** Memory that one body of the legal size takes; it is granted even if the budget is smaller. */
@@ -40,6 +42,11 @@
 		return this.holdings.size;
 	}
 
+	/** Whether bodies and unread answers take more than allowed. */
+	get isExceeded(): boolean {
+		return this.heldBytes + this.unreadBytes > this.limitBytes;
+	}
+
 	/** Memory that all bodies together may take. */
 	private get limitBytes(): number {
 		return Math.max(this.readLimits().heldBytes, this.largestHoldingBytes);
@@ -58,14 +65,14 @@
 	charge(holding: BodyHolding, sizeBytes: number, heldBytes: number): boolean {
 		holding.sizeBytes = sizeBytes;
 		this.change(holding, heldBytes);
-		return this.heldBytes > this.limitBytes;
+		return this.isExceeded;
 	}
 
 	/** Refuses bodies until the others take no more memory than allowed. */
 	refuseExcess(now: MonotonicMs): void {
 		this.observe(now);
-		while (this.heldBytes > this.limitBytes) {
-			const isReserveUsed = this.heldBytes > this.limitBytes * (1 + reserveRatio);
+		while (this.isExceeded) {
+			const isReserveUsed = this.heldBytes + this.unreadBytes > this.limitBytes * (1 + reserveRatio);
 			const holding = chooseBodyToRefuse(this.reading, isReserveUsed ? 0 : shortBodyBytes, now);
 			if (holding === undefined) {
 				return;
@@ -93,7 +100,7 @@
 	/** Refuses the bodies that have gone without progress for too long. */
 	refuseStalled(now: MonotonicMs): void {
 		this.observe(now);
-		const limitMs = calculateStallLimit(this.readLimits().stallMs, this.heldBytes, this.limitBytes);
+		const limitMs = calculateStallLimit(this.readLimits().stallMs, this.heldBytes + this.unreadBytes, this.limitBytes);
 		for (const holding of this.reading) {
 			if (holding.readSilenceMs(now) > limitMs) {
 				this.refuse(holding, 'stalled');
--- a/src/intake/caller-intake/index.ts
+++ b/src/intake/caller-intake/index.ts
@@ -3,14 +3,16 @@
  * still, and for connections that are quiet.
  */
 
-import type {IncomingMessage} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Clock} from '../../clock/clock/index.js';
+import {abortResponse} from '../../http/abort-response/index.js';
 import {waitForArrivedData} from '../../http/wait-for-arrived-data/index.js';
 import type {MonotonicMs} from '../../identity/ids/index.js';
 import type {EventLogger} from '../../logging/create-logger/index.js';
 import {BodyBudget, type BodyLimits} from '../body-budget/index.js';
 import {BodyReader} from '../body-reader/index.js';
 import type {ConnectionLimit} from '../connection-limit/index.js';
+import {UnreadAnswers} from '../unread-answers/index.js';
 
 /** Dependencies of an intake. */
 export type CallerIntakeOptions = {
@@ -29,6 +31,9 @@
 export class CallerIntake {
 	readonly budget: BodyBudget;
 	private readonly connectionLimits: ConnectionLimit[] = [];
+	private readonly answers: UnreadAnswers[] = [];
+	/** Answers broken off since the start because their callers did not read them. */
+	private abortedAnswers = 0;
 	private isCheckScheduled = false;
 	private loggedAt = -Infinity as MonotonicMs;
 	private loggedRefusals = 0;
@@ -42,6 +47,8 @@
 		const {budget} = this;
 		return {
 			body_bytes_held: {help: 'Memory that bodies of calls in progress take.', read: () => budget.heldBytes},
+			unread_answer_bytes: {help: 'Memory that answers take which their callers have not read.', read: () => budget.unreadBytes},
+			unread_answers_aborted: {help: 'Answers broken off because their callers did not read them.', read: () => this.abortedAnswers},
 			bodies_refused_for_memory: {help: 'Bodies refused because there was no memory for them.', read: () => budget.refusals.memory},
 			bodies_refused_as_stalled: {help: 'Bodies refused because they stood still.', read: () => budget.refusals.stalled},
 			bodies_refused_as_too_large: {help: 'Bodies refused because they exceed the limit of a body.', read: () => budget.refusals.tooLarge},
@@ -64,6 +71,11 @@
 		return new BodyReader(message, this.budget, this.options.clock);
 	}
 
+	/** Counts the answers of a listener that their callers have not read. */
+	addAnswers(listResponses: () => Iterable<ServerResponse>): void {
+		this.answers.push(new UnreadAnswers(listResponses));
+	}
+
 	/** Observes the connections of a listener while many are open. Call `scheduleCheck` for each new one. */
 	addConnectionLimit(limit: ConnectionLimit): void {
 		this.connectionLimits.push(limit);
@@ -86,6 +98,7 @@
 		await waitForArrivedData();
 		this.isCheckScheduled = false;
 		const now = this.options.clock.readMonotonic();
+		this.checkAnswers(now);
 		this.budget.refuseStalled(now);
 		const observedLimits = this.connectionLimits.filter(({isObserving}) => isObserving);
 		for (const limit of observedLimits) {
@@ -98,11 +111,33 @@
 		}
 	}
 
+	/** Breaks off answers that their callers do not read while the memory is short. */
+	private checkAnswers(now: MonotonicMs): void {
+		const {budget} = this;
+		for (const answers of this.answers) {
+			answers.observe(now);
+		}
+
+		budget.unreadBytes = this.sumUnreadBytes();
+		for (const answers of this.answers) {
+			for (let response = answers.chooseToAbort(now); response !== undefined && budget.isExceeded; response = answers.chooseToAbort(now)) {
+				answers.remove(response);
+				abortResponse(response);
+				this.abortedAnswers += 1;
+				budget.unreadBytes = this.sumUnreadBytes();
+			}
+		}
+	}
+
+	private sumUnreadBytes(): number {
+		return this.answers.reduce((sum, {heldBytes}) => sum + heldBytes, 0);
+	}
+
 	private logRefusals(now: MonotonicMs): void {
 		const {budget: {refusals, heldBytes, count}, options} = this;
 		const connectionsClosed = this.sumConnections(({counts}) => counts.closed);
 		const connectionsRefused = this.sumConnections(({counts}) => counts.refused);
-		const sum = refusals.memory + refusals.stalled + refusals.tooLarge + connectionsClosed + connectionsRefused;
+		const sum = refusals.memory + refusals.stalled + refusals.tooLarge + connectionsClosed + connectionsRefused + this.abortedAnswers;
 		if (sum === this.loggedRefusals || now - this.loggedAt < logIntervalMs) {
 			return;
 		}
@@ -110,7 +145,8 @@
 		this.loggedAt = now;
 		this.loggedRefusals = sum;
 		options.logger?.warn('callers limited', {
-			...refusals, connectionsClosed, connectionsRefused, heldBytes, bodies: count, limitBytes: options.readLimits().heldBytes,
+			...refusals, connectionsClosed, connectionsRefused, answersAborted: this.abortedAnswers,
+			unreadBytes: this.budget.unreadBytes, heldBytes, bodies: count, limitBytes: options.readLimits().heldBytes,
 		});
 	}
 
--- a/src/intake/caller-intake/test.ts
+++ b/src/intake/caller-intake/test.ts
@@ -1,5 +1,5 @@
 import {once} from 'node:events';
-import {createServer} from 'node:http';
+import {createServer, type ServerResponse} from 'node:http';
 import {connect, type Socket} from 'node:net';
 import {test} from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
@@ -17,15 +17,19 @@
 const maximumBodyBytes = 100_000;
 
 /** Starts a server that answers with the length of the body, or with the status and the name of the error. */
-async function startServer(limits: BodyLimits, logger: EventLogger = quietLogger) {
+async function startServer(limits: BodyLimits, logger: EventLogger = quietLogger, answerBytes = 0) {
+	const responses = new Set<ServerResponse>();
 	const intake = new CallerIntake({clock: new SystemClock(), logger, readLimits: () => limits});
+	intake.addAnswers(() => responses);
 	const server = createServer((message, response) => {
 		const reader = intake.openBody(message);
+		responses.add(response);
 		response.once('close', () => {
+			responses.delete(response);
 			reader.release();
 		});
 		reader.read(maximumBodyBytes).then(body => {
-			response.end(`length ${body.length}`);
+			response.end(`length ${body.length}${'a'.repeat(answerBytes)}`);
 		}, (error: unknown) => {
 			const {entry, notRun} = convertToRouterError(error);
 			response.writeHead(entry.httpStatus).end(`${entry.name} ${notRun}`);
@@ -131,3 +135,35 @@
 		server.close();
 	}
 });
+
+test('guards against answers that callers do not read and that keep the memory when it is short', async () => {
+	const answerBytes = 20_000_000;
+	const server = await startServer({heldBytes: 1_000_000, stallMs: 5000}, quietLogger, answerBytes);
+	try {
+		const socket = server.open();
+		socket.write(`${head}content-length: 2\r\n\r\n{}`);
+		socket.pause();
+		await delay(600);
+		const {budget, gauges} = server.intake;
+		expect(budget.unreadBytes > 1_000_000).toEqual(true);
+		await delay(1600);
+		expect([budget.unreadBytes, budget.count, gauges.unread_answers_aborted.read()]).toEqual([0, 0, 1]);
+		socket.destroy();
+	} finally {
+		server.close();
+	}
+});
+
+test('guards against giving up callers that do not read while there is memory for their answers', async () => {
+	const server = await startServer({heldBytes: 100_000_000, stallMs: 5000}, quietLogger, 20_000_000);
+	try {
+		const socket = server.open();
+		socket.write(`${head}content-length: 2\r\n\r\n{}`);
+		socket.pause();
+		await delay(2200);
+		expect([server.intake.budget.count, server.intake.gauges.unread_answers_aborted.read()]).toEqual([1, 0]);
+		socket.destroy();
+	} finally {
+		server.close();
+	}
+});
