--- a/src/daemon/settings/index.ts
+++ b/src/daemon/settings/index.ts
@@ -23,7 +23,7 @@
 		/** Memory that the bodies of all calls in progress may take together. */
 		heldBodyBytes: z.number().int().min(1024).default(24 * 1024 * 1024),
 		/** Time for which a body may go without progress; shorter the more memory bodies take. */
-		bodyStallMs: z.number().int().min(100).max(600_000).default(10_000),
+		bodyStallMs: z.number().int().min(100).max(600_000).default(30_000),
 		headerBytes: z.number().int().min(1024).max(256 * 1024).default(32 * 1024),
 		connections: z.number().int().min(1).max(100_000).default(4096),
 		receiveTimeoutMs: z.number().int().min(100).max(600_000).default(30_000),
--- a/src/gateway/gateway-settings/index.ts
+++ b/src/gateway/gateway-settings/index.ts
@@ -4,7 +4,8 @@
 import {isAddress, parseSettingsFile} from '../../settings/parse-settings-file/index.js';
 
 const addressSchema = z.string().refine(isAddress, 'must be host:port');
-const defaultBodyStallMs = 10_000;
+/** As long as a whole request may take. */
+const defaultBodyStallMs = 30_000;
 
 /** Schema of the settings. Unknown fields are ignored, so that an older version starts with newer settings. */
 export const gatewaySettingsSchema = z.object({
--- a/src/intake/body-assembly/index.ts
+++ b/src/intake/body-assembly/index.ts
@@ -29,7 +29,7 @@
 	append(chunk: Buffer): void {
 		const isFirst = this.sizeBytes === 0;
 		this.sizeBytes += chunk.length;
-		const copiedBytes = this.fillPage(chunk);
+		const copiedBytes = this.copyToPage(chunk);
 		const rest = copiedBytes === 0 ? chunk : chunk.subarray(copiedBytes);
 		if (isFirst || rest.length >= minimumKeptChunkBytes) {
 			this.page = undefined;
@@ -37,7 +37,7 @@
 			this.heldBytes += chunk.length + bufferOverheadBytes;
 		} else if (rest.length > 0) {
 			this.openPage(rest.length);
-			this.fillPage(rest);
+			this.copyToPage(rest);
 		}
 	}
 
@@ -57,7 +57,7 @@
 	}
 
 	/** Copies as much of `chunk` as fits into the page that is open, if any. Returns how much that is. */
-	private fillPage(chunk: Buffer): number {
+	private copyToPage(chunk: Buffer): number {
 		const bytes = this.page === undefined ? 0 : chunk.copy(this.page, this.pageBytes);
 		this.pageBytes += bytes;
 		return bytes;
