Let calls wait while their service stands still

Without anything sent for some seconds, the rate of service forecast an endless wait, and calls were refused at once, although silent targets go on after a second as a rule.

--- a/src/admission/fair-flows/index.ts
+++ b/src/admission/fair-flows/index.ts
@@ -80,10 +80,10 @@
 			const flow = this.flows.values().next().value!;
 			const entry = blocked.has(flow.key) ? undefined : findNext(flow, canTry, now);
 			if (entry === undefined) {
+				// A flow that can't send now earns nothing, so it doesn't save up a burst.
 				blocked.add(flow.key);
 				this.advanceRound(flow, 0);
 			} else if (calculateCost(entry.call) > flow.deficit) {
-				// A flow that can't send now earns nothing, so it doesn't save up a burst.
 				this.advanceRound(flow, quantumTokens * this.calculateShare(flow));
 			} else if (tryStart(entry)) {
 				flow.deficit -= calculateCost(entry.call);
--- a/src/admission/service-demand/index.ts
+++ b/src/admission/service-demand/index.ts
@@ -8,6 +8,8 @@
 
 /** Time without waiting calls after which the rate of service no longer shows how much room there is, in milliseconds. */
 const maximumIdleMs = 250;
+/** Tokens sent in the last while, as a part of a call's cost, below which the service stands still. */
+const standstillFraction = 0.1;
 /** Part of the rate of service by which it has to exceed the arrivals before the queue counts as shrinking. */
 const drainMarginFraction = 0.1;
 /** Part of the rate of service that is assumed to be left beside calls of higher priorities. */
@@ -46,13 +48,17 @@
 		this.emptySince = now;
 	}
 
-	/** Forecasts the wait of a call. Until calls have waited for a while, the rate of service only shows how many arrived. */
+	/**
+	 * Forecasts the wait of a call. Until calls have waited for a while, the rate of service only shows how many arrived, and while
+	 * the service stands still, as when its targets are silent for a second, it doesn't show when they go on.
+	 */
 	forecast(call: CallRank, levels: WaitingLevels, now: MonotonicMs): QueueForecast {
-		if (this.busySince === undefined || now - this.busySince < rateDecayMs) {
+		const rate = this.sent.read(now);
+		const standsStill = rate * rateDecayMs < call.costTokens * standstillFraction;
+		if (this.busySince === undefined || now - this.busySince < rateDecayMs || standsStill) {
 			return {waitMs: undefined, drainMs: undefined};
 		}
 
-		const rate = this.sent.read(now);
 		const left = Math.max(rate - this.readArrivals(call.priority - 1, now), rate * minimumLeftFraction);
 		const surplus = rate - this.readArrivals(call.priority, now);
 		return {
--- a/src/admission/service-demand/test.ts
+++ b/src/admission/service-demand/test.ts
@@ -33,6 +33,14 @@
 	expect(forecast({sentPerSecond: 10, arrivalsPerSecond: 10, busyMs: 900})).toEqual([undefined, undefined]);
 });
 
+test('guards against refusals at once of all calls while targets are silent for a moment', () => {
+	const demand = new ServiceDemand();
+	demand.recordWaiting(0 as MonotonicMs);
+	demand.recordSent(10_000, 0 as MonotonicMs);
+	const isKnown = [2000, 6000].map(now => demand.forecast(call, new WaitingLevels(), now as MonotonicMs).waitMs !== undefined);
+	expect(isKnown).toEqual([true, false]);
+});
+
 test('guards against hope for room while as much arrives as is served', () => {
 	expect(forecast({sentPerSecond: 10, arrivalsPerSecond: 10})).toEqual([600, undefined]);
 	expect(forecast({sentPerSecond: 10, arrivalsPerSecond: 5})).toEqual([600, 1000]);
