--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -1,7 +1,6 @@
 /** The gateway process: connects the components that serve callers on a platform, and stops them in order. */
 
 import {setMaxListeners} from 'node:events';
-import type {AdmissionQueues} from '../../admission/admission-queues/index.js';
 import type {Clock} from '../../clock/clock/index.js';
 import type {PlannedStop} from '../../daemon/planned-stop/index.js';
 import {LoadExchange} from '../../fleet/load-exchange/index.js';
@@ -90,7 +89,7 @@
 	private readonly streams: StreamDirectory;
 	private readonly listener: CallListener;
 	private readonly retryBudgets: ServiceRetryBudgets;
-	private readonly admission: AdmissionQueues | undefined;
+	private readonly admission: ReturnType<typeof createAdmission>;
 	private readonly weightsRegistry: WeightsRegistry;
 	private readonly instanceRegistry: InstanceRegistry;
 	private readonly startedAt: MonotonicMs;
@@ -179,8 +178,7 @@
 		});
 		this.loadExchange = new LoadExchange({
 			clock, random, fleet: this.fleet, prefixes: this.prefixDirectory, channel: this.datagramChannel, membership: this.membership,
-			backlog: this.admission?.backlog,
-			readSelf: () => this.membership.readSelf(),
+			backlog: this.admission?.backlog, readSelf: () => this.membership.readSelf(),
 			listPeers: () => this.listPeers(),
 		});
 		this.listener = new CallListener({
@@ -251,8 +249,7 @@
 			feeds: this.feeds.dump(),
 			membership: this.membership.dump(),
 			rollout: this.rollout.dump(),
-			quota: this.quotaLending.dump(),
-			admission: this.admission?.dump(),
+			quota: this.quotaLending.dump(), admission: this.admission?.dump(),
 			quarantine: this.quarantine.dump(),
 			limits: this.statements.limits.dump(),
 			streams: this.streams.dump(),
