--- a/src/fleet/learned-load-policy/index.ts
+++ b/src/fleet/learned-load-policy/index.ts
@@ -9,6 +9,7 @@
 import type {MonotonicMs} from '../../identity/ids/index.js';
 import type {TargetQuery} from '../choose-target/index.js';
 import type {FleetTarget} from '../fleet-target/index.js';
+import {minimumSpeed} from '../learned-speed/index.js';
 import {
 	drawMultiplier, fullComparisonTargetLimit, nonHomePenaltyTokens, randomTargetsPerGroup, sumPenalties,
 	type Candidates, type PlacementPolicy, type RatedTarget,
@@ -49,15 +50,22 @@
 	}
 }
 
-/** Selects the targets that should hold the shared prefix, as many as its recent use needs. */
+/** Selects the targets that should hold the shared prefix: the first of its ranking whose speeds together suffice for its recent use. */
 function selectHomes({all, upToDate}: Candidates, {sharedPrefix, promptTokensPerSecond = 0}: TargetQuery, now: MonotonicMs): readonly FleetTarget[] {
 	const targets = upToDate.length > 0 ? upToDate : all;
-	return sharedPrefix === undefined ? [] : pickByPrefix(sharedPrefix.id, targets, countNeededHolders(promptTokensPerSecond, targets[0], now));
-}
+	if (sharedPrefix === undefined || targets.length === 0) {
+		return [];
+	}
 
-function countNeededHolders(promptTokensPerSecond: number, target: FleetTarget | undefined, now: MonotonicMs): number {
-	const msPerToken = target?.speed.readServiceMsPerToken(now) ?? 0;
-	return Math.max(1, Math.ceil(promptTokensPerSecond * msPerToken / 1000 / maximumTimeShare));
+	const msPerToken = targets[0]!.speed.readServiceMsPerToken(now) ?? 0;
+	const neededSpeed = promptTokensPerSecond * msPerToken / 1000 / maximumTimeShare;
+	const ranked = pickByPrefix(sharedPrefix.id, targets, Math.ceil(neededSpeed / minimumSpeed) + 1);
+	let speed = 0;
+	const count = ranked.findIndex(target => {
+		speed += target.speed.read(now);
+		return speed >= neededSpeed;
+	});
+	return count === -1 ? ranked : ranked.slice(0, count + 1);
 }
 
 /** Selects the targets to compare: all in a small fleet, else the holders and homes of the prefix and a few random ones. */
--- a/src/fleet/learned-speed/index.ts
+++ b/src/fleet/learned-speed/index.ts
@@ -18,7 +18,7 @@
 /** Largest ratio between the time that an observation counts for and the time that a target of mean speed needs. */
 const maximumDeviation = 4;
 /** Bounds of the speed. */
-const minimumSpeed = 0.4;
+export const minimumSpeed = 0.4;
 const maximumSpeed = 2.5;
 
 /** Work that a target was seen to do, and the time that it took. */
--- a/src/fleet/load-aggregator/index.ts
+++ b/src/fleet/load-aggregator/index.ts
@@ -203,22 +203,35 @@
 		}
 	}
 
-	private applyLoads(key: InstanceId, {loads, validMs}: SumsMessage, now: MonotonicMs, adjust: (load: TargetLoad, id: LoadEntry[0]) => TargetLoad): void {
+	private applyLoads(key: InstanceId, message: SumsMessage, now: MonotonicMs, adjust: (load: TargetLoad, id: LoadEntry[0]) => TargetLoad): void {
+		const {loads, paces, validMs} = message;
 		const entries = new Map(loads.map(entry => [entry[0], entry]));
+		const isFull = loads.length + (paces?.length ?? 0) >= maximumLoads;
+		const unlisted = isFull && this.options.paces.isEnabled() ? estimateUnlisted(loads) : undefined;
 		const measuredAt = now - sumsAgeMs as MonotonicMs;
 		const expiresAt = now + validMs as MonotonicMs;
 		for (const target of this.options.fleet.list()) {
 			const {id} = target.description;
 			const entry = entries.get(id);
-			if (entry === undefined) {
+			const load = entry === undefined ? unlisted : parseLoad(entry);
+			if (load === undefined) {
 				target.forgetRemoteLoad(key, measuredAt);
 			} else {
-				target.recordRemoteLoad(key, adjust(parseLoad(entry), id), {measuredAt, expiresAt});
+				target.recordRemoteLoad(key, adjust(load, id), {measuredAt, expiresAt});
 			}
 		}
 	}
 }
 
+/**
+ * Estimates the load of a target that full sums have no room for: half of the least that they list. If such targets counted as
+ * idle, all instances would send to them.
+ */
+function estimateUnlisted(loads: readonly LoadEntry[]): TargetLoad {
+	const {calls, prefillTokens, memoryTokens} = parseLoad(loads.at(-1)!);
+	return {calls: calls / 2, prefillTokens: prefillTokens / 2, memoryTokens: memoryTokens / 2};
+}
+
 /** Subtracts the work that this instance has reported itself, which it knows more recently. */
 function subtractLoad(total: TargetLoad, own: TargetLoad | undefined): TargetLoad {
 	if (own === undefined) {
--- a/src/fleet/load-exchange/test.ts
+++ b/src/fleet/load-exchange/test.ts
@@ -147,6 +147,12 @@
 	}
 });
 
+test('guards against a herd at targets that full sums have no room for: they do not count as idle', async () => {
+	const {instances, now} = await exchangeBusyLoads(true);
+	const idlest = Math.min(...instances.flatMap(({fleet}) => [...fleet.list()].map(target => target.estimateMemory(now))));
+	expect(idlest > 9000 * 24 / 4).toEqual(true);
+});
+
 test('guards against treating an idle instance as dead', async () => {
 	const {clock, instances, stop} = createExchangingInstances(9);
 	await clock.advance(2000);
--- a/src/fleet/pace-exchange/index.ts
+++ b/src/fleet/pace-exchange/index.ts
@@ -20,7 +20,7 @@
 	private readonly pending = {fleet: new Map<TargetId, PaceObservation>(), dataCentre: new Map<TargetId, PaceObservation>()};
 
 	/** `isEnabled`: whether observations are passed on. */
-	constructor(private readonly fleet: TargetFleet, private readonly isEnabled: () => boolean) {}
+	constructor(private readonly fleet: TargetFleet, readonly isEnabled: () => boolean) {}
 
 	/** Returns the observations that this instance has made since its last report. */
 	takeOwn(now: MonotonicMs): readonly PaceEntry[] {
