--- a/src/fleet/learned-load-policy/index.ts
+++ b/src/fleet/learned-load-policy/index.ts
@@ -9,14 +9,17 @@
 import type {MonotonicMs} from '../../identity/ids/index.js';
 import type {TargetQuery} from '../choose-target/index.js';
 import type {FleetTarget} from '../fleet-target/index.js';
+import {minimumSpeed} from '../learned-speed/index.js';
 import {
-	drawMultiplier, fullComparisonTargetLimit, nonHomePenaltyTokens, randomTargetsPerGroup, sumPenalties,
+	drawMultiplier, fullComparisonTargetLimit, randomTargetsPerGroup, sumPenalties,
 	type Candidates, type PlacementPolicy, type RatedTarget,
 } from '../placement-policy/index.js';
 import {pickByPrefix} from '../rank-by-prefix/index.js';
 
 /** Random targets in the comparison when there are holders of the prefix, each of which would have to compute or fetch it. */
 const randomTargetsBesideHolders = 1;
+/** Cost of computing a prefix elsewhere than at its home, which may hold it even if that is not reported. */
+const nonHomePenaltyTokens = 4000;
 /** Part of the prefix's tokens that a target without it is charged, because it may fetch them. */
 const missingPrefixShare = 0.75;
 /** The same for a target that becomes a holder of a prefix with too few of them. */
@@ -49,15 +52,22 @@
 	}
 }
 
-/** Selects the targets that should hold the shared prefix, as many as its recent use needs. */
+/** Selects the targets that should hold the shared prefix: the first of its ranking whose speeds together suffice for its recent use. */
 function selectHomes({all, upToDate}: Candidates, {sharedPrefix, promptTokensPerSecond = 0}: TargetQuery, now: MonotonicMs): readonly FleetTarget[] {
 	const targets = upToDate.length > 0 ? upToDate : all;
-	return sharedPrefix === undefined ? [] : pickByPrefix(sharedPrefix.id, targets, countNeededHolders(promptTokensPerSecond, targets[0], now));
-}
+	if (sharedPrefix === undefined || targets.length === 0) {
+		return [];
+	}
 
-function countNeededHolders(promptTokensPerSecond: number, target: FleetTarget | undefined, now: MonotonicMs): number {
-	const msPerToken = target?.speed.readServiceMsPerToken(now) ?? 0;
-	return Math.max(1, Math.ceil(promptTokensPerSecond * msPerToken / 1000 / maximumTimeShare));
+	const msPerToken = targets[0]!.speed.readServiceMsPerToken(now) ?? 0;
+	const neededSpeed = promptTokensPerSecond * msPerToken / 1000 / maximumTimeShare;
+	const ranked = pickByPrefix(sharedPrefix.id, targets, Math.ceil(neededSpeed / minimumSpeed) + 1);
+	let speed = 0;
+	const count = ranked.findIndex(target => {
+		speed += target.speed.read(now);
+		return speed >= neededSpeed;
+	});
+	return count === -1 ? ranked : ranked.slice(0, count + 1);
 }
 
 /** Selects the targets to compare: all in a small fleet, else the holders and homes of the prefix and a few random ones. */
