--- a/src/software-rollout/plan-stage/index.ts
+++ b/src/software-rollout/plan-stage/index.ts
@@ -45,8 +45,8 @@
 const firstCanaryFraction = 0.4;
 const leastCanaryFraction = 0.35;
 const mostCanaryFraction = 0.6;
-/** Fraction below which what is left for the shift can't be enough, so that the canary has to show as much as it can. */
-const hopelessFraction = 0;
+/** Requests that the canary needs to show much, if its largest fraction allows them. */
+const enoughCanaryRequests = 90;
 const minimumCanaryShare = 0.005;
 const maximumCanaryShare = 0.3;
 /** Time from an answer to the stop of the version at all instances, in milliseconds. */
@@ -133,9 +133,15 @@
 	return Math.min(maximumCanaryShare, Math.max(minimumCanaryShare, share));
 }
 
-/** Chooses the fraction of the allowed exposure that the canary takes. The rest is for a version that turns out to be bad in the shift. */
-function chooseCanaryFraction({typicalMs = unknownDrainMs}: StageQuery, requestsPerMs: number, allowed: number): number {
+/**
+ * Chooses the fraction of the allowed exposure that the canary takes. The rest is for a version that turns out to be bad in the
+ * shift, or, where few requests come, for the whole shift.
+ */
+function chooseCanaryFraction(query: StageQuery, requestsPerMs: number, allowed: number): number {
+	const {typicalMs = unknownDrainMs, durationMs} = query;
 	const untilStop = (requestsPerMs * (typicalMs + stopDelayMs)) + answersUntilStop;
-	const fraction = 1 - (untilStop / allowed);
-	return fraction < hopelessFraction ? mostCanaryFraction : Math.min(mostCanaryFraction, Math.max(leastCanaryFraction, fraction));
+	const shiftFraction = requestsPerMs * (durationMs - calculateShiftAgeMs(query)) / allowed;
+	const enoughFraction = enoughCanaryRequests / allowed;
+	const fraction = Math.max(leastCanaryFraction, 1 - (untilStop / allowed), shiftFraction < 1 ? Math.min(enoughFraction, 1 - shiftFraction) : enoughFraction);
+	return Math.min(mostCanaryFraction, fraction);
 }
