--- a/src/soak/soak-instance/index.ts
+++ b/src/soak/soak-instance/index.ts
@@ -43,6 +43,8 @@
 	readonly storeAddress: string;
 	/** Directory of the settings file and the log. */
 	readonly directory: string;
+	/** Settings beside the usual ones. */
+	readonly settings?: Readonly<Record<string, unknown>>;
 	/** Called when the process exits although the test did not stop it. */
 	readonly onCrash: (detail: string) => void;
 };
@@ -70,13 +72,13 @@
 	}
 
 	async start(): Promise<void> {
-		const {name, host, zone, seedHosts, directory} = this.options;
+		const {name, host, zone, seedHosts, directory, settings} = this.options;
 		const objectApi = await this.storeProxy.listen();
 		await writeFile(this.settingsFile, JSON.stringify({
 			instance: name, dataCentre: zone, region: 'east', objectApi,
 			seeds: seedHosts.map(seed => `${seed}:1`), retryBudget: {ratio: 0.2, extra: 50}, quotaTolerance: {ratio: 0.1, extraTokens: 110_000},
 			weightsLimitMs: 10_000, graceMs: terminationGraceMs,
-			listen: Object.fromEntries(Object.entries(ports).map(([use, port]) => [use, `${host}:${port}`])),
+			listen: Object.fromEntries(Object.entries(ports).map(([use, port]) => [use, `${host}:${port}`])), ...settings,
 		}));
 		this.log = createWriteStream(join(directory, `${name}.log`));
 		this.launch();
