--- a/src/software-rollout/calculate-shift-share/index.ts
+++ b/src/software-rollout/calculate-shift-share/index.ts
@@ -14,10 +14,12 @@
 	readonly stageSince: MonotonicMs;
 	/** Whether an instance has judged the version to be bad. */
 	readonly isStopped: boolean;
+	/** Whether the instance has not heard of a lease holder for so long that it may have missed a stop. */
+	readonly isOutOfTouch: boolean;
 };
 
 /** Calculates the share at `now`, from 0 to 1. A completed rollout has no other version to send to. */
-export function calculateShiftShare({status, stageSince, isStopped}: KnownShift, now: MonotonicMs): number {
+export function calculateShiftShare({status, stageSince, isStopped, isOutOfTouch}: KnownShift, now: MonotonicMs): number {
 	if (status === undefined || status.state === 'rolled_back') {
 		return 0;
 	}
@@ -26,7 +28,7 @@
 		return 1;
 	}
 
-	if (isStopped) {
+	if (isStopped || isOutOfTouch) {
 		return 0;
 	}
 
--- a/src/software-rollout/calculate-shift-share/test.ts
+++ b/src/software-rollout/calculate-shift-share/test.ts
@@ -6,12 +6,16 @@
 
 const at = (ms: number) => ms as MonotonicMs;
 
-function createShift(state: RolloutState, stage: RolloutStage, isStopped = false) {
-	return {status: {state, stage, share: 0.04}, stageSince: at(1000), isStopped};
+function createShift(state: RolloutState, stage: RolloutStage, isStopped = false, isOutOfTouch = false) {
+	return {
+		status: {state, stage, share: 0.04}, stageSince: at(1000), isStopped, isOutOfTouch,
+	};
 }
 
 test('guards against calls to the new version before the order has a stage', () => {
-	expect(calculateShiftShare({status: undefined, stageSince: at(0), isStopped: false}, at(5000))).toEqual(0);
+	expect(calculateShiftShare({
+		status: undefined, stageSince: at(0), isStopped: false, isOutOfTouch: false,
+	}, at(5000))).toEqual(0);
 });
 
 test('raises the share of a shift from that of the canary to all', () => {
@@ -23,6 +27,7 @@
 test('guards against calls to a version that is bad, and against none at all once the old targets have stopped', () => {
 	for (const stage of ['canary', 'shift'] as const) {
 		expect(calculateShiftShare(createShift('serving', stage, true), at(9000))).toEqual(0);
+		expect(calculateShiftShare(createShift('serving', stage, false, true), at(9000))).toEqual(0);
 		expect(calculateShiftShare(createShift('rolled_back', stage), at(9000))).toEqual(0);
 		expect(calculateShiftShare(createShift('completed', stage, true), at(9000))).toEqual(1);
 	}
--- a/src/software-rollout/order-register/index.ts
+++ b/src/software-rollout/order-register/index.ts
@@ -30,6 +30,8 @@
 	status: RolloutStatus | undefined;
 	/** When the instance learned of the present state and stage. */
 	stageSince: MonotonicMs;
+	/** When the instance last heard of the order from a lease holder or, for its first status, from the store. */
+	heardAt: MonotonicMs;
 	/** Version of the stored object and the status in it. */
 	version: ResourceVersion;
 	storedStatus: RolloutStatus | undefined;
@@ -98,6 +100,7 @@
 		}
 
 		rollout.status = status;
+		rollout.heardAt = now;
 		rollout.previous = status.previous;
 		this.raiseAge(rollout, status.ageMs, now);
 		this.exclude(rollout.order.service, status.excluded);
@@ -149,7 +152,7 @@
 		const rollout: KnownRollout = {
 			objectName: object.name, order, number: own?.order ?? Math.max(known?.number ?? 0, status?.order ?? 0) + 1,
 			orderedAt: own?.orderedAt ?? now.wall, startedAt: now.monotonic - ageMs as MonotonicMs,
-			previous: this.choosePrevious(order, known, status), status: undefined, stageSince: now.monotonic,
+			previous: this.choosePrevious(order, known, status), status: undefined, stageSince: now.monotonic, heardAt: now.monotonic,
 			version, storedStatus: status, isListed: true, stopReason: undefined,
 		};
 		this.rollouts.set(service, rollout);
--- a/src/software-rollout/plan-stage/index.ts
+++ b/src/software-rollout/plan-stage/index.ts
@@ -47,6 +47,7 @@
 const mostCanaryFraction = 0.6;
 /** Requests that the canary needs to show much, if its largest fraction allows them. */
 const enoughCanaryRequests = 90;
+const shareResolution = 1000;
 const minimumCanaryShare = 0.005;
 const maximumCanaryShare = 0.3;
 /** Time from an answer to the stop of the version at all instances, in milliseconds. */
@@ -108,6 +109,11 @@
 		return {state: 'serving', stage: 'shift', share};
 	}
 
+	// Shortly before the shift, another share would change little.
+	if (calculateShiftAgeMs(query) - ageMs < minimumRateAgeMs) {
+		return undefined;
+	}
+
 	const wanted = calculateCanaryShare(query);
 	const isOther = wanted >= share * shareChangeFactor || wanted * shareChangeFactor <= share;
 	return isOther ? {state: 'serving', stage: 'canary', share: wanted} : undefined;
@@ -130,7 +136,7 @@
 	const allowed = (bounds.exposureShare * requestsPerMs * Math.max(durationMs, ageMs)) + bounds.exposureSlack;
 	const remainingMs = Math.max(calculateShiftAgeMs(query) - ageMs, minimumRateAgeMs);
 	const share = ((chooseCanaryFraction(query, requestsPerMs, allowed) * allowed) - newRequests) / (requestsPerMs * remainingMs);
-	return Math.min(maximumCanaryShare, Math.max(minimumCanaryShare, share));
+	return Math.min(maximumCanaryShare, Math.max(minimumCanaryShare, Math.round(share * shareResolution) / shareResolution));
 }
 
 /**
--- a/src/software-rollout/rollout-exchange/index.ts
+++ b/src/software-rollout/rollout-exchange/index.ts
@@ -11,6 +11,7 @@
 import type {DatagramTransport} from '../../peers/datagram-channel/index.js';
 import {sendRepeatedly} from '../../peers/send-repeatedly/index.js';
 import {chooseContenders} from '../../rollout/choose-contenders/index.js';
+import type {ServiceId} from '../../routing/routing-types/index.js';
 import type {EvidenceReport} from '../evidence-ledger/index.js';
 import type {KnownRollout} from '../order-register/index.js';
 import type {EvidenceStore} from '../rollout-evidence/index.js';
@@ -26,6 +27,8 @@
 const statusRepeatsMs = [60] as const;
 /** Interval at which an instance sends all that it has counted, in milliseconds. */
 const fullReportIntervalMs = 2000;
+/** Interval at which the lease holder tells of the status, in milliseconds; several fit into the silence after which nothing is sent. */
+const reminderIntervalMs = 700;
 
 /** Options of the exchange. */
 export type RolloutExchangeOptions = {
@@ -45,6 +48,7 @@
 
 /** Sends and receives messages about rollouts. */
 export class RolloutExchange {
+	private readonly remindedAt = new Map<ServiceId, MonotonicMs>();
 	private readonly fullReportAt = new Map<string, MonotonicMs>();
 
 	constructor(private readonly options: RolloutExchangeOptions) {
@@ -112,6 +116,14 @@
 		}, statusRepeatsMs, clock);
 	}
 
+	/** Tells all instances of the present status again if that is due, so that they know that they hear the lease holder. */
+	remindOfStatus({order: {service}, status}: KnownRollout, now: MonotonicMs): void {
+		if (status !== undefined && now - (this.remindedAt.get(service) ?? Number.NEGATIVE_INFINITY) >= reminderIntervalMs) {
+			this.remindedAt.set(service, now);
+			this.options.channel.send(this.listPeerAddresses(), statusMessageType, {service, status} satisfies StatusMessage);
+		}
+	}
+
 	private isFullReportDue({order: {service}, number}: KnownRollout, now: MonotonicMs): boolean {
 		const key = `${service} ${number}`;
 		const isDue = now - (this.fullReportAt.get(key) ?? Number.NEGATIVE_INFINITY) >= fullReportIntervalMs;
--- a/src/software-rollout/rollout-holder/test.ts
+++ b/src/software-rollout/rollout-holder/test.ts
@@ -174,3 +174,15 @@
 	await simulation.clock.advance(1000);
 	expect(simulation.findHolder() === undefined).toEqual(false);
 });
+
+test('guards against an instance that is cut off from the others and goes on sending to a bad version', async () => {
+	const simulation = createBadSimulation();
+	await begin(simulation);
+	await simulation.play(2500);
+	const isolated = simulation.instances.find(instance => instance !== simulation.findHolder())!;
+	simulation.network.open(isolated.id);
+	isolated.api.isCut = true;
+	await simulation.play(5500);
+	expect(listShares(simulation)).toEqual([0, 0, 0, 0, 0]);
+	expect(simulation.totals.endState).toEqual('rolled_back');
+});
--- a/src/software-rollout/rollout-routing/index.ts
+++ b/src/software-rollout/rollout-routing/index.ts
@@ -11,7 +11,10 @@
 import type {RequestOutcome} from '../evidence-recorder/index.js';
 import type {KnownRollout, OrderRegister} from '../order-register/index.js';
 import type {EvidenceStore} from '../rollout-evidence/index.js';
-import {isVersionOf, type VersionLane} from '../rollout-types/index.js';
+import {isVersionOf, type RolloutBounds, type VersionLane} from '../rollout-types/index.js';
+
+/** Part of the time for a rollback after which an instance that hears no lease holder sends nothing to the new version. */
+const longestSilenceFraction = 0.5;
 
 /** What the routing depends on. */
 export type RolloutRoutingOptions = {
@@ -19,6 +22,7 @@
 	readonly fleet: Pick<TargetFleet, 'list' | 'listServing'>;
 	readonly orders: OrderRegister;
 	readonly evidence: EvidenceStore;
+	readonly readBounds: () => RolloutBounds;
 };
 
 /** Routing between the versions of each service. */
@@ -78,10 +82,11 @@
 
 	/** Calculates the share of the calls that this instance sends to the new version. */
 	measureShare(rollout: KnownRollout): number {
+		const {clock, readBounds} = this.options;
+		const now = clock.readMonotonic();
+		const isOutOfTouch = now - rollout.heardAt > readBounds().rollbackMs * longestSilenceFraction;
 		const isInForce = rollout.isListed || rollout.status?.state === 'completed';
-		return isInForce
-			? calculateShiftShare({...rollout, isStopped: rollout.stopReason !== undefined}, this.options.clock.readMonotonic())
-			: 0;
+		return isInForce ? calculateShiftShare({...rollout, isStopped: rollout.stopReason !== undefined, isOutOfTouch}, now) : 0;
 	}
 
 	/** Counts the calls at old targets, and one more while further ones may go there. */
--- a/src/software-rollout/software-rollouts/index.ts
+++ b/src/software-rollout/software-rollouts/index.ts
@@ -19,6 +19,7 @@
 import {describeBadVersion} from '../describe-bad-version/index.js';
 import {isStatusLost, isStoredStatusOlder, lostStatusDelayMs} from '../is-status-lost/index.js';
 import {countBadAnswers} from '../judge-version/index.js';
+import {logRolloutChanges} from '../log-rollout-changes/index.js';
 import {OrderRegister, type KnownRollout} from '../order-register/index.js';
 import {planStage, type StagePlan} from '../plan-stage/index.js';
 import {EvidenceStore} from '../rollout-evidence/index.js';
@@ -93,9 +94,12 @@
 				this.stopSending(rollout, reason, from);
 			},
 			onStatus: (rollout, {status}) => {
-				this.observe(() => {
-					this.orders.adoptStatus(rollout, status, clock.readMonotonic());
-				});
+				rollout.heardAt = clock.readMonotonic();
+				if (status.write > (rollout.status?.write ?? 0)) {
+					this.observe(() => {
+						this.orders.adoptStatus(rollout, status, clock.readMonotonic());
+					});
+				}
 			},
 		});
 		this.holder = new RolloutHolder({
@@ -166,6 +170,8 @@
 		}
 
 		if (this.holder.mayWrite(now)) {
+			rollout.heardAt = now;
+			this.exchange.remindOfStatus(rollout, now);
 			this.writeNext(rollout, now);
 		}
 	}
@@ -256,21 +262,7 @@
 		const {logger, fleet} = this.options;
 		const before = new Map(this.orders.list().map(rollout => [rollout, rollout.status]));
 		change();
-		for (const rollout of this.orders.list()) {
-			const {order, number, status, isListed} = rollout;
-			if (!before.has(rollout)) {
-				logger.info('software rollout ordered', {
-					service: order.service, target: order.target, durationMs: order.durationMs, order: number, previous: rollout.previous?.join(','),
-				});
-			}
-
-			if (status !== undefined && before.get(rollout) !== status) {
-				logger.info('software rollout stage known', {
-					service: order.service, target: order.target, order: number, state: status.state, stage: status.stage, share: status.share, isListed,
-				});
-			}
-		}
-
+		logRolloutChanges(logger, before, this.orders.list());
 		// Calls that wait may go to other targets now.
 		fleet.notify();
 		this.stepWakeup.notify();
