--- a/src/software-rollout/log-rollout-changes/test.ts
+++ b/src/software-rollout/log-rollout-changes/test.ts
@@ -17,16 +17,16 @@
 	};
 	const register = new OrderRegister(() => []);
 	const order = createRolloutOrder();
-	const log = (status?: RolloutStatus) => {
+	const log = (text: string, status?: RolloutStatus) => {
 		const before = new Map<KnownRollout, RolloutStatus | undefined>(register.list().map(rollout => [rollout, rollout.status]));
-		const version = `1:${events.length + 2}` as ResourceVersion;
+		const version = text as ResourceVersion;
 		register.replace([createRolloutObject(order, version, status)], version, {monotonic: 0 as MonotonicMs, wall: 0 as WallMs});
 		logRolloutChanges(logger, before, register.list());
 	};
 
-	log();
-	log();
-	log(createRolloutStatus(order));
-	log(createRolloutStatus(order));
+	log('1:2');
+	log('1:2');
+	log('1:3', createRolloutStatus(order));
+	log('1:3', createRolloutStatus(order));
 	expect(events).toEqual(['software rollout ordered', 'software rollout stage known']);
 });
