--- a/src/gateway/gateway-feeds/test.ts
+++ b/src/gateway/gateway-feeds/test.ts
@@ -329,3 +329,13 @@
 		expect(applied.map(({targets}) => targets.map(({isLeaving}) => isLeaving))).toEqual(applied.map(() => [true]));
 	}
 });
+
+test('guards against a watch of orders of software versions where the settings don\'t ask for it', async () => {
+	const {clock, instances} = startGatewayFeeds(1);
+	await clock.advance(500);
+	const [{api, feeds, stop}] = instances as [typeof instances[number]];
+	const {collections} = feeds.dump() as {collections: Array<{collection: string}>};
+	expect(collections.map(({collection}) => collection).includes(feedCollections.rollouts)).toEqual(false);
+	expect(api.watchCount).toEqual(collections.length);
+	stop();
+});
