--- a/src/soak/soak-instance/index.ts
+++ b/src/soak/soak-instance/index.ts
@@ -43,10 +43,10 @@
 	readonly storeAddress: string;
 	/** Directory of the settings file and the log. */
 	readonly directory: string;
+	/** Settings beside the usual ones. */
+	readonly settings?: Readonly<Record<string, unknown>>;
 	/** Called when the process exits although the test did not stop it. */
 	readonly onCrash: (detail: string) => void;
-	/** Settings beyond those that all instances of a soak test have. */
-	readonly settings?: Readonly<Record<string, unknown>>;
 };
 
 /** Starts, pauses and stops one gateway process. */
