--- a/src/http/discard-remaining-body/index.ts
+++ b/src/http/discard-remaining-body/index.ts
@@ -5,7 +5,7 @@
 /** Time for which the remaining body is read, in milliseconds. */
 const discardTimeoutMs = 1000;
 /** Limit where the size of a legal body is not known. */
-const defaultMaximumBytes = 1024 * 1024;
+const defaultMaximumBytes = 4 * 1024 * 1024;
 
 /** Discards the rest of the body up to `maximumBytes` and for a limited time, then the connection. */
 export function discardRemainingBody(message: IncomingMessage, maximumBytes = defaultMaximumBytes): void {
--- a/src/http/limit-connections/index.ts
+++ b/src/http/limit-connections/index.ts
@@ -4,10 +4,10 @@
 import type {Socket} from 'node:net';
 
 /** Maximum time for a request to arrive, in milliseconds. */
-const requestTimeoutMs = 5000;
+const requestTimeoutMs = 30_000;
 const connectionCheckIntervalMs = 1000;
 
-/** Options of an HTTP server that has no time for slow requests. */
+/** Options of an HTTP server that answers at once. */
 export const briefRequests = {
 	headersTimeout: requestTimeoutMs, requestTimeout: requestTimeoutMs, connectionsCheckingInterval: connectionCheckIntervalMs,
 } as const;
