--- a/src/fleet/learned-load-policy/index.ts
+++ b/src/fleet/learned-load-policy/index.ts
@@ -52,6 +52,9 @@
 	}
 }
 
+/** The policy, which has no state. */
+export const learnedLoadPolicy = new LearnedLoadPolicy();
+
 /** Selects the targets that should hold the shared prefix: the first of its ranking whose speeds together suffice for its recent use. */
 function selectHomes({all, upToDate}: Candidates, {sharedPrefix, promptTokensPerSecond = 0}: TargetQuery, now: MonotonicMs): readonly FleetTarget[] {
 	const targets = upToDate.length > 0 ? upToDate : all;
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -3,7 +3,7 @@
 import {setMaxListeners} from 'node:events';
 import type {Clock} from '../../clock/clock/index.js';
 import type {PlannedStop} from '../../daemon/planned-stop/index.js';
-import {LearnedLoadPolicy} from '../../fleet/learned-load-policy/index.js';
+import {learnedLoadPolicy} from '../../fleet/learned-load-policy/index.js';
 import {LoadExchange} from '../../fleet/load-exchange/index.js';
 import {PrefixDirectory} from '../../fleet/prefix-directory/index.js';
 import {TargetFleet} from '../../fleet/target-fleet/index.js';
@@ -67,7 +67,6 @@
 const maximumTasks = 24;
 /** Number of distinct values that `draw` returns. */
 const drawResolution = 0x40_00_00_00;
-const learnedLoadPolicy = new LearnedLoadPolicy();
 
 /** One gateway instance. */
 export class Gateway {
@@ -179,8 +178,7 @@
 		this.loadExchange = new LoadExchange({
 			clock, random, fleet: this.fleet, prefixes: this.prefixDirectory, channel: this.datagramChannel, membership: this.membership,
 			readSelf: () => this.membership.readSelf(),
-			listPeers: () => this.listPeers(),
-			sharesPaces: () => store.current.evenLoad,
+			listPeers: () => this.listPeers(), sharesPaces: () => store.current.evenLoad,
 		});
 		this.listener = new CallListener({
 			context: this.createContext(), protocol: adapter.callerProtocol, readTable: () => this.routing.readForCall(), handover: this.handover.calls,
@@ -192,11 +190,8 @@
 			},
 		});
 		metrics.addGauges(listGauges({
-			listener: this.listener,
-			sources: [
-				this.quarantine, ...Object.values(this.statements), this.streams, this.handover.calls, new LoadGauges(this.fleet, clock),
-			],
-			objectApi: adapter.objectApi,
+			listener: this.listener, objectApi: adapter.objectApi,
+			sources: [this.quarantine, ...Object.values(this.statements), this.streams, this.handover.calls, new LoadGauges(this.fleet, clock)],
 			countMembers: () => this.listPeers().length + 1, readRevision: () => this.feeds.readRevision(),
 		}));
 	}
