--- a/src/gateway/create-traffic-control/index.ts
+++ b/src/gateway/create-traffic-control/index.ts
@@ -5,7 +5,7 @@
 
 import type {AdmissionQueues} from '../../admission/admission-queues/index.js';
 import type {Clock} from '../../clock/clock/index.js';
-import {LearnedLoadPolicy} from '../../fleet/learned-load-policy/index.js';
+import {learnedLoadPolicy} from '../../fleet/learned-load-policy/index.js';
 import type {PlacementPolicy} from '../../fleet/placement-policy/index.js';
 import type {TargetFleet} from '../../fleet/target-fleet/index.js';
 import type {MonotonicMs} from '../../identity/ids/index.js';
@@ -51,7 +51,6 @@
 	const admission = createAdmission(options);
 	const retryBudgets = new ServiceRetryBudgets(() => settings.current.retryBudget, countInstances, startedAt);
 	const intakeOptions = createIntake(settings.current, clock, logger);
-	const learnedLoadPolicy = new LearnedLoadPolicy();
 	return {
 		admission, retryBudgets, intakeOptions,
 		gaugeSources: [intakeOptions.intake, createRetryGauges(retryBudgets, clock), new LoadGauges(fleet, clock)],
