--- a/src/admission/admission-queue/index.ts
+++ b/src/admission/admission-queue/index.ts
@@ -112,8 +112,8 @@
 	 * Whether a call that has just arrived has to wait, because calls of the same or a higher rank wait here for room that it would
 	 * take, or more urgent ones at other instances.
 	 */
-	mustJoin(call: ArrivingCall, now: MonotonicMs): boolean {
-		if (this.mustYield(call, now)) {
+	shouldJoin(call: ArrivingCall, now: MonotonicMs): boolean {
+		if (this.shouldYield(call, now)) {
 			this.options.recorder.recordYield(call.priority);
 			return true;
 		}
@@ -124,7 +124,7 @@
 
 	/** Adds a call, or refuses it at once. */
 	join(call: QueuedCall, now: MonotonicMs): void {
-		if (!this.makeRoom(call, now)) {
+		if (!this.ensureRoom(call, now)) {
 			this.options.recorder.recordRefusal(call.priority, 'full');
 			this.refuse(call, 'full', now);
 			return;
@@ -194,7 +194,7 @@
 		const tried = new Set<QueueEntry>();
 		this.levels.drain({
 			canTry: entry => tried.size < tryLimit && !tried.has(entry) && entry.call.earliestAt <= now
-				&& !failed.matches(entry.call.needs) && !this.mustYield(entry.call, now),
+				&& !failed.matches(entry.call.needs) && !this.shouldYield(entry.call, now),
 			tryStart: entry => {
 				entry.call.resume();
 				if (!this.entries.has(entry.call)) {
@@ -214,7 +214,7 @@
 	}
 
 	/** Whether a call leaves room to more urgent ones at other instances. That ends after a while, because reports are old. */
-	private mustYield(call: ArrivingCall, now: MonotonicMs): boolean {
+	private shouldYield(call: ArrivingCall, now: MonotonicMs): boolean {
 		const {backlog, service} = this.options;
 		return now < call.since + Math.min(longestYieldMs, call.latencyGoalMs * yieldFraction) && backlog.hasMoreUrgent(service, call, now);
 	}
@@ -246,7 +246,7 @@
 	}
 
 	/** Ensures that a further call may wait, and refuses one that ranks lower if need be; returns whether it may. */
-	private makeRoom(call: QueuedCall, now: MonotonicMs): boolean {
+	private ensureRoom(call: QueuedCall, now: MonotonicMs): boolean {
 		const {bounds} = this.options;
 		while (!bounds.allows(call.bytes)) {
 			const evicted = bounds.fits(call.bytes) ? chooseEvicted(this.entries.values(), call) : undefined;
--- a/src/admission/answer-pace/test.ts
+++ b/src/admission/answer-pace/test.ts
@@ -7,7 +7,7 @@
 const promptTokens = 2000;
 
 /** Lets a target answer calls that were sent together; `measureMs` tells when each is answered. Returns whether another five may join five. */
-function playAnswers(measureMs: (index: number) => number, goalFraction = 0.8): boolean[] {
+function simulateAnswers(measureMs: (index: number) => number, goalFraction = 0.8): boolean[] {
 	const pace = new AnswerPace(() => goalFraction);
 	const target = createFleetTarget('t');
 	pace.recordGoal(500, 0 as MonotonicMs);
@@ -33,14 +33,14 @@
 }
 
 test('guards against prompts that queue at an engine until all of them are late', () => {
-	expect(playAnswers(index => 120 * (index + 1))).toEqual([true, true, false]);
+	expect(simulateAnswers(index => 120 * (index + 1))).toEqual([true, true, false]);
 });
 
 test('guards against calls that wait although the engine answers many at once', () => {
-	expect(playAnswers(() => 300)).toEqual([true, true, true]);
-	expect(playAnswers(() => 3000)).toEqual([true, true, true]);
+	expect(simulateAnswers(() => 300)).toEqual([true, true, true]);
+	expect(simulateAnswers(() => 3000)).toEqual([true, true, true]);
 });
 
 test('guards against an effect of the pace where the settings exclude it', () => {
-	expect(playAnswers(index => 120 * (index + 1), 0)).toEqual([true, true, true]);
+	expect(simulateAnswers(index => 120 * (index + 1), 0)).toEqual([true, true, true]);
 });
--- a/src/forwarding/queued-wait/index.ts
+++ b/src/forwarding/queued-wait/index.ts
@@ -54,14 +54,14 @@
 			return selectTarget(selection, this.context, now);
 		}
 
-		const hasTurn = this.queued !== undefined || !this.queue.mustJoin({...rank, needs: this.describeNeeds(), latencyGoalMs: route.latencyGoalMs}, now);
+		const hasTurn = this.queued !== undefined || !this.queue.shouldJoin({...rank, needs: this.describeNeeds(), latencyGoalMs: route.latencyGoalMs}, now);
 		this.obstacle = hasTurn ? 'room' : 'turn';
 		return hasTurn ? this.selectInTime(now) : undefined;
 	}
 
 	begin(since: MonotonicMs, now: MonotonicMs): void {
 		if (this.queued === undefined) {
-			this.call.times.recordWait(this.dependsOnRoom(now) ? this.obstacle : 'target', now);
+			this.call.times.recordWait(this.isHeldBackByRoom(now) ? this.obstacle : 'target', now);
 			this.queued = this.createQueuedCall(since, now);
 			this.queue.join(this.queued, now);
 		}
@@ -146,7 +146,7 @@
 	/** Plans the wait of a call that room alone doesn't let go on. */
 	private planFixedWait(since: MonotonicMs, now: MonotonicMs): FixedWait | undefined {
 		const {session, selection, attempts: {mayHaveRun}} = this.call;
-		return this.dependsOnRoom(now)
+		return this.isHeldBackByRoom(now)
 			? undefined
 			: planWait({
 				session, selection, deadline: session.deadline.read(), mayHaveRun, since,
@@ -154,7 +154,7 @@
 	}
 
 	/** Whether only room keeps the call back, not its past, the version of its stream, or pauses and limits of targets. */
-	private dependsOnRoom(now: MonotonicMs): boolean {
+	private isHeldBackByRoom(now: MonotonicMs): boolean {
 		const {selection, attempts: {mayHaveRun}, relay} = this.call;
 		return !selection.origin.isBound && !relay.hasBegun && !mayHaveRun
 			&& listCandidates(selection, this.context.fleet).length > 0 && estimateTargetWait(selection, this.context, now) === undefined;
--- a/src/gateway/call-handler/index.ts
+++ b/src/gateway/call-handler/index.ts
@@ -181,7 +181,7 @@
 		const session = new CallSession({
 			call, route, service, organisation, arrivedAt, deadline, body,
 			sink: createCallerSink(response),
-			prior: this.payFor(priorRequests, service, this.options.context.clock.readMonotonic()),
+			prior: this.chargePassedOnCall(priorRequests, service, this.options.context.clock.readMonotonic()),
 			refuse: (error, requests) => {
 				if (!isPassedOn && canRescue(error, route)) {
 					this.outboundHandover.rescue(readCall, {error, requests});
@@ -199,7 +199,7 @@
 	}
 
 	/** Takes the retry for the first request of this instance, if other instances may have sent some before. */
-	private payFor(priorRequests: number, service: ServiceId, now: MonotonicMs): PriorRequests {
+	private chargePassedOnCall(priorRequests: number, service: ServiceId, now: MonotonicMs): PriorRequests {
 		if (priorRequests === 0) {
 			return noPriorRequests;
 		}
--- a/src/gateway/call-handler/test.ts
+++ b/src/gateway/call-handler/test.ts
@@ -154,7 +154,7 @@
 };
 
 /** Sends calls while targets fall silent and instances are busy; resolves when all calls have ended. */
-async function playSilence(fleet: GatewayFleet, targets: SilentTargets, {share, perSecond, path}: Silence) {
+async function simulateSilence(fleet: GatewayFleet, targets: SilentTargets, {share, perSecond, path}: Silence) {
 	const sending = fleet.sendFor(3000, perSecond, path);
 	await delay(800);
 	targets.silence(share, silenceMs);
@@ -183,7 +183,7 @@
 			instances: 8, calledInstances: silence.calledInstances, targets: targets.descriptions, allowance: silence.allowance,
 			routes: [{pathPrefix: streamPath, kind: 'streaming', isResumable: true}, {}],
 		});
-		await playSilence(fleet, targets, silence);
+		await simulateSilence(fleet, targets, silence);
 		const repeats = targets.countRepeats();
 		const allowed = (silence.allowance.ratio * fleet.callCount) + silence.allowance.extra;
 		t.diagnostic(`${repeats} repeats of ${fleet.callCount} calls, ${fleet.countHandovers()} passed on, ${allowed} allowed`);
--- a/src/gateway/create-software-rollouts/index.ts
+++ b/src/gateway/create-software-rollouts/index.ts
@@ -66,7 +66,7 @@
 }
 
 /** Combines components that release leases in a planned stop, each whether the others can or not. */
-export function combineStops(parts: ReadonlyArray<{stop(): Promise<void>} | undefined>): {stop(): Promise<void>} {
+export function joinStops(parts: ReadonlyArray<{stop(): Promise<void>} | undefined>): {stop(): Promise<void>} {
 	return {
 		async stop() {
 			await Promise.all(parts.map(async part => part?.stop()));
--- a/src/gateway/create-software-rollouts/test.ts
+++ b/src/gateway/create-software-rollouts/test.ts
@@ -13,7 +13,7 @@
 import {feedCollections} from '../../fixtures/start-gateway-feeds/index.js';
 import type {RolloutOrder, RolloutStatus} from '../../software-rollout/rollout-types/index.js';
 import type {SettingsStore} from '../settings-store/index.js';
-import {combineStops, createSoftwareRollouts} from './index.js';
+import {joinStops, createSoftwareRollouts} from './index.js';
 
 type Settings = SettingsStore['current'];
 
@@ -65,7 +65,7 @@
 
 test('guards against a lease that is not released because another one can\'t be', async () => {
 	const released: string[] = [];
-	const stops = combineStops([undefined, {
+	const stops = joinStops([undefined, {
 		async stop() {
 			released.push('first');
 			throw new Error('unavailable');
--- a/src/gateway/gateway-settings/test.ts
+++ b/src/gateway/gateway-settings/test.ts
@@ -11,18 +11,18 @@
 };
 
 /** Fills the template; `present` tells whether the sections are. */
-function fillTemplate(present: boolean): string {
+function expandTemplate(present: boolean): string {
 	return template
 		.replaceAll(sectionPattern, (_section, _name, content: string) => present ? content : '')
 		.replaceAll(valuePattern, (_value, name: string) => values[name] ?? (name.endsWith('|json') ? '"127.0.0.1:1"' : '0.1'));
 }
 
 test('guards against a template that gives invalid settings where memory and descriptors of the machine are absent', () => {
-	const {memoryMb, descriptors, callers} = parseGatewaySettings(fillTemplate(false), 'settings.jsonc');
+	const {memoryMb, descriptors, callers} = parseGatewaySettings(expandTemplate(false), 'settings.jsonc');
 	expect({memoryMb, descriptors, callers}).toEqual({memoryMb: undefined, descriptors: undefined, callers: {bodyStallMs: 30_000}});
 });
 
 test('takes memory and descriptors of the machine from the template', () => {
-	const {memoryMb, descriptors} = parseGatewaySettings(fillTemplate(true), 'settings.jsonc');
+	const {memoryMb, descriptors} = parseGatewaySettings(expandTemplate(true), 'settings.jsonc');
 	expect([memoryMb, descriptors]).toEqual([160, 2212]);
 });
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -39,7 +39,7 @@
 import {calculatePeerLimits} from '../create-intake/index.js';
 import {createMembership} from '../create-membership/index.js';
 import {createRollout} from '../create-rollout/index.js';
-import {combineStops, createSoftwareRollouts, type SoftwareRolloutParts} from '../create-software-rollouts/index.js';
+import {joinStops, createSoftwareRollouts, type SoftwareRolloutParts} from '../create-software-rollouts/index.js';
 import {createStatements, runStatements, type StatementExchange} from '../create-statements/index.js';
 import {createTrafficControl, type TrafficControl} from '../create-traffic-control/index.js';
 import {CurrentRouting} from '../current-routing/index.js';
@@ -238,7 +238,7 @@
 		const {clock, logger, settings} = this.options;
 		this.plannedStop ??= createGatewayStop({
 			clock, logger, graceMs: settings.current.graceMs, addressValiditySeconds,
-			membership: this.membership, listener: this.listener, rollout: combineStops([this.rollout, this.software?.rollouts]), controller: this.controller,
+			membership: this.membership, listener: this.listener, rollout: joinStops([this.rollout, this.software?.rollouts]), controller: this.controller,
 		});
 		await this.plannedStop.run();
 	}
--- a/src/intake/body-budget/index.ts
+++ b/src/intake/body-budget/index.ts
@@ -64,7 +64,7 @@
 	/** Records the length that has arrived of a body, and the memory that it takes. Returns whether `refuseExcess` has to be called. */
 	charge(holding: BodyHolding, sizeBytes: number, heldBytes: number): boolean {
 		holding.sizeBytes = sizeBytes;
-		this.change(holding, heldBytes);
+		this.setHeldBytes(holding, heldBytes);
 		return this.isExceeded;
 	}
 
@@ -85,7 +85,7 @@
 	/** Records that a body was read as a whole and takes `heldBytes` now. */
 	complete(holding: BodyHolding, heldBytes: number): void {
 		this.reading.delete(holding);
-		this.change(holding, heldBytes);
+		this.setHeldBytes(holding, heldBytes);
 	}
 
 	/** Records that a call has ended, or that its body was dropped. Has no effect the second time. */
@@ -108,7 +108,7 @@
 		}
 	}
 
-	private change(holding: BodyHolding, heldBytes: number): void {
+	private setHeldBytes(holding: BodyHolding, heldBytes: number): void {
 		if (this.holdings.has(holding)) {
 			this.heldBytes += heldBytes - holding.heldBytes;
 			holding.heldBytes = heldBytes;
