--- a/src/daemon/admin-server/index.ts
+++ b/src/daemon/admin-server/index.ts
@@ -7,13 +7,11 @@
 import type {AddressInfo} from 'node:net';
 import {Registry, register as defaultRegistry} from 'prom-client';
 import {discardRemainingBody} from '../../http/discard-remaining-body/index.js';
-import {briefRequests, limitConnections} from '../../http/limit-connections/index.js';
+import {briefRequests, limitConnections, maximumDiscardedBytes} from '../../http/limit-connections/index.js';
 import {parseAddress} from '../../http/parse-address/index.js';
 import {sendJson} from '../../http/send-json/index.js';
 
 const maximumConnections = 64;
-/** Bytes of a body that are read and dropped; the requests have none. */
-const maximumDiscardedBytes = 64 * 1024;
 
 /** Sources of what the listener serves. */
 export type AdminSources = {
--- a/src/forwarding/queued-wait/index.ts
+++ b/src/forwarding/queued-wait/index.ts
@@ -1,6 +1,6 @@
 /** Waits for a target in the admission queue of the call's service. */
 
-import type {AdmissionQueue} from '../../admission/admission-queue/index.js';
+import type {AdmissionQueue, LeaveReason} from '../../admission/admission-queue/index.js';
 import type {AdmissionQueues} from '../../admission/admission-queues/index.js';
 import type {
 	CallNeeds, CallRank, FixedWait, QueuedCall,
@@ -102,7 +102,7 @@
 		return undefined;
 	}
 
-	private leave(reason: 'sent' | 'ended', now: MonotonicMs): void {
+	private leave(reason: LeaveReason, now: MonotonicMs): void {
 		const {queued} = this;
 		this.queued = undefined;
 		if (queued !== undefined) {
--- a/src/gateway/create-admission/index.ts
+++ b/src/gateway/create-admission/index.ts
@@ -19,9 +19,6 @@
 	readonly fleet: TargetFleet;
 };
 
-/** Number of distinct values that `draw` returns. */
-const drawResolution = 0x40_00_00_00;
-
 /** Returns the queues; undefined if the settings don't ask for them at the start. Their limits follow the settings. */
 export function createAdmission({settings, clock, logger, random, metrics, fleet}: AdmissionSources): AdmissionQueues | undefined {
 	const limits = settings.current.admission;
@@ -31,7 +28,7 @@
 
 	const queues: AdmissionQueues = new AdmissionQueues({
 		clock, logger, fleet, recorder: new AdmissionMetrics(metrics.registry, () => queues.countByPriority()),
-		draw: () => random.pickIndex(drawResolution) / drawResolution,
+		draw: () => random.drawFraction(),
 		readLimits: () => settings.current.admission ?? limits,
 	});
 	return queues;
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -65,8 +65,6 @@
 
 /** Upper limit of the tasks that wait on the signal of the gateway at the same time; more would be a leak. */
 const maximumTasks = 28;
-/** Number of distinct values that `draw` returns. */
-const drawResolution = 0x40_00_00_00;
 
 /** One gateway instance. */
 export class Gateway {
@@ -291,7 +289,7 @@
 			reachability: this.handover.reachability, versionRouting: this.software?.rollouts.routing,
 			readPlacementPolicy: this.traffic.readPlacementPolicy,
 			dataCentre: settings.current.dataCentre as DataCentreId,
-			draw: () => random.pickIndex(drawResolution) / drawResolution,
+			draw: () => random.drawFraction(),
 			findVersionHistory: model => this.weightsRegistry.find(model),
 			findRetryBudget: service => this.traffic.retryBudgets.find(service),
 			findService: service => this.routing.table?.findService(service),
--- a/src/http/limit-connections/index.ts
+++ b/src/http/limit-connections/index.ts
@@ -6,6 +6,8 @@
 /** Maximum time for a request to arrive, in milliseconds. */
 const requestTimeoutMs = 30_000;
 const connectionCheckIntervalMs = 1000;
+/** Bytes of a body that such a server reads and drops; its requests have none. */
+export const maximumDiscardedBytes = 64 * 1024;
 
 /** Options of an HTTP server that answers at once. */
 export const briefRequests = {
--- a/src/http/start-json-server/index.ts
+++ b/src/http/start-json-server/index.ts
@@ -3,7 +3,7 @@
 import {createServer, type Server} from 'node:http';
 import {once} from 'node:events';
 import {discardRemainingBody} from '../discard-remaining-body/index.js';
-import {briefRequests, limitConnections} from '../limit-connections/index.js';
+import {briefRequests, limitConnections, maximumDiscardedBytes} from '../limit-connections/index.js';
 import {parseAddress} from '../parse-address/index.js';
 import {sendJson} from '../send-json/index.js';
 
@@ -12,8 +12,6 @@
 
 const keepAliveTimeoutMs = 10_000;
 const maximumConnections = 512;
-/** Bytes of a body that are read and dropped; the requests have none. */
-const maximumDiscardedBytes = 64 * 1024;
 
 /** Starts a server that answers each request by its URL, and with status 500 when `handleRequest` fails. */
 export async function startJsonServer(address: string, handleRequest: (url: URL) => JsonResponse | Promise<JsonResponse>): Promise<Server> {
--- a/src/random/random-source/index.ts
+++ b/src/random/random-source/index.ts
@@ -3,6 +3,9 @@
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 
+/** Number of distinct values that `drawFraction` returns. */
+const fractionResolution = 0x40_00_00_00;
+
 /** Pseudo-random number generator with the operations that the router needs. */
 export class RandomSource {
 	private readonly generator;
@@ -16,6 +19,11 @@
 		return uniformInt(this.generator, 0, limit - 1);
 	}
 
+	/** Draws a number from 0 (inclusive) to 1 (exclusive). */
+	drawFraction(): number {
+		return this.pickIndex(fractionResolution) / fractionResolution;
+	}
+
 	/** Picks up to `count` distinct items, in random order. */
 	pickSome<Item>(items: readonly Item[], count: number): Item[] {
 		const remaining = [...items];
