--- a/src/admission/admission-queue/index.ts
+++ b/src/admission/admission-queue/index.ts
@@ -57,8 +57,9 @@
 const maximumFailedTries = 8;
 /** The same while a target states a limit, since each call asks for a permit of its own. */
 const maximumPermitTries = 64;
-/** Longest time for which a call leaves room to more urgent ones at other instances, in milliseconds, and as a fraction of its latency goal. */
+/** Longest time for which a call leaves room to more urgent ones at other instances, in milliseconds. */
 const longestYieldMs = 250;
+/** The same as a fraction of the latency goal of the call; the shorter time counts. */
 const yieldFraction = 0.25;
 
 /** Queue of one service. */
@@ -79,6 +80,7 @@
 		this.pace = new AnswerPace(() => options.bounds.goalFraction);
 	}
 
+	/** Number of waiting calls. */
 	get length(): number {
 		return this.entries.size;
 	}
--- a/src/admission/admission-recorder/index.ts
+++ b/src/admission/admission-recorder/index.ts
@@ -11,9 +11,11 @@
 /** How a wait ended; `ended`: the caller left, or the call ended for another reason. */
 export type WaitOutcome = 'sent' | 'refused' | 'ended';
 
-/** Receives decisions. */
+/** Receives the decisions of all queues of an instance. */
 export type AdmissionRecorder = {
+	/** Records the end of a wait. */
 	recordWait(priority: number, outcome: WaitOutcome, waitMs: number): void;
+	/** Records a call that was refused, whether it has waited or not. */
 	recordRefusal(priority: number, reason: RefusalReason): void;
 	/** Records a call that has arrived and leaves room to more urgent ones at other instances. */
 	recordYield(priority: number): void;
--- a/src/admission/answer-pace/index.ts
+++ b/src/admission/answer-pace/index.ts
@@ -1,5 +1,6 @@
 /**
- * Learns how fast the engines of a service work off prompts, and judges by it whether an engine has room.
+ * Learns how many prompt tokens the engines of a service process in a millisecond, and tells by it whether an engine can begin
+ * to answer a further call in time.
  *
  * Load pattern: an engine has memory for ten long prompts and computes one after the other. If all are sent to it as soon as there
  * is memory, each waits behind nine others and is late, and no later call can be put before them. So a call whose engine would not
@@ -21,11 +22,14 @@
 
 /** Pace of the engines of one service. */
 export class AnswerPace {
+	/** Decayed sum of the prompt tokens that were at an engine when a call was sent to it. */
 	private tokens = 0;
+	/** Decayed sum of the times to the answers of these calls, beyond what an idle engine takes. */
 	private queuedMs = 0;
 	private updatedAt = 0;
 	/** The shortest time to an answer, which is what an idle engine takes. */
 	private readonly shortestMs = new RecentMinimum(validityMs);
+	/** The tightest latency goal. */
 	private readonly goalMs = new RecentMinimum(validityMs);
 	/** Prompt tokens at the engine when the call was sent, with its own. */
 	private readonly sentTokens = new WeakMap<TargetCall, number>();
@@ -38,7 +42,7 @@
 		this.goalMs.add(latencyGoalMs, now);
 	}
 
-	/** Records that a call was sent to a target. What the engine has not begun to answer is ahead of it. */
+	/** Records that a call was sent to a target, with the prompts that the engine has yet to process, its own included. */
 	recordSent(target: FleetTarget, call: TargetCall, now: MonotonicMs): void {
 		this.sentTokens.set(call, target.readTotalLoad(now).prefillTokens);
 	}
--- a/src/admission/fair-flows/index.ts
+++ b/src/admission/fair-flows/index.ts
@@ -12,8 +12,9 @@
 
 /** Tokens that each round adds to the deficit of an organisation of weight 1; about the size of a small prompt. */
 const quantumTokens = 4096;
-/** Limit on the cost of a call, which bounds the rounds until a flow can afford it. */
+/** Limit on the cost of a call, in tokens, which bounds the rounds until a flow can afford it. */
 const maximumCostTokens = 64 * quantumTokens;
+/** Cost of a call that states 0 tokens, so that each call uses up a part of the deficit. */
 const minimumCostTokens = 1;
 
 /** Waiting calls of one organisation on one route, in order of arrival. */
@@ -22,6 +23,7 @@
 	readonly organisation: OrganisationId | undefined;
 	readonly entries: QueueEntry[];
 	weight: number;
+	/** Cost of the calls that the flow may send before it gets a further quantum, in tokens. */
 	deficit: number;
 };
 
@@ -38,10 +40,12 @@
 	/** Flows with entries, in the order of their turns. */
 	private readonly flows = new Map<string, Flow>();
 
+	/** Whether no call waits. */
 	get isEmpty(): boolean {
 		return this.flows.size === 0;
 	}
 
+	/** Number of waiting calls. */
 	get count(): number {
 		return [...this.flows.values()].reduce((sum, {entries}) => sum + entries.length, 0);
 	}
@@ -59,7 +63,7 @@
 		flow.entries.splice(index + 1, 0, entry);
 	}
 
-	/** Removes an entry. A flow that has become empty keeps no claim. */
+	/** Removes an entry. A flow that becomes empty loses its deficit. */
 	remove(entry: QueueEntry): void {
 		const flow = this.flows.get(formatFlowKey(entry.call));
 		const index = flow?.entries.indexOf(entry) ?? -1;
--- a/src/admission/is-held/index.ts
+++ b/src/admission/is-held/index.ts
@@ -13,7 +13,10 @@
 /** Time for which room is held, in milliseconds. */
 const holdMs = 250;
 
-/** Whether room is held for a call at `now`. That happens once, so that a call which fits nowhere doesn't stop all others. */
+/**
+ * Whether room is held for a call at `now`. The time begins when this is first asked after enough calls have passed, and is noted
+ * in the entry. Room is held once, so that a call which fits nowhere doesn't stop all others.
+ */
 export function isHeld(entry: QueueEntry, now: MonotonicMs): boolean {
 	if (entry.heldUntil === undefined && entry.passedTokens >= entry.call.costTokens * passLimitFactor) {
 		entry.heldUntil = now + holdMs as MonotonicMs;
--- a/src/admission/queue-bounds/index.ts
+++ b/src/admission/queue-bounds/index.ts
@@ -22,10 +22,12 @@
 
 	constructor(private readonly readLimits: () => AdmissionLimits) {}
 
+	/** See `AdmissionLimits`. */
 	get goalFraction(): number {
 		return this.readLimits().goalFraction;
 	}
 
+	/** See `AdmissionLimits`. */
 	get longestWaitMs(): number {
 		return this.readLimits().longestWaitMs;
 	}
@@ -41,13 +43,13 @@
 		return this.calls < maximumCalls && this.bytes + bytes + callOverheadBytes <= maximumBytes;
 	}
 
-	/** Counts a call. */
+	/** Counts a call that begins to wait. */
 	add(bytes: number): void {
 		this.calls += 1;
 		this.bytes += bytes + callOverheadBytes;
 	}
 
-	/** Counts a call no more. */
+	/** Subtracts a call that no longer waits. */
 	remove(bytes: number): void {
 		this.calls -= 1;
 		this.bytes -= bytes + callOverheadBytes;
--- a/src/admission/queued-call/index.ts
+++ b/src/admission/queued-call/index.ts
@@ -24,6 +24,7 @@
 	readonly route: RouteId;
 	/** Share of the organisation relative to others. */
 	readonly weight: number;
+	/** Prompt and longest answer, in tokens. */
 	readonly costTokens: number;
 	/** When the call arrived or, once its stream has begun, when the stream last broke off. */
 	readonly since: MonotonicMs;
@@ -35,11 +36,13 @@
 /** A call that may wait in the queue. */
 export type QueuedCall = CallRank & {
 	readonly needs: CallNeeds;
-	/** Memory that the call holds while it waits. */
+	/** Size of the body, which is held while the call waits. */
 	readonly bytes: number;
+	/** Time within which the answer should begin. */
 	readonly latencyGoalMs: number;
 	/** Time before which the call is not sent, because all targets have just refused it. */
 	readonly earliestAt: MonotonicMs;
+	/** Returns when the call ends without an answer; it may change while the call waits. */
 	readDeadline(): MonotonicMs;
 	/** Plans the wait of a call that pauses, limits or the version of its stream hold back; undefined if the queue decides. */
 	planFixedWait(now: MonotonicMs): FixedWait | undefined;
--- a/src/admission/recent-minimum/index.ts
+++ b/src/admission/recent-minimum/index.ts
@@ -1,4 +1,4 @@
-/** The smallest of the values of the last while. */
+/** The smallest of the recent values, kept for one to two periods. */
 
 import type {MonotonicMs} from '../../identity/ids/index.js';
 
--- a/src/admission/service-demand/index.ts
+++ b/src/admission/service-demand/index.ts
@@ -8,14 +8,14 @@
 
 /** Time without waiting calls after which the rate of service no longer shows how much room there is, in milliseconds. */
 const maximumIdleMs = 250;
-/** Tokens sent in the last while, as a part of a call's cost, below which the service stands still. */
+/** Tokens sent in the last second or so, as a fraction of a call's cost, below which the service counts as standing still. */
 const standstillFraction = 0.1;
 /** Part of the rate of service by which it has to exceed the arrivals before the queue counts as shrinking. */
 const drainMarginFraction = 0.1;
 /** Part of the rate of service that is assumed to be left beside calls of higher priorities. */
 const minimumLeftFraction = 0.05;
 
-/** Demand for one service at this instance, and how it is met. */
+/** Rates of arriving calls by priority, and of sent calls, of one service at this instance. */
 export class ServiceDemand {
 	private readonly sent = new DecayedRate();
 	private readonly arrivals = new Map<number, DecayedRate>();
--- a/src/admission/shared-backlog/index.ts
+++ b/src/admission/shared-backlog/index.ts
@@ -11,7 +11,7 @@
 /** Calls of one priority that wait for targets of a service, and the least engine memory that one of them takes, in tokens. */
 export type WaitingEntry = readonly [service: ServiceId, priority: number, calls: number, smallestTokens: number];
 
-/** Key of all calls that an aggregator knows of. */
+/** Takes the place of the sender in records of an aggregator's sum over all instances. */
 export const fleetBacklogKey = 'fleet' as InstanceId;
 
 type Report = {readonly entries: readonly WaitingEntry[]; readonly expiresAt: MonotonicMs};
--- a/src/intake/body-assembly/index.ts
+++ b/src/intake/body-assembly/index.ts
@@ -1,11 +1,11 @@
 /**
- * Collects the chunks of one body in memory at about their size. A chunk is an object with memory of its own, which costs
+ * Collects the chunks of one body in little more memory than their length. A chunk is an object with memory of its own, which costs
  * several hundred bytes however short the chunk is; so short chunks are copied together into pages.
  */
 
 /** Memory of a buffer beside its bytes: the objects of the heap and the header of its allocation. */
 const bufferOverheadBytes = 256;
-/** Shorter chunks are copied into pages. */
+/** Shorter chunks are copied into pages; the overhead of a kept chunk is small in relation to it. */
 const minimumKeptChunkBytes = 4096;
 const smallestPageBytes = 1024;
 const largestPageBytes = 64 * 1024;
@@ -26,6 +26,7 @@
 	private page: Buffer | undefined;
 	private pageBytes = 0;
 
+	/** Adds a chunk, which may be kept without a copy. */
 	append(chunk: Buffer): void {
 		const isFirst = this.sizeBytes === 0;
 		this.sizeBytes += chunk.length;
--- a/src/intake/body-budget/index.ts
+++ b/src/intake/body-budget/index.ts
@@ -52,7 +52,7 @@
 		return Math.max(this.readLimits().heldBytes, this.largestHoldingBytes);
 	}
 
-	/** Begins a body that takes up to `limitBytes`. Call `release` when its call has ended. */
+	/** Begins a body that takes up to `limitBytes`. Call `release` when its call has ended. `refuse` is called at most once. */
 	open(limitBytes: number, refuse: (reason: RefusalReason) => void, now: MonotonicMs): BodyHolding {
 		this.largestHoldingBytes = limitBytes;
 		const holding = new BodyHolding(refuse, now);
--- a/src/intake/body-holding/index.ts
+++ b/src/intake/body-holding/index.ts
@@ -16,6 +16,7 @@
 	sizeBytes = 0;
 	/** Length when the body was last observed. */
 	private observedBytes = 0;
+	/** Average rate at the last observation, in bytes per millisecond. */
 	private averageRate = 0;
 	private progressAt: MonotonicMs;
 
@@ -24,7 +25,7 @@
 		this.progressAt = observedAt;
 	}
 
-	/** Notes what has arrived since the last time. */
+	/** Updates the average rate by what has arrived since the last time. */
 	observe(now: MonotonicMs): void {
 		const arrivedBytes = this.sizeBytes - this.observedBytes;
 		this.averageRate = this.readRate(now) + (arrivedBytes / rateTimeConstantMs);
@@ -35,7 +36,7 @@
 		}
 	}
 
-	/** Average of the bytes that arrived in a millisecond, in which the latest count most. */
+	/** Returns the average rate of arrival, in bytes per millisecond; older bytes count less. */
 	readRate(now: MonotonicMs): number {
 		return this.averageRate * Math.exp((this.observedAt - now) / rateTimeConstantMs);
 	}
--- a/src/intake/caller-intake/index.ts
+++ b/src/intake/caller-intake/index.ts
@@ -1,6 +1,6 @@
 /**
- * What callers may take of this process while they send: memory for bodies, and connections. Looks for bodies that stand
- * still, and for connections that are quiet.
+ * What callers may take of this process while they send: memory for bodies, and connections. Checks at
+ * intervals for bodies that stand still, answers that are not read, and connections that are quiet.
  */
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
@@ -23,12 +23,14 @@
 	readonly readLimits: () => BodyLimits;
 };
 
+/** Interval of the checks while there is something to check, in milliseconds. */
 const checkIntervalMs = 250;
 /** Shortest time between two log lines of refusals, in milliseconds. */
 const logIntervalMs = 1000;
 
 /** Bounds what callers take. */
 export class CallerIntake {
+	/** Memory for bodies. */
 	readonly budget: BodyBudget;
 	private readonly connectionLimits: ConnectionLimit[] = [];
 	private readonly answers: UnreadAnswers[] = [];
--- a/src/intake/choose-body-to-refuse/index.ts
+++ b/src/intake/choose-body-to-refuse/index.ts
@@ -9,8 +9,8 @@
 const silenceUnitMs = 100;
 
 /**
- * Chooses the body that holds most for what its caller sends: the one whose caller would take longest to send again what it
- * holds, and longer the longer it has been silent. Bodies that hold no more than `exemptBytes` are spared. Undefined if there is no other.
+ * Chooses the body with the most memory in relation to the rate at which it arrives: the one that its caller would take longest
+ * to send again. The longer a body has been silent, the more it counts. Bodies that hold no more than `exemptBytes` are spared. Undefined if there is no other.
  */
 export function chooseBodyToRefuse(bodies: Iterable<BodyHolding>, exemptBytes: number, now: MonotonicMs): BodyHolding | undefined {
 	let chosenBody: BodyHolding | undefined;
--- a/src/retries/retry-budget/index.ts
+++ b/src/retries/retry-budget/index.ts
@@ -1,9 +1,9 @@
 /**
- * Retry budget of one service at one instance. It never lends more in a window than its share, and starts empty.
+ * Retry budget of one service at one instance. It never grants more in a window than its share, and starts empty.
  *
  * Retries come from two sources. Each call adds a fraction of a retry, which can be used for as long as the call is in the
- * window. And the extra retries of the share: one part of them can be saved, and the rest is added in the course of a window,
- * so that a window never holds more than both. A new process has saved nothing, so together with the process before it, it
+ * window. The share also has extra retries: one part of them can be saved, and the rest is added in the course of a
+ * window, so that a window never has more than both. A new process has saved nothing, so together with the process before it, it
  * stays within one share.
  */
 
@@ -15,12 +15,12 @@
 export type RetryShare = {
 	/** Retries for each call. */
 	readonly retriesPerCall: number;
-	/** Further retries in any window; may be a fraction. */
+	/** Further retries in any window; not necessarily a whole number. */
 	readonly extraRetries: number;
 	readonly windowMs: number;
 };
 
-/** Part of the extra retries that can be saved. */
+/** Fraction of the extra retries that can be saved. */
 const savedRatio = 0.5;
 
 /** Retries of one service. */
