--- a/src/forwarding/call-attempts/index.ts
+++ b/src/forwarding/call-attempts/index.ts
@@ -8,9 +8,10 @@
 import type {FleetTarget} from '../../fleet/fleet-target/index.js';
 import type {Attempt} from '../session-types/index.js';
 
-/** Is told of the attempts of a call. */
+/** Receives the beginning and the end of each attempt of a call. */
 export type AttemptObserver = {
 	recordBegun?(attempt: Attempt): void;
+	/** `mayHaveRun`: whether the attempt may have run the call. */
 	recordEnded(attempt: Attempt, mayHaveRun: boolean): void;
 };
 
--- a/src/forwarding/call-requests/index.ts
+++ b/src/forwarding/call-requests/index.ts
@@ -1,6 +1,6 @@
 /**
  * The requests of one call that may have reached targets, at this instance and at those that passed the call on. The first
- * one is free and adds to the retry budget of the service; each further one is paid for by the instance that sends it.
+ * one is free and adds to the retry budget of the service; for each further one, the instance that sends it takes a retry.
  */
 
 import type {MonotonicMs} from '../../identity/ids/index.js';
@@ -14,10 +14,10 @@
 	readonly reservedRetries: number;
 };
 
-/** A call of which nothing has been sent. */
+/** For a call that came from its caller. */
 export const noPriorRequests: PriorRequests = {count: 0, reservedRetries: 0};
 
-/** Counts the requests of one call, and pays for them. */
+/** Counts the requests of one call, and takes retries for them. */
 export class CallRequests {
 	private sent: number;
 	/** Retries that were taken and are not yet sent. */
@@ -53,7 +53,7 @@
 		this.sent += 1;
 	}
 
-	/** Records that nothing of a request was sent, so that the next one takes its place. */
+	/** Records that a request did not reach its target, so that the next one is not charged again. */
 	recordNotSent(now: MonotonicMs): void {
 		this.sent -= 1;
 		if (this.sent === 0) {
--- a/src/forwarding/call-session/index.ts
+++ b/src/forwarding/call-session/index.ts
@@ -182,12 +182,12 @@
 			this.charge.refund();
 		}
 
-		this.options.refuse(this.describe(error), this.requests.count);
+		this.options.refuse(this.convertError(error), this.requests.count);
 		this.finish(error.entry.name, error.entry.httpStatus);
 	}
 
-	/** Returns the error that is true for the whole call, a part of which another instance may have run. */
-	private describe(error: RouterError): RouterError {
+	/** Converts an error that says that the call has not run, if another attempt or instance may have run it. */
+	private convertError(error: RouterError): RouterError {
 		return error.notRun && this.attempts.mayHaveRun ? createRouterError('outcomeUnknown', error.message) : error;
 	}
 
--- a/src/forwarding/call-versions/index.ts
+++ b/src/forwarding/call-versions/index.ts
@@ -1,9 +1,9 @@
 /**
  * Which software versions one call may go to while its service is rolled out, and what its requests show about them.
  *
- * A call draws once. Since its draw is compared with the share of the present moment, one that waits for a target follows the
- * rollout. A call that has been sent to the new version goes on at the old one, unless all calls go to the new one, so that
- * repeats add nothing to what a bad version gets.
+ * A call draws a random fraction once. It goes to the new version if the fraction is below the present share of that version,
+ * so a call that waits for a target follows the rollout. A call that has been sent to the new version goes on at the old one,
+ * unless all calls go to the new one, so that repeats add nothing to what a bad version gets.
  */
 
 import type {FleetTarget} from '../../fleet/fleet-target/index.js';
@@ -14,12 +14,13 @@
 import type {StreamOrigin} from '../stream-origin/index.js';
 import type {SentRequest} from '../version-routing/index.js';
 
-/** Draw of a call that goes to the new version only when all calls do. */
+/** Fraction of a call that goes to the new version only when all calls do. */
 const lastFraction = 1;
 const firstServerErrorStatus = 500;
 
 /** Versions for one call. */
 export class CallVersions {
+	/** Random fraction that is compared with the share of the new version. */
 	private fraction: number;
 
 	constructor(
--- a/src/forwarding/polled-wait/index.ts
+++ b/src/forwarding/polled-wait/index.ts
@@ -37,11 +37,11 @@
 	}
 
 	recordSent(): void {
-		// The waiter has ended before the call is sent.
+		// The waiter ends before the call is tried again.
 	}
 
 	recordAnswer(): void {
-		// No other call waits for it.
+		// Only a queue learns from answers.
 	}
 
 	stop(): void {
--- a/src/forwarding/queued-wait/index.ts
+++ b/src/forwarding/queued-wait/index.ts
@@ -22,7 +22,7 @@
 const plainCallTokens = 1000;
 /** Time before a call is sent again to targets that have refused it, in milliseconds. */
 const refusedPauseMs = 60;
-/** Targets that are judged by their pace before the call waits. */
+/** Selected targets whose pace is checked before the call waits. */
 const maximumSelections = 3;
 /** Share of an organisation relative to others; the configuration doesn't name weights. */
 const organisationWeight = 1;
@@ -49,7 +49,7 @@
 			this.queue.pace.recordGoal(route.latencyGoalMs, now);
 		}
 
-		// A call that was sent before keeps its claim.
+		// A call that has been sent before doesn't queue behind others again.
 		if (attempts.count > 0) {
 			return selectTarget(selection, this.context, now);
 		}
@@ -143,7 +143,7 @@
 		};
 	}
 
-	/** Plans the wait of a call that room alone doesn't let go on. */
+	/** Plans the wait of a call that could not be sent even if a target had room; undefined for any other call. */
 	private planFixedWait(since: MonotonicMs, now: MonotonicMs): FixedWait | undefined {
 		const {session, selection, attempts: {mayHaveRun}} = this.call;
 		return this.isHeldBackByRoom(now)
@@ -153,7 +153,7 @@
 			}, this.context, now);
 	}
 
-	/** Whether only room keeps the call back, not its past, the version of its stream, or pauses and limits of targets. */
+	/** Whether the call only waits for room: not for the version of its stream, nor for the end of pauses or limits, and nothing of it has run or begun. */
 	private isHeldBackByRoom(now: MonotonicMs): boolean {
 		const {selection, attempts: {mayHaveRun}, relay} = this.call;
 		return !selection.origin.isBound && !relay.hasBegun && !mayHaveRun
--- a/src/gateway/call-handler/index.ts
+++ b/src/gateway/call-handler/index.ts
@@ -198,7 +198,7 @@
 		return session;
 	}
 
-	/** Takes the retry for the first request of this instance, if other instances may have sent some before. */
+	/** Takes a retry for the first request of this instance, if other instances may have sent requests of the call before. */
 	private chargePassedOnCall(priorRequests: number, service: ServiceId, now: MonotonicMs): PriorRequests {
 		if (priorRequests === 0) {
 			return noPriorRequests;
--- a/src/gateway/create-admission/index.ts
+++ b/src/gateway/create-admission/index.ts
@@ -9,7 +9,7 @@
 import type {GatewayMetrics} from '../gateway-metrics/index.js';
 import type {GatewaySettings} from '../gateway-settings/index.js';
 
-/** Where the queues get what they depend on. */
+/** Dependencies. */
 export type AdmissionSources = {
 	readonly settings: {readonly current: Pick<GatewaySettings, 'admission'>};
 	readonly clock: Clock;
--- a/src/gateway/create-intake/index.ts
+++ b/src/gateway/create-intake/index.ts
@@ -7,7 +7,7 @@
 import type {PeerServerLimits} from '../../peers/peer-server/index.js';
 import type {CallListenerOptions} from '../call-listener/index.js';
 
-/** Size of a request of another instance; the largest are objects that it has this one write to the store. */
+/** Largest body of a request of another instance; the largest are objects that it has this one write to the store. */
 const peerBodyBytes = 8 * 1024 * 1024;
 
 /** Calculates what requests of other instances may take. They may open as many connections as callers. */
--- a/src/gateway/create-software-rollouts/index.ts
+++ b/src/gateway/create-software-rollouts/index.ts
@@ -1,4 +1,4 @@
-/** Creates the part of a gateway instance in rollouts of software versions, with its lease. */
+/** Creates the component of a gateway that takes part in rollouts of software versions, with its lease. */
 
 import type {Clock} from '../../clock/clock/index.js';
 import type {TargetFleet} from '../../fleet/target-fleet/index.js';
@@ -27,11 +27,12 @@
 	readonly listLive: () => readonly Member[];
 };
 
-/** The rollouts, and what takes over the stored orders. */
+/** The rollouts, and the handler of stored orders. */
 export type SoftwareRolloutParts = {
 	readonly rollouts: SoftwareRollouts;
-	/** Where gauges come from. */
+	/** Sources of gauges for `listGauges`. */
 	readonly sources: readonly SoftwareRollouts[];
+	/** Replaces the known orders by those that are stored. */
 	readonly onRollouts: (objects: readonly StoredObject[], version: ResourceVersion) => void;
 };
 
@@ -65,7 +66,7 @@
 	};
 }
 
-/** Combines components that release leases in a planned stop, each whether the others can or not. */
+/** Combines components that release leases in a planned stop. Each is stopped, also if another one fails. */
 export function joinStops(parts: ReadonlyArray<{stop(): Promise<void>} | undefined>): {stop(): Promise<void>} {
 	return {
 		async stop() {
--- a/src/gateway/create-traffic-control/index.ts
+++ b/src/gateway/create-traffic-control/index.ts
@@ -1,7 +1,4 @@
-/**
- * Creates what decides on the load of a gateway: admission queues, retry budgets, limits of callers, and how targets are
- * compared.
- */
+/** Creates the components that control the load of a gateway: admission queues, retry budgets, limits of callers, and the comparison of targets. */
 
 import type {AdmissionQueues} from '../../admission/admission-queues/index.js';
 import type {Clock} from '../../clock/clock/index.js';
@@ -32,7 +29,7 @@
 	readonly countInstances: () => number;
 };
 
-/** What decides on the load of one gateway. */
+/** Components that control the load of one gateway. */
 export type TrafficControl = {
 	/** Undefined if calls without a target don't queue. */
 	readonly admission: AdmissionQueues | undefined;
@@ -42,6 +39,7 @@
 	readonly gaugeSources: ReadonlyArray<{readonly gauges: GatewayGauges}>;
 	/** Returns how targets are compared; undefined for the default. */
 	readonly readPlacementPolicy: () => PlacementPolicy | undefined;
+	/** Describes queues and budgets for the dump of the instance. */
 	dump(now: MonotonicMs): Record<'admission' | 'retries', unknown>;
 };
 
--- a/src/gateway/outbound-handover/index.ts
+++ b/src/gateway/outbound-handover/index.ts
@@ -19,7 +19,7 @@
 	readonly response: ServerResponse;
 };
 
-/** What became of a call here: its error, and how many of its requests may have reached targets. */
+/** A call that failed at this instance: its error, and how many of its requests may have reached targets. */
 export type FailedCall = {readonly error: RouterError; readonly requests: number};
 
 /** Dependencies. */
--- a/src/gateway/platform-adapter/index.ts
+++ b/src/gateway/platform-adapter/index.ts
@@ -47,6 +47,7 @@
 	decodeWeights(object: StoredObject): WeightsNotice | undefined;
 	/** Decodes an order of a software version and its status; undefined if the order is invalid. */
 	decodeRollout(object: StoredObject): RolloutObject | undefined;
+	/** Encodes the status of an order as the platform stores it. */
 	encodeRolloutStatus(status: RolloutStatus): unknown;
 	createCommander(instance: InstanceId): EngineCommander;
 	/** Parses a request for addresses; undefined if the URL is not one. */
--- a/src/gateway/service-retry-budgets/index.ts
+++ b/src/gateway/service-retry-budgets/index.ts
@@ -17,8 +17,8 @@
 };
 
 /**
- * Fractions of the allowance that are distributed. The remainder covers what no instance sees: instances that are missing in
- * the count, requests of targets whose run was a repeat, and retries that are sent some time after they were taken.
+ * Fractions of the allowance that are distributed. The remainder covers what no instance sees: instances that the
+ * number of instances leaves out, requests of targets whose run was a repeat, and retries that are sent some time after they were taken.
  */
 const distributedRatio = {perCall: 0.6, extra: 0.7};
 
@@ -33,6 +33,7 @@
 		private readonly startedAt: MonotonicMs,
 	) {}
 
+	/** Returns the budget of a service. */
 	find(service: ServiceId): RetryBudget {
 		let budget = this.budgets.get(service);
 		if (budget === undefined) {
@@ -53,6 +54,7 @@
 		};
 	}
 
+	/** Describes the budgets by service. */
 	dump(now: MonotonicMs): unknown {
 		return Object.fromEntries([...this.budgets].map(([service, budget]) => [service, {level: budget.readLevel(now), ...budget.counts}]));
 	}
--- a/src/http/limit-connections/index.ts
+++ b/src/http/limit-connections/index.ts
@@ -1,4 +1,4 @@
-/** Bounds the connections of a server whose requests are answered at once. */
+/** Bounds the connections of a server that answers each request without waiting for others. */
 
 import type {IncomingMessage, Server} from 'node:http';
 import type {Socket} from 'node:net';
--- a/src/peers/peer-server/index.ts
+++ b/src/peers/peer-server/index.ts
@@ -20,7 +20,7 @@
 import {calleeHeader, callerHeader, rpcPath} from '../peer-link/index.js';
 
 const maximumBodyBytes = 32 * 1024 * 1024;
-/** Maximum time for a request to arrive, in milliseconds; longer than its caller waits, also after this process stood still. */
+/** Maximum time for a request to arrive, in milliseconds; longer than its caller waits, even if this process stands still for some seconds. */
 const requestTimeoutMs = 30_000;
 const connectionCheckIntervalMs = 5000;
 /** Time for which a body may go without progress, in milliseconds. */
@@ -35,7 +35,7 @@
 
 /** What requests of other instances may take. */
 export type PeerServerLimits = {
-	/** Size of a body. */
+	/** Largest size of a body. */
 	readonly bodyBytes: number;
 	/** Memory that all bodies together may take. */
 	readonly heldBodyBytes: number;
--- a/src/requests/create-call-error/index.ts
+++ b/src/requests/create-call-error/index.ts
@@ -2,7 +2,7 @@
 
 import {createRouterError, type RouterError} from '../../results/create-router-error/index.js';
 
-/** What the attempts came to. */
+/** What is known of all attempts. */
 export type AttemptHistory = {
 	/** Whether an engine may have run the request in any of them. */
 	readonly mayHaveRun: boolean;
--- a/src/rollout/calculate-changing-limit/index.ts
+++ b/src/rollout/calculate-changing-limit/index.ts
@@ -24,11 +24,11 @@
 /** Share of the engines that may change at once while they are idle, and while they are busy. */
 const idleShare = 0.4;
 const busyShare = 0.15;
-/** Mean load up to which engines count as idle: a new call waits for no more than one prompt. */
+/** Mean load up to which engines count as idle, in prompt tokens: a new call waits for no more than one prompt. */
 const idleLoadTokens = 2500;
-/** Mean load from which engines count as busy: a new call waits for several prompts. */
+/** Mean load from which engines count as busy, in prompt tokens: a new call waits for several prompts. */
 const busyLoadTokens = 7000;
-/** Time that an engine takes for a change, with the time in which its calls end, in milliseconds. */
+/** Time that an engine takes for a change, including the time until its calls have ended, in milliseconds. */
 const changeMs = 2000;
 /** Time by which the last engine is to be ready before its limit, in milliseconds. */
 const marginMs = 1500;
--- a/src/rollout/calculate-order-pause/index.ts
+++ b/src/rollout/calculate-order-pause/index.ts
@@ -9,7 +9,7 @@
  * a successor may send its first order earlier by the difference.
  */
 export const maximumRenewalAgeMs = 1500;
-/** Minimum time between the last order of one holder and the first order of the next. */
+/** Minimum time between the last order of one holder and the first order of the next, in milliseconds. */
 const minimumOrderPauseMs = rolloutLeaseMs;
 const orderPauseMarginMs = 400;
 
