--- a/src/forwarding/queued-wait/index.ts
+++ b/src/forwarding/queued-wait/index.ts
@@ -1,6 +1,6 @@
 /** Waits for a target in the admission queue of the call's service. */
 
-import type {AdmissionQueue} from '../../admission/admission-queue/index.js';
+import type {AdmissionQueue, LeaveReason} from '../../admission/admission-queue/index.js';
 import type {AdmissionQueues} from '../../admission/admission-queues/index.js';
 import type {
 	CallNeeds, CallRank, FixedWait, QueuedCall,
@@ -22,7 +22,7 @@
 const plainCallTokens = 1000;
 /** Time before a call is sent again to targets that have refused it, in milliseconds. */
 const refusedPauseMs = 60;
-/** Targets that are judged by their pace before the call waits. */
+/** Selected targets whose pace is checked before the call waits. */
 const maximumSelections = 3;
 /** Share of an organisation relative to others; the configuration doesn't name weights. */
 const organisationWeight = 1;
@@ -49,19 +49,19 @@
 			this.queue.pace.recordGoal(route.latencyGoalMs, now);
 		}
 
-		// A call that was sent before keeps its claim.
+		// A call that has been sent before doesn't queue behind others again.
 		if (attempts.count > 0) {
 			return selectTarget(selection, this.context, now);
 		}
 
-		const hasTurn = this.queued !== undefined || !this.queue.mustJoin({...rank, needs: this.describeNeeds(), latencyGoalMs: route.latencyGoalMs}, now);
+		const hasTurn = this.queued !== undefined || !this.queue.shouldJoin({...rank, needs: this.describeNeeds(), latencyGoalMs: route.latencyGoalMs}, now);
 		this.obstacle = hasTurn ? 'room' : 'turn';
 		return hasTurn ? this.selectInTime(now) : undefined;
 	}
 
 	begin(since: MonotonicMs, now: MonotonicMs): void {
 		if (this.queued === undefined) {
-			this.call.times.recordWait(this.dependsOnRoom(now) ? this.obstacle : 'target', now);
+			this.call.times.recordWait(this.isHeldBackByRoom(now) ? this.obstacle : 'target', now);
 			this.queued = this.createQueuedCall(since, now);
 			this.queue.join(this.queued, now);
 		}
@@ -102,7 +102,7 @@
 		return undefined;
 	}
 
-	private leave(reason: 'sent' | 'ended', now: MonotonicMs): void {
+	private leave(reason: LeaveReason, now: MonotonicMs): void {
 		const {queued} = this;
 		this.queued = undefined;
 		if (queued !== undefined) {
@@ -143,18 +143,18 @@
 		};
 	}
 
-	/** Plans the wait of a call that room alone doesn't let go on. */
+	/** Plans the wait of a call that could not be sent even if a target had room; undefined for any other call. */
 	private planFixedWait(since: MonotonicMs, now: MonotonicMs): FixedWait | undefined {
 		const {session, selection, attempts: {mayHaveRun}} = this.call;
-		return this.dependsOnRoom(now)
+		return this.isHeldBackByRoom(now)
 			? undefined
 			: planWait({
 				session, selection, deadline: session.deadline.read(), mayHaveRun, since,
 			}, this.context, now);
 	}
 
-	/** Whether only room keeps the call back, not its past, the version of its stream, or pauses and limits of targets. */
-	private dependsOnRoom(now: MonotonicMs): boolean {
+	/** Whether the call only waits for room: not for the version of its stream, nor for the end of pauses or limits, and nothing of it has run or begun. */
+	private isHeldBackByRoom(now: MonotonicMs): boolean {
 		const {selection, attempts: {mayHaveRun}, relay} = this.call;
 		return !selection.origin.isBound && !relay.hasBegun && !mayHaveRun
 			&& listCandidates(selection, this.context.fleet).length > 0 && estimateTargetWait(selection, this.context, now) === undefined;
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -39,7 +39,7 @@
 import {calculatePeerLimits} from '../create-intake/index.js';
 import {createMembership} from '../create-membership/index.js';
 import {createRollout} from '../create-rollout/index.js';
-import {combineStops, createSoftwareRollouts, type SoftwareRolloutParts} from '../create-software-rollouts/index.js';
+import {joinStops, createSoftwareRollouts, type SoftwareRolloutParts} from '../create-software-rollouts/index.js';
 import {createStatements, runStatements, type StatementExchange} from '../create-statements/index.js';
 import {createTrafficControl, type TrafficControl} from '../create-traffic-control/index.js';
 import {CurrentRouting} from '../current-routing/index.js';
@@ -65,8 +65,6 @@
 
 /** Upper limit of the tasks that wait on the signal of the gateway at the same time; more would be a leak. */
 const maximumTasks = 28;
-/** Number of distinct values that `draw` returns. */
-const drawResolution = 0x40_00_00_00;
 
 /** One gateway instance. */
 export class Gateway {
@@ -238,7 +236,7 @@
 		const {clock, logger, settings} = this.options;
 		this.plannedStop ??= createGatewayStop({
 			clock, logger, graceMs: settings.current.graceMs, addressValiditySeconds,
-			membership: this.membership, listener: this.listener, rollout: combineStops([this.rollout, this.software?.rollouts]), controller: this.controller,
+			membership: this.membership, listener: this.listener, rollout: joinStops([this.rollout, this.software?.rollouts]), controller: this.controller,
 		});
 		await this.plannedStop.run();
 	}
@@ -291,7 +289,7 @@
 			reachability: this.handover.reachability, versionRouting: this.software?.rollouts.routing,
 			readPlacementPolicy: this.traffic.readPlacementPolicy,
 			dataCentre: settings.current.dataCentre as DataCentreId,
-			draw: () => random.pickIndex(drawResolution) / drawResolution,
+			draw: () => random.drawFraction(),
 			findVersionHistory: model => this.weightsRegistry.find(model),
 			findRetryBudget: service => this.traffic.retryBudgets.find(service),
 			findService: service => this.routing.table?.findService(service),
