--- a/src/admission/admission-queue/index.ts
+++ b/src/admission/admission-queue/index.ts
@@ -181,6 +181,8 @@
 				this.serve(clock.readMonotonic());
 			} catch (error) {
 				logger.error('admission queue failed', {service, error: String(error)});
+				// A fault that recurs must neither fill the log nor use up the processor.
+				await clock.sleep(checkIntervalMs);
 			}
 		}
 
--- a/src/forwarding/call-session/index.ts
+++ b/src/forwarding/call-session/index.ts
@@ -182,8 +182,9 @@
 			this.charge.refund();
 		}
 
-		this.options.refuse(this.convertError(error), this.requests.count);
-		this.finish(error.entry.name, error.entry.httpStatus);
+		const answered = this.convertError(error);
+		this.options.refuse(answered, this.requests.count);
+		this.finish(answered.entry.name, answered.entry.httpStatus);
 	}
 
 	/** Converts an error that says that the call has not run, if another attempt or instance may have run it. */
