--- a/src/software-rollout/calculate-shift-share/index.ts
+++ b/src/software-rollout/calculate-shift-share/index.ts
@@ -20,7 +20,7 @@
 
 /** Calculates the share at `now`, from 0 to 1. A completed rollout has no other version to send to. */
 export function calculateShiftShare({status, stageSince, isStopped, isOutOfTouch}: KnownShift, now: MonotonicMs): number {
-	if (status === undefined || status.state === 'rolled_back') {
+	if (status === undefined || status.state === 'rolledBack') {
 		return 0;
 	}
 
--- a/src/software-rollout/calculate-shift-share/test.ts
+++ b/src/software-rollout/calculate-shift-share/test.ts
@@ -28,7 +28,7 @@
 	for (const stage of ['canary', 'shift'] as const) {
 		expect(calculateShiftShare(createShift('serving', stage, true), at(9000))).toEqual(0);
 		expect(calculateShiftShare(createShift('serving', stage, false, true), at(9000))).toEqual(0);
-		expect(calculateShiftShare(createShift('rolled_back', stage), at(9000))).toEqual(0);
+		expect(calculateShiftShare(createShift('rolledBack', stage), at(9000))).toEqual(0);
 		expect(calculateShiftShare(createShift('completed', stage, true), at(9000))).toEqual(1);
 	}
 });
--- a/src/software-rollout/order-register/index.ts
+++ b/src/software-rollout/order-register/index.ts
@@ -104,7 +104,7 @@
 		rollout.previous = status.previous;
 		this.raiseAge(rollout, status.ageMs, now);
 		this.exclude(rollout.order.service, status.excluded);
-		if (status.state === 'rolled_back') {
+		if (status.state === 'rolledBack') {
 			this.exclude(rollout.order.service, [status.target]);
 		}
 	}
@@ -165,10 +165,10 @@
 	/** Keeps the versions out that earlier orders have rolled back. */
 	private carryExclusions({service}: RolloutOrder, known: KnownRollout | undefined, status: RolloutStatus | undefined): void {
 		if (status !== undefined) {
-			this.exclude(service, [...status.excluded, ...status.state === 'rolled_back' ? [status.target] : []]);
+			this.exclude(service, [...status.excluded, ...status.state === 'rolledBack' ? [status.target] : []]);
 		}
 
-		if (known !== undefined && (known.stopReason !== undefined || known.status?.state === 'rolled_back')) {
+		if (known !== undefined && (known.stopReason !== undefined || known.status?.state === 'rolledBack')) {
 			this.exclude(service, [known.order.target]);
 		}
 	}
--- a/src/software-rollout/order-register/test.ts
+++ b/src/software-rollout/order-register/test.ts
@@ -43,7 +43,7 @@
 });
 
 test('takes an order that is put again for a newer one', () => {
-	const status = createRolloutStatus(order, {state: 'rolled_back', write: 2});
+	const status = createRolloutStatus(order, {state: 'rolledBack', write: 2});
 	for (const again of [undefined, status]) {
 		const {register, replace} = createRegister();
 		replace([createRolloutObject(order, '1:2')], '1:2', 0);
@@ -57,7 +57,7 @@
 
 test('guards against a version that was rolled back and serves again because another one is ordered', () => {
 	const {register, replace} = createRegister([v1, v2, v3]);
-	const rolledBack = createRolloutStatus(order, {state: 'rolled_back', write: 2});
+	const rolledBack = createRolloutStatus(order, {state: 'rolledBack', write: 2});
 	replace([createRolloutObject(order, '1:2', rolledBack)], '1:2');
 	const rollout = replace([createRolloutObject(createRolloutOrder({target: v3}), '1:3', rolledBack)], '1:3');
 	expect([rollout?.number, rollout?.previous, register.listExcluded(service)]).toEqual([2, [v1], [v2]]);
@@ -111,7 +111,7 @@
 });
 
 test('forgets a rollout whose object is removed, and keeps its version out unless it had completed', () => {
-	for (const [state, excluded] of [['serving', [v2]], ['rolled_back', [v2]], ['completed', []]] as const) {
+	for (const [state, excluded] of [['serving', [v2]], ['rolledBack', [v2]], ['completed', []]] as const) {
 		const {register, replace} = createRegister();
 		replace([createRolloutObject(order, '1:2', createRolloutStatus(order, {state}))], '1:2');
 		expect(replace([], '1:3')).toEqual(undefined);
--- a/src/software-rollout/plan-stage/index.ts
+++ b/src/software-rollout/plan-stage/index.ts
@@ -81,7 +81,7 @@
 
 	if (stopReason !== undefined) {
 		return {
-			state: 'rolled_back', stage: status?.stage ?? 'canary', share: 0, reason: stopReason,
+			state: 'rolledBack', stage: status?.stage ?? 'canary', share: 0, reason: stopReason,
 		};
 	}
 
--- a/src/software-rollout/plan-stage/test.ts
+++ b/src/software-rollout/plan-stage/test.ts
@@ -73,11 +73,11 @@
 
 test('rolls a bad version back in each stage, and leaves what has ended', () => {
 	for (const stage of ['canary', 'shift'] as const) {
-		expect(planStage(createQuery({status: createStatus(stage), stopReason: 'failures'}))?.state).toEqual('rolled_back');
-		for (const state of ['completed', 'rolled_back'] as const) {
+		expect(planStage(createQuery({status: createStatus(stage), stopReason: 'failures'}))?.state).toEqual('rolledBack');
+		for (const state of ['completed', 'rolledBack'] as const) {
 			expect(planStage(createQuery({status: createStatus(stage, state), stopReason: 'failures'}))).toEqual(undefined);
 		}
 	}
 
-	expect(planStage(createQuery({stopReason: 'failures'}))?.state).toEqual('rolled_back');
+	expect(planStage(createQuery({stopReason: 'failures'}))?.state).toEqual('rolledBack');
 });
--- a/src/software-rollout/rollout-holder/test.ts
+++ b/src/software-rollout/rollout-holder/test.ts
@@ -92,7 +92,7 @@
 	expect(simulation.totals.lastNewAt < badFromMs + 2500).toEqual(true);
 	simulation.objectApi.setDown(false);
 	await simulation.play(6000);
-	expect([simulation.totals.endState, simulation.totals.refused]).toEqual(['rolled_back', 0]);
+	expect([simulation.totals.endState, simulation.totals.refused]).toEqual(['rolledBack', 0]);
 });
 
 test('guards against a stage that rises while the store is away', async () => {
@@ -126,13 +126,13 @@
 	await begin(simulation);
 	const copy = simulation.objectApi.copy();
 	await simulation.play(6000);
-	expect(simulation.totals.endState).toEqual('rolled_back');
+	expect(simulation.totals.endState).toEqual('rolledBack');
 	simulation.objectApi.restore(copy);
 	await simulation.play(1000);
 	expect(listShares(simulation)).toEqual([0, 0, 0, 0, 0]);
 	await simulation.play(9000);
 	const status = simulation.readStatus();
-	expect([status?.state, status?.target]).toEqual(['rolled_back', newVersion]);
+	expect([status?.state, status?.target]).toEqual(['rolledBack', newVersion]);
 	expect(listShares(simulation)).toEqual([0, 0, 0, 0, 0]);
 });
 
@@ -184,5 +184,5 @@
 	isolated.api.isCut = true;
 	await simulation.play(5500);
 	expect(listShares(simulation)).toEqual([0, 0, 0, 0, 0]);
-	expect(simulation.totals.endState).toEqual('rolled_back');
+	expect(simulation.totals.endState).toEqual('rolledBack');
 });
--- a/src/software-rollout/rollout-routing/test.ts
+++ b/src/software-rollout/rollout-routing/test.ts
@@ -50,7 +50,7 @@
 	expect([0, 0.5].map(fraction => createRouting(undefined).list(fraction))).toEqual([['v1'], ['v1']]);
 	expect([0.01, 0.5].map(fraction => createRouting({}).list(fraction))).toEqual([['v2'], ['v1']]);
 	expect(createRouting({state: 'completed'}).list(0.5)).toEqual(['v2']);
-	expect(createRouting({state: 'rolled_back'}).list(0)).toEqual(['v1']);
+	expect(createRouting({state: 'rolledBack'}).list(0)).toEqual(['v1']);
 });
 
 test('sends all calls to the new version in a shift, and to the old one if the new targets are gone', () => {
--- a/src/software-rollout/rollout-types/index.ts
+++ b/src/software-rollout/rollout-types/index.ts
@@ -11,8 +11,8 @@
 	readonly durationMs: number;
 };
 
-/** State of a rollout as operators read it. */
-export type RolloutState = 'serving' | 'completed' | 'rolled_back';
+/** State of a rollout. The platform adapter converts it to the name that operators read in the status. */
+export type RolloutState = 'serving' | 'completed' | 'rolledBack';
 
 /** `canary`: the new version gets a small share of the calls. `shift`: it gets all. */
 export type RolloutStage = 'canary' | 'shift';
--- a/src/software-rollout/software-rollouts/test.ts
+++ b/src/software-rollout/software-rollouts/test.ts
@@ -89,7 +89,7 @@
 				const totals = await play(deployment, plan, seed);
 				const allowed = (testBounds.exposureShare * totals.requests) + testBounds.exposureSlack;
 				const stopBy = (totals.fiftiethBadAt ?? Infinity) + testBounds.rollbackMs;
-				expect([totals.endState, totals.newRequests <= allowed, totals.lastNewAt <= stopBy, totals.refused]).toEqual(['rolled_back', true, true, 0]);
+				expect([totals.endState, totals.newRequests <= allowed, totals.lastNewAt <= stopBy, totals.refused]).toEqual(['rolledBack', true, true, 0]);
 				expect(totals.badAnswers < 3 * fiftieth).toEqual(true);
 			}
 		});
