--- a/src/software-rollout/assess-stop/index.ts
+++ b/src/software-rollout/assess-stop/index.ts
@@ -14,8 +14,9 @@
 
 /** Number of bad answers from which the time until the rollback counts. */
 export const manyBadAnswers = 50;
-/** Part of that time after which weak evidence is enough; the rest is for the stop to reach all instances. */
+/** Part of `rollbackMs` after which weak evidence is enough; the rest is for the stop to reach all instances. */
 const weakEvidenceFraction = 0.5;
+/** Evidence that is then enough; see `judgeVersion`. */
 const weakEvidence = 4;
 
 /** Returns why the version is bad; undefined if calls may still go there. */
--- a/src/software-rollout/calculate-shift-share/index.ts
+++ b/src/software-rollout/calculate-shift-share/index.ts
@@ -15,11 +15,11 @@
 	/** Whether an instance has judged the version to be bad. */
 	readonly isStopped: boolean;
 	/** Whether the instance has not heard of a lease holder for so long that it may have missed a stop. */
-	readonly isOutOfTouch: boolean;
+	readonly isHolderSilent: boolean;
 };
 
 /** Calculates the share at `now`, from 0 to 1. A completed rollout has no other version to send to. */
-export function calculateShiftShare({status, stageSince, isStopped, isOutOfTouch}: KnownShift, now: MonotonicMs): number {
+export function calculateShiftShare({status, stageSince, isStopped, isHolderSilent}: KnownShift, now: MonotonicMs): number {
 	if (status === undefined || status.state === 'rolledBack') {
 		return 0;
 	}
@@ -28,7 +28,7 @@
 		return 1;
 	}
 
-	if (isStopped || isOutOfTouch) {
+	if (isStopped || isHolderSilent) {
 		return 0;
 	}
 
--- a/src/software-rollout/calculate-shift-share/test.ts
+++ b/src/software-rollout/calculate-shift-share/test.ts
@@ -6,15 +6,15 @@
 
 const at = (ms: number) => ms as MonotonicMs;
 
-function createShift(state: RolloutState, stage: RolloutStage, isStopped = false, isOutOfTouch = false) {
+function createShift(state: RolloutState, stage: RolloutStage, isStopped = false, isHolderSilent = false) {
 	return {
-		status: {state, stage, share: 0.04}, stageSince: at(1000), isStopped, isOutOfTouch,
+		status: {state, stage, share: 0.04}, stageSince: at(1000), isStopped, isHolderSilent,
 	};
 }
 
 test('guards against calls to the new version before the order has a stage', () => {
 	expect(calculateShiftShare({
-		status: undefined, stageSince: at(0), isStopped: false, isOutOfTouch: false,
+		status: undefined, stageSince: at(0), isStopped: false, isHolderSilent: false,
 	}, at(5000))).toEqual(0);
 });
 
--- a/src/software-rollout/evidence-cell/index.ts
+++ b/src/software-rollout/evidence-cell/index.ts
@@ -17,7 +17,7 @@
 	readonly answers: number;
 	/** Answers with an error of the server, broken answers and requests without an answer. */
 	readonly failures: number;
-	/** Durations of good answers, and of waits without any that were given up. */
+	/** Durations of good answers and of requests given up without one; in reports also the ages of requests in progress. */
 	readonly durations: LatencyHistogram;
 };
 
@@ -36,7 +36,7 @@
 const maximumParsedKeys = 2000;
 const parsedKeys = new LRUCache<CellKey, CellScope>({max: maximumParsedKeys});
 
-/** A cell without anything. */
+/** A cell without any request. */
 export const emptyCell: EvidenceCell = {
 	sent: 0, answers: 0, failures: 0, durations: new Map(),
 };
@@ -51,7 +51,7 @@
 	return `${lane} ${group} ${route}`;
 }
 
-/** Parses the key of a cell. Each judgement parses all of them several times, so the results are kept. */
+/** Parses the key of a cell. Results are cached, because each judgement parses all keys several times. */
 export function parseCellKey(key: CellKey): CellScope {
 	const known = parsedKeys.get(key);
 	if (known !== undefined) {
@@ -77,7 +77,7 @@
 	};
 }
 
-/** Returns what has come since `earlier`. */
+/** Subtracts `earlier` from `cells`, cell by cell. */
 export function subtractCells(cells: EvidenceCells, earlier: EvidenceCells): EvidenceCells {
 	return new Map([...cells].map(([key, cell]) => [key, addCell(cell, earlier.get(key) ?? emptyCell, -1)]));
 }
--- a/src/software-rollout/evidence-ledger/index.ts
+++ b/src/software-rollout/evidence-ledger/index.ts
@@ -7,7 +7,7 @@
 import type {EvidenceSpan} from '../judge-version/index.js';
 import {calculateUpperBoundMs, findQuantile} from '../latency-histogram/index.js';
 
-/** Report of one instance. */
+/** What one instance reports about a rollout. */
 export type EvidenceReport = {
 	readonly from: InstanceId;
 	readonly incarnation: Incarnation;
@@ -15,7 +15,7 @@
 	readonly write: number;
 	/** Calls in progress at targets of other versions than the new one, or that may still go there. */
 	readonly callsLeft: number;
-	/** Cells that have changed, with all that they hold. */
+	/** Cells that have changed, each with all its sums. */
 	readonly cells: EvidenceCells;
 };
 
@@ -25,11 +25,13 @@
 type Reporter = {readonly cells: Map<CellKey, EvidenceCell>};
 type Statement = {readonly incarnation: Incarnation; readonly write: number; readonly callsLeft: number; readonly heardAt: MonotonicMs};
 
+/** Time between two snapshots of the sums, in milliseconds. */
 const snapshotIntervalMs = 500;
 /** Lengths of the spans that are judged beside the whole, in milliseconds. */
 const spanLengthsMs = [1500, 4000] as const;
 /** Time for which a statement of calls left counts, in milliseconds. */
 const statementValidMs = 1000;
+/** Quantile of the durations that counts as typical. */
 const typicalQuantile = 0.5;
 /** Fraction of the calls at the old version that a shift waits for. */
 const drainQuantile = 0.999;
@@ -90,7 +92,7 @@
 		};
 	}
 
-	/** Counts the calls left at the old version that instances state who know status write `write`. */
+	/** Sums up the calls left at the old version that the live instances have stated, and tells whether all know status write `write`. */
 	countCallsLeft(live: readonly InstanceId[], write: number, now: MonotonicMs): CallsLeft {
 		let count = 0;
 		let haveAllStated = true;
--- a/src/software-rollout/evidence-recorder/index.ts
+++ b/src/software-rollout/evidence-recorder/index.ts
@@ -14,12 +14,12 @@
 /** How a request to a target ended. `unanswered`: it was given up without a whole answer, for whatever reason. */
 export type RequestOutcome = 'good' | 'failed' | 'unanswered' | 'notRun';
 
-/** Shortest wait without an answer that counts, in milliseconds. Callers may give up at any time. */
+/** Shortest duration of a request without an answer that counts, in milliseconds, because callers may give up at any time. */
 const minimumUnansweredMs = 1000;
-/** Shortest age at which a request in progress counts, in milliseconds; the others would make the messages larger. */
+/** Shortest age at which a request in progress counts, in milliseconds; younger ones would only make the messages larger. */
 const minimumOpenMs = 250;
 
-/** Sums of one instance. A message that is lost costs nothing once the next one arrives. */
+/** Sums of one instance. They are cumulative, so that a later report of a cell makes up for one that was lost. */
 export class EvidenceRecorder {
 	private readonly sums = new Map<CellKey, EvidenceCell>();
 	private readonly open = new Map<TargetCall, CellKey>();
--- a/src/software-rollout/is-status-lost/index.ts
+++ b/src/software-rollout/is-status-lost/index.ts
@@ -3,7 +3,7 @@
 import type {MonotonicMs} from '../../identity/ids/index.js';
 import type {KnownRollout} from '../order-register/index.js';
 
-/** Time after which a stored status that is older than the known one counts as lost, in milliseconds; the feed takes less. */
+/** Time after which a stored status that is older than the known one counts as lost, in milliseconds; the feed of the store is faster. */
 export const lostStatusDelayMs = 2000;
 
 /** Whether the store lacks the status that is known, because it was restored from a copy. */
--- a/src/software-rollout/judge-version/index.ts
+++ b/src/software-rollout/judge-version/index.ts
@@ -43,12 +43,15 @@
 
 type MeasureFinder = (span: EvidenceSpan, whole: EvidenceSpan, route: RouteId) => Measure | undefined;
 
+/** Bad answers without which no version is bad. */
 const minimumBad = 6;
+/** Evidence that is needed unless the caller states less; see `judgeVersion`. */
 const evidenceNeeded = 8;
+/** Bad answers that have to be left without the group of targets with most of them. */
 const minimumBadOfRest = 3;
 /** Part of the evidence that has to be left without the group of targets with most bad answers. */
 const restFraction = 0.375;
-/** Where all answers come from one group of targets, which may be one faulty target. */
+/** Bad answers and evidence needed where all answers come from one group of targets, which may be one faulty target. */
 const minimumBadOfOneGroup = 15;
 const evidenceNeededOfOneGroup = 25;
 /** Share of failures that is normal at times, whatever the old versions show. */
@@ -56,19 +59,22 @@
 /** Factors by which the shares of failures and of slow answers of a good version may exceed those of the old ones. */
 const failureMargin = 1.5;
 const slowMargin = 1.15;
+/** Share of slow answers that is normal at times, whatever the old versions show. */
 const normalSlowShare = 0.025;
-/** Answers of the old versions below which a median says little. */
+/** Number of answers of the old versions below which no share or median is taken from them. */
 const minimumReferenceAnswers = 20;
-/** Distances from the median of the old versions from which answers count as slow: from about 3 to 11 times. */
+/** Numbers of buckets above the median of the old versions at which answers begin to count as slow: about 3 to 11 times the median. */
 const slowDistances = [6, 8, 10, 12, 14] as const;
-/** Part of a span from which durations are too long for it. */
+/** Longest duration that is judged in a span, as a fraction of its length. */
 const longestSlowFraction = 0.25;
 /**
- * Distance by which the answers of the old versions count as slow earlier, since targets of one version differ in speed: 1.7
- * times. Over many groups of targets the differences even out.
+ * Number of buckets by which answers of the old versions count as slow earlier than those of the new one, because targets of one
+ * version differ in speed: a factor of 1.7.
  */
 const speedTolerance = 3;
+/** The same where the new version answers from many groups of targets, over which the differences even out: a factor of 1.2. */
 const evenSpeedTolerance = 1;
+/** Number of groups from which that holds. */
 const evenGroups = 8;
 const emptySample: Sample = {answers: 0, bad: 0, expected: 0};
 
@@ -81,8 +87,8 @@
 ];
 
 /**
- * Judges a version; undefined if nothing shows that it is bad. The last span is that of the whole rollout. `needed`: logarithm of
- * the chance with which a good version may be taken for a bad one in one comparison.
+ * Judges a version; undefined if nothing shows that it is bad. The last span is that of the whole rollout. `needed`: negative
+ * natural logarithm of the chance with which one comparison may take a good version for a bad one.
  */
 export function judgeVersion(spans: readonly EvidenceSpan[], needed = evidenceNeeded): BadVersion | undefined {
 	const whole = spans.at(-1);
@@ -141,7 +147,7 @@
 	};
 }
 
-/** Finds what counts as slow on a route, `distance` above the median; undefined if the old versions have too few answers to tell. */
+/** Finds what counts as slow on a route, `distance` buckets above the median; undefined if the old versions have too few answers or the span is too short. */
 function findSlowMeasure(distance: number, span: EvidenceSpan, whole: EvidenceSpan, route: RouteId): Measure | undefined {
 	const sums = [sumPrevious(whole.cells, route), sumPrevious(span.cells, route)];
 	const references = sums.filter(({durations}) => countValues(durations) >= minimumReferenceAnswers);
--- a/src/software-rollout/order-register/index.ts
+++ b/src/software-rollout/order-register/index.ts
@@ -2,8 +2,8 @@
  * The rollouts that an instance knows, from the stored orders and their statuses.
  *
  * An order is told from the one before by what it asks for, or by a new version of its object without a new status: each status
- * write changes the status, so the order was put again. After a restore of the store from a copy, a status or an order that is
- * missing or older than a known one says nothing, and what is known stays.
+ * write changes the status, so the operator has put the order again. After a restore of the store from a copy, a status or an
+ * order that is missing or older than a known one is ignored.
  */
 
 import type {Instant} from '../../clock/instant/index.js';
@@ -30,7 +30,7 @@
 	status: RolloutStatus | undefined;
 	/** When the instance learned of the present state and stage. */
 	stageSince: MonotonicMs;
-	/** When the instance last heard of the order from a lease holder or, for its first status, from the store. */
+	/** When the instance last received the order or a newer status from the store, or any status from the lease holder. */
 	heardAt: MonotonicMs;
 	/** Version of the stored object and the status in it. */
 	version: ResourceVersion;
@@ -125,10 +125,12 @@
 		return true;
 	}
 
+	/** Finds the newest rollout of a service. */
 	find(service: ServiceId): KnownRollout | undefined {
 		return this.rollouts.get(service);
 	}
 
+	/** Lists the newest rollout of each service. */
 	list(): readonly KnownRollout[] {
 		return [...this.rollouts.values()];
 	}
@@ -214,7 +216,7 @@
 	}
 }
 
-/** Whether the status belongs to the order beside it, as far as it tells. */
+/** Whether the status was written for the order in the same object; an equal order that was put again isn't told apart. */
 function isOwnStatus({order, status}: RolloutObject): boolean {
 	return status?.orderKey === formatOrderKey(order);
 }
--- a/src/software-rollout/plan-stage/index.ts
+++ b/src/software-rollout/plan-stage/index.ts
@@ -41,36 +41,42 @@
 /** Stage that is to be written. */
 export type StagePlan = {readonly state: RolloutState; readonly stage: RolloutStage; readonly share: number; readonly reason?: string};
 
-/** Fraction of the allowed exposure that the canary takes: until the rate is known, and bounds for afterwards. */
+/** Fraction of the allowed exposure that the canary takes until the rate of requests is known. */
 const firstCanaryFraction = 0.4;
+/** Bounds of that fraction once the rate is known. */
 const leastCanaryFraction = 0.35;
 const mostCanaryFraction = 0.6;
-/** Requests that the canary needs to show much, if its largest fraction allows them. */
+/** Requests to the canary that are enough for a judgement; it gets them if the largest fraction allows it. */
 const enoughCanaryRequests = 90;
+/** Number of steps between the shares 0 and 1. */
 const shareResolution = 1000;
+/** Bounds of the share of the calls that the canary gets once the rate is known. */
 const minimumCanaryShare = 0.005;
 const maximumCanaryShare = 0.3;
 /** Time from an answer to the stop of the version at all instances, in milliseconds. */
 const stopDelayMs = 550;
-/** Answers that show that a version is bad, if a fifth of them are. */
+/** Number of answers that is enough to find a version bad if a fifth of them are bad. */
 const answersUntilStop = 60;
 /** Age of the order from which the rate of requests is known, in milliseconds. */
 const minimumRateAgeMs = 1500;
-/** Factor from which another share of the canary is worth a write. */
+/** Smallest factor between the present and the wanted share of the canary for which the status is written. */
 const shareChangeFactor = 1.4;
 /** Time for a stage to reach all instances, and for the ramp, in milliseconds. */
 const spreadMs = 700;
 /** Time for the last status to be written, in milliseconds. */
 const commitMs = 600;
+/** Shortest time that the plan leaves for calls at the old version to end, in milliseconds. */
 const minimumDrainMs = 150;
+/** Duration of calls that is assumed while none is known, in milliseconds. */
 const unknownDrainMs = 1000;
+/** Factor on the measured time in which calls end. */
 const drainFactor = 1.1;
 /** Longest shift, as a fraction of the duration. */
 const maximumShiftFraction = 0.5;
 /** Time in stage `shift` before `completed`, in which the new version shows how it bears the load, in milliseconds. */
 const minimumShiftMs = 900;
-/** Time before the deadline from which the plan doesn't wait for instances that are not heard, in milliseconds. */
-const lastCallMs = 600;
+/** Time before the deadline from which completion doesn't wait for instances that are not heard, in milliseconds. */
+const deadlineMarginMs = 600;
 
 /** Plans the status to be written now; undefined if the present one is to stay. */
 export function planStage(query: StageQuery): StagePlan | undefined {
@@ -96,7 +102,7 @@
 	return status.stage === 'shift' ? planCompletion(query, status.share) : planCanary(query, status.share);
 }
 
-/** Calculates the age of the order from which all calls go to the new version. */
+/** Calculates the age of the order at which stage `shift` begins. */
 export function calculateShiftAgeMs({durationMs, drainMs = unknownDrainMs}: Pick<StageQuery, 'durationMs' | 'drainMs'>): number {
 	const shiftMs = Math.max(spreadMs + (Math.max(minimumDrainMs, drainMs) * drainFactor), minimumShiftMs) + commitMs;
 	return durationMs - Math.min(shiftMs, durationMs * maximumShiftFraction);
@@ -121,11 +127,14 @@
 
 function planCompletion(query: StageQuery, share: number): StagePlan | undefined {
 	const {durationMs, ageMs, stageAgeMs, callsLeft, haveAllStated} = query;
-	const isLastCall = ageMs >= durationMs - lastCallMs;
-	return callsLeft === 0 && stageAgeMs >= minimumShiftMs && (haveAllStated || isLastCall) ? {state: 'completed', stage: 'shift', share} : undefined;
+	const isNearDeadline = ageMs >= durationMs - deadlineMarginMs;
+	return callsLeft === 0 && stageAgeMs >= minimumShiftMs && (haveAllStated || isNearDeadline) ? {state: 'completed', stage: 'shift', share} : undefined;
 }
 
-/** Calculates the share of the canary, from what it may take and has taken so far. The slack counts for more where there are few requests. */
+/**
+ * Calculates the share of the calls that the canary gets, from the requests that it may get in all and those that it has had. With
+ * few requests, most of what it may get comes from the slack of the bounds.
+ */
 function calculateCanaryShare(query: StageQuery): number {
 	const {durationMs, ageMs, requests, newRequests, bounds} = query;
 	if (ageMs < minimumRateAgeMs || requests === 0) {
--- a/src/software-rollout/rollout-exchange/index.ts
+++ b/src/software-rollout/rollout-exchange/index.ts
@@ -20,14 +20,14 @@
 	type EvidenceMessage, type StatusMessage, type StopMessage,
 } from '../rollout-messages/index.js';
 
-/** Instances that contend for the lease; more than two, so that one serves on if two are cut off from the store. */
+/** Number of instances that contend for the lease; with three, one still can if two are cut off from the store. */
 export const contenderCount = 3;
 /** Pauses after which a stop and a status are sent again, in milliseconds. */
 const stopRepeatsMs = [60, 200] as const;
 const statusRepeatsMs = [60] as const;
 /** Interval at which an instance sends all that it has counted, in milliseconds. */
 const fullReportIntervalMs = 2000;
-/** Interval at which the lease holder tells of the status, in milliseconds; several fit into the silence after which nothing is sent. */
+/** Interval at which the lease holder repeats the status, in milliseconds; shorter than the silence after which instances send nothing to the new version. */
 const reminderIntervalMs = 700;
 
 /** Options of the exchange. */
--- a/src/software-rollout/rollout-holder/index.ts
+++ b/src/software-rollout/rollout-holder/index.ts
@@ -16,13 +16,15 @@
 
 /** Name of the lease; stored in the object API and therefore stable. */
 export const softwareLeaseName = 'software-rollout';
+/** Duration of the lease, in milliseconds. */
 export const softwareLeaseMs = 3000;
-/** Time before the end of the lease from which nothing is written, in milliseconds; a write takes up to that. */
+/** Time before the expiry of the lease from which nothing is written, in milliseconds; a write takes that long at most. */
 const writeMarginMs = 700;
+/** Interval at which a contender acquires or renews the lease, in milliseconds. */
 const renewIntervalMs = 700;
-/** Interval at which an instance looks whether it is to contend while there is no order in progress, in milliseconds. */
+/** Interval at which an instance that doesn't contend checks whether it should, in milliseconds. */
 const idleIntervalMs = 5000;
-/** Pauses after a write that failed, in milliseconds. */
+/** Pauses after a write that failed by a conflict or for another reason, in milliseconds. */
 const conflictPauseMs = 150;
 const failurePauseMs = 400;
 
@@ -110,6 +112,7 @@
 		this.nextWriteAt.set(service, clock.readMonotonic() + pauseMs);
 	}
 
+	/** Describes the lease for a dump. */
 	dump(): unknown {
 		return {isHolder: this.isHolder, fencing: this.options.lease.readFencing()};
 	}
--- a/src/software-rollout/rollout-messages/index.ts
+++ b/src/software-rollout/rollout-messages/index.ts
@@ -1,16 +1,18 @@
-/** Messages with which instances tell each other about rollouts, and their form in datagrams. */
+/** Messages about rollouts between the instances, and their form in datagrams. */
 
 import type {Incarnation, InstanceId} from '../../identity/ids/index.js';
 import type {ServiceId} from '../../routing/routing-types/index.js';
 import type {CellKey, EvidenceCell, EvidenceCells} from '../evidence-cell/index.js';
 import type {RolloutStatus} from '../rollout-types/index.js';
 
-/** Message types of the datagrams. */
+/** Type of datagrams with an `EvidenceMessage`. */
 export const evidenceMessageType = 'software-evidence';
+/** Type of datagrams with a `StopMessage`. */
 export const stopMessageType = 'software-stop';
+/** Type of datagrams with a `StatusMessage`. */
 export const statusMessageType = 'software-status';
 
-/** A cell: its key, requests sent, answers, failures, and buckets of durations with their counts by turns. */
+/** A cell: its key, requests sent, answers, failures, and the durations as alternating buckets and counts. */
 export type CellEntry = readonly [key: CellKey, sent: number, answers: number, failures: number, durations: readonly number[]];
 
 /** What an instance has seen of one rollout. */
--- a/src/software-rollout/rollout-routing/index.ts
+++ b/src/software-rollout/rollout-routing/index.ts
@@ -40,7 +40,7 @@
 		}
 
 		const share = this.measureShare(rollout);
-		// Only an order without any other version to go to leaves no choice.
+		// If no other version served before the order, all calls go to the new one.
 		const isNew = share >= 1 || fraction < share || (share > 0 && rollout.previous?.length === 0);
 		return isNew && this.hasTargets(rollout) ? 'new' : 'previous';
 	}
@@ -74,7 +74,7 @@
 
 	recordEnded({target, route, call}: SentRequest, outcome: RequestOutcome): void {
 		const rollout = this.findServing(target);
-		// What was sent before the order shows nothing about it.
+		// Requests sent before the order are no evidence on it.
 		if (rollout !== undefined && call.sentAt >= rollout.startedAt) {
 			this.options.evidence.get(rollout).own.recordEnded(describeScope(rollout, target, route), call, outcome, this.options.clock.readMonotonic());
 		}
@@ -84,9 +84,9 @@
 	measureShare(rollout: KnownRollout): number {
 		const {clock, readBounds} = this.options;
 		const now = clock.readMonotonic();
-		const isOutOfTouch = now - rollout.heardAt > readBounds().rollbackMs * longestSilenceFraction;
+		const isHolderSilent = now - rollout.heardAt > readBounds().rollbackMs * longestSilenceFraction;
 		const isInForce = rollout.isListed || rollout.status?.state === 'completed';
-		return isInForce ? calculateShiftShare({...rollout, isStopped: rollout.stopReason !== undefined, isOutOfTouch}, now) : 0;
+		return isInForce ? calculateShiftShare({...rollout, isStopped: rollout.stopReason !== undefined, isHolderSilent}, now) : 0;
 	}
 
 	/** Counts the calls at old targets, and one more while further ones may go there. */
--- a/src/software-rollout/rollout-types/index.ts
+++ b/src/software-rollout/rollout-types/index.ts
@@ -63,7 +63,7 @@
 	readonly rollbackMs: number;
 };
 
-/** Beginning of the version of a target that states none. Each such target has a version of its own. */
+/** Prefix of the version of a target that states none. Each such target has a version of its own. */
 export const unstatedVersionPrefix = 'unknown/';
 
 /** Formats what an order asks for as one text. */
@@ -71,7 +71,7 @@
 	return `${target} ${durationMs}`;
 }
 
-/** Whether `version` is one of `versions`. Targets that state no version are alike. */
+/** Whether `version` is one of `versions`. All targets that state no version count as one version. */
 export function isVersionOf(version: SoftwareVersion, versions: readonly SoftwareVersion[]): boolean {
 	return versions.includes(version)
 		|| (version.startsWith(unstatedVersionPrefix) && versions.some(other => other.startsWith(unstatedVersionPrefix)));
--- a/src/software-rollout/software-rollouts/index.ts
+++ b/src/software-rollout/software-rollouts/index.ts
@@ -34,8 +34,9 @@
 const stepIntervalMs = 150;
 /** The same in stage `shift`, in which a bad version gets many calls. */
 const shiftStepIntervalMs = 75;
+/** Longest wait for a change while no order is in progress, in milliseconds. */
 const idleIntervalMs = 60_000;
-/** Time from the start from which a service without targets of other versions counts as one without, in milliseconds. */
+/** Time after the start in which this instance may not know all targets yet, in milliseconds. */
 const fleetReadMs = 3000;
 
 /** Options of the rollouts. */
@@ -130,6 +131,7 @@
 		});
 	}
 
+	/** Describes the rollouts for a dump. */
 	dump(): unknown {
 		const now = this.options.clock.readMonotonic();
 		const rollouts = this.orders.list().map(rollout => ({
@@ -154,7 +156,7 @@
 		}
 	}
 
-	/** Waits for a change. A status that the store doesn't have yet is looked at again when the feed has had its time. */
+	/** Waits for a change. If the store lacks a known status, waits only until that status counts as lost. */
 	private async waitForWork(signal: AbortSignal): Promise<void> {
 		const isStoreBehind = this.orders.list().some(rollout => isStoredStatusOlder(rollout));
 		const isNotified = await this.stepWakeup.wait(this.options.clock, isStoreBehind ? lostStatusDelayMs : idleIntervalMs, signal);
