--- a/src/fleet/decayed-sum/index.ts
+++ b/src/fleet/decayed-sum/index.ts
@@ -9,11 +9,13 @@
 
 	constructor(private readonly halfLifeMs: number) {}
 
+	/** Adds an amount. */
 	add(amount: number, now: MonotonicMs): void {
 		this.value = this.read(now) + amount;
 		this.updatedAt = Math.max(this.updatedAt, now);
 	}
 
+	/** Returns the sum at `now`. */
 	read(now: MonotonicMs): number {
 		return this.value === 0 ? 0 : this.value * (0.5 ** (Math.max(0, now - this.updatedAt) / this.halfLifeMs));
 	}
--- a/src/soak/untrusted-caller/index.ts
+++ b/src/soak/untrusted-caller/index.ts
@@ -68,6 +68,7 @@
 
 	private async write(piece: Buffer): Promise<void> {
 		if (!this.socket.destroyed && !this.socket.write(piece)) {
+			// A connection that is reset ends the wait as one that is closed does.
 			await Promise.race([once(this.socket, 'drain'), once(this.socket, 'close')]).catch(() => undefined);
 		}
 	}
--- a/src/software-rollout/rollout-holder/test.ts
+++ b/src/software-rollout/rollout-holder/test.ts
@@ -30,7 +30,7 @@
 
 async function begin(simulation: SimulatedRollout): Promise<void> {
 	await simulation.clock.advance(1000);
-	await simulation.order();
+	await simulation.putOrder();
 }
 
 /** Lists the shares with which the instances send to the new version. */
@@ -41,12 +41,12 @@
 test('guards against a killed holder that leaves the order where it is', async () => {
 	const simulation = createSimulation();
 	await begin(simulation);
-	await simulation.play(4000);
+	await simulation.run(4000);
 	const killed = simulation.findHolder()!;
 	simulation.kill(killed.id);
-	await simulation.play(4500);
+	await simulation.run(4500);
 	expect(simulation.findHolder() !== undefined && simulation.findHolder() !== killed).toEqual(true);
-	await simulation.play(3400);
+	await simulation.run(3400);
 	expect([simulation.totals.endState, simulation.totals.leftAtCompletion, simulation.totals.refused]).toEqual(['completed', 0, 0]);
 	expect(simulation.totals.endedAt! < durationMs).toEqual(true);
 });
@@ -54,20 +54,20 @@
 test('guards against a restart of all instances that begins the order anew or lets the new version have all calls', async () => {
 	const simulation = createSimulation();
 	await begin(simulation);
-	await simulation.play(4000);
+	await simulation.run(4000);
 	const ids = simulation.instances.map(({id}) => id);
 	for (const id of ids) {
 		simulation.kill(id);
 	}
 
-	await simulation.play(1500);
+	await simulation.run(1500);
 	for (const id of ids) {
 		simulation.startInstance(id);
 	}
 
-	await simulation.play(400);
+	await simulation.run(400);
 	expect(listShares(simulation).every(share => share > 0 && share < 0.2)).toEqual(true);
-	await simulation.play(6000);
+	await simulation.run(6000);
 	expect([simulation.totals.endState, simulation.totals.leftAtCompletion]).toEqual(['completed', 0]);
 	expect(simulation.totals.endedAt! < durationMs).toEqual(true);
 });
@@ -75,49 +75,49 @@
 test('guards against a holder in a planned stop that keeps the lease until it expires', async () => {
 	const simulation = createSimulation();
 	await begin(simulation);
-	await simulation.play(4000);
+	await simulation.run(4000);
 	const leaving = simulation.findHolder()!;
 	await leaving.rollouts.stop();
-	await simulation.play(1500);
+	await simulation.run(1500);
 	expect([undefined, leaving].includes(simulation.findHolder())).toEqual(false);
 });
 
 test('guards against a bad version that gets calls because the store is away, and writes the rollback when it is back', async () => {
 	const simulation = createBadSimulation();
 	await begin(simulation);
-	await simulation.play(2500);
+	await simulation.run(2500);
 	simulation.objectApi.setDown(true);
-	await simulation.play(3500);
+	await simulation.run(3500);
 	expect(listShares(simulation)).toEqual([0, 0, 0, 0, 0]);
 	expect(simulation.totals.lastNewAt < badFromMs + 2500).toEqual(true);
 	simulation.objectApi.setDown(false);
-	await simulation.play(6000);
+	await simulation.run(6000);
 	expect([simulation.totals.endState, simulation.totals.refused]).toEqual(['rolledBack', 0]);
 });
 
 test('guards against a stage that rises while the store is away', async () => {
 	const simulation = createSimulation();
 	await begin(simulation);
-	await simulation.play(4000);
+	await simulation.run(4000);
 	simulation.objectApi.setDown(true);
-	await simulation.play(10_000);
+	await simulation.run(10_000);
 	expect(listShares(simulation).every(share => share < 0.2)).toEqual(true);
 	simulation.objectApi.setDown(false);
-	await simulation.play(6000);
+	await simulation.run(6000);
 	expect([simulation.totals.endState, simulation.totals.leftAtCompletion]).toEqual(['completed', 0]);
 });
 
 test('guards against an instance that starts after the stop and sends to the bad version while the store is away', async () => {
 	const simulation = createBadSimulation();
 	await begin(simulation);
-	await simulation.play(2500);
+	await simulation.run(2500);
 	for (const {api} of simulation.instances) {
 		api.isCut = true;
 	}
 
-	await simulation.play(3000);
+	await simulation.run(3000);
 	simulation.startInstance('late');
-	await simulation.play(2500);
+	await simulation.run(2500);
 	expect(listShares(simulation)).toEqual([0, 0, 0, 0, 0, 0]);
 });
 
@@ -125,12 +125,12 @@
 	const simulation = createBadSimulation();
 	await begin(simulation);
 	const copy = simulation.objectApi.copy();
-	await simulation.play(6000);
+	await simulation.run(6000);
 	expect(simulation.totals.endState).toEqual('rolledBack');
 	simulation.objectApi.restore(copy);
-	await simulation.play(1000);
+	await simulation.run(1000);
 	expect(listShares(simulation)).toEqual([0, 0, 0, 0, 0]);
-	await simulation.play(9000);
+	await simulation.run(9000);
 	const status = simulation.readStatus();
 	expect([status?.state, status?.target]).toEqual(['rolledBack', newVersion]);
 	expect(listShares(simulation)).toEqual([0, 0, 0, 0, 0]);
@@ -140,10 +140,10 @@
 	const simulation = createSimulation();
 	await begin(simulation);
 	const copy = simulation.objectApi.copy();
-	await simulation.play(durationMs);
+	await simulation.run(durationMs);
 	expect(simulation.totals.endState).toEqual('completed');
 	simulation.objectApi.restore(copy);
-	await simulation.play(9000);
+	await simulation.run(9000);
 	expect(listShares(simulation)).toEqual([1, 1, 1, 1, 1]);
 	const status = simulation.readStatus();
 	expect(status?.state).toEqual('completed');
@@ -152,14 +152,14 @@
 test('guards against a version that was rolled back and serves again, until an order names it', async () => {
 	const simulation = createBadSimulation();
 	await begin(simulation);
-	await simulation.play(7000);
+	await simulation.run(7000);
 	const isAllowed = (version: SoftwareVersion) => simulation.instances.map(({rollouts}) => rollouts.routing.allows(testService, undefined, version));
 	expect([isAllowed(newVersion).includes(true), isAllowed(oldVersion).includes(false)]).toEqual([false, false]);
-	await simulation.order({target: 'v3' as SoftwareVersion});
-	await simulation.play(1000);
+	await simulation.putOrder({target: 'v3' as SoftwareVersion});
+	await simulation.run(1000);
 	expect(isAllowed(newVersion).includes(true)).toEqual(false);
-	await simulation.order({target: newVersion});
-	await simulation.play(1000);
+	await simulation.putOrder({target: newVersion});
+	await simulation.run(1000);
 	expect(isAllowed(newVersion).includes(false)).toEqual(false);
 });
 
@@ -178,11 +178,11 @@
 test('guards against an instance that is cut off from the others and goes on sending to a bad version', async () => {
 	const simulation = createBadSimulation();
 	await begin(simulation);
-	await simulation.play(2500);
+	await simulation.run(2500);
 	const isolated = simulation.instances.find(instance => instance !== simulation.findHolder())!;
 	simulation.network.open(isolated.id);
 	isolated.api.isCut = true;
-	await simulation.play(5500);
+	await simulation.run(5500);
 	expect(listShares(simulation)).toEqual([0, 0, 0, 0, 0]);
 	expect(simulation.totals.endState).toEqual('rolledBack');
 });
--- a/src/software-rollout/software-rollouts/test.ts
+++ b/src/software-rollout/software-rollouts/test.ts
@@ -1,7 +1,7 @@
 import {test} from 'node:test';
 import {expect} from 'earl';
 import {
-	newVersion, simulateSoftwareRollout, testBounds, type AnswerPlan, type PlayedRequest, type RolloutScenario, type RolloutTotals,
+	newVersion, simulateSoftwareRollout, testBounds, type AnswerPlan, type SimulatedRequest, type RolloutScenario, type RolloutTotals,
 } from '../../fixtures/simulate-software-rollout/index.js';
 
 /** Duration of an answer, and share of failures that is normal on old and new version alike. */
@@ -24,16 +24,16 @@
 	large: {instances: 61, targetsPerVersion: 30, requestsPerSecond: 500},
 } as const;
 
-function planUsual({draw}: PlayedRequest): AnswerPlan {
+function planUsual({draw}: SimulatedRequest): AnswerPlan {
 	return {isFailure: draw() < normalFailureShare, durationMs: usualMs * (0.6 + (0.8 * draw())), isBad: false};
 }
 
 /** Plans the answers of a version that is bad where `isBad` says so. */
-function planFailures(isBad: (request: PlayedRequest) => boolean): Plan {
+function planFailures(isBad: (request: SimulatedRequest) => boolean): Plan {
 	return request => request.isNew && isBad(request) && request.draw() < badShare ? {isFailure: true, durationMs: failureMs, isBad: true} : planUsual(request);
 }
 
-function planSlow(isSlow: (request: PlayedRequest) => boolean): Plan {
+function planSlow(isSlow: (request: SimulatedRequest) => boolean): Plan {
 	return request => {
 		const plan = planUsual(request);
 		return request.isNew && isSlow(request) && request.draw() < badShare ? {...plan, durationMs: plan.durationMs * slowFactor, isBad: true} : plan;
@@ -67,7 +67,7 @@
 	'version that is slow on one route only': planSlow(({route}) => route === badRoute),
 };
 
-async function play(deployment: keyof typeof deployments, plan: Plan, seed: number): Promise<RolloutTotals> {
+async function simulate(deployment: keyof typeof deployments, plan: Plan, seed: number): Promise<RolloutTotals> {
 	return simulateSoftwareRollout({
 		...deployments[deployment], routes: ['a', badRoute, 'c', 'd'], durationMs: 12_000, seed, plan,
 	});
@@ -77,7 +77,7 @@
 	for (const [name, plan] of Object.entries(goodPlans)) {
 		test(`guards against a rollout that is not completed in time, or ends calls: ${name}, ${deployment} deployment`, async () => {
 			for (const seed of seeds) {
-				const {endState, endedAt, leftAtCompletion, refused} = await play(deployment, plan, seed);
+				const {endState, endedAt, leftAtCompletion, refused} = await simulate(deployment, plan, seed);
 				expect([endState, (endedAt ?? Infinity) <= 12_000, leftAtCompletion, refused]).toEqual(['completed', true, 0, 0]);
 			}
 		});
@@ -86,7 +86,7 @@
 	for (const [name, plan] of Object.entries(badPlans)) {
 		test(`guards against a bad version that gets more than it may: ${name}, ${deployment} deployment`, async () => {
 			for (const seed of seeds) {
-				const totals = await play(deployment, plan, seed);
+				const totals = await simulate(deployment, plan, seed);
 				const allowed = (testBounds.exposureShare * totals.requests) + testBounds.exposureSlack;
 				const stopBy = (totals.fiftiethBadAt ?? Infinity) + testBounds.rollbackMs;
 				expect([totals.endState, totals.newRequests <= allowed, totals.lastNewAt <= stopBy, totals.refused]).toEqual(['rolledBack', true, true, 0]);
