--- a/src/fleet/remote-loads/index.ts
+++ b/src/fleet/remote-loads/index.ts
@@ -76,12 +76,12 @@
 			return reported;
 		}
 
-		const old = this.sumOld(now);
+		const delayed = this.sumDelayed(now);
 		const callChange = this.calculateChange(callMs, now);
 		return {
-			calls: reported.calls + ((this.average.calls - old.calls) * callChange),
-			prefillTokens: reported.prefillTokens + ((this.average.prefillTokens - old.prefillTokens) * this.calculateChange(responseMs, now)),
-			memoryTokens: reported.memoryTokens + (Math.max(0, this.average.memoryTokens - old.memoryTokens) * callChange),
+			calls: reported.calls + ((this.average.calls - delayed.calls) * callChange),
+			prefillTokens: reported.prefillTokens + ((this.average.prefillTokens - delayed.prefillTokens) * this.calculateChange(responseMs, now)),
+			memoryTokens: reported.memoryTokens + (Math.max(0, this.average.memoryTokens - delayed.memoryTokens) * callChange),
 		};
 	}
 
@@ -91,15 +91,15 @@
 	 */
 	estimateMemory({callMs}: ServicePace, now: MonotonicMs): number {
 		let reported = 0;
-		let old = 0;
+		let delayed = 0;
 		for (const {load, times} of this.loads.values()) {
 			if (now <= times.expiresAt) {
 				reported += load.memoryTokens;
-				old += times.measuredAt === undefined ? 0 : load.memoryTokens;
+				delayed += times.measuredAt === undefined ? 0 : load.memoryTokens;
 			}
 		}
 
-		return this.average.memoryTokens > old ? reported + ((this.average.memoryTokens - old) * this.calculateChange(callMs, now)) : reported;
+		return this.average.memoryTokens > delayed ? reported + ((this.average.memoryTokens - delayed) * this.calculateChange(callMs, now)) : reported;
 	}
 
 	/** Calculates how far work that lasts `meanMs` has moved to its mean since the last report that needs correction, from 0 to 1. */
@@ -108,7 +108,7 @@
 	}
 
 	/** Sums up the reports that need correction. */
-	private sumOld(now: MonotonicMs): TargetLoad {
+	private sumDelayed(now: MonotonicMs): TargetLoad {
 		return this.sum(now, {has: instance => this.loads.get(instance)!.times.measuredAt !== undefined});
 	}
 
@@ -119,7 +119,7 @@
 		}
 
 		const weight = 1 - Math.exp(-Math.max(0, measuredAt - (this.lastMeasuredAt ?? measuredAt)) / averagingMs);
-		const {calls, prefillTokens, memoryTokens} = this.sumOld(measuredAt);
+		const {calls, prefillTokens, memoryTokens} = this.sumDelayed(measuredAt);
 		this.lastMeasuredAt = measuredAt;
 		this.average = {
 			calls: this.average.calls + ((calls - this.average.calls) * weight),
