--- a/src/software-rollout/calculate-shift-share/test.ts
+++ b/src/software-rollout/calculate-shift-share/test.ts
@@ -6,15 +6,15 @@
 
 const at = (ms: number) => ms as MonotonicMs;
 
-function createShift(state: RolloutState, stage: RolloutStage, isStopped = false, isOutOfTouch = false) {
+function createShift(state: RolloutState, stage: RolloutStage, isStopped = false, isHolderSilent = false) {
 	return {
-		status: {state, stage, share: 0.04}, stageSince: at(1000), isStopped, isOutOfTouch,
+		status: {state, stage, share: 0.04}, stageSince: at(1000), isStopped, isHolderSilent,
 	};
 }
 
 test('guards against calls to the new version before the order has a stage', () => {
 	expect(calculateShiftShare({
-		status: undefined, stageSince: at(0), isStopped: false, isOutOfTouch: false,
+		status: undefined, stageSince: at(0), isStopped: false, isHolderSilent: false,
 	}, at(5000))).toEqual(0);
 });
 
@@ -28,7 +28,7 @@
 	for (const stage of ['canary', 'shift'] as const) {
 		expect(calculateShiftShare(createShift('serving', stage, true), at(9000))).toEqual(0);
 		expect(calculateShiftShare(createShift('serving', stage, false, true), at(9000))).toEqual(0);
-		expect(calculateShiftShare(createShift('rolled_back', stage), at(9000))).toEqual(0);
+		expect(calculateShiftShare(createShift('rolledBack', stage), at(9000))).toEqual(0);
 		expect(calculateShiftShare(createShift('completed', stage, true), at(9000))).toEqual(1);
 	}
 });
--- a/src/software-rollout/rollout-types/index.ts
+++ b/src/software-rollout/rollout-types/index.ts
@@ -11,8 +11,8 @@
 	readonly durationMs: number;
 };
 
-/** State of a rollout as operators read it. */
-export type RolloutState = 'serving' | 'completed' | 'rolled_back';
+/** State of a rollout. The platform adapter converts it to the name that operators read in the status. */
+export type RolloutState = 'serving' | 'completed' | 'rolledBack';
 
 /** `canary`: the new version gets a small share of the calls. `shift`: it gets all. */
 export type RolloutStage = 'canary' | 'shift';
@@ -63,7 +63,7 @@
 	readonly rollbackMs: number;
 };
 
-/** Beginning of the version of a target that states none. Each such target has a version of its own. */
+/** Prefix of the version of a target that states none. Each such target has a version of its own. */
 export const unstatedVersionPrefix = 'unknown/';
 
 /** Formats what an order asks for as one text. */
@@ -71,7 +71,7 @@
 	return `${target} ${durationMs}`;
 }
 
-/** Whether `version` is one of `versions`. Targets that state no version are alike. */
+/** Whether `version` is one of `versions`. All targets that state no version count as one version. */
 export function isVersionOf(version: SoftwareVersion, versions: readonly SoftwareVersion[]): boolean {
 	return versions.includes(version)
 		|| (version.startsWith(unstatedVersionPrefix) && versions.some(other => other.startsWith(unstatedVersionPrefix)));
