Drop the mean of delayed load reports when no more arrive

After a fleet had shrunk to direct reports, placement still added the mean of the last sums to fresh reports: a report of 1 call and 100 prompt tokens, 59 s after the last sums, counted as 5.8 calls and 8,779 tokens. The test failed before.

--- a/src/fleet/remote-loads/index.ts
+++ b/src/fleet/remote-loads/index.ts
@@ -72,7 +72,7 @@
 	/** Estimates the present work from the reports and the mean. */
 	estimate({responseMs, callMs}: ServicePace, now: MonotonicMs): TargetLoad {
 		const reported = this.sum(now);
-		if (this.lastMeasuredAt === undefined) {
+		if (!this.hasMean(now)) {
 			return reported;
 		}
 
@@ -92,6 +92,7 @@
 	estimateMemory({callMs}: ServicePace, now: MonotonicMs): number {
 		let reported = 0;
 		let delayed = 0;
+		const mean = this.hasMean(now) ? this.average.memoryTokens : 0;
 		for (const {load, times} of this.loads.values()) {
 			if (now <= times.expiresAt) {
 				reported += load.memoryTokens;
@@ -99,7 +100,12 @@
 			}
 		}
 
-		return this.average.memoryTokens > delayed ? reported + ((this.average.memoryTokens - delayed) * this.calculateChange(callMs, now)) : reported;
+		return mean > delayed ? reported + ((mean - delayed) * this.calculateChange(callMs, now)) : reported;
+	}
+
+	/** Whether the mean says something of the present work. Without later reports, as in a fleet that has become small, it doesn't. */
+	private hasMean(now: MonotonicMs): boolean {
+		return this.lastMeasuredAt !== undefined && now - this.lastMeasuredAt <= averagingMs;
 	}
 
 	/** Calculates how far work that lasts `meanMs` has moved to its mean since the last report that needs correction, from 0 to 1. */
--- a/src/fleet/remote-loads/test.ts
+++ b/src/fleet/remote-loads/test.ts
@@ -52,3 +52,12 @@
 	expect(full.estimateMemory(pace, at(20_300))).toEqual(40_000);
 	expect(idle.estimateMemory(pace, at(20_300))).toEqual(idle.estimate(pace, at(20_300)).memoryTokens);
 });
+
+test('guards against adding a mean of long ago to the reports of a fleet that has become small', () => {
+	const loads = createSteadyLoads(busy);
+	loads.forget(sums, at(20_000));
+	const light: TargetLoad = {calls: 1, prefillTokens: 100, memoryTokens: 200};
+	loads.record('i1' as InstanceId, light, {expiresAt: at(80_000)});
+	expect(loads.estimate(pace, at(79_000))).toEqual(light);
+	expect(loads.estimateMemory(pace, at(79_000))).toEqual(light.memoryTokens);
+});
