Let no time decide whether a process answers after untrusted callers

These tests are to check no times. The call may now take a minute, which only keeps a process that hangs from hanging the test; crowd, memory and descriptors stay as they were.

--- a/src/process/run-untrusted-callers/index.ts
+++ b/src/process/run-untrusted-callers/index.ts
@@ -26,7 +26,8 @@
 const sendTimeoutMs = 20_000;
 /** Time between the end of the crowd and the ordinary call, in milliseconds. */
 const settleMs = 1000;
-const callTimeoutMs = 5000;
+/** Time after which an ordinary call counts as unanswered, in milliseconds. It only keeps a process that hangs from hanging the test. */
+const callTimeoutMs = 60_000;
 
 /** Runs a crowd against a daemon whose settings are `settings`. */
 export async function runUntrustedCallers(bodies: readonly UntrustedBody[], settings: Readonly<Record<string, unknown>>): Promise<UntrustedCallersReport> {
