--- a/src/rollout/plan-rollout/index.ts
+++ b/src/rollout/plan-rollout/index.ts
@@ -21,7 +21,7 @@
 export type RolloutEngine = {
 	readonly id: TargetId;
 	readonly version: number;
-	/** Calls in flight, as far as this instance knows. */
+	/** Calls in flight that this instance knows of. */
 	readonly callsInFlight: number;
 	readonly phase: RolloutPhase | undefined;
 };
@@ -31,6 +31,8 @@
 	= | {readonly type: 'cordon' | 'order' | 'release'; readonly id: TargetId}
 		| {readonly type: 'report'; readonly id: TargetId};
 
+/** Share of the engines that may change at the same time. */
+const maximumChangingShare = 0.4;
 /** Time without new calls before an engine is ordered to load; most calls in flight end within it. */
 export const minimumCordonMs = 300;
 /** Shortest time that a load takes. Reports read earlier can't show the new version. */
@@ -40,11 +42,8 @@
 /** Time without a report of the load after which an order counts as lost and is repeated. */
 const loadTimeoutMs = 4000;
 
-/** The version that all engines are to have, and how many of them may change to it at the same time. */
-export type RolloutGoal = {readonly version: number; readonly changingLimit: number};
-
-/** Plans the next steps that bring the engines to the desired version. */
-export function planRollout(engines: readonly RolloutEngine[], {version: desiredVersion, changingLimit}: RolloutGoal, now: MonotonicMs): RolloutStep[] {
+/** Plans the next steps that bring the engines to `desiredVersion`. */
+export function planRollout(engines: readonly RolloutEngine[], desiredVersion: number, now: MonotonicMs): RolloutStep[] {
 	const steps: RolloutStep[] = [];
 	let changingCount = 0;
 	for (const engine of engines) {
@@ -56,9 +55,9 @@
 		changingCount += engine.phase === undefined || engine.phase.type === 'unreachable' || step?.type === 'release' ? 0 : 1;
 	}
 
+	const cordonLimit = Math.max(1, Math.floor(engines.length * maximumChangingShare)) - changingCount;
 	const outdated = engines.filter(engine => engine.phase === undefined && engine.version < desiredVersion);
-	const ranked = outdated.toSorted((a, b) => a.version - b.version || a.callsInFlight - b.callsInFlight);
-	const nextToCordon = ranked.slice(0, Math.max(0, changingLimit - changingCount));
+	const nextToCordon = outdated.toSorted((a, b) => a.version - b.version || a.callsInFlight - b.callsInFlight).slice(0, Math.max(0, cordonLimit));
 	return [...steps, ...nextToCordon.map(({id}): RolloutStep => ({type: 'cordon', id}))];
 }
 
--- a/src/rollout/rollout-controller/index.ts
+++ b/src/rollout/rollout-controller/index.ts
@@ -6,13 +6,11 @@
 import type {MonotonicMs, TargetId} from '../../identity/ids/index.js';
 import type {Lease} from '../../leases/lease/index.js';
 import type {EventLogger} from '../../logging/create-logger/index.js';
-import {calculateChangingLimit} from '../calculate-changing-limit/index.js';
 import {calculateOrderPauseMs, maximumRenewalAgeMs, rolloutLeaseMs} from '../calculate-order-pause/index.js';
 import type {EngineCommander} from '../engine-commander/index.js';
 import {
 	minimumCordonMs, planRollout, type RolloutPhase, type RolloutStep,
 } from '../plan-rollout/index.js';
-import type {WeightsVersionHistory} from '../weights-version-history/index.js';
 
 /** Name of the lease; stored in the object API and therefore stable. */
 export const rolloutLeaseName = 'rollout';
@@ -46,16 +44,13 @@
 	readonly lease: Lease;
 	readonly fleet: TargetFleet;
 	readonly commander: EngineCommander;
-	/** Lists the newest announced version of each model, and when older ones may no longer be used. */
-	readonly listDesiredVersions: () => ReadonlyMap<string, DesiredVersion>;
+	/** Lists the newest announced version of each model. */
+	readonly listDesiredVersions: () => ReadonlyMap<string, {readonly version: number}>;
 	/** Whether this instance tries to acquire the lease. */
 	readonly isContender: () => boolean;
 	readonly announce: (notice: RolloutNotice) => void;
 };
 
-/** Newest announced version of a model; see `WeightsVersionHistory`. */
-export type DesiredVersion = Pick<WeightsVersionHistory, 'version' | 'findLimit'>;
-
 type EngineChange = {phase: RolloutPhase; readonly target: FleetTarget; readonly model: string; hasPendingRequest: boolean};
 
 /** Contends for the rollout lease, and rolls out weights while it holds the lease. */
@@ -137,8 +132,8 @@
 		while (!signal.aborted) {
 			const now = clock.readMonotonic();
 			if (this.mayOrder(now)) {
-				for (const [model, desired] of listDesiredVersions()) {
-					this.advanceRollout(model, desired, now);
+				for (const [model, {version}] of listDesiredVersions()) {
+					this.advanceRollout(model, version, now);
 				}
 			}
 
@@ -146,29 +141,19 @@
 		}
 	}
 
-	private advanceRollout(model: string, desired: DesiredVersion, now: MonotonicMs): void {
+	private advanceRollout(model: string, desiredVersion: number, now: MonotonicMs): void {
 		this.discardStaleChanges();
 		const targets = this.listEngines(model);
 		const engines = targets.map(target => ({
 			id: target.description.id,
 			version: target.readVersion(model)!,
-			callsInFlight: target.readTotalLoad(now).calls,
+			callsInFlight: target.calls.size,
 			phase: this.changes.get(target.description.id)?.phase,
 		}));
-		const outdated = engines.filter(({version}) => version < desired.version);
-		if (outdated.length === 0 && this.changes.size === 0) {
-			return;
-		}
-
-		const changingLimit = calculateChangingLimit({
-			engineCount: engines.length,
-			limits: outdated.map(({version}) => desired.findLimit(version)),
-			meanLoadTokens: targets.reduce((sum, target) => sum + target.measureLoad(now), 0) / targets.length,
-		}, now);
-		for (const step of planRollout(engines, {version: desired.version, changingLimit}, now)) {
+		for (const step of planRollout(engines, desiredVersion, now)) {
 			const target = this.options.fleet.locate(step.id);
 			if (target !== undefined) {
-				this.performStep(step, target, model, desired.version);
+				this.performStep(step, target, model, desiredVersion);
 			}
 		}
 	}
--- a/src/rollout/rollout-controller/test.ts
+++ b/src/rollout/rollout-controller/test.ts
@@ -10,7 +10,7 @@
 import {MemoryObjectApi} from '../../store/memory-object-api/index.js';
 import type {EngineCommander, OrderOutcome, WeightsOrder} from '../engine-commander/index.js';
 import {rolloutLeaseMs} from '../calculate-order-pause/index.js';
-import {RolloutController, type DesiredVersion} from './index.js';
+import {RolloutController} from './index.js';
 
 type OutcomeDecision = (target: FleetTarget, order: WeightsOrder) => OrderOutcome;
 type SentOrder = {readonly at: number; readonly holder: string; readonly target: string; readonly order: WeightsOrder};
@@ -70,16 +70,11 @@
 	}
 }
 
-/** Creates a version that leaves older ones in use for any time. */
-function createDesiredVersion(version: number): DesiredVersion {
-	return {version, findLimit: () => undefined};
-}
-
 function createEnvironment(engineCount = 6) {
 	const clock = new ManualClock();
 	const objectApi = new MemoryObjectApi();
 	const engines = new FakeEngines(clock);
-	const desiredVersions = new Map([[testModel, createDesiredVersion(1)]]);
+	const desiredVersions = new Map([[testModel, {version: 1}]]);
 	const start = (holder: string) => {
 		const controller = new AbortController();
 		const fleet = new TargetFleet(quietLogger);
@@ -111,7 +106,7 @@
 	const {clock, engines, desiredVersions, start} = createEnvironment();
 	const {fleet, kill} = start('a');
 	await clock.advance(2000);
-	desiredVersions.set(testModel, createDesiredVersion(2));
+	desiredVersions.set(testModel, {version: 2});
 	await clock.advance(5000);
 	expect([...fleet.list()].every(target => target.readVersion(testModel) === 2)).toEqual(true);
 	expect(engines.orders.length).toEqual(6);
@@ -124,7 +119,7 @@
 	await clock.advance(2000);
 	const second = start('b');
 	await clock.advance(2000);
-	desiredVersions.set(testModel, createDesiredVersion(2));
+	desiredVersions.set(testModel, {version: 2});
 	await clock.advance(500);
 	first.kill();
 	await clock.advance(9000);
@@ -143,7 +138,7 @@
 	await clock.advance(1000);
 	await first.rollout.stop();
 	first.kill();
-	desiredVersions.set(testModel, createDesiredVersion(2));
+	desiredVersions.set(testModel, {version: 2});
 	await clock.advance(2000);
 	expect(engines.orders.some(({holder}) => holder === 'b')).toEqual(true);
 	second.kill();
@@ -154,7 +149,7 @@
 	engines.decideOutcome = target => target.description.id === 'e0' || target.description.id === 'e1' ? 'gone' : 'accepted';
 	const {fleet, kill} = start('a');
 	await clock.advance(2000);
-	desiredVersions.set(testModel, createDesiredVersion(2));
+	desiredVersions.set(testModel, {version: 2});
 	await clock.advance(5000);
 	expect([...fleet.list()].filter(target => target.readVersion(testModel) === 2).length).toEqual(4);
 	expect(engines.orders.length < 20).toEqual(true);
@@ -171,7 +166,7 @@
 
 	const {fleet, kill} = start('a');
 	await clock.advance(2000);
-	desiredVersions.set(testModel, createDesiredVersion(2));
+	desiredVersions.set(testModel, {version: 2});
 	await clock.advance(4000);
 	expect(fleet.locate(createDescription('e0').id)?.readVersion(testModel)).toEqual(2);
 	expect(new Set(engines.orders.map(({order}) => order.expectedOrders)).size).toEqual(1);
@@ -183,7 +178,7 @@
 	engines.loadMs = 8000;
 	const {fleet, kill} = start('a');
 	await clock.advance(2000);
-	desiredVersions.set(testModel, createDesiredVersion(2));
+	desiredVersions.set(testModel, {version: 2});
 	await clock.advance(9500);
 	expect(fleet.locate(createDescription('e0').id)?.readVersion(testModel)).toEqual(2);
 	expect(engines.orders.length).toEqual(1);
@@ -195,7 +190,7 @@
 	engines.decideOutcome = target => target.description.startedAt === 1 ? 'unreachable' : 'accepted';
 	const {fleet, kill} = start('a');
 	await clock.advance(2000);
-	desiredVersions.set(testModel, createDesiredVersion(2));
+	desiredVersions.set(testModel, {version: 2});
 	await clock.advance(1000);
 	fleet.replace([createDescription('e0', {startedAt: 2}), createDescription('e1', {startedAt: 2})], clock.readMonotonic());
 	await clock.advance(1800);
--- a/src/rollout/weights-version-history/index.ts
+++ b/src/rollout/weights-version-history/index.ts
@@ -35,12 +35,6 @@
 		return this.versions.at(-1)?.exclusiveFrom;
 	}
 
-	/** Time from which no call may start on `version`; undefined while no newer one is announced. */
-	findLimit(version: number): MonotonicMs | undefined {
-		const limits = this.versions.filter(announced => announced.version > version).map(({exclusiveFrom}) => exclusiveFrom);
-		return limits.length === 0 ? undefined : Math.min(...limits) as MonotonicMs;
-	}
-
 	/** Adds a version. Returns false, without a change, unless it is the newest. */
 	addVersion(announced: AnnouncedVersion): boolean {
 		if (announced.version <= this.version) {
