Measure the use of a prefix only for a policy that reads it

Each choice of a target summed up the uses of its prefix, although the setting evenLoad is off and nothing reads the sum then. The choice stays the same.

--- a/src/forwarding/select-target/index.ts
+++ b/src/forwarding/select-target/index.ts
@@ -30,6 +30,7 @@
 	const engineTokens = context.findService(session.service)?.engine?.memoryTokens;
 	const targets = listCandidates(selection, context.fleet);
 	const holders = hints.selectHolders(targets, now);
+	const policy = context.readPlacementPolicy?.();
 	const excluded = new Set(triedTargets);
 	const query: TargetQuery = {
 		targets,
@@ -41,8 +42,8 @@
 			: {callTokens: hints.memoryTokens, engineTokens},
 		sharedPrefix: hints.sharedPrefix,
 		holders,
-		promptTokensPerSecond: hints.measurePromptTokensPerSecond(holders, now),
-		policy: context.readPlacementPolicy?.(),
+		// Only a policy of the settings reads the rate.
+		...(policy === undefined ? {} : {promptTokensPerSecond: hints.measurePromptTokensPerSecond(holders, now), policy}),
 		dataCentre: context.dataCentre,
 		draw: context.draw(),
 	};
