--- a/review/7/run.js
+++ b/review/7/run.js
@@ -1,32 +1,33 @@
 #!/usr/bin/env node
-/** The last worker of a software version starts again under its id, with the next version. See claim.txt. */
+/** A worker removes its entry while one machine is partitioned from the store. See claim.txt. */
 
 import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
 import {send} from '../harness-2/client.js';
 import {Engine} from '../harness-2/engine.js';
 import {pickNetwork, startMachines} from '../harness-2/gateways.js';
+import {startProxy} from '../harness-2/proxy.js';
 import {note, noteRequests, writeRecord} from '../harness-2/record.js';
 import {startStore} from '../harness-2/store.js';
 
 const hasTrouble = process.env.TROUBLE !== '0';
-/** Streams that may hold events of two versions. */
-const allowedStreams = 2;
+const contactMs = 3000;
+const drainMs = 2000;
 const model = 'm0';
 const service = 'palette-llm';
 const host = 'gnomes.example';
 const key = 'key-of-painters';
-const events = 159;
-const eventMs = 20;
-const deadlineMs = 12_000;
-const streamIntervalMs = 18;
-/** Time between the end of the worker's process and the start of the next one, in milliseconds. */
-const downMs = 300;
-/** Tries of a client after the first one. */
-const retries = 1;
+const requestIntervalMs = 10;
+const rounds = 4;
+const cutMs = 5500;
+/** Time before the end of the cut at which the worker removes its entry, in milliseconds. */
+const leadMs = 1000;
+/** Time for which the worker goes on to serve, in milliseconds. */
+const serveMs = 8000;
 
 const network = pickNetwork();
 const store = await startStore(`${network}.200`);
+const proxy = await startProxy(`${network}.201`, store.address);
 store.put('config', 'main', {
 	version: 1,
 	routes: [{
@@ -45,82 +46,88 @@
 	}],
 });
 store.put('versions', model, {model, version: 1});
-const engines = ['v1', 'v2', 'v2'].map((software, index) => new Engine({
-	store, host: `${network}.${100 + index}`, service, model, zone: `almaty-${'abc'[index]}`, software,
-}));
-for (const engine of engines) {
-	engine.eventMs = eventMs;
+let startedCount = 0;
+const startEngine = async () => {
+	startedCount += 1;
+	const engine = new Engine({
+		store, host: `${network}.${100 + startedCount}`, service, model, zone: `almaty-${'abc'[startedCount % 3]}`,
+	});
 	await engine.start();
+	return engine;
+};
+
+const engines = [];
+while (engines.length < 6) {
+	engines.push(await startEngine());
 }
 
-const [last] = engines;
-const fleet = await startMachines(8, {network, storeAddress: store.address});
+const fleet = await startMachines(8, {network, findStore: index => index === 7 ? proxy.address : store.address});
 const {machines} = fleet;
-let count = 0;
-
-/** Reads the events of an answer: the software that wrote each one, by its number. */
-function readEvents(text) {
-	return [...text.matchAll(/^id: (\d+)\ndata: (\S+) \d+\n\n/gmu)].map(([, event, software]) => ({event: Number(event), software}));
-}
+const cutOff = machines[7];
+const calls = [];
+const sendRequest = () => {
+	const number = calls.length + 1;
+	calls.push(send({
+		machine: machines[number % machines.length], host, key, path: `/reply/${number}`, body: 'draft', deadlineMs: 12_000,
+		headers: {
+			'x-laburnumturn-model': model, 'x-laburnumturn-token-count': '826,20',
+			'x-laburnumturn-prompt-prefix': `5c1e07a2:119,0000000${number % 8}:79,${number.toString(16).padStart(8, '0')}:628`,
+		},
+	}));
+};
 
-/** Plays one client: sends the stream, and takes it up once if it breaks off. */
-const playClient = async () => {
-	count += 1;
-	const number = count;
-	const received = [];
-	const tries = [];
-	for (let tried = 0; tried <= retries; tried += 1) {
-		const machine = machines[Math.floor(Math.random() * machines.length)];
-		const takenUp = received.length === 0 ? {} : {'last-event-id': String(received.at(-1).event), resumes: tries.find(({hasEvents}) => hasEvents).id};
-		const call = await send({
-			machine, host, key, path: `/reply/${number}`, body: 'draft', deadlineMs,
-			headers: {
-				'x-laburnumturn-model': model, 'x-laburnumturn-token-count': `826,${events}`,
-				'x-laburnumturn-prompt-prefix': `5c1e07a2:119,0000000${number % 8}:79,${number.toString(16).padStart(8, '0')}:628`,
-				...takenUp,
-			},
-		});
-		const added = readEvents(call.text);
-		received.push(...added);
-		tries.push({...call, hasEvents: added.length > 0});
-		if (call.isComplete && call.status === 200) {
-			break;
-		}
+/** One cut, with a worker that leaves before its end. Returns the worker, when it left, and when the cut ended. */
+const cutOnce = async worker => {
+	if (hasTrouble) {
+		note(`${cutOff.name} is partitioned from the store`);
+		proxy.cut();
 	}
 
-	return {number, received, tries};
+	await delay(cutMs - leadMs);
+	note(`worker ${worker.id} removes its entry`);
+	worker.leaveSilently();
+	const leftAt = Date.now();
+	engines.push(await startEngine());
+	await delay(leadMs);
+	proxy.heal();
+	const healedAt = Date.now();
+	note('the partition has ended');
+	await delay(serveMs - leadMs);
+	worker.close();
+	note(`worker ${worker.id} ends`);
+	await delay(3000);
+	return {worker, leftAt, healedAt};
 };
 
 let verdict = 'could not run';
 let exitCode = 2;
 try {
-	await delay(3000);
-	const clients = [];
-	const timer = setInterval(() => {
-		clients.push(playClient());
-	}, streamIntervalMs);
-	await delay(8000);
-	if (hasTrouble) {
-		note(`worker ${last.id} of version v1 ends, and starts again as v2 after ${downMs} ms`);
-		last.restart('v2', downMs);
+	await delay(4000);
+	const timer = setInterval(sendRequest, requestIntervalMs);
+	const cuts = [];
+	for (let round = 0; round < rounds; round += 1) {
+		cuts.push(await cutOnce(engines[round]));
 	}
 
-	await delay(4000);
 	clearInterval(timer);
-	const streams = await Promise.all(clients);
-	noteRequests(streams.flatMap(({tries}) => tries), engines);
-	const mixed = streams.filter(({received}) => new Set(received.map(({software}) => software)).size > 1);
-	for (const {number, received, tries} of mixed) {
-		const first = received.find(({software}) => software !== received[0].software);
-		const route = tries.map(({id, machine, status, error}) => `${id} at ${machine}: ${status ?? ''} ${error ?? 'complete'}`).join(', ');
-		note(`stream ${number}: events of ${received[0].software} up to ${first.event - 1}, then of ${first.software} (${route})`, tries[0].at);
+	const outcomes = await Promise.all(calls);
+	noteRequests(outcomes, engines);
+	const sent = new Map(outcomes.map(outcome => [outcome.id, outcome]));
+	const late = cuts.flatMap(({worker, leftAt, healedAt}) => worker.arrivals.filter(({id, at}) => {
+		const {machine, at: sentAt} = sent.get(id);
+		const isInTouch = machine !== cutOff.name || !hasTrouble || sentAt >= healedAt + contactMs;
+		return isInTouch && sentAt > leftAt && at > leftAt + drainMs;
+	}).map(({id, at}) => ({
+		id, at, worker, leftAt, healedAt,
+	})));
+	for (const {id, at, worker, leftAt, healedAt} of late) {
+		note(`${id}, sent to ${sent.get(id).machine}, reaches ${worker.id} ${at - leftAt} ms after it left, ${at - healedAt} ms after the partition`, at);
 	}
 
-	const broken = streams.filter(({tries}) => tries[0].error !== undefined).length;
-	const complete = streams.filter(({received}) => received.length === events).length;
-	note(`${streams.length} streams, ${broken} broken off at the first try, ${complete} complete`);
-	exitCode = complete === 0 ? 2 : (mixed.length > allowedStreams ? 1 : 0);
-	verdict = `${mixed.length} streams hold events of workers of two software versions; ${allowedStreams} may`;
+	const served = outcomes.filter(({status, isComplete}) => status === 200 && isComplete).length;
+	note(`${served} of ${outcomes.length} requests served`);
+	exitCode = served === 0 ? 2 : (late.length > 0 ? 1 : 0);
+	verdict = `${late.length} requests reached workers later than ${drainMs} ms after these had left, sent by machines in touch`;
 } catch (error) {
 	verdict = `could not run: ${error.stack}`;
 } finally {
@@ -129,6 +136,7 @@
 		engine.close();
 	}
 
+	proxy.close();
 	store.close();
 	writeRecord(new URL('./', import.meta.url), verdict);
 }
--- a/review/harness-2/engine.js
+++ b/review/harness-2/engine.js
@@ -89,6 +89,12 @@
 		}, downMs).unref();
 	}
 
+	/** Removes its entry and goes on to serve. */
+	leaveSilently() {
+		clearInterval(this.timer);
+		this.store.remove('servers', this.id);
+	}
+
 	close() {
 		this.isClosed = true;
 		this.stop();
