--- a/review/harness-2/gateways.js
+++ b/review/harness-2/gateways.js
@@ -15,6 +15,7 @@
 /** Time after the end of a process until it is started again, in milliseconds. */
 const restartMs = 300;
 const readyTimeoutMs = 20_000;
+const couldNotRunCode = 2;
 
 const children = new Set();
 process.on('exit', () => {
@@ -22,9 +23,17 @@
 		child.kill('SIGKILL');
 	}
 });
+// What no case expects shows that it could not run, and says nothing of the rule.
+for (const event of ['uncaughtException', 'unhandledRejection']) {
+	process.on(event, error => {
+		process.stderr.write(`could not run: ${error.stack}\n`);
+		process.exit(couldNotRunCode);
+	});
+}
+
 for (const signal of ['SIGTERM', 'SIGINT']) {
 	process.once(signal, () => {
-		process.exit(2);
+		process.exit(couldNotRunCode);
 	});
 }
 
