Let a process go on with the rollout lease of the one before it on its machine

Cause: each new process of the holder's machine took the lease over at once and owed the whole pause of 1.9 s before its first order, although the orders before it came from the same machine. Killed within the pause, it kept the record young, so that no other contender could acquire the lease either.

Change: the record says how much of its pause the holder still owes. A process that replaces an earlier one of its machine waits for that remainder only; a record of another machine, of an earlier era or of an earlier release asks for the whole pause as before. The time without orders that a stopping holder claims now counts what holders before it may have ordered.

The two new tests of rollout-controller failed before: 0 of 6 engines were ordered to load in four kills, and a process that replaced the holder in its pause waited the whole pause anew. The log line now names the previous holder.

--- a/src/gateway/create-rollout/index.ts
+++ b/src/gateway/create-rollout/index.ts
@@ -9,7 +9,7 @@
 import {createIncarnation} from '../../membership/create-incarnation/index.js';
 import type {Member} from '../../membership/member/index.js';
 import {chooseContenders} from '../../rollout/choose-contenders/index.js';
-import {rolloutLeaseMs} from '../../rollout/calculate-order-pause/index.js';
+import {calculateOrderPauseMs, rolloutLeaseMs} from '../../rollout/calculate-order-pause/index.js';
 import {RolloutController, rolloutLeaseName} from '../../rollout/rollout-controller/index.js';
 import type {RolloutNotices} from '../../rollout/rollout-notices/index.js';
 import type {WeightsRegistry} from '../../rollout/weights-registry/index.js';
@@ -43,6 +43,7 @@
 		lease: new Lease({
 			objectApi, clock, name: rolloutLeaseName, holder: host, incarnation: createIncarnation(clock.readWall()),
 			durationMs: rolloutLeaseMs, mayReplaceEarlierIncarnation: true, maximumReadGapMs: rolloutLeaseMs,
+			calculatePauseMs: calculateOrderPauseMs,
 		}),
 		commander: adapter.createCommander(self),
 		listDesiredVersions: () => weights.list(),
--- a/src/leases/lease/index.ts
+++ b/src/leases/lease/index.ts
@@ -34,6 +34,11 @@
 	readonly durationMs: number;
 	/** Time since the last holder used the lease; only in a released record. */
 	readonly unusedMs?: number;
+	/**
+	 * Time after this write for which the holder still may not use the lease, because earlier holders on other machines may have used
+	 * it shortly before. Instances of earlier releases don't write it.
+	 */
+	readonly pauseMs?: number;
 	/** Era in which the record was written, if it is above 0. A record of an earlier era than the object API's comes from a copy. */
 	readonly era?: number;
 };
@@ -53,6 +58,8 @@
 	 * where something else, such as a listen address, proves that the earlier incarnation is gone.
 	 */
 	readonly mayReplaceEarlierIncarnation?: boolean;
+	/** Returns how long a new holder waits before its first use of a lease that another holder had, in milliseconds. No time by default. */
+	readonly calculatePauseMs?: (predecessor: LeaseRecord) => number;
 	/** Longest time between two reads for which the store counts as continuously reachable; a quarter of the record's duration by default. */
 	readonly maximumReadGapMs?: number;
 };
@@ -72,6 +79,7 @@
 	private observation: Observation | undefined;
 	private hasEverHeld = false;
 	private predecessor: LeaseRecord | undefined;
+	private usableFrom = 0 as MonotonicMs;
 	private writeCount = 0;
 	/** Time at which each write that isn't known to have failed was sent, by the `renewals` of its record. */
 	private readonly sentAtByRenewals = new Map<number, MonotonicMs>();
@@ -93,6 +101,11 @@
 		return this.confirmed?.record.fencing;
 	}
 
+	/** Time from which the holder may use the lease, since no earlier holder on another machine can have used it shortly before. */
+	readUsableFrom(): MonotonicMs {
+		return this.usableFrom;
+	}
+
 	/** Record that was replaced when this contender acquired the lease; undefined if there was none. */
 	readPredecessor(): LeaseRecord | undefined {
 		return this.predecessor;
@@ -118,7 +131,12 @@
 		this.sentAtByRenewals.clear();
 		this.predecessor = object.value;
 		const era = readObjectEra(object);
-		return this.canAcquire(object.value, era) && this.writeRecord(object.resourceVersion, this.buildRecord(chooseFencing(object.value.fencing, era), era));
+		if (!this.canAcquire(object.value, era)) {
+			return false;
+		}
+
+		this.usableFrom = this.options.clock.readMonotonic() + this.readPauseMs(object.value, era) as MonotonicMs;
+		return this.writeRecord(object.resourceVersion, this.buildRecord(chooseFencing(object.value.fencing, era), era));
 	}
 
 	/**
@@ -176,6 +194,16 @@
 		return this.hasStayed(record, era, {durationMs: record.durationMs, maximumGapMs: maximumReadGapMs ?? record.durationMs / 4}, clock.readMonotonic());
 	}
 
+	/**
+	 * Returns the pause before the first use of a lease whose record, read in `era`, is replaced. An earlier process of the same
+	 * machine leaves only what remained of its own pause.
+	 */
+	private readPauseMs(predecessor: LeaseRecord, era: number): number {
+		const {holder, calculatePauseMs} = this.options;
+		const isOfSameMachine = predecessor.holder === holder && (predecessor.era ?? 0) === era;
+		return (isOfSameMachine ? predecessor.pauseMs : undefined) ?? calculatePauseMs?.(predecessor) ?? 0;
+	}
+
 	/** Whether a record that is missing in `era` may be created: there was never one, or it has been missing for its duration. */
 	private canCreate(era: number): boolean {
 		const {durationMs, maximumReadGapMs, clock} = this.options;
@@ -285,10 +313,11 @@
 	}
 
 	private buildRecord(fencing: number, era: number): LeaseRecord {
-		const {holder, incarnation, durationMs} = this.options;
+		const {holder, incarnation, durationMs, clock} = this.options;
+		const pauseMs = Math.max(0, Math.ceil(this.usableFrom - clock.readMonotonic()));
 		this.writeCount += 1;
 		return {
-			holder, incarnation, fencing: fencing as FencingNumber, renewals: this.writeCount, durationMs, ...(era > 0 && {era}),
+			holder, incarnation, fencing: fencing as FencingNumber, renewals: this.writeCount, durationMs, pauseMs, ...(era > 0 && {era}),
 		};
 	}
 }
--- a/src/rollout/rollout-controller/index.ts
+++ b/src/rollout/rollout-controller/index.ts
@@ -6,7 +6,7 @@
 import type {MonotonicMs, TargetId} from '../../identity/ids/index.js';
 import type {Lease} from '../../leases/lease/index.js';
 import type {EventLogger} from '../../logging/create-logger/index.js';
-import {calculateOrderPauseMs, maximumRenewalAgeMs, rolloutLeaseMs} from '../calculate-order-pause/index.js';
+import {calculateLastOrderAt, maximumRenewalAgeMs, rolloutLeaseMs} from '../calculate-order-pause/index.js';
 import type {EngineCommander} from '../engine-commander/index.js';
 import {
 	minimumCordonMs, planRollout, type RolloutPhase, type RolloutStep,
@@ -58,7 +58,7 @@
 	private readonly changes = new Map<TargetId, EngineChange>();
 	/** Number of orders that each engine has accepted since its start. */
 	private readonly acceptedOrders = new WeakMap<FleetTarget, number>();
-	private earliestOrderAt = 0;
+	/** Last time at which this holder or one before it may have sent an order. */
 	private lastOrderAt = -Infinity;
 	private isHolder = false;
 	private isStopping = false;
@@ -103,10 +103,7 @@
 		try {
 			const isHeld = await lease.acquire();
 			if (isHeld && !this.isHolder) {
-				const fencing = lease.readFencing();
-				const pauseMs = calculateOrderPauseMs(lease.readPredecessor());
-				this.earliestOrderAt = clock.readMonotonic() + pauseMs;
-				logger.info('rollout lease acquired', {fencing, pauseMs});
+				this.recordAcquisition(clock.readMonotonic());
 			} else if (!isHeld && this.isHolder) {
 				logger.warn('rollout lease lost');
 			}
@@ -120,11 +117,25 @@
 		}
 	}
 
+	private recordAcquisition(now: MonotonicMs): void {
+		const {lease, logger} = this.options;
+		const predecessor = lease.readPredecessor();
+		const usableFrom = lease.readUsableFrom();
+		if (predecessor !== undefined) {
+			this.lastOrderAt = Math.max(this.lastOrderAt, calculateLastOrderAt(predecessor, usableFrom, now));
+		}
+
+		logger.info('rollout lease acquired', {
+			fencing: lease.readFencing(), pauseMs: Math.max(0, Math.round(usableFrom - now)), previousHolder: predecessor?.holder,
+		});
+	}
+
 	/** Whether an order may be sent at `now`. Call it immediately before an order is sent. */
 	private mayOrder(now: MonotonicMs): boolean {
-		const expiry = this.options.lease.readExpiry();
+		const {lease} = this.options;
+		const expiry = lease.readExpiry();
 		return this.isHolder && !this.isStopping && expiry !== undefined
-			&& now >= this.earliestOrderAt && expiry - now > rolloutLeaseMs - maximumRenewalAgeMs;
+			&& now >= lease.readUsableFrom() && expiry - now > rolloutLeaseMs - maximumRenewalAgeMs;
 	}
 
 	private async runRollouts(signal: AbortSignal): Promise<void> {
--- a/src/rollout/rollout-controller/test.ts
+++ b/src/rollout/rollout-controller/test.ts
@@ -9,7 +9,7 @@
 import {quietLogger} from '../../logging/quiet-logger/index.js';
 import {MemoryObjectApi} from '../../store/memory-object-api/index.js';
 import type {EngineCommander, OrderOutcome, WeightsOrder} from '../engine-commander/index.js';
-import {rolloutLeaseMs} from '../calculate-order-pause/index.js';
+import {calculateOrderPauseMs, rolloutLeaseMs} from '../calculate-order-pause/index.js';
 import {RolloutController} from './index.js';
 
 type OutcomeDecision = (target: FleetTarget, order: WeightsOrder) => OrderOutcome;
@@ -75,14 +75,17 @@
 	const objectApi = new MemoryObjectApi();
 	const engines = new FakeEngines(clock);
 	const desiredVersions = new Map([[testModel, {version: 1}]]);
+	let starts = 0;
 	const start = (holder: string) => {
+		starts += 1;
 		const controller = new AbortController();
 		const fleet = new TargetFleet(quietLogger);
 		fleet.replace(Array.from({length: engineCount}, (_, index) => createDescription(`e${index}`)), clock.readMonotonic());
 		const rollout = new RolloutController({
 			clock, logger: quietLogger, fleet, commander: engines.createCommander(holder), listDesiredVersions: () => desiredVersions, isContender: () => true,
 			lease: new Lease({
-				objectApi, clock, name: 'rollout', holder, incarnation: `${holder}-1` as Incarnation, durationMs: rolloutLeaseMs, maximumReadGapMs: rolloutLeaseMs,
+				objectApi, clock, name: 'rollout', holder, incarnation: `${holder}-${starts}` as Incarnation, durationMs: rolloutLeaseMs, maximumReadGapMs: rolloutLeaseMs,
+				mayReplaceEarlierIncarnation: true, calculatePauseMs: calculateOrderPauseMs,
 			}),
 			announce() {
 				// No other instance listens in these tests.
@@ -130,6 +133,59 @@
 	second.kill();
 });
 
+/** Time between the end of a process and the start of the next one on its machine, in milliseconds. */
+const restartMs = 700;
+
+test('guards against engines that get no new weights while the process of the holder is killed again and again', async () => {
+	const {clock, engines, desiredVersions, start} = createEnvironment();
+	let holder = start('a');
+	const other = start('b');
+	await clock.advance(2000);
+	desiredVersions.set(testModel, {version: 2});
+	for (let kill = 0; kill < 4; kill += 1) {
+		holder.kill();
+		await clock.advance(restartMs);
+		holder = start('a');
+		await clock.advance(2600 - restartMs);
+	}
+
+	expect(new Set(engines.orders.map(({target}) => target)).size).toEqual(6);
+	expect(engines.orders.every(order => order.holder === 'a')).toEqual(true);
+	holder.kill();
+	other.kill();
+});
+
+test('guards against orders of two holders within a lease duration when the second one is killed, or stopped, in its pause', async () => {
+	for (const isStopped of [false, true]) {
+		const {clock, engines, desiredVersions, start} = createEnvironment();
+		const first = start('a');
+		await clock.advance(2000);
+		const second = start('b');
+		await clock.advance(1900);
+		desiredVersions.set(testModel, {version: 2});
+		await clock.advance(700);
+		first.kill();
+		while (!(second.rollout.dump() as {isHolder: boolean}).isHolder) {
+			await clock.advance(50);
+		}
+
+		const acquiredAt = clock.readMonotonic();
+		await clock.advance(1500);
+		if (isStopped) {
+			await second.rollout.stop();
+		}
+
+		second.kill();
+		const third = start(isStopped ? 'c' : 'b');
+		await clock.advance(9000);
+		const lastOrderOfFirst = Math.max(...engines.orders.filter(order => order.holder === 'a').map(({at}) => at));
+		const nextOrder = Math.min(...engines.orders.filter(order => order.holder !== 'a').map(({at}) => at));
+		expect(nextOrder - lastOrderOfFirst >= rolloutLeaseMs).toEqual(true);
+		expect(nextOrder - acquiredAt < rolloutLeaseMs + 500).toEqual(true);
+		third.kill();
+	}
+});
+
 test('guards against a handover that waits for the lease to expire after a planned stop without recent orders', async () => {
 	const {clock, engines, desiredVersions, start} = createEnvironment();
 	const first = start('a');
