Let another machine acquire a lease whose holder fails again and again

Callers would see: nothing is rolled out, since each process of the holder's machine replaces the one before at once and ends before its first renewal; the record never stays unchanged for its duration.

Change: the record counts processes in succession that replaced an earlier one without a renewal. After two, the next one waits like any contender.

Evidence: the new test of rollout-controller (a process killed every 500 ms beside a sound contender) had no order of the other machine in 12 s before, and has one now.

--- a/src/leases/lease/index.ts
+++ b/src/leases/lease/index.ts
@@ -39,6 +39,8 @@
 	 * it shortly before. Instances of earlier releases don't write it.
 	 */
 	readonly pauseMs?: number;
+	/** Number of processes of the holder in succession that replaced an earlier one and have not renewed the lease since; 0 by default. */
+	readonly replacements?: number;
 	/** Era in which the record was written, if it is above 0. A record of an earlier era than the object API's comes from a copy. */
 	readonly era?: number;
 };
@@ -67,6 +69,12 @@
 /** Range of fencing numbers of one era. */
 const fencingNumbersPerEra = 1_000_000;
 
+/**
+ * Number of processes in succession that may replace an earlier one of their machine at once without a renewal. After that, the
+ * record stays unchanged for its duration, so that another machine can acquire the lease.
+ */
+const maximumReplacements = 2;
+
 /** Record seen by a contender without the lease, or undefined for a missing one; unchanged from `since` to `lastReadAt`. */
 type Observation = {readonly record: LeaseRecord | undefined; readonly era: number; readonly since: MonotonicMs; lastReadAt: MonotonicMs};
 /** For how long a record has to be observed, and the longest time between two reads, in milliseconds. */
@@ -80,6 +88,7 @@
 	private hasEverHeld = false;
 	private predecessor: LeaseRecord | undefined;
 	private usableFrom = 0 as MonotonicMs;
+	private replacements = 0;
 	private writeCount = 0;
 	/** Time at which each write that isn't known to have failed was sent, by the `renewals` of its record. */
 	private readonly sentAtByRenewals = new Map<number, MonotonicMs>();
@@ -136,6 +145,7 @@
 		}
 
 		this.usableFrom = this.options.clock.readMonotonic() + this.readPauseMs(object.value, era) as MonotonicMs;
+		this.replacements = object.value.holder === this.options.holder ? (object.value.replacements ?? 0) + 1 : 0;
 		return this.writeRecord(object.resourceVersion, this.buildRecord(chooseFencing(object.value.fencing, era), era));
 	}
 
@@ -150,6 +160,7 @@
 		}
 
 		const {era} = parseVersion(confirmed.version);
+		this.replacements = 0;
 		return this.writeRecord(confirmed.version, this.buildRecord(confirmed.record.fencing, era));
 	}
 
@@ -185,8 +196,8 @@
 
 	/** Whether the lease may be acquired: the record, read in `era`, has been unchanged for its duration, or no wait is needed. */
 	private canAcquire(record: LeaseRecord, era: number): boolean {
-		const {clock, holder, mayReplaceEarlierIncarnation, maximumReadGapMs} = this.options;
-		const isFree = record.holder === '' || (record.holder === holder && mayReplaceEarlierIncarnation === true && !this.hasEverHeld);
+		const {clock, holder, maximumReadGapMs} = this.options;
+		const isFree = record.holder === '' || (record.holder === holder && this.mayReplace(record));
 		if (isFree && (record.era ?? 0) === era) {
 			return true;
 		}
@@ -194,6 +205,11 @@
 		return this.hasStayed(record, era, {durationMs: record.durationMs, maximumGapMs: maximumReadGapMs ?? record.durationMs / 4}, clock.readMonotonic());
 	}
 
+	/** Whether the record of an earlier process of this machine may be replaced at once. */
+	private mayReplace({replacements = 0}: LeaseRecord): boolean {
+		return this.options.mayReplaceEarlierIncarnation === true && !this.hasEverHeld && replacements < maximumReplacements;
+	}
+
 	/**
 	 * Returns the pause before the first use of a lease whose record, read in `era`, is replaced. An earlier process of the same
 	 * machine leaves only what remained of its own pause.
@@ -317,7 +333,8 @@
 		const pauseMs = Math.max(0, Math.ceil(this.usableFrom - clock.readMonotonic()));
 		this.writeCount += 1;
 		return {
-			holder, incarnation, fencing: fencing as FencingNumber, renewals: this.writeCount, durationMs, pauseMs, ...(era > 0 && {era}),
+			holder, incarnation, fencing: fencing as FencingNumber, renewals: this.writeCount, durationMs, pauseMs,
+			...(this.replacements > 0 && {replacements: this.replacements}), ...(era > 0 && {era}),
 		};
 	}
 }
--- a/src/rollout/rollout-controller/test.ts
+++ b/src/rollout/rollout-controller/test.ts
@@ -133,6 +133,25 @@
 	second.kill();
 });
 
+test('guards against a machine that keeps the lease for ever although each of its processes ends before it renews the lease', async () => {
+	const {clock, engines, desiredVersions, start} = createEnvironment();
+	let holder = start('a');
+	await clock.advance(2000);
+	const other = start('b');
+	await clock.advance(2000);
+	desiredVersions.set(testModel, {version: 2});
+	for (let kill = 0; kill < 25; kill += 1) {
+		holder.kill();
+		await clock.advance(100);
+		holder = start('a');
+		await clock.advance(400);
+	}
+
+	expect(engines.orders.some(order => order.holder === 'b')).toEqual(true);
+	holder.kill();
+	other.kill();
+});
+
 /** Time between the end of a process and the start of the next one on its machine, in milliseconds. */
 const restartMs = 700;
 
