Limit calls on weights that were replaced before an instance started

Cause: a process that has just started learns the newest version of the weights, and from a peer how long ago it was named. For the versions before it, which it never saw, it set no limit, so that engines several versions behind stayed allowed for 7.5 s from the naming of the newest.

Change: an unseen version sets its limit also where the instance has seen none before. Its age is not known, so older weights end 2 s after the start, as they do where the age of the newest version is not known.

Evidence: the new test of weights-registry failed before (version 2 allowed 2.1 s after the start with version 4 named) and holds.

--- a/src/rollout/weights-registry/index.ts
+++ b/src/rollout/weights-registry/index.ts
@@ -39,8 +39,7 @@
 			this.weightsByModel.set(model, weights);
 		}
 
-		const previousVersion = weights.version;
-		if (previousVersion > 0 && previousVersion + 1 < version) {
+		if (weights.version + 1 < version) {
 			weights.addVersion({version: version - 1, announcedAt: now, ...this.calculateLimits(age.maximumUnseenMs, now)});
 		}
 
--- a/src/rollout/weights-registry/test.ts
+++ b/src/rollout/weights-registry/test.ts
@@ -50,6 +50,16 @@
 	expect(registry.find('m')?.version).toEqual(3);
 });
 
+test('guards against a started instance that allows weights which were replaced long ago because it knows only when the newest were announced', () => {
+	const registry = new WeightsRegistry(at(0), () => 10_000);
+	registry.addVersion('m', 4, {maximumMs: 500, maximumUnseenMs: undefined}, at(600));
+	expect(registry.find('m')?.allowsNewCalls(2, at(1900))).toEqual(true);
+	expect(registry.find('m')?.allowsNewCalls(2, at(2100))).toEqual(false);
+	expect(registry.find('m')?.allowsNewCalls(3, at(7500))).toEqual(true);
+	expect(registry.find('m')?.allowsNewCalls(3, at(7700))).toEqual(false);
+	expect(registry.find('m')?.isStale(3, at(2500))).toEqual(true);
+});
+
 test('guards against limits that a suspension extends when the monotonic clock does not count it', () => {
 	const registry = new WeightsRegistry(at(0), () => 10_000);
 	registry.addVersion('m', 2, createAge(0), at(20_000));
