Send calls with a part on probation one at a time

Cause: crashes of calls that were sent before the last counted crash add nothing in sequence, so that engines which end at one instant for another reason convict no part. A group of calls counts once or twice in sequence, and until a part is identified nothing holds the next group back. The same after the end of a quarantine: all calls of a group went at once.

Change: a part in four crashes, in sequence or not, that no complete answer has proven in the minute before, is on probation, like one whose quarantine has ended. A call with such a part needs a trial, which one instance in the fleet gets at a time and uses once; two trials that crash identify the part, and a complete answer clears it everywhere. Trials of parts and of whole requests share trial-register and trial-announcer.

Tests changed: after the 10 minutes of a quarantine a call without a trial is now rejected, and one with a trial is not; the test checks both, where it checked that none is rejected. "guards against a log that tells of a quarantine ..." checks that no quarantine is in force by asking with a trial, since four crashes put the part on probation.

--- a/src/forwarding/call-guard/index.ts
+++ b/src/forwarding/call-guard/index.ts
@@ -26,8 +26,9 @@
 	private readonly requests: RequestGuard;
 	private hasBrokenAnswer = false;
 	private hasBrokenConnection = false;
-	/** Whether the call may be sent once although its request is on probation. */
+	/** Whether the call may be sent once although its request, or a part of its prompt, is on probation. */
 	private mayTry = false;
+	private mayTryPrompt = false;
 
 	private requestKey: RequestKey | undefined;
 	private readonly work: EngineWork | undefined;
@@ -49,13 +50,15 @@
 		return this.requestKey;
 	}
 
-	/** Asks for a trial of a request on probation. Resolves at once if it needs none. */
+	/** Asks for the trials that the call needs because its request, or a part of its prompt, is on probation. Resolves at once if it needs none. */
 	async requestTrial(): Promise<void> {
 		this.mayTry = await this.requests.beginTrial(this.keyReader);
+		this.mayTryPrompt = this.work !== undefined && await this.prompts.beginTrial(this.work);
 	}
 
-	/** Records that the call is sent to a target, which uses up its trial. */
+	/** Records that the call is sent to a target, which uses up its trials. */
 	recordSent(): void {
+		this.mayTryPrompt = false;
 		if (this.mayTry) {
 			this.mayTry = false;
 			this.requests.recordTrialSent(this.keyReader);
@@ -109,7 +112,7 @@
 	}
 
 	private findPromptError(mayHaveRun: boolean, now: MonotonicMs): RouterError | undefined {
-		const rejection = this.work && this.prompts.findRejection(this.work, now);
+		const rejection = this.work && this.prompts.findRejection(this.work, this.mayTryPrompt, now);
 		if (rejection !== undefined && !mayHaveRun) {
 			return createRouterError('promptQuarantined', undefined, {retryAfterSeconds: Math.ceil(rejection.remainingMs / msPerSecond)});
 		}
--- a/src/forwarding/call-guard/test.ts
+++ b/src/forwarding/call-guard/test.ts
@@ -15,13 +15,17 @@
 /** Answers one request; `requestNumber` counts the requests at all targets, from 1. */
 type Script = (socket: Socket, id: string, requestNumber: number) => void;
 
-/** Creates a guard that records what calls report, rejects prompts with the part `culprit` once it is told to, and suspects all others as it is told. */
+/** Creates a guard that records what calls report. As it is told, it rejects prompts with the part `culprit`, gives them trials, and suspects all others. */
 function createGuard() {
 	const state = {
-		isQuarantined: false, isSuspicious: false, log: [] as string[], unanswered: [] as string[],
+		isQuarantined: false, isOnProbation: false, hasTrials: false, isSuspicious: false, log: [] as string[], unanswered: [] as string[],
 	};
 	const guard: PromptGuard = {
-		findRejection: work => state.isQuarantined && work.parts.some(({id}) => id === 'culprit') ? {part: 'culprit', remainingMs: 90_500} : undefined,
+		findRejection(work, hasTrial) {
+			const isRejected = state.isQuarantined || (state.isOnProbation && !hasTrial);
+			return isRejected && work.parts.some(({id}) => id === 'culprit') ? {part: 'culprit', remainingMs: 90_500} : undefined;
+		},
+		beginTrial: async () => state.hasTrials,
 		isSuspicious: () => state.isSuspicious,
 		recordBrokenAnswer(_work, target) {
 			state.log.push(`broken ${target.description.id}`);
@@ -121,6 +125,18 @@
 	expect([status, isNotRun, countRequests()]).toEqual([502, false, 1]);
 });
 
+test('guards against a trial of a part on probation that reaches a second engine, and rejects calls without a trial as not run', async t => {
+	const {state, call, countRequests} = await startTargets(t, {kind: 'idempotent'}, (socket, id) => {
+		crash(socket, id);
+	});
+	state.isOnProbation = true;
+	const {status, isNotRun} = await call('c1');
+	expect([status, isNotRun, countRequests()]).toEqual([503, true, 0]);
+	state.hasTrials = true;
+	const {status: trialStatus} = await call('c2');
+	expect([trialStatus, countRequests()]).toEqual([502, 1]);
+});
+
 test('guards against a waiting call that is sent after a part of its prompt was quarantined', async t => {
 	const {state, charges, call, countRequests} = await startTargets(t, {latencyGoalMs: 2000}, (socket, id) => {
 		socket.write(formatAnswer(id, '503 Busy').replace('x-id', 'x-not-run: true\r\nx-id'));
--- a/src/forwarding/prompt-guard/index.ts
+++ b/src/forwarding/prompt-guard/index.ts
@@ -9,8 +9,10 @@
 
 /** Keeps prompts that crash engines away from them. */
 export type PromptGuard = {
-	/** Finds a quarantine that covers a part of the prompt. */
-	findRejection(work: EngineWork, now: MonotonicMs): PromptRejection | undefined;
+	/** Finds a quarantine that covers a part of the prompt, or a probation of a part for which the call has no trial. */
+	findRejection(work: EngineWork, hasTrial: boolean, now: MonotonicMs): PromptRejection | undefined;
+	/** Asks to send a prompt with a part on probation to one engine; resolves to whether it may be. Resolves at once if no part is. */
+	beginTrial(work: EngineWork): Promise<boolean>;
 	/** Whether a call whose answer was broken off by a crash may crash the next engine as well. */
 	isSuspicious(work: EngineWork, now: MonotonicMs): boolean;
 	/** Records that the connection broke within the answer to a call that was sent at `sentAt`. */
@@ -24,6 +26,7 @@
 /** Guard that allows every prompt. */
 export const openPromptGuard: PromptGuard = {
 	findRejection: () => undefined,
+	beginTrial: async () => false,
 	isSuspicious: () => false,
 	recordBrokenAnswer() {
 		// Nothing is recorded.
--- a/src/quarantine/crash-ledger/index.ts
+++ b/src/quarantine/crash-ledger/index.ts
@@ -42,8 +42,9 @@
 /** Crashes of the last minute and what they say about prompt parts. */
 export class CrashLedger {
 	private readonly completions = new CompletionLog<PartKey>();
+	private readonly rule = new PartRule(this.completions);
 	private readonly evidence = new EvidenceLedger<PartKey>({
-		rule: new PartRule(this.completions), validityMs: evidenceValidityMs, maximumCrashes, maximumKeysPerCrash: maximumPartsPerCrash,
+		rule: this.rule, validityMs: evidenceValidityMs, maximumCrashes, maximumKeysPerCrash: maximumPartsPerCrash,
 	});
 
 	/** Records a crash, or adds the prompts of a further report of the same crash. Returns whether the crash is new. */
@@ -81,6 +82,11 @@
 		return this.evidence.findCulprits(isCulprit, now).map(evidence => summariseEvidence(evidence));
 	}
 
+	/** Finds the parts that may cause crashes, and of which calls are sent one at a time. */
+	findSuspects(isCulprit: CulpritLookup<PartKey>, now: MonotonicMs): PartKey[] {
+		return this.rule.findSuspects(this.evidence.evaluate(isCulprit, now)).map(({key}) => key);
+	}
+
 	/** Lists the parts with crashes that no known culprit explains, those with the most crashes first. */
 	listEvidence(isCulprit: CulpritLookup<PartKey>, now: MonotonicMs): PartEvidence[] {
 		return this.evidence.listEvidence(isCulprit, now).map(evidence => summariseEvidence(evidence));
--- a/src/quarantine/news-exchange/index.ts
+++ b/src/quarantine/news-exchange/index.ts
@@ -10,6 +10,9 @@
 import type {DatagramTransport} from '../../peers/datagram-channel/index.js';
 import {sendRepeatedly} from '../../peers/send-repeatedly/index.js';
 
+/** Pauses before a trial is announced again, in milliseconds. It is repeated while objections count. */
+export const trialRepeatDelaysMs: readonly number[] = [80, 80];
+
 /** News of one kind on the wire. */
 export type NewsFormat<News extends {readonly type: string}> = {
 	/** Message type of the datagrams. */
--- a/src/quarantine/part-rule/index.ts
+++ b/src/quarantine/part-rule/index.ts
@@ -31,6 +31,11 @@
 const provenSequence = 8;
 /** Time before the first crash for which a complete answer proves a part, in milliseconds. */
 const proofValidityMs = 60_000;
+/**
+ * Number of crashes with a part, in sequence or not, from which calls with it are sent one at a time. Crashes at one instant may
+ * have another reason, so they identify no part, but calls with a culprit may come at one instant, too.
+ */
+const concurrentCrashes = 4;
 /** Number of crashes with a part from which calls that crashed an engine are not sent again. */
 const suspiciousCrashes = 2;
 
@@ -51,9 +56,14 @@
 	 */
 	findCulprits(evaluation: PartEvaluation): PartEvidence[] {
 		const identified = [...evaluation.evidenceByKey.values()].filter(evidence => this.isSufficient(evidence, evaluation));
-		const culprits = new Set(identified.flatMap(evidence => [evidence, ...this.listAlternatives(evidence, evaluation)]));
-		const depth = Math.max(...[...culprits].map(evidence => evidence.depth));
-		return [...culprits].filter(evidence => evidence.depth === depth);
+		return listDeepest(new Set(identified.flatMap(evidence => [evidence, ...this.listAlternatives(evidence, evaluation)])));
+	}
+
+	/** Finds the parts that may cause the crashes, although these came at too few instants to tell: the deepest ones. */
+	findSuspects(evaluation: PartEvaluation): PartEvidence[] {
+		const suspects = [...evaluation.evidenceByKey.values()]
+			.filter(evidence => evidence.crashList.length >= concurrentCrashes && isDominant(evidence, evaluation) && !this.isProven(evidence));
+		return listDeepest(new Set(suspects));
 	}
 
 	/** A part is not suspicious if the same crashes speak against a deeper one, which fewer calls share. */
@@ -95,6 +105,11 @@
 	}
 }
 
+function listDeepest(evidence: ReadonlySet<PartEvidence>): PartEvidence[] {
+	const depth = Math.max(...[...evidence].map(entry => entry.depth));
+	return [...evidence].filter(entry => entry.depth === depth);
+}
+
 /** Whether a part occurred in most crashes from its first to its last one. */
 function isDominant({crashList}: PartEvidence, {crashes}: PartEvaluation): boolean {
 	const firstAt = crashList[0]!.crashedAt;
--- a/src/quarantine/prompt-quarantine/index.ts
+++ b/src/quarantine/prompt-quarantine/index.ts
@@ -3,7 +3,7 @@
 import type {FleetTarget} from '../../fleet/fleet-target/index.js';
 import type {EngineWork} from '../../forwarding/call-types/index.js';
 import type {PromptGuard, PromptRejection} from '../../forwarding/prompt-guard/index.js';
-import type {MonotonicMs} from '../../identity/ids/index.js';
+import type {InstanceId, MonotonicMs} from '../../identity/ids/index.js';
 import type {StoredObject} from '../../store/object-api/index.js';
 import {CrashConfirmation} from '../crash-confirmation/index.js';
 import type {CrashSource} from '../crash-evidence/index.js';
@@ -17,13 +17,18 @@
 import type {TargetProbe} from '../share-probes/index.js';
 import {QuarantineExchange} from '../quarantine-exchange/index.js';
 import {QuarantineKeeper, type QuarantineOptions} from '../quarantine-keeper/index.js';
+import {SuspectedParts} from '../suspected-parts/index.js';
+import {TrialAnnouncer} from '../trial-announcer/index.js';
 import type {Clearance, QuarantineNews} from '../quarantine-messages/index.js';
 
+/** Time after which callers whose calls wait for the trial of another call may come back, in milliseconds. */
+const probationRetryMs = 2000;
 const maximumLoggedParts = 6;
 const maximumDumpedParts = 50;
 
 /** Options of `PromptQuarantine`. */
 export type PromptQuarantineOptions = QuarantineOptions & {
+	readonly self: InstanceId;
 	/** Finds out whether a target whose connection broke before an answer has ended. */
 	readonly probe: TargetProbe;
 };
@@ -43,6 +48,8 @@
 	private readonly evaluation: EvaluationDelay;
 	private readonly clearances: PartClearances;
 	private readonly confirmation: CrashConfirmation<CrashedPrompt>;
+	private readonly suspects: SuspectedParts;
+	private readonly trials: TrialAnnouncer<PartKey>;
 
 	constructor(private readonly options: PromptQuarantineOptions) {
 		const {clock, logger, probe} = options;
@@ -65,6 +72,17 @@
 				this.recordOwnCrash({...crash, prompts: calls});
 			},
 		});
+		this.suspects = new SuspectedParts(now => this.ledger.findSuspects(this.keeper.isCulprit, now), logger);
+		this.trials = new TrialAnnouncer({
+			...options,
+			isOnProbation: (part, now) => this.keeper.register.isOnProbation(part, now) || this.suspects.has(part, now),
+			announce: (part, trial) => {
+				this.exchange.announce({type: 'trial', part, ...trial});
+			},
+			logOutcome(part, outcome) {
+				logger.info('prompt part trial', {part, outcome});
+			},
+		});
 		this.clearances = new PartClearances({
 			...options,
 			readCompletedAt: part => this.ledger.readCompletedAt(part),
@@ -84,14 +102,21 @@
 		this.keeper.replaceStored(objects, version);
 	}
 
-	findRejection(work: EngineWork, now: MonotonicMs): PromptRejection | undefined {
+	findRejection(work: EngineWork, hasTrial: boolean, now: MonotonicMs): PromptRejection | undefined {
 		const quarantine = this.keeper.register.findActive(listSharedPartKeys(work), now);
-		if (quarantine === undefined) {
+		const partOnProbation = hasTrial ? undefined : this.findOnProbation(work, now);
+		const part = quarantine?.key ?? partOnProbation;
+		if (part === undefined) {
 			return undefined;
 		}
 
 		this.rejectedCalls += 1;
-		return {part: quarantine.key, remainingMs: quarantine.endsAt - now};
+		return {part, remainingMs: quarantine === undefined ? probationRetryMs : quarantine.endsAt - now};
+	}
+
+	async beginTrial(work: EngineWork): Promise<boolean> {
+		const part = this.findOnProbation(work, this.options.clock.readMonotonic());
+		return part !== undefined && this.trials.begin(part);
 	}
 
 	isSuspicious(work: EngineWork, now: MonotonicMs): boolean {
@@ -117,6 +142,7 @@
 	recordCompleteAnswer(work: EngineWork, now: MonotonicMs): void {
 		const parts = listSharedPartKeys(work);
 		const lifted = parts.filter(part => this.keeper.lift(part, 'completed'));
+		this.suspects.clear(parts);
 		const cleared = [...new Set([...this.ledger.recordCompletion(parts, now), ...lifted])];
 		if (cleared.length > 0) {
 			this.options.logger.info('prompt parts cleared', {parts: formatParts(cleared), reason: 'completed'});
@@ -132,11 +158,21 @@
 		const now = this.options.clock.readMonotonic();
 		return {
 			quarantined: this.keeper.listDumped(now).map(({key, ...quarantine}) => ({part: key, ...quarantine})),
+			onProbation: this.suspects.list(now),
 			suspected: this.ledger.listEvidence(this.keeper.isCulprit, now).slice(0, maximumDumpedParts),
 			rejectedCalls: this.rejectedCalls,
 		};
 	}
 
+	/** Finds the deepest part on probation, which the fewest calls share. */
+	private findOnProbation(work: EngineWork, now: MonotonicMs): PartKey | undefined {
+		if (this.keeper.register.isEmpty && this.suspects.isEmpty) {
+			return undefined;
+		}
+
+		return listSharedPartKeys(work).findLast(part => this.keeper.register.isOnProbation(part, now) || this.suspects.has(part, now));
+	}
+
 	private applyNews(news: QuarantineNews, now: MonotonicMs): void {
 		switch (news.type) {
 			case 'crash': {
@@ -156,12 +192,18 @@
 				this.keeper.applyNotice(news.notice, now);
 				break;
 			}
+
+			case 'trial': {
+				this.trials.record(news.part, {instance: news.instance, announcedAt: news.announcedAt});
+				break;
+			}
 		}
 	}
 
 	private applyClearance({part, completedAt}: Clearance, now: MonotonicMs): void {
 		this.clearances.record(part, now);
 		this.ledger.recordCompletion([part], completedAt);
+		this.suspects.update(now);
 		this.keeper.applyCompletion(part, completedAt);
 	}
 
@@ -190,6 +232,8 @@
 		for (const {part, crashes, sequentialCrashes} of this.ledger.findCulprits(this.keeper.isCulprit, now)) {
 			this.keeper.quarantine({key: part, crashes, sequentialCrashes}, source, now);
 		}
+
+		this.suspects.update(now);
 	}
 
 	private logCrash(crash: CrashReport, source: CrashSource, now: MonotonicMs): void {
--- a/src/quarantine/prompt-quarantine/test.ts
+++ b/src/quarantine/prompt-quarantine/test.ts
@@ -6,7 +6,7 @@
 import {simulateCrashingPrompt, type CrashSimulation} from '../../fixtures/simulate-crashing-prompt/index.js';
 import type {TargetState} from '../../fleet/probe-target/index.js';
 import type {EngineWork} from '../../forwarding/call-types/index.js';
-import type {MonotonicMs} from '../../identity/ids/index.js';
+import type {InstanceId, MonotonicMs} from '../../identity/ids/index.js';
 import type {EventLogger} from '../../logging/create-logger/index.js';
 import {quietLogger} from '../../logging/quiet-logger/index.js';
 import {FakeDatagramNetwork} from '../../peers/fake-datagram-network/index.js';
@@ -19,6 +19,8 @@
 const collection = 'quarantines';
 const culpritKey: string = createPartKey(testModel, 'culprit');
 const seeds = [1, 2, 3, 4, 5, 6];
+/** Requests with a culprit that may still reach engines later than 3 s after the fifth crash. */
+const permittedLateCulprits = 3;
 /** Time from sending a call to the crash of its engine, in milliseconds. */
 const callMs = 100;
 /** Time in which a crash is confirmed, and in which instances tell each other of a quarantine, in milliseconds. */
@@ -28,7 +30,8 @@
 /** Creates the parameters of a simulation like the played incident: 8 engines, two prompts with the culprit a second among sound calls. */
 function createSimulation(changes: Partial<CrashSimulation> = {}): CrashSimulation {
 	return {
-		instances: 9, engines: 8, culpritsPerSecond: 2, culpritsFromMs: 3000, soundCallsPerSecond: 20, seconds: 16, culpritDepth: 1, lossShare: 0.05,
+		instances: 9, engines: 8, culpritsPerSecond: 2, culpritGroupSize: 1, culpritsFromMs: 3000, soundCallsPerSecond: 20, seconds: 16,
+		culpritDepth: 1, lossShare: 0.05,
 		otherCrashIntervalMs: 0, otherCrashesFromMs: 3000, commonCrashAtMs: 0, restartAtMs: 0, isGuarded: true, seed: 1, ...changes,
 	};
 }
@@ -47,7 +50,7 @@
 	const objectApi = new MemoryObjectApi();
 	const members = ['a', 'b'].map(id => createMember(id));
 	const guards = members.map((member, index) => new PromptQuarantine({
-		clock, logger, random: new RandomSource(index + 1), channel: network.open(member.id),
+		self: member.id, clock, logger, random: new RandomSource(index + 1), channel: network.open(member.id),
 		listPeers: () => members.filter(other => other !== member), objectApi, remover: objectApi, collection,
 		probe: async () => state,
 	}));
@@ -75,7 +78,9 @@
 				await clock.advance(callMs + probeMs);
 			}
 		},
-		isRejected: (guard: PromptQuarantine) => guard.findRejection(createWork('root', 'culprit', 'own'), clock.readMonotonic()) !== undefined,
+		isRejected: (guard: PromptQuarantine) => guard.findRejection(createWork('root', 'culprit', 'own'), false, clock.readMonotonic()) !== undefined,
+		/** Whether even a call with a trial is rejected. */
+		isQuarantined: (guard: PromptQuarantine) => guard.findRejection(createWork('root', 'culprit', 'own'), true, clock.readMonotonic()) !== undefined,
 		async refresh() {
 			const {items, resourceVersion} = await objectApi.list(collection);
 			for (const guard of guards) {
@@ -130,6 +135,18 @@
 	});
 }
 
+test('guards against a part that goes on to crash engines because its calls come several at once and crash them at one instant', async () => {
+	for (const [culpritGroupSize, culpritDepth] of [[3, 1], [5, 0], [5, 1], [8, 1]] as const) {
+		for (const seed of seeds) {
+			const {lateCulprits, rejectedSoundCalls, quarantinedParts} = await simulateCrashingPrompt(createSimulation({
+				instances: 8, engines: 6, culpritGroupSize, culpritDepth, culpritsPerSecond: culpritGroupSize / 8, culpritsFromMs: 1000, seconds: 50, seed,
+			}));
+			expect({rejectedSoundCalls, quarantinedParts}).toEqual({rejectedSoundCalls: 0, quarantinedParts: [culpritKey]});
+			expect(lateCulprits <= permittedLateCulprits).toEqual(true);
+		}
+	}
+});
+
 for (const [name, changes] of [
 	['after a crash of all engines at one instant', {commonCrashAtMs: 5000}],
 	['after crashes one by one for another reason', {otherCrashIntervalMs: 1000}],
@@ -159,13 +176,13 @@
 });
 
 test('quarantines a part for 10 minutes, for twice as long at the first crash after that, and no more after a complete answer', async () => {
-	const {clock, first, second, crashEngines, isRejected, refresh} = createPair();
+	const {clock, first, second, crashEngines, isRejected, isQuarantined, refresh} = createPair();
 	await crashEngines(first, 4);
 	await clock.advance(200);
 	expect([first, second].map(guard => isRejected(guard))).toEqual([true, true]);
 	await refresh();
 	await clock.advance(initialDurationMs);
-	expect([first, second].map(guard => isRejected(guard))).toEqual([false, false]);
+	expect([first, second].map(guard => [isQuarantined(guard), isRejected(guard)])).toEqual([[false, true], [false, true]]);
 	await crashEngines(second, 1);
 	expect([first, second].map(guard => isRejected(guard))).toEqual([true, true]);
 	await clock.advance(1000);
@@ -180,6 +197,36 @@
 	expect([first, second].map(guard => isRejected(guard))).toEqual([false, false]);
 });
 
+test('guards against calls with a part on probation that come several at once: one in the fleet is sent, and its crash renews the quarantine', async () => {
+	const {clock, first, second, crashEngines, isQuarantined} = createPair();
+	await crashEngines(first, 4);
+	await clock.advance(initialDurationMs + 200);
+	const work = createWork('root', 'culprit', 'own');
+	const trials = Promise.all([first, second, first, second].map(async guard => guard.beginTrial(work)));
+	await clock.advance(400);
+	expect(await trials).toEqual([true, false, false, false]);
+	await crashEngines(first, 1);
+	await clock.advance(200);
+	expect([first, second].map(guard => isQuarantined(guard))).toEqual([true, true]);
+});
+
+test('guards against a first part whose calls are refused after all engines crashed at one instant before any had answered: one complete answer clears it', async () => {
+	const {clock, first, second, isRejected} = createPair();
+	const work = createWork('root', 'culprit', 'own');
+	for (let engine = 1; engine <= 6; engine += 1) {
+		first.recordBrokenAnswer(work, createFleetTarget(`e${engine}`), clock.readMonotonic(), clock.readMonotonic());
+	}
+
+	await clock.advance(200);
+	expect([first, second].map(guard => isRejected(guard))).toEqual([true, true]);
+	const trial = second.beginTrial(work);
+	await clock.advance(300);
+	expect([await trial, second.findRejection(work, true, clock.readMonotonic())]).toEqual([true, undefined]);
+	second.recordCompleteAnswer(work, clock.readMonotonic());
+	await clock.advance(200);
+	expect([first, second].map(guard => isRejected(guard))).toEqual([false, false]);
+});
+
 test('lifts a quarantine everywhere when a call that was in flight ends with a complete answer', async () => {
 	const {clock, first, second, crashEngines, isRejected, refresh} = createPair();
 	await crashEngines(first, 4);
@@ -227,14 +274,14 @@
 			events.push(event);
 		},
 	};
-	const {objectApi, first, crashEngines, isRejected, refresh} = createPair(logger);
+	const {objectApi, first, crashEngines, isQuarantined, refresh} = createPair(logger);
 	await crashEngines(first, 4);
 	const [name] = await refresh();
 	await objectApi.remove(collection, name!);
 	await refresh();
 	events.length = 0;
 	await crashEngines(first, 4);
-	expect([isRejected(first), events.includes('prompt part quarantined')]).toEqual([false, false]);
+	expect([isQuarantined(first), events.includes('prompt part quarantined')]).toEqual([false, false]);
 });
 
 test('shows quarantined and suspected parts in the dump and in gauges', async () => {
@@ -253,8 +300,8 @@
 	const {clock, first, crashEngines} = createPair();
 	await crashEngines(first, 4);
 	await clock.advance(60_000);
-	const {remainingMs} = first.findRejection(createWork('root', 'culprit', 'own'), clock.readMonotonic())!;
+	const {remainingMs} = first.findRejection(createWork('root', 'culprit', 'own'), false, clock.readMonotonic())!;
 	expect(remainingMs > 535_000 && remainingMs < 545_000).toEqual(true);
-	expect(first.findRejection(createWork('root', 'other', 'own'), 60_000 as MonotonicMs)).toEqual(undefined);
-	expect(first.findRejection(createWork('root', 'culprit'), 60_000 as MonotonicMs)).toEqual(undefined);
+	expect(first.findRejection(createWork('root', 'other', 'own'), false, 60_000 as MonotonicMs)).toEqual(undefined);
+	expect(first.findRejection(createWork('root', 'culprit'), false, 60_000 as MonotonicMs)).toEqual(undefined);
 });
--- a/src/quarantine/quarantine-exchange/index.ts
+++ b/src/quarantine/quarantine-exchange/index.ts
@@ -2,7 +2,7 @@
 
 import {splitList} from '../../peers/split-list/index.js';
 import type {CrashReport} from '../crash-ledger/index.js';
-import {NewsExchange, type NewsExchangeOptions} from '../news-exchange/index.js';
+import {NewsExchange, trialRepeatDelaysMs, type NewsExchangeOptions} from '../news-exchange/index.js';
 import {
 	formatNews, maximumPromptsPerMessage, parseNews, type QuarantineNews,
 } from '../quarantine-messages/index.js';
@@ -21,7 +21,9 @@
 	constructor(private readonly options: NewsExchangeOptions<QuarantineNews>) {
 		this.exchange = new NewsExchange(options, {
 			messageType: quarantineMessageType, refusalEvent: 'quarantine message refused',
-			repeatDelaysMs: {crash: [150], clearance: [150], quarantine: [250, 750]},
+			repeatDelaysMs: {
+				crash: [150], clearance: [150], quarantine: [250, 750], trial: trialRepeatDelaysMs,
+			},
 			format: formatNews, parse: parseNews,
 		});
 	}
@@ -36,7 +38,7 @@
 		}
 	}
 
-	/** Announces a clearance or a quarantine. */
+	/** Announces news other than a crash. */
 	announce(news: QuarantineNews): void {
 		this.exchange.announce(news);
 	}
--- a/src/quarantine/quarantine-messages/index.ts
+++ b/src/quarantine/quarantine-messages/index.ts
@@ -1,6 +1,6 @@
 /** Messages about engine crashes and quarantines of prompt parts between instances. */
 
-import type {MonotonicMs, TargetId} from '../../identity/ids/index.js';
+import type {InstanceId, MonotonicMs, TargetId} from '../../identity/ids/index.js';
 import type {CrashReport} from '../crash-ledger/index.js';
 import {
 	demandList, demandText, formatCrashedTarget, formatNotice, parseAge, parseCrashedTarget, parseNotice, readFields, type QuarantineNotice,
@@ -14,7 +14,9 @@
 export type QuarantineNews
 	= | {readonly type: 'crash'; readonly crash: CrashReport}
 		| {readonly type: 'clearance'; readonly clearances: readonly Clearance[]}
-		| {readonly type: 'quarantine'; readonly notice: QuarantineNotice<PartKey>};
+		| {readonly type: 'quarantine'; readonly notice: QuarantineNotice<PartKey>}
+		/** An instance wants to send a call with a part on probation to one target. Instances of earlier releases refuse the message. */
+		| {readonly type: 'trial'; readonly part: PartKey; readonly instance: InstanceId; readonly announcedAt: MonotonicMs};
 
 /** Maximum number of prompts in one message; it bounds the size of a datagram. */
 export const maximumPromptsPerMessage = 8;
@@ -27,7 +29,8 @@
 export type QuarantineMessage
 	= | {readonly type: 'crash'; readonly target: TargetId; readonly startedAt: number; readonly ageMs: number; readonly prompts: readonly PromptRow[]}
 		| {readonly type: 'clearance'; readonly clearances: readonly ClearanceRow[]}
-		| {readonly type: 'quarantine'; readonly part: PartKey; readonly crashes: number; readonly durationMs: number; readonly remainingMs: number; readonly ageMs: number};
+		| {readonly type: 'quarantine'; readonly part: PartKey; readonly crashes: number; readonly durationMs: number; readonly remainingMs: number; readonly ageMs: number}
+		| {readonly type: 'trial'; readonly part: PartKey; readonly instance: InstanceId; readonly ageMs: number};
 
 /** Formats news as they are sent at `now`. */
 export function formatNews(news: QuarantineNews, now: MonotonicMs): QuarantineMessage {
@@ -44,6 +47,12 @@
 		case 'quarantine': {
 			return {type: 'quarantine', part: news.notice.quarantine.key, ...formatNotice(news.notice, now)};
 		}
+
+		case 'trial': {
+			return {
+				type: 'trial', part: news.part, instance: news.instance, ageMs: now - news.announcedAt,
+			};
+		}
 	}
 }
 
@@ -65,6 +74,13 @@
 			return {type: 'quarantine', notice: parseNotice(demandText(message.part) as PartKey, message, now)};
 		}
 
+		case 'trial': {
+			return {
+				type: 'trial', part: demandText(message.part) as PartKey, instance: demandText(message.instance) as InstanceId,
+				announcedAt: parseAge(message.ageMs, now),
+			};
+		}
+
 		default: {
 			throw new TypeError('the message has no known type');
 		}
--- a/src/quarantine/quarantine-messages/test.ts
+++ b/src/quarantine/quarantine-messages/test.ts
@@ -1,13 +1,13 @@
 import {test} from 'node:test';
 import {expect} from 'earl';
 import fc from 'fast-check';
-import type {MonotonicMs, TargetId} from '../../identity/ids/index.js';
+import type {InstanceId, MonotonicMs, TargetId} from '../../identity/ids/index.js';
 import {createPartKey} from '../part-key/index.js';
 import {formatNews, parseNews, type QuarantineNews} from './index.js';
 
 const at = (ms: number) => ms as MonotonicMs;
 /** Matches the times in news as JSON. */
-const timePattern = /(?<="(?:crashedAt|sentAt|completedAt|endsAt|decidedAt)":)\d+/gu;
+const timePattern = /(?<="(?:crashedAt|sentAt|completedAt|endsAt|decidedAt|announcedAt)":)\d+/gu;
 const part = createPartKey('model-1', 'a');
 
 /** Creates one piece of news of each type, as known at 1000. */
@@ -26,6 +26,9 @@
 				}, decidedAt: at(1000),
 			},
 		},
+		{
+			type: 'trial', part, instance: 'i1' as InstanceId, announcedAt: at(990),
+		},
 	];
 }
 
@@ -42,7 +45,7 @@
 	const messages = createNews().map(news => formatNews(news, at(1000)));
 	const mutation = fc.record({
 		message: fc.constantFrom(...messages),
-		field: fc.constantFrom('type', 'target', 'startedAt', 'ageMs', 'prompts', 'part', 'crashes', 'durationMs', 'remainingMs', 'clearances'),
+		field: fc.constantFrom('type', 'target', 'startedAt', 'ageMs', 'prompts', 'part', 'crashes', 'durationMs', 'remainingMs', 'clearances', 'instance'),
 		value: fc.jsonValue(),
 	});
 	fc.assert(fc.property(fc.oneof(fc.jsonValue(), mutation.map(({message, field, value}) => ({...message, [field]: value}))), body => {
--- a/src/quarantine/request-exchange/index.ts
+++ b/src/quarantine/request-exchange/index.ts
@@ -1,7 +1,7 @@
 /** Tells all other live instances about crashes, clearances, quarantines and trials of requests. */
 
 import {splitList} from '../../peers/split-list/index.js';
-import {NewsExchange, type NewsExchangeOptions} from '../news-exchange/index.js';
+import {NewsExchange, trialRepeatDelaysMs, type NewsExchangeOptions} from '../news-exchange/index.js';
 import type {RequestCrash} from '../request-ledger/index.js';
 import {
 	formatRequestNews, maximumRequestsPerMessage, parseRequestNews, type RequestNews,
@@ -9,8 +9,6 @@
 
 /** Message type of the datagrams. */
 export const requestMessageType = 'request-quarantine';
-/** Pauses before a trial is announced again, in milliseconds. It is repeated while objections count. */
-const trialRepeatDelaysMs = [80, 80];
 
 /** Sends and receives news about requests that crash targets. */
 export class RequestExchange {
--- a/src/quarantine/request-quarantine/index.ts
+++ b/src/quarantine/request-quarantine/index.ts
@@ -24,7 +24,7 @@
 	listRequestCalls, RequestLedger, type CrashedRequest, type RequestCrash, type RequestEvidence,
 } from '../request-ledger/index.js';
 import type {RequestNews} from '../request-messages/index.js';
-import {trialIntervalMs} from '../request-trials/index.js';
+import {trialIntervalMs} from '../trial-register/index.js';
 import {TrialAnnouncer} from '../trial-announcer/index.js';
 
 const maximumDumpedRequests = 50;
@@ -54,7 +54,7 @@
 	private readonly exchange: RequestExchange;
 	private readonly evaluation: EvaluationDelay;
 	private readonly confirmation: CrashConfirmation<CrashedRequest>;
-	private readonly trials: TrialAnnouncer;
+	private readonly trials: TrialAnnouncer<RequestKey>;
 
 	constructor(private readonly options: RequestQuarantineOptions) {
 		const {clock, logger, probe} = options;
@@ -83,6 +83,9 @@
 			announce: (key, trial) => {
 				this.exchange.announce({type: 'trial', key, ...trial});
 			},
+			logOutcome(key, outcome) {
+				logger.info('request trial', {request: key, outcome});
+			},
 		});
 	}
 
--- a/src/quarantine/request-quarantine/test.ts
+++ b/src/quarantine/request-quarantine/test.ts
@@ -12,7 +12,7 @@
 import {MemoryObjectApi} from '../../store/memory-object-api/index.js';
 import {firstDurationMs} from '../plan-request-duration/index.js';
 import {hashRequest, type RequestKey} from '../request-key/index.js';
-import {objectionMs, trialIntervalMs} from '../request-trials/index.js';
+import {objectionMs, trialIntervalMs} from '../trial-register/index.js';
 import {RequestQuarantine} from './index.js';
 
 const collection = 'quarantines';
--- a/src/quarantine/trial-announcer/test.ts
+++ b/src/quarantine/trial-announcer/test.ts
@@ -2,9 +2,8 @@
 import {expect} from 'earl';
 import {ManualClock} from '../../clock/manual-clock/index.js';
 import type {InstanceId, MonotonicMs} from '../../identity/ids/index.js';
-import {quietLogger} from '../../logging/quiet-logger/index.js';
 import type {RequestKey} from '../request-key/index.js';
-import {objectionMs} from '../request-trials/index.js';
+import {objectionMs} from '../trial-register/index.js';
 import {TrialAnnouncer} from './index.js';
 
 const key = '0123456789abcdef0123456789abcdef' as RequestKey;
@@ -13,12 +12,15 @@
 function createAnnouncer() {
 	const clock = new ManualClock(1000);
 	const state = {isOnProbation: true, announced: 0};
-	const announcer = new TrialAnnouncer({
-		clock, logger: quietLogger, self: 'b' as InstanceId,
+	const announcer = new TrialAnnouncer<RequestKey>({
+		clock, self: 'b' as InstanceId,
 		isOnProbation: () => state.isOnProbation,
 		announce() {
 			state.announced += 1;
 		},
+		logOutcome() {
+			// The outcome is what `begin` resolves to.
+		},
 	});
 	return {clock, state, announcer};
 }
