--- a/src/gateway/gateway-feeds/index.ts
+++ b/src/gateway/gateway-feeds/index.ts
@@ -22,6 +22,7 @@
 const watchSilenceTimeoutMs = 5000;
 /** Time after the first configuration for which calls wait for the stored quarantines and orders of software versions, in milliseconds. */
 const restrictionWaitMs = 400;
+const maximumLoggedTargets = 6;
 
 /** Options of the gateway's feeds. */
 export type GatewayFeedsOptions = FeedEnvironment & {
@@ -42,6 +43,9 @@
 	/** When the applied copy of the announced weights was last known to be up to date. */
 	private weightsConfirmedAt: Instant | undefined;
 	private readonly retention = new TargetRetention();
+	private isInterrupted = false;
+	/** Number of missing targets that are retained. */
+	private retainedCount = 0;
 	private revision = -1 as Revision;
 	/** When the first configuration was applied. */
 	private configuredAt: MonotonicMs | undefined;
@@ -74,9 +78,7 @@
 			...options, mirrors: this.mirrors, timeline: this.timeline,
 			readRevision: () => this.revision,
 			onInterruptionCheck: (isInterrupted, now) => {
-				if (this.retention.updateInterruption(isInterrupted, now)) {
-					this.applyTargets();
-				}
+				this.handleInterruptionCheck(isInterrupted, now);
 			},
 		});
 	}
@@ -154,6 +156,18 @@
 		});
 	}
 
+	private handleInterruptionCheck(isInterrupted: boolean, now: MonotonicMs): void {
+		if (isInterrupted !== this.isInterrupted) {
+			this.isInterrupted = isInterrupted;
+			const answeredAgoMs = Math.round(this.timeline.measureSilenceMs(readInstant(this.options.clock)));
+			this.options.logger.info(isInterrupted ? 'object API interrupted' : 'object API available', {answeredAgoMs});
+		}
+
+		if (this.retention.updateInterruption(isInterrupted, now)) {
+			this.applyTargets();
+		}
+	}
+
 	private applyConfiguration(): void {
 		const {adapter, clock, logger, onConfiguration} = this.options;
 		for (const object of this.mirrors.get(adapter.collections.configuration)!.objects.values()) {
@@ -172,7 +186,7 @@
 	}
 
 	private applyTargets(): void {
-		const {adapter, clock, onTargets} = this.options;
+		const {adapter, clock, logger, onTargets} = this.options;
 		const listedTargets = new Map<string, TargetDescription>();
 		for (const object of this.mirrors.get(adapter.collections.targets)!.objects.values()) {
 			const description = this.decodeTarget(object);
@@ -181,7 +195,14 @@
 			}
 		}
 
-		onTargets([...this.retention.addRetainedTargets(listedTargets, clock.readMonotonic()).values()]);
+		const targets = this.retention.addRetainedTargets(listedTargets, clock.readMonotonic());
+		const retained = [...targets.keys()].filter(name => !listedTargets.has(name));
+		if (retained.length > this.retainedCount) {
+			logger.info('missing targets retained', {targets: retained.slice(0, maximumLoggedTargets).join(','), count: retained.length});
+		}
+
+		this.retainedCount = retained.length;
+		onTargets([...targets.values()]);
 	}
 
 	private decodeTarget(object: StoredObject): TargetDescription | undefined {
--- a/src/store/revision-timeline/index.ts
+++ b/src/store/revision-timeline/index.ts
@@ -44,6 +44,11 @@
 		return ages.length === 0 ? undefined : Math.max(0, Math.min(...ages));
 	}
 
+	/** Measures the time since the object API is last known to have answered any instance, in milliseconds; infinite if it is not known. */
+	measureSilenceMs(now: Instant): number {
+		return Math.max(0, Math.min(...this.entries.map(({at}) => measureElapsedMs(at, now))));
+	}
+
 	/** Lists the `limit` versions recorded last, with their ages. */
 	listRecent(limit: number, now: Instant): ConfirmedVersion[] {
 		return this.entries.slice(-limit).map(({version, at}) => [version, Math.max(0, measureElapsedMs(at, now))]);
