Retain targets that a copy lacks from which the object API was restored

Callers would see: after a restore of the object API from a copy, an instance that lists its targets again at once drops live targets which registered after the copy was made, until they register again.

Cause: missing targets are retained if a check, every 0.3 s, has found the object API interrupted. A watch that breaks is replaced within 50 ms, so after a short absence the list without these targets is mostly applied between two checks.

Change: a list of a later era starts the retention, whatever the checks found.

--- a/src/gateway/gateway-feeds/index.ts
+++ b/src/gateway/gateway-feeds/index.ts
@@ -11,6 +11,7 @@
 import type {TargetDescription} from '../../fleet/fleet-target/index.js';
 import {CollectionMirror} from '../../store/collection-mirror/index.js';
 import type {StoredObject} from '../../store/object-api/index.js';
+import {parseVersion} from '../../store/object-version/index.js';
 import {RevisionTimeline} from '../../store/revision-timeline/index.js';
 import type {AnnouncementAge} from '../../rollout/weights-registry/index.js';
 import type {RoutingConfiguration} from '../../routing/routing-types/index.js';
@@ -188,14 +189,17 @@
 	private applyTargets(): void {
 		const {adapter, clock, logger, onTargets} = this.options;
 		const listedTargets = new Map<string, TargetDescription>();
-		for (const object of this.mirrors.get(adapter.collections.targets)!.objects.values()) {
+		const mirror = this.mirrors.get(adapter.collections.targets)!;
+		for (const object of mirror.objects.values()) {
 			const description = this.decodeTarget(object);
 			if (description !== undefined) {
 				listedTargets.set(object.name, description);
 			}
 		}
 
-		const targets = this.retention.addRetainedTargets(listedTargets, clock.readMonotonic());
+		const now = clock.readMonotonic();
+		this.retention.recordEra(parseVersion(mirror.readVersion()!).era, now);
+		const targets = this.retention.addRetainedTargets(listedTargets, now);
 		const retained = [...targets.keys()].filter(name => !listedTargets.has(name));
 		if (retained.length > this.retainedCount) {
 			logger.info('missing targets retained', {targets: retained.slice(0, maximumLoggedTargets).join(','), count: retained.length});
--- a/src/gateway/target-retention/index.ts
+++ b/src/gateway/target-retention/index.ts
@@ -14,6 +14,7 @@
 	private readonly retainedTargets = new Set<string>();
 	private previousTargets: ReadonlyMap<string, TargetDescription> = new Map();
 	private retainUntil = 0;
+	private era = 0;
 
 	/** Updates whether the object API is interrupted at `now`. If it returns true, call `addRetainedTargets` to drop the retained targets. */
 	updateInterruption(isInterrupted: boolean, now: MonotonicMs): boolean {
@@ -30,6 +31,14 @@
 		return true;
 	}
 
+	/** Records the era of the list. A copy from which the object API was restored may lack targets that registered since. */
+	recordEra(era: number, now: MonotonicMs): void {
+		if (era > this.era) {
+			this.era = era;
+			this.retainUntil = now + reregistrationGraceMs;
+		}
+	}
+
 	/** Returns the listed targets and the missing ones that are retained. */
 	addRetainedTargets(listedTargets: ReadonlyMap<string, TargetDescription>, now: MonotonicMs): ReadonlyMap<string, TargetDescription> {
 		const targets = new Map(listedTargets);
--- a/src/gateway/target-retention/test.ts
+++ b/src/gateway/target-retention/test.ts
@@ -1,6 +1,7 @@
 import {test} from 'node:test';
 import {expect} from 'earl';
 import {createDescription} from '../../fixtures/create-fleet-target/index.js';
+import {startGatewayFeeds} from '../../fixtures/start-gateway-feeds/index.js';
 import type {MonotonicMs} from '../../identity/ids/index.js';
 import {TargetRetention} from './index.js';
 
@@ -26,3 +27,45 @@
 	retention.updateInterruption(true, toMonotonicMs(300));
 	expect([...retention.addRetainedTargets(createListedTargets('a'), toMonotonicMs(400)).keys()]).toEqual(['a']);
 });
+
+/** Number of instances of a fleet in which all watch. */
+const smallFleetCount = 8;
+
+const bookmarkIntervalMs = 100;
+
+/** Starts a small fleet with target `a`, whose object API sends bookmarks while the clock advances by `run`. */
+async function startConfirmedFleet() {
+	const fleet = startGatewayFeeds(smallFleetCount);
+	const {clock, objectApi, instances} = fleet;
+	const run = async (ms: number) => {
+		for (let elapsedMs = 0; elapsedMs < ms; elapsedMs += bookmarkIntervalMs) {
+			await clock.advance(bookmarkIntervalMs);
+			objectApi.sendBookmarks();
+		}
+	};
+
+	await objectApi.create('targets', 'a', 1);
+	await run(2500);
+	return {
+		...fleet, run,
+		countKnowing: () => instances.filter(({applied}) => applied.targets.length === 1).length,
+		stop() {
+			for (const instance of instances) {
+				instance.stop();
+			}
+		},
+	};
+}
+
+test('guards against dropping live targets that are missing because the object API was restored from a copy after a short absence', async () => {
+	const {objectApi, run, countKnowing, stop} = await startConfirmedFleet();
+	const target = await objectApi.get('targets', 'a');
+	await objectApi.remove('targets', 'a', target.resourceVersion);
+	const copy = objectApi.copy();
+	await objectApi.create('targets', 'a', 1);
+	await run(500);
+	objectApi.restore(copy);
+	await run(1900);
+	expect(countKnowing()).toEqual(smallFleetCount);
+	stop();
+});
