Drop removed targets although this instance was cut off from the object API

Cause: missing targets are retained until 2.1 s after the last check that found the object API interrupted for this instance. That lasts until the last of five watches is back from its backoff of up to 2 s, and a copy that a peer passed on, taken while the object API answered others, changed nothing.

Change: the object API counts as down only if it is interrupted for this instance and has answered no instance for 1.5 s, by the times that the copies of peers carry.

--- a/src/gateway/gateway-feeds/index.ts
+++ b/src/gateway/gateway-feeds/index.ts
@@ -158,13 +158,13 @@
 	}
 
 	private handleInterruptionCheck(isInterrupted: boolean, now: MonotonicMs): void {
+		const silenceMs = this.timeline.measureSilenceMs(readInstant(this.options.clock));
 		if (isInterrupted !== this.isInterrupted) {
 			this.isInterrupted = isInterrupted;
-			const answeredAgoMs = Math.round(this.timeline.measureSilenceMs(readInstant(this.options.clock)));
-			this.options.logger.info(isInterrupted ? 'object API interrupted' : 'object API available', {answeredAgoMs});
+			this.options.logger.info(isInterrupted ? 'object API interrupted' : 'object API available', {answeredAgoMs: Math.round(silenceMs)});
 		}
 
-		if (this.retention.updateInterruption(isInterrupted, now)) {
+		if (this.retention.updateContact({isInterrupted, silenceMs}, now)) {
 			this.applyTargets();
 		}
 	}
--- a/src/gateway/target-retention/index.ts
+++ b/src/gateway/target-retention/index.ts
@@ -1,24 +1,38 @@
 /**
- * Retains targets that are missing from the list shortly after an interruption of the object API: entries
- * of live targets may have expired meanwhile, and the targets register again soon after it is back.
+ * Retains targets that are missing from the list shortly after an outage of the object API: entries of live targets may have
+ * expired meanwhile, and the targets register again soon after it is back. An instance that is cut off from the object API, while
+ * it answers others, has no reason to: what these pass on is as good as its own list.
  */
 
 import type {TargetDescription} from '../../fleet/fleet-target/index.js';
 import type {MonotonicMs} from '../../identity/ids/index.js';
 
-/** Time after an interruption for which missing targets are retained, in milliseconds. Live ones register again within it. */
+/** Time without an answer of the object API to any instance, as far as this one knows, from which it counts as down, in milliseconds. */
+const outageMs = 1500;
+/** Time after an outage for which missing targets are retained, in milliseconds. Live ones register again within it. */
 const reregistrationGraceMs = 2100;
 
-/** Retains missing targets during and shortly after an interruption of the object API. */
+/** What an instance knows of the object API at a check. */
+export type Contact = {
+	/** Whether the object API is interrupted for this instance. */
+	readonly isInterrupted: boolean;
+	/** Time since the object API is last known to have answered any instance, in milliseconds. */
+	readonly silenceMs: number;
+};
+
+/** Retains missing targets during and shortly after an outage of the object API. */
 export class TargetRetention {
 	private readonly retainedTargets = new Set<string>();
 	private previousTargets: ReadonlyMap<string, TargetDescription> = new Map();
 	private retainUntil = 0;
+	private isDown = false;
 	private era = 0;
 
-	/** Updates whether the object API is interrupted at `now`. If it returns true, call `addRetainedTargets` to drop the retained targets. */
-	updateInterruption(isInterrupted: boolean, now: MonotonicMs): boolean {
-		if (isInterrupted) {
+	/** Updates what is known of the object API at `now`. If it returns true, call `addRetainedTargets` to drop the retained targets. */
+	updateContact({isInterrupted, silenceMs}: Contact, now: MonotonicMs): boolean {
+		const wasDown = this.isDown;
+		this.isDown = isInterrupted && silenceMs > outageMs;
+		if (this.isDown || wasDown) {
 			this.retainUntil = now + reregistrationGraceMs;
 			return false;
 		}
