Refuse answers with a status that HTTP doesn't have

Found: status 600 and 999 were passed on as answers, in the gateway and in the daemon. Status 000 and 099 came out of the gateway's target client as complete answers with status 0 and 99, and were only stopped when the head was written to the caller.

Change: a response whose status isn't from 200 to 599 is a failure of its target in both clients: an idempotent call goes to another one, any other gets 502. Answers of other instances come through the same client.

--- a/src/forwarding/target-client/index.ts
+++ b/src/forwarding/target-client/index.ts
@@ -11,6 +11,7 @@
 } from 'node:http';
 import type {TcpNetConnectOpts} from 'node:net';
 import type {TargetDescription} from '../../fleet/fleet-target/index.js';
+import {isFinalStatus} from '../../http/is-final-status/index.js';
 import {parseAddress} from '../../http/parse-address/index.js';
 import {openTargetSocket, type TargetSocket} from '../../http/target-socket/index.js';
 import {waitForArrivedData} from '../../http/wait-for-arrived-data/index.js';
@@ -184,6 +185,12 @@
 
 		this.response = response;
 		this.stage = 'responding';
+		const status = response.statusCode ?? 0;
+		if (!isFinalStatus(status)) {
+			this.fail(new Error(`the answer has status ${status}, which HTTP doesn't have`));
+			return;
+		}
+
 		response.on('data', (chunk: Buffer) => {
 			if (!this.isDone) {
 				this.listener.onChunk(chunk);
@@ -202,7 +209,7 @@
 		response.once('close', () => {
 			this.fail(new Error('connection closed before the response was complete'));
 		});
-		this.listener.onHead(response.statusCode ?? 0, response.rawHeaders);
+		this.listener.onHead(status, response.rawHeaders);
 	}
 
 	private finish(): void {
--- a/src/forwarding/target-client/test.ts
+++ b/src/forwarding/target-client/test.ts
@@ -75,6 +75,13 @@
 	expect(await sendGetToServer(`${unframedHead}abcd`, finish)).toEqual({status: 200, body: 'abcd', outcome: 'complete'});
 });
 
+test('guards against an answer with a status that HTTP does not have', async () => {
+	for (const status of ['000', '099', '600', '999']) {
+		const result = await sendGetToServer(`HTTP/1.1 ${status} Odd\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok`, finish);
+		expect({status: result.status, isComplete: result.outcome === 'complete'}).toEqual({status: undefined, isComplete: false});
+	}
+});
+
 test('guards against taking a response as complete that is shorter than its Content-Length', async () => {
 	const {outcome} = await sendGetToServer('HTTP/1.1 200 OK\r\nContent-Length: 9\r\nConnection: close\r\n\r\nabcd', finish);
 	expect(outcome).toEqual('responding');
--- a/src/requests/forward-call/index.ts
+++ b/src/requests/forward-call/index.ts
@@ -11,6 +11,7 @@
 import {discardBody} from '../../http/discard-body/index.js';
 import {classifyCallError} from '../../http/classify-call-error/index.js';
 import {createTargetConnector} from '../../http/create-target-connector/index.js';
+import {isFinalStatus} from '../../http/is-final-status/index.js';
 import {isUnframed} from '../../http/is-unframed/index.js';
 import {CallRequests, noPriorRequests} from '../../forwarding/call-requests/index.js';
 import {createRouterError, convertToRouterError, RouterError} from '../../results/create-router-error/index.js';
@@ -148,6 +149,11 @@
 			context.targets.leaving.mark(target.address);
 		}
 
+		if (!isFinalStatus(response.statusCode)) {
+			discardBody(response.body);
+			throw createRouterError('outcomeUnknown', `${target.id} answered with status ${response.statusCode}, which HTTP doesn't have`);
+		}
+
 		if (response.statusCode === 503 && response.headers['x-not-run'] === 'true') {
 			discardBody(response.body);
 			throw createRouterError('targetRefused', target.id);
