Send no stream that has begun to a target whose process may have been replaced

Cause: a broken connection counted as the failure of one call. The list, up to 0.3 s old, still named the old process, and answers name neither the software nor the start, so the stream was sent to the new process.

--- a/src/fleet/fleet-target/index.ts
+++ b/src/fleet/fleet-target/index.ts
@@ -15,6 +15,7 @@
 import type {TargetPause} from '../../statements/target-pause/index.js';
 import {LearnedSpeed} from '../learned-speed/index.js';
 import {RemoteLoads, type ReportTimes, type TargetLoad} from '../remote-loads/index.js';
+import {RestartSuspicion} from '../restart-suspicion/index.js';
 import {ServicePace} from '../service-pace/index.js';
 
 export type {TargetLoad} from '../remote-loads/index.js';
@@ -69,6 +70,8 @@
 export class FleetTarget {
 	readonly calls = new Set<TargetCall>();
 	readonly permits = new PermitAccount();
+	/** Whether the process may have been replaced, which the list doesn't show yet. */
+	readonly restart = new RestartSuspicion();
 	/** Time until which a rollout keeps new calls away, on this instance's monotonic clock. */
 	cordonedUntil = 0;
 	/** Hash of the id, for rendezvous hashing. */
--- a/src/forwarding/select-target/index.ts
+++ b/src/forwarding/select-target/index.ts
@@ -31,7 +31,7 @@
 	const targets = listCandidates(selection, context.fleet);
 	const holders = hints.selectHolders(targets, now);
 	const policy = context.readPlacementPolicy?.();
-	const excluded = new Set(triedTargets);
+	const excluded = new Set([...triedTargets, ...targets.filter(target => mayHaveOtherSoftware(selection, target, now))]);
 	const query: TargetQuery = {
 		targets,
 		excluded,
@@ -60,5 +60,11 @@
 /** Whether a target other than `current` could take over the call. */
 export function hasAlternativeTarget(selection: TargetSelection, current: FleetTarget, context: ForwardingContext, now: MonotonicMs): boolean {
 	const others = listCandidates(selection, context.fleet).filter(other => other !== current && !selection.triedTargets.has(other));
-	return others.some(other => !other.isSilent(now) && !other.isCordoned(now) && !other.isPaused(now) && context.limits.allows(other, now));
+	return others.some(other => !mayHaveOtherSoftware(selection, other, now) && !other.isSilent(now)
+		&& !other.isCordoned(now) && !other.isPaused(now) && context.limits.allows(other, now));
+}
+
+/** Whether the stream of a call that has begun may not go on at `target`, since a process with other software may answer there by now. */
+function mayHaveOtherSoftware({origin}: TargetSelection, {restart}: FleetTarget, now: MonotonicMs): boolean {
+	return origin.isBound && restart.isSuspected(now);
 }
--- a/src/forwarding/stream-origin/test.ts
+++ b/src/forwarding/stream-origin/test.ts
@@ -1,4 +1,5 @@
 import {test} from 'node:test';
+import {setTimeout as delay} from 'node:timers/promises';
 import {expect} from 'earl';
 import {request} from 'undici';
 import {createDescription, createFleetTarget} from '../../fixtures/create-fleet-target/index.js';
@@ -6,6 +7,7 @@
 import {createStreamOrigin} from '../../fixtures/create-stream-origin/index.js';
 import {startRawServer} from '../../fixtures/start-raw-server/index.js';
 import {startTestGateway} from '../../fixtures/start-test-gateway/index.js';
+import type {TargetDescription} from '../../fleet/fleet-target/index.js';
 import {firstEventRecording} from '../stream-origins/index.js';
 import type {MonotonicMs, RequestId, SoftwareVersion} from '../../identity/ids/index.js';
 import type {StreamKey} from '../../resumption/stream-key/index.js';
@@ -58,6 +60,36 @@
 	return `HTTP/1.1 200 OK\r\nx-id: ${id}\r\nTransfer-Encoding: chunked\r\n\r\n${event.length.toString(16)}\r\n${event}\r\n${isComplete ? '0\r\n\r\n' : ''}`;
 }
 
+const resumableRoute = createRoute('r', {
+	host: '127.0.0.1', kind: 'streaming', isResumable: true, maximumAttempts: 3,
+});
+
+/** Reads a stream of a gateway with the given targets. */
+async function readStream(targets: readonly TargetDescription[]) {
+	const gateway = await startTestGateway(createRoutingConfiguration({routes: [resumableRoute]}), targets);
+	try {
+		return await readAnswer(gateway.address, 'c1');
+	} finally {
+		gateway.close();
+	}
+}
+
+/** Reads the answer to one call as far as it comes. */
+async function readAnswer(address: string, id: string) {
+	const answer = await request(`http://${address}/x`, {headers: {'x-id': id}, method: 'POST', body: 'body'});
+	const chunks: Buffer[] = [];
+	let isComplete = true;
+	try {
+		for await (const chunk of answer.body) {
+			chunks.push(chunk as Buffer);
+		}
+	} catch {
+		isComplete = false;
+	}
+
+	return {isComplete, text: Buffer.concat(chunks).toString()};
+}
+
 /** Versions of the software of three targets. The first two break each stream after one event, the third completes it. */
 const softwareVersions = ['v1', 'v2', 'v1'];
 
@@ -80,31 +112,50 @@
 			server.close();
 		}
 	});
-	const route = createRoute('r', {
-		host: '127.0.0.1', kind: 'streaming', isResumable: true, maximumAttempts: 3,
-	});
-	const readStream = async (targets: typeof descriptions) => {
-		const gateway = await startTestGateway(createRoutingConfiguration({routes: [route]}), targets);
-		const answer = await request(`http://${gateway.address}/x`, {headers: {'x-id': 'c1'}, method: 'POST', body: 'body'});
-		const chunks: Buffer[] = [];
-		let isComplete = true;
-		try {
-			for await (const chunk of answer.body) {
-				chunks.push(chunk as Buffer);
-			}
-		} catch {
-			isComplete = false;
-		}
-
-		gateway.close();
-		return {isComplete, text: Buffer.concat(chunks).toString()};
-	};
-
 	const alone = await readStream(descriptions.slice(0, 2));
 	expect([alone.isComplete, alone.text.includes('v1'), alone.text.includes('v2')]).toEqual([false, true, false]);
 	expect(await readStream(descriptions)).toEqual({isComplete: true, text: 'id: 1\ndata: v1\n\nid: 2\ndata: v1\n\n'});
 });
 
+test('guards against a stream that goes on at a process which started again under the id of its target, with other software', async t => {
+	for (const hasOtherStream of [false, true]) {
+		let requests = 0;
+		const server = await startRawServer((socket, head) => {
+			requests += 1;
+			const id = /x-id: (\S+)/u.exec(head)?.[1] ?? '';
+			const next = Number(/last-event-id: (\d+)/u.exec(head)?.[1] ?? 0) + 1;
+			socket.write(formatAnswer(id, `id: ${next}\ndata: x\n\n`, next === 2));
+			if (id === 'c1' && next === 1) {
+				setTimeout(() => {
+					socket.resetAndDestroy();
+				}, 50);
+			} else if (id === 'c0') {
+				// The stream of another caller shows that the process goes on.
+				const timer = setInterval(() => {
+					socket.write('a\r\n: alive\n\n\n\r\n');
+				}, 30);
+				socket.once('close', () => {
+					clearInterval(timer);
+				});
+			}
+		});
+		const gateway = await startTestGateway(createRoutingConfiguration({routes: [resumableRoute]}), [createDescription('t0', {
+			address: server.address, weightsVersions: new Map(), softwareVersion: 'v1' as SoftwareVersion,
+		})]);
+		t.after(() => {
+			gateway.close();
+			server.close();
+		});
+		const other = hasOtherStream ? readAnswer(gateway.address, 'c0') : undefined;
+		other?.catch(() => {
+			// It is cut with the end of the test.
+		});
+		await delay(hasOtherStream ? 50 : 0);
+		const {isComplete} = await readAnswer(gateway.address, 'c1');
+		expect({hasOtherStream, isComplete, requests}).toEqual({hasOtherStream, isComplete: hasOtherStream, requests: hasOtherStream ? 3 : 1});
+	}
+});
+
 test('guards against a stream taken up at another version than its own because two instances that had the call recorded it', () => {
 	const records: unknown[] = [];
 	const older = createFleetTarget('t1');
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -160,6 +160,9 @@
 		this.quarantine = new FleetQuarantine({
 			...channelOptions, probe: this.handover.probe,
 			objectApi: this.relayedObjectApi, remover: adapter.objectApi, collection: adapter.collections.quarantines,
+			onPeerCrash: ({target, startedAt, crashedAt}) => {
+				this.fleet.locateIncarnation(target, startedAt)?.restart.recordBreak(crashedAt);
+			},
 		});
 		this.statements = createStatements({
 			...options, ...channelOptions, caller: this.peerClient, registry: this.peerServer, listLive,
--- a/src/quarantine/prompt-quarantine/index.ts
+++ b/src/quarantine/prompt-quarantine/index.ts
@@ -176,6 +176,7 @@
 	private applyNews(news: QuarantineNews, now: MonotonicMs): void {
 		switch (news.type) {
 			case 'crash': {
+				this.options.onPeerCrash?.(news.crash);
 				this.addCrash(news.crash, 'peer', now);
 				break;
 			}
--- a/src/quarantine/quarantine-keeper/index.ts
+++ b/src/quarantine/quarantine-keeper/index.ts
@@ -15,7 +15,7 @@
 import {drawDelay, type DelayBounds} from '../../random/draw-delay/index.js';
 import type {RandomSource} from '../../random/random-source/index.js';
 import type {ObjectApi, StoredObject} from '../../store/object-api/index.js';
-import type {CrashedCall, CrashSource} from '../crash-evidence/index.js';
+import type {CrashedCall, CrashedTarget, CrashSource} from '../crash-evidence/index.js';
 import {forgetQuarantines} from '../forget-quarantines/index.js';
 import type {QuarantineNotice} from '../message-fields/index.js';
 import {QuarantineRecords, type KeyCodec} from '../quarantine-records/index.js';
@@ -39,6 +39,8 @@
 	readonly objectApi: Pick<ObjectApi, 'get' | 'create' | 'update'>;
 	readonly remover: Pick<ObjectApi, 'remove'>;
 	readonly collection: string;
+	/** Called for each crash that another instance reports. */
+	readonly onPeerCrash?: (crash: CrashedTarget) => void;
 };
 
 /** From where a quarantine is known that this instance has not decided on. */
--- a/src/quarantine/request-quarantine/index.ts
+++ b/src/quarantine/request-quarantine/index.ts
@@ -176,6 +176,7 @@
 	private applyNews(news: RequestNews, now: MonotonicMs): void {
 		switch (news.type) {
 			case 'crash': {
+				this.options.onPeerCrash?.(news.crash);
 				this.addCrash(news.crash, 'peer', now);
 				break;
 			}
