Let one instance for each organisation overdraw its quota

Cause: each instance whose share holds its own burst may overdraw it by a whole call, and shares reach that by borrowing from each other at the same moment. Nothing bounds the overdrafts of all instances together.

Change: one instance for each organisation goes into debt, within the extra tokens that no burst contains, and borrows to repay it. What a refused call has borrowed, and refunds above the burst, go back to the others.

The test of quota-share for calls larger than a share is changed to the new condition: the debt has a limit, where the share had to be full.

--- a/src/quota/quota-lending/index.ts
+++ b/src/quota/quota-lending/index.ts
@@ -5,13 +5,18 @@
  *
  * Callers are spread unevenly over the instances, and an organisation may send several times its rate. Within the
  * rate, a call is admitted at any instance. Beyond it all shares are empty, and calls are refused after one failed
- * round of borrowing, which is followed by a short backoff.
+ * round of borrowing, which is followed by a short backoff. What a refused call has borrowed goes back, since the lenders have
+ * begun to refill their shares.
+ *
+ * In a small fleet, a call may exceed what all shares hold. Only one instance for each organisation lends for that and goes into
+ * debt, so that the calls of several instances at one moment can't each exceed the quota.
  */
 
 import type {Clock} from '../../clock/clock/index.js';
 import type {InstanceId, MonotonicMs, OrganisationId} from '../../identity/ids/index.js';
 import type {QuotaGate} from '../../forwarding/forwarding-context/index.js';
 import type {PeerCaller, PeerMethodRegistry} from '../../peers/peer-caller/index.js';
+import {rankByHash} from '../../random/rank-by-hash/index.js';
 import type {RandomSource} from '../../random/random-source/index.js';
 import type {DatagramTransport} from '../../peers/datagram-channel/index.js';
 import type {Member} from '../../membership/member/index.js';
@@ -29,14 +34,18 @@
 const sharesBurstFraction = 0.3;
 /** Fraction of a share's burst below which its tokens aren't worth a deposit. */
 const minimumDepositFraction = 0.2;
-/** Instances asked for tokens for one call if no other instance has a pool. */
-const maximumLendersPerCall = 7;
+/** Instances asked for tokens for one call if no other instance has a pool; more for a call that is larger than their shares. */
+const usualLendersPerCall = 7;
 /** Time after a failed round of borrowing in which no instance is asked again. */
 const borrowBackoffMs = 100;
 /** Fraction of the extra tokens that is added to the burst; the remainder covers calls larger than the burst of a share. */
 const extraTokensBurstFraction = 0.6;
 /** Fraction of the extra tokens that all shares together start with, so that calls after a restart of all instances needn't wait for a refill. */
 const extraTokensInitialFraction = 0.25;
+/** Time after the start of a share in which it lends no overdrafts, as it may have been in debt before a restart, in milliseconds. */
+const overdraftDelayMs = 10_000;
+/** Fraction of the burst of all shares that has to be there for a call that is larger than this burst. */
+const largeCallBurstFraction = 0.9;
 const msPerSecond = 1000;
 
 /** Dependencies and settings of the lending. */
@@ -60,6 +69,7 @@
 
 type ShareRecord = {
 	readonly share: QuotaShare;
+	readonly createdAt: MonotonicMs;
 	quota: TokenQuota;
 	/** Number of instances that have a share of the quota. */
 	instances: number;
@@ -68,8 +78,16 @@
 	borrowBackoffUntil: number;
 };
 type Deposit = {readonly organisation: OrganisationId; readonly tokens: number};
-/** Fewer tokens than `leastTokens` are of no use to the borrower and stay with the lender. */
-type BorrowRequest = {readonly organisation: OrganisationId; readonly tokens: number; readonly leastTokens: number};
+/**
+ * Fewer tokens than `leastTokens` are of no use to the borrower and stay with the lender. `overdraftFor`: tokens of the call for
+ * which the lender may go into debt; instances of earlier releases neither send nor read it.
+ */
+type BorrowRequest = {
+	readonly organisation: OrganisationId;
+	readonly tokens: number;
+	readonly leastTokens: number;
+	readonly overdraftFor?: number;
+};
 
 /** Shares of all organisations at this instance. */
 export class QuotaLending implements QuotaGate {
@@ -89,6 +107,7 @@
 			await clock.sleep(random.applyJitter(depositIntervalMs), signal);
 			this.updatePoolInstances();
 			this.deposit(clock.readMonotonic());
+			await this.coverDebts();
 		}
 	}
 
@@ -126,12 +145,21 @@
 			await this.borrow(organisation.id, record, tokens);
 		}
 
-		const retriedAt = this.options.clock.readMonotonic();
-		return record.share.charge(tokens, retriedAt) || (record.poolInstances.length === 0 && record.share.overdraw(tokens, retriedAt));
+		const isCharged = record.share.charge(tokens, this.options.clock.readMonotonic())
+			|| (record.poolInstances.length === 0 && await this.chargeOverdraft(organisation.id, record, tokens));
+		if (!isCharged) {
+			this.returnExcess(organisation.id, record);
+		}
+
+		return isCharged;
 	}
 
 	refund(organisation: CallerOrganisation, tokens: number): void {
-		this.records.get(organisation.id)?.share.receive(tokens, this.options.clock.readMonotonic());
+		const record = this.records.get(organisation.id);
+		if (record !== undefined) {
+			record.share.receive(tokens, this.options.clock.readMonotonic());
+			this.returnExcess(organisation.id, record);
+		}
 	}
 
 	dump(): unknown {
@@ -144,7 +172,7 @@
 	/** Asks a few instances in sequence until the shortage is covered. */
 	private async borrow(organisation: OrganisationId, record: ShareRecord, tokens: number): Promise<void> {
 		const {clock, caller} = this.options;
-		for (const peer of this.chooseLenders(record)) {
+		for (const peer of this.chooseLenders(record, tokens)) {
 			const shortage = record.share.measureShortage(tokens, clock.readMonotonic());
 			if (shortage === 0) {
 				return;
@@ -166,11 +194,76 @@
 		}
 	}
 
+	/** Charges a call for which all shares hold too little, if the instance that may go into debt lends the remainder. */
+	private async chargeOverdraft(organisation: OrganisationId, record: ShareRecord, tokens: number): Promise<boolean> {
+		const {self, clock, caller} = this.options;
+		const {share} = record;
+		const lender = this.chooseOverdraftInstance(organisation);
+		if (lender === self) {
+			return this.overdraw(record, tokens, tokens);
+		}
+
+		const shortage = share.measureShortage(tokens, clock.readMonotonic());
+		try {
+			const request: BorrowRequest = {
+				organisation, tokens: shortage, leastTokens: shortage, overdraftFor: tokens,
+			};
+			share.receive(await caller.call<number>(lender, borrowMethod, request, borrowTimeoutMs), clock.readMonotonic());
+		} catch {
+			// Tokens of a lost answer are lost as well, and the call is refused.
+		}
+
+		return share.charge(tokens, clock.readMonotonic());
+	}
+
+	/** Withdraws `tokens` for a call of `callTokens` from the share of this instance, which may go into debt. */
+	private overdraw({share, quota, createdAt}: ShareRecord, tokens: number, callTokens: number): boolean {
+		const now = this.options.clock.readMonotonic();
+		return now - createdAt >= overdraftDelayMs && share.overdraw(tokens, this.calculateMaximumDebt(quota, callTokens), now);
+	}
+
+	/** Chooses the one instance that goes into debt for an organisation. */
+	private chooseOverdraftInstance(organisation: OrganisationId): InstanceId {
+		const {self, listPeers} = this.options;
+		const liveIds = [self, ...listPeers().filter(peer => peer.state === 'live').map(peer => peer.id)];
+		return rankByHash(organisation, liveIds, id => id)[0]!;
+	}
+
+	/** Gives tokens beyond the burst of the share back: to all others in equal parts, or to a pool instance. */
+	private returnExcess(organisation: OrganisationId, {share, poolInstances}: ShareRecord): void {
+		const {self, listPeers, channel, clock, random} = this.options;
+		const receivers = poolInstances.length === 0 ? listPeers() : listPeers().filter(peer => poolInstances.includes(peer.id));
+		const chosen = poolInstances.length === 0 ? receivers : random.pickSome(receivers, 1);
+		if (chosen.length === 0 || poolInstances.includes(self)) {
+			return;
+		}
+
+		const tokens = share.withdrawExcess(clock.readMonotonic());
+		if (tokens > 0) {
+			const deposit: Deposit = {organisation, tokens: tokens / chosen.length};
+			channel.send(chosen.map(peer => peer.peerAddress), depositMessageType, deposit);
+		}
+	}
+
 	/** Chooses the pool instances in random order, or random instances if no other instance has a pool. */
-	private chooseLenders({poolInstances}: ShareRecord): InstanceId[] {
+	private chooseLenders(record: ShareRecord, tokens: number): InstanceId[] {
 		const {self, random, listPeers} = this.options;
-		const lenders = poolInstances.filter(id => id !== self);
-		return lenders.length > 0 ? random.pickSome(lenders, lenders.length) : random.pickSome(listPeers().map(peer => peer.id), maximumLendersPerCall);
+		const lenders = record.poolInstances.filter(id => id !== self);
+		if (lenders.length > 0) {
+			return random.pickSome(lenders, lenders.length);
+		}
+
+		const neededShares = Math.ceil(tokens / Math.max(1, this.calculateShareSize(record).burstTokens));
+		return random.pickSome(listPeers().map(peer => peer.id), Math.max(usualLendersPerCall, neededShares));
+	}
+
+	/** Borrows what covers the debts of this instance. */
+	private async coverDebts(): Promise<void> {
+		for (const [organisation, record] of this.records) {
+			if (record.share.readLevel(this.options.clock.readMonotonic()) < 0) {
+				await this.borrow(organisation, record, 0);
+			}
+		}
 	}
 
 	private updatePoolInstances(): void {
@@ -205,9 +298,13 @@
 		}
 	}
 
-	private lend({organisation, tokens, leastTokens}: BorrowRequest): number {
+	private lend({organisation, tokens, leastTokens, overdraftFor}: BorrowRequest): number {
 		const now = this.options.clock.readMonotonic();
 		const record = this.records.get(organisation);
+		if (overdraftFor !== undefined && record !== undefined && tokens > 0) {
+			return this.overdraw(record, tokens, overdraftFor) ? tokens : 0;
+		}
+
 		return record === undefined || !(tokens > 0) || record.share.readLevel(now) < leastTokens ? 0 : record.share.lend(tokens, now);
 	}
 
@@ -219,7 +316,7 @@
 			const level = this.options.readTolerance().extraTokens * extraTokensInitialFraction / instances;
 			const size = this.calculateShareSize({quota, instances, poolInstances: []});
 			const record: ShareRecord = {
-				share: new QuotaShare(size, now, level), quota, instances, poolInstances: [], borrowBackoffUntil: 0,
+				share: new QuotaShare(size, now, level), createdAt: now, quota, instances, poolInstances: [], borrowBackoffUntil: 0,
 			};
 			this.records.set(id, record);
 			return record;
@@ -252,6 +349,12 @@
 		return (burstTokens * (1 + ratio)) + (extraTokens * extraTokensBurstFraction);
 	}
 
+	/** Calculates the largest debt for a call: the extra tokens that no burst contains, or what a call larger than all shares lacks. */
+	private calculateMaximumDebt(quota: TokenQuota, callTokens: number): number {
+		const extraTokens = this.options.readTolerance().extraTokens * (1 - extraTokensBurstFraction);
+		return Math.max(extraTokens, callTokens - (largeCallBurstFraction * this.calculateTotalBurst(quota)));
+	}
+
 	/** Calculates the maximum number of tokens in one pool. */
 	private calculatePoolCapacity(quota: TokenQuota): number {
 		return this.calculateTotalBurst(quota) * (1 - sharesBurstFraction) / poolInstanceCount;
--- a/src/quota/quota-lending/test.ts
+++ b/src/quota/quota-lending/test.ts
@@ -16,7 +16,7 @@
 const callTokens = 4000;
 
 /** Creates instances that share the quota of one organisation. */
-function createFleet(count: number, extraTokens = 0, sharedQuota = organisation) {
+function createFleet(count: number, extraTokens = 0, sharedQuota = organisation, ratio = 0) {
 	const clock = new ManualClock();
 	const network = new FakePeerNetwork(clock);
 	const ids = Array.from({length: count}, (_, index) => `i${index}` as InstanceId);
@@ -26,7 +26,7 @@
 		const endpoint = network.open(id);
 		const lending = new QuotaLending({
 			clock, random: new RandomSource(index + 1), caller: endpoint, registry: endpoint, countInstances: () => count,
-			self: id, listPeers: () => members.filter(other => other.id !== id), readTolerance: () => ({ratio: 0, extraTokens}),
+			self: id, listPeers: () => members.filter(other => other.id !== id), readTolerance: () => ({ratio, extraTokens}),
 			channel: datagrams.open(id),
 		});
 		lending.apply([sharedQuota]);
@@ -151,3 +151,48 @@
 	expect(admittedTokens <= (8 * 29_000) + 58_000 + toleranceTokens).toEqual(true);
 	expect(admittedTokens >= 0.9 * 8 * 29_000).toEqual(true);
 });
+
+const windowMs = 8000;
+const toleranceRatio = 0.1;
+
+/** Measures the most tokens that were admitted in a window. */
+function measureLargestWindow(charges: ReadonlyArray<readonly [at: number, tokens: number]>): number {
+	const sums = charges.map(([end]) => charges.filter(([at]) => at > end - windowMs && at <= end).reduce((sum, [, tokens]) => sum + tokens, 0));
+	return Math.max(...sums);
+}
+
+test('guards against long calls at all instances at one moment that exceed a quota together', async () => {
+	const callRate = createOrganisation('steady', {
+		quota: {
+			tokensPerSecond: 29_000, burstTokens: 29_000, plainCallTokens: 200, countsTokens: true,
+		},
+	});
+	const quotaTokens = ((windowMs / 1000) * 29_000) + 29_000;
+	const permittedTokens = (quotaTokens * (1 + toleranceRatio)) + toleranceTokens;
+	for (const [count, longTokens] of [[8, 24_500], [8, 57_000], [12, 57_000], [72, 57_000]] as const) {
+		const fleet = createFleet(count, toleranceTokens, callRate, toleranceRatio);
+		const charges: Array<readonly [number, number]> = [];
+		const charge = async (instance: number, tokens: number) => {
+			if (await fleet.lendings[instance]!.charge(callRate, tokens)) {
+				charges.push([fleet.clock.readMonotonic(), tokens]);
+			}
+		};
+
+		await fleet.clock.advance(12_000);
+		for (let group = 0; group < 4; group += 1) {
+			for (let call = 0; call < 166; call += 1) {
+				void charge(call % count, 1450);
+				await fleet.clock.advance(50);
+			}
+
+			for (const instance of fleet.ids.keys()) {
+				void charge(instance, longTokens);
+			}
+
+			await fleet.clock.advance(1000);
+		}
+
+		expect(measureLargestWindow(charges) <= permittedTokens).toEqual(true);
+		expect(charges.length >= 4 * 166).toEqual(true);
+	}
+});
--- a/src/quota/quota-share/index.ts
+++ b/src/quota/quota-share/index.ts
@@ -29,13 +29,10 @@
 		return true;
 	}
 
-	/**
-	 * Withdraws `tokens` from a full bucket even if it holds fewer, as a call larger than the burst of a share
-	 * could otherwise never be admitted. The next call waits until the refill has covered the debt.
-	 */
-	overdraw(tokens: number, now: MonotonicMs): boolean {
+	/** Withdraws `tokens`, also more than there are, if the debt is `maximumDebt` at most afterwards; returns whether it does. */
+	overdraw(tokens: number, maximumDebt: number, now: MonotonicMs): boolean {
 		this.refill(now);
-		if (this.level < this.size.burstTokens) {
+		if (this.level - tokens < -maximumDebt) {
 			return false;
 		}
 
@@ -63,6 +60,11 @@
 		this.level = Math.max(this.level, Math.min(this.level + tokens, this.size.poolCapacityTokens));
 	}
 
+	/** Withdraws what the level is above the burst; returns the number of tokens withdrawn. */
+	withdrawExcess(now: MonotonicMs): number {
+		return this.withdrawSurplus(this.size.burstTokens, now);
+	}
+
 	/** Withdraws all tokens beyond `retainedTokens`; returns the number withdrawn. */
 	withdrawSurplus(retainedTokens: number, now: MonotonicMs): number {
 		return this.lend(this.readLevel(now) - retainedTokens, now);
--- a/src/quota/quota-share/test.ts
+++ b/src/quota/quota-share/test.ts
@@ -21,12 +21,20 @@
 	expect(admitted >= 7900).toEqual(true);
 });
 
-test('guards against refusing every call that is larger than the burst of a share', () => {
+test('guards against refusing every call that is larger than the burst of a share, and against a debt beyond its limit', () => {
 	const share = new QuotaShare(size, at(0));
 	expect(share.charge(5000, at(2000))).toEqual(false);
-	expect(share.overdraw(5000, at(2000))).toEqual(true);
-	expect(share.overdraw(5000, at(5000))).toEqual(false);
+	expect(share.overdraw(5000, 3999, at(2000))).toEqual(false);
+	expect(share.overdraw(5000, 4000, at(2000))).toEqual(true);
+	expect(share.overdraw(5000, 4000, at(5000))).toEqual(false);
 	expect(share.charge(1, at(5999))).toEqual(false);
+	expect(share.charge(1, at(6001))).toEqual(true);
+});
+
+test('withdraws borrowed tokens beyond the burst, and nothing else', () => {
+	const share = new QuotaShare(size, at(0));
+	share.receive(1500, at(0));
+	expect([share.withdrawExcess(at(0)), share.withdrawExcess(at(0)), share.readLevel(at(0))]).toEqual([500, 0, 1000]);
 });
 
 test('guards against lending more tokens than the share has; adds received ones', () => {
