--- a/src/quota/quota-share/index.ts
+++ b/src/quota/quota-share/index.ts
@@ -21,7 +21,8 @@
 	/** Withdraws `tokens` if the level suffices; returns whether it does. */
 	charge(tokens: number, now: MonotonicMs): boolean {
 		this.refill(now);
-		if (this.level < tokens) {
+		// The comparison also refuses what is no number.
+		if (!(this.level >= tokens)) {
 			return false;
 		}
 
@@ -32,7 +33,7 @@
 	/** Withdraws `tokens`, also more than there are, if the debt is `maximumDebt` at most afterwards; returns whether it does. */
 	overdraw(tokens: number, maximumDebt: number, now: MonotonicMs): boolean {
 		this.refill(now);
-		if (this.level - tokens < -maximumDebt) {
+		if (!Number.isFinite(tokens) || this.level - tokens < -maximumDebt) {
 			return false;
 		}
 
@@ -48,16 +49,16 @@
 		return lent;
 	}
 
-	/** Adds tokens that another instance lent, or that are refunded for a call that did not run. */
+	/** Adds tokens that another instance lent, or that are refunded for a call that did not run. What is no number of tokens is ignored. */
 	receive(tokens: number, now: MonotonicMs): void {
 		this.refill(now);
-		this.level += tokens;
+		this.level += selectFinite(tokens);
 	}
 
 	/** Adds unused tokens of another instance up to the pool's capacity. */
 	deposit(tokens: number, now: MonotonicMs): void {
 		this.refill(now);
-		this.level = Math.max(this.level, Math.min(this.level + tokens, this.size.poolCapacityTokens));
+		this.level = Math.max(this.level, Math.min(this.level + selectFinite(tokens), this.size.poolCapacityTokens));
 	}
 
 	/** Withdraws what the level is above the burst; returns the number of tokens withdrawn. */
@@ -98,3 +99,8 @@
 		}
 	}
 }
+
+/** Returns a number of tokens, or 0 for what is none. */
+function selectFinite(tokens: number): number {
+	return Number.isFinite(tokens) && tokens > 0 ? tokens : 0;
+}
--- a/src/quota/quota-share/test.ts
+++ b/src/quota/quota-share/test.ts
@@ -62,3 +62,15 @@
 	expect(share.withdrawSurplus(600, at(9000))).toEqual(4400);
 	expect(share.readLevel(at(9000))).toEqual(600);
 });
+
+test('guards against a share whose level is no number, so that its organisation has no limit', () => {
+	const share = new QuotaShare(size, at(0));
+	for (const tokens of [Number.NaN, Number.POSITIVE_INFINITY]) {
+		expect([share.charge(tokens, at(500)), share.overdraw(tokens, 1000, at(500))]).toEqual([false, false]);
+		share.receive(tokens, at(500));
+		share.deposit(tokens, at(500));
+		expect(Number.isFinite(share.readLevel(at(500)))).toEqual(true);
+	}
+
+	expect(share.charge(1001, at(500))).toEqual(false);
+});
