--- a/src/forwarding/call-charge/test.ts
+++ b/src/forwarding/call-charge/test.ts
@@ -1,6 +1,11 @@
 import {test} from 'node:test';
 import {expect} from 'earl';
-import {createOrganisation} from '../../fixtures/create-routing-configuration/index.js';
+import {createDescription} from '../../fixtures/create-fleet-target/index.js';
+import {createOrganisation, createRoute, createRoutingConfiguration} from '../../fixtures/create-routing-configuration/index.js';
+import {sendRawRequest} from '../../fixtures/send-raw-request/index.js';
+import {startRawServer} from '../../fixtures/start-raw-server/index.js';
+import {startTestGateway} from '../../fixtures/start-test-gateway/index.js';
+import {hashKey} from '../../keys/hash-key/index.js';
 import type {QuotaGate} from '../forwarding-context/index.js';
 import {CallCharge} from './index.js';
 
@@ -54,3 +59,33 @@
 	expect(await new CallCharge(gate, createOrganisation('o'), work).charge()).toEqual(true);
 	expect(log).toEqual([]);
 });
+
+test('guards against a refund of a call that one target may have run, because the others refuse it', async t => {
+	let requests = 0;
+	const {gate, log} = createGate(true);
+	const servers = await Promise.all([0, 1].map(async () => startRawServer((socket, head) => {
+		requests += 1;
+		if (requests === 1) {
+			socket.destroy();
+		} else {
+			const id = /x-id: (\S+)/u.exec(head)?.[1];
+			socket.write(`HTTP/1.1 503 Busy\r\nx-not-run: true\r\nx-id: ${id}\r\nContent-Length: 2\r\n\r\nno`);
+		}
+	})));
+	const configuration = createRoutingConfiguration({
+		routes: [createRoute('r', {
+			host: 'h', kind: 'idempotent', maximumAttempts: 2, latencyGoalMs: 200,
+		})],
+		organisations: [createOrganisation('o', {keyHashes: [hashKey('key')], quota})],
+	});
+	const descriptions = servers.map(({address}, index) => createDescription(`t${index}`, {address, weightsVersions: new Map()}));
+	const gateway = await startTestGateway(configuration, descriptions, {quota: gate});
+	t.after(() => {
+		gateway.close();
+		for (const server of servers) {
+			server.close();
+		}
+	});
+	const {head} = await sendRawRequest(gateway.address, 'POST /x HTTP/1.1\r\nHost: h\r\nx-id: c1\r\nx-key: key\r\nContent-Length: 4\r\n\r\nbody');
+	expect([head.split(' ')[1], requests > 1, log]).toEqual(['502', true, [200]]);
+});
--- a/src/forwarding/call-session/index.ts
+++ b/src/forwarding/call-session/index.ts
@@ -178,11 +178,11 @@
 			return;
 		}
 
-		if (error.notRun) {
+		const answered = this.convertError(error);
+		if (answered.notRun) {
 			this.charge.refund();
 		}
 
-		const answered = this.convertError(error);
 		this.options.refuse(answered, this.requests.count);
 		this.finish(answered.entry.name, answered.entry.httpStatus);
 	}
