--- a/src/fleet/choose-target/index.ts
+++ b/src/fleet/choose-target/index.ts
@@ -10,43 +10,18 @@
  * then computed again and keep the engine overloaded. Calls therefore wait while every engine is full.
  */
 
-import type {DataCentreId, MonotonicMs} from '../../identity/ids/index.js';
-import type {WeightsVersionHistory} from '../../rollout/weights-version-history/index.js';
+import type {MonotonicMs} from '../../identity/ids/index.js';
 import type {FleetTarget} from '../fleet-target/index.js';
 import {hasStaleWeights, type Candidates, type PlacementPolicy} from '../placement-policy/index.js';
 import {ReportedLoadPolicy} from '../reported-load-policy/index.js';
+import type {MemoryDemand, TargetQuery} from '../target-query/index.js';
 
 /** Input of the choice. */
-export type TargetQuery = {
-	/** Targets that accept new calls. */
-	readonly targets: readonly FleetTarget[];
-	/** Targets that this call has already been sent to. */
-	readonly excluded: ReadonlySet<FleetTarget>;
-	readonly model: string | undefined;
-	/** Weights versions announced for the model; undefined when there are none. */
-	readonly versionHistory: WeightsVersionHistory | undefined;
-	/** Longest prefix of the prompt that other calls share; undefined when it is too short to matter. */
-	readonly sharedPrefix: SharedPrefix | undefined;
-	/** Targets that probably have the shared prefix cached for their current weights. */
-	readonly holders: ReadonlySet<FleetTarget>;
-	/** Prompt tokens beyond the shared prefix that calls with it bring to all targets in a second; 0 when that is unknown. */
-	readonly promptTokensPerSecond?: number;
-	/** Memory that the call needs and that an engine has; undefined for services without engines. */
-	readonly memory: MemoryDemand | undefined;
+export type TargetChoice = TargetQuery & {
 	/** How targets are compared; by their reported loads if it is undefined. */
 	readonly policy?: PlacementPolicy;
-	/** Data centre of this instance. */
-	readonly dataCentre: DataCentreId;
-	/** Random number in [0, 1). */
-	readonly draw: number;
 };
 
-/** A prompt prefix that several calls share, with its length. */
-export type SharedPrefix = {readonly id: string; readonly tokens: number};
-
-/** Memory of one call and of one engine, in tokens. */
-export type MemoryDemand = {readonly callTokens: number; readonly engineTokens: number};
-
 /** Fraction of an engine's memory that calls in flight may take; the remainder holds cached prefixes. */
 const inFlightMemoryFraction = 0.8;
 /** Upper limit of the jitter added to each cost, so that instances with the same view do not all choose the same target. */
@@ -54,7 +29,7 @@
 const reportedLoadPolicy = new ReportedLoadPolicy();
 
 /** Chooses the target for the next attempt; undefined when none can accept the call now. */
-export function chooseTarget(query: TargetQuery, now: MonotonicMs): FleetTarget | undefined {
+export function chooseTarget(query: TargetChoice, now: MonotonicMs): FleetTarget | undefined {
 	const usable = listUsable(query, now);
 	const healthy = usable.filter(target => !target.isInCooldown(now) && !target.isSilent(now));
 	const candidates = splitByStaleness(healthy.length > 0 ? healthy : usable, query, now);
@@ -83,7 +58,7 @@
 }
 
 /** Lists the targets that may and can run the call now. */
-function listUsable({targets, excluded, model, versionHistory, memory, policy = reportedLoadPolicy}: TargetQuery, now: MonotonicMs): FleetTarget[] {
+function listUsable({targets, excluded, model, versionHistory, memory, policy = reportedLoadPolicy}: TargetChoice, now: MonotonicMs): FleetTarget[] {
 	return targets.filter(target => {
 		if (excluded.has(target) || target.isCordoned(now) || target.isPaused(now) || !hasFreeMemory(target, memory, policy, now)) {
 			return false;
--- a/src/fleet/choose-target/test.ts
+++ b/src/fleet/choose-target/test.ts
@@ -7,7 +7,7 @@
 import {RandomSource} from '../../random/random-source/index.js';
 import {WeightsVersionHistory} from '../../rollout/weights-version-history/index.js';
 import type {FleetTarget} from '../fleet-target/index.js';
-import {chooseTarget, type TargetQuery} from './index.js';
+import {chooseTarget, type TargetChoice} from './index.js';
 
 const at = (ms: number) => ms as MonotonicMs;
 
@@ -15,7 +15,7 @@
 	return Array.from({length: count}, (_, index) => createFleetTarget(`t${index}`));
 }
 
-function createQuery(targets: readonly FleetTarget[], changes: Partial<TargetQuery> = {}): TargetQuery {
+function createQuery(targets: readonly FleetTarget[], changes: Partial<TargetChoice> = {}): TargetChoice {
 	return {
 		targets, excluded: new Set(), model: testModel, versionHistory: undefined, sharedPrefix: undefined, holders: new Set(), memory: undefined,
 		dataCentre: 'dc-1' as DataCentreId, draw: 0.5, ...changes,
--- a/src/fleet/learned-load-policy/index.ts
+++ b/src/fleet/learned-load-policy/index.ts
@@ -7,7 +7,6 @@
  */
 
 import type {MonotonicMs} from '../../identity/ids/index.js';
-import type {TargetQuery} from '../choose-target/index.js';
 import type {FleetTarget} from '../fleet-target/index.js';
 import {minimumSpeed} from '../learned-speed/index.js';
 import {
@@ -15,6 +14,7 @@
 	type Candidates, type PlacementPolicy, type RatedTarget,
 } from '../placement-policy/index.js';
 import {pickByPrefix} from '../rank-by-prefix/index.js';
+import type {TargetQuery} from '../target-query/index.js';
 
 /** Random targets in the comparison when there are holders of the prefix, each of which would have to compute or fetch it. */
 const randomTargetsBesideHolders = 1;
--- a/src/fleet/learned-load-policy/test.ts
+++ b/src/fleet/learned-load-policy/test.ts
@@ -6,7 +6,7 @@
 import type {DataCentreId, InstanceId, MonotonicMs} from '../../identity/ids/index.js';
 import {RandomSource} from '../../random/random-source/index.js';
 import {IncarnationStatements} from '../../statements/incarnation-statements/index.js';
-import {chooseTarget, type TargetQuery} from '../choose-target/index.js';
+import {chooseTarget, type TargetChoice} from '../choose-target/index.js';
 import {FleetTarget} from '../fleet-target/index.js';
 import {pickByPrefix} from '../rank-by-prefix/index.js';
 import {ServicePace} from '../service-pace/index.js';
@@ -30,7 +30,7 @@
 	return targets;
 }
 
-function createQuery(targets: readonly FleetTarget[], changes: Partial<TargetQuery> = {}): TargetQuery {
+function createQuery(targets: readonly FleetTarget[], changes: Partial<TargetChoice> = {}): TargetChoice {
 	return {
 		targets, excluded: new Set(), model: testModel, versionHistory: undefined, sharedPrefix: undefined, holders: new Set(), memory: undefined,
 		policy: new LearnedLoadPolicy(), dataCentre: 'dc-1' as DataCentreId, draw: 0.5, ...changes,
@@ -38,7 +38,7 @@
 }
 
 /** Chooses a target for each of many calls; none of them stays in flight. */
-function chooseOften(query: TargetQuery, count = 2000): FleetTarget[] {
+function chooseOften(query: TargetChoice, count = 2000): FleetTarget[] {
 	const random = new RandomSource(3);
 	return Array.from({length: count}, () => chooseTarget({...query, draw: random.pickIndex(1_000_000) / 1_000_000}, now)!);
 }
--- a/src/fleet/placement-policy/index.ts
+++ b/src/fleet/placement-policy/index.ts
@@ -1,8 +1,8 @@
 /** How the targets that can take a call are compared. */
 
 import type {MonotonicMs} from '../../identity/ids/index.js';
-import type {TargetQuery} from '../choose-target/index.js';
 import type {FleetTarget} from '../fleet-target/index.js';
+import type {TargetQuery} from '../target-query/index.js';
 
 /** Targets to choose from, also grouped by whether their weights are stale. */
 export type Candidates = {readonly all: readonly FleetTarget[]; readonly upToDate: readonly FleetTarget[]; readonly stale: readonly FleetTarget[]};
--- a/src/fleet/reported-load-policy/index.ts
+++ b/src/fleet/reported-load-policy/index.ts
@@ -1,13 +1,13 @@
 /** Compares targets by the loads that were last reported, as if all had the same speed. */
 
 import type {MonotonicMs} from '../../identity/ids/index.js';
-import type {TargetQuery} from '../choose-target/index.js';
 import type {FleetTarget} from '../fleet-target/index.js';
 import {
 	drawMultiplier, fullComparisonTargetLimit, randomTargetsPerGroup, sumPenalties,
 	type Candidates, type PlacementPolicy, type RatedTarget,
 } from '../placement-policy/index.js';
 import {pickByPrefix} from '../rank-by-prefix/index.js';
+import type {TargetQuery} from '../target-query/index.js';
 
 /** Cost of fetching the prefix from another target: the transfer time, and the memory that the copy takes. */
 const prefixFetchPenaltyTokens = 3000;
--- a/src/forwarding/build-attempt-options/index.ts
+++ b/src/forwarding/build-attempt-options/index.ts
@@ -1,7 +1,7 @@
 /** Builds what the router sends to a target in addition to the call. */
 
 import type {FleetTarget} from '../../fleet/fleet-target/index.js';
-import type {SharedPrefix} from '../../fleet/choose-target/index.js';
+import type {SharedPrefix} from '../../fleet/target-query/index.js';
 import {rankByHash} from '../../random/rank-by-hash/index.js';
 import type {CacheStore, CallerOrganisation, Route} from '../../routing/routing-types/index.js';
 import type {AttemptOptions, InboundCall} from '../call-types/index.js';
--- a/src/forwarding/prefix-hints/index.ts
+++ b/src/forwarding/prefix-hints/index.ts
@@ -1,6 +1,6 @@
 /** Placement hints from a call's prompt: the shared prefix, its cache namespace and the targets that hold it. */
 
-import type {SharedPrefix} from '../../fleet/choose-target/index.js';
+import type {SharedPrefix} from '../../fleet/target-query/index.js';
 import type {FleetTarget} from '../../fleet/fleet-target/index.js';
 import {formatPrefixKey, type PrefixDirectory, type PrefixKey} from '../../fleet/prefix-directory/index.js';
 import type {MonotonicMs, TargetId} from '../../identity/ids/index.js';
--- a/src/forwarding/select-target/index.ts
+++ b/src/forwarding/select-target/index.ts
@@ -1,6 +1,6 @@
 /** Selects the target of a call's next attempt from this instance's view of the fleet. */
 
-import {chooseTarget, type TargetQuery} from '../../fleet/choose-target/index.js';
+import {chooseTarget, type TargetChoice} from '../../fleet/choose-target/index.js';
 import type {FleetTarget} from '../../fleet/fleet-target/index.js';
 import type {MonotonicMs} from '../../identity/ids/index.js';
 import type {CallVersions} from '../call-versions/index.js';
@@ -32,7 +32,7 @@
 	const holders = hints.selectHolders(targets, now);
 	const policy = context.readPlacementPolicy?.();
 	const excluded = new Set([...triedTargets, ...targets.filter(target => mayHaveOtherSoftware(selection, target, now))]);
-	const query: TargetQuery = {
+	const query: TargetChoice = {
 		targets,
 		excluded,
 		model: work?.model,
