--- a/src/fleet/fleet-target/index.ts
+++ b/src/fleet/fleet-target/index.ts
@@ -71,7 +71,7 @@
 	readonly calls = new Set<TargetCall>();
 	readonly permits = new PermitAccount();
 	/** Whether the process may have been replaced, which the list doesn't show yet. */
-	readonly restart = new RestartSuspicion();
+	readonly restartSuspicion = new RestartSuspicion();
 	/** Time until which a rollout keeps new calls away, on this instance's monotonic clock. */
 	cordonedUntil = 0;
 	/** Hash of the id, for rendezvous hashing. */
--- a/src/forwarding/attempt-handler/index.ts
+++ b/src/forwarding/attempt-handler/index.ts
@@ -128,7 +128,7 @@
 		}
 
 		attempt.target.recordAnswer(attempt.record, now);
-		attempt.target.restart.recordBytes(attempt.record.sentAt, now);
+		attempt.target.restartSuspicion.recordBytes(attempt.record.sentAt, now);
 		this.starter.recordAnswer(attempt, now);
 		hints.recordUse(attempt.target, now);
 		const isAlone = attempts.isAlone(attempt);
@@ -144,7 +144,7 @@
 		attempt.lastReceivedAt = now;
 		this.call.times.recordChunk(now);
 		attempt.target.recordReceivedBytes(now);
-		attempt.target.restart.recordBytes(attempt.record.sentAt, now);
+		attempt.target.restartSuspicion.recordBytes(attempt.record.sentAt, now);
 		try {
 			if (this.call.relay.addChunk(attempt.answer!, chunk)) {
 				attempt.lastProgressAt = now;
@@ -189,7 +189,7 @@
 			this.call.attempts.end(attempt, false);
 			this.call.requests.recordNotSent(now);
 			attempt.target.recordUnreachable(now);
-			attempt.target.restart.recordBreak(now);
+			attempt.target.restartSuspicion.recordBreak(now);
 			this.continueOrFail('notSent', error.message, attempt);
 			return;
 		}
@@ -259,7 +259,7 @@
 
 		attempts.end(attempt, true);
 		attempt.target.recordFailure(now);
-		attempt.target.restart.recordBreak(now);
+		attempt.target.restartSuspicion.recordBreak(now);
 	}
 
 	/** Handles a response in which the target states that it did not run the call. */
--- a/src/forwarding/call-guard/index.ts
+++ b/src/forwarding/call-guard/index.ts
@@ -26,9 +26,10 @@
 	private readonly requests: RequestGuard;
 	private hasBrokenAnswer = false;
 	private hasBrokenConnection = false;
-	/** Whether the call may be sent once although its request, or a part of its prompt, is on probation. */
-	private mayTry = false;
-	private mayTryPrompt = false;
+	/** Whether the call may be sent once although its request is on probation. */
+	private hasRequestTrial = false;
+	/** Whether the call may be sent once although a part of its prompt is on probation. */
+	private hasPromptTrial = false;
 
 	private requestKey: RequestKey | undefined;
 	private readonly work: EngineWork | undefined;
@@ -52,15 +53,15 @@
 
 	/** Asks for the trials that the call needs because its request, or a part of its prompt, is on probation. Resolves at once if it needs none. */
 	async requestTrial(): Promise<void> {
-		this.mayTry = await this.requests.beginTrial(this.keyReader);
-		this.mayTryPrompt = this.work !== undefined && await this.prompts.beginTrial(this.work);
+		this.hasRequestTrial = await this.requests.beginTrial(this.keyReader);
+		this.hasPromptTrial = this.work !== undefined && await this.prompts.beginTrial(this.work);
 	}
 
 	/** Records that the call is sent to a target, which uses up its trials. */
 	recordSent(): void {
-		this.mayTryPrompt = false;
-		if (this.mayTry) {
-			this.mayTry = false;
+		this.hasPromptTrial = false;
+		if (this.hasRequestTrial) {
+			this.hasRequestTrial = false;
 			this.requests.recordTrialSent(this.keyReader);
 		}
 	}
@@ -112,7 +113,7 @@
 	}
 
 	private findPromptError(mayHaveRun: boolean, now: MonotonicMs): RouterError | undefined {
-		const rejection = this.work && this.prompts.findRejection(this.work, this.mayTryPrompt, now);
+		const rejection = this.work && this.prompts.findRejection(this.work, this.hasPromptTrial, now);
 		if (rejection !== undefined && !mayHaveRun) {
 			return createRouterError('promptQuarantined', undefined, {retryAfterSeconds: Math.ceil(rejection.remainingMs / msPerSecond)});
 		}
@@ -121,7 +122,7 @@
 	}
 
 	private findRequestError(mayHaveRun: boolean, now: MonotonicMs): RouterError | undefined {
-		const rejection = this.mayTry ? undefined : this.requests.findRejection(this.keyReader, now);
+		const rejection = this.hasRequestTrial ? undefined : this.requests.findRejection(this.keyReader, now);
 		if (rejection === undefined) {
 			return undefined;
 		}
--- a/src/forwarding/select-target/index.ts
+++ b/src/forwarding/select-target/index.ts
@@ -65,6 +65,6 @@
 }
 
 /** Whether the stream of a call that has begun may not go on at `target`, since a process with other software may answer there by now. */
-function mayHaveOtherSoftware({origin}: TargetSelection, {restart}: FleetTarget, now: MonotonicMs): boolean {
-	return origin.isBound && restart.isSuspected(now);
+function mayHaveOtherSoftware({origin}: TargetSelection, {restartSuspicion}: FleetTarget, now: MonotonicMs): boolean {
+	return origin.isBound && restartSuspicion.isSuspected(now);
 }
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -161,7 +161,7 @@
 			...channelOptions, probe: this.handover.probe,
 			objectApi: this.relayedObjectApi, remover: adapter.objectApi, collection: adapter.collections.quarantines,
 			onPeerCrash: ({target, startedAt, crashedAt}) => {
-				this.fleet.locateIncarnation(target, startedAt)?.restart.recordBreak(crashedAt);
+				this.fleet.locateIncarnation(target, startedAt)?.restartSuspicion.recordBreak(crashedAt);
 			},
 		});
 		this.statements = createStatements({
--- a/src/gateway/target-retention/index.ts
+++ b/src/gateway/target-retention/index.ts
@@ -13,7 +13,7 @@
 const reregistrationGraceMs = 2100;
 
 /** What an instance knows of the object API at a check. */
-export type Contact = {
+export type ObjectApiContact = {
 	/** Whether the object API is interrupted for this instance. */
 	readonly isInterrupted: boolean;
 	/** Time since the object API is last known to have answered any instance, in milliseconds. */
@@ -29,7 +29,7 @@
 	private era = 0;
 
 	/** Updates what is known of the object API at `now`. If it returns true, call `addRetainedTargets` to drop the retained targets. */
-	updateContact({isInterrupted, silenceMs}: Contact, now: MonotonicMs): boolean {
+	updateContact({isInterrupted, silenceMs}: ObjectApiContact, now: MonotonicMs): boolean {
 		const wasDown = this.isDown;
 		this.isDown = isInterrupted && silenceMs > outageMs;
 		if (this.isDown || wasDown) {
