--- a/src/fleet/restart-suspicion/index.ts
+++ b/src/fleet/restart-suspicion/index.ts
@@ -21,7 +21,7 @@
 
 	/** Records that a connection to the target broke, or could not be made, at `brokenAt`. */
 	recordBreak(brokenAt: MonotonicMs): void {
-		if (brokenAt > this.brokenAt && !this.goesOnAfter(brokenAt)) {
+		if (brokenAt > this.brokenAt && !this.hasGoneOnAfter(brokenAt)) {
 			this.brokenAt = brokenAt;
 		}
 	}
@@ -29,7 +29,7 @@
 	/** Records that bytes of the answer to a call that was sent at `sentAt` arrived. */
 	recordBytes(sentAt: MonotonicMs, now: MonotonicMs): void {
 		this.lastBytes = {sentAt, at: now};
-		if (this.goesOnAfter(this.brokenAt)) {
+		if (this.hasGoneOnAfter(this.brokenAt)) {
 			this.brokenAt = Number.NEGATIVE_INFINITY;
 		}
 	}
@@ -39,7 +39,7 @@
 		return now - this.brokenAt < suspicionMs;
 	}
 
-	private goesOnAfter(brokenAt: number): boolean {
+	private hasGoneOnAfter(brokenAt: number): boolean {
 		return this.lastBytes.sentAt < brokenAt && this.lastBytes.at > brokenAt + bufferedBytesMs;
 	}
 }
--- a/src/quota/quota-lending/index.ts
+++ b/src/quota/quota-lending/index.ts
@@ -107,7 +107,7 @@
 			await clock.sleep(random.applyJitter(depositIntervalMs), signal);
 			this.updatePoolInstances();
 			this.deposit(clock.readMonotonic());
-			await this.coverDebts();
+			await this.settleDebts();
 		}
 	}
 
@@ -258,7 +258,7 @@
 	}
 
 	/** Borrows what covers the debts of this instance. */
-	private async coverDebts(): Promise<void> {
+	private async settleDebts(): Promise<void> {
 		for (const [organisation, record] of this.records) {
 			if (record.share.readLevel(this.options.clock.readMonotonic()) < 0) {
 				await this.borrow(organisation, record, 0);
