Let a proxy of the soak forward no byte after a gap

The path to its target was silent for 49 ms, the time of three events; the proxy dropped these bytes and went on with later ones on the same connection, which TCP never does. A direction that has lost bytes now carries none any more. The new test of faulty-proxy failed before.

--- a/src/standin/faulty-proxy/index.ts
+++ b/src/standin/faulty-proxy/index.ts
@@ -10,7 +10,8 @@
 
 /**
  * What the proxy does. `deaf` drops the bytes from the server to the client only. `silent` drops the bytes of both
- * directions and keeps connections open. `reset` resets all connections, including open ones. `refuse` refuses new ones and
+ * directions and keeps connections open. A direction of a connection that has lost bytes carries none afterwards, as TCP
+ * delivers no byte after a gap. `reset` resets all connections, including open ones. `refuse` refuses new ones and
  * leaves open ones alone.
  */
 export type ProxyMode = 'pass' | 'delay' | 'deaf' | 'silent' | 'reset' | 'refuse';
@@ -23,7 +24,7 @@
 	/** Address at which the proxy listens. */
 	private address = '';
 	private readonly sockets = new Set<Socket>();
-	/** Sockets of connections that never carry bytes again. */
+	/** Sockets to which no byte is forwarded any more. */
 	private readonly stalledSockets = new WeakSet<Socket>();
 	private readonly server: Server;
 
@@ -122,6 +123,7 @@
 
 	private async forwardChunk(chunk: Buffer, destination: Socket, shouldDrop: boolean): Promise<void> {
 		if (shouldDrop || this.stalledSockets.has(destination)) {
+			this.stalledSockets.add(destination);
 			return;
 		}
 
--- a/src/standin/faulty-proxy/test.ts
+++ b/src/standin/faulty-proxy/test.ts
@@ -37,10 +37,14 @@
 	const early = {received: [...received], answers: [...answers], errorCodes: [...errorCodes]};
 	await delay(300);
 	const late = {received: [...received], answers: [...answers], errorCodes: [...errorCodes]};
+	proxy.setMode('pass');
+	client.write('b');
+	await delay(60);
+	const afterwards = {received: [...received], answers: [...answers]};
 	client.destroy();
 	proxy.close();
 	server.close();
-	return {early, late};
+	return {early, late, afterwards};
 }
 
 test('guards against a proxy whose modes do not have the described effect on bytes and connections', async () => {
@@ -55,3 +59,10 @@
 	const {early, late} = await observeConnection('delay');
 	expect([early.answers, late.answers]).toEqual([[], ['a']]);
 });
+
+test('guards against streams with a gap, which TCP never delivers: a connection that has lost bytes carries none afterwards', async () => {
+	const {afterwards: deaf} = await observeConnection('deaf');
+	expect(deaf).toEqual({received: ['a', 'b'], answers: []});
+	const {afterwards: silent} = await observeConnection('silent');
+	expect(silent).toEqual({received: [], answers: []});
+});
