Keep the trial of a call that did not reach its target

Callers would see: while a part of their prompts is on probation, sound calls wait for up to 5 s longer, because the one that may be sent met a target that refused the connection, and its trial was gone.

Cause: a trial counted as used when an attempt began, also if nothing was sent.

The new test of call-guard failed before.

--- a/src/forwarding/call-guard/index.ts
+++ b/src/forwarding/call-guard/index.ts
@@ -30,6 +30,8 @@
 	private hasRequestTrial = false;
 	/** Whether the call may be sent once although a part of its prompt is on probation. */
 	private hasPromptTrial = false;
+	/** Trials that the last attempt has used up. */
+	private usedTrials = {request: false, prompt: false};
 
 	private requestKey: RequestKey | undefined;
 	private readonly work: EngineWork | undefined;
@@ -59,6 +61,7 @@
 
 	/** Records that the call is sent to a target, which uses up its trials. */
 	recordSent(): void {
+		this.usedTrials = {request: this.hasRequestTrial, prompt: this.hasPromptTrial};
 		this.hasPromptTrial = false;
 		if (this.hasRequestTrial) {
 			this.hasRequestTrial = false;
@@ -66,6 +69,12 @@
 		}
 	}
 
+	/** Records that the call did not reach the target to which it was sent last, so that its trials can still be made. */
+	recordNotSent(): void {
+		this.hasRequestTrial = this.usedTrials.request;
+		this.hasPromptTrial = this.usedTrials.prompt;
+	}
+
 	/** Returns the error with which the call ends if it may not be sent to a target; `mayHaveRun`: whether a target may have run it before. */
 	findError(mayHaveRun: boolean, now: MonotonicMs): RouterError | undefined {
 		return this.findPromptError(mayHaveRun, now) ?? this.findRequestError(mayHaveRun, now);
--- a/src/forwarding/call-guard/test.ts
+++ b/src/forwarding/call-guard/test.ts
@@ -40,8 +40,8 @@
 	return {state, guard};
 }
 
-/** Starts a call listener with a guard and a quota before four targets that answer as scripted. They are closed after the test. */
-async function startTargets(t: TestContext, route: Partial<Route>, script: Script, requestGuard?: RequestGuard) {
+/** Starts a call listener with a guard and a quota before four targets that answer as scripted, the first `closedTargets` of which refuse connections. */
+async function startTargets(t: TestContext, route: Partial<Route>, script: Script, requestGuard?: RequestGuard, closedTargets = 0) {
 	let requests = 0;
 	const charges: number[] = [];
 	const servers = await Promise.all([0, 1, 2, 3].map(async () => startRawServer((socket, head) => {
@@ -49,6 +49,10 @@
 		script(socket, /x-id: (\S+)/u.exec(head)?.[1] ?? '', requests);
 	})));
 	const descriptions = servers.map(({address}, index) => createDescription(`t${index}`, {address}));
+	for (const server of servers.slice(0, closedTargets)) {
+		server.close();
+	}
+
 	const quota = {
 		tokensPerSecond: 1, burstTokens: 1, plainCallTokens: 200, countsTokens: true,
 	};
@@ -137,6 +141,16 @@
 	expect([trialStatus, countRequests()]).toEqual([502, 1]);
 });
 
+test('guards against a trial that is lost to a target which refuses the connection, so that sound calls wait for the next one', async t => {
+	const targets = await startTargets(t, {kind: 'idempotent'}, (socket, id) => {
+		socket.write(formatAnswer(id));
+	}, undefined, 1);
+	targets.state.isOnProbation = true;
+	targets.state.hasTrials = true;
+	const {status} = await targets.call('c1');
+	expect([status, targets.countRequests()]).toEqual([200, 1]);
+});
+
 test('guards against a waiting call that is sent after a part of its prompt was quarantined', async t => {
 	const {state, charges, call, countRequests} = await startTargets(t, {latencyGoalMs: 2000}, (socket, id) => {
 		socket.write(formatAnswer(id, '503 Busy').replace('x-id', 'x-not-run: true\r\nx-id'));
--- a/src/forwarding/start-attempt/index.ts
+++ b/src/forwarding/start-attempt/index.ts
@@ -89,6 +89,7 @@
 function recordFailure(attempt: Attempt, failure: ExchangeFailure, {guard, target}: AttemptRequest, {reachability, clock}: ForwardingContext): void {
 	const now = clock.readMonotonic();
 	if (failure.stage === 'notSent') {
+		guard.recordNotSent();
 		reachability.recordConnectFailed(target);
 	} else if (failure.stage === 'sent') {
 		reachability.recordUnanswered(target, now);
