Ask for no overdraft in the pause after a failed round of borrowing

A call beyond the rate asked the overdraft instance each time, also in the 100 ms after a failed round in which no other instance is asked, so that a flood brought one message for each refused call. Such a call is now refused at once.

--- a/src/quota/quota-lending/index.ts
+++ b/src/quota/quota-lending/index.ts
@@ -141,10 +141,11 @@
 			return true;
 		}
 
-		if (now >= record.borrowBackoffUntil) {
-			await this.borrow(organisation.id, record, tokens);
+		if (now < record.borrowBackoffUntil) {
+			return false;
 		}
 
+		await this.borrow(organisation.id, record, tokens);
 		const isCharged = record.share.charge(tokens, this.options.clock.readMonotonic())
 			|| (record.poolInstances.length === 0 && await this.chargeOverdraft(organisation.id, record, tokens));
 		if (!isCharged) {
