Pause before using a lease whose record a restore has lost

Where a restore has lost the record of a holder that this contender had read, the lease was created without the pause that the controller had owed before, so that orders of two holders could come closer than the lease's duration.

Change: both ways to acquire the lease set the time from which it may be used, by one function.

--- a/src/leases/lease/index.ts
+++ b/src/leases/lease/index.ts
@@ -129,7 +129,12 @@
 		const object = await this.readRecord();
 		if (object === undefined) {
 			const era = this.options.objectApi.readEra();
-			return this.canCreate(era) && this.writeRecord(undefined, this.buildRecord(chooseFencing(0, era), era));
+			if (!this.canCreate(era)) {
+				return false;
+			}
+
+			this.usableFrom = this.calculateUsableFrom(this.predecessor && this.options.calculatePauseMs?.(this.predecessor));
+			return this.writeRecord(undefined, this.buildRecord(chooseFencing(0, era), era));
 		}
 
 		if (this.isLastWrite(object.value) && !this.isVoid(object)) {
@@ -144,7 +149,7 @@
 			return false;
 		}
 
-		this.usableFrom = this.options.clock.readMonotonic() + this.readPauseMs(object.value, era) as MonotonicMs;
+		this.usableFrom = this.calculateUsableFrom(this.readPauseMs(object.value, era));
 		this.replacements = object.value.holder === this.options.holder ? (object.value.replacements ?? 0) + 1 : 0;
 		return this.writeRecord(object.resourceVersion, this.buildRecord(chooseFencing(object.value.fencing, era), era));
 	}
@@ -214,10 +219,14 @@
 	 * Returns the pause before the first use of a lease whose record, read in `era`, is replaced. An earlier process of the same
 	 * machine leaves only what remained of its own pause.
 	 */
-	private readPauseMs(predecessor: LeaseRecord, era: number): number {
+	private readPauseMs(predecessor: LeaseRecord, era: number): number | undefined {
 		const {holder, calculatePauseMs} = this.options;
 		const isOfSameMachine = predecessor.holder === holder && (predecessor.era ?? 0) === era;
-		return (isOfSameMachine ? predecessor.pauseMs : undefined) ?? calculatePauseMs?.(predecessor) ?? 0;
+		return (isOfSameMachine ? predecessor.pauseMs : undefined) ?? calculatePauseMs?.(predecessor);
+	}
+
+	private calculateUsableFrom(pauseMs = 0): MonotonicMs {
+		return this.options.clock.readMonotonic() + pauseMs as MonotonicMs;
 	}
 
 	/** Whether a record that is missing in `era` may be created: there was never one, or it has been missing for its duration. */
--- a/src/leases/lease/test.ts
+++ b/src/leases/lease/test.ts
@@ -17,6 +17,8 @@
 	return {clock, lease, isHeld: () => lease.isHeld(clock.readMonotonic())};
 }
 
+type Contender = ReturnType<typeof createContender>;
+
 /** Calls `acquire` every second until it succeeds; resolves to the number of seconds. */
 async function countSecondsToAcquire({lease, clock}: ReturnType<typeof createContender>, limitSeconds = 60): Promise<number> {
 	for (let second = 0; second < limitSeconds; second += 1) {
@@ -241,3 +243,17 @@
 	expect(waitSeconds > durationMs / 1000 && waitSeconds < 15).toEqual(true);
 	expect(a.lease.readFencing()! > 1_000_000).toEqual(true);
 });
+
+test('guards against a holder that does not wait for the one before it because a restore has lost the record, and against a pause without one', async () => {
+	const objectApi = new MemoryObjectApi();
+	const pauseMs = 2000;
+	const [a, b] = ['a', 'b'].map(name => createContender(objectApi, name, {calculatePauseMs: () => pauseMs})) as [Contender, Contender];
+	const copy = objectApi.copy();
+	await a.lease.acquire();
+	expect(a.lease.readUsableFrom() <= a.clock.readMonotonic()).toEqual(true);
+	expect(await b.lease.acquire()).toEqual(false);
+	objectApi.restore(copy);
+	await countSecondsToAcquire(b);
+	expect(b.isHeld()).toEqual(true);
+	expect(b.lease.readUsableFrom() - b.clock.readMonotonic()).toEqual(pauseMs);
+});
