Write three pieces once that the change had written twice

The live instances of a quota, the probation of a prompt part, and the time in which buffered bytes may still arrive each stood in two places; the receivers of returned tokens were chosen in two steps. Behaviour is unchanged: lint and the tests of quota, quarantine, fleet and classify-unframed-end pass.

--- a/src/fleet/restart-suspicion/index.ts
+++ b/src/fleet/restart-suspicion/index.ts
@@ -9,8 +9,8 @@
 
 import type {MonotonicMs} from '../../identity/ids/index.js';
 
-/** Time after a break in which bytes may still come from before it, in milliseconds. */
-const bufferedBytesMs = 50;
+/** Time after the end or break of a connection in which bytes of others may still come from before it, in milliseconds. */
+export const bufferedBytesMs = 50;
 /** Time in which the list shows that a process has ended, also if the object API is down for a few seconds, in milliseconds. */
 const suspicionMs = 10_000;
 
--- a/src/forwarding/classify-unframed-end/index.ts
+++ b/src/forwarding/classify-unframed-end/index.ts
@@ -6,12 +6,11 @@
  */
 
 import type {FleetTarget} from '../../fleet/fleet-target/index.js';
+import {bufferedBytesMs} from '../../fleet/restart-suspicion/index.js';
 import type {MonotonicMs} from '../../identity/ids/index.js';
 
 /** Time from the end of the answer to its classification, in milliseconds. */
 export const classificationDelayMs = 1500;
-/** Time after the end within which bytes of other answers may still come from before it, in milliseconds. */
-const bufferedBytesMs = 50;
 
 /** `unknown`: the target has neither answered since nor been found unreachable. */
 export type UnframedEndClass = 'complete' | 'broken' | 'unknown';
--- a/src/quarantine/prompt-quarantine/index.ts
+++ b/src/quarantine/prompt-quarantine/index.ts
@@ -75,7 +75,7 @@
 		this.suspects = new SuspectedParts(now => this.ledger.findSuspects(this.keeper.isCulprit, now), logger);
 		this.trials = new TrialAnnouncer({
 			...options,
-			isOnProbation: (part, now) => this.keeper.register.isOnProbation(part, now) || this.suspects.has(part, now),
+			isOnProbation: (part, now) => this.isOnProbation(part, now),
 			announce: (part, trial) => {
 				this.exchange.announce({type: 'trial', part, ...trial});
 			},
@@ -170,7 +170,12 @@
 			return undefined;
 		}
 
-		return listSharedPartKeys(work).findLast(part => this.keeper.register.isOnProbation(part, now) || this.suspects.has(part, now));
+		return listSharedPartKeys(work).findLast(part => this.isOnProbation(part, now));
+	}
+
+	/** Whether the quarantine of a part has ended, or crashes at one instant make it suspect. */
+	private isOnProbation(part: PartKey, now: MonotonicMs): boolean {
+		return this.keeper.register.isOnProbation(part, now) || this.suspects.has(part, now);
 	}
 
 	private applyNews(news: QuarantineNews, now: MonotonicMs): void {
--- a/src/quota/quota-lending/index.ts
+++ b/src/quota/quota-lending/index.ts
@@ -225,24 +225,28 @@
 
 	/** Chooses the one instance that goes into debt for an organisation. */
 	private chooseOverdraftInstance(organisation: OrganisationId): InstanceId {
+		return rankByHash(organisation, this.listLiveIds(), id => id)[0]!;
+	}
+
+	/** Lists the live instances, this one included. */
+	private listLiveIds(): InstanceId[] {
 		const {self, listPeers} = this.options;
-		const liveIds = [self, ...listPeers().filter(peer => peer.state === 'live').map(peer => peer.id)];
-		return rankByHash(organisation, liveIds, id => id)[0]!;
+		return [self, ...listPeers().filter(peer => peer.state === 'live').map(peer => peer.id)];
 	}
 
 	/** Gives tokens beyond the burst of the share back: to all others in equal parts, or to a pool instance. */
 	private returnExcess(organisation: OrganisationId, {share, poolInstances}: ShareRecord): void {
 		const {self, listPeers, channel, clock, random} = this.options;
-		const receivers = poolInstances.length === 0 ? listPeers() : listPeers().filter(peer => poolInstances.includes(peer.id));
-		const chosen = poolInstances.length === 0 ? receivers : random.pickSome(receivers, 1);
-		if (chosen.length === 0 || poolInstances.includes(self)) {
+		const peers = listPeers();
+		const receivers = poolInstances.length === 0 ? peers : random.pickSome(peers.filter(peer => poolInstances.includes(peer.id)), 1);
+		if (receivers.length === 0 || poolInstances.includes(self)) {
 			return;
 		}
 
 		const tokens = share.withdrawExcess(clock.readMonotonic());
 		if (tokens > 0) {
-			const deposit: Deposit = {organisation, tokens: tokens / chosen.length};
-			channel.send(chosen.map(peer => peer.peerAddress), depositMessageType, deposit);
+			const deposit: Deposit = {organisation, tokens: tokens / receivers.length};
+			channel.send(receivers.map(peer => peer.peerAddress), depositMessageType, deposit);
 		}
 	}
 
@@ -268,8 +272,8 @@
 	}
 
 	private updatePoolInstances(): void {
-		const {self, listPeers, clock} = this.options;
-		const liveIds = [self, ...listPeers().filter(peer => peer.state === 'live').map(peer => peer.id)];
+		const {clock} = this.options;
+		const liveIds = this.listLiveIds();
 		for (const [organisation, record] of this.records) {
 			record.poolInstances = listPoolInstances(organisation, liveIds);
 			record.share.resize(this.calculateShareSize(record), clock.readMonotonic());
