Count the memory of buffers once where heap growth is measured

Cause: process.memoryUsage().external includes arrayBuffers, and measure-heap added both. Change: the sum is heapUsed and external.

--- a/src/capacity/measure-heap/index.ts
+++ b/src/capacity/measure-heap/index.ts
@@ -23,8 +23,9 @@
 		collect();
 	}
 
-	const {heapUsed, external, arrayBuffers} = process.memoryUsage();
-	return heapUsed + external + arrayBuffers;
+	// The external memory includes that of buffers.
+	const {heapUsed, external} = process.memoryUsage();
+	return heapUsed + external;
 }
 
 let retainedValue: unknown;
