Copy short chunks together wherever bytes from outside are held

Cause: an answer to an idempotent call is held up to 256 KiB, and held-bytes kept each chunk as an object of about 200 bytes; an answer without end in chunks of one byte took 50 MB. A bound counted bytes where the cost is in pieces.

Change: the collector of callers' bodies, which copies short chunks into pages, is streams/byte-collector now and replaces held-bytes.

Why it works: what is held takes at most twice its length and 128 KiB, however short the pieces are.

Test: "guards against running out of memory by short pieces of ...", five readers.

--- a/src/forwarding/event-answer/index.ts
+++ b/src/forwarding/event-answer/index.ts
@@ -1,7 +1,7 @@
 /** A stream of events that another target can continue: passed on event by event. */
 
+import {ByteCollector} from '../../streams/byte-collector/index.js';
 import {EventBoundary} from '../../streams/event-boundary/index.js';
-import {HeldBytes} from '../../streams/held-bytes/index.js';
 import type {AttemptAnswer} from '../attempt-answer/index.js';
 import type {ResponseHead} from '../call-types/index.js';
 import {EventSplitter} from '../event-splitter/index.js';
@@ -13,7 +13,7 @@
 	hasContent = false;
 	/** Whether the last event has an id, so that another target can go on after it. */
 	isResumable = true;
-	private readonly held = new HeldBytes();
+	private readonly held = new ByteCollector();
 	private readonly splitter: EventSplitter;
 	private readonly boundary = new EventBoundary();
 	private isContinuation = false;
@@ -28,7 +28,7 @@
 	}
 
 	get heldBytes(): number {
-		return this.held.size;
+		return this.held.sizeBytes;
 	}
 
 	get isReady(): boolean {
--- a/src/forwarding/plain-answer/index.ts
+++ b/src/forwarding/plain-answer/index.ts
@@ -1,7 +1,7 @@
 /** An answer that no other target can continue. One to a call that may run again is held until it is whole. */
 
+import {ByteCollector} from '../../streams/byte-collector/index.js';
 import {EventBoundary} from '../../streams/event-boundary/index.js';
-import {HeldBytes} from '../../streams/held-bytes/index.js';
 import type {AttemptAnswer} from '../attempt-answer/index.js';
 import type {ResponseHead} from '../call-types/index.js';
 
@@ -24,7 +24,7 @@
 	readonly head: ResponseHead;
 	hasEnded = false;
 	receivedBytes = 0;
-	private readonly held = new HeldBytes();
+	private readonly held = new ByteCollector();
 	private readonly boundary = new EventBoundary();
 
 	constructor(private readonly options: PlainAnswerOptions) {
@@ -49,7 +49,7 @@
 	}
 
 	get heldBytes(): number {
-		return this.held.size;
+		return this.held.sizeBytes;
 	}
 
 	get isReady(): boolean {
--- a/src/gateway/collecting-sink/index.ts
+++ b/src/gateway/collecting-sink/index.ts
@@ -3,6 +3,7 @@
  * the process is killed, so an answer without a length is collected and sent with its length once it is complete.
  */
 
+import {ByteCollector} from '../../streams/byte-collector/index.js';
 import {ResponseSink} from '../response-sink/index.js';
 
 /** Larger answers are broken off, in bytes. */
@@ -14,8 +15,7 @@
 export class CollectingSink extends ResponseSink {
 	/** Head of the answer that is being collected; undefined if it is sent as it arrives. */
 	private head: Head | undefined;
-	private readonly chunks: Buffer[] = [];
-	private collectedBytes = 0;
+	private readonly collector = new ByteCollector();
 
 	override begin(status: number, headers: readonly string[]): void {
 		if (hasLength(headers)) {
@@ -30,11 +30,14 @@
 			return super.write(chunk);
 		}
 
-		this.collectedBytes += chunk.length;
-		if (this.collectedBytes > maximumCollectedBytes) {
+		if (this.response.destroyed) {
+			return true;
+		}
+
+		if (this.collector.sizeBytes + chunk.length > maximumCollectedBytes) {
 			this.destroy();
 		} else {
-			this.chunks.push(chunk);
+			this.collector.add(chunk);
 		}
 
 		return true;
@@ -47,12 +50,13 @@
 		}
 
 		const {status, headers} = this.head;
-		this.response.writeHead(status, [...headers, 'content-length', String(this.collectedBytes)]);
-		this.response.end(Buffer.concat(this.chunks));
+		const body = this.collector.take();
+		this.response.writeHead(status, [...headers, 'content-length', String(body.length)]);
+		this.response.end(body);
 	}
 
 	override destroy(): void {
-		this.chunks.length = 0;
+		this.collector.clear();
 		super.destroy();
 	}
 }
--- a/src/http/read-body/index.ts
+++ b/src/http/read-body/index.ts
@@ -2,6 +2,7 @@
 
 import type {IncomingMessage} from 'node:http';
 import {createRouterError} from '../../results/create-router-error/index.js';
+import {ByteCollector} from '../../streams/byte-collector/index.js';
 
 /**
  * Reads the whole body; throws `bodyTooLarge` above `limitBytes`, at once if the `content-length` header exceeds it.
@@ -14,23 +15,21 @@
 	}
 
 	return new Promise((resolve, reject) => {
-		const chunks: Buffer[] = [];
-		let sizeBytes = 0;
+		const collector = new ByteCollector();
 		const onData = (chunk: Buffer) => {
-			sizeBytes += chunk.length;
-			if (sizeBytes > limitBytes) {
+			if (collector.sizeBytes + chunk.length > limitBytes) {
 				message.off('data', onData);
 				message.pause();
 				reject(createSizeError());
 				return;
 			}
 
-			chunks.push(chunk);
+			collector.add(chunk);
 		};
 
 		message.on('data', onData);
 		message.once('end', () => {
-			resolve(Buffer.concat(chunks, sizeBytes));
+			resolve(collector.take());
 		});
 		message.once('error', error => {
 			reject(createRouterError('malformedRequest', 'the body broke off', {cause: error}));
--- a/src/intake/body-reader/index.ts
+++ b/src/intake/body-reader/index.ts
@@ -3,7 +3,7 @@
 import type {IncomingMessage} from 'node:http';
 import type {Clock} from '../../clock/clock/index.js';
 import {createRouterError, type RouterError} from '../../results/create-router-error/index.js';
-import {BodyAssembly, calculateLargestHolding} from '../body-assembly/index.js';
+import {ByteCollector, calculateLargestHolding} from '../../streams/byte-collector/index.js';
 import type {BodyBudget} from '../body-budget/index.js';
 import type {BodyHolding, RefusalReason} from '../body-holding/index.js';
 
@@ -31,7 +31,7 @@
 		}
 
 		return new Promise((resolve, reject) => {
-			const assembly = new BodyAssembly();
+			const collector = new ByteCollector();
 			let isDone = false;
 			const fail = (error: RouterError) => {
 				if (isDone) {
@@ -42,19 +42,19 @@
 				message.off('data', addChunk);
 				// What still arrives is dropped, not kept in the buffer of the message.
 				message.resume();
-				assembly.clear();
+				collector.clear();
 				this.release();
 				reject(error);
 			};
 
 			const addChunk = (chunk: Buffer) => {
-				if (assembly.sizeBytes + chunk.length > limitBytes) {
+				if (collector.sizeBytes + chunk.length > limitBytes) {
 					fail(this.createSizeError(limitBytes));
 					return;
 				}
 
-				assembly.append(chunk);
-				if (budget.charge(holding, assembly.sizeBytes, assembly.heldBytes)) {
+				collector.add(chunk);
+				if (budget.charge(holding, collector.sizeBytes, collector.heldBytes)) {
 					budget.refuseExcess(clock.readMonotonic());
 				}
 			};
@@ -65,7 +65,7 @@
 				}
 
 				isDone = true;
-				const body = assembly.take();
+				const body = collector.take();
 				budget.complete(holding, body.length);
 				resolve(body);
 			};
--- a/src/peers/peer-link/index.ts
+++ b/src/peers/peer-link/index.ts
@@ -7,6 +7,7 @@
 import {Pool} from 'undici';
 import VError from 'verror';
 import {SystemClock} from '../../clock/clock/index.js';
+import {ByteCollector} from '../../streams/byte-collector/index.js';
 import {AnswerDeadline} from '../answer-deadline/index.js';
 import {bodyEncoding, decompressBody} from '../compress-body/index.js';
 import type {PeerCallTimeout} from '../peer-caller/index.js';
@@ -108,14 +109,14 @@
 		const response = await this.pool.request({
 			method: 'POST', path: rpcPath, headers, body, signal: callState.signal,
 		});
-		const parts: Buffer[] = [];
+		const collector = new ByteCollector();
 		callState.deadline.recordPart(clock.readMonotonic());
 		for await (const part of response.body as AsyncIterable<Buffer>) {
 			callState.deadline.recordPart(clock.readMonotonic());
-			parts.push(part);
+			collector.add(part);
 		}
 
-		const bytes = Buffer.concat(parts);
+		const bytes = collector.take();
 		callState.receivedBytes = bytes.length;
 		const text = await decompressBody({bytes, encoding: String(response.headers['content-encoding'])}, maximumResponseBytes);
 		if (response.statusCode !== 200) {
--- a/src/requests/serve-idempotent-call/index.ts
+++ b/src/requests/serve-idempotent-call/index.ts
@@ -4,6 +4,7 @@
 import {discardBody} from '../../http/discard-body/index.js';
 import type {OrganisationId} from '../../identity/ids/index.js';
 import {createRouterError, convertToRouterError} from '../../results/create-router-error/index.js';
+import {ByteCollector} from '../../streams/byte-collector/index.js';
 import {filterResponseHeaders} from '../filter-secrets/index.js';
 import {forwardCall, type ServiceResponse, type ServiceCall} from '../forward-call/index.js';
 import {
@@ -23,8 +24,8 @@
 /** An idempotency key and the organisation that it belongs to. */
 export type ScopedIdempotencyKey = {readonly organisation: OrganisationId; readonly key: string};
 
-/** A response that is too large for a record: the chunks read so far, and an iterator over those that follow. */
-type LargeResponse = {readonly start: readonly Buffer[]; readonly unreadChunks: AsyncIterator<Buffer>; readonly answer: ServiceResponse};
+/** A response that is too large for a record: the bytes read so far, and an iterator over the chunks that follow. */
+type LargeResponse = {readonly start: Buffer; readonly unreadChunks: AsyncIterator<Buffer>; readonly answer: ServiceResponse};
 
 /** Reads the caller's idempotency key; throws `malformedRequest` if it is not valid. */
 export function extractIdempotencyKey(message: IncomingMessage): string | undefined {
@@ -102,18 +103,16 @@
 /** Reads the response into memory until it ends or is too large for a record. */
 async function bufferResponse(serviceResponse: ServiceResponse): Promise<StoredResponse | LargeResponse> {
 	const {statusCode, headers} = serviceResponse.answer;
-	const start: Buffer[] = [];
-	let sizeBytes = 0;
+	const collector = new ByteCollector();
 	const unreadChunks = readServiceBody(serviceResponse);
 	for (let step = await unreadChunks.next(); step.done !== true; step = await unreadChunks.next()) {
-		start.push(step.value);
-		sizeBytes += step.value.length;
-		if (sizeBytes > maximumStoredBodyBytes) {
-			return {start, unreadChunks, answer: serviceResponse};
+		collector.add(step.value);
+		if (collector.sizeBytes > maximumStoredBodyBytes) {
+			return {start: collector.take(), unreadChunks, answer: serviceResponse};
 		}
 	}
 
-	return {status: statusCode, headers: filterResponseHeaders(headers), bodyBase64: Buffer.concat(start).toString('base64')};
+	return {status: statusCode, headers: filterResponseHeaders(headers), bodyBase64: collector.take().toString('base64')};
 }
 
 function sendStoredResponse(response: ServerResponse, stored: StoredResponse, headers: Readonly<Record<string, string>> = {}): void {
@@ -121,8 +120,8 @@
 	response.end(Buffer.from(stored.bodyBase64, 'base64'));
 }
 
-async function * concatenateChunks(start: readonly Buffer[], unreadChunks: AsyncIterator<Buffer>): AsyncGenerator<Buffer> {
-	yield * start;
+async function * concatenateChunks(start: Buffer, unreadChunks: AsyncIterator<Buffer>): AsyncGenerator<Buffer> {
+	yield start;
 	for (let step = await unreadChunks.next(); step.done !== true; step = await unreadChunks.next()) {
 		yield step.value;
 	}
--- a/src/streams/byte-collector/index.ts
+++ b/src/streams/byte-collector/index.ts
@@ -1,6 +1,7 @@
 /**
- * Collects the chunks of one body in little more memory than their length. A chunk is an object with memory of its own, which costs
- * several hundred bytes however short the chunk is; so short chunks are copied together into pages.
+ * Collects bytes that arrive in chunks, in little more memory than their length. A chunk is an object with memory of its own, which
+ * costs several hundred bytes however short the chunk is; so short chunks are copied together into pages. Each byte is copied at
+ * most once before the bytes are taken.
  */
 
 /** Memory of a buffer beside its bytes: the objects of the heap and the header of its allocation. */
@@ -10,16 +11,16 @@
 const smallestPageBytes = 1024;
 const largestPageBytes = 64 * 1024;
 
-/** Calculates the most memory that a body of `bytes` takes. */
+/** Calculates the most memory that a collector of `bytes` takes. */
 export function calculateLargestHolding(bytes: number): number {
 	return (2 * bytes) + (2 * largestPageBytes);
 }
 
-/** The part of a body that has arrived. */
-export class BodyAssembly {
-	/** Length of the part that has arrived. */
+/** Holds the bytes that have arrived and were not taken yet. */
+export class ByteCollector {
+	/** Length of the bytes. */
 	sizeBytes = 0;
-	/** Memory that it takes. */
+	/** Memory that they take. */
 	heldBytes = 0;
 	private parts: Buffer[] = [];
 	/** Page that is being filled; it is also the last part. */
@@ -27,7 +28,11 @@
 	private pageBytes = 0;
 
 	/** Adds a chunk, which may be kept without a copy. */
-	append(chunk: Buffer): void {
+	add(chunk: Buffer): void {
+		if (chunk.length === 0) {
+			return;
+		}
+
 		const isFirst = this.sizeBytes === 0;
 		this.sizeBytes += chunk.length;
 		const copiedBytes = this.copyToPage(chunk);
@@ -42,7 +47,7 @@
 		}
 	}
 
-	/** Returns the whole body and keeps nothing of it. */
+	/** Returns the bytes in the order of their arrival, and keeps nothing of them. */
 	take(): Buffer {
 		this.closePage();
 		const {parts, sizeBytes} = this;
@@ -50,10 +55,11 @@
 		return parts.length === 1 ? parts[0]! : Buffer.concat(parts, sizeBytes);
 	}
 
-	/** Drops what has arrived. */
+	/** Drops the bytes. */
 	clear(): void {
 		this.parts = [];
 		this.page = undefined;
+		this.sizeBytes = 0;
 		this.heldBytes = 0;
 	}
 
@@ -64,7 +70,7 @@
 		return bytes;
 	}
 
-	/** Opens a page about as large as what is held, so that a body of short chunks takes at most about twice its size. */
+	/** Opens a page about as large as what is held, so that short chunks take at most about twice their length. */
 	private openPage(minimumBytes: number): void {
 		const bytes = Math.min(largestPageBytes, Math.max(smallestPageBytes, minimumBytes, this.sizeBytes));
 		this.page = Buffer.allocUnsafeSlow(bytes);
--- a/src/streams/byte-collector/test.ts
+++ b/src/streams/byte-collector/test.ts
@@ -1,7 +1,17 @@
+import {once} from 'node:events';
+import type {ServerResponse} from 'node:http';
 import {test} from 'node:test';
 import {expect} from 'earl';
 import fc from 'fast-check';
-import {BodyAssembly, calculateLargestHolding} from './index.js';
+import {measureHeap} from '../../capacity/measure-heap/index.js';
+import {cutIntoPieces} from '../../fixtures/cut-into-pieces/index.js';
+import {enableGarbageCollection} from '../../fixtures/enable-garbage-collection/index.js';
+import type {ResponseHead} from '../../forwarding/call-types/index.js';
+import {PlainAnswer} from '../../forwarding/plain-answer/index.js';
+import {CollectingSink} from '../../gateway/collecting-sink/index.js';
+import {readText} from '../../http/read-text/index.js';
+import {LineSplitter} from '../line-splitter/index.js';
+import {ByteCollector, calculateLargestHolding} from './index.js';
 
 const chunkSizes = fc.array(fc.oneof(fc.integer({min: 1, max: 20}), fc.integer({min: 1, max: 5000}), fc.integer({min: 4000, max: 70_000})), {maxLength: 60});
 
@@ -9,35 +19,113 @@
 	return Buffer.alloc(bytes, index % 251);
 }
 
-test('guards against bodies that change when their chunks are copied together, or that take more than twice their size', () => {
+test('guards against bytes that change when their chunks are copied together, or that take more than twice their length', () => {
 	fc.assert(fc.property(chunkSizes, sizes => {
 		const chunks = sizes.map((bytes, index) => createChunk(bytes, index));
-		const assembly = new BodyAssembly();
+		const collector = new ByteCollector();
 		for (const chunk of chunks) {
-			assembly.append(chunk);
+			collector.add(chunk);
 		}
 
 		const body = Buffer.concat(chunks);
-		expect(assembly.sizeBytes).toEqual(body.length);
-		expect(assembly.heldBytes >= body.length).toEqual(true);
-		expect(assembly.heldBytes <= calculateLargestHolding(body.length)).toEqual(true);
-		expect(assembly.take().equals(body)).toEqual(true);
-		expect(assembly.heldBytes).toEqual(0);
+		expect(collector.sizeBytes).toEqual(body.length);
+		expect(collector.heldBytes >= body.length).toEqual(true);
+		expect(collector.heldBytes <= calculateLargestHolding(body.length)).toEqual(true);
+		expect(collector.take().equals(body)).toEqual(true);
+		expect(collector.heldBytes).toEqual(0);
 	}));
 });
 
-test('guards against a body of short chunks that takes many times its size', () => {
-	const assembly = new BodyAssembly();
+test('guards against short chunks that take many times their length', () => {
+	const collector = new ByteCollector();
 	for (let index = 0; index < 100_000; index += 1) {
-		assembly.append(createChunk(8, index));
+		collector.add(createChunk(8, index));
 	}
 
-	expect(assembly.heldBytes < 1.1 * 800_000).toEqual(true);
+	expect(collector.heldBytes < 1.1 * 800_000).toEqual(true);
 });
 
-test('guards against copying a body that arrives as one chunk', () => {
-	const assembly = new BodyAssembly();
+test('guards against copying what arrives as one chunk', () => {
+	const collector = new ByteCollector();
 	const chunk = createChunk(100, 1);
-	assembly.append(chunk);
-	expect(assembly.take() === chunk).toEqual(true);
+	collector.add(chunk);
+	expect(collector.take() === chunk).toEqual(true);
 });
+
+test('guards against bytes that are lost, doubled or out of order between takes', () => {
+	const collector = new ByteCollector();
+	const take = () => collector.take().toString();
+	expect([take(), collector.sizeBytes]).toEqual(['', 0]);
+	collector.add(Buffer.from('a'));
+	expect([collector.sizeBytes, take(), collector.sizeBytes]).toEqual([1, 'a', 0]);
+	for (const text of ['b', '', 'c']) {
+		collector.add(Buffer.from(text));
+	}
+
+	expect([collector.sizeBytes, take(), take()]).toEqual([2, 'bc', '']);
+});
+
+const input = Buffer.alloc(512 * 1024, 'x');
+/** Memory that a reader may take beside twice the bytes that it holds. */
+const fixedBytes = 128 * 1024;
+
+/** What holds bytes that are added to it. */
+type Holder = {add(piece: Buffer): unknown};
+
+function holdBy(holder: Holder, pieces: Iterable<Buffer>): Holder {
+	for (const piece of pieces) {
+		holder.add(piece);
+	}
+
+	return holder;
+}
+
+/** Reads a body that ends only when the controller aborts. */
+async function holdAsText(pieces: Iterable<Buffer>): Promise<unknown> {
+	const lastRead = new AbortController();
+	const end = new AbortController();
+	async function * sendPieces(): AsyncGenerator<Buffer> {
+		for (const piece of pieces) {
+			yield piece;
+		}
+
+		lastRead.abort();
+		await once(end.signal, 'abort');
+	}
+
+	const text = readText(sendPieces(), 2 * input.length);
+	await once(lastRead.signal, 'abort');
+	return {text, end};
+}
+
+function createHeldAnswer(): PlainAnswer {
+	const head: Partial<ResponseHead> = {};
+	return new PlainAnswer({
+		head: head as ResponseHead, isHeld: true, isEventStream: false, isFallback: false,
+	});
+}
+
+function createCollectingSink(): Holder {
+	const response: Partial<ServerResponse> = {destroyed: false};
+	const sink = new CollectingSink(response as ServerResponse);
+	sink.begin(200, []);
+	return {add: piece => sink.write(piece)};
+}
+
+const readers: ReadonlyArray<{readonly name: string; readonly hold: (pieces: Iterable<Buffer>) => unknown}> = [
+	{name: 'bytes', hold: pieces => holdBy(new ByteCollector(), pieces)},
+	{name: 'an answer that is held until it is whole', hold: pieces => holdBy(createHeldAnswer(), pieces)},
+	{name: 'an answer to a caller of HTTP/1.0', hold: pieces => holdBy(createCollectingSink(), pieces)},
+	{name: 'a line', hold: pieces => holdBy(new LineSplitter(), pieces)},
+	{name: 'a text', hold: holdAsText},
+];
+
+for (const {name, hold} of readers) {
+	test(`guards against running out of memory by short pieces of ${name}`, async () => {
+		enableGarbageCollection();
+		for (const pieceBytes of [64 * 1024, 1024, 64, 8, 1]) {
+			const heldBytes = await measureHeap(() => hold(cutIntoPieces(input, pieceBytes)));
+			expect(heldBytes).toBeLessThanOrEqual((2 * input.length) + fixedBytes);
+		}
+	});
+}
--- a/src/streams/line-splitter/index.ts
+++ b/src/streams/line-splitter/index.ts
@@ -3,43 +3,38 @@
  * undecoded, whatever encoding is set afterwards.
  */
 
-import {StringDecoder} from 'node:string_decoder';
 import VError from 'verror';
+import {ByteCollector} from '../byte-collector/index.js';
 
-/** Longest line, in characters. A faulty server may send a line without end. */
-const defaultMaximumLength = 16 * 1024 * 1024;
+const lineFeed = 0x0A;
+/** Longest line, in bytes. A faulty server may send a line without end. */
+const defaultMaximumBytes = 16 * 1024 * 1024;
 
 /** Collects bytes that arrive in chunks. */
 export class LineSplitter {
-	private readonly decoder = new StringDecoder('utf8');
-	private readonly incompleteLine: string[] = [];
-	private incompleteLength = 0;
+	private readonly incompleteLine = new ByteCollector();
 
-	constructor(private readonly maximumLength = defaultMaximumLength) {}
+	constructor(private readonly maximumBytes = defaultMaximumBytes) {}
 
 	/** Adds a chunk; returns the lines that it completes, without their line feeds. Throws a `VError` if a line is too long. */
 	add(chunk: Buffer): string[] {
-		const texts = this.decoder.write(chunk).split('\n');
-		const last = texts.pop()!;
-		const lines = texts.map(text => this.completeLine(text));
-		this.append(last);
-		return lines;
-	}
+		const lines: string[] = [];
+		let start = 0;
+		for (let end = chunk.indexOf(lineFeed); end !== -1; end = chunk.indexOf(lineFeed, start)) {
+			this.append(chunk.subarray(start, end));
+			lines.push(this.incompleteLine.take().toString('utf8'));
+			start = end + 1;
+		}
 
-	private completeLine(text: string): string {
-		this.append(text);
-		const line = this.incompleteLine.join('');
-		this.incompleteLine.length = 0;
-		this.incompleteLength = 0;
-		return line;
+		this.append(chunk.subarray(start));
+		return lines;
 	}
 
-	private append(text: string): void {
-		this.incompleteLength += text.length;
-		if (this.incompleteLength > this.maximumLength) {
-			throw new VError('a line has more than %d characters', this.maximumLength);
+	private append(bytes: Buffer): void {
+		if (this.incompleteLine.sizeBytes + bytes.length > this.maximumBytes) {
+			throw new VError('a line has more than %d bytes', this.maximumBytes);
 		}
 
-		this.incompleteLine.push(text);
+		this.incompleteLine.add(bytes);
 	}
 }
--- a/src/streams/line-splitter/test.ts
+++ b/src/streams/line-splitter/test.ts
@@ -12,7 +12,7 @@
 	expect(splitter.add(Buffer.from('abcde\nabcde\n'))).toEqual(['abcde', 'abcde']);
 	splitter.add(Buffer.from('ab'));
 	splitter.add(Buffer.from('cd'));
-	expect(() => splitter.add(Buffer.from('ef'))).toThrow('more than 5 characters');
+	expect(() => splitter.add(Buffer.from('ef'))).toThrow('more than 5 bytes');
 });
 
 test('guards against a character that is split between chunks', () => {
