Name the isolated organisations in the namespace that the others share

Cause: the namespace of all that share was the version of the weights alone, so nothing in it changed when an organisation became isolated. A call also kept the namespace of its arrival when it waited or was retried.

Evidence: the engine's record has the same text (/1) before and after the change at both instances, and calls of the isolated one under its own text.

Change: the text names the set of isolated organisations by a digest of their sorted ids, and is empty as before while there is none. It is read from the configuration in force at each attempt. Ids are escaped, so that an empty one or one with a slash can't reach the common text. The change of the text is logged.

Why it works: an entry under a text was made by an organisation that this text doesn't name, whatever the configurations before said; no state is needed, so a restart or a restored store changes nothing.

--- a/src/forwarding/build-attempt-options/test.ts
+++ b/src/forwarding/build-attempt-options/test.ts
@@ -21,7 +21,7 @@
 		id: '1' as RequestId, method: 'POST', path: '/', host: 'h', headers: [], key: undefined, waitMs: undefined, work, lastEventId: undefined, resumes: undefined,
 	};
 	return buildAttemptOptions({
-		call, route: createRoute('r', {priority: 3}), organisation, target: createFleetTarget('t'), hints: new PrefixHints(work, organisation, new PrefixDirectory()),
+		call, route: createRoute('r', {priority: 3}), organisation, target: createFleetTarget('t'), hints: new PrefixHints(work, () => organisation.id, new PrefixDirectory()),
 		remainingMs: 100, lastEventId: undefined,
 		cacheStores: stores.map(address => ({address})),
 	});
--- a/src/forwarding/call-session/index.ts
+++ b/src/forwarding/call-session/index.ts
@@ -58,7 +58,8 @@
 		this.handler = new AttemptHandler({
 			session: options, attempts, requests: this.requests, relay: this.relay, guard: this.guard, times: this.times,
 			selection: {
-				session: options, triedTargets: attempts.triedTargets, hints: new PrefixHints(call.work, organisation, context.prefixes),
+				session: options, triedTargets: attempts.triedTargets,
+				hints: new PrefixHints(call.work, () => context.findCacheNamespace(organisation?.id), context.prefixes),
 				origin: this.origin, versions,
 			},
 			isDone: () => this.isDone,
--- a/src/forwarding/forwarding-context/index.ts
+++ b/src/forwarding/forwarding-context/index.ts
@@ -5,7 +5,7 @@
 import type {PlacementPolicy} from '../../fleet/placement-policy/index.js';
 import type {PrefixDirectory} from '../../fleet/prefix-directory/index.js';
 import type {TargetFleet} from '../../fleet/target-fleet/index.js';
-import type {DataCentreId} from '../../identity/ids/index.js';
+import type {DataCentreId, OrganisationId} from '../../identity/ids/index.js';
 import type {LimitGate} from '../../limits/limit-gate/index.js';
 import type {EventLogger} from '../../logging/create-logger/index.js';
 import type {WeightsVersionHistory} from '../../rollout/weights-version-history/index.js';
@@ -69,6 +69,8 @@
 	readonly findVersionHistory: (model: string) => WeightsVersionHistory | undefined;
 	readonly findRetryBudget: (service: ServiceId) => RetryGate;
 	readonly findService: (service: ServiceId) => Service | undefined;
+	/** Finds the namespace of an organisation's cache entries in the configuration in force; undefined stands for a call without one. */
+	readonly findCacheNamespace: (organisation: OrganisationId | undefined) => string;
 	readonly listCacheStores: () => readonly CacheStore[];
 	readonly report: (report: CallReport) => void;
 };
--- a/src/forwarding/prefix-hints/index.ts
+++ b/src/forwarding/prefix-hints/index.ts
@@ -4,7 +4,6 @@
 import type {FleetTarget} from '../../fleet/fleet-target/index.js';
 import {formatPrefixKey, type PrefixDirectory, type PrefixKey} from '../../fleet/prefix-directory/index.js';
 import type {MonotonicMs, TargetId} from '../../identity/ids/index.js';
-import type {CallerOrganisation} from '../../routing/routing-types/index.js';
 import type {EngineWork} from '../call-types/index.js';
 
 /** Shorter shared prefixes justify neither placement by prefix nor transfers of cache entries. */
@@ -15,9 +14,10 @@
 	/** Undefined when the shared prefix is too short. */
 	readonly sharedPrefix: SharedPrefix | undefined;
 
+	/** `readNamespace` returns the namespace of the call's cache entries in the configuration in force. */
 	constructor(
 		private readonly work: EngineWork | undefined,
-		private readonly organisation: CallerOrganisation | undefined,
+		private readonly readNamespace: () => string,
 		private readonly directory: PrefixDirectory,
 	) {
 		this.sharedPrefix = findSharedPrefix(work);
@@ -29,16 +29,11 @@
 	}
 
 	/**
-	 * Formats the namespace of the call's cache entries at `target`. Entries are valid for one weights version,
-	 * and those of an isolated organisation only for that organisation. Undefined for calls to plain services.
+	 * Formats the scope of the call's cache entries at `target`. Entries are valid for one namespace and one weights version.
+	 * Undefined for calls to plain services.
 	 */
 	formatCacheScope(target: FleetTarget): string | undefined {
-		if (this.work === undefined) {
-			return undefined;
-		}
-
-		const owner = this.organisation?.isIsolated ? this.organisation.id : '';
-		return `${owner}/${target.readVersion(this.work.model) ?? 0}`;
+		return this.work === undefined ? undefined : `${this.readNamespace()}/${target.readVersion(this.work.model) ?? 0}`;
 	}
 
 	/** Selects the targets that probably hold the shared prefix for their current weights. */
--- a/src/forwarding/select-target/test.ts
+++ b/src/forwarding/select-target/test.ts
@@ -35,7 +35,7 @@
 	const session: Partial<TargetSelection['session']> = {call: callWithoutPrompt as InboundCall, service: 'service-1' as ServiceId};
 	const selection: TargetSelection = {
 		session: session as TargetSelection['session'],
-		triedTargets: new Set(), hints: new PrefixHints(undefined, undefined, new PrefixDirectory()), origin: createStreamOrigin(),
+		triedTargets: new Set(), hints: new PrefixHints(undefined, () => '', new PrefixDirectory()), origin: createStreamOrigin(),
 	};
 	const target = selectTarget(selection, context as ForwardingContext, now);
 	const first = fleet.locate(createDescription(ids[0]!).id)!;
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -92,7 +92,7 @@
 	private readonly weightsRegistry: WeightsRegistry;
 	private readonly instanceRegistry: InstanceRegistry;
 	private readonly startedAt: MonotonicMs;
-	private readonly routing = new CurrentRouting(() => this.feeds.canServe(this.options.clock.readMonotonic()));
+	private readonly routing: CurrentRouting;
 	private plannedStop: PlannedStop | undefined;
 
 	constructor(private readonly options: GatewayOptions) {
@@ -105,6 +105,7 @@
 		const listPeerIds = () => this.listPeers().map(peer => peer.id);
 		this.startedAt = clock.readMonotonic();
 		setMaxListeners(maximumTasks, this.controller.signal);
+		this.routing = new CurrentRouting(() => this.feeds.canServe(clock.readMonotonic()), logger);
 		this.fleet = new TargetFleet(logger);
 		this.traffic = createTrafficControl({
 			...options, fleet: this.fleet, startedAt: this.startedAt, countInstances,
@@ -296,6 +297,7 @@
 			findVersionHistory: model => this.weightsRegistry.find(model),
 			findRetryBudget: service => this.traffic.retryBudgets.find(service),
 			findService: service => this.routing.table?.findService(service),
+			findCacheNamespace: organisation => this.routing.findCacheNamespace(organisation),
 			listCacheStores: () => this.routing.table?.configuration.cacheStores ?? [],
 			report(report) {
 				metrics.recordCall(report);
--- a/src/routing/routing-table/index.ts
+++ b/src/routing/routing-table/index.ts
@@ -1,18 +1,21 @@
 /** Lookups in an accepted routing configuration. */
 
 import type {KeyHash, RouteId} from '../../identity/ids/index.js';
+import {CacheNamespaces} from '../cache-namespaces/index.js';
 import type {
 	CallerOrganisation, Route, RoutingConfiguration, Service, ServiceId,
 } from '../routing-types/index.js';
 
 /** Immutable index of a routing configuration. */
 export class RoutingTable {
+	readonly cacheNamespaces: CacheNamespaces;
 	private readonly routes = new Map<RouteId, Route>();
 	private readonly routesByHost = new Map<string, Route[]>();
 	private readonly organisationsByKey = new Map<KeyHash, CallerOrganisation>();
 	private readonly services = new Map<ServiceId, Service>();
 
 	constructor(readonly configuration: RoutingConfiguration) {
+		this.cacheNamespaces = new CacheNamespaces(configuration.organisations);
 		for (const route of configuration.routes) {
 			const host = route.host.toLowerCase();
 			this.routes.set(route.id, route);
