Pass what one read brings on at once, and let connections in short chunks take turns

Cause: each chunk passed all modules of a call, each byte of an answer that was passed on was a write to its caller, and up to 2 MB of one connection were handled before any other connection was looked at. A paused answer kept each chunk as an object.

Change: the target client passes the bytes of one read on as one chunk in the next tick. A connection whose read came in more than 1,024 chunks reads on in its turn, one of them in each turn of the event loop. A paused answer keeps what arrives in pages. The connection is held against the response, which resumes it for more of its body.

Why it works: the cost of a turn is that of one read, whatever the number of such answers, and an ordinary connection never waits.

Tests: target-client, three new ones.

--- a/src/forwarding/target-client/test.ts
+++ b/src/forwarding/target-client/test.ts
@@ -1,9 +1,10 @@
 import type {Socket} from 'node:net';
 import {setImmediate as nextTurn, setTimeout as delay} from 'node:timers/promises';
-import {test} from 'node:test';
+import {test, type TestContext} from 'node:test';
 import {expect} from 'earl';
 import {createFleetTarget} from '../../fixtures/create-fleet-target/index.js';
 import {startRawServer} from '../../fixtures/start-raw-server/index.js';
+import {maximumPiecesPerRead} from '../../http/read-turns/index.js';
 import {TargetClient, type ExchangeStage} from './index.js';
 
 type ExchangeResult = {status?: number; body: string; outcome: 'complete' | ExchangeStage};
@@ -180,3 +181,125 @@
 	Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 600);
 	expect(await result).toEqual({status: 200, body: 'ok', outcome: 'complete'});
 });
+
+const pieceHead = 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n';
+const piece = '1\r\nx\r\n';
+/** Size of one read from a connection, in bytes. */
+const readBytes = 64 * 1024;
+
+/** Starts a server that answers with `pieces` pieces of one byte, and closes it after the test. */
+async function startPieceServer(t: TestContext, pieces: number) {
+	const server = await startRawServer(socket => {
+		socket.write(`${pieceHead}${piece.repeat(pieces)}0\r\n\r\n`);
+	});
+	t.after(() => {
+		server.close();
+	});
+	return server;
+}
+
+/** Sends a GET request; returns the sizes of the chunks of its answer. */
+async function collectChunkSizes(address: string, client = new TargetClient(), onChunk?: (size: number) => void): Promise<number[]> {
+	const sizes: number[] = [];
+	await new Promise((resolve, reject) => {
+		client.start(createFleetTarget(address, {address}), {
+			method: 'GET', path: '/', headers: ['Host', 'example'], body: undefined, shouldUseNewConnection: true,
+		}, {
+			onHead() {
+				// Only the body matters.
+			},
+			onChunk(chunk) {
+				sizes.push(chunk.length);
+				onChunk?.(chunk.length);
+			},
+			onEnd() {
+				resolve(undefined);
+			},
+			onFailure(_stage, error) {
+				reject(error);
+			},
+		});
+	});
+	return sizes;
+}
+
+/** Counts the turns of the event loop while `run` is in progress. */
+async function countTurns<Result>(run: (readTurn: () => number) => Promise<Result>): Promise<Result> {
+	let turn = 0;
+	let isRunning = true;
+	const count = () => {
+		turn += 1;
+		if (isRunning) {
+			setImmediate(count);
+		}
+	};
+
+	setImmediate(count);
+	try {
+		return await run(() => turn);
+	} finally {
+		isRunning = false;
+	}
+}
+
+test('guards against a call and a write to the caller for each short chunk of an answer', async t => {
+	const pieces = 5000;
+	const server = await startPieceServer(t, pieces);
+	const sizes = await collectChunkSizes(server.address);
+	expect([sizes.reduce((sum, size) => sum + size, 0), sizes.length < 20]).toEqual([pieces, true]);
+});
+
+test('guards against answers in short chunks that hold all other connections up: one of them is read in each turn', async t => {
+	const pieces = 200_000;
+	const server = await startPieceServer(t, pieces);
+	const client = new TargetClient();
+	const connections = 4;
+	const piecesByTurn = new Map<number, number>();
+	await countTurns(async readTurn => Promise.all(Array.from({length: connections}, async () => {
+		// Only its first read shows that an answer comes in short chunks.
+		let isFirst = true;
+		await collectChunkSizes(server.address, client, size => {
+			piecesByTurn.set(readTurn(), (piecesByTurn.get(readTurn()) ?? 0) + (isFirst ? 0 : size));
+			isFirst = false;
+		});
+	})));
+	const largestRead = Math.ceil(readBytes / piece.length);
+	expect(Math.max(...piecesByTurn.values())).toBeLessThanOrEqual(largestRead + (connections * maximumPiecesPerRead));
+});
+
+test('guards against a connection that stays silent for the next request after its answer was paused', async t => {
+	const server = await startPieceServer(t, 40_000);
+	const client = new TargetClient();
+	const target = createFleetTarget('paused', {address: server.address});
+	for (let request = 0; request < 3; request += 1) {
+		let receivedBytes = 0;
+		const outcome = await new Promise(resolve => {
+			const exchange = client.start(target, {
+				method: 'GET', path: '/', headers: ['Host', 'example'], body: undefined, shouldUseNewConnection: false,
+			}, {
+				onHead() {
+					exchange.pause();
+					setTimeout(() => {
+						exchange.resume();
+					}, 20);
+				},
+				onChunk(chunk) {
+					receivedBytes += chunk.length;
+					exchange.pause();
+					setTimeout(() => {
+						exchange.resume();
+					}, 5);
+				},
+				onEnd() {
+					resolve('complete');
+				},
+				onFailure: resolve,
+			});
+		});
+		expect([outcome, receivedBytes]).toEqual(['complete', 40_000]);
+		await nextTurn();
+	}
+
+	expect(server.countConnections()).toEqual(1);
+	client.prune(new Set());
+});
--- a/src/http/target-socket/index.ts
+++ b/src/http/target-socket/index.ts
@@ -23,6 +23,26 @@
 
 /** A connection to a target. */
 export class TargetSocket extends Socket {
+	private isHeld = false;
+
+	/** Stops reading until `release`, whoever resumes the connection; a response does, for more of its body. */
+	hold(): void {
+		this.isHeld = true;
+		this.pause();
+	}
+
+	/** Reads on after `hold`. */
+	release(): void {
+		if (this.isHeld) {
+			this.isHeld = false;
+			this.resume();
+		}
+	}
+
+	override resume(): this {
+		return this.isHeld ? this : super.resume();
+	}
+
 	override push(chunk: unknown, encoding?: BufferEncoding): boolean {
 		if (chunk === null && this.hasBeenReset()) {
 			this.destroy(new ConnectionResetError());
