Give one exchange with a target a module of its own

Cause: target-client had grown to 324 lines with two jobs, pools of connections and one exchange. Change: the exchange and its types are src/forwarding/http-exchange; nothing else changes.

--- a/src/forwarding/attempt-handler/index.ts
+++ b/src/forwarding/attempt-handler/index.ts
@@ -14,13 +14,13 @@
 import type {CallParts} from '../call-parts/index.js';
 import type {ResponseHead} from '../call-types/index.js';
 import type {ForwardingContext} from '../forwarding-context/index.js';
+import type {ExchangeStage} from '../http-exchange/index.js';
 import {isTemporaryFailure} from '../is-temporary-failure/index.js';
 import type {AttemptFailure} from '../plan-next-step/index.js';
 import {recordHead} from '../record-head/index.js';
 import type {Attempt} from '../session-types/index.js';
 import type {AttemptListener} from '../start-attempt/index.js';
 import {StepPlanner} from '../step-planner/index.js';
-import type {ExchangeStage} from '../target-client/index.js';
 
 const firstServerErrorStatus = 500;
 
--- a/src/forwarding/call-guard/index.ts
+++ b/src/forwarding/call-guard/index.ts
@@ -7,10 +7,10 @@
 import type {ForwardingContext} from '../forwarding-context/index.js';
 import {openRequestGuard, type RequestGuard, type RequestKeyReader} from '../request-guard/index.js';
 import {classificationDelayMs, classifyUnframedEnd, type UnframedEndClass} from '../classify-unframed-end/index.js';
+import type {ExchangeStage} from '../http-exchange/index.js';
 import {openPromptGuard, type PromptGuard} from '../prompt-guard/index.js';
 import {hashRequest, type RequestKey} from '../../quarantine/request-key/index.js';
 import type {Attempt, SessionOptions} from '../session-types/index.js';
-import type {ExchangeStage} from '../target-client/index.js';
 
 const msPerSecond = 1000;
 const firstErrorStatus = 300;
--- a/src/forwarding/session-types/index.ts
+++ b/src/forwarding/session-types/index.ts
@@ -8,7 +8,7 @@
 import type {CallDeadline} from '../call-deadline/index.js';
 import type {PriorRequests} from '../call-requests/index.js';
 import type {ResponseHead, CallerSink, InboundCall} from '../call-types/index.js';
-import type {Exchange} from '../target-client/index.js';
+import type {Exchange} from '../http-exchange/index.js';
 
 /** A call whose route was found and whose key was accepted. */
 export type SessionOptions = {
--- a/src/forwarding/start-attempt/index.ts
+++ b/src/forwarding/start-attempt/index.ts
@@ -6,10 +6,10 @@
 import type {CallGuard, ExchangeFailure} from '../call-guard/index.js';
 import type {ResponseHead} from '../call-types/index.js';
 import type {ForwardingContext} from '../forwarding-context/index.js';
+import type {ExchangeStage} from '../http-exchange/index.js';
 import type {PrefixHints} from '../prefix-hints/index.js';
 import type {Attempt, SessionOptions} from '../session-types/index.js';
 import type {StreamOrigin} from '../stream-origin/index.js';
-import type {ExchangeStage} from '../target-client/index.js';
 
 /** What is sent, and where. */
 export type AttemptRequest = {
--- a/src/forwarding/target-client/test.ts
+++ b/src/forwarding/target-client/test.ts
@@ -5,7 +5,8 @@
 import {createFleetTarget} from '../../fixtures/create-fleet-target/index.js';
 import {startRawServer} from '../../fixtures/start-raw-server/index.js';
 import {maximumPiecesPerRead} from '../../http/read-turns/index.js';
-import {TargetClient, type ExchangeStage} from './index.js';
+import type {ExchangeStage} from '../http-exchange/index.js';
+import {TargetClient} from './index.js';
 
 type ExchangeResult = {status?: number; body: string; outcome: 'complete' | ExchangeStage};
 
--- a/src/handover/peer-exchange/index.ts
+++ b/src/handover/peer-exchange/index.ts
@@ -6,9 +6,8 @@
 import type {Clock} from '../../clock/clock/index.js';
 import type {CallDeadline} from '../../forwarding/call-deadline/index.js';
 import type {CallerSink} from '../../forwarding/call-types/index.js';
-import type {
-	Exchange, ExchangeListener, ExchangeStage, OutboundRequest, TargetClient,
-} from '../../forwarding/target-client/index.js';
+import type {Exchange, ExchangeListener, ExchangeStage} from '../../forwarding/http-exchange/index.js';
+import type {OutboundRequest, TargetClient} from '../../forwarding/target-client/index.js';
 import {waitForArrivedData} from '../../http/wait-for-arrived-data/index.js';
 import type {InstanceId, MonotonicMs} from '../../identity/ids/index.js';
 import type {EventLogger} from '../../logging/create-logger/index.js';
